--- /dev/null
+++ b/include/caraway/EndpointSpec.h
@@ -0,0 +1,30 @@
+// EndpointSpec.h: a back end, as operators declare it.
+#ifndef caraway_EndpointSpec_h
+#define caraway_EndpointSpec_h
+
+#include <cstdint>
+#include <string>
+
+namespace caraway {
+
+enum class EndpointKind
+{
+  Engine,  // loads models on order
+  Service, // plain service, routed to as it is
+};
+
+struct EndpointSpec
+{
+  std::string mName;
+  std::string mZone;
+  std::string mGroup;   // e.g. nieve-llm, paso-api
+  std::string mAddress; // ip:port
+  EndpointKind mKind = EndpointKind::Engine;
+  int64_t mMemory = 0;         // bytes for models; engines only
+  bool mChecksFencing = false; // refuses old fencing numbers
+  int mSlots = 8;              // requests it serves at a time
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/include/caraway/Result.h
@@ -0,0 +1,55 @@
+// Result.h: errors travel as LEAF results that carry a Failure.
+#ifndef caraway_Result_h
+#define caraway_Result_h
+
+#include <boost/leaf.hpp>
+#include <utility>
+#include <variant>
+
+#include "caraway/Failure.h"
+
+namespace caraway {
+
+namespace leaf = boost::leaf;
+
+template<class T>
+using Result = leaf::result<T>;
+
+// Raises aKind with the retry time and run state of its row.
+inline leaf::error_id
+Fail(ErrorKind aKind, std::string aDetail)
+{
+  return leaf::new_error(FailureOf(aKind, std::move(aDetail)));
+}
+
+inline leaf::error_id
+Fail(Failure aFailure)
+{
+  return leaf::new_error(std::move(aFailure));
+}
+
+// Runs aTry (a callable returning Result<T>) and returns its value, or the
+// Failure it raised. LEAF loads error objects only inside a handling scope;
+// this is that scope for callers that look at the failure as a value.
+template<class Try>
+auto
+Outcome(Try&& aTry)
+  -> std::variant<std::decay_t<decltype(aTry().value())>, Failure>
+{
+  using Value = std::decay_t<decltype(aTry().value())>;
+  using Either = std::variant<Value, Failure>;
+  return leaf::try_handle_all(
+    [&]() -> Result<Either> {
+      auto result = aTry();
+      if (!result) {
+        return result.error();
+      }
+      return Either(std::move(result.value()));
+    },
+    [](const Failure& aFailure) { return Either(aFailure); },
+    [] { return Either(FailureOf(ErrorKind::Internal, "unknown error")); });
+}
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/admin/AdminPort.cpp
@@ -0,0 +1,237 @@
+#include "admin/AdminPort.h"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+
+#include "base/ConfigCodec.h"
+#include "base/Digest.h"
+#include "base/JsonText.h"
+#include "base/Log.h"
+#include "base/RandomId.h"
+#include "serve/Problem.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kBodyLimit = 16 * 1024 * 1024;
+constexpr Millis kBodyTime{ 10000 };
+const std::string kBearer = "Bearer ";
+const std::string kRevisions = "/admin/v1/revisions/";
+
+std::string
+Text(WallTime aTime)
+{
+  Poco::Timestamp stamp(
+    std::chrono::duration_cast<Micros>(aTime.time_since_epoch()).count());
+  return Poco::DateTimeFormatter::format(stamp,
+                                         Poco::DateTimeFormat::ISO8601_FORMAT);
+}
+
+} // namespace
+
+const AdminPort::Route AdminPort::kRoutes[] = {
+  { "GET", "/admin/v1/status", &AdminPort::Status },
+  { "GET", "/admin/v1/fleet", &AdminPort::Fleet },
+  { "GET", "/admin/v1/config", &AdminPort::Read },
+  { "POST", "/admin/v1/config", &AdminPort::Change },
+  { "POST", "/admin/v1/check", &AdminPort::Check },
+  { "GET", "/admin/v1/history", &AdminPort::History },
+};
+
+AdminPort::AdminPort(std::string aListen,
+                     std::vector<AdminUser> aUsers,
+                     Parts aParts)
+  : mListen(std::move(aListen))
+  , mUsers(std::move(aUsers))
+  , mParts(std::move(aParts))
+{
+}
+
+void
+AdminPort::Open()
+{
+  HttpPortLimits limits;
+  limits.mThreads = 8;
+  limits.mWaiting = 16;
+  mPort = std::make_unique<HttpPort>(
+    mListen, limits, [this](auto& aIn, auto& aOut) { Handle(aIn, aOut); });
+}
+
+// What a balancer asks, without a key: tells nothing but yes or no.
+bool
+AdminPort::Probe(const std::string& aPath, Response& aResponse) const
+{
+  bool ready = aPath == "/readyz";
+  if (!ready && aPath != "/healthz") {
+    return false;
+  }
+  Json::Value json;
+  json["ok"] = !ready || mParts.mReady();
+  JsonSend(aResponse, json["ok"].asBool() ? 200 : 503, json);
+  return true;
+}
+
+Result<std::string>
+AdminPort::User(const Request& aRequest) const
+{
+  std::string header = aRequest.get("Authorization", "");
+  if (header.compare(0, kBearer.size(), kBearer) != 0) {
+    return Fail(ErrorKind::KeyMissing, "send Authorization: Bearer ADMIN-KEY");
+  }
+  std::string digest = DigestHex(header.substr(kBearer.size()));
+  std::string name;
+  for (const AdminUser& user : mUsers) {
+    if (DigestEqual(user.mDigest, digest)) {
+      name = user.mName;
+    }
+  }
+  if (name.empty()) {
+    return Fail(ErrorKind::KeyUnknown, "no such administration key");
+  }
+  return name;
+}
+
+void
+AdminPort::Handle(Request& aRequest, Response& aResponse)
+{
+  std::string path = aRequest.getURI();
+  if (Probe(path, aResponse)) {
+    return;
+  }
+  std::string id = RandomId();
+  auto answer = Outcome([&]() -> Result<Json::Value> {
+    BOOST_LEAF_AUTO(user, User(aRequest));
+    if (path == "/metrics") {
+      std::string text = mParts.mMetrics->Text() + mParts.mMoreMetrics();
+      aResponse.setContentType("text/plain; version=0.0.4");
+      aResponse.sendBuffer(text.data(), text.size());
+      return Json::Value();
+    }
+    if (path.compare(0, kRevisions.size(), kRevisions) == 0) {
+      return Revision(aRequest, user);
+    }
+    for (const Route& route : kRoutes) {
+      if (path == route.mPath && aRequest.getMethod() == route.mMethod) {
+        return (this->*route.mAction)(aRequest, user);
+      }
+    }
+    return Fail(ErrorKind::NotFound, path);
+  });
+  if (aResponse.sent()) {
+    return;
+  }
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    aResponse.setKeepAlive(false);
+    ProblemSend(aResponse, *failure, id);
+    return;
+  }
+  JsonSend(aResponse, 200, std::get<Json::Value>(answer));
+}
+
+Result<Json::Value>
+AdminPort::Body(Request& aRequest)
+{
+  BOOST_LEAF_AUTO(text, HttpReadBody(aRequest, kBodyLimit, kBodyTime));
+  BOOST_LEAF_AUTO(json, JsonParse(text));
+  if (!json.isObject()) {
+    return Fail(ErrorKind::BadRequest, "expected an object");
+  }
+  return json;
+}
+
+Result<Json::Value>
+AdminPort::Status(Request&, const std::string&)
+{
+  return mParts.mStatus();
+}
+
+Result<Json::Value>
+AdminPort::Fleet(Request&, const std::string&)
+{
+  return mParts.mFleet();
+}
+
+// From the platform, not from this instance's memory: what an operator
+// changes has to be the newest.
+Result<Json::Value>
+AdminPort::Read(Request&, const std::string&)
+{
+  Json::Value json;
+  auto index = Outcome([&] { return mParts.mStore->Index(); });
+  if (auto* failure = std::get_if<Failure>(&index)) {
+    if (failure->mKind != ErrorKind::NotFound) {
+      return Fail(*failure);
+    }
+    json["revision"] = 0;
+    json["config"] = ConfigJson(ConfigSnapshot());
+    return json;
+  }
+  const ConfigRevision& now = std::get<ConfigIndex>(index).mNow;
+  BOOST_LEAF_AUTO(config, mParts.mStore->Load(now));
+  json = ConfigRevisionJson(now);
+  json["config"] = ConfigJson(config);
+  return json;
+}
+
+Result<Json::Value>
+AdminPort::Check(Request& aRequest, const std::string&)
+{
+  BOOST_LEAF_AUTO(body, Body(aRequest));
+  BOOST_LEAF_CHECK(ConfigParse(body["config"]));
+  Json::Value json;
+  json["ok"] = true;
+  return json;
+}
+
+Result<Json::Value>
+AdminPort::Change(Request& aRequest, const std::string& aUser)
+{
+  BOOST_LEAF_AUTO(body, Body(aRequest));
+  if (!body["expected"].isInt64()) {
+    return Fail(ErrorKind::BadRequest, "expected: the revision you changed");
+  }
+  if (!body["note"].isString() && !body["note"].isNull()) {
+    return Fail(ErrorKind::BadRequest, "note: expected a text");
+  }
+  BOOST_LEAF_AUTO(config, ConfigParse(body["config"]));
+  BOOST_LEAF_AUTO(revision,
+                  mParts.mStore->Commit(body["expected"].asInt64(),
+                                        config,
+                                        aUser,
+                                        body["note"].asString(),
+                                        Text(mParts.mClock->WallNow())));
+  LogInfo("config_accepted",
+          { { "revision", std::to_string(revision.mRevision) },
+            { "author", aUser },
+            { "note", revision.mNote } });
+  mParts.mChanged();
+  return ConfigRevisionJson(revision);
+}
+
+Result<Json::Value>
+AdminPort::History(Request&, const std::string&)
+{
+  BOOST_LEAF_AUTO(index, mParts.mStore->Index());
+  return ConfigIndexJson(index);
+}
+
+Result<Json::Value>
+AdminPort::Revision(Request& aRequest, const std::string&)
+{
+  std::string wanted = aRequest.getURI().substr(kRevisions.size());
+  BOOST_LEAF_AUTO(index, mParts.mStore->Index());
+  std::vector<ConfigRevision> all = index.mHistory;
+  all.push_back(index.mNow);
+  for (const ConfigRevision& revision : all) {
+    if (std::to_string(revision.mRevision) == wanted) {
+      BOOST_LEAF_AUTO(config, mParts.mStore->Load(revision));
+      Json::Value json = ConfigRevisionJson(revision);
+      json["config"] = ConfigJson(config);
+      return json;
+    }
+  }
+  return Fail(ErrorKind::NotFound, "revision " + wanted + " isn't kept");
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/base/JsonFields.h
@@ -0,0 +1,42 @@
+// JsonFields.h: reads the fields of one JSON object strictly.
+#ifndef caraway_base_JsonFields_h
+#define caraway_base_JsonFields_h
+
+#include <json/json.h>
+#include <set>
+#include <string>
+
+#include "caraway/Result.h"
+
+namespace caraway {
+
+// Collects the first thing that is wrong instead of failing at once, so that
+// a parse function reads as a list of its fields. A misspelt optional field
+// would otherwise be dropped in silence and the default would apply.
+class JsonFields
+{
+public:
+  JsonFields(const Json::Value& aObject, std::string aWhere);
+
+  std::string Text(const char* aName, bool aRequired = false);
+  int64_t Integer(const char* aName, int64_t aDefault, int64_t aLeast);
+  double Number(const char* aName, double aDefault, double aLeast);
+  bool Flag(const char* aName, bool aDefault);
+  Millis Duration(const char* aName, Millis aDefault, Millis aLeast);
+
+  void Complain(const char* aName, const std::string& aExpected);
+  // ConfigInvalid with "where.field: what was expected"; else fine.
+  Result<void> Done();
+
+private:
+  const Json::Value* Find(const char* aName, bool aRequired);
+
+  const Json::Value& mObject;
+  std::string mWhere;
+  std::string mTrouble;
+  std::set<std::string> mKnown;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/base/WorkerPool.h
@@ -0,0 +1,37 @@
+// WorkerPool.h: a few threads for work that outlives the request causing it.
+#ifndef caraway_base_WorkerPool_h
+#define caraway_base_WorkerPool_h
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace caraway {
+
+class WorkerPool
+{
+public:
+  explicit WorkerPool(int aThreads);
+  ~WorkerPool(); // runs what was submitted, then ends
+
+  void Submit(std::function<void()> aJob);
+  // Nothing runs and nothing waits.
+  bool Idle() const;
+
+private:
+  void Work();
+
+  mutable std::mutex mLock;
+  std::condition_variable mWake;
+  std::deque<std::function<void()>> mJobs;
+  std::vector<std::thread> mThreads;
+  int mRunning = 0;
+  bool mEnding = false;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/ctl/Ctl.cpp
@@ -0,0 +1,513 @@
+#include "ctl/Ctl.h"
+
+#include <cstdio>
+
+#include "base/Digest.h"
+#include "base/JsonText.h"
+#include "base/RandomId.h"
+#include "ctl/ConfigDiff.h"
+#include "ctl/ConfigFile.h"
+#include "ctl/Table.h"
+
+namespace caraway {
+
+namespace {
+
+struct Noun
+{
+  const char* mOne;
+  const char* mSection;
+  std::vector<std::string> mColumns;
+};
+
+const Noun*
+NounOf(const std::string& aWord)
+{
+  static const Noun sNouns[] = {
+    { "profile",
+      "profiles",
+      { "name",
+        "tenant",
+        "model",
+        "adapter",
+        "service",
+        "class",
+        "repeatable" } },
+    { "tenant", "tenants", { "name", "rate", "burst" } },
+    { "endpoint",
+      "endpoints",
+      { "name",
+        "zone",
+        "group",
+        "kind",
+        "address",
+        "memory",
+        "checks_fencing" } },
+    { "model", "models", { "name", "version", "base", "bytes" } },
+  };
+  for (const Noun& noun : sNouns) {
+    if (aWord == noun.mOne || aWord == noun.mSection) {
+      return &noun;
+    }
+  }
+  return nullptr;
+}
+
+leaf::error_id
+BadNoun(const std::string& aWord)
+{
+  return Fail(ErrorKind::BadRequest,
+              aWord + ": expected profile, tenant, endpoint or model");
+}
+
+Json::Value*
+Find(Json::Value& aSection, const char* aField, const std::string& aName)
+{
+  for (Json::Value& entry : aSection) {
+    if (entry[aField].asString() == aName) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+// true, 12 and 1.5 are what they look like; all else is text.
+Json::Value
+ValueOf(const std::string& aText)
+{
+  Json::Value parsed;
+  auto json = Outcome([&] { return JsonParse(aText); });
+  if (auto* value = std::get_if<Json::Value>(&json)) {
+    if (value->isBool() || value->isNumeric()) {
+      return *value;
+    }
+  }
+  return aText;
+}
+
+void
+Without(Json::Value& aSection, const char* aField, const std::string& aName)
+{
+  Json::Value kept(Json::arrayValue);
+  for (const Json::Value& entry : aSection) {
+    if (entry[aField].asString() != aName) {
+      kept.append(entry);
+    }
+  }
+  aSection = kept;
+}
+
+} // namespace
+
+const Ctl::Command Ctl::kCommands[] = {
+  { "list",
+    "profiles|tenants|endpoints|models",
+    "what is in force",
+    1,
+    1,
+    &Ctl::List },
+  { "show",
+    "profile|tenant|endpoint|model NAME",
+    "one entry with all fields",
+    2,
+    2,
+    &Ctl::Show },
+  { "set",
+    "profile|tenant|endpoint|model NAME FIELD=VALUE...",
+    "makes or changes an entry",
+    3,
+    64,
+    &Ctl::Set },
+  { "remove",
+    "profile|tenant|endpoint|model NAME",
+    "removes an entry",
+    2,
+    2,
+    &Ctl::Remove },
+  { "keys", "", "keys by id; never the keys themselves", 0, 0, &Ctl::Keys },
+  { "grant",
+    "TENANT",
+    "makes a key and shows it this once",
+    1,
+    1,
+    &Ctl::Grant },
+  { "withdraw",
+    "KEY-ID",
+    "the key stops working within seconds",
+    1,
+    1,
+    &Ctl::Withdraw },
+  { "check", "FILE.toml", "would the file be accepted?", 1, 1, &Ctl::Check },
+  { "diff",
+    "FILE.toml",
+    "what applying the file would change",
+    1,
+    1,
+    &Ctl::Diff },
+  { "apply",
+    "FILE.toml",
+    "puts the file's sections in force",
+    1,
+    1,
+    &Ctl::Apply },
+  { "history", "", "accepted revisions, newest first", 0, 0, &Ctl::History },
+  { "rollback",
+    "REVISION",
+    "puts an earlier revision in force as a new one",
+    1,
+    1,
+    &Ctl::Rollback },
+  { "status",
+    "",
+    "every instance: revision, age, requests, share",
+    0,
+    0,
+    &Ctl::Status },
+  { "admin-key",
+    "",
+    "makes an administration key and its digest",
+    0,
+    0,
+    &Ctl::AdminKey },
+  { "help", "[COMMAND]", "this text, or a command's line", 0, 1, &Ctl::Help },
+};
+
+Ctl::Ctl(CtlOptions aOptions)
+  : mOptions(aOptions)
+  , mClient(aOptions.mAdmin, aOptions.mKey)
+{
+}
+
+std::string
+Ctl::Usage()
+{
+  std::string text = "changes and shows what carawayd instances serve.\n"
+                     "  carawayctl [--admin IP:PORT] [--key_file FILE] "
+                     "COMMAND ...\n\n";
+  for (const Command& command : kCommands) {
+    std::string line =
+      "  " + std::string(command.mName) + " " + command.mArguments;
+    constexpr size_t kWide = 44;
+    line.resize(std::max(line.size() + 2, kWide), ' ');
+    text += line + command.mHelp + "\n";
+  }
+  return text + "\nExit codes: 0 done, 1 diff found differences, 2 usage, 3 "
+                "refused, 4 no instance answered.\n";
+}
+
+int
+Ctl::Run(const Words& aWords)
+{
+  for (const Command& command : kCommands) {
+    if (aWords.empty() || aWords[0] != command.mName) {
+      continue;
+    }
+    Words arguments(aWords.begin() + 1, aWords.end());
+    if (arguments.size() < command.mLeast || arguments.size() > command.mMost) {
+      std::fprintf(stderr,
+                   "carawayctl: usage: carawayctl %s %s\n",
+                   command.mName,
+                   command.mArguments);
+      return CtlExit_Usage;
+    }
+    auto done = Outcome([&] { return (this->*command.mAction)(arguments); });
+    if (auto* code = std::get_if<int>(&done)) {
+      return *code;
+    }
+    const Failure& failure = std::get<Failure>(done);
+    std::fprintf(stderr,
+                 "carawayctl: %s %s\n",
+                 ErrorAnswerOf(failure.mKind).mTitle,
+                 failure.mDetail.c_str());
+    return failure.mKind == ErrorKind::NoEndpoint ? CtlExit_Unreachable
+                                                  : CtlExit_Refused;
+  }
+  std::fprintf(stderr, "carawayctl: no such command; see carawayctl help\n");
+  return CtlExit_Usage;
+}
+
+void
+Ctl::Print(const Json::Value& aJson,
+           const Json::Value& aEntries,
+           const std::vector<std::string>& aColumns)
+{
+  std::string text =
+    mOptions.mJson ? JsonWrite(aJson) + "\n" : TableText(aEntries, aColumns);
+  std::fputs(text.c_str(), stdout);
+}
+
+Result<int>
+Ctl::Change(const Json::Value& aConfig,
+            int64_t aRevision,
+            const std::string& aNote)
+{
+  Json::Value body;
+  body["expected"] =
+    Json::Int64(mOptions.mExpect >= 0 ? mOptions.mExpect : aRevision);
+  body["config"] = aConfig;
+  body["note"] = mOptions.mNote.empty() ? aNote : mOptions.mNote;
+  BOOST_LEAF_AUTO(json, mClient.Post("/admin/v1/config", body));
+  if (mOptions.mJson) {
+    std::printf("%s\n", JsonWrite(json).c_str());
+  } else {
+    std::printf("revision %lld: %s\n",
+                static_cast<long long>(json["revision"].asInt64()),
+                json["note"].asCString());
+  }
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::List(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  const Json::Value& section = json["config"][noun->mSection];
+  Print(section, section, noun->mColumns);
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Show(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value* entry = Find(json["config"][noun->mSection], "name", aWords[1]);
+  if (!entry) {
+    return Fail(ErrorKind::NotFound, aWords[0] + " " + aWords[1]);
+  }
+  if (mOptions.mJson) {
+    std::printf("%s\n", JsonWrite(*entry).c_str());
+    return CtlExit_Ok;
+  }
+  for (const std::string& field : entry->getMemberNames()) {
+    std::printf(
+      "%-16s %s\n", field.c_str(), JsonWrite((*entry)[field]).c_str());
+  }
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Set(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& section = json["config"][noun->mSection];
+  Json::Value* entry = Find(section, "name", aWords[1]);
+  bool made = entry == nullptr;
+  if (made) {
+    Json::Value fresh;
+    fresh["name"] = aWords[1];
+    entry = &section.append(fresh);
+  }
+  for (size_t i = 2; i < aWords.size(); ++i) {
+    size_t split = aWords[i].find('=');
+    if (split == std::string::npos) {
+      return Fail(ErrorKind::BadRequest, aWords[i] + ": expected FIELD=VALUE");
+    }
+    (*entry)[aWords[i].substr(0, split)] = ValueOf(aWords[i].substr(split + 1));
+  }
+  return Change(json["config"],
+                json["revision"].asInt64(),
+                std::string(made ? "made " : "changed ") + noun->mOne + " " +
+                  aWords[1]);
+}
+
+Result<int>
+Ctl::Remove(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& section = json["config"][noun->mSection];
+  if (!Find(section, "name", aWords[1])) {
+    return Fail(ErrorKind::NotFound, aWords[0] + " " + aWords[1]);
+  }
+  Without(section, "name", aWords[1]);
+  return Change(json["config"],
+                json["revision"].asInt64(),
+                std::string("removed ") + noun->mOne + " " + aWords[1]);
+}
+
+Result<int>
+Ctl::Keys(const Words&)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  const Json::Value& section = json["config"]["keys"];
+  Print(section, section, { "id", "tenant" });
+  return CtlExit_Ok;
+}
+
+// Made here and sent only as a digest: the key is nowhere but on this screen.
+Result<int>
+Ctl::Grant(const Words& aWords)
+{
+  constexpr size_t kIdDigits = 10;
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  std::string key = RandomKey();
+  Json::Value entry;
+  entry["id"] = "key-" + RandomId().substr(0, kIdDigits);
+  entry["tenant"] = aWords[0];
+  entry["digest"] = DigestHex(key);
+  json["config"]["keys"].append(entry);
+  BOOST_LEAF_AUTO(
+    code,
+    Change(json["config"],
+           json["revision"].asInt64(),
+           "granted " + entry["id"].asString() + " to " + aWords[0]));
+  if (mOptions.mJson) {
+    Json::Value shown;
+    shown["id"] = entry["id"];
+    shown["key"] = key;
+    std::printf("%s\n", JsonWrite(shown).c_str());
+  } else {
+    std::printf(
+      "%s  %s  (shown this once)\n", entry["id"].asCString(), key.c_str());
+  }
+  return code;
+}
+
+Result<int>
+Ctl::Withdraw(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& keys = json["config"]["keys"];
+  if (!Find(keys, "id", aWords[0])) {
+    return Fail(ErrorKind::NotFound, "key " + aWords[0]);
+  }
+  Without(keys, "id", aWords[0]);
+  return Change(
+    json["config"], json["revision"].asInt64(), "withdrew " + aWords[0]);
+}
+
+Result<int>
+Ctl::Check(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(file, ConfigFile::Read(aWords[0]));
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value body;
+  body["config"] = ConfigMerge(json["config"], file.Sections());
+  auto checked = Outcome([&] { return mClient.Post("/admin/v1/check", body); });
+  if (auto* failure = std::get_if<Failure>(&checked)) {
+    failure->mDetail = file.PlaceOf(failure->mDetail) + failure->mDetail;
+    return Fail(*failure);
+  }
+  std::printf("%s: fine\n", aWords[0].c_str());
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Diff(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(file, ConfigFile::Read(aWords[0]));
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value diff =
+    ConfigDiff(json["config"], ConfigMerge(json["config"], file.Sections()));
+  if (mOptions.mJson) {
+    std::printf("%s\n", JsonWrite(diff).c_str());
+  } else {
+    std::fputs(ConfigDiffText(diff).c_str(), stdout);
+  }
+  return diff.empty() ? CtlExit_Ok : CtlExit_Differs;
+}
+
+Result<int>
+Ctl::Apply(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(file, ConfigFile::Read(aWords[0]));
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value merged = ConfigMerge(json["config"], file.Sections());
+  auto changed = Outcome([&] {
+    return Change(merged, json["revision"].asInt64(), "applied " + aWords[0]);
+  });
+  if (auto* failure = std::get_if<Failure>(&changed)) {
+    if (failure->mKind == ErrorKind::ConfigInvalid) {
+      failure->mDetail = file.PlaceOf(failure->mDetail) + failure->mDetail;
+    }
+    return Fail(*failure);
+  }
+  return std::get<int>(changed);
+}
+
+Result<int>
+Ctl::History(const Words&)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/history"));
+  Json::Value entries(Json::arrayValue);
+  entries.append(json["now"]);
+  for (const Json::Value& entry : json["history"]) {
+    entries.append(entry);
+  }
+  Print(entries, entries, { "revision", "at", "author", "note" });
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Rollback(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(old, mClient.Get("/admin/v1/revisions/" + aWords[0]));
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  // Keys stay: a rollback must not bring a withdrawn key back.
+  Json::Value config = old["config"];
+  config["keys"] = json["config"]["keys"];
+  return Change(
+    config, json["revision"].asInt64(), "rolled back to " + aWords[0]);
+}
+
+Result<int>
+Ctl::Status(const Words&)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/fleet"));
+  Print(json["instances"],
+        json["instances"],
+        { "id",
+          "zone",
+          "ready",
+          "revision",
+          "config_age_ms",
+          "in_flight",
+          "models_busy",
+          "share_slots",
+          "silent" });
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::AdminKey(const Words&)
+{
+  std::string key = RandomKey();
+  std::printf("key:    %s\ndigest: %s  (goes into [admin] keys of every "
+              "instance)\n",
+              key.c_str(),
+              DigestHex(key).c_str());
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Help(const Words& aWords)
+{
+  for (const Command& command : kCommands) {
+    if (!aWords.empty() && aWords[0] == command.mName) {
+      std::printf("carawayctl %s %s\n  %s\n",
+                  command.mName,
+                  command.mArguments,
+                  command.mHelp);
+      return CtlExit_Ok;
+    }
+  }
+  std::fputs(("carawayctl " + Usage()).c_str(), stdout);
+  return aWords.empty() ? CtlExit_Ok : CtlExit_Usage;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,69 @@
+// carawayctl: the operators' command line.
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+
+#include "ctl/Ctl.h"
+
+DEFINE_string(admin,
+              "",
+              "administration address ip:port of any instance "
+              "(or CARAWAY_ADMIN)");
+DEFINE_string(key_file,
+              "",
+              "file with the administration key (or "
+              "CARAWAY_ADMIN_KEY)");
+DEFINE_string(output, "table", "table, or json for scripts");
+DEFINE_int64(expect, -1, "revision the change is based on; -1 = the newest");
+DEFINE_string(note, "", "why, for the history");
+
+namespace {
+
+std::string
+FromEnvironment(const std::string& aFlag, const char* aName)
+{
+  const char* value = std::getenv(aName);
+  return aFlag.empty() && value ? value : aFlag;
+}
+
+// Not a flag: command lines are seen by everybody on the machine.
+std::string
+AdminKey()
+{
+  if (FLAGS_key_file.empty()) {
+    return FromEnvironment("", "CARAWAY_ADMIN_KEY");
+  }
+  std::ifstream in(FLAGS_key_file);
+  std::string key;
+  std::getline(in, key);
+  return key;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  gflags::SetUsageMessage(caraway::Ctl::Usage());
+  gflags::ParseCommandLineFlags(&aCount, &aWords, true);
+  if (FLAGS_output != "json" && FLAGS_output != "table") {
+    std::fprintf(stderr, "carawayctl: --output is table or json\n");
+    return caraway::CtlExit_Usage;
+  }
+  caraway::CtlOptions options;
+  options.mAdmin = FromEnvironment(FLAGS_admin, "CARAWAY_ADMIN");
+  options.mKey = AdminKey();
+  options.mJson = FLAGS_output == "json";
+  options.mExpect = FLAGS_expect;
+  options.mNote = FLAGS_note;
+  caraway::Ctl::Words words(aWords + 1, aWords + aCount);
+  bool local =
+    !words.empty() && (words[0] == "help" || words[0] == "admin-key");
+  if (!local && options.mAdmin.empty()) {
+    std::fprintf(stderr,
+                 "carawayctl: no address: give --admin or CARAWAY_ADMIN\n");
+    return caraway::CtlExit_Usage;
+  }
+  return caraway::Ctl(options).Run(words);
+}
--- /dev/null
+++ b/src/daemon/ConfigWatcher.h
@@ -0,0 +1,58 @@
+// ConfigWatcher.h: keeps this instance's configuration the newest.
+#ifndef caraway_daemon_ConfigWatcher_h
+#define caraway_daemon_ConfigWatcher_h
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "peer/PeerClient.h"
+#include "peer/PeerRpc.h"
+#include "platform/ConfigHolder.h"
+#include "platform/ConfigStore.h"
+
+namespace caraway {
+
+// One watch at the platform, whose return (with a change or without) confirms
+// how fresh we are. Beside it, what peers say: a peer that knows a newer
+// revision is asked for it, so that a change reaches instances that can't
+// reach the platform, and a new instance starts while the platform is out.
+class ConfigWatcher
+{
+public:
+  ConfigWatcher(ConfigStore& aStore,
+                ConfigHolder& aHolder,
+                PeerClient& aPeers,
+                const Clock& aClock);
+  ~ConfigWatcher();
+
+  void Start();
+  void Stop();
+  // A peer said that at the moment we began to ask it (aAsked) it had
+  // aRevision, confirmed aAge earlier.
+  void PeerSaid(const std::string& aAddress,
+                int64_t aRevision,
+                Millis aAge,
+                TimePoint aAsked);
+  // Reads the index now, after a change accepted here.
+  void Refresh();
+
+  void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
+
+private:
+  void Run();
+  bool Take(const ConfigIndex& aIndex, TimePoint aAsked);
+  void FetchFromPeer(const std::string& aAddress);
+
+  ConfigStore& mStore;
+  ConfigHolder& mHolder;
+  PeerClient& mPeers;
+  const Clock& mClock;
+  std::atomic<int64_t> mVersion{ 0 };
+  std::atomic<bool> mStopping{ false };
+  std::thread mThread;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/daemon/Heartbeat.cpp
@@ -0,0 +1,132 @@
+#include "daemon/Heartbeat.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kBeatTime{ 700 };
+constexpr Millis kListEvery{ 3000 };
+constexpr int kFarEvery = 4; // rounds
+
+} // namespace
+
+Heartbeat::Heartbeat(Members& aMembers,
+                     PeerClient& aPeers,
+                     PlatformApi& aPlatform,
+                     ConfigHolder& aConfig,
+                     ConfigWatcher& aWatcher,
+                     std::vector<std::string> aSeeds,
+                     const Clock& aClock)
+  : mMembers(aMembers)
+  , mPeers(aPeers)
+  , mPlatform(aPlatform)
+  , mConfig(aConfig)
+  , mWatcher(aWatcher)
+  , mSeeds(std::move(aSeeds))
+  , mClock(aClock)
+{
+}
+
+Json::Value
+Heartbeat::Self() const
+{
+  const InstanceInfo& self = mMembers.Self();
+  Json::Value json;
+  json["id"] = self.mId;
+  json["zone"] = self.mZone;
+  json["peer"] = self.mPeerAddress;
+  json["leaving"] = self.mLeaving;
+  json["revision"] = Json::Int64(mConfig.Current()->mRevision);
+  json["age"] = Json::Int64(mConfig.Age().count());
+  return json;
+}
+
+void
+Heartbeat::Heard(const Json::Value& aJson)
+{
+  InstanceInfo info;
+  info.mId = aJson["id"].asString();
+  info.mZone = aJson["zone"].asString();
+  info.mPeerAddress = aJson["peer"].asString();
+  info.mLeaving = aJson["leaving"].asBool();
+  if (!info.mId.empty()) {
+    mMembers.Heard(info);
+  }
+}
+
+bool
+Heartbeat::Beat(const std::string& aAddress)
+{
+  TimePoint asked = mClock.Now();
+  auto answer =
+    Outcome([&] { return mPeers.Call(aAddress, "beat", Self(), kBeatTime); });
+  auto* json = std::get_if<Json::Value>(&answer);
+  if (!json) {
+    mMembers.Silent(aAddress);
+    return false;
+  }
+  Heard(*json);
+  mWatcher.PeerSaid(aAddress,
+                    (*json)["revision"].asInt64(),
+                    Millis((*json)["age"].asInt64()),
+                    asked);
+  return true;
+}
+
+void
+Heartbeat::ReadList()
+{
+  TimePoint now = mClock.Now();
+  if (mListRead != TimePoint{} && now - mListRead < kListEvery) {
+    return;
+  }
+  mListRead = now;
+  auto list = Outcome([&] { return mPlatform.Instances(); });
+  if (auto* found = std::get_if<std::vector<InstanceInfo>>(&list)) {
+    mMembers.TakeList(*found);
+  }
+}
+
+void
+Heartbeat::Round()
+{
+  ReadList();
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const InstanceInfo& peer : mMembers.Others()) {
+    bool ours = peer.mZone == mMembers.Self().mZone;
+    (ours ? near : far).push_back(peer.mPeerAddress);
+  }
+  if (near.empty() && far.empty()) {
+    far = mSeeds;
+  }
+  ++mRounds;
+  for (auto* peers : { &near, &far }) {
+    bool due = peers == &near || mRounds % kFarEvery == 0 || near.empty();
+    if (!peers->empty() && due) {
+      std::uniform_int_distribution<size_t> any(0, peers->size() - 1);
+      Beat((*peers)[any(mRandom)]);
+    }
+  }
+}
+
+void
+Heartbeat::SayLeaving()
+{
+  for (const InstanceInfo& peer : mMembers.Fit(mMembers.Self().mZone)) {
+    Outcome([&] {
+      return mPeers.Call(peer.mPeerAddress, "beat", Self(), kBeatTime);
+    });
+  }
+}
+
+void
+Heartbeat::AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("beat", [this](const Json::Value& aParams) {
+    Heard(aParams);
+    return Self();
+  });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/daemon/Instance.cpp
@@ -0,0 +1,328 @@
+#include "daemon/Instance.h"
+
+#include <sstream>
+#include <thread>
+
+#include "base/Log.h"
+#include "base/RandomId.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kBeatEvery{ 500 };
+constexpr Millis kSweepEvery{ 250 };
+constexpr Millis kKeepEvery{ 1000 };
+constexpr Millis kFleetTime{ 700 };
+constexpr Millis kDrainStep{ 20 };
+constexpr int kLoadThreads = 8;
+constexpr int kClaimThreads = 4;
+constexpr int kPeerThreads = 512;
+constexpr size_t kNonceDigits = 8;
+
+PlatformClientSettings
+PlatformSettings(const Settings& aSettings)
+{
+  PlatformClientSettings settings;
+  settings.mAddress = aSettings.mPlatformAddress;
+  settings.mTimeout = aSettings.mPlatformTimeout;
+  settings.mCallsPerSecond =
+    static_cast<double>(aSettings.mPlatformCallsPerSecond);
+  return settings;
+}
+
+LoaderSettings
+LoadSettings(const Settings& aSettings)
+{
+  LoaderSettings settings;
+  settings.mZone = aSettings.mZone;
+  return settings;
+}
+
+ShareSettings
+SharesOf(const Settings& aSettings)
+{
+  ShareSettings settings;
+  settings.mZone = aSettings.mZone;
+  settings.mZones = static_cast<int>(aSettings.mZones.size());
+  settings.mTerms.mLease = aSettings.mShareLease;
+  settings.mTerms.mMargin = aSettings.mShareMargin;
+  settings.mTerms.mIsolationLimit = Millis(aSettings.mShareIsolationLimit);
+  settings.mGrantLife = aSettings.mShareGrantLife;
+  return settings;
+}
+
+std::vector<AdminUser>
+AdminUsers(const Settings& aSettings)
+{
+  std::vector<AdminUser> users;
+  for (const AdminKey& key : aSettings.mAdminKeys) {
+    users.push_back({ key.mName, key.mDigest });
+  }
+  return users;
+}
+
+} // namespace
+
+Instance::Instance(Settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mPlatform(PlatformSettings(mSettings), mClock)
+  , mConfigStore(mPlatform)
+  , mConfig(mClock)
+  , mPeerPort(mSettings.mPeerSecret)
+  , mPeers(mSettings.mPeerSecret, mSettings.mZone + "/" + mSettings.mId)
+  , mPlacements(mPlatform)
+  , mLoader(LoadSettings(mSettings), mPlacements, mEngines, mClock)
+  , mLoadWorkers(kLoadThreads)
+  , mClaimWorkers(kClaimThreads)
+  , mOwner(mConfig, mLoader, mLoadWorkers, mClock)
+  , mKeys(mConfig, Millis(mSettings.mKeysMaxAge))
+  , mClaimBook(mClock)
+{
+}
+
+Instance::~Instance() = default;
+
+void
+Instance::Start()
+{
+  mPeerPort.Open(mSettings.mPeerListen, kPeerThreads);
+  std::string address = mSettings.mPeerAdvertise.empty()
+                          ? mPeerPort.Address()
+                          : mSettings.mPeerAdvertise;
+  mIncarnation =
+    mSettings.mId + "." + RandomId().substr(0, kNonceDigits) + "@" + address;
+  mMembers = std::make_unique<Members>(
+    mClock, InstanceInfo{ mSettings.mId, mSettings.mZone, address, false });
+  mWatcher =
+    std::make_unique<ConfigWatcher>(mConfigStore, mConfig, mPeers, mClock);
+  mHeartbeat = std::make_unique<Heartbeat>(*mMembers,
+                                           mPeers,
+                                           mPlatform,
+                                           mConfig,
+                                           *mWatcher,
+                                           mSettings.mPeerSeeds,
+                                           mClock);
+  EndpointKeeperSettings keeping;
+  keeping.mIdleLimit = Millis(mSettings.mModelIdleLimit);
+  keeping.mOrderHorizon = Millis(mSettings.mModelOrderHorizon);
+  mKeeper = std::make_unique<EndpointKeeper>(
+    keeping, mConfig, *mMembers, mPlacements, mEngines, mLoader, mClock);
+  mShares = std::make_unique<ShareKeeper>(SharesOf(mSettings),
+                                          mIncarnation,
+                                          address,
+                                          mPlatform,
+                                          mPeers,
+                                          *mMembers,
+                                          mConfig,
+                                          mClock);
+  mShareClient = std::make_unique<ShareClient>(
+    SharesOf(mSettings), mSettings.mZones, *mShares, mPeers, *mMembers, mClock);
+  mClaims = std::make_unique<ClaimDriver>(
+    mIncarnation, mPlatform, mPeers, mClaimBook, mClaimWorkers, mClock);
+  mModels = std::make_unique<ModelCalls>(
+    mOwner, *mMembers, mPeers, *mShareClient, mKeys, mMetrics, mClock);
+  mServices = std::make_unique<ServiceCalls>(
+    *mClaims, *mShareClient, mSettings.mZone, mClock);
+  AddPeerMethods();
+  mPeerPort.Serve();
+  CallerPortSettings callers;
+  callers.mListen = mSettings.mCallerListen;
+  callers.mLimits.mThreads = mSettings.mCallerConnections;
+  callers.mBodyLimit = static_cast<size_t>(mSettings.mCallerBodyBytes);
+  mCallers = std::make_unique<CallerPort>(
+    callers, mConfig, mKeys, *mModels, *mServices, mMetrics, mClock);
+  mCallers->Open();
+  mAdmin = std::make_unique<AdminPort>(
+    mSettings.mAdminListen, AdminUsers(mSettings), AdminParts());
+  mAdmin->Open();
+  mWatcher->Start();
+  StartTickers();
+  LogInfo("started", { { "incarnation", mIncarnation } });
+}
+
+void
+Instance::AddPeerMethods()
+{
+  auto add = [this](const char* aName, PeerMethod aMethod) {
+    mPeerPort.Add(aName, std::move(aMethod));
+  };
+  mWatcher->AddMethods(add);
+  mHeartbeat->AddMethods(add);
+  mShares->AddMethods(add);
+  mClaims->AddMethods(add);
+  mModels->AddMethods(add);
+  add("status", [this](const Json::Value&) { return Status(); });
+}
+
+void
+Instance::StartTickers()
+{
+  auto every = [this](Millis aEvery, std::function<void()> aRound) {
+    mTickers.push_back(std::make_unique<Ticker>(aEvery, std::move(aRound)));
+  };
+  every(kBeatEvery, [this] { mHeartbeat->Round(); });
+  every(kSweepEvery, [this] { mOwner.Sweep(); });
+  every(kKeepEvery, [this] { mKeeper->Round(); });
+  // Three tries within a lease. Until there is a configuration, and so
+  // anything to share, look more often.
+  Millis renew = mSettings.mShareLease / 3;
+  every(kBeatEvery, [this, renew, last = TimePoint{}]() mutable {
+    TimePoint now = mClock.Now();
+    bool due = mPoked.exchange(false) || last == TimePoint{} ||
+               now - last >= renew ||
+               mShares->Table().mMembers.count(mIncarnation) == 0;
+    if (due && mConfig.Current()->mRevision > 0) {
+      last = now;
+      mShares->Round();
+    }
+  });
+  Ticker& shares = *mTickers.back();
+  mShares->OnPoke([this, &shares] {
+    mPoked = true;
+    shares.Poke();
+  });
+}
+
+Json::Value
+Instance::Addresses() const
+{
+  Json::Value json;
+  json["id"] = mSettings.mId;
+  json["zone"] = mSettings.mZone;
+  json["caller"] = mCallers->Address();
+  json["admin"] = mAdmin->Address();
+  json["peer"] = mMembers->Self().mPeerAddress;
+  json["peer_bound"] = mPeerPort.Address();
+  return json;
+}
+
+bool
+Instance::Ready() const
+{
+  // Without a table of its zone's shares it would refuse what others let in.
+  return mConfig.Current()->mRevision > 0 && !mLeaving &&
+         !mShares->Table().mMembers.empty();
+}
+
+AdminPort::Parts
+Instance::AdminParts()
+{
+  AdminPort::Parts parts;
+  parts.mConfig = &mConfig;
+  parts.mStore = &mConfigStore;
+  parts.mMetrics = &mMetrics;
+  parts.mClock = &mClock;
+  parts.mReady = [this] { return Ready(); };
+  parts.mStatus = [this] { return Status(); };
+  parts.mFleet = [this] { return Fleet(); };
+  parts.mMoreMetrics = [this] { return MoreMetrics(); };
+  parts.mChanged = [this] { mWatcher->Refresh(); };
+  return parts;
+}
+
+Json::Value
+Instance::Status() const
+{
+  Json::Value json;
+  json["id"] = mSettings.mId;
+  json["zone"] = mSettings.mZone;
+  json["incarnation"] = mIncarnation;
+  json["ready"] = Ready();
+  json["leaving"] = mLeaving.load();
+  json["revision"] = Json::Int64(mConfig.Current()->mRevision);
+  json["config_age_ms"] = Json::Int64(mConfig.Age().count());
+  json["in_flight"] = mCallers->InFlight();
+  json["models_busy"] = Json::UInt64(mOwner.Busy());
+  json["share_slots"] = mShares->SlotsHeld();
+  return json;
+}
+
+Json::Value
+Instance::Fleet()
+{
+  Json::Value json;
+  json["instances"].append(Status());
+  for (const InstanceInfo& peer : mMembers->Others()) {
+    auto answer = Outcome([&] {
+      return mPeers.Call(peer.mPeerAddress,
+                         "status",
+                         Json::Value(Json::objectValue),
+                         kFleetTime);
+    });
+    if (auto* status = std::get_if<Json::Value>(&answer)) {
+      json["instances"].append(*status);
+    } else {
+      Json::Value silent;
+      silent["id"] = peer.mId;
+      silent["zone"] = peer.mZone;
+      silent["silent"] = true;
+      json["instances"].append(silent);
+    }
+  }
+  return json;
+}
+
+std::string
+Instance::MoreMetrics() const
+{
+  std::ostringstream out;
+  const PlatformCounts& platform = mPlatform.Counts();
+  auto count = [&](const char* aName, int64_t aValue) {
+    out << aName << " " << aValue << "\n";
+  };
+  count("caraway_platform_calls_total{op=\"read\"}", platform.mReads);
+  count("caraway_platform_calls_total{op=\"list\"}", platform.mLists);
+  count("caraway_platform_calls_total{op=\"write\"}", platform.mWrites);
+  count("caraway_platform_calls_total{op=\"watch\"}", platform.mWatches);
+  count("caraway_platform_failures_total", platform.mFailures);
+  count("caraway_platform_over_budget_total", platform.mOverBudget);
+  count("caraway_peer_calls_total", mPeers.Counts().mCalls);
+  count("caraway_peer_failures_total", mPeers.Counts().mFailures);
+  count("caraway_peer_bytes_out_total", mPeers.Counts().mBytesOut);
+  count("caraway_peer_bytes_in_total", mPeers.Counts().mBytesIn);
+  count("caraway_loads_decided_total", mLoader.Counts().mDecided);
+  count("caraway_loads_joined_total", mLoader.Counts().mJoined);
+  count("caraway_evictions_total", mLoader.Counts().mEvicted);
+  const ShareClientCounts& shares = mShareClient->Counts();
+  count("caraway_share_takes_total", shares.mTakes);
+  count("caraway_share_asks_total", shares.mAsks);
+  count("caraway_share_borrowed_total", shares.mBorrowed);
+  count("caraway_share_lapsed_total", shares.mLapsed);
+  count("caraway_in_flight", mCallers->InFlight());
+  count("caraway_config_revision", mConfig.Current()->mRevision);
+  count("caraway_config_age_ms", mConfig.Age().count());
+  return out.str();
+}
+
+int
+Instance::Shutdown()
+{
+  LogInfo("leaving", {});
+  mLeaving = true;
+  mMembers->LeaveSelf();
+  mHeartbeat->SayLeaving();
+  // The balancer goes on sending until it has seen that we aren't ready.
+  std::this_thread::sleep_for(mSettings.mShutdownLag);
+  mCallers->Drain();
+  mCallers->StopAccepting();
+  TimePoint until = mClock.Now() + mSettings.mShutdownLimit;
+  auto busy = [this] {
+    return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
+           !mClaimWorkers.Idle() || !mLoadWorkers.Idle();
+  };
+  while (busy() && mClock.Now() < until) {
+    std::this_thread::sleep_for(kDrainStep);
+  }
+  int cut = mCallers->InFlight();
+  mTickers.clear();
+  mShares->Leave();
+  mCallers->Close();
+  mAdmin->Close();
+  mWatcher->Stop();
+  mPeerPort.Close();
+  LogInfo("left", { { "cut", std::to_string(cut) } });
+  return cut;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/daemon/Instance.h
@@ -0,0 +1,83 @@
+// Instance.h: all state of one entry instance, in one place.
+#ifndef caraway_daemon_Instance_h
+#define caraway_daemon_Instance_h
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "admin/AdminPort.h"
+#include "base/Metrics.h"
+#include "base/Ticker.h"
+#include "base/WorkerPool.h"
+#include "daemon/ConfigWatcher.h"
+#include "daemon/Heartbeat.h"
+#include "daemon/Settings.h"
+#include "own/EndpointKeeper.h"
+#include "own/ModelOwner.h"
+#include "peer/PeerPort.h"
+#include "platform/PlatformClient.h"
+#include "serve/CallerPort.h"
+
+namespace caraway {
+
+// Built in the order of its members, each on those above it.
+class Instance
+{
+public:
+  explicit Instance(Settings aSettings);
+  ~Instance();
+
+  // Opens the ports. Throws Poco::Exception when an address can't be bound.
+  void Start();
+  // {"caller":…,"admin":…,"peer":…}: addresses as bound.
+  Json::Value Addresses() const;
+  // Unready, keeps serving for the balancer's lag, finishes what is under
+  // way, gives back what it owns. Returns how many requests were cut.
+  int Shutdown();
+
+private:
+  void AddPeerMethods();
+  void StartTickers();
+  AdminPort::Parts AdminParts();
+  Json::Value Status() const;
+  Json::Value Fleet();
+  std::string MoreMetrics() const;
+  bool Ready() const;
+
+  Settings mSettings;
+  SystemClock mClock;
+  Metrics mMetrics;
+  PlatformClient mPlatform;
+  ConfigStore mConfigStore;
+  ConfigHolder mConfig;
+  PeerPort mPeerPort;
+  std::string mIncarnation; // id.random@address, known once the port is bound
+  PeerClient mPeers;
+  std::unique_ptr<Members> mMembers;
+  std::unique_ptr<ConfigWatcher> mWatcher;
+  std::unique_ptr<Heartbeat> mHeartbeat;
+  PlacementStore mPlacements;
+  EngineClient mEngines;
+  Loader mLoader;
+  WorkerPool mLoadWorkers;
+  WorkerPool mClaimWorkers;
+  ModelOwner mOwner;
+  std::unique_ptr<EndpointKeeper> mKeeper;
+  std::unique_ptr<ShareKeeper> mShares;
+  std::unique_ptr<ShareClient> mShareClient;
+  Authenticator mKeys;
+  ClaimBook mClaimBook;
+  std::unique_ptr<ClaimDriver> mClaims;
+  std::unique_ptr<ModelCalls> mModels;
+  std::unique_ptr<ServiceCalls> mServices;
+  std::unique_ptr<CallerPort> mCallers;
+  std::unique_ptr<AdminPort> mAdmin;
+  std::vector<std::unique_ptr<Ticker>> mTickers;
+  std::atomic<bool> mLeaving{ false };
+  std::atomic<bool> mPoked{ false }; // slots were handed to us
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/daemon/Settings.cpp
@@ -0,0 +1,164 @@
+#include "daemon/Settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+#include "daemon/TomlFields.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kDigestDigits = 64;
+
+void
+ReadInstance(TomlFields aFields, Settings& aOut)
+{
+  aFields.Text("id", aOut.mId, true);
+  aFields.Text("zone", aOut.mZone, true);
+  aFields.Texts("zones", aOut.mZones, true);
+  bool among = std::find(aOut.mZones.begin(), aOut.mZones.end(), aOut.mZone) !=
+               aOut.mZones.end();
+  if (!aOut.mZones.empty() && !among) {
+    aFields.Complain(aFields.Node("zone", false), "zone", "isn't one of zones");
+  }
+}
+
+void
+ReadCaller(TomlFields aFields, Settings& aOut)
+{
+  int64_t connections = aOut.mCallerConnections;
+  aFields.Address("listen", aOut.mCallerListen, true);
+  aFields.Number("connections", connections, 1);
+  aFields.Number("body_bytes", aOut.mCallerBodyBytes, 1);
+  aOut.mCallerConnections = static_cast<int>(connections);
+}
+
+void
+ReadAdmin(TomlFields aFields, Settings& aOut)
+{
+  aFields.Address("listen", aOut.mAdminListen, true);
+  const toml::node* node = aFields.Node("keys", true);
+  const toml::table* keys = node ? node->as_table() : nullptr;
+  if (node && (!keys || keys->empty())) {
+    aFields.Complain(node, "keys", "expected NAME = \"DIGEST\" entries");
+  }
+  if (!keys) {
+    return;
+  }
+  for (const auto& entry : *keys) {
+    auto digest = entry.second.value_exact<std::string>();
+    if (!digest || digest->size() != kDigestDigits) {
+      aFields.Complain(&entry.second,
+                       "keys",
+                       "expected a SHA-256 in hex (carawayctl admin-key "
+                       "makes one)");
+      return;
+    }
+    aOut.mAdminKeys.push_back({ std::string(entry.first.str()), *digest });
+  }
+}
+
+void
+ReadPeer(TomlFields aFields, Settings& aOut)
+{
+  aFields.Address("listen", aOut.mPeerListen, true);
+  aFields.Address("advertise", aOut.mPeerAdvertise);
+  aFields.Text("secret", aOut.mPeerSecret, true);
+  aFields.Texts("seeds", aOut.mPeerSeeds, false);
+  constexpr size_t kLeastSecret = 16;
+  if (!aOut.mPeerSecret.empty() && aOut.mPeerSecret.size() < kLeastSecret) {
+    aFields.Complain(aFields.Node("secret", false),
+                     "secret",
+                     "expected 16 characters or more");
+  }
+}
+
+void
+ReadRest(const toml::table& aRoot, Settings& aOut, TomlTrouble& aTrouble)
+{
+  {
+    TomlFields fields(aRoot["platform"].as_table(), "platform", aTrouble);
+    fields.Address("address", aOut.mPlatformAddress, true);
+    fields.Time("timeout_ms", aOut.mPlatformTimeout);
+    fields.Number("calls_per_second", aOut.mPlatformCallsPerSecond, 1);
+  }
+  {
+    TomlFields fields(aRoot["keys"].as_table(), "keys", aTrouble);
+    fields.Time("max_age_s", aOut.mKeysMaxAge);
+  }
+  {
+    TomlFields fields(aRoot["shares"].as_table(), "shares", aTrouble);
+    fields.Time("lease_ms", aOut.mShareLease);
+    fields.Time("margin_ms", aOut.mShareMargin);
+    fields.Time("isolation_limit_s", aOut.mShareIsolationLimit);
+    fields.Time("grant_life_ms", aOut.mShareGrantLife);
+  }
+  {
+    TomlFields fields(aRoot["models"].as_table(), "models", aTrouble);
+    fields.Time("idle_limit_s", aOut.mModelIdleLimit);
+    fields.Time("order_horizon_s", aOut.mModelOrderHorizon);
+  }
+  TomlFields fields(aRoot["shutdown"].as_table(), "shutdown", aTrouble);
+  fields.Time("lag_ms", aOut.mShutdownLag);
+  fields.Time("limit_s", aOut.mShutdownLimit);
+}
+
+void
+CheckTables(const toml::table& aRoot, TomlTrouble& aTrouble)
+{
+  static const std::set<std::string> sTables = {
+    "instance", "caller", "admin",  "peer",    "platform",
+    "keys",     "shares", "models", "shutdown"
+  };
+  for (const auto& entry : aRoot) {
+    std::string name(entry.first.str());
+    if (!sTables.count(name)) {
+      aTrouble.Say(
+        entry.second.source().begin.line, name, "unknown table or field");
+    } else if (!entry.second.is_table()) {
+      aTrouble.Say(entry.second.source().begin.line, name, "expected a table");
+    }
+  }
+}
+
+} // namespace
+
+Result<Settings>
+SettingsParse(const std::string& aText, const std::string& aFile)
+{
+  TomlTrouble trouble{ aFile, "" };
+  Settings settings;
+  try {
+    toml::table root = toml::parse(aText);
+    CheckTables(root, trouble);
+    ReadInstance({ root["instance"].as_table(), "instance", trouble },
+                 settings);
+    ReadCaller({ root["caller"].as_table(), "caller", trouble }, settings);
+    ReadAdmin({ root["admin"].as_table(), "admin", trouble }, settings);
+    ReadPeer({ root["peer"].as_table(), "peer", trouble }, settings);
+    ReadRest(root, settings, trouble);
+  } catch (const toml::parse_error& error) {
+    trouble.Say(
+      error.source().begin.line, "not TOML", std::string(error.description()));
+  }
+  if (!trouble.mText.empty()) {
+    return Fail(ErrorKind::ConfigInvalid, trouble.mText);
+  }
+  return settings;
+}
+
+Result<Settings>
+SettingsRead(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    return Fail(ErrorKind::ConfigInvalid, aFile + ": can't be read");
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return SettingsParse(text.str(), aFile);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/ClaimStep.cpp
@@ -0,0 +1,205 @@
+#include "decide/ClaimStep.h"
+
+namespace caraway {
+
+namespace {
+
+ClaimAction
+Make(ClaimActionKind aKind, int64_t aVersion = 0)
+{
+  ClaimAction action;
+  action.mKind = aKind;
+  action.mVersion = aVersion;
+  return action;
+}
+
+ClaimAction
+Refuse(ClaimState& aState, ErrorKind aError, RunState aRun)
+{
+  aState.mPhase = ClaimPhase::Done;
+  ClaimAction action;
+  action.mError = aError;
+  action.mRun = aRun;
+  return action;
+}
+
+ClaimAction
+Refuse(ClaimState& aState, ErrorKind aError)
+{
+  return Refuse(aState, aError, ErrorAnswerOf(aError).mRun);
+}
+
+ClaimAction
+Answer(ClaimState& aState, const ClaimAnswer& aAnswer, bool aReplayed)
+{
+  if (!aAnswer.mKept && aReplayed) {
+    return Refuse(aState, ErrorKind::AnswerNotKept);
+  }
+  aState.mPhase = ClaimPhase::Done;
+  ClaimAction action = Make(ClaimActionKind::FinishAnswer);
+  action.mAnswer = aAnswer;
+  action.mReplayed = aReplayed;
+  return action;
+}
+
+// Last look at the clock before bytes go out: an attempt that was paused
+// here comes back after its caller was told the time had passed.
+ClaimAction
+HandOn(ClaimState& aState, TimePoint aNow)
+{
+  if (aNow >= aState.mDeadline) {
+    aState.mPhase = ClaimPhase::Releasing;
+    aState.mReleaseError = ErrorKind::DeadlinePassed;
+    return Make(ClaimActionKind::Release, aState.mVersion);
+  }
+  aState.mPhase = ClaimPhase::HandingOn;
+  return Make(ClaimActionKind::HandOn);
+}
+
+ClaimAction
+Claim(ClaimState& aState, int64_t aReplaces)
+{
+  aState.mPhase = ClaimPhase::Claiming;
+  return aReplaces == 0 ? Make(ClaimActionKind::Create)
+                        : Make(ClaimActionKind::TakeOver, aReplaces);
+}
+
+ClaimAction
+TakeHold(ClaimState& aState, int64_t aVersion, TimePoint aNow)
+{
+  aState.mMine = true;
+  aState.mVersion = aVersion;
+  return HandOn(aState, aNow);
+}
+
+// This attempt hands nothing on any more, also when a create of ours takes
+// effect later. But an earlier attempt elsewhere may have run the order, and
+// the platform alone could tell: so this is never "not run".
+ClaimAction
+PlatformTrouble(ClaimState& aState, ClaimActionKind aNext, TimePoint aNow)
+{
+  if (--aState.mPlatformTries < 0 || aNow >= aState.mDeadline) {
+    return Refuse(aState, ErrorKind::ClaimUnknown);
+  }
+  aState.mPhase = ClaimPhase::Looking;
+  return Make(aNext);
+}
+
+ClaimAction
+OnStanding(ClaimState& aState, const ClaimEvent& aEvent, TimePoint aNow)
+{
+  const ClaimRecord& record = aEvent.mRecord;
+  if (record.mBodyDigest != aState.mBodyDigest) {
+    return Refuse(aState, ErrorKind::IdempotencyConflict);
+  }
+  switch (record.mState) {
+    case ClaimRecordState::Answered:
+      return Answer(aState, record.mAnswer, true);
+    case ClaimRecordState::Lost:
+      return Refuse(aState, ErrorKind::OutcomeUnknown);
+    case ClaimRecordState::Released:
+      return Claim(aState, aEvent.mVersion);
+    case ClaimRecordState::Claimed:
+      break;
+  }
+  if (record.mNonce == aState.mNonce) {
+    return TakeHold(aState, aEvent.mVersion, aNow);
+  }
+  if (aNow >= aState.mDeadline) {
+    return Refuse(aState, ErrorKind::OutcomePending);
+  }
+  aState.mPhase = ClaimPhase::Asking;
+  aState.mVersion = aEvent.mVersion;
+  ClaimAction action = Make(ClaimActionKind::AskCreator);
+  action.mPeer = record.mCreator;
+  action.mNonce = record.mNonce;
+  return action;
+}
+
+ClaimAction
+OnClaiming(ClaimState& aState, const ClaimEvent& aEvent, TimePoint aNow)
+{
+  switch (aEvent.mKind) {
+    case ClaimEventKind::Written:
+      return TakeHold(aState, aEvent.mVersion, aNow);
+    case ClaimEventKind::Standing:
+      return OnStanding(aState, aEvent, aNow);
+    case ClaimEventKind::Absent:
+      // Our create may still be on its way; a second one with the same nonce
+      // can't harm, whichever of the two is taken.
+      return Claim(aState, 0);
+    default:
+      return PlatformTrouble(aState, ClaimActionKind::Read, aNow);
+  }
+}
+
+ClaimAction
+OnAsking(ClaimState& aState, const ClaimEvent& aEvent, TimePoint aNow)
+{
+  switch (aEvent.mKind) {
+    case ClaimEventKind::PeerAnswered:
+      return Answer(aState, aEvent.mRecord.mAnswer, true);
+    case ClaimEventKind::PeerGaveUp:
+      return Claim(aState, aState.mVersion);
+    case ClaimEventKind::PeerRunning:
+      if (aNow >= aState.mDeadline) {
+        return Refuse(aState, ErrorKind::OutcomePending);
+      }
+      // Read first: the creator may have stored the answer meanwhile.
+      aState.mPhase = ClaimPhase::Looking;
+      return Make(ClaimActionKind::Read);
+    default:
+      return Refuse(aState, ErrorKind::OutcomeUnknown);
+  }
+}
+
+ClaimAction
+OnHandingOn(ClaimState& aState, const ClaimEvent& aEvent, TimePoint aNow)
+{
+  switch (aEvent.mKind) {
+    case ClaimEventKind::Answered:
+      aState.mAnswer = aEvent.mRecord.mAnswer;
+      aState.mPhase = ClaimPhase::Keeping;
+      return Make(ClaimActionKind::KeepAnswer, aState.mVersion);
+    case ClaimEventKind::NotOffered:
+      if (aEvent.mEndpointsLeft) {
+        return HandOn(aState, aNow);
+      }
+      aState.mPhase = ClaimPhase::Releasing;
+      aState.mReleaseError = ErrorKind::NoEndpoint;
+      return Make(ClaimActionKind::Release, aState.mVersion);
+    default:
+      aState.mPhase = ClaimPhase::Releasing;
+      aState.mReleaseError = ErrorKind::OutcomeUnknown;
+      return Make(ClaimActionKind::KeepLost, aState.mVersion);
+  }
+}
+
+} // namespace
+
+ClaimAction
+ClaimStep(ClaimState& aState, const ClaimEvent& aEvent, TimePoint aNow)
+{
+  switch (aState.mPhase) {
+    case ClaimPhase::Idle:
+      return Claim(aState, 0);
+    case ClaimPhase::Claiming:
+    case ClaimPhase::Looking:
+      return OnClaiming(aState, aEvent, aNow);
+    case ClaimPhase::Asking:
+      return OnAsking(aState, aEvent, aNow);
+    case ClaimPhase::HandingOn:
+      return OnHandingOn(aState, aEvent, aNow);
+    case ClaimPhase::Keeping:
+      // Kept or not, the answer is the caller's. Until it is kept, this
+      // instance vouches for it to whoever asks.
+      return Answer(aState, aState.mAnswer, false);
+    case ClaimPhase::Releasing:
+      return Refuse(aState, aState.mReleaseError);
+    case ClaimPhase::Done:
+      break;
+  }
+  return Refuse(aState, ErrorKind::Internal, RunState::MayHaveRun);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/HeadroomLog.cpp
@@ -0,0 +1,48 @@
+#include "decide/HeadroomLog.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace caraway {
+
+void
+HeadroomLog::Note(TimePoint aNow, double aHeadroom)
+{
+  while (!mEntries.empty() && mEntries.back().mHeadroom >= aHeadroom) {
+    mEntries.pop_back();
+  }
+  mEntries.push_back({ aNow, aHeadroom });
+}
+
+double
+HeadroomLog::LeastSince(TimePoint aSince) const
+{
+  auto found = std::lower_bound(
+    mEntries.begin(),
+    mEntries.end(),
+    aSince,
+    [](const Entry& aEntry, TimePoint aTime) { return aEntry.mAt < aTime; });
+  return found == mEntries.end() ? std::numeric_limits<double>::infinity()
+                                 : found->mHeadroom;
+}
+
+void
+HeadroomLog::Lower(double aTokens)
+{
+  for (Entry& entry : mEntries) {
+    entry.mHeadroom = std::max(0.0, entry.mHeadroom - aTokens);
+  }
+}
+
+void
+HeadroomLog::ForgetBefore(TimePoint aTime)
+{
+  // The entry before the cut may be the least for a reservation made between
+  // it and the next one; a dropped entry at worst gives back too little when
+  // the reservation is older than what is kept.
+  while (!mEntries.empty() && mEntries.front().mAt < aTime) {
+    mEntries.pop_front();
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/LoadPlan.cpp
@@ -0,0 +1,134 @@
+#include "decide/LoadPlan.h"
+
+#include <algorithm>
+
+#include "decide/PlacementStep.h"
+
+namespace caraway {
+
+namespace {
+
+struct Eviction
+{
+  std::vector<PlacedReplica> mReplicas;
+  double mCost = 0;
+  bool mEnough = false;
+};
+
+bool
+Lies(const std::vector<std::string>& aPlaces, const std::string& aName)
+{
+  return std::find(aPlaces.begin(), aPlaces.end(), aName) != aPlaces.end();
+}
+
+double
+SourceCost(const LoadCandidate& aCandidate,
+           const std::string& aName,
+           const LoadPlanTerms& aTerms)
+{
+  if (Lies(aCandidate.mReport.mCachedInMemory, aName)) {
+    return aTerms.mMemoryCost;
+  }
+  if (Lies(aCandidate.mReport.mCachedOnDisk, aName)) {
+    return aTerms.mDiskCost;
+  }
+  return aTerms.mRemoteCost;
+}
+
+const EngineReplica*
+Reported(const EngineReport& aReport, const PlacedReplica& aReplica)
+{
+  for (const EngineReplica& seen : aReport.mReplicas) {
+    if (seen.mName == aReplica.mName && seen.mVersion == aReplica.mVersion) {
+      return &seen;
+    }
+  }
+  return nullptr;
+}
+
+bool
+HasAdapters(const PlacementRecord& aRecord, const std::string& aModel)
+{
+  return std::any_of(
+    aRecord.mReplicas.begin(),
+    aRecord.mReplicas.end(),
+    [&](const PlacedReplica& aReplica) { return aReplica.mBase == aModel; });
+}
+
+// Longest idle first, until there is room.
+Eviction
+Evictable(const LoadCandidate& aCandidate,
+          int64_t aBytes,
+          const LoadPlanTerms& aTerms)
+{
+  std::vector<std::pair<Millis, PlacedReplica>> idle;
+  for (const PlacedReplica& replica : aCandidate.mRecord.mReplicas) {
+    const EngineReplica* seen = Reported(aCandidate.mReport, replica);
+    bool busy = !seen || seen->mActive > 0 || seen->mIdle < aTerms.mLeastIdle;
+    if (replica.mState != ReplicaState::Ready || busy ||
+        HasAdapters(aCandidate.mRecord, replica.mName)) {
+      continue;
+    }
+    idle.emplace_back(seen->mIdle, replica);
+  }
+  std::sort(
+    idle.begin(), idle.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first > aRight.first;
+    });
+  Eviction eviction;
+  int64_t free = PlacementFree(aCandidate.mRecord);
+  for (const auto& entry : idle) {
+    if (free >= aBytes) {
+      break;
+    }
+    free += entry.second.mBytes;
+    double idleFor = static_cast<double>(entry.first.count());
+    double free1 = static_cast<double>(aTerms.mFreeIdle.count());
+    eviction.mCost += aTerms.mRemoteCost * std::max(0.0, 1 - idleFor / free1);
+    eviction.mReplicas.push_back(entry.second);
+  }
+  eviction.mEnough = free >= aBytes;
+  return eviction;
+}
+
+} // namespace
+
+LoadPlan
+LoadPlanChoose(const std::vector<LoadCandidate>& aCandidates,
+               const std::string& aName,
+               const std::string& aVersion,
+               int64_t aBytes,
+               const LoadPlanTerms& aTerms)
+{
+  LoadPlan plan;
+  double best = 0;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    const LoadCandidate& candidate = aCandidates[i];
+    if (!candidate.mReachable) {
+      continue;
+    }
+    const PlacedReplica* there =
+      PlacementFind(candidate.mRecord, aName, aVersion);
+    if (there && there->mState != ReplicaState::Unloading) {
+      return { static_cast<int>(i), {}, true };
+    }
+    if (there) {
+      continue;
+    }
+    Eviction eviction = Evictable(candidate, aBytes, aTerms);
+    if (!eviction.mEnough) {
+      continue;
+    }
+    constexpr double kPerActive = 0.02;
+    double cost = SourceCost(candidate, aName, aTerms) + eviction.mCost +
+                  kPerActive * candidate.mReport.mActive;
+    if (plan.mCandidate < 0 || cost < best) {
+      plan.mCandidate = static_cast<int>(i);
+      plan.mEvict = eviction.mReplicas;
+      best = cost;
+    }
+  }
+  return plan;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/LoadPlan.h
@@ -0,0 +1,52 @@
+// LoadPlan.h: where to load a cold model, and what must go for it.
+#ifndef caraway_decide_LoadPlan_h
+#define caraway_decide_LoadPlan_h
+
+#include <string>
+#include <vector>
+
+#include "decide/EngineReport.h"
+#include "decide/PlacementRecord.h"
+
+namespace caraway {
+
+struct LoadCandidate
+{
+  PlacementRecord mRecord;
+  EngineReport mReport;
+  bool mReachable = false; // its report is fresh
+};
+
+struct LoadPlanTerms
+{
+  // Loading from each place, relative to the remote store.
+  double mMemoryCost = 0.1;
+  double mDiskCost = 0.4;
+  double mRemoteCost = 1.0;
+  // A replica used within this time isn't evicted: two models that wake in
+  // turn would otherwise evict each other on every request.
+  Millis mLeastIdle{ 2000 };
+  // Idle this long, a replica is as good as free.
+  Millis mFreeIdle{ 600000 };
+};
+
+struct LoadPlan
+{
+  int mCandidate = -1;               // index; -1 = nowhere
+  std::vector<PlacedReplica> mEvict; // of that candidate, in order
+  bool mJoin = false;                // it is there already: loading or ready
+};
+
+// Joins a load that is under way, else takes the cheapest endpoint by where
+// the checkpoint lies, its load, and what evicting for it will cost: reload
+// time times the likelihood of soon being used, by how long it has idled.
+LoadPlan
+LoadPlanChoose(const std::vector<LoadCandidate>& aCandidates,
+               const std::string& aName,
+               const std::string& aVersion,
+               int64_t aBytes,
+               const LoadPlanTerms& aTerms);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/decide/PlacementStep.cpp
@@ -0,0 +1,210 @@
+#include "decide/PlacementStep.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+PlacedReplica*
+FindMutable(PlacementRecord& aRecord,
+            const std::string& aName,
+            const std::string& aVersion)
+{
+  for (PlacedReplica& replica : aRecord.mReplicas) {
+    if (replica.mName == aName && replica.mVersion == aVersion) {
+      return &replica;
+    }
+  }
+  return nullptr;
+}
+
+const EngineReplica*
+FindReported(const EngineReport& aReport, const PlacedReplica& aReplica)
+{
+  for (const EngineReplica& replica : aReport.mReplicas) {
+    if (replica.mName == aReplica.mName &&
+        replica.mVersion == aReplica.mVersion) {
+      return &replica;
+    }
+  }
+  return nullptr;
+}
+
+// An engine that checks refuses every order below the number it has taken:
+// once it has taken the unload's number, no older load can come after. One
+// that ignores the numbers needn't report them; there, only a load whose
+// order was answered, or is too old to arrive, can't come back.
+bool
+ProvablyGone(const PlacementRecord& aRecord,
+             const PlacedReplica& aReplica,
+             const EngineReport& aReport)
+{
+  if (aRecord.mChecksFencing) {
+    return aReport.mHighestFence >= aReplica.mFence;
+  }
+  return aReplica.mSettled;
+}
+
+bool
+ObserveReplica(PlacementRecord& aRecord,
+               PlacedReplica& aReplica,
+               const EngineReport& aReport)
+{
+  const EngineReplica* seen = FindReported(aReport, aReplica);
+  if (aReplica.mState == ReplicaState::Loading) {
+    if (seen && seen->mReady) {
+      aReplica.mState = ReplicaState::Ready;
+      return true;
+    }
+    return false;
+  }
+  if (aReplica.mState == ReplicaState::Ready && !seen) {
+    // The engine lost it (it was restarted, say). Take it off in order, so
+    // that its bytes are given out again only when it can't come back.
+    aReplica.mState = ReplicaState::Unloading;
+    aReplica.mFence = ++aRecord.mFence;
+    return true;
+  }
+  return false;
+}
+
+bool
+ObserveGone(PlacementRecord& aRecord, const EngineReport& aReport)
+{
+  size_t before = aRecord.mReplicas.size();
+  auto gone = [&](const PlacedReplica& aReplica) {
+    return aReplica.mState == ReplicaState::Unloading &&
+           !FindReported(aReport, aReplica) &&
+           ProvablyGone(aRecord, aReplica, aReport);
+  };
+  aRecord.mReplicas.erase(
+    std::remove_if(aRecord.mReplicas.begin(), aRecord.mReplicas.end(), gone),
+    aRecord.mReplicas.end());
+  return aRecord.mReplicas.size() != before;
+}
+
+// A replica that nobody decided takes memory all the same. Charge it as soon
+// as it is seen, and have it unloaded.
+bool
+ChargeUnexpected(PlacementRecord& aRecord, const EngineReport& aReport)
+{
+  bool changed = false;
+  for (const EngineReplica& seen : aReport.mReplicas) {
+    if (PlacementFind(aRecord, seen.mName, seen.mVersion)) {
+      continue;
+    }
+    PlacedReplica replica;
+    replica.mName = seen.mName;
+    replica.mVersion = seen.mVersion;
+    replica.mBytes = seen.mBytes;
+    replica.mState = ReplicaState::Unloading;
+    replica.mFence = ++aRecord.mFence;
+    replica.mDecision = "unexpected";
+    replica.mSettled = true;
+    aRecord.mReplicas.push_back(replica);
+    changed = true;
+  }
+  return changed;
+}
+
+} // namespace
+
+int64_t
+PlacementCharged(const PlacementRecord& aRecord)
+{
+  int64_t bytes = 0;
+  for (const PlacedReplica& replica : aRecord.mReplicas) {
+    bytes += replica.mBytes;
+  }
+  return bytes;
+}
+
+int64_t
+PlacementFree(const PlacementRecord& aRecord)
+{
+  return aRecord.mMemory - PlacementCharged(aRecord);
+}
+
+const PlacedReplica*
+PlacementFind(const PlacementRecord& aRecord,
+              const std::string& aName,
+              const std::string& aVersion)
+{
+  return FindMutable(const_cast<PlacementRecord&>(aRecord), aName, aVersion);
+}
+
+bool
+PlacementDecideLoad(PlacementRecord& aRecord, const PlacementLoad& aLoad)
+{
+  if (PlacementFind(aRecord, aLoad.mName, aLoad.mVersion) ||
+      PlacementFree(aRecord) < aLoad.mBytes) {
+    return false;
+  }
+  PlacedReplica replica;
+  replica.mName = aLoad.mName;
+  replica.mVersion = aLoad.mVersion;
+  replica.mBase = aLoad.mBase;
+  replica.mBytes = aLoad.mBytes;
+  replica.mFence = ++aRecord.mFence;
+  replica.mDecision = aLoad.mDecision;
+  aRecord.mReplicas.push_back(replica);
+  return true;
+}
+
+bool
+PlacementDecideUnload(PlacementRecord& aRecord,
+                      const std::string& aName,
+                      const std::string& aVersion,
+                      bool aHorizonPassed)
+{
+  PlacedReplica* replica = FindMutable(aRecord, aName, aVersion);
+  if (!replica || replica->mState == ReplicaState::Unloading) {
+    return false;
+  }
+  if (!aRecord.mChecksFencing && !replica->mSettled && !aHorizonPassed) {
+    return false;
+  }
+  replica->mSettled = replica->mSettled || aHorizonPassed;
+  replica->mState = ReplicaState::Unloading;
+  replica->mFence = ++aRecord.mFence;
+  return true;
+}
+
+bool
+PlacementRenumber(PlacementRecord& aRecord, const std::string& aDecision)
+{
+  for (PlacedReplica& replica : aRecord.mReplicas) {
+    if (replica.mDecision == aDecision &&
+        replica.mState == ReplicaState::Loading) {
+      replica.mFence = ++aRecord.mFence;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+PlacementSettle(PlacementRecord& aRecord, const std::string& aDecision)
+{
+  for (PlacedReplica& replica : aRecord.mReplicas) {
+    if (replica.mDecision == aDecision && !replica.mSettled) {
+      replica.mSettled = true;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+PlacementObserve(PlacementRecord& aRecord, const EngineReport& aReport)
+{
+  bool changed = false;
+  for (PlacedReplica& replica : aRecord.mReplicas) {
+    changed = ObserveReplica(aRecord, replica, aReport) || changed;
+  }
+  changed = ObserveGone(aRecord, aReport) || changed;
+  return ChargeUnexpected(aRecord, aReport) || changed;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/ShareLease.cpp
@@ -0,0 +1,322 @@
+#include "decide/ShareLease.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+int
+HeldBy(const ShareTable& aTable, const std::string& aMember)
+{
+  return static_cast<int>(std::count_if(
+    aTable.mSlots.begin(), aTable.mSlots.end(), [&](const ShareSlot& aSlot) {
+      return aSlot.mHolder == aMember;
+    }));
+}
+
+// Fewest slots, and not suspected; "" when there is nobody but aSelf.
+std::string
+FewestSlots(const ShareTable& aTable, const std::string& aSelf)
+{
+  std::string best;
+  for (const auto& member : aTable.mMembers) {
+    bool fit = member.first != aSelf && member.second.mSuspectedBy.empty();
+    if (fit &&
+        (best.empty() || HeldBy(aTable, member.first) < HeldBy(aTable, best))) {
+      best = member.first;
+    }
+  }
+  return best;
+}
+
+int
+EvenShare(const ShareTable& aTable)
+{
+  int members = std::max<int>(1, static_cast<int>(aTable.mMembers.size()));
+  return (kShareSlots + members - 1) / members;
+}
+
+void
+RemoveMember(ShareTable& aTable, const std::string& aMember)
+{
+  aTable.mMembers.erase(aMember);
+  for (ShareSlot& slot : aTable.mSlots) {
+    if (slot.mHolder == aMember) {
+      // What it had left may have been spent: the next holder starts empty.
+      slot = ShareSlot();
+    }
+  }
+}
+
+void
+Join(const ShareLease& aLease, ShareTable& aTable)
+{
+  // A process that listens where another one did has outlived it: two can't
+  // hold one address. So its slots are free at once.
+  std::vector<std::string> former;
+  for (const auto& member : aTable.mMembers) {
+    if (member.first != aLease.mSelf &&
+        member.second.mAddress == aLease.mAddress) {
+      former.push_back(member.first);
+    }
+  }
+  for (const std::string& member : former) {
+    RemoveMember(aTable, member);
+  }
+  if (!aTable.mMembers.count(aLease.mSelf)) {
+    ShareMember self;
+    self.mAddress = aLease.mAddress;
+    self.mJoined = aTable.mSerial;
+    aTable.mMembers[aLease.mSelf] = self;
+  }
+}
+
+void
+Renew(ShareTable& aTable, const std::string& aMember, int64_t aKnows)
+{
+  auto found = aTable.mMembers.find(aMember);
+  if (found != aTable.mMembers.end()) {
+    found->second.mSeen = aTable.mSerial;
+    found->second.mKnows = std::max(found->second.mKnows, aKnows);
+    found->second.mSuspectedBy.clear();
+  }
+}
+
+bool
+Silent(const ShareLease& aLease, const std::string& aMember, TimePoint aNow)
+{
+  auto promise = aLease.mPromises.find(aMember);
+  if (promise != aLease.mPromises.end() && aNow < promise->second) {
+    return false;
+  }
+  auto seen = aLease.mSeen.find(aMember);
+  if (seen == aLease.mSeen.end()) {
+    return false;
+  }
+  const ShareLeaseTerms& terms = aLease.mTerms;
+  Millis quiet = terms.mLease;
+  auto self = aLease.mTable.mMembers.find(aLease.mSelf);
+  auto member = aLease.mTable.mMembers.find(aMember);
+  bool knowsUs = self != aLease.mTable.mMembers.end() &&
+                 member != aLease.mTable.mMembers.end() &&
+                 member->second.mKnows >= self->second.mJoined;
+  if (!knowsUs) {
+    // It may be spending on promises from members that don't include us.
+    quiet = terms.mIsolationLimit + terms.mMargin;
+  }
+  return aNow - seen->second.mSince > quiet;
+}
+
+void
+SuspectOrRemove(const ShareLease& aLease, ShareTable& aTable, TimePoint aNow)
+{
+  std::vector<std::string> gone;
+  for (auto& entry : aTable.mMembers) {
+    ShareMember& member = entry.second;
+    if (entry.first == aLease.mSelf || member.mSeen == aTable.mSerial ||
+        !Silent(aLease, entry.first, aNow)) {
+      continue;
+    }
+    auto since = aLease.mSuspected.find(entry.first);
+    bool ours =
+      member.mSuspectedBy == aLease.mSelf && since != aLease.mSuspected.end();
+    if (!ours) {
+      member.mSuspectedBy = aLease.mSelf;
+    } else if (aNow - since->second >
+               aLease.mTerms.mLease + aLease.mTerms.mMargin) {
+      gone.push_back(entry.first);
+    }
+  }
+  for (const std::string& member : gone) {
+    RemoveMember(aTable, member);
+  }
+}
+
+void
+TakeFree(const std::string& aSelf, ShareTable& aTable)
+{
+  int room = EvenShare(aTable) - HeldBy(aTable, aSelf);
+  for (ShareSlot& slot : aTable.mSlots) {
+    if (room > 0 && slot.mHolder.empty()) {
+      slot.mHolder = aSelf;
+      --room;
+    }
+  }
+}
+
+} // namespace
+
+int
+ShareSlotOf(const std::string& aTenant)
+{
+  // FNV-1a: the same on every build, unlike std::hash.
+  uint64_t hash = 14695981039346656037ull;
+  for (char c : aTenant) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  }
+  return static_cast<int>((hash >> 32) % kShareSlots);
+}
+
+bool
+ShareLeaseMaySpend(const ShareLease& aLease, int aSlot, TimePoint aNow)
+{
+  if (aLease.mVersion == 0 || aLease.mClosed.count(aSlot) ||
+      aLease.mTable.mSlots[aSlot].mHolder != aLease.mSelf) {
+    return false;
+  }
+  const ShareLeaseTerms& terms = aLease.mTerms;
+  if (aNow < aLease.mRenewed + terms.mLease) {
+    return true;
+  }
+  return aNow < aLease.mPromised + terms.mLease &&
+         aNow < aLease.mRenewed + terms.mIsolationLimit;
+}
+
+void
+ShareLeaseLearn(ShareLease& aLease,
+                const ShareTable& aTable,
+                int64_t aVersion,
+                TimePoint aNow)
+{
+  if (aVersion <= aLease.mVersion) {
+    return;
+  }
+  aLease.mTable = aTable;
+  aLease.mVersion = aVersion;
+  for (auto seen = aLease.mSeen.begin(); seen != aLease.mSeen.end();) {
+    bool member = aTable.mMembers.count(seen->first) != 0;
+    seen = member ? std::next(seen) : aLease.mSeen.erase(seen);
+  }
+  for (const auto& member : aTable.mMembers) {
+    auto seen = aLease.mSeen.find(member.first);
+    if (seen == aLease.mSeen.end() ||
+        seen->second.mSerial != member.second.mSeen) {
+      aLease.mSeen[member.first] = { member.second.mSeen, aNow };
+    }
+    if (member.second.mSuspectedBy != aLease.mSelf) {
+      aLease.mSuspected.erase(member.first);
+    }
+  }
+  for (auto closed = aLease.mClosed.begin(); closed != aLease.mClosed.end();) {
+    bool ours = aTable.mSlots[*closed].mHolder == aLease.mSelf;
+    closed = ours ? std::next(closed) : aLease.mClosed.erase(closed);
+  }
+}
+
+ShareTable
+ShareLeasePropose(const ShareLease& aLease,
+                  const std::map<std::string, int64_t>& aAlso,
+                  TimePoint aNow)
+{
+  ShareTable table = aLease.mTable;
+  if (aLease.mVersion == 0) {
+    // Stored only if no table stands: nobody has ever held these slots.
+    for (ShareSlot& slot : table.mSlots) {
+      slot.mFresh = true;
+    }
+  }
+  ++table.mSerial;
+  Join(aLease, table);
+  Renew(table, aLease.mSelf, aLease.mTable.mSerial);
+  for (const auto& member : aAlso) {
+    Renew(table, member.first, member.second);
+  }
+  SuspectOrRemove(aLease, table, aNow);
+  TakeFree(aLease.mSelf, table);
+  return table;
+}
+
+void
+ShareLeaseRenewed(ShareLease& aLease,
+                  const ShareTable& aTable,
+                  int64_t aVersion,
+                  TimePoint aBegun,
+                  TimePoint aNow)
+{
+  ShareLeaseLearn(aLease, aTable, aVersion, aNow);
+  auto self = aTable.mMembers.find(aLease.mSelf);
+  if (aVersion < aLease.mVersion || self == aTable.mMembers.end() ||
+      self->second.mSeen != aTable.mSerial) {
+    return;
+  }
+  aLease.mRenewed = std::max(aLease.mRenewed, aBegun);
+  for (const auto& member : aTable.mMembers) {
+    if (member.second.mSuspectedBy == aLease.mSelf) {
+      aLease.mSuspected.emplace(member.first, aNow);
+    }
+  }
+}
+
+std::vector<std::string>
+ShareLeaseAsk(const ShareLease& aLease)
+{
+  std::vector<std::string> members;
+  for (const auto& member : aLease.mTable.mMembers) {
+    if (member.first != aLease.mSelf) {
+      members.push_back(member.first);
+    }
+  }
+  return members;
+}
+
+void
+ShareLeasePromised(ShareLease& aLease, TimePoint aBegun)
+{
+  aLease.mPromised = std::max(aLease.mPromised, aBegun);
+}
+
+bool
+ShareLeasePromise(ShareLease& aLease,
+                  const std::string& aMember,
+                  TimePoint aNow)
+{
+  auto member = aLease.mTable.mMembers.find(aMember);
+  if (member == aLease.mTable.mMembers.end() ||
+      !member->second.mSuspectedBy.empty() ||
+      aLease.mSuspected.count(aMember)) {
+    return false;
+  }
+  aLease.mPromises[aMember] =
+    aNow + aLease.mTerms.mLease + aLease.mTerms.mMargin;
+  return true;
+}
+
+std::set<int>
+ShareLeaseExcess(const ShareLease& aLease, bool aLeaving)
+{
+  std::set<int> slots;
+  int keep = aLeaving ? 0 : EvenShare(aLease.mTable);
+  for (int i = kShareSlots - 1; i >= 0; --i) {
+    if (aLease.mTable.mSlots[i].mHolder != aLease.mSelf) {
+      continue;
+    }
+    if (HeldBy(aLease.mTable, aLease.mSelf) - static_cast<int>(slots.size()) >
+        keep) {
+      slots.insert(i);
+    }
+  }
+  return slots;
+}
+
+ShareTable
+ShareLeaseRelease(const ShareLease& aLease,
+                  const std::map<int, std::map<std::string, double>>& aLevels,
+                  bool aLeaving)
+{
+  ShareTable table = aLease.mTable;
+  ++table.mSerial;
+  for (const auto& slot : aLevels) {
+    if (table.mSlots[slot.first].mHolder == aLease.mSelf) {
+      table.mSlots[slot.first].mHolder = FewestSlots(table, aLease.mSelf);
+      table.mSlots[slot.first].mLevels = slot.second;
+      table.mSlots[slot.first].mFresh = false;
+    }
+  }
+  if (aLeaving) {
+    RemoveMember(table, aLease.mSelf);
+  }
+  return table;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/decide/ShareLease.h
@@ -0,0 +1,117 @@
+// ShareLease.h: when an instance may spend the slots it holds.
+//
+// A holder's right lapses unless it renews, and a renewal is a conditional
+// write of the zone's table (shared by all who ask within a moment), never a
+// read: reads may be stale. A silent member is first suspected, by a write of
+// its own; only a lease and a margin later may the suspecter take its slots.
+// A holder that renews after the suspicion clears it, and one that renewed
+// before it has stopped by then. The clocks are compared only with
+// themselves; the margin covers their drift.
+//
+// Without the platform nobody can take slots, but a holder can't know that it
+// is not the only one cut off. So it asks every member it knows to promise not
+// to suspect it for a lease. A member that the holder doesn't know may not
+// suspect it, except after the long isolation limit. Whether it knows is
+// what the holder itself said when it renewed, not that it was renewed: the
+// answer to a renewal may have been lost.
+#ifndef caraway_decide_ShareLease_h
+#define caraway_decide_ShareLease_h
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "caraway/Time.h"
+#include "decide/ShareTable.h"
+
+namespace caraway {
+
+struct ShareLeaseTerms
+{
+  Millis mLease{ 15000 };            // right to spend after a renewal
+  Millis mMargin{ 3000 };            // clocks' drift over a lease, and more
+  Millis mIsolationLimit{ 3600000 }; // spending on promises alone, at most
+};
+
+struct ShareSeen
+{
+  int64_t mSerial = 0; // its last renewal
+  TimePoint mSince{};  // when we first saw that one
+};
+
+struct ShareLease
+{
+  ShareLeaseTerms mTerms;
+  std::string mSelf;    // incarnation
+  std::string mAddress; // our peer address
+
+  ShareTable mTable;     // as last stored or read
+  int64_t mVersion = 0;  // platform's version of it
+  TimePoint mRenewed{};  // when the last renewal was begun
+  TimePoint mPromised{}; // when the last full promise was begun
+  std::set<int> mClosed; // slots we gave up spending already
+
+  // What we saw of others, by our own clock.
+  std::map<std::string, ShareSeen> mSeen;
+  std::map<std::string, TimePoint> mSuspected; // since our stored suspicion
+  std::map<std::string, TimePoint> mPromises;  // given by us: until
+};
+
+// Does this instance hold aSlot, and may it spend from it at aNow?
+bool
+ShareLeaseMaySpend(const ShareLease& aLease, int aSlot, TimePoint aNow);
+
+// A newer table was read or stored. Older versions are ignored.
+void
+ShareLeaseLearn(ShareLease& aLease,
+                const ShareTable& aTable,
+                int64_t aVersion,
+                TimePoint aNow);
+
+// The table as this instance wants it next: joined, renewed along with
+// aAlso (others who asked us, and the serial each knows), suspicion of us
+// cleared, free slots taken up to an even share, silent members suspected or,
+// when it is time, removed. To be stored by conditional update over mVersion;
+// nothing counts before.
+ShareTable
+ShareLeasePropose(const ShareLease& aLease,
+                  const std::map<std::string, int64_t>& aAlso,
+                  TimePoint aNow);
+
+// aTable, proposed by us or by whom we asked, is in force at aVersion; the
+// asking was begun at aBegun.
+void
+ShareLeaseRenewed(ShareLease& aLease,
+                  const ShareTable& aTable,
+                  int64_t aVersion,
+                  TimePoint aBegun,
+                  TimePoint aNow);
+
+// Members whose promise we need while the platform is out.
+std::vector<std::string>
+ShareLeaseAsk(const ShareLease& aLease);
+// All of them promised; the asking was begun at aBegun.
+void
+ShareLeasePromised(ShareLease& aLease, TimePoint aBegun);
+// Another member asks for our promise. False: it no longer is a member as we
+// know it, or we suspect it already.
+bool
+ShareLeasePromise(ShareLease& aLease,
+                  const std::string& aMember,
+                  TimePoint aNow);
+
+// Slots we hold beyond an even share, or all when aLeaving. The driver stops
+// spending them, then stores ShareLeaseRelease with what was left in them:
+// each goes straight to the member that holds the fewest, so that there is no
+// moment in which a tenant's share has nobody to ask.
+std::set<int>
+ShareLeaseExcess(const ShareLease& aLease, bool aLeaving);
+ShareTable
+ShareLeaseRelease(const ShareLease& aLease,
+                  const std::map<int, std::map<std::string, double>>& aLevels,
+                  bool aLeaving);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/decide/ShareTable.h
@@ -0,0 +1,47 @@
+// ShareTable.h: who in a zone holds which part of every tenant's share.
+#ifndef caraway_decide_ShareTable_h
+#define caraway_decide_ShareTable_h
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+// Tenants are spread over this many slots a zone. Today a holder has several;
+// at 58 instances a zone the asking is spread over 16 of them.
+constexpr int kShareSlots = 16;
+
+struct ShareMember
+{
+  std::string mAddress;     // ip:port of its peer port
+  int64_t mJoined = 0;      // table serial at which it joined
+  int64_t mSeen = 0;        // serial of its last renewal
+  int64_t mKnows = 0;       // serial it said it knew when it renewed
+  std::string mSuspectedBy; // member that found it silent; "" = nobody
+};
+
+struct ShareSlot
+{
+  std::string mHolder;                   // incarnation; "" = free
+  std::map<std::string, double> mLevels; // tokens left by a graceful holder
+  bool mFresh = false;                   // never held: buckets begin full
+};
+
+// One object per zone. A zone's share of a tenant's rate and burst never
+// leaves the zone, so that a cut zone can go on spending it.
+struct ShareTable
+{
+  int64_t mSerial = 0;                         // grows by one with every write
+  std::map<std::string, ShareMember> mMembers; // by incarnation
+  std::vector<ShareSlot> mSlots = std::vector<ShareSlot>(kShareSlots);
+};
+
+// Slot of a tenant, the same on every instance.
+int
+ShareSlotOf(const std::string& aTenant);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/decide/WaitItem.h
@@ -0,0 +1,25 @@
+// WaitItem.h: one request waiting for a place at an engine.
+#ifndef caraway_decide_WaitItem_h
+#define caraway_decide_WaitItem_h
+
+#include <cstdint>
+#include <string>
+
+#include "caraway/RequestClass.h"
+#include "caraway/Time.h"
+
+namespace caraway {
+
+struct WaitItem
+{
+  uint64_t mId = 0;
+  std::string mTenant;
+  RequestClass mClass = RequestClass::Interactive;
+  double mTokens = 1;   // expected work
+  TimePoint mStartBy{}; // later is useless
+  TimePoint mArrived{};
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/decide/WaitQueue.h
@@ -0,0 +1,80 @@
+// WaitQueue.h: who is served next, and who is told now that it won't be.
+#ifndef caraway_decide_WaitQueue_h
+#define caraway_decide_WaitQueue_h
+
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "caraway/ErrorKind.h"
+#include "decide/WaitItem.h"
+
+namespace caraway {
+
+struct WaitQueueLimits
+{
+  size_t mItems = 256;      // waiting, all classes
+  double mTenantPart = 0.5; // of mItems, for one tenant at most
+};
+
+struct WaitRefusal
+{
+  ErrorKind mKind;
+  Millis mRetryAfter;
+};
+
+// One queue for all requests for one model in a zone. Classes are served in
+// order; within a class the tenant that has had the least work served goes
+// first, counted in tokens, so that a tenant sending several times its part
+// waits behind itself and not in front of others; within a tenant the
+// earliest deadline goes first.
+class WaitQueue
+{
+public:
+  explicit WaitQueue(WaitQueueLimits aLimits = {});
+
+  // Nothing when it waits now. aRate is the service rate learnt, in tokens a
+  // second over all replicas, 0 = not known; aReadyIn is the time until the
+  // first replica can serve (a load). A request that can't start in time is
+  // refused here, at once, rather than at its deadline.
+  std::optional<WaitRefusal> Offer(const WaitItem& aItem,
+                                   double aRate,
+                                   Millis aReadyIn,
+                                   TimePoint aNow);
+  // The next to be served, if any of aClassLimit's urgency or above waits.
+  std::optional<WaitItem> Next(RequestClass aClassLimit, TimePoint aNow);
+  // Those whose time has passed; they no longer wait.
+  std::vector<WaitItem> Expire(TimePoint aNow);
+  // Its caller has gone. False when it didn't wait any more.
+  bool Withdraw(uint64_t aId);
+
+  size_t Size() const;
+  bool Waiting(RequestClass aClass) const;
+  // Expected time until an item of this class and tenant would start.
+  Millis Predict(const WaitItem& aItem, double aRate) const;
+
+private:
+  struct TenantLine
+  {
+    std::multimap<TimePoint, WaitItem> mItems; // by deadline
+    double mTokens = 0;                        // waiting
+    double mServed = 0;                        // virtual time
+  };
+  using Lines = std::map<std::string, TenantLine>;
+
+  TenantLine& LineFor(const WaitItem& aItem);
+  void Drop(Lines& aLines, Lines::iterator aLine);
+  double WorkBefore(const WaitItem& aItem) const;
+
+  WaitQueueLimits mLimits;
+  Lines mLines[kRequestClassCount];
+  double mVirtualTime[kRequestClassCount] = {};
+  std::map<std::string, size_t> mWaitingOf;
+  size_t mSize = 0;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/net/HttpExchange.cpp
@@ -0,0 +1,118 @@
+#include "net/HttpExchange.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/String.h>
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kChunk = 16 * 1024;
+
+Poco::Timespan
+Span(Millis aTime)
+{
+  return Poco::Timespan(Micros(aTime).count());
+}
+
+void
+SendRequest(Poco::Net::HTTPClientSession& aSession,
+            const HttpCall& aCall,
+            bool aKeepAlive)
+{
+  Poco::Net::HTTPRequest request(
+    aCall.mMethod, aCall.mPath, Poco::Net::HTTPMessage::HTTP_1_1);
+  request.setHost(aCall.mAddress);
+  request.setKeepAlive(aKeepAlive);
+  request.setContentLength(static_cast<std::streamsize>(aCall.mBody.size()));
+  for (const auto& header : aCall.mHeaders) {
+    request.set(header.first, header.second);
+  }
+  std::ostream& out = aSession.sendRequest(request);
+  out << aCall.mBody;
+  out.flush();
+}
+
+// False when aLimit would be passed or the time is up.
+bool
+ReadBody(std::istream& aIn,
+         size_t aLimit,
+         std::chrono::steady_clock::time_point aDeadline,
+         std::string& aOut)
+{
+  std::string chunk(kChunk, '\0');
+  while (aIn.good()) {
+    aIn.read(&chunk[0], static_cast<std::streamsize>(chunk.size()));
+    aOut.append(chunk, 0, static_cast<size_t>(aIn.gcount()));
+    if (aOut.size() > aLimit || std::chrono::steady_clock::now() > aDeadline) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A connection cut in the middle looks like the end of the stream to the
+// reader. Only a stated length proves that the answer is whole.
+bool
+LengthProven(const Poco::Net::HTTPResponse& aResponse, size_t aGot)
+{
+  bool empty = aResponse.getStatus() == 204 || aResponse.getStatus() == 304;
+  if (empty) {
+    return true;
+  }
+  return aResponse.hasContentLength() &&
+         aResponse.getContentLength64() == static_cast<Poco::Int64>(aGot);
+}
+
+} // namespace
+
+Poco::Net::StreamSocket
+HttpConnect(const HttpCall& aCall, std::string& aError)
+{
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(aCall.mAddress),
+                   Span(std::min(aCall.mConnectTimeout, aCall.mTimeout)));
+    socket.setNoDelay(true);
+    return socket;
+  } catch (const Poco::Exception& error) {
+    aError = error.displayText();
+  }
+  return Poco::Net::StreamSocket();
+}
+
+HttpReply
+HttpExchange(Poco::Net::HTTPClientSession& aSession,
+             const HttpCall& aCall,
+             bool aKeepAlive)
+{
+  HttpReply reply;
+  reply.mStage = HttpStage::Lost;
+  auto deadline = std::chrono::steady_clock::now() + aCall.mTimeout;
+  try {
+    aSession.setTimeout(Span(aCall.mTimeout));
+    SendRequest(aSession, aCall, aKeepAlive);
+    Poco::Net::HTTPResponse response;
+    std::istream& in = aSession.receiveResponse(response);
+    reply.mStatus = response.getStatus();
+    for (const auto& header : response) {
+      reply.mHeaders[Poco::toLower(header.first)] = header.second;
+    }
+    if (!ReadBody(in, aCall.mReplyLimit, deadline, reply.mBody)) {
+      reply.mError = "answer too large or too late";
+    } else if (!LengthProven(response, reply.mBody.size())) {
+      reply.mError = "answer cut short";
+    } else {
+      reply.mStage = HttpStage::Answered;
+    }
+  } catch (const Poco::Exception& error) {
+    reply.mError = error.displayText();
+  } catch (const std::exception& error) {
+    reply.mError = error.what();
+  }
+  return reply;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/EndpointKeeper.h
@@ -0,0 +1,72 @@
+// EndpointKeeper.h: holds engines' reports against their records.
+#ifndef caraway_own_EndpointKeeper_h
+#define caraway_own_EndpointKeeper_h
+
+#include <map>
+#include <string>
+
+#include "caraway/Clock.h"
+#include "own/EngineClient.h"
+#include "own/Loader.h"
+#include "own/PlacementStore.h"
+#include "peer/Members.h"
+#include "platform/ConfigHolder.h"
+
+namespace caraway {
+
+struct EndpointKeeperSettings
+{
+  Millis mReread{ 10000 };        // record read again though nothing changed
+  Millis mOrderHorizon{ 120000 }; // no order arrives later than this
+  Millis mResend{ 5000 };         // an order seen without effect
+  Millis mIdleLimit{ 300000 };    // replica idle this long is unloaded
+};
+
+// Each engine is kept by one instance of its zone. It carries out what a
+// dead decider left behind, charges what nobody decided, and unloads what
+// has idled. Two keepers at once, or a frozen one that thaws, only repeat
+// orders whose numbers the record has given out.
+class EndpointKeeper
+{
+public:
+  EndpointKeeper(EndpointKeeperSettings aSettings,
+                 ConfigHolder& aConfig,
+                 Members& aMembers,
+                 PlacementStore& aStore,
+                 EngineClient& aEngines,
+                 Loader& aLoader,
+                 const Clock& aClock);
+
+  // One look at every engine that is ours to keep.
+  void Round();
+
+private:
+  struct Kept
+  {
+    StoredPlacement mStored;
+    TimePoint mRead{};
+    std::map<std::string, TimePoint> mSince; // decision and state: first seen
+    std::map<std::string, TimePoint> mSent;
+  };
+
+  void Keep(const EndpointSpec& aEndpoint, Kept& aKept);
+  bool Change(const EndpointSpec& aEndpoint,
+              Kept& aKept,
+              const EngineReport& aReport,
+              TimePoint aNow);
+  void Resend(const EndpointSpec& aEndpoint, Kept& aKept, TimePoint aNow);
+  TimePoint Since(Kept& aKept, const PlacedReplica& aReplica, TimePoint aNow);
+
+  EndpointKeeperSettings mSettings;
+  ConfigHolder& mConfig;
+  Members& mMembers;
+  PlacementStore& mStore;
+  EngineClient& mEngines;
+  Loader& mLoader;
+  const Clock& mClock;
+  std::map<std::string, Kept> mKept; // used by the round's thread alone
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/own/EngineClient.cpp
@@ -0,0 +1,79 @@
+#include "own/EngineClient.h"
+
+#include "base/JsonText.h"
+#include "own/PlacementCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kOrderTime{ 2000 };
+constexpr Millis kReportTime{ 1000 };
+constexpr int kRefused = 409;
+
+} // namespace
+
+EngineClient::EngineClient()
+  : mPool(4)
+{
+}
+
+OrderEnd
+EngineClient::Order(const std::string& aAddress,
+                    const char* aOrder,
+                    const PlacedReplica& aReplica)
+{
+  Json::Value body;
+  body["order"] = aOrder;
+  body["name"] = aReplica.mName;
+  body["version"] = aReplica.mVersion;
+  body["base"] = aReplica.mBase;
+  body["bytes"] = Json::Int64(aReplica.mBytes);
+  body["fence"] = Json::Int64(aReplica.mFence);
+  HttpCall call;
+  call.mAddress = aAddress;
+  call.mMethod = "POST";
+  call.mPath = "/orders";
+  call.mTimeout = kOrderTime;
+  call.mBody = JsonWrite(body);
+  HttpReply reply = HttpCallOnce(call);
+  if (reply.mStage == HttpStage::NotSent) {
+    return OrderEnd::NotSent;
+  }
+  if (reply.Ok()) {
+    return OrderEnd::Taken;
+  }
+  if (reply.mStage == HttpStage::Answered && reply.mStatus == kRefused) {
+    std::string reason = JsonParseOrEmpty(reply.mBody)["reason"].asString();
+    return reason == "fence" ? OrderEnd::Outdated : OrderEnd::NoRoom;
+  }
+  return OrderEnd::Unclear;
+}
+
+OrderEnd
+EngineClient::Load(const std::string& aAddress, const PlacedReplica& aReplica)
+{
+  return Order(aAddress, "load", aReplica);
+}
+
+OrderEnd
+EngineClient::Unload(const std::string& aAddress, const PlacedReplica& aReplica)
+{
+  return Order(aAddress, "unload", aReplica);
+}
+
+Result<EngineReport>
+EngineClient::Report(const std::string& aAddress)
+{
+  HttpCall call;
+  call.mAddress = aAddress;
+  call.mPath = "/state";
+  call.mTimeout = kReportTime;
+  HttpReply reply = mPool.Call(call);
+  if (!reply.Ok()) {
+    return Fail(ErrorKind::NoEndpoint, "engine " + aAddress + " is silent");
+  }
+  return EngineReportParse(JsonParseOrEmpty(reply.mBody));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/EngineClient.h
@@ -0,0 +1,43 @@
+// EngineClient.h: orders to engines, and their reports.
+#ifndef caraway_own_EngineClient_h
+#define caraway_own_EngineClient_h
+
+#include <string>
+
+#include "caraway/Result.h"
+#include "decide/EngineReport.h"
+#include "decide/PlacementRecord.h"
+#include "net/HttpPool.h"
+
+namespace caraway {
+
+enum class OrderEnd
+{
+  Taken,    // the engine answered; it has begun
+  Outdated, // refused: it has taken a higher fencing number
+  NoRoom,   // refused: its memory
+  NotSent,  // no byte of it was offered
+  Unclear,  // offered, no answer; may still arrive
+};
+
+class EngineClient
+{
+public:
+  EngineClient();
+
+  // On a connection of its own, once.
+  OrderEnd Load(const std::string& aAddress, const PlacedReplica& aReplica);
+  OrderEnd Unload(const std::string& aAddress, const PlacedReplica& aReplica);
+  Result<EngineReport> Report(const std::string& aAddress);
+
+private:
+  OrderEnd Order(const std::string& aAddress,
+                 const char* aOrder,
+                 const PlacedReplica& aReplica);
+
+  HttpPool mPool;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/own/Loader.cpp
@@ -0,0 +1,306 @@
+#include "own/Loader.h"
+
+#include <thread>
+
+#include "base/Log.h"
+#include "base/RandomId.h"
+#include "decide/PlacementStep.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kCrowded{ 100 }; // pause when no engine has room yet
+
+const PlacedReplica*
+ByDecision(const PlacementRecord& aRecord, const std::string& aDecision)
+{
+  for (const PlacedReplica& replica : aRecord.mReplicas) {
+    if (replica.mDecision == aDecision) {
+      return &replica;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<EndpointSpec>
+EnginesOf(const ConfigSnapshot& aConfig, const std::string& aZone)
+{
+  std::vector<EndpointSpec> engines;
+  for (const auto& endpoint : aConfig.mEndpoints) {
+    if (endpoint.second.mKind == EndpointKind::Engine &&
+        endpoint.second.mZone == aZone) {
+      engines.push_back(endpoint.second);
+    }
+  }
+  return engines;
+}
+
+bool
+AnyReachable(const std::vector<LoadCandidate>& aCandidates)
+{
+  for (const LoadCandidate& candidate : aCandidates) {
+    if (candidate.mReachable) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+Loader::Loader(LoaderSettings aSettings,
+               PlacementStore& aStore,
+               EngineClient& aEngines,
+               const Clock& aClock)
+  : mSettings(std::move(aSettings))
+  , mStore(aStore)
+  , mEngines(aEngines)
+  , mClock(aClock)
+{
+}
+
+std::vector<LoadCandidate>
+Loader::Candidates(const std::vector<EndpointSpec>& aEngines,
+                   const std::vector<StoredPlacement>& aStored)
+{
+  std::vector<LoadCandidate> candidates(aEngines.size());
+  for (size_t i = 0; i < aEngines.size(); ++i) {
+    candidates[i].mRecord = aStored[i].mRecord;
+    auto report =
+      Outcome([&] { return mEngines.Report(aEngines[i].mAddress); });
+    if (auto* fresh = std::get_if<EngineReport>(&report)) {
+      candidates[i].mReport = *fresh;
+      candidates[i].mReachable = true;
+    }
+  }
+  return candidates;
+}
+
+Result<EndpointSpec>
+Loader::Ensure(const ConfigSnapshot& aConfig,
+               const ModelSpec& aModel,
+               TimePoint aUntil)
+{
+  std::vector<EndpointSpec> engines = EnginesOf(aConfig, mSettings.mZone);
+  while (mClock.Now() < aUntil) {
+    BOOST_LEAF_AUTO(stored, mStore.ReadZone(engines));
+    std::vector<LoadCandidate> candidates = Candidates(engines, stored);
+    if (!AnyReachable(candidates)) {
+      return Fail(ErrorKind::NoEndpoint, "no engine answers in this zone");
+    }
+    LoadPlan plan = LoadPlanChoose(candidates,
+                                   aModel.mName,
+                                   aModel.mVersion,
+                                   aModel.mBytes,
+                                   mSettings.mTerms);
+    if (plan.mCandidate < 0) {
+      std::this_thread::sleep_for(kCrowded);
+      continue;
+    }
+    const EndpointSpec& chosen = engines[plan.mCandidate];
+    StoredPlacement& record = stored[plan.mCandidate];
+    bool room = true;
+    for (const PlacedReplica& replica : plan.mEvict) {
+      room = room && Evict(chosen, record, replica, aUntil);
+    }
+    if (!room) {
+      continue;
+    }
+    auto loaded = Outcome([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(LoadAt(chosen, record, aModel, aUntil));
+      return true;
+    });
+    if (std::holds_alternative<bool>(loaded)) {
+      return chosen;
+    }
+    LogInfo("load_failed",
+            { { "model", aModel.mName },
+              { "endpoint", chosen.mName },
+              { "reason", std::get<Failure>(loaded).mDetail } });
+    std::this_thread::sleep_for(mSettings.mPoll);
+  }
+  return Fail(ErrorKind::NoCapacity, "no engine could load it in time");
+}
+
+// The decision is stored before anything is ordered. When another's decision
+// stands already, it is carried out instead of a second one.
+Result<void>
+Loader::LoadAt(const EndpointSpec& aEndpoint,
+               StoredPlacement& aStored,
+               const ModelSpec& aModel,
+               TimePoint aUntil)
+{
+  const PlacedReplica* there =
+    PlacementFind(aStored.mRecord, aModel.mName, aModel.mVersion);
+  if (there) {
+    ++mCounts.mJoined;
+    return AwaitReady(aEndpoint, aStored, aModel, false, aUntil);
+  }
+  PlacementLoad load{
+    aModel.mName, aModel.mVersion, aModel.mBase, aModel.mBytes, RandomId()
+  };
+  TimePoint decided = mClock.Now();
+  PlacementRecord next = aStored.mRecord;
+  if (!PlacementDecideLoad(next, load)) {
+    return Fail(ErrorKind::NoCapacity, "it doesn't fit any more");
+  }
+  WriteEnd end = mStore.Replace(aEndpoint, aStored, next);
+  if (end == WriteEnd::Conflict) {
+    return Fail(ErrorKind::NoCapacity, "another decision came first");
+  }
+  if (end != WriteEnd::Done) {
+    return Fail(ErrorKind::PlatformUnavailable, "the decision isn't stored");
+  }
+  ++mCounts.mDecided;
+  LogInfo("load_decided",
+          { { "model", aModel.mName }, { "endpoint", aEndpoint.mName } });
+  if (mClock.Now() - decided > mSettings.mOrderFresh) {
+    // We were paused after deciding; by now others may have cancelled it.
+    return Fail(ErrorKind::NoCapacity, "the decision is old");
+  }
+  OrderEnd sent = SendLoad(aEndpoint, aStored, load.mDecision);
+  return AwaitReady(
+    aEndpoint, aStored, aModel, sent == OrderEnd::Taken, aUntil);
+}
+
+OrderEnd
+Loader::SendLoad(const EndpointSpec& aEndpoint,
+                 StoredPlacement& aStored,
+                 const std::string& aDecision)
+{
+  constexpr int kRenumberings = 3;
+  OrderEnd end = OrderEnd::NotSent;
+  for (int i = 0; i < kRenumberings; ++i) {
+    const PlacedReplica* replica = ByDecision(aStored.mRecord, aDecision);
+    if (!replica || replica->mState != ReplicaState::Loading) {
+      return OrderEnd::Outdated;
+    }
+    end = mEngines.Load(aEndpoint.mAddress, *replica);
+    if (end != OrderEnd::Outdated) {
+      return end;
+    }
+    bool renumbered =
+      mStore.Change(aEndpoint, aStored, [&](PlacementRecord& aRecord) {
+        return PlacementRenumber(aRecord, aDecision);
+      });
+    if (!renumbered) {
+      return OrderEnd::Outdated;
+    }
+  }
+  return end;
+}
+
+Result<void>
+Loader::AwaitReady(const EndpointSpec& aEndpoint,
+                   StoredPlacement& aStored,
+                   const ModelSpec& aModel,
+                   bool aOrdered,
+                   TimePoint aUntil)
+{
+  constexpr Millis kResend{ 1000 };
+  TimePoint lastSent = aOrdered ? mClock.Now() : TimePoint{};
+  bool onlyOne = aOrdered;
+  while (mClock.Now() < aUntil) {
+    auto report = Outcome([&] { return mEngines.Report(aEndpoint.mAddress); });
+    bool seen = false;
+    if (auto* fresh = std::get_if<EngineReport>(&report)) {
+      for (const EngineReplica& replica : fresh->mReplicas) {
+        if (replica.mName != aModel.mName ||
+            replica.mVersion != aModel.mVersion) {
+          continue;
+        }
+        seen = true;
+        if (!replica.mReady) {
+          continue;
+        }
+        // One try: the report is younger than the record it is held against
+        // only on this first one. If it fails, the keeper notes it.
+        PlacementRecord next = aStored.mRecord;
+        const PlacedReplica* placed =
+          PlacementFind(next, aModel.mName, aModel.mVersion);
+        if (placed && onlyOne) {
+          PlacementSettle(next, placed->mDecision);
+        }
+        if (PlacementObserve(next, *fresh)) {
+          mStore.Replace(aEndpoint, aStored, next);
+        }
+        return {};
+      }
+    }
+    if (!seen && mClock.Now() - lastSent > kResend) {
+      // The order, ours or a dead decider's, hasn't arrived. The engine takes
+      // a second copy as the same order.
+      BOOST_LEAF_AUTO(again, mStore.Read(aEndpoint));
+      aStored = again;
+      const PlacedReplica* placed =
+        PlacementFind(aStored.mRecord, aModel.mName, aModel.mVersion);
+      if (!placed || placed->mState == ReplicaState::Unloading) {
+        return Fail(ErrorKind::NoCapacity, "the load was cancelled");
+      }
+      if (placed->mState == ReplicaState::Loading) {
+        onlyOne = false;
+        SendLoad(aEndpoint, aStored, placed->mDecision);
+      }
+      lastSent = mClock.Now();
+    }
+    std::this_thread::sleep_for(mSettings.mPoll);
+  }
+  return Fail(ErrorKind::NoCapacity, "the load takes too long");
+}
+
+bool
+Loader::Evict(const EndpointSpec& aEndpoint,
+              StoredPlacement& aStored,
+              const PlacedReplica& aReplica,
+              TimePoint aUntil)
+{
+  bool decided =
+    mStore.Change(aEndpoint, aStored, [&](PlacementRecord& aRecord) {
+      return PlacementDecideUnload(
+        aRecord, aReplica.mName, aReplica.mVersion, false);
+    });
+  const PlacedReplica* going =
+    PlacementFind(aStored.mRecord, aReplica.mName, aReplica.mVersion);
+  if (!decided || !going) {
+    return false;
+  }
+  ++mCounts.mEvicted;
+  PlacedReplica order = *going;
+  while (mClock.Now() < aUntil) {
+    mEngines.Unload(aEndpoint.mAddress, order);
+    auto report = Outcome([&] { return mEngines.Report(aEndpoint.mAddress); });
+    if (auto* fresh = std::get_if<EngineReport>(&report)) {
+      PlacementRecord next = aStored.mRecord;
+      if (PlacementObserve(next, *fresh)) {
+        mStore.Replace(aEndpoint, aStored, next);
+      }
+      if (!PlacementFind(aStored.mRecord, aReplica.mName, aReplica.mVersion)) {
+        return true;
+      }
+    }
+    std::this_thread::sleep_for(mSettings.mPoll);
+  }
+  return false;
+}
+
+Result<void>
+Loader::EnsureAdapter(const EndpointSpec& aEndpoint,
+                      const ModelSpec& aAdapter,
+                      TimePoint aUntil)
+{
+  while (mClock.Now() < aUntil) {
+    BOOST_LEAF_AUTO(stored, mStore.Read(aEndpoint));
+    auto loaded = Outcome([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(LoadAt(aEndpoint, stored, aAdapter, aUntil));
+      return true;
+    });
+    if (std::holds_alternative<bool>(loaded)) {
+      return {};
+    }
+    std::this_thread::sleep_for(mSettings.mPoll);
+  }
+  return Fail(ErrorKind::NoCapacity, "the adapter couldn't be loaded in time");
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/Loader.h
@@ -0,0 +1,85 @@
+// Loader.h: carries out decisions to load and unload.
+#ifndef caraway_own_Loader_h
+#define caraway_own_Loader_h
+
+#include <atomic>
+#include <string>
+
+#include "caraway/Clock.h"
+#include "caraway/ConfigSnapshot.h"
+#include "decide/LoadPlan.h"
+#include "own/EngineClient.h"
+#include "own/PlacementStore.h"
+
+namespace caraway {
+
+struct LoaderSettings
+{
+  std::string mZone;
+  Millis mPoll{ 50 };         // while waiting for an engine
+  Millis mOrderFresh{ 5000 }; // a decision older than this is read again
+                              // before it is ordered
+  LoadPlanTerms mTerms;
+};
+
+struct LoaderCounts
+{
+  std::atomic<int64_t> mDecided{ 0 };
+  std::atomic<int64_t> mEvicted{ 0 };
+  std::atomic<int64_t> mJoined{ 0 };
+};
+
+class Loader
+{
+public:
+  Loader(LoaderSettings aSettings,
+         PlacementStore& aStore,
+         EngineClient& aEngines,
+         const Clock& aClock);
+
+  // Blocks until the model is ready at an engine of this zone. NoCapacity
+  // when none has room in time, NoEndpoint when none answers.
+  Result<EndpointSpec> Ensure(const ConfigSnapshot& aConfig,
+                              const ModelSpec& aModel,
+                              TimePoint aUntil);
+  // The same for an adapter, at the given engine.
+  Result<void> EnsureAdapter(const EndpointSpec& aEndpoint,
+                             const ModelSpec& aAdapter,
+                             TimePoint aUntil);
+
+  // Stores the decision to unload, orders it and waits until it is gone.
+  bool Evict(const EndpointSpec& aEndpoint,
+             StoredPlacement& aStored,
+             const PlacedReplica& aReplica,
+             TimePoint aUntil);
+  // Sends the load order of a recorded decision, ours or a dead decider's.
+  OrderEnd SendLoad(const EndpointSpec& aEndpoint,
+                    StoredPlacement& aStored,
+                    const std::string& aDecision);
+
+  const LoaderCounts& Counts() const { return mCounts; }
+
+private:
+  std::vector<LoadCandidate> Candidates(
+    const std::vector<EndpointSpec>& aEngines,
+    const std::vector<StoredPlacement>& aStored);
+  Result<void> LoadAt(const EndpointSpec& aEndpoint,
+                      StoredPlacement& aStored,
+                      const ModelSpec& aModel,
+                      TimePoint aUntil);
+  Result<void> AwaitReady(const EndpointSpec& aEndpoint,
+                          StoredPlacement& aStored,
+                          const ModelSpec& aModel,
+                          bool aOrdered,
+                          TimePoint aUntil);
+
+  LoaderSettings mSettings;
+  PlacementStore& mStore;
+  EngineClient& mEngines;
+  const Clock& mClock;
+  LoaderCounts mCounts;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/own/PlaceRequest.cpp
@@ -0,0 +1,86 @@
+#include "own/PlaceRequest.h"
+
+namespace caraway {
+
+Json::Value
+PlaceRequestJson(const PlaceRequest& aRequest)
+{
+  Json::Value json;
+  json["model"] = aRequest.mModel;
+  if (!aRequest.mAdapter.empty()) {
+    json["adapter"] = aRequest.mAdapter;
+  }
+  json["tenant"] = aRequest.mTenant;
+  json["class"] = static_cast<int>(aRequest.mClass);
+  json["tokens"] = aRequest.mTokens;
+  json["start"] = Json::Int64(aRequest.mStartWithin.count());
+  json["cold"] = Json::Int64(aRequest.mColdWithin.count());
+  json["hold"] = Json::Int64(aRequest.mHoldFor.count());
+  return json;
+}
+
+PlaceRequest
+PlaceRequestParse(const Json::Value& aJson)
+{
+  PlaceRequest request;
+  request.mModel = aJson["model"].asString();
+  request.mAdapter = aJson["adapter"].asString();
+  request.mTenant = aJson["tenant"].asString();
+  int number = aJson["class"].asInt();
+  if (number >= 0 && number < kRequestClassCount) {
+    request.mClass = static_cast<RequestClass>(number);
+  }
+  request.mTokens = aJson["tokens"].asDouble();
+  request.mStartWithin = Millis(aJson["start"].asInt64());
+  request.mColdWithin = Millis(aJson["cold"].asInt64());
+  request.mHoldFor = Millis(aJson["hold"].asInt64());
+  return request;
+}
+
+Json::Value
+PlaceGrantJson(const PlaceGrant& aGrant)
+{
+  Json::Value json;
+  json["place"] = Json::UInt64(aGrant.mPlace);
+  json["endpoint"] = aGrant.mEndpoint;
+  json["address"] = aGrant.mAddress;
+  json["cold"] = aGrant.mCold;
+  json["waited"] = Json::Int64(aGrant.mWaited.count());
+  return json;
+}
+
+PlaceGrant
+PlaceGrantParse(const Json::Value& aJson)
+{
+  PlaceGrant grant;
+  grant.mPlace = aJson["place"].asUInt64();
+  grant.mEndpoint = aJson["endpoint"].asString();
+  grant.mAddress = aJson["address"].asString();
+  grant.mCold = aJson["cold"].asBool();
+  grant.mWaited = Millis(aJson["waited"].asInt64());
+  return grant;
+}
+
+Json::Value
+PlaceReturnJson(const PlaceReturn& aReturn)
+{
+  Json::Value json;
+  json["place"] = Json::UInt64(aReturn.mPlace);
+  json["tokens"] = aReturn.mTokens;
+  json["gone"] = aReturn.mGone;
+  json["failed"] = aReturn.mFailed;
+  return json;
+}
+
+PlaceReturn
+PlaceReturnParse(const Json::Value& aJson)
+{
+  PlaceReturn back;
+  back.mPlace = aJson["place"].asUInt64();
+  back.mTokens = aJson["tokens"].asDouble();
+  back.mGone = aJson["gone"].asBool();
+  back.mFailed = aJson["failed"].asBool();
+  return back;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/PlaceRequest.h
@@ -0,0 +1,58 @@
+// PlaceRequest.h: asking a model's owner for a place at an engine.
+#ifndef caraway_own_PlaceRequest_h
+#define caraway_own_PlaceRequest_h
+
+#include <cstdint>
+#include <json/json.h>
+#include <string>
+
+#include "caraway/RequestClass.h"
+#include "caraway/Time.h"
+
+namespace caraway {
+
+struct PlaceRequest
+{
+  std::string mModel;
+  std::string mAdapter; // "" = none
+  std::string mTenant;
+  RequestClass mClass = RequestClass::Interactive;
+  double mTokens = 1;          // expected work
+  Millis mStartWithin{ 1400 }; // when the model is ready somewhere
+  Millis mColdWithin{ 30000 }; // when it has to be loaded
+  Millis mHoldFor{ 60000 };    // a place not given back by then is taken back
+};
+
+struct PlaceGrant
+{
+  uint64_t mPlace = 0; // to give back
+  std::string mEndpoint;
+  std::string mAddress;
+  bool mCold = false; // it waited for a load
+  Millis mWaited{ 0 };
+};
+
+struct PlaceReturn
+{
+  uint64_t mPlace = 0;
+  double mTokens = 0;   // work done
+  bool mGone = false;   // the engine hadn't the model (any more)
+  bool mFailed = false; // the engine didn't answer
+};
+
+Json::Value
+PlaceRequestJson(const PlaceRequest& aRequest);
+PlaceRequest
+PlaceRequestParse(const Json::Value& aJson);
+Json::Value
+PlaceGrantJson(const PlaceGrant& aGrant);
+PlaceGrant
+PlaceGrantParse(const Json::Value& aJson);
+Json::Value
+PlaceReturnJson(const PlaceReturn& aReturn);
+PlaceReturn
+PlaceReturnParse(const Json::Value& aJson);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/own/PlacementCodec.cpp
@@ -0,0 +1,102 @@
+#include "own/PlacementCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kStates[] = { "loading", "ready", "unloading" };
+
+ReplicaState
+StateOf(const std::string& aName)
+{
+  for (int i = 0; i < 3; ++i) {
+    if (aName == kStates[i]) {
+      return static_cast<ReplicaState>(i);
+    }
+  }
+  // An unknown state is kept charged and never served from.
+  return ReplicaState::Unloading;
+}
+
+std::vector<std::string>
+Texts(const Json::Value& aJson)
+{
+  std::vector<std::string> texts;
+  for (const Json::Value& entry : aJson) {
+    texts.push_back(entry.asString());
+  }
+  return texts;
+}
+
+} // namespace
+
+PlacementRecord
+PlacementParse(const Json::Value& aJson)
+{
+  PlacementRecord record;
+  record.mEndpoint = aJson["endpoint"].asString();
+  record.mMemory = aJson["memory"].asInt64();
+  record.mChecksFencing = aJson["checks_fencing"].asBool();
+  record.mFence = aJson["fence"].asInt64();
+  for (const Json::Value& entry : aJson["replicas"]) {
+    PlacedReplica replica;
+    replica.mName = entry["name"].asString();
+    replica.mVersion = entry["version"].asString();
+    replica.mBase = entry["base"].asString();
+    replica.mBytes = entry["bytes"].asInt64();
+    replica.mState = StateOf(entry["state"].asString());
+    replica.mFence = entry["fence"].asInt64();
+    replica.mDecision = entry["decision"].asString();
+    replica.mSettled = entry["settled"].asBool();
+    record.mReplicas.push_back(replica);
+  }
+  return record;
+}
+
+Json::Value
+PlacementJson(const PlacementRecord& aRecord)
+{
+  Json::Value json;
+  json["endpoint"] = aRecord.mEndpoint;
+  json["memory"] = Json::Int64(aRecord.mMemory);
+  json["checks_fencing"] = aRecord.mChecksFencing;
+  json["fence"] = Json::Int64(aRecord.mFence);
+  json["replicas"] = Json::Value(Json::arrayValue);
+  for (const PlacedReplica& replica : aRecord.mReplicas) {
+    Json::Value entry;
+    entry["name"] = replica.mName;
+    entry["version"] = replica.mVersion;
+    entry["base"] = replica.mBase;
+    entry["bytes"] = Json::Int64(replica.mBytes);
+    entry["state"] = kStates[static_cast<int>(replica.mState)];
+    entry["fence"] = Json::Int64(replica.mFence);
+    entry["decision"] = replica.mDecision;
+    entry["settled"] = replica.mSettled;
+    json["replicas"].append(entry);
+  }
+  return json;
+}
+
+EngineReport
+EngineReportParse(const Json::Value& aJson)
+{
+  EngineReport report;
+  report.mHighestFence = aJson["highest_fence"].asInt64();
+  report.mActive = aJson["active"].asInt();
+  report.mWaiting = aJson["waiting"].asInt();
+  for (const Json::Value& entry : aJson["replicas"]) {
+    EngineReplica replica;
+    replica.mName = entry["name"].asString();
+    replica.mVersion = entry["version"].asString();
+    replica.mBytes = entry["bytes"].asInt64();
+    replica.mReady = entry["state"].asString() == "ready";
+    replica.mActive = entry["active"].asInt();
+    replica.mIdle = Millis(entry["idle_ms"].asInt64());
+    report.mReplicas.push_back(replica);
+  }
+  report.mCachedInMemory = Texts(aJson["cached_memory"]);
+  report.mCachedOnDisk = Texts(aJson["cached_disk"]);
+  return report;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/PlacementStore.cpp
@@ -0,0 +1,119 @@
+#include "own/PlacementStore.h"
+
+#include "base/RandomId.h"
+#include "own/PlacementCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kKind = "placement";
+constexpr int kTries = 5;
+
+std::string
+NameOf(const EndpointSpec& aEndpoint)
+{
+  return aEndpoint.mZone + "." + aEndpoint.mName;
+}
+
+StoredPlacement
+Empty(const EndpointSpec& aEndpoint)
+{
+  StoredPlacement stored;
+  stored.mRecord.mEndpoint = aEndpoint.mName;
+  stored.mRecord.mMemory = aEndpoint.mMemory;
+  stored.mRecord.mChecksFencing = aEndpoint.mChecksFencing;
+  return stored;
+}
+
+// Memory and fencing are the operators' to say; the rest is ours.
+StoredPlacement
+Stored(const EndpointSpec& aEndpoint, const PlatformObject& aObject)
+{
+  StoredPlacement stored;
+  stored.mRecord = PlacementParse(aObject.mValue);
+  stored.mRecord.mMemory = aEndpoint.mMemory;
+  stored.mRecord.mChecksFencing = aEndpoint.mChecksFencing;
+  stored.mVersion = aObject.mVersion;
+  return stored;
+}
+
+} // namespace
+
+PlacementStore::PlacementStore(PlatformApi& aPlatform)
+  : mPlatform(aPlatform)
+{
+}
+
+Result<StoredPlacement>
+PlacementStore::Read(const EndpointSpec& aEndpoint)
+{
+  auto object =
+    Outcome([&] { return mPlatform.Read(kKind, NameOf(aEndpoint)); });
+  if (auto* failure = std::get_if<Failure>(&object)) {
+    if (failure->mKind == ErrorKind::NotFound) {
+      return Empty(aEndpoint);
+    }
+    return Fail(*failure);
+  }
+  return Stored(aEndpoint, std::get<PlatformObject>(object));
+}
+
+Result<std::vector<StoredPlacement>>
+PlacementStore::ReadZone(const std::vector<EndpointSpec>& aEndpoints)
+{
+  std::vector<StoredPlacement> records;
+  if (aEndpoints.empty()) {
+    return records;
+  }
+  BOOST_LEAF_AUTO(objects,
+                  mPlatform.List(kKind, aEndpoints.front().mZone + "."));
+  for (const EndpointSpec& endpoint : aEndpoints) {
+    StoredPlacement stored = Empty(endpoint);
+    for (const PlatformObject& object : objects) {
+      if (object.mName == NameOf(endpoint)) {
+        stored = Stored(endpoint, object);
+      }
+    }
+    records.push_back(std::move(stored));
+  }
+  return records;
+}
+
+WriteEnd
+PlacementStore::Replace(const EndpointSpec& aEndpoint,
+                        StoredPlacement& aStored,
+                        const PlacementRecord& aNext)
+{
+  WriteResult result = mPlatform.Write({ kKind,
+                                         NameOf(aEndpoint),
+                                         aStored.mVersion,
+                                         RandomId(),
+                                         PlacementJson(aNext) });
+  bool known =
+    result.mEnd == WriteEnd::Done || result.mEnd == WriteEnd::Conflict;
+  if (known) {
+    aStored = Stored(aEndpoint, result.mObject);
+  }
+  return result.mEnd;
+}
+
+bool
+PlacementStore::Change(const EndpointSpec& aEndpoint,
+                       StoredPlacement& aStored,
+                       const std::function<bool(PlacementRecord&)>& aChange)
+{
+  for (int i = 0; i < kTries; ++i) {
+    PlacementRecord next = aStored.mRecord;
+    if (!aChange(next)) {
+      return false;
+    }
+    WriteEnd end = Replace(aEndpoint, aStored, next);
+    if (end != WriteEnd::Conflict) {
+      return end == WriteEnd::Done;
+    }
+  }
+  return false;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/own/PlacementStore.h
@@ -0,0 +1,51 @@
+// PlacementStore.h: placement records at the platform.
+#ifndef caraway_own_PlacementStore_h
+#define caraway_own_PlacementStore_h
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "caraway/EndpointSpec.h"
+#include "decide/PlacementRecord.h"
+#include "platform/PlatformApi.h"
+
+namespace caraway {
+
+struct StoredPlacement
+{
+  PlacementRecord mRecord;
+  int64_t mVersion = 0; // 0 = not stored yet
+};
+
+// Object names are zone.endpoint, so that one list call gives a zone.
+class PlacementStore
+{
+public:
+  explicit PlacementStore(PlatformApi& aPlatform);
+
+  // The stored record, or an empty one made from the endpoint's settings.
+  Result<StoredPlacement> Read(const EndpointSpec& aEndpoint);
+  // Records of all of aEndpoints, which are of one zone.
+  Result<std::vector<StoredPlacement>> ReadZone(
+    const std::vector<EndpointSpec>& aEndpoints);
+
+  // Stores aNext in place of what aStored holds. On Done and on Conflict
+  // aStored is what stands now.
+  WriteEnd Replace(const EndpointSpec& aEndpoint,
+                   StoredPlacement& aStored,
+                   const PlacementRecord& aNext);
+
+  // Reads, changes by aChange (false: nothing to change) and stores, again
+  // while others change it too. True when the change is in force.
+  bool Change(const EndpointSpec& aEndpoint,
+              StoredPlacement& aStored,
+              const std::function<bool(PlacementRecord&)>& aChange);
+
+private:
+  PlatformApi& mPlatform;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/peer/Members.cpp
@@ -0,0 +1,135 @@
+#include "peer/Members.h"
+
+#include "decide/Rendezvous.h"
+
+namespace caraway {
+
+namespace {
+
+// Two calls in a row without an answer: one may be lost to a restart of a
+// kept connection.
+constexpr int kSilences = 2;
+constexpr Seconds kForget{ 60 };
+
+} // namespace
+
+Members::Members(const Clock& aClock, InstanceInfo aSelf)
+  : mClock(aClock)
+  , mSelf(std::move(aSelf))
+{
+}
+
+void
+Members::TakeList(const std::vector<InstanceInfo>& aList)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  std::map<std::string, Member> next;
+  for (const InstanceInfo& info : aList) {
+    if (info.mId == mSelf.mId) {
+      continue;
+    }
+    Member member;
+    auto known = mMembers.find(info.mId);
+    if (known != mMembers.end() &&
+        known->second.mInfo.mPeerAddress == info.mPeerAddress) {
+      member = known->second;
+    }
+    // What a peer says of its leaving is newer than the list.
+    bool leaving = member.mInfo.mLeaving || info.mLeaving;
+    member.mInfo = info;
+    member.mInfo.mLeaving = leaving;
+    next[info.mId] = member;
+  }
+  TimePoint now = mClock.Now();
+  for (const auto& known : mMembers) {
+    if (!next.count(known.first) && now - known.second.mHeard < kForget) {
+      next.insert(known);
+    }
+  }
+  mMembers = std::move(next);
+}
+
+void
+Members::Heard(const InstanceInfo& aPeer)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  if (aPeer.mId == mSelf.mId) {
+    return;
+  }
+  Member& member = mMembers[aPeer.mId];
+  member.mInfo = aPeer;
+  member.mHeard = mClock.Now();
+  member.mSilences = 0;
+}
+
+void
+Members::Silent(const std::string& aAddress)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  for (auto& member : mMembers) {
+    if (member.second.mInfo.mPeerAddress == aAddress) {
+      ++member.second.mSilences;
+    }
+  }
+}
+
+void
+Members::LeaveSelf()
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mSelf.mLeaving = true;
+}
+
+bool
+Members::FitNow(const Member& aMember) const
+{
+  return !aMember.mInfo.mLeaving && aMember.mSilences < kSilences;
+}
+
+std::vector<InstanceInfo>
+Members::Fit(const std::string& aZone) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  std::vector<InstanceInfo> fit;
+  if (mSelf.mZone == aZone && !mSelf.mLeaving) {
+    fit.push_back(mSelf);
+  }
+  for (const auto& member : mMembers) {
+    if (member.second.mInfo.mZone == aZone && FitNow(member.second)) {
+      fit.push_back(member.second.mInfo);
+    }
+  }
+  return fit;
+}
+
+std::vector<InstanceInfo>
+Members::Others() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  std::vector<InstanceInfo> others;
+  for (const auto& member : mMembers) {
+    if (!member.second.mInfo.mLeaving) {
+      others.push_back(member.second.mInfo);
+    }
+  }
+  return others;
+}
+
+InstanceInfo
+Members::Owner(const std::string& aKey) const
+{
+  std::vector<InstanceInfo> fit = Fit(mSelf.mZone);
+  std::vector<std::string> ids;
+  for (const InstanceInfo& info : fit) {
+    ids.push_back(info.mId);
+  }
+  std::string owner = RendezvousOwner(ids, aKey);
+  for (const InstanceInfo& info : fit) {
+    if (info.mId == owner) {
+      return info;
+    }
+  }
+  return mSelf;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/peer/Members.h
@@ -0,0 +1,57 @@
+// Members.h: who is there, as far as this instance knows.
+#ifndef caraway_peer_Members_h
+#define caraway_peer_Members_h
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "caraway/Clock.h"
+#include "platform/InstanceInfo.h"
+
+namespace caraway {
+
+// Built from the platform's list, which lags, and from what calls to peers
+// show. Everything decided on it is a hint.
+class Members
+{
+public:
+  Members(const Clock& aClock, InstanceInfo aSelf);
+
+  // The platform's list. Members it doesn't name are kept while they answer:
+  // the list lags, and in an outage there is none.
+  void TakeList(const std::vector<InstanceInfo>& aList);
+  // A peer told of itself.
+  void Heard(const InstanceInfo& aPeer);
+  // A call to a peer's address ended without an answer.
+  void Silent(const std::string& aAddress);
+
+  const InstanceInfo& Self() const { return mSelf; }
+  void LeaveSelf();
+  // Fit for new work: not leaving, not silent. Includes ourselves unless we
+  // are leaving.
+  std::vector<InstanceInfo> Fit(const std::string& aZone) const;
+  // All others, fit or not, except those that leave.
+  std::vector<InstanceInfo> Others() const;
+  // Owner of aKey among the fit of our zone. Ourselves when alone.
+  InstanceInfo Owner(const std::string& aKey) const;
+
+private:
+  struct Member
+  {
+    InstanceInfo mInfo;
+    TimePoint mHeard{};
+    int mSilences = 0;
+  };
+  bool FitNow(const Member& aMember) const;
+
+  const Clock& mClock;
+  mutable std::mutex mLock;
+  InstanceInfo mSelf;
+  std::map<std::string, Member> mMembers; // by id, others only
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/peer/PeerRpc.h
@@ -0,0 +1,46 @@
+// PeerRpc.h: JSON-RPC between instances, behind names of our own.
+//
+// libjsonrpccpp's headers don't compile as C++17. Only PeerRpc.cpp includes
+// them, and it alone is built as C++14; nothing here may need more.
+#ifndef caraway_peer_PeerRpc_h
+#define caraway_peer_PeerRpc_h
+
+#include <functional>
+#include <json/json.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace caraway {
+
+// Takes a method's parameters, gives its result. Throws std::exception to
+// answer with an error.
+using PeerMethod = std::function<Json::Value(const Json::Value&)>;
+
+// Server side: text of a request in, text of the answer out.
+class PeerRpcServer
+{
+public:
+  PeerRpcServer();
+  ~PeerRpcServer();
+  void Add(const std::string& aName, PeerMethod aMethod);
+  std::string Answer(const std::string& aRequest);
+
+private:
+  struct Inner;
+  std::unique_ptr<Inner> mInner;
+};
+
+// Sends aRequest, returns the answer's text; throws std::runtime_error.
+using PeerSend = std::function<std::string(const std::string&)>;
+
+// Client side. Throws std::runtime_error when no answer came or it is an
+// error.
+Json::Value
+PeerRpcCall(const PeerSend& aSend,
+            const std::string& aMethod,
+            const Json::Value& aParams);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/platform/ConfigStore.cpp
@@ -0,0 +1,194 @@
+#include "platform/ConfigStore.h"
+
+#include "base/ConfigCodec.h"
+#include "base/Digest.h"
+#include "base/JsonText.h"
+#include "base/RandomId.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kIndexKind = "config";
+constexpr const char* kIndexName = "index";
+constexpr const char* kPartKind = "config-parts";
+constexpr size_t kHistory = 100;
+// 8,800 adapters in 16 parts make about 60 KB each, well under the megabyte
+// a value may have.
+constexpr int kBuckets = 16;
+
+int
+BucketOf(const Json::Value& aEntry)
+{
+  const Json::Value& key =
+    aEntry.isMember("name") ? aEntry["name"] : aEntry["id"];
+  unsigned hash = 2166136261u;
+  for (char c : key.asString()) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
+  }
+  return static_cast<int>((hash >> 8) % kBuckets);
+}
+
+std::map<std::string, Json::Value>
+CutIntoParts(const Json::Value& aConfig)
+{
+  std::map<std::string, Json::Value> parts;
+  for (const std::string& section : aConfig.getMemberNames()) {
+    for (const Json::Value& entry : aConfig[section]) {
+      std::string slot = section + "/" + std::to_string(BucketOf(entry));
+      Json::Value& part = parts[slot];
+      part["section"] = section;
+      part["entries"].append(entry);
+    }
+  }
+  return parts;
+}
+
+} // namespace
+
+ConfigStore::ConfigStore(PlatformApi& aPlatform)
+  : mPlatform(aPlatform)
+{
+}
+
+Result<ConfigIndex>
+ConfigStore::Index()
+{
+  BOOST_LEAF_AUTO(object, mPlatform.Read(kIndexKind, kIndexName));
+  ConfigIndex index = ConfigIndexParse(object.mValue);
+  index.mVersion = object.mVersion;
+  index.mWriteId = object.mWriteId;
+  return index;
+}
+
+Result<ConfigIndex>
+ConfigStore::WatchIndex(int64_t aAfterVersion, Millis aWithin)
+{
+  BOOST_LEAF_AUTO(
+    object, mPlatform.Watch(kIndexKind, kIndexName, aAfterVersion, aWithin));
+  ConfigIndex index = ConfigIndexParse(object.mValue);
+  index.mVersion = object.mVersion;
+  index.mWriteId = object.mWriteId;
+  return index;
+}
+
+Result<Json::Value>
+ConfigStore::Part(const std::string& aDigest)
+{
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    auto found = mParts.find(aDigest);
+    if (found != mParts.end()) {
+      return found->second;
+    }
+  }
+  BOOST_LEAF_AUTO(object, mPlatform.Read(kPartKind, aDigest));
+  if (DigestHex(JsonWrite(object.mValue)) != aDigest) {
+    return Fail(ErrorKind::PlatformUnavailable,
+                "part " + aDigest + " isn't what its name says");
+  }
+  return object.mValue;
+}
+
+Result<ConfigSnapshot>
+ConfigStore::Load(const ConfigRevision& aRevision)
+{
+  std::map<std::string, Json::Value> kept;
+  BOOST_LEAF_AUTO(manifest, Part(aRevision.mManifest));
+  kept[aRevision.mManifest] = manifest;
+  Json::Value whole(Json::objectValue);
+  for (const Json::Value& digest : manifest["parts"]) {
+    BOOST_LEAF_AUTO(part, Part(digest.asString()));
+    for (const Json::Value& entry : part["entries"]) {
+      whole[part["section"].asString()].append(entry);
+    }
+    kept[digest.asString()] = std::move(part);
+  }
+  BOOST_LEAF_AUTO(config, ConfigParse(whole));
+  config.mRevision = aRevision.mRevision;
+  std::lock_guard<std::mutex> lock(mLock);
+  mParts = std::move(kept);
+  return config;
+}
+
+Result<std::string>
+ConfigStore::KeepPart(const Json::Value& aPart)
+{
+  std::string digest = DigestHex(JsonWrite(aPart));
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    if (mParts.count(digest)) {
+      return digest;
+    }
+  }
+  WriteResult result =
+    mPlatform.Write({ kPartKind, digest, 0, RandomId(), aPart });
+  // Standing already under this name means standing with this content.
+  bool stands =
+    result.mEnd == WriteEnd::Done || result.mEnd == WriteEnd::Conflict;
+  if (!stands) {
+    return Fail(ErrorKind::PlatformUnavailable, "a part couldn't be stored");
+  }
+  return digest;
+}
+
+Result<ConfigRevision>
+ConfigStore::Commit(int64_t aExpected,
+                    const ConfigSnapshot& aConfig,
+                    const std::string& aAuthor,
+                    const std::string& aNote,
+                    const std::string& aAt)
+{
+  ConfigIndex index;
+  auto standing = Outcome([&] { return Index(); });
+  if (auto* failure = std::get_if<Failure>(&standing)) {
+    if (failure->mKind != ErrorKind::NotFound) {
+      return Fail(*failure);
+    }
+  } else {
+    index = std::get<ConfigIndex>(standing);
+  }
+  if (index.mNow.mRevision != aExpected) {
+    return Fail(ErrorKind::RevisionConflict,
+                "revision " + std::to_string(index.mNow.mRevision) +
+                  " is in force, not " + std::to_string(aExpected));
+  }
+  Json::Value manifest;
+  manifest["parts"] = Json::Value(Json::arrayValue);
+  for (const auto& part : CutIntoParts(ConfigJson(aConfig))) {
+    BOOST_LEAF_AUTO(digest, KeepPart(part.second));
+    manifest["parts"].append(digest);
+  }
+  BOOST_LEAF_AUTO(manifestDigest, KeepPart(manifest));
+  if (index.mNow.mRevision != 0) {
+    index.mHistory.insert(index.mHistory.begin(), index.mNow);
+  }
+  if (index.mHistory.size() > kHistory) {
+    index.mHistory.resize(kHistory);
+  }
+  index.mNow = { aExpected + 1, manifestDigest, aAuthor, aNote, aAt };
+  WriteResult result = mPlatform.Write({ kIndexKind,
+                                         kIndexName,
+                                         index.mVersion,
+                                         RandomId(),
+                                         ConfigIndexJson(index) });
+  switch (result.mEnd) {
+    case WriteEnd::Done:
+      return index.mNow;
+    case WriteEnd::Conflict: {
+      ConfigIndex now = ConfigIndexParse(result.mObject.mValue);
+      return Fail(ErrorKind::RevisionConflict,
+                  now.mNow.mAuthor + " made revision " +
+                    std::to_string(now.mNow.mRevision) + ": " + now.mNow.mNote);
+    }
+    default:
+      return Fail({ ErrorKind::PlatformUnavailable,
+                    "whether the change was accepted can't be told; read the "
+                    "revision before trying again",
+                    result.mEnd == WriteEnd::Refused ? RunState::NotRun
+                                                     : RunState::MayHaveRun,
+                    Seconds(5) });
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/platform/PlatformClient.cpp
@@ -0,0 +1,292 @@
+#include "platform/PlatformClient.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "base/JsonText.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr int kConflict = 409;
+constexpr int kNotFound = 404;
+constexpr int kNoChange = 204;
+// A watch that ends at its time on the platform's side needs this to return.
+constexpr Millis kWatchSlack{ 2000 };
+
+std::string
+ObjectPath(const std::string& aKind, const std::string& aName)
+{
+  return "/objects/" + aKind + "/" + aName;
+}
+
+PlatformObject
+ObjectOf(const Json::Value& aJson)
+{
+  PlatformObject object;
+  object.mName = aJson["name"].asString();
+  object.mVersion = aJson["version"].asInt64();
+  object.mWriteId = aJson["write_id"].asString();
+  object.mValue = aJson["value"];
+  return object;
+}
+
+InstanceInfo
+InstanceOf(const Json::Value& aJson)
+{
+  InstanceInfo info;
+  info.mId = aJson["id"].asString();
+  info.mZone = aJson["zone"].asString();
+  info.mPeerAddress = aJson["peer"].asString();
+  info.mLeaving = aJson["leaving"].asBool();
+  return info;
+}
+
+leaf::error_id
+Unavailable(const HttpReply& aReply)
+{
+  return Fail(ErrorKind::PlatformUnavailable,
+              aReply.mError.empty()
+                ? "platform answered " + std::to_string(aReply.mStatus)
+                : aReply.mError);
+}
+
+// A fault of the platform's (5xx) is no answer: the call may be tried again.
+bool
+Usable(const HttpReply& aReply)
+{
+  return aReply.mStage == HttpStage::Answered && aReply.mStatus < 500;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(PlatformClientSettings aSettings,
+                               const Clock& aClock)
+  : mSettings(std::move(aSettings))
+  , mClock(aClock)
+  , mPool(16)
+  , mRandom(std::random_device{}())
+  , mBudget(mSettings.mCallsPerSecond)
+  , mBudgetAt(aClock.Now())
+{
+}
+
+TimePoint
+PlatformClient::LastAnswer() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mLastAnswer;
+}
+
+// Without a budget, an instance whose requests all fail fast would ask the
+// platform as fast as its callers ask it; 350 such instances keep a platform
+// that comes back from an outage down.
+bool
+PlatformClient::SpendCall()
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  TimePoint now = mClock.Now();
+  double seconds = std::chrono::duration<double>(now - mBudgetAt).count();
+  mBudget = std::min(mSettings.mCallsPerSecond,
+                     mBudget + seconds * mSettings.mCallsPerSecond);
+  mBudgetAt = now;
+  if (mBudget < 1) {
+    ++mCounts.mOverBudget;
+    return false;
+  }
+  mBudget -= 1;
+  return true;
+}
+
+void
+PlatformClient::Pause(int aTry)
+{
+  int64_t most = mSettings.mBackoff.count() << aTry;
+  int64_t pause = 0;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    pause = std::uniform_int_distribution<int64_t>(most / 2, most)(mRandom);
+  }
+  std::this_thread::sleep_for(Millis(pause));
+}
+
+HttpReply
+PlatformClient::Send(const HttpCall& aCall)
+{
+  HttpReply reply;
+  if (!SpendCall()) {
+    reply.mError = "this instance's budget of platform calls is spent";
+    return reply;
+  }
+  reply = mPool.Call(aCall);
+  if (Usable(reply)) {
+    std::lock_guard<std::mutex> lock(mLock);
+    mLastAnswer = mClock.Now();
+  } else {
+    ++mCounts.mFailures;
+  }
+  return reply;
+}
+
+HttpReply
+PlatformClient::SendRepeatedly(const HttpCall& aCall)
+{
+  HttpReply reply;
+  for (int i = 0; i < mSettings.mTries; ++i) {
+    if (i > 0) {
+      Pause(i - 1);
+    }
+    reply = Send(aCall);
+    if (Usable(reply)) {
+      break;
+    }
+  }
+  return reply;
+}
+
+Result<PlatformObject>
+PlatformClient::Read(const std::string& aKind, const std::string& aName)
+{
+  ++mCounts.mReads;
+  HttpCall call;
+  call.mAddress = mSettings.mAddress;
+  call.mPath = ObjectPath(aKind, aName);
+  call.mTimeout = mSettings.mTimeout;
+  HttpReply reply = SendRepeatedly(call);
+  if (!Usable(reply)) {
+    return Unavailable(reply);
+  }
+  if (reply.mStatus == kNotFound) {
+    return Fail(ErrorKind::NotFound, aKind + "/" + aName);
+  }
+  return ObjectOf(JsonParseOrEmpty(reply.mBody));
+}
+
+Result<std::vector<PlatformObject>>
+PlatformClient::List(const std::string& aKind, const std::string& aPrefix)
+{
+  ++mCounts.mLists;
+  HttpCall call;
+  call.mAddress = mSettings.mAddress;
+  call.mPath = "/list/" + aKind + "?prefix=" + aPrefix;
+  call.mTimeout = mSettings.mTimeout;
+  HttpReply reply = SendRepeatedly(call);
+  if (!Usable(reply)) {
+    return Unavailable(reply);
+  }
+  std::vector<PlatformObject> objects;
+  Json::Value json = JsonParseOrEmpty(reply.mBody);
+  for (const Json::Value& entry : json["objects"]) {
+    objects.push_back(ObjectOf(entry));
+  }
+  return objects;
+}
+
+HttpReply
+PlatformClient::SendOnceForWrite(const PlatformWrite& aWrite)
+{
+  ++mCounts.mWrites;
+  HttpCall call;
+  call.mAddress = mSettings.mAddress;
+  call.mMethod = "PUT";
+  call.mPath = ObjectPath(aWrite.mKind, aWrite.mName);
+  call.mTimeout = mSettings.mTimeout;
+  call.mHeaders = { { "X-Expected-Version", std::to_string(aWrite.mExpected) },
+                    { "X-Write-Id", aWrite.mWriteId } };
+  call.mBody = JsonWrite(aWrite.mValue);
+  return Send(call);
+}
+
+WriteResult
+PlatformClient::Write(const PlatformWrite& aWrite)
+{
+  HttpReply reply = SendOnceForWrite(aWrite);
+  if (reply.mStage == HttpStage::NotSent) {
+    return { WriteEnd::Refused, {} };
+  }
+  if (!Usable(reply)) {
+    return Resolve(aWrite);
+  }
+  Json::Value json = JsonParseOrEmpty(reply.mBody);
+  if (reply.mStatus != kConflict) {
+    PlatformObject object = ObjectOf(json);
+    object.mValue = aWrite.mValue;
+    return { WriteEnd::Done, std::move(object) };
+  }
+  PlatformObject standing = ObjectOf(json["current"]);
+  // The pool tries again on a fresh connection: the first copy may have been
+  // taken and this answer be the second copy's, a conflict with ourselves.
+  bool ours = standing.mWriteId == aWrite.mWriteId;
+  return { ours ? WriteEnd::Done : WriteEnd::Conflict, std::move(standing) };
+}
+
+// The write was offered and no answer came. It may have taken effect, or may
+// still. Sending it again is safe, since it is conditional: either copy can
+// win only once, and the write id tells whose it was.
+WriteResult
+PlatformClient::Resolve(const PlatformWrite& aWrite)
+{
+  for (int i = 0; i < mSettings.mTries; ++i) {
+    Pause(i);
+    HttpReply reply = SendOnceForWrite(aWrite);
+    if (!Usable(reply)) {
+      continue;
+    }
+    Json::Value json = JsonParseOrEmpty(reply.mBody);
+    if (reply.mStatus != kConflict) {
+      PlatformObject object = ObjectOf(json);
+      object.mValue = aWrite.mValue;
+      return { WriteEnd::Done, std::move(object) };
+    }
+    PlatformObject standing = ObjectOf(json["current"]);
+    bool ours = standing.mWriteId == aWrite.mWriteId;
+    return { ours ? WriteEnd::Done : WriteEnd::Conflict, std::move(standing) };
+  }
+  return { WriteEnd::Unknown, {} };
+}
+
+Result<PlatformObject>
+PlatformClient::Watch(const std::string& aKind,
+                      const std::string& aName,
+                      int64_t aAfter,
+                      Millis aWithin)
+{
+  ++mCounts.mWatches;
+  HttpCall call;
+  call.mAddress = mSettings.mAddress;
+  call.mPath = "/watch/" + aKind + "/" + aName +
+               "?after=" + std::to_string(aAfter) +
+               "&ms=" + std::to_string(aWithin.count());
+  call.mTimeout = aWithin + kWatchSlack;
+  HttpReply reply = Send(call);
+  if (!Usable(reply)) {
+    return Unavailable(reply);
+  }
+  if (reply.mStatus == kNoChange || reply.mStatus == kNotFound) {
+    return Fail(ErrorKind::NotFound, "no change");
+  }
+  return ObjectOf(JsonParseOrEmpty(reply.mBody));
+}
+
+Result<std::vector<InstanceInfo>>
+PlatformClient::Instances()
+{
+  ++mCounts.mLists;
+  HttpCall call;
+  call.mAddress = mSettings.mAddress;
+  call.mPath = "/instances";
+  call.mTimeout = mSettings.mTimeout;
+  HttpReply reply = Send(call);
+  if (!Usable(reply)) {
+    return Unavailable(reply);
+  }
+  std::vector<InstanceInfo> instances;
+  Json::Value json = JsonParseOrEmpty(reply.mBody);
+  for (const Json::Value& entry : json["instances"]) {
+    instances.push_back(InstanceOf(entry));
+  }
+  return instances;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/platform/PlatformClient.h
@@ -0,0 +1,65 @@
+// PlatformClient.h: the object API over HTTP.
+#ifndef caraway_platform_PlatformClient_h
+#define caraway_platform_PlatformClient_h
+
+#include <mutex>
+#include <random>
+
+#include "caraway/Clock.h"
+#include "net/HttpPool.h"
+#include "platform/PlatformApi.h"
+#include "platform/PlatformCounts.h"
+
+namespace caraway {
+
+struct PlatformClientSettings
+{
+  std::string mAddress;         // ip:port
+  Millis mTimeout{ 1000 };      // one try
+  int mTries = 3;               // of a read, or of resolving a write
+  Millis mBackoff{ 50 };        // first pause; doubles, jittered
+  double mCallsPerSecond = 200; // budget of this instance
+};
+
+class PlatformClient : public PlatformApi
+{
+public:
+  PlatformClient(PlatformClientSettings aSettings, const Clock& aClock);
+
+  Result<PlatformObject> Read(const std::string& aKind,
+                              const std::string& aName) override;
+  Result<std::vector<PlatformObject>> List(const std::string& aKind,
+                                           const std::string& aPrefix) override;
+  WriteResult Write(const PlatformWrite& aWrite) override;
+  Result<PlatformObject> Watch(const std::string& aKind,
+                               const std::string& aName,
+                               int64_t aAfter,
+                               Millis aWithin) override;
+  Result<std::vector<InstanceInfo>> Instances() override;
+
+  const PlatformCounts& Counts() const { return mCounts; }
+  // When the platform last answered anything; zero time point = never.
+  TimePoint LastAnswer() const;
+
+private:
+  HttpReply Send(const HttpCall& aCall);
+  HttpReply SendRepeatedly(const HttpCall& aCall);
+  HttpReply SendOnceForWrite(const PlatformWrite& aWrite);
+  WriteResult Resolve(const PlatformWrite& aWrite);
+  bool SpendCall();
+  void Pause(int aTry);
+
+  PlatformClientSettings mSettings;
+  const Clock& mClock;
+  HttpPool mPool;
+  PlatformCounts mCounts;
+  mutable std::mutex mLock;
+  std::mt19937 mRandom;
+  double mBudget;
+  TimePoint mBudgetAt;
+  TimePoint mLastAnswer{};
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/platform/PlatformCounts.h
@@ -0,0 +1,22 @@
+// PlatformCounts.h: calls at the platform, by operation.
+#ifndef caraway_platform_PlatformCounts_h
+#define caraway_platform_PlatformCounts_h
+
+#include <atomic>
+#include <cstdint>
+
+namespace caraway {
+
+struct PlatformCounts
+{
+  std::atomic<int64_t> mReads{ 0 };
+  std::atomic<int64_t> mLists{ 0 };
+  std::atomic<int64_t> mWrites{ 0 };
+  std::atomic<int64_t> mWatches{ 0 };
+  std::atomic<int64_t> mFailures{ 0 };   // no answer, or a fault
+  std::atomic<int64_t> mOverBudget{ 0 }; // not made: the budget was spent
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/serve/Authenticator.cpp
@@ -0,0 +1,52 @@
+#include "serve/Authenticator.h"
+
+#include "base/Digest.h"
+
+namespace caraway {
+
+namespace {
+
+const std::string kBearer = "Bearer ";
+
+} // namespace
+
+Authenticator::Authenticator(const ConfigHolder& aConfig, Millis aMaxAge)
+  : mConfig(aConfig)
+  , mMaxAge(aMaxAge)
+{
+}
+
+Result<Caller>
+Authenticator::Authenticate(const std::string& aHeader) const
+{
+  ConfigPtr config = mConfig.Current();
+  if (config->mRevision == 0) {
+    return Fail(ErrorKind::NotReady, "no configuration has been read yet");
+  }
+  if (aHeader.compare(0, kBearer.size(), kBearer) != 0) {
+    return Fail(ErrorKind::KeyMissing, "send Authorization: Bearer KEY");
+  }
+  if (mConfig.Age() > mMaxAge) {
+    return Fail(ErrorKind::KeyStateStale,
+                "cut off from the platform and all peers");
+  }
+  std::string digest = DigestHex(aHeader.substr(kBearer.size()));
+  auto id = config->mKeyIdByDigest.find(digest);
+  if (id == config->mKeyIdByDigest.end()) {
+    return Fail(ErrorKind::KeyUnknown, "not granted, or withdrawn");
+  }
+  const TenantKey& key = config->mKeys.at(id->second);
+  return Caller{ key.mId, key.mDigest, key.mTenant };
+}
+
+bool
+Authenticator::StillGood(const Caller& aCaller) const
+{
+  ConfigPtr config = mConfig.Current();
+  auto key = config->mKeys.find(aCaller.mKeyId);
+  return key != config->mKeys.end() &&
+         DigestEqual(key->second.mDigest, aCaller.mDigest) &&
+         mConfig.Age() <= mMaxAge;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/CallerPort.cpp
@@ -0,0 +1,281 @@
+#include "serve/CallerPort.h"
+
+#include <Poco/URI.h>
+
+#include "base/JsonText.h"
+#include "base/Log.h"
+#include "base/RandomId.h"
+#include "serve/ChatReply.h"
+#include "serve/Problem.h"
+
+namespace caraway {
+
+namespace {
+
+const std::string kServices = "/v1/services/";
+constexpr size_t kIdempotencyKeyLimit = 256;
+
+bool
+MayUse(const Profile& aProfile, const std::string& aTenant)
+{
+  return aProfile.mTenant.empty() || aProfile.mTenant == aTenant;
+}
+
+Result<ModelCall>
+ParseChat(const Json::Value& aJson)
+{
+  ModelCall call;
+  if (!aJson.isObject() || !aJson["model"].isString()) {
+    return Fail(ErrorKind::BadRequest, "model: name a profile");
+  }
+  call.mMessages = aJson["messages"];
+  if (!call.mMessages.isArray() || call.mMessages.empty()) {
+    return Fail(ErrorKind::BadRequest, "messages: expected a list");
+  }
+  for (const Json::Value& message : call.mMessages) {
+    if (!message.isObject() || !message["role"].isString() ||
+        !message["content"].isString()) {
+      return Fail(ErrorKind::BadRequest,
+                  "messages: each needs a role and a content");
+    }
+  }
+  const Json::Value& most = aJson["max_tokens"];
+  if (!most.isNull() && (!most.isInt() || most.asInt() < 1)) {
+    return Fail(ErrorKind::BadRequest, "max_tokens: expected a number >= 1");
+  }
+  const Json::Value& stream = aJson["stream"];
+  if (!stream.isNull() && !stream.isBool()) {
+    return Fail(ErrorKind::BadRequest, "stream: expected true or false");
+  }
+  call.mMaxTokens = most.isNull() ? 0 : most.asInt();
+  return call;
+}
+
+} // namespace
+
+CallerPort::CallerPort(CallerPortSettings aSettings,
+                       ConfigHolder& aConfig,
+                       Authenticator& aKeys,
+                       ModelCalls& aModels,
+                       ServiceCalls& aServices,
+                       Metrics& aMetrics,
+                       const Clock& aClock)
+  : mSettings(std::move(aSettings))
+  , mConfig(aConfig)
+  , mKeys(aKeys)
+  , mModels(aModels)
+  , mServices(aServices)
+  , mMetrics(aMetrics)
+  , mClock(aClock)
+{
+}
+
+void
+CallerPort::Open()
+{
+  mPort = std::make_unique<HttpPort>(
+    mSettings.mListen, mSettings.mLimits, [this](auto& aIn, auto& aOut) {
+      ++mInFlight;
+      try {
+        Handle(aIn, aOut);
+      } catch (...) {
+        --mInFlight;
+        throw;
+      }
+      --mInFlight;
+    });
+}
+
+void
+CallerPort::Handle(Request& aRequest, Response& aResponse)
+{
+  RequestContext context;
+  context.mId = RandomId();
+  context.mArrived = mClock.Now();
+  context.mConfig = mConfig.Current();
+  if (mDraining) {
+    aResponse.setKeepAlive(false);
+  }
+  auto served = Outcome([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(Route(aRequest, aResponse, context));
+    return true;
+  });
+  if (auto* failure = std::get_if<Failure>(&served)) {
+    Refuse(aResponse, context, *failure);
+  }
+}
+
+void
+CallerPort::Refuse(Response& aResponse,
+                   const RequestContext& aContext,
+                   const Failure& aFailure)
+{
+  const char* kind = ErrorAnswerOf(aFailure.mKind).mName;
+  mMetrics.Count("caraway_refusals_total",
+                 "kind=\"" + std::string(kind) + "\",tenant=\"" +
+                   aContext.mCaller.mTenant + "\"");
+  LogInfo("refused",
+          { { "request", aContext.mId },
+            { "tenant", aContext.mCaller.mTenant },
+            { "profile", aContext.mProfile.mName },
+            { "kind", kind },
+            { "run", RunStateName(aFailure.mRun) },
+            { "reason", aFailure.mDetail } });
+  if (!aResponse.sent()) {
+    // What is left of the body unread would be taken for the next request.
+    aResponse.setKeepAlive(false);
+    ProblemSend(aResponse, aFailure, aContext.mId);
+  }
+}
+
+Result<void>
+CallerPort::Route(Request& aRequest,
+                  Response& aResponse,
+                  RequestContext& aContext)
+{
+  BOOST_LEAF_AUTO(caller,
+                  mKeys.Authenticate(aRequest.get("Authorization", "")));
+  aContext.mCaller = caller;
+  std::string path;
+  try {
+    path = Poco::URI(aRequest.getURI()).getPathEtc();
+  } catch (const Poco::Exception&) {
+    return Fail(ErrorKind::BadRequest, "the path can't be read");
+  }
+  if (path == "/v1/chat/completions" && aRequest.getMethod() == "POST") {
+    return Chat(aRequest, aResponse, aContext);
+  }
+  if (path == "/v1/models" && aRequest.getMethod() == "GET") {
+    List(aResponse, aContext);
+    return {};
+  }
+  if (path.compare(0, kServices.size(), kServices) == 0) {
+    return Service(
+      aRequest, aResponse, aContext, path.substr(kServices.size()));
+  }
+  return Fail(ErrorKind::NotFound, "see the README for the paths");
+}
+
+void
+CallerPort::List(Response& aResponse, const RequestContext& aContext)
+{
+  Json::Value json;
+  json["object"] = "list";
+  json["data"] = Json::Value(Json::arrayValue);
+  for (const auto& entry : aContext.mConfig->mProfiles) {
+    if (MayUse(entry.second, aContext.mCaller.mTenant)) {
+      Json::Value model;
+      model["id"] = entry.first;
+      model["object"] = "model";
+      model["owned_by"] = entry.second.mTenant;
+      json["data"].append(model);
+    }
+  }
+  JsonSend(aResponse, 200, json);
+}
+
+// A profile of another tenant is answered like one that doesn't exist.
+Result<void>
+CallerPort::FindProfile(RequestContext& aContext,
+                        const std::string& aName) const
+{
+  auto profile = aContext.mConfig->mProfiles.find(aName);
+  if (profile == aContext.mConfig->mProfiles.end() ||
+      !MayUse(profile->second, aContext.mCaller.mTenant)) {
+    return Fail(ErrorKind::ProfileUnknown, aName);
+  }
+  aContext.mProfile = profile->second;
+  return {};
+}
+
+Result<void>
+CallerPort::Chat(Request& aRequest,
+                 Response& aResponse,
+                 RequestContext& aContext)
+{
+  BOOST_LEAF_AUTO(
+    body, HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime));
+  BOOST_LEAF_AUTO(json, JsonParse(body));
+  BOOST_LEAF_AUTO(call, ParseChat(json));
+  BOOST_LEAF_CHECK(FindProfile(aContext, json["model"].asString()));
+  const Profile& profile = aContext.mProfile;
+  if (profile.mModel.empty()) {
+    return Fail(ErrorKind::BadRequest,
+                profile.mName + " is a service: /v1/services/" + profile.mName);
+  }
+  call.mContext = aContext;
+  call.mMaxTokens = call.mMaxTokens == 0
+                      ? profile.mMaxTokens
+                      : std::min(call.mMaxTokens, profile.mMaxTokens);
+  if (!json["stream"].asBool()) {
+    BOOST_LEAF_AUTO(answer,
+                    mModels.Run(call, [](const auto&) { return true; }));
+    aResponse.set("X-Request-Id", aContext.mId);
+    JsonSend(aResponse, 200, ChatWholeJson(call, answer));
+    return {};
+  }
+  ChatStream stream(aResponse, call);
+  auto answer = Outcome([&] {
+    return mModels.Run(
+      call, [&](const std::string& aToken) { return stream.Token(aToken); });
+  });
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    if (!stream.Begun()) {
+      return Fail(*failure);
+    }
+    aResponse.setKeepAlive(false);
+    stream.Break(*failure);
+    return Fail(*failure);
+  }
+  stream.Finish(std::get<ModelAnswer>(answer).mFinish);
+  return {};
+}
+
+Result<void>
+CallerPort::Service(Request& aRequest,
+                    Response& aResponse,
+                    RequestContext& aContext,
+                    const std::string& aPath)
+{
+  size_t split = std::min(aPath.find_first_of("/?"), aPath.size());
+  BOOST_LEAF_CHECK(FindProfile(aContext, aPath.substr(0, split)));
+  if (aContext.mProfile.mService.empty()) {
+    return Fail(ErrorKind::BadRequest,
+                aContext.mProfile.mName + " is a model: /v1/chat/completions");
+  }
+  BOOST_LEAF_AUTO(
+    body, HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime));
+  ServiceCall call;
+  call.mContext = aContext;
+  call.mMethod = aRequest.getMethod();
+  call.mPath = aPath.substr(split);
+  if (call.mPath.empty() || call.mPath[0] != '/') {
+    call.mPath = "/" + call.mPath;
+  }
+  call.mContentType = aRequest.get("Content-Type", "");
+  call.mBody = std::move(body);
+  call.mIdempotencyKey = aRequest.get("Idempotency-Key", "");
+  if (call.mIdempotencyKey.size() > kIdempotencyKeyLimit) {
+    return Fail(ErrorKind::BadRequest, "Idempotency-Key is too long");
+  }
+  BOOST_LEAF_AUTO(answer, mServices.Run(call));
+  mMetrics.Observe(
+    "whole",
+    aContext.mCaller.mTenant,
+    aContext.mProfile.mClass,
+    std::chrono::duration_cast<Micros>(mClock.Now() - aContext.mArrived));
+  const ClaimAnswer& kept = answer.mAnswer;
+  aResponse.setStatusAndReason(
+    static_cast<Poco::Net::HTTPResponse::HTTPStatus>(kept.mStatus));
+  if (!kept.mContentType.empty()) {
+    aResponse.setContentType(kept.mContentType);
+  }
+  aResponse.set("X-Request-Id", aContext.mId);
+  if (answer.mReplayed) {
+    aResponse.set("Idempotent-Replayed", "true");
+  }
+  aResponse.sendBuffer(kept.mBody.data(), kept.mBody.size());
+  return {};
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/CallerPort.h
@@ -0,0 +1,85 @@
+// CallerPort.h: the HTTP conventions that callers know.
+#ifndef caraway_serve_CallerPort_h
+#define caraway_serve_CallerPort_h
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "base/Metrics.h"
+#include "caraway/Clock.h"
+#include "net/HttpPort.h"
+#include "serve/Authenticator.h"
+#include "serve/ModelCalls.h"
+#include "serve/ServiceCalls.h"
+
+namespace caraway {
+
+struct CallerPortSettings
+{
+  std::string mListen;
+  HttpPortLimits mLimits;
+  size_t mBodyLimit = 1024 * 1024; // bytes
+  Millis mBodyTime{ 10000 };       // for the whole body
+};
+
+// POST /v1/chat/completions   a model profile; "stream": true for events
+// GET  /v1/models             the profiles that the key may use
+// *    /v1/services/PROFILE/… a plain service, body and method passed through
+class CallerPort
+{
+public:
+  CallerPort(CallerPortSettings aSettings,
+             ConfigHolder& aConfig,
+             Authenticator& aKeys,
+             ModelCalls& aModels,
+             ServiceCalls& aServices,
+             Metrics& aMetrics,
+             const Clock& aClock);
+
+  void Open();
+  std::string Address() const { return mPort->Address(); }
+  // Requests between their first byte and their last.
+  int InFlight() const { return mInFlight; }
+  // Connections are closed after the request they are serving.
+  void Drain() { mDraining = true; }
+  void StopAccepting() { mPort->StopAccepting(); }
+  void Close() { mPort.reset(); }
+
+private:
+  using Request = Poco::Net::HTTPServerRequest;
+  using Response = Poco::Net::HTTPServerResponse;
+
+  void Handle(Request& aRequest, Response& aResponse);
+  Result<void> Route(Request& aRequest,
+                     Response& aResponse,
+                     RequestContext& aContext);
+  Result<void> Chat(Request& aRequest,
+                    Response& aResponse,
+                    RequestContext& aContext);
+  Result<void> Service(Request& aRequest,
+                       Response& aResponse,
+                       RequestContext& aContext,
+                       const std::string& aPath);
+  void List(Response& aResponse, const RequestContext& aContext);
+  Result<void> FindProfile(RequestContext& aContext,
+                           const std::string& aName) const;
+  void Refuse(Response& aResponse,
+              const RequestContext& aContext,
+              const Failure& aFailure);
+
+  CallerPortSettings mSettings;
+  ConfigHolder& mConfig;
+  Authenticator& mKeys;
+  ModelCalls& mModels;
+  ServiceCalls& mServices;
+  Metrics& mMetrics;
+  const Clock& mClock;
+  std::atomic<int> mInFlight{ 0 };
+  std::atomic<bool> mDraining{ false };
+  std::unique_ptr<HttpPort> mPort;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/serve/ChatReply.h
@@ -0,0 +1,41 @@
+// ChatReply.h: a chat answer as JSON or as server-sent events.
+#ifndef caraway_serve_ChatReply_h
+#define caraway_serve_ChatReply_h
+
+#include <Poco/Net/HTTPServerResponse.h>
+#include <ostream>
+#include <string>
+
+#include "serve/ModelCalls.h"
+
+namespace caraway {
+
+Json::Value
+ChatWholeJson(const ModelCall& aCall, const ModelAnswer& aAnswer);
+
+// Headers go out with the first token, so that a refusal before it still has
+// a status of its own.
+class ChatStream
+{
+public:
+  ChatStream(Poco::Net::HTTPServerResponse& aResponse, const ModelCall& aCall);
+
+  bool Begun() const { return mOut != nullptr; }
+  bool Token(const std::string& aText); // false: the caller has gone
+  void Finish(const std::string& aReason);
+  // An error event in place of the end marker: a stream that ends without
+  // either was cut, and no short answer looks complete.
+  void Break(const Failure& aFailure);
+
+private:
+  bool Event(const char* aName, const std::string& aData);
+  Json::Value Chunk() const;
+
+  Poco::Net::HTTPServerResponse& mResponse;
+  const ModelCall& mCall;
+  std::ostream* mOut = nullptr;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/serve/ClaimBook.cpp
@@ -0,0 +1,86 @@
+#include "serve/ClaimBook.h"
+
+#include <functional>
+
+namespace caraway {
+
+namespace {
+
+constexpr Seconds kRemember{ 900 };
+// A shard's answers; words without a body cost little and stay.
+constexpr size_t kMostBytes = 2 * 1024 * 1024;
+constexpr size_t kMostEntries = 20000;
+
+} // namespace
+
+ClaimBook::ClaimBook(const Clock& aClock)
+  : mClock(aClock)
+{
+}
+
+ClaimBook::Shard&
+ClaimBook::ShardFor(const std::string& aNonce)
+{
+  return mShards[std::hash<std::string>()(aNonce) % kShards];
+}
+
+void
+ClaimBook::Begin(const std::string& aNonce)
+{
+  Shard& shard = ShardFor(aNonce);
+  std::lock_guard<std::mutex> lock(shard.mLock);
+  Entry& entry = shard.mEntries[aNonce];
+  entry.mWord.mKnown = true;
+}
+
+void
+ClaimBook::End(const std::string& aNonce, const ClaimWord& aWord)
+{
+  Shard& shard = ShardFor(aNonce);
+  std::lock_guard<std::mutex> lock(shard.mLock);
+  TimePoint now = mClock.Now();
+  Entry& entry = shard.mEntries[aNonce];
+  entry.mWord = aWord;
+  entry.mWord.mKnown = true;
+  entry.mEnded = now;
+  shard.mBytes += aWord.mAnswer.mBody.size();
+  shard.mEnded.emplace_back(now, aNonce);
+  Forget(shard, now);
+  shard.mChanged.notify_all();
+}
+
+void
+ClaimBook::Forget(Shard& aShard, TimePoint aNow)
+{
+  while (!aShard.mEnded.empty()) {
+    bool old = aNow - aShard.mEnded.front().first > kRemember;
+    bool full =
+      aShard.mBytes > kMostBytes || aShard.mEnded.size() > kMostEntries;
+    if (!old && !full) {
+      return;
+    }
+    auto entry = aShard.mEntries.find(aShard.mEnded.front().second);
+    if (entry != aShard.mEntries.end()) {
+      aShard.mBytes -= entry->second.mWord.mAnswer.mBody.size();
+      aShard.mEntries.erase(entry);
+    }
+    aShard.mEnded.pop_front();
+  }
+}
+
+ClaimWord
+ClaimBook::Ask(const std::string& aNonce, Millis aWithin)
+{
+  Shard& shard = ShardFor(aNonce);
+  std::unique_lock<std::mutex> lock(shard.mLock);
+  auto ended = [&] {
+    auto entry = shard.mEntries.find(aNonce);
+    return entry == shard.mEntries.end() ||
+           entry->second.mWord.mStanding != ClaimStanding::Running;
+  };
+  shard.mChanged.wait_for(lock, aWithin, ended);
+  auto entry = shard.mEntries.find(aNonce);
+  return entry == shard.mEntries.end() ? ClaimWord() : entry->second.mWord;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/ClaimDriver.cpp
@@ -0,0 +1,288 @@
+#include "serve/ClaimDriver.h"
+
+#include <thread>
+
+#include "base/Digest.h"
+#include "base/Log.h"
+#include "base/RandomId.h"
+#include "serve/ClaimCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kKind = "claims";
+// The platform holds values up to a megabyte; base64 adds a third.
+constexpr size_t kKeepBytes = 512 * 1024;
+constexpr Millis kAskWait{ 1000 };
+constexpr Millis kAskTime{ 2500 };
+constexpr const char* kStandings[] = { "running",
+                                       "gave_up",
+                                       "answered",
+                                       "lost" };
+
+std::string
+AddressOf(const std::string& aIncarnation)
+{
+  return aIncarnation.substr(aIncarnation.find('@') + 1);
+}
+
+ClaimEvent
+EventOf(ClaimEventKind aKind)
+{
+  ClaimEvent event;
+  event.mKind = aKind;
+  return event;
+}
+
+ClaimEvent
+EventOfWord(const ClaimWord& aWord)
+{
+  if (!aWord.mKnown) {
+    return EventOf(ClaimEventKind::PeerUnknown);
+  }
+  switch (aWord.mStanding) {
+    case ClaimStanding::Running:
+      return EventOf(ClaimEventKind::PeerRunning);
+    case ClaimStanding::GaveUp:
+      return EventOf(ClaimEventKind::PeerGaveUp);
+    case ClaimStanding::Lost:
+      return EventOf(ClaimEventKind::PeerLost);
+    case ClaimStanding::Answered:
+      break;
+  }
+  ClaimEvent event = EventOf(ClaimEventKind::PeerAnswered);
+  event.mRecord.mAnswer = aWord.mAnswer;
+  return event;
+}
+
+} // namespace
+
+ClaimDriver::ClaimDriver(std::string aSelf,
+                         PlatformApi& aPlatform,
+                         PeerClient& aPeers,
+                         ClaimBook& aBook,
+                         WorkerPool& aWorkers,
+                         const Clock& aClock)
+  : mSelf(std::move(aSelf))
+  , mPlatform(aPlatform)
+  , mPeers(aPeers)
+  , mBook(aBook)
+  , mWorkers(aWorkers)
+  , mClock(aClock)
+{
+}
+
+Result<OrderAnswer>
+ClaimDriver::Run(const Order& aOrder,
+                 const std::function<ClaimEvent()>& aHandOn)
+{
+  Attempt attempt;
+  // Length first: tenant "a" with key "bc" is not tenant "ab" with key "c".
+  attempt.mName = DigestHex(std::to_string(aOrder.mTenant.size()) + ":" +
+                            aOrder.mTenant + aOrder.mKey);
+  attempt.mState.mSelf = mSelf;
+  attempt.mState.mNonce = RandomId();
+  attempt.mState.mBodyDigest = DigestHex(aOrder.mContent);
+  attempt.mState.mDeadline = aOrder.mDeadline;
+  mBook.Begin(attempt.mState.mNonce);
+  bool offered = false;
+  ClaimEvent event;
+  for (;;) {
+    ClaimAction action = ClaimStep(attempt.mState, event, mClock.Now());
+    if (action.mKind == ClaimActionKind::FinishAnswer) {
+      ClaimWord word;
+      word.mStanding =
+        offered ? ClaimStanding::Answered : ClaimStanding::GaveUp;
+      word.mAnswer = offered ? action.mAnswer : ClaimAnswer();
+      mBook.End(attempt.mState.mNonce, word);
+      return OrderAnswer{ action.mAnswer, action.mReplayed };
+    }
+    if (action.mKind == ClaimActionKind::FinishRefuse) {
+      ClaimWord word;
+      word.mStanding = offered ? ClaimStanding::Lost : ClaimStanding::GaveUp;
+      mBook.End(attempt.mState.mNonce, word);
+      Failure failure = FailureOf(action.mError, "order " + aOrder.mKey);
+      failure.mRun = action.mRun;
+      return Fail(failure);
+    }
+    event = Do(attempt, action, aHandOn);
+    // From here on nobody is told that this attempt gave up.
+    offered = offered || event.mKind == ClaimEventKind::Answered ||
+              event.mKind == ClaimEventKind::AnswerLost;
+  }
+}
+
+ClaimEvent
+ClaimDriver::Do(Attempt& aAttempt,
+                const ClaimAction& aAction,
+                const std::function<ClaimEvent()>& aHandOn)
+{
+  ClaimRecord mine;
+  mine.mBodyDigest = aAttempt.mState.mBodyDigest;
+  mine.mCreator = mSelf;
+  mine.mNonce = aAttempt.mState.mNonce;
+  switch (aAction.mKind) {
+    case ClaimActionKind::Create:
+      return Write(aAttempt, mine, 0);
+    case ClaimActionKind::TakeOver:
+      return Write(aAttempt, mine, aAction.mVersion);
+    case ClaimActionKind::Read:
+      return Read(aAttempt);
+    case ClaimActionKind::AskCreator:
+      return AskCreator(aAction);
+    case ClaimActionKind::HandOn:
+      return aHandOn();
+    case ClaimActionKind::KeepAnswer:
+      return Keep(aAttempt, ClaimRecordState::Answered, aAction.mVersion);
+    case ClaimActionKind::KeepLost:
+      return Keep(aAttempt, ClaimRecordState::Lost, aAction.mVersion);
+    case ClaimActionKind::Release:
+      return Keep(aAttempt, ClaimRecordState::Released, aAction.mVersion);
+    default:
+      return EventOf(ClaimEventKind::NoPlatform);
+  }
+}
+
+ClaimEvent
+ClaimDriver::Write(const Attempt& aAttempt,
+                   const ClaimRecord& aRecord,
+                   int64_t aExpected)
+{
+  WriteResult result = mPlatform.Write(
+    { kKind, aAttempt.mName, aExpected, RandomId(), ClaimJson(aRecord) });
+  ClaimEvent event;
+  switch (result.mEnd) {
+    case WriteEnd::Done:
+      event.mKind = ClaimEventKind::Written;
+      break;
+    case WriteEnd::Conflict:
+      event.mKind = result.mObject.mVersion == 0 ? ClaimEventKind::Absent
+                                                 : ClaimEventKind::Standing;
+      event.mRecord = ClaimParse(result.mObject.mValue);
+      break;
+    default:
+      event.mKind = ClaimEventKind::NoPlatform;
+      break;
+  }
+  event.mVersion = result.mObject.mVersion;
+  return event;
+}
+
+ClaimEvent
+ClaimDriver::Read(const Attempt& aAttempt)
+{
+  auto read = Outcome([&] { return mPlatform.Read(kKind, aAttempt.mName); });
+  if (auto* failure = std::get_if<Failure>(&read)) {
+    return EventOf(failure->mKind == ErrorKind::NotFound
+                     ? ClaimEventKind::Absent
+                     : ClaimEventKind::NoPlatform);
+  }
+  const PlatformObject& object = std::get<PlatformObject>(read);
+  ClaimEvent event = EventOf(ClaimEventKind::Standing);
+  event.mVersion = object.mVersion;
+  event.mRecord = ClaimParse(object.mValue);
+  return event;
+}
+
+ClaimEvent
+ClaimDriver::AskCreator(const ClaimAction& aAction)
+{
+  if (aAction.mPeer == mSelf) {
+    return EventOfWord(mBook.Ask(aAction.mNonce, kAskWait));
+  }
+  Json::Value params;
+  params["of"] = aAction.mPeer;
+  params["nonce"] = aAction.mNonce;
+  auto answer = Outcome([&] {
+    return mPeers.Call(AddressOf(aAction.mPeer), "claim.ask", params, kAskTime);
+  });
+  auto* json = std::get_if<Json::Value>(&answer);
+  if (!json) {
+    return EventOf(ClaimEventKind::PeerUnknown);
+  }
+  ClaimWord word;
+  word.mKnown = (*json)["known"].asBool();
+  std::string standing = (*json)["standing"].asString();
+  word.mStanding = ClaimStanding::Lost;
+  for (int i = 0; i < 4; ++i) {
+    if (standing == kStandings[i]) {
+      word.mStanding = static_cast<ClaimStanding>(i);
+    }
+  }
+  word.mAnswer = ClaimAnswerParse((*json)["answer"]);
+  return EventOfWord(word);
+}
+
+// A former life of this process knew attempts that this one doesn't: only
+// questions to this incarnation are answered.
+Json::Value
+ClaimDriver::OnAsk(const Json::Value& aParams)
+{
+  Json::Value answer;
+  if (aParams["of"].asString() != mSelf) {
+    answer["known"] = false;
+    return answer;
+  }
+  ClaimWord word = mBook.Ask(aParams["nonce"].asString(), kAskWait);
+  answer["known"] = word.mKnown;
+  answer["standing"] = kStandings[static_cast<int>(word.mStanding)];
+  answer["answer"] = ClaimAnswerJson(word.mAnswer);
+  return answer;
+}
+
+ClaimEvent
+ClaimDriver::Keep(const Attempt& aAttempt,
+                  ClaimRecordState aState,
+                  int64_t aVersion)
+{
+  ClaimRecord record;
+  record.mState = aState;
+  record.mBodyDigest = aAttempt.mState.mBodyDigest;
+  record.mCreator = mSelf;
+  record.mNonce = aAttempt.mState.mNonce;
+  if (aState == ClaimRecordState::Answered) {
+    record.mAnswer = aAttempt.mState.mAnswer;
+    record.mAnswer.mKept = record.mAnswer.mBody.size() <= kKeepBytes;
+  }
+  ClaimEvent event = Write(aAttempt, record, aVersion);
+  if (event.mKind == ClaimEventKind::NoPlatform) {
+    KeepLater(aAttempt, record, aVersion);
+  }
+  return event;
+}
+
+// The caller doesn't wait for a platform that is down. Until this succeeds
+// the book vouches; if this process dies first, a duplicate is told that the
+// order may have run.
+void
+ClaimDriver::KeepLater(const Attempt& aAttempt,
+                       const ClaimRecord& aRecord,
+                       int64_t aVersion)
+{
+  LogInfo("claim_kept_later", { { "claim", aAttempt.mName } });
+  mWorkers.Submit([this, aAttempt, aRecord, aVersion] {
+    constexpr int kRounds = 40;
+    constexpr Millis kFirst{ 200 };
+    constexpr Millis kMost{ 15000 };
+    Millis pause = kFirst;
+    for (int i = 0; i < kRounds; ++i) {
+      std::this_thread::sleep_for(pause);
+      pause = std::min(pause * 2, kMost);
+      if (Write(aAttempt, aRecord, aVersion).mKind !=
+          ClaimEventKind::NoPlatform) {
+        return;
+      }
+    }
+    LogWarn("claim_not_kept", { { "claim", aAttempt.mName } });
+  });
+}
+
+void
+ClaimDriver::AddMethods(
+  const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("claim.ask", [this](const auto& aParams) { return OnAsk(aParams); });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/ClaimDriver.h
@@ -0,0 +1,84 @@
+// ClaimDriver.h: runs ClaimStep against the platform, peers and an endpoint.
+#ifndef caraway_serve_ClaimDriver_h
+#define caraway_serve_ClaimDriver_h
+
+#include <functional>
+#include <string>
+
+#include "base/WorkerPool.h"
+#include "caraway/Clock.h"
+#include "caraway/Result.h"
+#include "decide/ClaimStep.h"
+#include "peer/PeerClient.h"
+#include "peer/PeerRpc.h"
+#include "platform/PlatformApi.h"
+#include "serve/ClaimBook.h"
+
+namespace caraway {
+
+struct Order
+{
+  std::string mTenant;
+  std::string mKey;      // the caller's Idempotency-Key
+  std::string mContent;  // profile, method, path and body: what must be equal
+  TimePoint mDeadline{}; // no handing on after it
+};
+
+struct OrderAnswer
+{
+  ClaimAnswer mAnswer;
+  bool mReplayed = false;
+};
+
+class ClaimDriver
+{
+public:
+  ClaimDriver(std::string aSelf,
+              PlatformApi& aPlatform,
+              PeerClient& aPeers,
+              ClaimBook& aBook,
+              WorkerPool& aWorkers,
+              const Clock& aClock);
+
+  // aHandOn offers the order to an endpoint once and tells how that ended:
+  // NotOffered, Answered or AnswerLost. It is called again only after
+  // NotOffered with mEndpointsLeft.
+  Result<OrderAnswer> Run(const Order& aOrder,
+                          const std::function<ClaimEvent()>& aHandOn);
+
+  void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
+
+private:
+  struct Attempt
+  {
+    std::string mName; // object name of the claim
+    ClaimState mState;
+  };
+
+  ClaimEvent Do(Attempt& aAttempt,
+                const ClaimAction& aAction,
+                const std::function<ClaimEvent()>& aHandOn);
+  ClaimEvent Write(const Attempt& aAttempt,
+                   const ClaimRecord& aRecord,
+                   int64_t aExpected);
+  ClaimEvent Read(const Attempt& aAttempt);
+  ClaimEvent AskCreator(const ClaimAction& aAction);
+  ClaimEvent Keep(const Attempt& aAttempt,
+                  ClaimRecordState aState,
+                  int64_t aVersion);
+  void KeepLater(const Attempt& aAttempt,
+                 const ClaimRecord& aRecord,
+                 int64_t aVersion);
+  Json::Value OnAsk(const Json::Value& aParams);
+
+  std::string mSelf; // incarnation
+  PlatformApi& mPlatform;
+  PeerClient& mPeers;
+  ClaimBook& mBook;
+  WorkerPool& mWorkers;
+  const Clock& mClock;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/serve/EngineStream.cpp
@@ -0,0 +1,121 @@
+#include "serve/EngineStream.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <istream>
+
+#include "base/JsonText.h"
+#include "net/HttpExchange.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kConnect{ 500 };
+constexpr int kGone = 404;
+constexpr size_t kLineLimit = 64 * 1024;
+
+Poco::Timespan
+Span(Millis aTime)
+{
+  return Poco::Timespan(Micros(aTime).count());
+}
+
+std::string
+Body(const GenerateCall& aCall)
+{
+  Json::Value body;
+  body["request_id"] = aCall.mRequestId;
+  body["model"] = aCall.mModel;
+  body["version"] = aCall.mVersion;
+  body["adapter"] = aCall.mAdapter;
+  body["messages"] = aCall.mMessages;
+  body["max_tokens"] = aCall.mMaxTokens;
+  body["priority"] = static_cast<int>(aCall.mClass);
+  body["so_far"] = Json::Value(Json::arrayValue);
+  for (const std::string& token : aCall.mSoFar) {
+    body["so_far"].append(token);
+  }
+  return JsonWrite(body);
+}
+
+// Lines until the end marker. Anything that isn't the next token of our own
+// request means that the rest can't be trusted either.
+GenerateResult
+ReadTokens(const GenerateCall& aCall,
+           Poco::Net::HTTPClientSession& aSession,
+           std::istream& aIn,
+           const std::function<bool(const std::string&)>& aOnToken)
+{
+  int64_t next = static_cast<int64_t>(aCall.mSoFar.size());
+  std::string line;
+  while (std::getline(aIn, line)) {
+    if (line.size() > kLineLimit) {
+      return { GenerateEnd::Broken, "a line is too long" };
+    }
+    Json::Value json = JsonParseOrEmpty(line);
+    if (json["id"].asString() != aCall.mRequestId) {
+      return { GenerateEnd::Broken, "an answer to another request" };
+    }
+    if (json["end"].asBool()) {
+      bool whole = json["n"].asInt64() == next;
+      return whole
+               ? GenerateResult{ GenerateEnd::Complete,
+                                 json["reason"].asString() }
+               : GenerateResult{ GenerateEnd::Broken, "tokens are missing" };
+    }
+    if (!json["t"].isString() || json["i"].asInt64() != next) {
+      return { GenerateEnd::Broken, "a token out of order" };
+    }
+    ++next;
+    if (!aOnToken(json["t"].asString())) {
+      return { GenerateEnd::Stopped, "" };
+    }
+    aSession.socket().setReceiveTimeout(Span(aCall.mStall));
+  }
+  return { GenerateEnd::Broken, "the stream ended without its end marker" };
+}
+
+} // namespace
+
+GenerateResult
+EngineGenerate(const GenerateCall& aCall,
+               const std::function<bool(const std::string&)>& aOnToken)
+{
+  HttpCall call;
+  call.mAddress = aCall.mAddress;
+  call.mConnectTimeout = kConnect;
+  call.mTimeout = aCall.mFirstToken;
+  std::string error;
+  Poco::Net::StreamSocket socket = HttpConnect(call, error);
+  if (!error.empty()) {
+    return { GenerateEnd::NotOffered, error };
+  }
+  try {
+    Poco::Net::HTTPClientSession session(socket);
+    session.setTimeout(Span(aCall.mFirstToken));
+    Poco::Net::HTTPRequest request(
+      "POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
+    std::string body = Body(aCall);
+    request.setHost(aCall.mAddress);
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+    session.sendRequest(request) << body << std::flush;
+    Poco::Net::HTTPResponse response;
+    std::istream& in = session.receiveResponse(response);
+    if (response.getStatus() == kGone) {
+      return { GenerateEnd::Gone, "the engine hasn't the model" };
+    }
+    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
+      return { GenerateEnd::Broken,
+               "status " + std::to_string(response.getStatus()) };
+    }
+    return ReadTokens(aCall, session, in, aOnToken);
+  } catch (const Poco::Exception& failure) {
+    return { GenerateEnd::Broken, failure.displayText() };
+  } catch (const std::exception& failure) {
+    return { GenerateEnd::Broken, failure.what() };
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/ModelCalls.cpp
@@ -0,0 +1,272 @@
+#include "serve/ModelCalls.h"
+
+#include <cmath>
+
+#include "base/JsonText.h"
+#include "base/Log.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr double kBytesPerToken = 4;
+constexpr int kTries = 3;
+constexpr Millis kPeerSlack{ 500 };
+constexpr Millis kReturnTime{ 500 };
+
+Micros
+MicrosBetween(TimePoint aFrom, TimePoint aTo)
+{
+  return std::chrono::duration_cast<Micros>(aTo - aFrom);
+}
+
+double
+PromptTokens(const ModelCall& aCall)
+{
+  size_t bytes = 0;
+  for (const Json::Value& message : aCall.mMessages) {
+    bytes += message["content"].asString().size();
+  }
+  return std::ceil(static_cast<double>(bytes) / kBytesPerToken);
+}
+
+PlaceRequest
+PlaceFor(const ModelCall& aCall, TimePoint aNow)
+{
+  const Profile& profile = aCall.mContext.mProfile;
+  Millis passed =
+    std::chrono::duration_cast<Millis>(aNow - aCall.mContext.mArrived);
+  PlaceRequest request;
+  request.mModel = profile.mModel;
+  request.mAdapter = profile.mAdapter;
+  request.mTenant = aCall.mContext.mCaller.mTenant;
+  request.mClass = profile.mClass;
+  request.mTokens = ModelCallCost(aCall);
+  request.mStartWithin = profile.mFirstToken - passed;
+  request.mColdWithin = profile.mColdStart - passed;
+  request.mHoldFor = profile.mAnswer + profile.mColdStart;
+  return request;
+}
+
+// A refusal by an owner elsewhere, back as the failure it was.
+leaf::error_id
+PeerRefusal(const Json::Value& aJson)
+{
+  Failure failure = FailureOf(ErrorKindOf(aJson["kind"].asCString()),
+                              aJson["detail"].asString());
+  failure.mRetryAfter = Millis(aJson["retry"].asInt64());
+  failure.mRun = RunState::NotRun;
+  return Fail(failure);
+}
+
+} // namespace
+
+double
+ModelCallCost(const ModelCall& aCall)
+{
+  return PromptTokens(aCall) + aCall.mMaxTokens;
+}
+
+ModelCalls::ModelCalls(ModelOwner& aOwner,
+                       Members& aMembers,
+                       PeerClient& aPeers,
+                       ShareClient& aShares,
+                       Authenticator& aKeys,
+                       Metrics& aMetrics,
+                       const Clock& aClock)
+  : mOwner(aOwner)
+  , mMembers(aMembers)
+  , mPeers(aPeers)
+  , mShares(aShares)
+  , mKeys(aKeys)
+  , mMetrics(aMetrics)
+  , mClock(aClock)
+{
+}
+
+// The zone's owner of the model; if it doesn't answer, the next; at last
+// ourselves. A second owner decides by the same conditional updates.
+Result<PlaceGrant>
+ModelCalls::Acquire(const PlaceRequest& aRequest, InstanceInfo& aOwner)
+{
+  constexpr int kOwners = 2;
+  for (int i = 0; i < kOwners; ++i) {
+    aOwner = mMembers.Owner("model/" + aRequest.mModel);
+    if (aOwner.mId == mMembers.Self().mId) {
+      break;
+    }
+    Millis within =
+      std::max(aRequest.mStartWithin, aRequest.mColdWithin) + kPeerSlack;
+    auto answer = Outcome([&] {
+      return mPeers.Call(aOwner.mPeerAddress,
+                         "model.acquire",
+                         PlaceRequestJson(aRequest),
+                         within);
+    });
+    if (auto* json = std::get_if<Json::Value>(&answer)) {
+      if (json->isMember("kind")) {
+        return PeerRefusal(*json);
+      }
+      return PlaceGrantParse(*json);
+    }
+    mMembers.Silent(aOwner.mPeerAddress);
+  }
+  aOwner = mMembers.Self();
+  return mOwner.Acquire(aRequest);
+}
+
+void
+ModelCalls::Return(const InstanceInfo& aOwner, const PlaceReturn& aReturn)
+{
+  if (aOwner.mId == mMembers.Self().mId) {
+    mOwner.Return(aReturn);
+    return;
+  }
+  Outcome([&] {
+    return mPeers.Call(aOwner.mPeerAddress,
+                       "model.return",
+                       PlaceReturnJson(aReturn),
+                       kReturnTime);
+  });
+}
+
+Result<ModelAnswer>
+ModelCalls::Run(const ModelCall& aCall,
+                const std::function<bool(const std::string&)>& aOnToken)
+{
+  const RequestContext& context = aCall.mContext;
+  const Tenant& tenant = context.mConfig->mTenants.at(context.mCaller.mTenant);
+  BOOST_LEAF_AUTO(ticket, mShares.Take(tenant, ModelCallCost(aCall)));
+  ModelAnswer soFar;
+  soFar.mPromptTokens = PromptTokens(aCall);
+  auto answer = Outcome([&] { return Generate(aCall, aOnToken, soFar); });
+  bool ran =
+    !soFar.mTokens.empty() || std::holds_alternative<ModelAnswer>(answer);
+  double used =
+    ran ? soFar.mPromptTokens + static_cast<double>(soFar.mTokens.size()) : 0;
+  mShares.Settle(ticket, used);
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    return Fail(*failure);
+  }
+  mRetries.Succeeded();
+  return std::get<ModelAnswer>(std::move(answer));
+}
+
+Result<ModelAnswer>
+ModelCalls::Generate(const ModelCall& aCall,
+                     const std::function<bool(const std::string&)>& aOnToken,
+                     ModelAnswer& aSoFar)
+{
+  const RequestContext& context = aCall.mContext;
+  const Profile& profile = context.mProfile;
+  const std::string& tenant = context.mCaller.mTenant;
+  TimePoint deadline = context.mArrived + profile.mAnswer;
+  bool withdrawn = false;
+  bool offered = false;
+  Failure last = FailureOf(ErrorKind::NoEndpoint, "no engine took it");
+  for (int i = 0; i < kTries && mClock.Now() < deadline; ++i) {
+    if (i > 0 && !mRetries.Spend()) {
+      break;
+    }
+    InstanceInfo owner;
+    auto acquired =
+      Outcome([&] { return Acquire(PlaceFor(aCall, mClock.Now()), owner); });
+    if (auto* failure = std::get_if<Failure>(&acquired)) {
+      if (!offered) {
+        return Fail(*failure);
+      }
+      last.mDetail += "; then: " + failure->mDetail;
+      break;
+    }
+    PlaceGrant grant = std::get<PlaceGrant>(acquired);
+    aSoFar.mCold = aSoFar.mCold || grant.mCold;
+    mMetrics.Observe(grant.mCold ? "cold_start" : "wait",
+                     tenant,
+                     profile.mClass,
+                     Micros(grant.mWaited));
+    GenerateCall call;
+    call.mAddress = grant.mAddress;
+    call.mRequestId = context.mId;
+    call.mModel = profile.mModel;
+    call.mVersion = context.mConfig->mModels.at(profile.mModel).mVersion;
+    call.mAdapter = profile.mAdapter;
+    call.mMessages = aCall.mMessages;
+    call.mMaxTokens = aCall.mMaxTokens;
+    call.mClass = profile.mClass;
+    call.mSoFar = aSoFar.mTokens;
+    call.mFirstToken = std::chrono::duration_cast<Millis>(
+      std::max(deadline - mClock.Now(), TimePoint::duration(Millis(1))));
+    auto result = EngineGenerate(call, [&](const std::string& aToken) {
+      if (aSoFar.mTokens.empty()) {
+        mMetrics.Observe("first_token",
+                         tenant,
+                         profile.mClass,
+                         MicrosBetween(context.mArrived, mClock.Now()));
+      }
+      withdrawn = !mKeys.StillGood(context.mCaller);
+      if (withdrawn || mClock.Now() > deadline) {
+        return false;
+      }
+      aSoFar.mTokens.push_back(aToken);
+      return aOnToken(aToken);
+    });
+    PlaceReturn back;
+    back.mPlace = grant.mPlace;
+    back.mTokens = static_cast<double>(aSoFar.mTokens.size());
+    back.mGone = result.mEnd == GenerateEnd::Gone;
+    back.mFailed = result.mEnd == GenerateEnd::NotOffered ||
+                   result.mEnd == GenerateEnd::Broken;
+    Return(owner, back);
+    if (result.mEnd == GenerateEnd::Complete) {
+      aSoFar.mFinish = result.mReason;
+      mMetrics.Observe("whole",
+                       tenant,
+                       profile.mClass,
+                       MicrosBetween(context.mArrived, mClock.Now()));
+      return aSoFar;
+    }
+    if (withdrawn) {
+      Failure failure = FailureOf(ErrorKind::KeyUnknown, "withdrawn meanwhile");
+      failure.mRun = RunState::MayHaveRun;
+      return Fail(failure);
+    }
+    LogInfo("generation_broken",
+            { { "request", context.mId },
+              { "endpoint", grant.mEndpoint },
+              { "reason", result.mReason } });
+    if (result.mEnd == GenerateEnd::Stopped) {
+      return Fail(ErrorKind::EndpointFailed, "stopped");
+    }
+    if (result.mEnd == GenerateEnd::Broken) {
+      offered = true;
+      last = FailureOf(ErrorKind::EndpointFailed, result.mReason);
+      if (!profile.mRepeatable) {
+        break;
+      }
+    }
+  }
+  return Fail(last);
+}
+
+void
+ModelCalls::AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("model.acquire", [this](const Json::Value& aParams) {
+    auto answer =
+      Outcome([&] { return mOwner.Acquire(PlaceRequestParse(aParams)); });
+    if (auto* failure = std::get_if<Failure>(&answer)) {
+      Json::Value json;
+      json["kind"] = ErrorAnswerOf(failure->mKind).mName;
+      json["detail"] = failure->mDetail;
+      json["retry"] = Json::Int64(failure->mRetryAfter.count());
+      return json;
+    }
+    return PlaceGrantJson(std::get<PlaceGrant>(answer));
+  });
+  aAdd("model.return", [this](const Json::Value& aParams) {
+    mOwner.Return(PlaceReturnParse(aParams));
+    return Json::Value(Json::objectValue);
+  });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/ModelCalls.h
@@ -0,0 +1,85 @@
+// ModelCalls.h: from a profile to tokens.
+#ifndef caraway_serve_ModelCalls_h
+#define caraway_serve_ModelCalls_h
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/Metrics.h"
+#include "caraway/Clock.h"
+#include "own/ModelOwner.h"
+#include "peer/Members.h"
+#include "peer/PeerClient.h"
+#include "peer/PeerRpc.h"
+#include "serve/Authenticator.h"
+#include "serve/EngineStream.h"
+#include "serve/RequestContext.h"
+#include "serve/RetryBudget.h"
+#include "share/ShareClient.h"
+
+namespace caraway {
+
+struct ModelCall
+{
+  RequestContext mContext;
+  Json::Value mMessages;
+  int mMaxTokens = 0;
+};
+
+struct ModelAnswer
+{
+  std::string mFinish; // finish reason
+  std::vector<std::string> mTokens;
+  bool mCold = false;
+  double mPromptTokens = 0;
+};
+
+class ModelCalls
+{
+public:
+  ModelCalls(ModelOwner& aOwner,
+             Members& aMembers,
+             PeerClient& aPeers,
+             ShareClient& aShares,
+             Authenticator& aKeys,
+             Metrics& aMetrics,
+             const Clock& aClock);
+
+  // Blocks. aOnToken gets each token once and in order; false: the caller
+  // has gone. A stream that breaks is taken up elsewhere, after the tokens
+  // that were passed on; when that can't be, the failure says so and the
+  // answer is never passed off as whole.
+  Result<ModelAnswer> Run(
+    const ModelCall& aCall,
+    const std::function<bool(const std::string&)>& aOnToken);
+
+  void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
+
+private:
+  Result<ModelAnswer> Generate(
+    const ModelCall& aCall,
+    const std::function<bool(const std::string&)>& aOnToken,
+    ModelAnswer& aSoFar);
+  Result<PlaceGrant> Acquire(const PlaceRequest& aRequest,
+                             InstanceInfo& aOwner);
+  void Return(const InstanceInfo& aOwner, const PlaceReturn& aReturn);
+
+  ModelOwner& mOwner;
+  Members& mMembers;
+  PeerClient& mPeers;
+  ShareClient& mShares;
+  Authenticator& mKeys;
+  Metrics& mMetrics;
+  const Clock& mClock;
+  RetryBudget mRetries;
+};
+
+// What a request may cost at most: its prompt, by its bytes, and all the
+// tokens it may have generated.
+double
+ModelCallCost(const ModelCall& aCall);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/serve/Problem.cpp
@@ -0,0 +1,70 @@
+#include "serve/Problem.h"
+
+#include "base/JsonText.h"
+
+namespace caraway {
+
+namespace {
+
+using Poco::Net::HTTPResponse;
+
+void
+Send(Poco::Net::HTTPServerResponse& aResponse,
+     int aStatus,
+     const char* aType,
+     const Json::Value& aJson)
+{
+  std::string text = JsonWrite(aJson) + "\n";
+  aResponse.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(aStatus));
+  aResponse.setContentType(aType);
+  aResponse.sendBuffer(text.data(), text.size());
+}
+
+} // namespace
+
+Json::Value
+ProblemJson(const Failure& aFailure, const std::string& aRequestId)
+{
+  const ErrorAnswer& answer = ErrorAnswerOf(aFailure.mKind);
+  Json::Value json;
+  json["type"] = "urn:caraway:problem:" + std::string(answer.mName);
+  json["title"] = answer.mTitle;
+  json["status"] = answer.mStatus;
+  json["detail"] = aFailure.mDetail;
+  json["run"] = RunStateName(aFailure.mRun);
+  json["request_id"] = aRequestId;
+  if (aFailure.mRetryAfter > Millis(0)) {
+    json["retry_after_ms"] = Json::Int64(aFailure.mRetryAfter.count());
+  }
+  return json;
+}
+
+void
+ProblemSend(Poco::Net::HTTPServerResponse& aResponse,
+            const Failure& aFailure,
+            const std::string& aRequestId)
+{
+  if (aFailure.mRetryAfter > Millis(0)) {
+    // The header knows whole seconds only; never less than asked for.
+    int64_t seconds = (aFailure.mRetryAfter.count() + 999) / 1000;
+    aResponse.set("Retry-After", std::to_string(seconds));
+  }
+  if (ErrorAnswerOf(aFailure.mKind).mStatus == 401) {
+    aResponse.set("WWW-Authenticate", "Bearer");
+  }
+  aResponse.set("X-Request-Id", aRequestId);
+  Send(aResponse,
+       ErrorAnswerOf(aFailure.mKind).mStatus,
+       "application/problem+json",
+       ProblemJson(aFailure, aRequestId));
+}
+
+void
+JsonSend(Poco::Net::HTTPServerResponse& aResponse,
+         int aStatus,
+         const Json::Value& aJson)
+{
+  Send(aResponse, aStatus, "application/json", aJson);
+}
+
+} // namespace caraway
