--- /dev/null
+++ b/src/serve/ServiceCalls.cpp
@@ -0,0 +1,182 @@
+#include "serve/ServiceCalls.h"
+
+#include <algorithm>
+
+#include "base/Log.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr double kTokensPerCall = 1;
+constexpr Millis kSuspectFor{ 2000 };
+constexpr Millis kConnect{ 500 };
+constexpr Millis kLeast{ 1 };
+
+OrderAnswer
+AnswerOf(const HttpReply& aReply)
+{
+  OrderAnswer answer;
+  answer.mAnswer.mStatus = aReply.mStatus;
+  answer.mAnswer.mContentType = aReply.Header("content-type");
+  answer.mAnswer.mBody = aReply.mBody;
+  return answer;
+}
+
+} // namespace
+
+ServiceCalls::ServiceCalls(ClaimDriver& aClaims,
+                           ShareClient& aShares,
+                           std::string aZone,
+                           const Clock& aClock)
+  : mClaims(aClaims)
+  , mShares(aShares)
+  , mZone(std::move(aZone))
+  , mClock(aClock)
+{
+}
+
+std::vector<EndpointSpec>
+ServiceCalls::Endpoints(const RequestContext& aContext)
+{
+  std::vector<EndpointSpec> endpoints;
+  for (const auto& entry : aContext.mConfig->mEndpoints) {
+    if (entry.second.mKind == EndpointKind::Service &&
+        entry.second.mGroup == aContext.mProfile.mService) {
+      endpoints.push_back(entry.second);
+    }
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  if (!endpoints.empty()) {
+    size_t turn = mTurn++ % endpoints.size();
+    std::rotate(endpoints.begin(), endpoints.begin() + turn, endpoints.end());
+  }
+  TimePoint now = mClock.Now();
+  // Suspects go last and not away: when all are suspect, one is still tried.
+  std::stable_sort(
+    endpoints.begin(),
+    endpoints.end(),
+    [&](const EndpointSpec& aLeft, const EndpointSpec& aRight) {
+      auto rank = [&](const EndpointSpec& aEndpoint) {
+        auto suspect = mSuspect.find(aEndpoint.mName);
+        int rank = suspect != mSuspect.end() && now < suspect->second ? 2 : 0;
+        return rank + (aEndpoint.mZone == mZone ? 0 : 1);
+      };
+      return rank(aLeft) < rank(aRight);
+    });
+  return endpoints;
+}
+
+HttpReply
+ServiceCalls::Send(const ServiceCall& aCall,
+                   const EndpointSpec& aEndpoint,
+                   TimePoint aDeadline)
+{
+  HttpCall call;
+  call.mAddress = aEndpoint.mAddress;
+  call.mMethod = aCall.mMethod;
+  call.mPath = aCall.mPath;
+  call.mBody = aCall.mBody;
+  call.mConnectTimeout = kConnect;
+  call.mTimeout = std::max(
+    kLeast, std::chrono::duration_cast<Millis>(aDeadline - mClock.Now()));
+  call.mHeaders = { { "X-Request-Id", aCall.mContext.mId } };
+  if (!aCall.mContentType.empty()) {
+    call.mHeaders.emplace_back("Content-Type", aCall.mContentType);
+  }
+  HttpReply reply = HttpCallOnce(call);
+  if (reply.mStage != HttpStage::Answered) {
+    std::lock_guard<std::mutex> lock(mLock);
+    mSuspect[aEndpoint.mName] = mClock.Now() + kSuspectFor;
+  }
+  // An echo that names another request is another request's answer.
+  std::string echoed = reply.Header("x-request-id");
+  if (!echoed.empty() && echoed != aCall.mContext.mId) {
+    reply.mStage = HttpStage::Lost;
+    reply.mError = "an answer to another request";
+  }
+  return reply;
+}
+
+Result<OrderAnswer>
+ServiceCalls::RunOnce(const ServiceCall& aCall, TimePoint aDeadline)
+{
+  std::vector<EndpointSpec> endpoints = Endpoints(aCall.mContext);
+  size_t next = 0;
+  Order order;
+  order.mTenant = aCall.mContext.mCaller.mTenant;
+  order.mKey = aCall.mIdempotencyKey;
+  order.mContent = aCall.mContext.mProfile.mName + "\n" + aCall.mMethod + "\n" +
+                   aCall.mPath + "\n" + aCall.mBody;
+  order.mDeadline = aDeadline;
+  return mClaims.Run(order, [&] {
+    ClaimEvent event;
+    event.mKind = ClaimEventKind::NotOffered;
+    if (next >= endpoints.size()) {
+      return event;
+    }
+    HttpReply reply = Send(aCall, endpoints[next++], aDeadline);
+    event.mEndpointsLeft = next < endpoints.size();
+    if (reply.mStage == HttpStage::Lost) {
+      event.mKind = ClaimEventKind::AnswerLost;
+      LogWarn(
+        "order_outcome_unknown",
+        { { "request", aCall.mContext.mId }, { "reason", reply.mError } });
+    } else if (reply.mStage == HttpStage::Answered) {
+      event.mKind = ClaimEventKind::Answered;
+      event.mRecord.mAnswer = AnswerOf(reply).mAnswer;
+    }
+    return event;
+  });
+}
+
+Result<OrderAnswer>
+ServiceCalls::RunRepeatable(const ServiceCall& aCall, TimePoint aDeadline)
+{
+  Failure last = FailureOf(ErrorKind::NoEndpoint, "no endpoint in its group");
+  bool first = true;
+  for (const EndpointSpec& endpoint : Endpoints(aCall.mContext)) {
+    if (mClock.Now() >= aDeadline || (!first && !mRetries.Spend())) {
+      break;
+    }
+    first = false;
+    HttpReply reply = Send(aCall, endpoint, aDeadline);
+    if (reply.mStage == HttpStage::Answered) {
+      mRetries.Succeeded();
+      return AnswerOf(reply);
+    }
+    bool lost = reply.mStage == HttpStage::Lost;
+    // Once offered, it stays "may have run" whatever the next try does.
+    if (lost || last.mRun == RunState::NotRun) {
+      last = FailureOf(lost ? ErrorKind::EndpointFailed : ErrorKind::NoEndpoint,
+                       reply.mError);
+    }
+  }
+  return Fail(last);
+}
+
+Result<OrderAnswer>
+ServiceCalls::Run(const ServiceCall& aCall)
+{
+  const RequestContext& context = aCall.mContext;
+  const Profile& profile = context.mProfile;
+  if (!profile.mRepeatable && aCall.mIdempotencyKey.empty()) {
+    return Fail(ErrorKind::IdempotencyKeyMissing, profile.mName);
+  }
+  const Tenant& tenant = context.mConfig->mTenants.at(context.mCaller.mTenant);
+  BOOST_LEAF_AUTO(ticket, mShares.Take(tenant, kTokensPerCall));
+  TimePoint deadline = context.mArrived + profile.mAnswer;
+  auto answer = Outcome([&] {
+    return profile.mRepeatable ? RunRepeatable(aCall, deadline)
+                               : RunOnce(aCall, deadline);
+  });
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    if (failure->mRun == RunState::NotRun) {
+      mShares.Settle(ticket, 0);
+    }
+    return Fail(*failure);
+  }
+  return std::get<OrderAnswer>(std::move(answer));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/serve/ServiceCalls.h
@@ -0,0 +1,62 @@
+// ServiceCalls.h: calls to plain services, at most once where it matters.
+#ifndef caraway_serve_ServiceCalls_h
+#define caraway_serve_ServiceCalls_h
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "caraway/Clock.h"
+#include "net/HttpCall.h"
+#include "serve/ClaimDriver.h"
+#include "serve/RequestContext.h"
+#include "serve/RetryBudget.h"
+#include "share/ShareClient.h"
+
+namespace caraway {
+
+struct ServiceCall
+{
+  RequestContext mContext;
+  std::string mMethod;
+  std::string mPath; // at the service
+  std::string mContentType;
+  std::string mBody;
+  std::string mIdempotencyKey; // needed when the profile isn't repeatable
+};
+
+class ServiceCalls
+{
+public:
+  ServiceCalls(ClaimDriver& aClaims,
+               ShareClient& aShares,
+               std::string aZone,
+               const Clock& aClock);
+
+  Result<OrderAnswer> Run(const ServiceCall& aCall);
+
+private:
+  Result<OrderAnswer> RunOnce(const ServiceCall& aCall, TimePoint aDeadline);
+  Result<OrderAnswer> RunRepeatable(const ServiceCall& aCall,
+                                    TimePoint aDeadline);
+  // The group's endpoints: those of our zone first, and those that lately
+  // failed to answer last.
+  std::vector<EndpointSpec> Endpoints(const RequestContext& aContext);
+  HttpReply Send(const ServiceCall& aCall,
+                 const EndpointSpec& aEndpoint,
+                 TimePoint aDeadline);
+
+  ClaimDriver& mClaims;
+  ShareClient& mShares;
+  std::string mZone;
+  const Clock& mClock;
+  RetryBudget mRetries;
+  std::mutex mLock;
+  size_t mTurn = 0;
+  std::map<std::string, TimePoint> mSuspect; // endpoint: until
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/share/ShareClient.cpp
@@ -0,0 +1,270 @@
+#include "share/ShareClient.h"
+
+#include <algorithm>
+
+#include "share/ShareCodec.h"
+
+namespace caraway {
+
+namespace {
+
+// A silent holder isn't asked again for so long: every request short of
+// tokens would otherwise wait for it.
+constexpr Millis kShunFor{ 1000 };
+constexpr Millis kRereadTable{ 2000 };
+constexpr Millis kTableTime{ 200 };
+constexpr Millis kLeastRetry{ 50 };
+// Differences of sums of doubles are not zero to the last bit.
+constexpr double kNoTokens = 1e-6;
+
+std::string
+AddressOf(const std::string& aIncarnation)
+{
+  return aIncarnation.substr(aIncarnation.find('@') + 1);
+}
+
+} // namespace
+
+ShareClient::ShareClient(ShareSettings aSettings,
+                         std::vector<std::string> aZones,
+                         ShareKeeper& aKeeper,
+                         PeerClient& aPeers,
+                         Members& aMembers,
+                         const Clock& aClock)
+  : mSettings(std::move(aSettings))
+  , mZones(std::move(aZones))
+  , mKeeper(aKeeper)
+  , mPeers(aPeers)
+  , mMembers(aMembers)
+  , mClock(aClock)
+{
+  auto own = std::find(mZones.begin(), mZones.end(), mSettings.mZone);
+  if (own != mZones.end()) {
+    std::rotate(mZones.begin(), own, own + 1);
+  }
+}
+
+bool
+ShareClient::Shunned(const std::string& aIncarnation)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  auto found = mShunned.find(aIncarnation);
+  return found != mShunned.end() && mClock.Now() < found->second;
+}
+
+void
+ShareClient::Shun(const std::string& aIncarnation)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mShunned[aIncarnation] = mClock.Now() + kShunFor;
+}
+
+// Another zone's table, from any of its instances; from the platform if none
+// answers. Wrong tables cost a question: only the holder itself grants.
+void
+ShareClient::LearnTable(const std::string& aZone)
+{
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    TimePoint& read = mRead[aZone];
+    if (read != TimePoint{} && mClock.Now() - read < kRereadTable) {
+      return;
+    }
+    read = mClock.Now();
+  }
+  for (const InstanceInfo& peer : mMembers.Fit(aZone)) {
+    auto answer = Outcome([&] {
+      return mPeers.Call(peer.mPeerAddress,
+                         "share.table",
+                         Json::Value(Json::objectValue),
+                         kTableTime);
+    });
+    if (auto* json = std::get_if<Json::Value>(&answer)) {
+      Learn(aZone, *json);
+      return;
+    }
+    mMembers.Silent(peer.mPeerAddress);
+  }
+}
+
+void
+ShareClient::Learn(const std::string& aZone, const Json::Value& aShown)
+{
+  int64_t version = aShown["version"].asInt64();
+  if (aZone == mSettings.mZone) {
+    mKeeper.Learn(aShown["table"], version);
+    return;
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  KnownTable& known = mTables[aZone];
+  if (version > known.mVersion) {
+    known = { ShareTableParse(aShown["table"]), version };
+  }
+}
+
+std::string
+ShareClient::HolderIn(const std::string& aZone, const std::string& aTenant)
+{
+  if (aZone == mSettings.mZone) {
+    return mKeeper.HolderOf(aTenant);
+  }
+  for (int i = 0; i < 2; ++i) {
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      auto table = mTables.find(aZone);
+      if (table != mTables.end()) {
+        return table->second.mTable.mSlots[ShareSlotOf(aTenant)].mHolder;
+      }
+    }
+    if (i == 0) {
+      LearnTable(aZone);
+    }
+  }
+  return "";
+}
+
+ShareClient::Ask
+ShareClient::AskZone(const std::string& aZone,
+                     const std::string& aTenant,
+                     double aTokens)
+{
+  Ask ask;
+  // Twice: a holder that has handed its slot on shows us to whom.
+  for (int i = 0; i < 2; ++i) {
+    if (AskHolder(aZone, aTenant, aTokens, ask)) {
+      break;
+    }
+  }
+  return ask;
+}
+
+bool
+ShareClient::AskHolder(const std::string& aZone,
+                       const std::string& aTenant,
+                       double aTokens,
+                       Ask& aAsk)
+{
+  if (aZone == mSettings.mZone) {
+    if (auto taken = mKeeper.Take(aTenant, aTokens)) {
+      ++mCounts.mLocal;
+      aAsk = { true, taken->mGrant, taken->mRetryAfter };
+      return true;
+    }
+  }
+  std::string holder = HolderIn(aZone, aTenant);
+  if (holder.empty() || Shunned(holder)) {
+    return true;
+  }
+  ++mCounts.mAsks;
+  Json::Value params;
+  params["tenant"] = aTenant;
+  params["tokens"] = aTokens;
+  std::string address = AddressOf(holder);
+  auto answer = Outcome([&] {
+    return mPeers.Call(address, "share.take", params, mSettings.mAskTime);
+  });
+  auto* json = std::get_if<Json::Value>(&answer);
+  if (!json) {
+    Shun(holder);
+    return true;
+  }
+  if (!(*json)["holder"].asBool()) {
+    Learn(aZone, (*json)["now"]);
+    return HolderIn(aZone, aTenant) == holder;
+  }
+  aAsk.mAnswered = true;
+  aAsk.mGrant.mAddress = address;
+  aAsk.mGrant.mHolder = (*json)["self"].asString();
+  aAsk.mGrant.mTokens = (*json)["tokens"].asDouble();
+  aAsk.mGrant.mTakenAt = (*json)["at"].asInt64();
+  aAsk.mRetryAfter = Millis((*json)["retry"].asInt64());
+  return true;
+}
+
+Result<ShareTicket>
+ShareClient::Take(const Tenant& aTenant, double aTokens)
+{
+  ++mCounts.mTakes;
+  double most =
+    ShareBurstPart(aTenant, mSettings) * static_cast<double>(mSettings.mZones);
+  if (aTokens > most) {
+    return Fail(ErrorKind::CostAboveBurst,
+                "it costs " + std::to_string(aTokens) + " tokens; " +
+                  std::to_string(most) + " are let in at once at most");
+  }
+  TimePoint begun = mClock.Now();
+  ShareTicket ticket;
+  ticket.mTenant = aTenant.mName;
+  double missing = aTokens;
+  bool anyHolder = false;
+  for (const std::string& zone : mZones) {
+    if (missing <= kNoTokens) {
+      break;
+    }
+    if (mClock.Now() - begun > mSettings.mGrantLife / 2) {
+      break; // the next answer may come too late for what is here already
+    }
+    Ask ask = AskZone(zone, aTenant.mName, missing);
+    anyHolder = anyHolder || ask.mAnswered;
+    if (ask.mGrant.mTokens > 0) {
+      missing -= ask.mGrant.mTokens;
+      ticket.mGrants.push_back(ask.mGrant);
+    }
+  }
+  // Debited no earlier than we began to ask; let in no later than this.
+  bool inTime = mClock.Now() - begun <= mSettings.mGrantLife;
+  if (missing <= kNoTokens && inTime) {
+    if (ticket.mGrants.size() > 1) {
+      ++mCounts.mBorrowed;
+    }
+    return ticket;
+  }
+  Settle(ticket, 0);
+  if (missing <= kNoTokens) {
+    ++mCounts.mLapsed;
+    return Fail(ErrorKind::RateUnavailable, "the shares answered too slowly");
+  }
+  if (!anyHolder) {
+    return Fail(ErrorKind::RateUnavailable, "no holder of the share answers");
+  }
+  Failure failure = FailureOf(ErrorKind::RateExceeded,
+                              "tenant " + aTenant.mName + " is over its rate");
+  if (aTenant.mRate > 0) {
+    Millis retry(static_cast<int64_t>(missing / aTenant.mRate * 1000));
+    failure.mRetryAfter = std::max(kLeastRetry, retry);
+  }
+  return Fail(failure);
+}
+
+void
+ShareClient::Settle(const ShareTicket& aTicket, double aUsed)
+{
+  double used = aUsed;
+  for (const ShareGrant& grant : aTicket.mGrants) {
+    double here = std::min(used, grant.mTokens);
+    used -= here;
+    ShareGrant back = grant;
+    back.mTokens = grant.mTokens - here;
+    if (back.mTokens <= kNoTokens) {
+      continue;
+    }
+    if (back.mAddress.empty()) {
+      mKeeper.GiveBack(aTicket.mTenant, back);
+      continue;
+    }
+    Json::Value params;
+    params["tenant"] = aTicket.mTenant;
+    params["holder"] = back.mHolder;
+    params["tokens"] = back.mTokens;
+    params["at"] = Json::Int64(back.mTakenAt);
+    // Once: a refund that arrived twice would be tokens out of nothing. One
+    // that is lost is tokens lost.
+    constexpr bool kResend = false;
+    Outcome([&] {
+      return mPeers.Call(
+        back.mAddress, "share.give", params, mSettings.mAskTime, kResend);
+    });
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/share/ShareCodec.cpp
@@ -0,0 +1,68 @@
+#include "share/ShareCodec.h"
+
+namespace caraway {
+
+ShareTable
+ShareTableParse(const Json::Value& aJson)
+{
+  ShareTable table;
+  table.mSerial = aJson["serial"].asInt64();
+  const Json::Value& members = aJson["members"];
+  for (const std::string& id : members.getMemberNames()) {
+    const Json::Value& entry = members[id];
+    ShareMember member;
+    member.mAddress = entry["address"].asString();
+    member.mJoined = entry["joined"].asInt64();
+    member.mSeen = entry["seen"].asInt64();
+    member.mKnows = entry["knows"].asInt64();
+    member.mSuspectedBy = entry["suspected_by"].asString();
+    table.mMembers[id] = member;
+  }
+  const Json::Value& slots = aJson["slots"];
+  for (Json::ArrayIndex i = 0; i < slots.size() && i < kShareSlots; ++i) {
+    ShareSlot& slot = table.mSlots[i];
+    slot.mHolder = slots[i]["holder"].asString();
+    slot.mFresh = slots[i]["fresh"].asBool();
+    const Json::Value& levels = slots[i]["levels"];
+    if (levels.isObject()) {
+      for (const std::string& tenant : levels.getMemberNames()) {
+        slot.mLevels[tenant] = levels[tenant].asDouble();
+      }
+    }
+  }
+  return table;
+}
+
+Json::Value
+ShareTableJson(const ShareTable& aTable)
+{
+  Json::Value json;
+  json["serial"] = Json::Int64(aTable.mSerial);
+  json["members"] = Json::Value(Json::objectValue);
+  for (const auto& entry : aTable.mMembers) {
+    Json::Value member;
+    member["address"] = entry.second.mAddress;
+    member["joined"] = Json::Int64(entry.second.mJoined);
+    member["seen"] = Json::Int64(entry.second.mSeen);
+    member["knows"] = Json::Int64(entry.second.mKnows);
+    if (!entry.second.mSuspectedBy.empty()) {
+      member["suspected_by"] = entry.second.mSuspectedBy;
+    }
+    json["members"][entry.first] = member;
+  }
+  json["slots"] = Json::Value(Json::arrayValue);
+  for (const ShareSlot& entry : aTable.mSlots) {
+    Json::Value slot(Json::objectValue);
+    slot["holder"] = entry.mHolder;
+    if (entry.mFresh) {
+      slot["fresh"] = true;
+    }
+    for (const auto& level : entry.mLevels) {
+      slot["levels"][level.first] = level.second;
+    }
+    json["slots"].append(slot);
+  }
+  return json;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/share/ShareKeeper.cpp
@@ -0,0 +1,495 @@
+#include "share/ShareKeeper.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "base/Log.h"
+#include "base/RandomId.h"
+#include "share/ShareCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kKind = "shares";
+constexpr int kTries = 4;
+constexpr Millis kPeerTime{ 3000 };
+constexpr Millis kPokeTime{ 500 };
+
+// incarnation = id.random@address
+std::string
+AddressOf(const std::string& aIncarnation)
+{
+  return aIncarnation.substr(aIncarnation.find('@') + 1);
+}
+
+int64_t
+Nanos(TimePoint aTime)
+{
+  return std::chrono::nanoseconds(aTime.time_since_epoch()).count();
+}
+
+} // namespace
+
+double
+ShareBurstPart(const Tenant& aTenant, const ShareSettings& aSettings)
+{
+  double life = std::chrono::duration<double>(aSettings.mGrantLife).count();
+  double burst = aTenant.mBurst - aTenant.mRate * life;
+  return std::max(0.0, burst) / aSettings.mZones;
+}
+
+ShareKeeper::ShareKeeper(ShareSettings aSettings,
+                         std::string aSelf,
+                         std::string aAddress,
+                         PlatformApi& aPlatform,
+                         PeerClient& aPeers,
+                         Members& aMembers,
+                         ConfigHolder& aConfig,
+                         const Clock& aClock)
+  : mSettings(std::move(aSettings))
+  , mSelf(std::move(aSelf))
+  , mPlatform(aPlatform)
+  , mPeers(aPeers)
+  , mMembers(aMembers)
+  , mConfig(aConfig)
+  , mClock(aClock)
+{
+  mLease.mTerms = mSettings.mTerms;
+  mLease.mSelf = mSelf;
+  mLease.mAddress = std::move(aAddress);
+}
+
+std::optional<ShareKeeper::Taken>
+ShareKeeper::Take(const std::string& aTenant, double aTokens)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  TimePoint now = mClock.Now();
+  // Asked with the time of this very moment: a holder that was frozen finds
+  // here that its right has lapsed.
+  if (!ShareLeaseMaySpend(mLease, ShareSlotOf(aTenant), now)) {
+    return std::nullopt;
+  }
+  SyncBuckets();
+  auto bucket = mBuckets.find(aTenant);
+  if (bucket == mBuckets.end()) {
+    return std::nullopt;
+  }
+  double there = std::max(0.0, std::min(aTokens, bucket->second.Level(now)));
+  Taken taken;
+  taken.mRetryAfter = bucket->second.Until(aTokens, now);
+  if (there > 0 && bucket->second.Take(there, now)) {
+    taken.mGrant.mTokens = there;
+  }
+  taken.mGrant.mHolder = mSelf;
+  taken.mGrant.mTakenAt = Nanos(now);
+  return taken;
+}
+
+void
+ShareKeeper::GiveBack(const std::string& aTenant, const ShareGrant& aGrant)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  auto bucket = mBuckets.find(aTenant);
+  if (aGrant.mHolder != mSelf || bucket == mBuckets.end()) {
+    return;
+  }
+  TimePoint takenAt = TimePoint(std::chrono::duration_cast<TimePoint::duration>(
+    std::chrono::nanoseconds(aGrant.mTakenAt)));
+  bucket->second.GiveBack(aGrant.mTokens, takenAt, mClock.Now());
+}
+
+std::string
+ShareKeeper::HolderOf(const std::string& aTenant) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mLease.mTable.mSlots[ShareSlotOf(aTenant)].mHolder;
+}
+
+ShareTable
+ShareKeeper::Table() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mLease.mTable;
+}
+
+int
+ShareKeeper::SlotsHeld() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  int held = 0;
+  for (int i = 0; i < kShareSlots; ++i) {
+    held += ShareLeaseMaySpend(mLease, i, mClock.Now()) ? 1 : 0;
+  }
+  return held;
+}
+
+// Buckets follow the slots we hold and the tenants of the configuration. A
+// new bucket begins empty, but for a slot whose last holder left gracefully
+// and said what was left, or that nobody has ever held.
+void
+ShareKeeper::SyncBuckets()
+{
+  std::set<int> slots;
+  for (int i = 0; i < kShareSlots; ++i) {
+    if (mLease.mTable.mSlots[i].mHolder == mSelf) {
+      slots.insert(i);
+    }
+  }
+  ConfigPtr config = mConfig.Current();
+  if (slots == mSlots && config->mRevision == mBucketsRevision) {
+    return;
+  }
+  TimePoint now = mClock.Now();
+  std::map<std::string, TokenBucket> next;
+  for (const auto& entry : config->mTenants) {
+    const Tenant& tenant = entry.second;
+    int slot = ShareSlotOf(tenant.mName);
+    if (!slots.count(slot)) {
+      continue;
+    }
+    double rate = tenant.mRate / mSettings.mZones;
+    double burst = ShareBurstPart(tenant, mSettings);
+    auto known = mBuckets.find(tenant.mName);
+    if (known != mBuckets.end() && mSlots.count(slot)) {
+      known->second.Resize(rate, burst, now);
+      next.emplace(tenant.mName, known->second);
+      continue;
+    }
+    TokenBucket bucket(rate, burst, now);
+    const ShareSlot& taken = mLease.mTable.mSlots[slot];
+    auto level = taken.mLevels.find(tenant.mName);
+    if (taken.mFresh) {
+      bucket.Fill(burst, now);
+    } else if (level != taken.mLevels.end() && !mSlots.count(slot)) {
+      bucket.Fill(level->second, now);
+    }
+    next.emplace(tenant.mName, bucket);
+  }
+  mBuckets = std::move(next);
+  mSlots = std::move(slots);
+  mBucketsRevision = config->mRevision;
+}
+
+void
+ShareKeeper::Round()
+{
+  if (mConfig.Current()->mRevision == 0) {
+    return;
+  }
+  InstanceInfo renewer = mMembers.Owner("shares/" + mSettings.mZone);
+  bool renewed = renewer.mId != mMembers.Self().mId && RenewByPeer(renewer);
+  if (!renewed) {
+    renewed = RenewTogether();
+  }
+  if (!renewed) {
+    AskPromises();
+  }
+  ReleaseExcess(false);
+  std::lock_guard<std::mutex> lock(mLock);
+  SyncBuckets();
+}
+
+// Our own renewal, and with it that of all who asked meanwhile.
+bool
+ShareKeeper::RenewTogether()
+{
+  std::lock_guard<std::mutex> write(mWriteLock);
+  std::map<std::string, int64_t> also;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    also.swap(mAsked);
+  }
+  mLastWrite = RenewByWrite(also);
+  return mLastWrite;
+}
+
+bool
+ShareKeeper::RenewByWrite(const std::map<std::string, int64_t>& aAlso)
+{
+  for (int i = 0; i < kTries; ++i) {
+    TimePoint begun = mClock.Now();
+    ShareTable table;
+    int64_t version = 0;
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      table = ShareLeasePropose(mLease, aAlso, begun);
+      version = mLease.mVersion;
+    }
+    WriteResult result = mPlatform.Write(
+      { kKind, mSettings.mZone, version, RandomId(), ShareTableJson(table) });
+    std::lock_guard<std::mutex> lock(mLock);
+    TimePoint now = mClock.Now();
+    if (result.mEnd == WriteEnd::Done) {
+      ShareLeaseRenewed(mLease, table, result.mObject.mVersion, begun, now);
+      SyncBuckets();
+      return true;
+    }
+    if (result.mEnd != WriteEnd::Conflict) {
+      return false;
+    }
+    ShareLeaseLearn(mLease,
+                    ShareTableParse(result.mObject.mValue),
+                    result.mObject.mVersion,
+                    now);
+  }
+  return false;
+}
+
+// One instance writes for all that ask it, so that renewals cost the platform
+// one write per zone and round and not one per instance.
+bool
+ShareKeeper::RenewByPeer(const InstanceInfo& aRenewer)
+{
+  Json::Value params;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    if (!mLease.mTable.mMembers.count(mSelf)) {
+      return false; // join by ourselves
+    }
+    params["member"] = mSelf;
+    params["knows"] = Json::Int64(mLease.mTable.mSerial);
+  }
+  TimePoint begun = mClock.Now();
+  auto answer = Outcome([&] {
+    return mPeers.Call(aRenewer.mPeerAddress, "share.renew", params, kPeerTime);
+  });
+  auto* json = std::get_if<Json::Value>(&answer);
+  if (!json) {
+    mMembers.Silent(aRenewer.mPeerAddress);
+    return false;
+  }
+  if (!(*json)["renewed"].asBool()) {
+    return false;
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  ShareTable table = ShareTableParse((*json)["table"]);
+  ShareLeaseRenewed(
+    mLease, table, (*json)["version"].asInt64(), begun, mClock.Now());
+  SyncBuckets();
+  return mLease.mRenewed >= begun;
+}
+
+// The first to ask waits a moment for others; those that ask meanwhile find
+// on their turn that the write has taken them along.
+Json::Value
+ShareKeeper::OnRenew(const Json::Value& aParams)
+{
+  std::string member = aParams["member"].asString();
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mAsked[member] = aParams["knows"].asInt64();
+  }
+  Json::Value answer;
+  {
+    std::lock_guard<std::mutex> write(mWriteLock);
+    std::map<std::string, int64_t> also;
+    bool waiting = false;
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      waiting = mAsked.count(member) != 0;
+    }
+    if (waiting) {
+      std::this_thread::sleep_for(mSettings.mGather);
+      std::lock_guard<std::mutex> lock(mLock);
+      also.swap(mAsked);
+    }
+    if (waiting) {
+      mLastWrite = RenewByWrite(also);
+    }
+    answer["renewed"] = mLastWrite;
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  answer["table"] = ShareTableJson(mLease.mTable);
+  answer["version"] = Json::Int64(mLease.mVersion);
+  return answer;
+}
+
+void
+ShareKeeper::AskPromises()
+{
+  TimePoint begun = mClock.Now();
+  std::vector<std::string> members;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    if (!mLease.mTable.mMembers.count(mSelf)) {
+      return;
+    }
+    members = ShareLeaseAsk(mLease);
+  }
+  for (const std::string& member : members) {
+    Json::Value params;
+    params["member"] = mSelf;
+    params["of"] = member;
+    auto answer = Outcome([&] {
+      return mPeers.Call(AddressOf(member), "share.promise", params, kPeerTime);
+    });
+    auto* json = std::get_if<Json::Value>(&answer);
+    if (!json || !(*json)["promised"].asBool()) {
+      LogInfo("share_promise_missing", { { "member", member } });
+      return;
+    }
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  ShareLeasePromised(mLease, begun);
+}
+
+Json::Value
+ShareKeeper::OnPromise(const Json::Value& aParams)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  bool ours = aParams["of"].asString() == mSelf;
+  Json::Value answer;
+  answer["promised"] =
+    ours &&
+    ShareLeasePromise(mLease, aParams["member"].asString(), mClock.Now());
+  return answer;
+}
+
+void
+ShareKeeper::ReleaseExcess(bool aLeaving)
+{
+  std::lock_guard<std::mutex> write(mWriteLock);
+  ShareTable table;
+  int64_t version = 0;
+  std::set<int> excess;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    excess = ShareLeaseExcess(mLease, aLeaving);
+    if (excess.empty() && !aLeaving) {
+      return;
+    }
+    // Stopped spending first; what is left then can't change any more.
+    SyncBuckets();
+    std::map<int, std::map<std::string, double>> levels;
+    for (int slot : excess) {
+      mLease.mClosed.insert(slot);
+      levels[slot];
+    }
+    for (const auto& bucket : mBuckets) {
+      int slot = ShareSlotOf(bucket.first);
+      if (excess.count(slot)) {
+        levels[slot][bucket.first] =
+          std::max(0.0, bucket.second.Level(mClock.Now()));
+      }
+    }
+    table = ShareLeaseRelease(mLease, levels, aLeaving);
+    version = mLease.mVersion;
+  }
+  WriteResult result = mPlatform.Write(
+    { kKind, mSettings.mZone, version, RandomId(), ShareTableJson(table) });
+  std::unique_lock<std::mutex> lock(mLock);
+  if (result.mEnd == WriteEnd::Done) {
+    ShareLeaseLearn(mLease, table, result.mObject.mVersion, mClock.Now());
+  } else if (result.mEnd == WriteEnd::Conflict) {
+    ShareLeaseLearn(mLease,
+                    ShareTableParse(result.mObject.mValue),
+                    result.mObject.mVersion,
+                    mClock.Now());
+  }
+  lock.unlock();
+  if (result.mEnd == WriteEnd::Done) {
+    PokeHolders(excess);
+  }
+}
+
+// Those we handed slots to would find out at their next renewal, seconds
+// later, and until then nobody could spend them.
+void
+ShareKeeper::PokeHolders(const std::set<int>& aSlots)
+{
+  std::set<std::string> holders;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    for (int slot : aSlots) {
+      holders.insert(mLease.mTable.mSlots[slot].mHolder);
+    }
+  }
+  holders.erase("");
+  holders.erase(mSelf);
+  for (const std::string& holder : holders) {
+    Outcome([&] {
+      return mPeers.Call(
+        AddressOf(holder), "share.poke", TableJson(), kPokeTime);
+    });
+  }
+}
+
+Json::Value
+ShareKeeper::TableJson() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  Json::Value json;
+  json["table"] = ShareTableJson(mLease.mTable);
+  json["version"] = Json::Int64(mLease.mVersion);
+  return json;
+}
+
+void
+ShareKeeper::Learn(const Json::Value& aTable, int64_t aVersion)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  ShareLeaseLearn(mLease, ShareTableParse(aTable), aVersion, mClock.Now());
+}
+
+void
+ShareKeeper::Leave()
+{
+  for (int i = 0; i < kTries; ++i) {
+    ReleaseExcess(true);
+    std::lock_guard<std::mutex> lock(mLock);
+    if (!mLease.mTable.mMembers.count(mSelf)) {
+      return;
+    }
+  }
+}
+
+Json::Value
+ShareKeeper::OnTake(const Json::Value& aParams)
+{
+  auto taken = Take(aParams["tenant"].asString(), aParams["tokens"].asDouble());
+  Json::Value answer;
+  answer["holder"] = taken.has_value();
+  if (taken) {
+    answer["tokens"] = taken->mGrant.mTokens;
+    answer["at"] = Json::Int64(taken->mGrant.mTakenAt);
+    answer["self"] = mSelf;
+    answer["retry"] = Json::Int64(taken->mRetryAfter.count());
+  } else {
+    // Whoever asks the wrong one is shown the right one.
+    answer["now"] = TableJson();
+  }
+  return answer;
+}
+
+Json::Value
+ShareKeeper::OnGive(const Json::Value& aParams)
+{
+  ShareGrant grant;
+  grant.mHolder = aParams["holder"].asString();
+  grant.mTokens = aParams["tokens"].asDouble();
+  grant.mTakenAt = aParams["at"].asInt64();
+  GiveBack(aParams["tenant"].asString(), grant);
+  return Json::Value(Json::objectValue);
+}
+
+void
+ShareKeeper::AddMethods(
+  const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("share.renew", [this](const auto& aParams) { return OnRenew(aParams); });
+  aAdd("share.table", [this](const auto&) { return TableJson(); });
+  aAdd("share.poke", [this](const auto& aParams) {
+    Learn(aParams["table"], aParams["version"].asInt64());
+    if (mPoke) {
+      mPoke();
+    }
+    return Json::Value(Json::objectValue);
+  });
+  aAdd("share.promise",
+       [this](const auto& aParams) { return OnPromise(aParams); });
+  aAdd("share.take", [this](const auto& aParams) { return OnTake(aParams); });
+  aAdd("share.give", [this](const auto& aParams) { return OnGive(aParams); });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/share/ShareKeeper.h
@@ -0,0 +1,114 @@
+// ShareKeeper.h: this instance's part of its zone's shares.
+#ifndef caraway_share_ShareKeeper_h
+#define caraway_share_ShareKeeper_h
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "caraway/Clock.h"
+#include "decide/ShareLease.h"
+#include "decide/TokenBucket.h"
+#include "peer/Members.h"
+#include "peer/PeerClient.h"
+#include "peer/PeerRpc.h"
+#include "platform/ConfigHolder.h"
+#include "platform/PlatformApi.h"
+#include "share/ShareGrant.h"
+
+namespace caraway {
+
+struct ShareSettings
+{
+  std::string mZone;
+  int mZones = 1; // the fleet's zones: one part each
+  ShareLeaseTerms mTerms;
+  Millis mGrantLife{ 100 }; // from asking to being let in, at most
+  Millis mAskTime{ 40 };    // one question to a holder
+  Millis mGather{ 300 };    // renewals that one write waits for
+};
+
+// Tokens a tenant may burst to at one holder. What is granted may be spent a
+// grant's life later than it was debited, which stretches a burst by the rate
+// over that time; so that much is taken off beforehand.
+double
+ShareBurstPart(const Tenant& aTenant, const ShareSettings& aSettings);
+
+class ShareKeeper
+{
+public:
+  ShareKeeper(ShareSettings aSettings,
+              std::string aSelf,
+              std::string aAddress,
+              PlatformApi& aPlatform,
+              PeerClient& aPeers,
+              Members& aMembers,
+              ConfigHolder& aConfig,
+              const Clock& aClock);
+
+  // Up to aTokens of the tenant's share, if this instance may spend it; less
+  // when there is less. Nothing: not the holder, or its right has lapsed.
+  struct Taken
+  {
+    ShareGrant mGrant;
+    Millis mRetryAfter{ 0 }; // until aTokens would be here; < 0 = never
+  };
+  std::optional<Taken> Take(const std::string& aTenant, double aTokens);
+  void GiveBack(const std::string& aTenant, const ShareGrant& aGrant);
+
+  // Holder of the tenant's share in our zone; "" = nobody.
+  std::string HolderOf(const std::string& aTenant) const;
+  // Another instance showed us our zone's table.
+  void Learn(const Json::Value& aTable, int64_t aVersion);
+  // Called when slots were handed to us: a round should follow soon.
+  void OnPoke(std::function<void()> aPoke) { mPoke = std::move(aPoke); }
+  ShareTable Table() const;
+  int SlotsHeld() const;
+
+  // Renews, by the instance that renews for the zone or by ourselves.
+  void Round();
+  // Gives all slots back with what is left in them. For a graceful end.
+  void Leave();
+
+  void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
+
+private:
+  bool RenewTogether();
+  bool RenewByWrite(const std::map<std::string, int64_t>& aAlso);
+  bool RenewByPeer(const InstanceInfo& aRenewer);
+  void AskPromises();
+  void ReleaseExcess(bool aLeaving);
+  void PokeHolders(const std::set<int>& aSlots);
+  Json::Value TableJson() const;
+  void SyncBuckets();
+  Json::Value OnRenew(const Json::Value& aParams);
+  Json::Value OnPromise(const Json::Value& aParams);
+  Json::Value OnTake(const Json::Value& aParams);
+  Json::Value OnGive(const Json::Value& aParams);
+
+  ShareSettings mSettings;
+  std::string mSelf;
+  PlatformApi& mPlatform;
+  PeerClient& mPeers;
+  Members& mMembers;
+  ConfigHolder& mConfig;
+  const Clock& mClock;
+
+  mutable std::mutex mLock; // lease and buckets: one is nothing without other
+  ShareLease mLease;
+  std::map<std::string, TokenBucket> mBuckets; // by tenant, of our slots
+  std::set<int> mSlots;                        // that mBuckets were made for
+  int64_t mBucketsRevision = -1;
+
+  std::function<void()> mPoke;
+  std::mutex mWriteLock; // one conditional write of ours at a time
+  std::map<std::string, int64_t> mAsked; // renewals for the next write
+  bool mLastWrite = false;               // how the last write for askers ended
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/tests/process/WholePathTest.cpp
@@ -0,0 +1,31 @@
+#include <gtest/gtest.h>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+TEST(WholePath, NoEndpointSeesTheKeyAndListsAreTheTenants)
+{
+  Fleet fleet({});
+  std::string key = fleet.mKeys["acme"];
+  EXPECT_TRUE(fleet.OrderCall(0, key, "k1", "body").Ok());
+  HttpReply seen =
+    fleet.Call(fleet.mServices[0]->Address(), "GET", "/executions");
+  EXPECT_FALSE(JsonParseOrEmpty(seen.mBody)["saw_key"].asBool());
+  fleet.Configure([](Json::Value& aConfig) {
+    for (Json::Value& profile : aConfig["profiles"]) {
+      if (profile["name"] == "notice") {
+        profile["tenant"] = "globex";
+      }
+    }
+  });
+  ASSERT_TRUE(fleet.AwaitRevision(2, Seconds(9)));
+  std::string caller = fleet.mInstances[1]->Address("caller");
+  HttpReply list = fleet.Call(caller, "GET", "/v1/models", {}, key);
+  EXPECT_EQ(list.mBody.find("notice"), std::string::npos);
+  HttpReply foreign = fleet.Chat(1, key, "notice", 3);
+  EXPECT_EQ(foreign.mStatus, 404);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/property/TokenBucketProperty.cpp
@@ -0,0 +1,74 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "decide/TokenBucket.h"
+
+namespace caraway {
+
+namespace {
+
+struct Spend
+{
+  TimePoint mAt;
+  double mTokens;
+};
+
+// The most by which any window went over burst + rate x length.
+double
+Excess(const std::vector<Spend>& aSpends, double aRate, double aBurst)
+{
+  double worst = -aBurst;
+  for (size_t i = 0; i < aSpends.size(); ++i) {
+    double sum = 0;
+    for (size_t j = i; j < aSpends.size(); ++j) {
+      sum += aSpends[j].mTokens;
+      double seconds =
+        std::chrono::duration<double>(aSpends[j].mAt - aSpends[i].mAt).count();
+      worst = std::max(worst, sum - aBurst - aRate * seconds);
+    }
+  }
+  return worst;
+}
+
+} // namespace
+
+// What the caller sees: a tenant that reserves much and uses little is let in
+// again sooner. What goes wrong without the headroom log: the bucket fills to
+// the brim meanwhile, the refund comes on top of the refill, and two bursts
+// go through in one moment.
+RC_GTEST_PROP(TokenBucket, NoWindowGoesOverWhateverIsGivenBack, ())
+{
+  const double rate = 10;
+  const double burst = 100;
+  TimePoint now = TimePoint(Seconds(1000));
+  TokenBucket bucket(rate, burst, now);
+  struct Held
+  {
+    size_t mSpend;
+    double mReserved;
+  };
+  std::vector<Spend> spends; // by what was used in the end
+  std::vector<Held> held;
+  int steps = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < steps; ++i) {
+    now += Millis(*rc::gen::inRange(0, 6000));
+    bool settle = !held.empty() && *rc::gen::arbitrary<bool>();
+    if (settle) {
+      size_t which = *rc::gen::inRange<size_t>(0, held.size());
+      Held was = held[which];
+      held.erase(held.begin() + static_cast<long>(which));
+      double used = was.mReserved * *rc::gen::inRange(0, 101) / 100;
+      bucket.GiveBack(was.mReserved - used, spends[was.mSpend].mAt, now);
+      spends[was.mSpend].mTokens = used;
+      continue;
+    }
+    double tokens = *rc::gen::inRange(1, 101);
+    if (bucket.Take(tokens, now)) {
+      held.push_back({ spends.size(), tokens });
+      spends.push_back({ now, tokens });
+    }
+  }
+  RC_ASSERT(Excess(spends, rate, burst) < 1e-6);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/standin/Engine.cpp
@@ -0,0 +1,310 @@
+// A model engine: loads on order, batches with priorities, streams tokens,
+// counts what it holds at every moment. POST /control sets its faults.
+#include <condition_variable>
+#include <gflags/gflags.h>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include <Poco/URI.h>
+
+#include "base/JsonText.h"
+#include "net/HttpCall.h"
+#include "standin/StandIn.h"
+
+DECLARE_string(listen);
+DEFINE_int64(memory, 100, "bytes for models");
+DEFINE_bool(checks_fencing, true, "refuse orders with an old number");
+DEFINE_string(store, "", "weight store ip:port; loads take load_ms without");
+DEFINE_int64(load_ms, 200, "time of a load without a store");
+DEFINE_int64(adapter_ms, 5, "time of an adapter's load");
+DEFINE_int64(token_ms, 5, "time between tokens");
+DEFINE_int32(batch, 8, "requests served at a time");
+
+namespace caraway {
+
+namespace {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+struct Replica
+{
+  Json::Value mOrder;
+  bool mReady = false;
+  int mActive = 0;
+  SteadyTime mUsed{};
+};
+
+class Engine
+{
+public:
+  void Handle(StandInRequest& aIn, StandInResponse& aOut)
+  {
+    std::string path = Poco::URI(aIn.getURI()).getPath();
+    if (path == "/orders") {
+      Order(StandInBody(aIn), aOut);
+    } else if (path == "/generate") {
+      Generate(StandInBody(aIn), aOut);
+    } else if (path == "/control") {
+      Json::Value body = StandInBody(aIn);
+      std::lock_guard<std::mutex> lock(mLock);
+      for (const std::string& name : body.getMemberNames()) {
+        mFaults[name] = body[name];
+      }
+      if (body["restart"].asBool()) {
+        mReplicas.clear();
+        mHighestFence = 0;
+      }
+      StandInSend(aOut, 200, Json::Value(Json::objectValue));
+    } else {
+      StandInSend(aOut, 200, State());
+    }
+  }
+
+private:
+  static std::string Key(const Json::Value& aOrder)
+  {
+    return aOrder["name"].asString() + "|" + aOrder["version"].asString();
+  }
+
+  void Order(const Json::Value& aOrder, StandInResponse& aOut)
+  {
+    std::unique_lock<std::mutex> lock(mLock);
+    int64_t fence = aOrder["fence"].asInt64();
+    Json::Value answer(Json::objectValue);
+    if (FLAGS_checks_fencing && fence < mHighestFence) {
+      answer["reason"] = "fence";
+      lock.unlock();
+      StandInSend(aOut, 409, answer);
+      return;
+    }
+    mHighestFence = std::max(mHighestFence, fence);
+    std::string key = Key(aOrder);
+    if (aOrder["order"].asString() == "unload") {
+      mReplicas.erase(key);
+    } else if (!mReplicas.count(key)) {
+      mReplicas[key].mOrder = aOrder;
+      mReplicas[key].mUsed = std::chrono::steady_clock::now();
+      ++mLoads;
+      // An engine takes what it is told to; that it never was too much is
+      // the account's business, and counted here.
+      int64_t bytes = Bytes();
+      mPeakBytes = std::max(mPeakBytes, bytes);
+      mPeakReplicas =
+        std::max(mPeakReplicas, static_cast<int>(mReplicas.size()));
+      mOvercommits += bytes > FLAGS_memory ? 1 : 0;
+      std::thread([this, aOrder] { Load(aOrder); }).detach();
+    }
+    bool lose = mFaults["lose_order_answers"].asInt() > 0;
+    if (lose) {
+      mFaults["lose_order_answers"] = mFaults["lose_order_answers"].asInt() - 1;
+    }
+    lock.unlock();
+    if (!lose) {
+      StandInSend(aOut, 200, answer);
+    }
+  }
+
+  int64_t Bytes() const
+  {
+    int64_t bytes = 0;
+    for (const auto& replica : mReplicas) {
+      bytes += replica.second.mOrder["bytes"].asInt64();
+    }
+    return bytes;
+  }
+
+  void Load(const Json::Value& aOrder)
+  {
+    bool adapter = !aOrder["base"].asString().empty();
+    if (adapter || FLAGS_store.empty()) {
+      std::this_thread::sleep_for(
+        Millis(adapter ? FLAGS_adapter_ms : FLAGS_load_ms));
+    } else {
+      HttpCall call;
+      call.mAddress = FLAGS_store;
+      call.mPath = "/weights/" + aOrder["name"].asString();
+      call.mTimeout = Seconds(120);
+      HttpCallOnce(call);
+    }
+    std::lock_guard<std::mutex> lock(mLock);
+    auto found = mReplicas.find(Key(aOrder));
+    if (found != mReplicas.end()) {
+      found->second.mReady = true;
+      found->second.mUsed = std::chrono::steady_clock::now();
+    }
+    mOnDisk.insert(aOrder["name"].asString());
+  }
+
+  Json::Value State()
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    auto now = std::chrono::steady_clock::now();
+    Json::Value state;
+    state["highest_fence"] = Json::Int64(mHighestFence);
+    state["active"] = mActive;
+    state["waiting"] = static_cast<int>(mWaiting.size());
+    state["replicas"] = Json::Value(Json::arrayValue);
+    for (const auto& entry : mReplicas) {
+      Json::Value replica;
+      replica["name"] = entry.second.mOrder["name"];
+      replica["version"] = entry.second.mOrder["version"];
+      replica["bytes"] = entry.second.mOrder["bytes"];
+      replica["state"] = entry.second.mReady ? "ready" : "loading";
+      replica["active"] = entry.second.mActive;
+      replica["idle_ms"] = Json::Int64(
+        std::chrono::duration_cast<Millis>(now - entry.second.mUsed).count());
+      state["replicas"].append(replica);
+    }
+    for (const std::string& name : mOnDisk) {
+      state["cached_disk"].append(name);
+    }
+    state["audit"]["loads"] = mLoads;
+    state["audit"]["peak_bytes"] = Json::Int64(mPeakBytes);
+    state["audit"]["peak_replicas"] = mPeakReplicas;
+    state["audit"]["overcommits"] = mOvercommits;
+    state["audit"]["bytes"] = Json::Int64(Bytes());
+    state["audit"]["generated"] = mGenerated;
+    state["audit"]["cancelled"] = mCancelled;
+    state["audit"]["saw_key"] = mSawKey;
+    return state;
+  }
+
+  // Waits for a place in the batch, by priority and then by arrival.
+  void Enter(int aPriority)
+  {
+    std::unique_lock<std::mutex> lock(mLock);
+    auto turn = std::make_pair(aPriority, mNext++);
+    mWaiting.insert(turn);
+    mFree.wait(
+      lock, [&] { return mActive < FLAGS_batch && *mWaiting.begin() == turn; });
+    mWaiting.erase(turn);
+    ++mActive;
+    mFree.notify_all();
+  }
+
+  void Leave(const std::string& aKey)
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    --mActive;
+    auto found = mReplicas.find(aKey);
+    if (found != mReplicas.end()) {
+      --found->second.mActive;
+      found->second.mUsed = std::chrono::steady_clock::now();
+    }
+    mFree.notify_all();
+  }
+
+  int TakeFault(const char* aName)
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    int value = mFaults[aName].asInt();
+    mFaults.removeMember(aName);
+    return value;
+  }
+
+  void Generate(const Json::Value& aCall, StandInResponse& aOut)
+  {
+    std::string key =
+      aCall["model"].asString() + "|" + aCall["version"].asString();
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      auto found = mReplicas.find(key);
+      if (found == mReplicas.end() || !found->second.mReady) {
+        StandInSend(aOut, 404, Json::Value(Json::objectValue));
+        return;
+      }
+      ++found->second.mActive;
+    }
+    Enter(aCall["priority"].asInt());
+    bool whole = Stream(aCall, aOut);
+    Leave(key);
+    std::lock_guard<std::mutex> lock(mLock);
+    (whole ? mGenerated : mCancelled) += 1;
+  }
+
+  // Faults: cut after N tokens, another request's id, a token left out or
+  // doubled at N, an end marker that comes too early.
+  bool Stream(const Json::Value& aCall, StandInResponse& aOut)
+  {
+    int cut = TakeFault("cut_after");
+    int crossed = TakeFault("crossed_at");
+    int skip = TakeFault("skip_at");
+    int twice = TakeFault("double_at");
+    int early = TakeFault("early_end_at");
+    Millis pace(FLAGS_token_ms);
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      if (mFaults["token_ms"].isInt()) {
+        pace = Millis(mFaults["token_ms"].asInt());
+      }
+    }
+    int most = aCall["max_tokens"].asInt();
+    aOut.setChunkedTransferEncoding(true);
+    std::ostream& out = aOut.send();
+    Json::Value line;
+    for (int i = static_cast<int>(aCall["so_far"].size()); i < most; ++i) {
+      std::this_thread::sleep_for(pace);
+      if ((cut && i >= cut) || (early && i >= early)) {
+        break;
+      }
+      line["id"] =
+        crossed && i == crossed ? Json::Value("another") : aCall["request_id"];
+      line["i"] = skip && i >= skip ? i + 1 : i;
+      line["t"] = "w" + std::to_string(i) + " ";
+      out << JsonWrite(line) << "\n" << std::flush;
+      if (twice && i == twice) {
+        out << JsonWrite(line) << "\n" << std::flush;
+      }
+      if (!out.good()) {
+        return false;
+      }
+    }
+    if (cut) {
+      aOut.setKeepAlive(false);
+      throw Poco::IOException("cut");
+    }
+    Json::Value end;
+    end["id"] = aCall["request_id"];
+    end["end"] = true;
+    end["n"] = most;
+    end["reason"] = "stop";
+    out << JsonWrite(end) << "\n" << std::flush;
+    return out.good();
+  }
+
+  std::mutex mLock;
+  std::condition_variable mFree;
+  std::map<std::string, Replica> mReplicas;
+  std::set<std::pair<int, uint64_t>> mWaiting;
+  std::set<std::string> mOnDisk;
+  uint64_t mNext = 0;
+  int mActive = 0;
+  int64_t mHighestFence = 0;
+  Json::Value mFaults{ Json::objectValue };
+  int mLoads = 0;
+  int64_t mPeakBytes = 0;
+  int mPeakReplicas = 0;
+  int mOvercommits = 0;
+  int mGenerated = 0;
+  int mCancelled = 0;
+  bool mSawKey = false;
+};
+
+} // namespace
+
+int
+RunEngine()
+{
+  Engine engine;
+  HttpPort port(FLAGS_listen, StandInLimits(), [&](auto& aIn, auto& aOut) {
+    engine.Handle(aIn, aOut);
+  });
+  Json::Value addresses;
+  addresses["address"] = port.Address();
+  StandInServe(addresses);
+  return 0;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/standin/Proxy.cpp
@@ -0,0 +1,169 @@
+// A TCP fault proxy. POST /mode {"mode":M,"delay_ms":N} on its control port:
+// pass; cut (connections are closed, new ones refused); freeze (bytes wait
+// until the mode changes); drop_answer (requests go through, answers don't).
+// "cut_from":["zone"] cuts only connections whose first bytes say that they
+// come from an instance of that zone.
+#include <algorithm>
+#include <atomic>
+#include <gflags/gflags.h>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "standin/StandIn.h"
+
+DECLARE_string(listen);
+DEFINE_string(target, "", "ip:port");
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kLook{ 20 };
+
+class Proxy
+{
+public:
+  void SetMode(const Json::Value& aBody)
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mMode = aBody["mode"].asString();
+    mDelay = Millis(aBody["delay_ms"].asInt64());
+    mCutFrom.clear();
+    for (const Json::Value& zone : aBody["cut_from"]) {
+      mCutFrom.insert(zone.asString());
+    }
+    if (aBody["target"].isString()) {
+      FLAGS_target = aBody["target"].asString();
+    }
+  }
+
+  void Accept(Poco::Net::ServerSocket& aServer)
+  {
+    for (;;) {
+      Poco::Net::StreamSocket near = aServer.acceptConnection();
+      std::thread([this, near]() mutable { Join(near); }).detach();
+    }
+  }
+
+private:
+  std::string Mode(const std::string& aFrom)
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    return mCutFrom.count(aFrom) ? "cut" : mMode;
+  }
+
+  // Zone of the instance that connected, by the header its calls carry.
+  static std::string ZoneOf(Poco::Net::StreamSocket& aNear)
+  {
+    static const std::string sHeader = "X-Caraway-From: ";
+    char buffer[4096];
+    int got = aNear.receiveBytes(buffer, sizeof buffer, MSG_PEEK);
+    std::string text(buffer, static_cast<size_t>(std::max(got, 0)));
+    size_t at = text.find(sHeader);
+    if (at == std::string::npos) {
+      return "";
+    }
+    at += sHeader.size();
+    return text.substr(at, text.find('/', at) - at);
+  }
+
+  void Join(Poco::Net::StreamSocket& aNear)
+  {
+    try {
+      std::string from = ZoneOf(aNear);
+      if (Mode(from) == "cut") {
+        aNear.close();
+        return;
+      }
+      std::string target;
+      {
+        std::lock_guard<std::mutex> lock(mLock);
+        target = FLAGS_target;
+      }
+      Poco::Net::StreamSocket far;
+      far.connect(Poco::Net::SocketAddress(target), Poco::Timespan(1, 0));
+      far.setNoDelay(true);
+      aNear.setNoDelay(true);
+      std::thread back(
+        [this, far, aNear, from]() mutable { Pump(far, aNear, true, from); });
+      Pump(aNear, far, false, from);
+      back.join();
+    } catch (const Poco::Exception&) {
+      aNear.close();
+    }
+  }
+
+  void Pump(Poco::Net::StreamSocket& aFrom,
+            Poco::Net::StreamSocket& aTo,
+            bool aAnswers,
+            const std::string& aZone)
+  {
+    char buffer[16384];
+    try {
+      for (;;) {
+        std::string mode = Mode(aZone);
+        if (mode == "cut") {
+          break;
+        }
+        Poco::Timespan look(Micros(kLook).count());
+        if (mode == "freeze" ||
+            !aFrom.poll(look, Poco::Net::Socket::SELECT_READ)) {
+          std::this_thread::sleep_for(mode == "freeze" ? kLook : Millis(0));
+          continue;
+        }
+        int got = aFrom.receiveBytes(buffer, sizeof buffer);
+        if (got <= 0) {
+          break;
+        }
+        Millis delay;
+        {
+          std::lock_guard<std::mutex> lock(mLock);
+          delay = mDelay;
+        }
+        std::this_thread::sleep_for(delay);
+        if (aAnswers && Mode(aZone) == "drop_answer") {
+          break;
+        }
+        aTo.sendBytes(buffer, got);
+      }
+      aTo.shutdown();
+      aFrom.shutdown();
+    } catch (const Poco::Exception&) {
+      aTo.close();
+    }
+  }
+
+  std::mutex mLock;
+  std::string mMode = "pass";
+  Millis mDelay{ 0 };
+  std::set<std::string> mCutFrom;
+};
+
+} // namespace
+
+int
+RunProxy()
+{
+  Proxy proxy;
+  Poco::Net::ServerSocket server;
+  server.bind(Poco::Net::SocketAddress(FLAGS_listen), true, false);
+  server.listen(256);
+  std::thread([&] { proxy.Accept(server); }).detach();
+  HttpPort control("127.0.0.1:0", StandInLimits(), [&](auto& aIn, auto& aOut) {
+    proxy.SetMode(StandInBody(aIn));
+    StandInSend(aOut, 200, Json::Value(Json::objectValue));
+  });
+  Json::Value addresses;
+  addresses["address"] = server.address().toString();
+  addresses["control"] = control.Address();
+  StandInServe(addresses);
+  return 0;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/standin/Store.cpp
@@ -0,0 +1,47 @@
+// The weight store: a few loads at full speed, slower beyond that.
+#include <atomic>
+#include <gflags/gflags.h>
+#include <thread>
+
+#include "standin/StandIn.h"
+
+DECLARE_string(listen);
+DEFINE_int64(weights_ms, 400, "a load at full speed");
+DEFINE_int32(full_speed, 4, "loads at full speed");
+
+namespace caraway {
+
+int
+RunStore()
+{
+  std::atomic<int> active{ 0 };
+  std::atomic<int> peak{ 0 };
+  std::atomic<int> total{ 0 };
+  HttpPort port(FLAGS_listen, StandInLimits(), [&](auto& aIn, auto& aOut) {
+    if (aIn.getURI() == "/counters") {
+      Json::Value counters;
+      counters["peak"] = peak.load();
+      counters["total"] = total.load();
+      StandInSend(aOut, 200, counters);
+      return;
+    }
+    ++total;
+    peak = std::max(peak.load(), ++active);
+    constexpr double kStep = 5;
+    double left = static_cast<double>(FLAGS_weights_ms);
+    while (left > 0) {
+      std::this_thread::sleep_for(Millis(static_cast<int>(kStep)));
+      double crowd =
+        std::max(1.0, static_cast<double>(active) / FLAGS_full_speed);
+      left -= kStep / crowd;
+    }
+    --active;
+    StandInSend(aOut, 200, Json::Value(Json::objectValue));
+  });
+  Json::Value addresses;
+  addresses["address"] = port.Address();
+  StandInServe(addresses);
+  return 0;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/standin/main.cpp
@@ -0,0 +1,102 @@
+// caraway-standin: platform, engine, service, weight store and fault proxy.
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+#include <Poco/URI.h>
+
+#include "base/JsonText.h"
+#include "standin/StandIn.h"
+
+DEFINE_string(listen, "127.0.0.1:0", "ip:port; port 0 takes a free one");
+
+namespace caraway {
+
+Json::Value
+StandInBody(StandInRequest& aRequest)
+{
+  std::string text(std::istreambuf_iterator<char>(aRequest.stream()), {});
+  return JsonParseOrEmpty(text);
+}
+
+void
+StandInSend(StandInResponse& aResponse, int aStatus, const Json::Value& aJson)
+{
+  std::string text = JsonWrite(aJson);
+  aResponse.setStatus(
+    static_cast<Poco::Net::HTTPResponse::HTTPStatus>(aStatus));
+  aResponse.setContentType("application/json");
+  aResponse.sendBuffer(text.data(), text.size());
+}
+
+std::string
+StandInQuery(const std::string& aUri,
+             const std::string& aName,
+             const std::string& aDefault)
+{
+  for (const auto& entry : Poco::URI(aUri).getQueryParameters()) {
+    if (entry.first == aName) {
+      return entry.second;
+    }
+  }
+  return aDefault;
+}
+
+HttpPortLimits
+StandInLimits()
+{
+  HttpPortLimits limits;
+  limits.mThreads = 1000;
+  limits.mWaiting = 1000;
+  limits.mIdle = Seconds(300);
+  limits.mTransfer = Seconds(60);
+  return limits;
+}
+
+void
+StandInServe(const Json::Value& aAddresses)
+{
+  std::printf("%s\n", JsonWrite(aAddresses).c_str());
+  std::fflush(stdout);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  // Nothing to keep: connections end with the process.
+  std::_Exit(0);
+}
+
+} // namespace caraway
+
+int
+main(int aCount, char** aWords)
+{
+  gflags::ParseCommandLineFlags(&aCount, &aWords, true);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string what = aCount > 1 ? aWords[1] : "";
+  if (what == "platform") {
+    return caraway::RunPlatform();
+  }
+  if (what == "engine") {
+    return caraway::RunEngine();
+  }
+  if (what == "service") {
+    return caraway::RunService();
+  }
+  if (what == "store") {
+    return caraway::RunStore();
+  }
+  if (what == "proxy") {
+    return caraway::RunProxy();
+  }
+  std::fprintf(stderr,
+               "usage: caraway-standin platform|engine|service|store|proxy\n");
+  return 2;
+}
--- /dev/null
+++ b/tests/support/Child.cpp
@@ -0,0 +1,120 @@
+#include "support/Child.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/JsonText.h"
+
+extern char** environ;
+
+namespace caraway {
+
+namespace {
+
+std::string
+ReadLine(int aFile)
+{
+  std::string line;
+  char c = 0;
+  while (read(aFile, &c, 1) == 1 && c != '\n') {
+    line += c;
+  }
+  return line;
+}
+
+} // namespace
+
+Child::Child(const std::string& aProgram,
+             const std::vector<std::string>& aWords,
+             const std::string& aLog)
+{
+  std::string path = std::string(CARAWAY_BIN_DIR) + "/" + aProgram;
+  std::vector<char*> words = { const_cast<char*>(path.c_str()) };
+  for (const std::string& word : aWords) {
+    words.push_back(const_cast<char*>(word.c_str()));
+  }
+  words.push_back(nullptr);
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
+  posix_spawn_file_actions_addopen(
+    &actions, 2, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  int failed =
+    posix_spawn(&mPid, path.c_str(), &actions, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(ends[1]);
+  mOutput = ends[0];
+  if (failed != 0) {
+    mPid = -1;
+    throw std::runtime_error("can't start " + path);
+  }
+  mAddresses = JsonParseOrEmpty(ReadLine(mOutput));
+  if (mAddresses.empty()) {
+    throw std::runtime_error(aProgram + " didn't start; see " + aLog);
+  }
+}
+
+Child::~Child()
+{
+  if (mPid > 0) {
+    Kill();
+  }
+  if (mOutput >= 0) {
+    close(mOutput);
+  }
+}
+
+std::string
+Child::Address(const char* aName) const
+{
+  return mAddresses[aName].asString();
+}
+
+void
+Child::Kill()
+{
+  if (mPid > 0) {
+    kill(mPid, SIGKILL);
+    Wait();
+  }
+}
+
+void
+Child::Stop()
+{
+  kill(mPid, SIGSTOP);
+}
+
+void
+Child::Continue()
+{
+  kill(mPid, SIGCONT);
+}
+
+void
+Child::Terminate()
+{
+  kill(mPid, SIGTERM);
+}
+
+int
+Child::Wait()
+{
+  int status = 0;
+  if (mPid <= 0) {
+    return -1;
+  }
+  waitpid(mPid, &status, 0);
+  mPid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/support/Child.h
@@ -0,0 +1,42 @@
+// Child.h: a process under test.
+#ifndef caraway_tests_Child_h
+#define caraway_tests_Child_h
+
+#include <json/json.h>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace caraway {
+
+// Started in the constructor, which waits for its line of addresses. Ended by
+// id in the destructor.
+class Child
+{
+public:
+  Child(const std::string& aProgram,
+        const std::vector<std::string>& aWords,
+        const std::string& aLog);
+  ~Child();
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+
+  const Json::Value& Addresses() const { return mAddresses; }
+  std::string Address(const char* aName = "address") const;
+  void Kill();      // SIGKILL, and waits
+  void Stop();      // SIGSTOP
+  void Continue();  // SIGCONT
+  void Terminate(); // SIGTERM; see Wait
+  int Wait();       // exit code; -1 = by a signal
+  bool Running() const { return mPid > 0; }
+  pid_t Pid() const { return mPid; }
+
+private:
+  pid_t mPid = -1;
+  int mOutput = -1;
+  Json::Value mAddresses;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/tests/support/Fleet.h
@@ -0,0 +1,106 @@
+// Fleet.h: a small fleet of real processes with stand-ins around it.
+#ifndef caraway_tests_Fleet_h
+#define caraway_tests_Fleet_h
+
+#include <functional>
+#include <json/json.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/HttpCall.h"
+#include "support/Child.h"
+
+namespace caraway {
+
+struct FleetPlan
+{
+  std::vector<std::string> mZones = { "mendoza-a", "uspallata-b" };
+  std::vector<int> mInstances = { 2, 1 }; // by zone
+  int mEngines = 1;                       // a zone
+  int64_t mMemory = 100;                  // of an engine
+  bool mFencing = true;                   // engines check it
+  int mServices = 1;                      // a zone
+  bool mProxies = false;                  // before platform and peer ports
+  bool mServiceProxies = false;           // before services
+  double mRate = 100000;                  // of tenants acme and globex
+  double mBurst = 100000;
+  int mModels = 4;                       // m0…, of 40 bytes
+  std::vector<std::string> mEngineWords; // more flags for engines
+  std::vector<std::string> mSettings;    // more TOML lines, by table
+};
+
+// Tenants acme and globex with keys; profiles chat-mN (models, interactive),
+// notice (m0, urgent), brief (m1, batch), order (service, not repeatable),
+// status (service, repeatable).
+class Fleet
+{
+public:
+  explicit Fleet(FleetPlan aPlan);
+  ~Fleet();
+
+  // Administration: changes the configuration by aChange and returns the new
+  // revision; waits until it is in force on every running instance.
+  int64_t Configure(const std::function<void(Json::Value&)>& aChange);
+  bool AwaitRevision(int64_t aRevision, Millis aWithin);
+  Json::Value Status(size_t aInstance);
+  std::string Metrics(size_t aInstance);
+  double Metric(size_t aInstance, const std::string& aName);
+
+  HttpReply Chat(size_t aInstance,
+                 const std::string& aKey,
+                 const std::string& aProfile,
+                 int aTokens,
+                 bool aStream = false);
+  HttpReply OrderCall(size_t aInstance,
+                      const std::string& aKey,
+                      const std::string& aIdempotencyKey,
+                      const std::string& aBody,
+                      Millis aWithin = Seconds(20));
+  HttpReply Call(const std::string& aAddress,
+                 const std::string& aMethod,
+                 const std::string& aPath,
+                 const Json::Value& aBody = Json::Value(Json::objectValue),
+                 const std::string& aKey = "");
+
+  // Runs of a body, over all services.
+  int Runs(const std::string& aBody);
+  Json::Value EngineState(size_t aEngine);
+  void PlatformFault(const std::string& aName, const Json::Value& aValue);
+  Json::Value PlatformCounters();
+  void ProxyMode(Child& aProxy, const Json::Value& aMode);
+  // Cuts zone aZone from the platform and the other zones, or mends it.
+  void CutZone(const std::string& aZone, bool aCut);
+
+  std::unique_ptr<Child> StartInstance(size_t aIndex);
+  void Announce(size_t aIndex, bool aGone);
+
+  FleetPlan mPlan;
+  std::string mFolder;
+  std::string mAdminKey;
+  std::map<std::string, std::string> mKeys; // tenant: key
+  std::unique_ptr<Child> mPlatform;
+  std::unique_ptr<Child> mStore;
+  std::map<std::string, std::unique_ptr<Child>> mPlatformProxies; // by zone
+  std::vector<std::unique_ptr<Child>> mPeerProxies;               // by instance
+  std::vector<std::unique_ptr<Child>> mEngines;
+  std::vector<std::unique_ptr<Child>> mServices;
+  std::vector<std::unique_ptr<Child>> mServiceProxies;
+  std::vector<std::unique_ptr<Child>> mInstances;
+  std::vector<std::string> mZoneOf; // of each instance
+
+private:
+  void StartStandIns();
+  Json::Value FirstConfig();
+  std::string SettingsText(size_t aIndex);
+};
+
+// Looks again every few milliseconds until aTrue holds; false when it doesn't
+// within aWithin. A bound on waiting, never a proof by itself.
+bool
+Eventually(Millis aWithin, const std::function<bool()>& aTrue);
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/tests/unit/SettingsTest.cpp
@@ -0,0 +1,56 @@
+#include <gtest/gtest.h>
+
+#include "daemon/Settings.h"
+
+namespace caraway {
+
+namespace {
+
+const std::string kGood = R"([instance]
+id = "m1"
+zone = "a"
+zones = ["a", "b"]
+[caller]
+listen = "127.0.0.1:0"
+[admin]
+listen = "127.0.0.1:0"
+keys = { ana = "0123456789012345678901234567890123456789012345678901234567890123" }
+[peer]
+listen = "127.0.0.1:0"
+secret = "0123456789abcdef"
+[platform]
+address = "127.0.0.1:1"
+)";
+
+std::string
+Trouble(const std::string& aText)
+{
+  auto read = Outcome([&] { return SettingsParse(aText, "f.toml"); });
+  auto* failure = std::get_if<Failure>(&read);
+  return failure ? failure->mDetail : "";
+}
+
+} // namespace
+
+TEST(Settings, GoodOnesAreTaken)
+{
+  EXPECT_EQ(Trouble(kGood), "");
+}
+
+// An operator's slip is told with file, line and what was expected, before
+// anything starts. Taken in silence, it would run with a default instead.
+TEST(Settings, SlipsAreToldWithTheirLine)
+{
+  EXPECT_EQ(Trouble(kGood + "[keys]\nmax_age = 3\n"),
+            "f.toml:16: keys.max_age: unknown field");
+  EXPECT_EQ(Trouble(kGood + "[keys]\nmax_age_s = \"3s\"\n"),
+            "f.toml:16: keys.max_age_s: expected a whole number >= 1, without "
+            "a unit");
+  EXPECT_EQ(Trouble(kGood + "[extra]\n"),
+            "f.toml:15: extra: unknown table or field");
+  std::string without = kGood.substr(0, kGood.find("[platform]"));
+  EXPECT_EQ(Trouble(without), "f.toml:1: platform.address: is missing");
+  EXPECT_NE(Trouble(kGood + "[keys\n").find("f.toml:15"), std::string::npos);
+}
+
+} // namespace caraway
