At most once: claims proved under failure; calls have timeouts

Cause 1: POCO applies a session's timeout when the session itself connects; ours are given connected sockets, so no call had a timeout. A platform answer lost after the write took effect held the order for ever (PlatformAnswersLost hung until killed). Ruled out: the stand-in (its handler had returned), the pool (a fresh connection hung as well); the stack showed recv. Change: timeouts on the socket, renewed with what is left of the call. Cause 2: an order was refused for its rate with 'not run' though an earlier try of it had run (found when the killed instance held the tenant's slot). Change: such an order is looked up first. Cause 3: in an outage 'not run' can't be known; new kind claim_unknown.

--- a/src/net/HttpExchange.cpp
+++ b/src/net/HttpExchange.cpp
@@ -35,15 +35,31 @@
   out.flush();
 }
 
+// On the socket itself: what a session is told about timeouts counts only
+// when it connects, and ours are given a connected one. Without this a server
+// that never answers holds the caller for ever.
+void
+WaitAtMost(Poco::Net::HTTPClientSession& aSession,
+           std::chrono::steady_clock::time_point aDeadline)
+{
+  auto left = std::chrono::duration_cast<Millis>(
+    aDeadline - std::chrono::steady_clock::now());
+  Poco::Timespan span = Span(std::max(left, Millis(1)));
+  aSession.socket().setReceiveTimeout(span);
+  aSession.socket().setSendTimeout(span);
+}
+
 // False when aLimit would be passed or the time is up.
 bool
-ReadBody(std::istream& aIn,
+ReadBody(Poco::Net::HTTPClientSession& aSession,
+         std::istream& aIn,
          size_t aLimit,
          std::chrono::steady_clock::time_point aDeadline,
          std::string& aOut)
 {
   std::string chunk(kChunk, '\0');
   while (aIn.good()) {
+    WaitAtMost(aSession, aDeadline);
     aIn.read(&chunk[0], static_cast<std::streamsize>(chunk.size()));
     aOut.append(chunk, 0, static_cast<size_t>(aIn.gcount()));
     if (aOut.size() > aLimit || std::chrono::steady_clock::now() > aDeadline) {
@@ -92,15 +108,16 @@
   reply.mStage = HttpStage::Lost;
   auto deadline = std::chrono::steady_clock::now() + aCall.mTimeout;
   try {
-    aSession.setTimeout(Span(aCall.mTimeout));
+    WaitAtMost(aSession, deadline);
     SendRequest(aSession, aCall, aKeepAlive);
+    WaitAtMost(aSession, deadline);
     Poco::Net::HTTPResponse response;
     std::istream& in = aSession.receiveResponse(response);
     reply.mStatus = response.getStatus();
     for (const auto& header : response) {
       reply.mHeaders[Poco::toLower(header.first)] = header.second;
     }
-    if (!ReadBody(in, aCall.mReplyLimit, deadline, reply.mBody)) {
+    if (!ReadBody(aSession, in, aCall.mReplyLimit, deadline, reply.mBody)) {
       reply.mError = "answer too large or too late";
     } else if (!LengthProven(response, reply.mBody.size())) {
       reply.mError = "answer cut short";
--- a/src/serve/ClaimDriver.cpp
+++ b/src/serve/ClaimDriver.cpp
@@ -27,6 +27,14 @@
   return aIncarnation.substr(aIncarnation.find('@') + 1);
 }
 
+// Length first: tenant "a" with key "bc" is not tenant "ab" with key "c".
+std::string
+NameOf(const Order& aOrder)
+{
+  return DigestHex(std::to_string(aOrder.mTenant.size()) + ":" +
+                   aOrder.mTenant + aOrder.mKey);
+}
+
 ClaimEvent
 EventOf(ClaimEventKind aKind)
 {
@@ -78,9 +86,7 @@
                  const std::function<ClaimEvent()>& aHandOn)
 {
   Attempt attempt;
-  // Length first: tenant "a" with key "bc" is not tenant "ab" with key "c".
-  attempt.mName = DigestHex(std::to_string(aOrder.mTenant.size()) + ":" +
-                            aOrder.mTenant + aOrder.mKey);
+  attempt.mName = NameOf(aOrder);
   attempt.mState.mSelf = mSelf;
   attempt.mState.mNonce = RandomId();
   attempt.mState.mBodyDigest = DigestHex(aOrder.mContent);
@@ -185,6 +191,20 @@
   return event;
 }
 
+ClaimLook
+ClaimDriver::Look(const Order& aOrder)
+{
+  Attempt attempt;
+  attempt.mName = NameOf(aOrder);
+  ClaimEvent event = Read(attempt);
+  if (event.mKind == ClaimEventKind::NoPlatform) {
+    return ClaimLook::Unknown;
+  }
+  bool free = event.mKind == ClaimEventKind::Absent ||
+              event.mRecord.mState == ClaimRecordState::Released;
+  return free ? ClaimLook::Free : ClaimLook::Held;
+}
+
 ClaimEvent
 ClaimDriver::AskCreator(const ClaimAction& aAction)
 {
--- a/src/serve/ClaimDriver.h
+++ b/src/serve/ClaimDriver.h
@@ -30,6 +30,14 @@
   bool mReplayed = false;
 };
 
+// What is stored about an order, without claiming it.
+enum class ClaimLook
+{
+  Free,    // nobody holds it, and it hasn't run
+  Held,    // somebody holds it, or has run it
+  Unknown, // the platform doesn't answer
+};
+
 class ClaimDriver
 {
 public:
@@ -46,6 +54,10 @@
   Result<OrderAnswer> Run(const Order& aOrder,
                           const std::function<ClaimEvent()>& aHandOn);
 
+  // For an order that is about to be refused for another reason: an earlier
+  // try of it may have run all the same.
+  ClaimLook Look(const Order& aOrder);
+
   void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
 
 private:
--- a/src/serve/EngineStream.cpp
+++ b/src/serve/EngineStream.cpp
@@ -94,7 +94,9 @@
   }
   try {
     Poco::Net::HTTPClientSession session(socket);
-    session.setTimeout(Span(aCall.mFirstToken));
+    // On the socket: a session given a connected one ignores its own timeout.
+    socket.setReceiveTimeout(Span(aCall.mFirstToken));
+    socket.setSendTimeout(Span(aCall.mFirstToken));
     Poco::Net::HTTPRequest request(
       "POST", "/generate", Poco::Net::HTTPMessage::HTTP_1_1);
     std::string body = Body(aCall);
--- a/src/serve/ServiceCalls.cpp
+++ b/src/serve/ServiceCalls.cpp
@@ -98,17 +98,48 @@
   return reply;
 }
 
-Result<OrderAnswer>
-ServiceCalls::RunOnce(const ServiceCall& aCall, TimePoint aDeadline)
+Order
+ServiceCalls::OrderOf(const ServiceCall& aCall, TimePoint aDeadline)
 {
-  std::vector<EndpointSpec> endpoints = Endpoints(aCall.mContext);
-  size_t next = 0;
   Order order;
   order.mTenant = aCall.mContext.mCaller.mTenant;
   order.mKey = aCall.mIdempotencyKey;
   order.mContent = aCall.mContext.mProfile.mName + "\n" + aCall.mMethod + "\n" +
                    aCall.mPath + "\n" + aCall.mBody;
   order.mDeadline = aDeadline;
+  return order;
+}
+
+// Refused for its rate, say. "Not run" must be true of the order and not only
+// of this try of it: an earlier try may have run, and then its answer is what
+// the caller gets, for no tokens.
+Result<OrderAnswer>
+ServiceCalls::RefuseOnce(const ServiceCall& aCall,
+                         TimePoint aDeadline,
+                         const Failure& aFailure)
+{
+  Order order = OrderOf(aCall, aDeadline);
+  switch (mClaims.Look(order)) {
+    case ClaimLook::Free:
+      return Fail(aFailure);
+    case ClaimLook::Unknown:
+      return Fail(ErrorKind::ClaimUnknown, aFailure.mDetail);
+    case ClaimLook::Held:
+      break;
+  }
+  return mClaims.Run(order, [] {
+    ClaimEvent event;
+    event.mKind = ClaimEventKind::NotOffered;
+    return event;
+  });
+}
+
+Result<OrderAnswer>
+ServiceCalls::RunOnce(const ServiceCall& aCall, TimePoint aDeadline)
+{
+  std::vector<EndpointSpec> endpoints = Endpoints(aCall.mContext);
+  size_t next = 0;
+  Order order = OrderOf(aCall, aDeadline);
   return mClaims.Run(order, [&] {
     ClaimEvent event;
     event.mKind = ClaimEventKind::NotOffered;
@@ -164,8 +195,13 @@
     return Fail(ErrorKind::IdempotencyKeyMissing, profile.mName);
   }
   const Tenant& tenant = context.mConfig->mTenants.at(context.mCaller.mTenant);
-  BOOST_LEAF_AUTO(ticket, mShares.Take(tenant, kTokensPerCall));
   TimePoint deadline = context.mArrived + profile.mAnswer;
+  auto taken = Outcome([&] { return mShares.Take(tenant, kTokensPerCall); });
+  if (auto* refused = std::get_if<Failure>(&taken)) {
+    return profile.mRepeatable ? Result<OrderAnswer>(Fail(*refused))
+                               : RefuseOnce(aCall, deadline, *refused);
+  }
+  const ShareTicket& ticket = std::get<ShareTicket>(taken);
   auto answer = Outcome([&] {
     return profile.mRepeatable ? RunRepeatable(aCall, deadline)
                                : RunOnce(aCall, deadline);
--- a/src/serve/ServiceCalls.h
+++ b/src/serve/ServiceCalls.h
@@ -37,6 +37,10 @@
   Result<OrderAnswer> Run(const ServiceCall& aCall);
 
 private:
+  static Order OrderOf(const ServiceCall& aCall, TimePoint aDeadline);
+  Result<OrderAnswer> RefuseOnce(const ServiceCall& aCall,
+                                 TimePoint aDeadline,
+                                 const Failure& aFailure);
   Result<OrderAnswer> RunOnce(const ServiceCall& aCall, TimePoint aDeadline);
   Result<OrderAnswer> RunRepeatable(const ServiceCall& aCall,
                                     TimePoint aDeadline);
--- /dev/null
+++ b/tests/property/ClaimProperty.cpp
@@ -0,0 +1,301 @@
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <rapidcheck/gtest.h>
+
+#include "decide/ClaimStep.h"
+
+namespace caraway {
+
+namespace {
+
+// A tape of random bytes; each decision of the model takes the next one.
+class Tape
+{
+public:
+  explicit Tape(std::vector<uint8_t> aBytes)
+    : mBytes(std::move(aBytes))
+  {
+  }
+  bool Ended() const { return mNext >= mBytes.size(); }
+  int Below(int aLimit) { return Ended() ? 0 : mBytes[mNext++] % aLimit; }
+
+private:
+  std::vector<uint8_t> mBytes;
+  size_t mNext = 0;
+};
+
+struct InFlight
+{
+  ClaimRecord mRecord;
+  int64_t mExpected;
+};
+
+struct Attempt
+{
+  ClaimState mState;
+  ClaimAction mAction;
+  bool mStarted = false;
+  bool mDone = false;
+  bool mDead = false;    // its instance was killed
+  bool mOffered = false; // as ClaimDriver keeps it
+  int mRuns = 0;
+};
+
+// One order, its claim at the platform, and attempts at several instances.
+struct World
+{
+  ClaimRecord mRecord;
+  int64_t mVersion = 0;
+  std::vector<InFlight> mLate; // writes that may still take effect
+  std::vector<Attempt> mAttempts;
+  std::map<std::string, size_t> mByNonce;
+  int mRuns = 0;
+
+  size_t Add(TimePoint aNow)
+  {
+    Attempt attempt;
+    attempt.mState.mSelf = "i" + std::to_string(mAttempts.size());
+    attempt.mState.mNonce = "n" + std::to_string(mAttempts.size());
+    attempt.mState.mBodyDigest = "body";
+    attempt.mState.mDeadline = aNow + Seconds(10);
+    mByNonce[attempt.mState.mNonce] = mAttempts.size();
+    mAttempts.push_back(attempt);
+    return mAttempts.size() - 1;
+  }
+
+  bool Apply(const InFlight& aWrite)
+  {
+    if (aWrite.mExpected != mVersion) {
+      return false;
+    }
+    mRecord = aWrite.mRecord;
+    ++mVersion;
+    return true;
+  }
+
+  ClaimEvent Standing() const
+  {
+    ClaimEvent event;
+    event.mKind =
+      mVersion == 0 ? ClaimEventKind::Absent : ClaimEventKind::Standing;
+    event.mVersion = mVersion;
+    event.mRecord = mRecord;
+    return event;
+  }
+
+  // Taken and answered; taken and the answer lost; lost on the way in; late.
+  ClaimEvent Write(const Attempt& aAttempt,
+                   ClaimRecordState aState,
+                   int64_t aExpected,
+                   Tape& aTape)
+  {
+    InFlight write;
+    write.mExpected = aExpected;
+    write.mRecord.mState = aState;
+    write.mRecord.mBodyDigest = aAttempt.mState.mBodyDigest;
+    write.mRecord.mCreator = aAttempt.mState.mSelf;
+    write.mRecord.mNonce = aAttempt.mState.mNonce;
+    write.mRecord.mAnswer = aAttempt.mState.mAnswer;
+    ClaimEvent event;
+    event.mKind = ClaimEventKind::NoPlatform;
+    switch (aTape.Below(6)) {
+      case 0:
+        Apply(write);
+        return event;
+      case 1:
+        return event;
+      case 2:
+        mLate.push_back(write);
+        return event;
+      default:
+        if (!Apply(write)) {
+          return Standing();
+        }
+        event.mKind = ClaimEventKind::Written;
+        event.mVersion = mVersion;
+        return event;
+    }
+  }
+
+  ClaimEvent Ask(const ClaimAction& aAction, Tape& aTape)
+  {
+    ClaimEvent event;
+    event.mKind = ClaimEventKind::PeerUnknown;
+    const Attempt& other = mAttempts[mByNonce.at(aAction.mNonce)];
+    if (other.mDead || aTape.Below(5) == 0) {
+      return event;
+    }
+    if (!other.mDone) {
+      event.mKind = ClaimEventKind::PeerRunning;
+    } else if (!other.mOffered) {
+      event.mKind = ClaimEventKind::PeerGaveUp;
+    } else if (other.mAction.mKind == ClaimActionKind::FinishAnswer) {
+      event.mKind = ClaimEventKind::PeerAnswered;
+      event.mRecord.mAnswer = other.mAction.mAnswer;
+    } else {
+      event.mKind = ClaimEventKind::PeerLost;
+    }
+    return event;
+  }
+
+  ClaimEvent HandOn(Attempt& aAttempt, Tape& aTape)
+  {
+    ClaimEvent event;
+    int how = aTape.Below(6);
+    if (how == 0) {
+      event.mKind = ClaimEventKind::NotOffered;
+      event.mEndpointsLeft = aTape.Below(2) == 0;
+      return event;
+    }
+    bool runs = how != 1; // lost before the endpoint read it
+    if (runs) {
+      ++mRuns;
+      ++aAttempt.mRuns;
+    }
+    event.mKind =
+      how <= 2 ? ClaimEventKind::AnswerLost : ClaimEventKind::Answered;
+    event.mRecord.mAnswer.mStatus = 200;
+    event.mRecord.mAnswer.mBody = "ran";
+    return event;
+  }
+
+  ClaimEvent Do(Attempt& aAttempt, Tape& aTape)
+  {
+    const ClaimAction& action = aAttempt.mAction;
+    switch (action.mKind) {
+      case ClaimActionKind::Create:
+        return Write(aAttempt, ClaimRecordState::Claimed, 0, aTape);
+      case ClaimActionKind::TakeOver:
+        return Write(
+          aAttempt, ClaimRecordState::Claimed, action.mVersion, aTape);
+      case ClaimActionKind::KeepAnswer:
+        return Write(
+          aAttempt, ClaimRecordState::Answered, action.mVersion, aTape);
+      case ClaimActionKind::KeepLost:
+        return Write(aAttempt, ClaimRecordState::Lost, action.mVersion, aTape);
+      case ClaimActionKind::Release:
+        // Whoever releases says "not run" next.
+        RC_ASSERT(mRuns == 0);
+        return Write(
+          aAttempt, ClaimRecordState::Released, action.mVersion, aTape);
+      case ClaimActionKind::Read:
+        if (aTape.Below(4) == 0) {
+          ClaimEvent event;
+          event.mKind = ClaimEventKind::NoPlatform;
+          return event;
+        }
+        return Standing();
+      case ClaimActionKind::AskCreator:
+        return Ask(action, aTape);
+      default:
+        return HandOn(aAttempt, aTape);
+    }
+  }
+
+  void Step(Attempt& aAttempt, Tape& aTape, TimePoint aNow)
+  {
+    ClaimEvent event;
+    if (aAttempt.mStarted) {
+      event = Do(aAttempt, aTape);
+      aAttempt.mOffered = aAttempt.mOffered ||
+                          event.mKind == ClaimEventKind::Answered ||
+                          event.mKind == ClaimEventKind::AnswerLost;
+    }
+    aAttempt.mStarted = true;
+    aAttempt.mAction = ClaimStep(aAttempt.mState, event, aNow);
+    bool refused = aAttempt.mAction.mKind == ClaimActionKind::FinishRefuse;
+    aAttempt.mDone =
+      refused || aAttempt.mAction.mKind == ClaimActionKind::FinishAnswer;
+    if (refused && aAttempt.mAction.mRun == RunState::NotRun) {
+      RC_ASSERT(aAttempt.mRuns == 0);
+      RC_ASSERT(aAttempt.mState.mMine);
+    }
+    if (aAttempt.mAction.mKind == ClaimActionKind::FinishAnswer) {
+      RC_ASSERT(mRuns == 1);
+    }
+  }
+};
+
+} // namespace
+
+// What the caller sees: one order, sent to several instances at once and
+// again, is carried out at most once, and a "not run" is true. In any order:
+// writes are lost, answered late or not, or take effect after their writer
+// gave up; instances die, are frozen (aren't scheduled) and thaw; peers don't
+// answer; endpoints refuse connections, run and drop the answer.
+RC_GTEST_PROP(Claim, RunsAtMostOnceAndNotRunIsTrue, ())
+{
+  Tape tape(*rc::gen::container<std::vector<uint8_t>>(
+    300, rc::gen::arbitrary<uint8_t>()));
+  World world;
+  TimePoint now = TimePoint(Seconds(1000));
+  world.Add(now);
+  while (!tape.Ended()) {
+    now += Millis(tape.Below(200) * 10);
+    int what = tape.Below(12);
+    if (what == 0 && world.mAttempts.size() < 5) {
+      world.Add(now);
+    } else if (what == 1 && !world.mLate.empty()) {
+      world.Apply(world.mLate.front());
+      world.mLate.erase(world.mLate.begin());
+    } else {
+      int count = static_cast<int>(world.mAttempts.size());
+      Attempt& attempt =
+        world.mAttempts[static_cast<size_t>(tape.Below(count))];
+      if (what == 2) {
+        attempt.mDead = true;
+      } else if (!attempt.mDead && !attempt.mDone) {
+        world.Step(attempt, tape, now);
+      }
+    }
+    RC_ASSERT(world.mRuns <= 1);
+  }
+}
+
+// What the caller sees: after trouble that ended before anything was handed
+// on, the same order under the same key is carried out. An order must not be
+// stuck for ever because somebody once gave it up.
+TEST(Claim, GivenUpOrdersCanBeSentAgain)
+{
+  TimePoint now = TimePoint(Seconds(1000));
+  ClaimState first;
+  first.mNonce = "n0";
+  first.mSelf = "i0";
+  first.mDeadline = now + Seconds(1);
+  ClaimEvent event;
+  EXPECT_EQ(ClaimStep(first, event, now).mKind, ClaimActionKind::Create);
+  event.mKind = ClaimEventKind::Written;
+  event.mVersion = 1;
+  // It comes back from a pause after its time.
+  now += Seconds(2);
+  ClaimAction action = ClaimStep(first, event, now);
+  EXPECT_EQ(action.mKind, ClaimActionKind::Release);
+  event.mKind = ClaimEventKind::NoPlatform;
+  action = ClaimStep(first, event, now);
+  EXPECT_EQ(action.mKind, ClaimActionKind::FinishRefuse);
+  EXPECT_EQ(action.mRun, RunState::NotRun);
+
+  ClaimState second;
+  second.mNonce = "n1";
+  second.mDeadline = now + Seconds(1);
+  ClaimStep(second, {}, now);
+  ClaimEvent standing;
+  standing.mKind = ClaimEventKind::Standing;
+  standing.mVersion = 1;
+  standing.mRecord.mNonce = "n0";
+  standing.mRecord.mCreator = "i0";
+  action = ClaimStep(second, standing, now);
+  ASSERT_EQ(action.mKind, ClaimActionKind::AskCreator);
+  EXPECT_EQ(action.mPeer, "i0");
+  ClaimEvent gaveUp;
+  gaveUp.mKind = ClaimEventKind::PeerGaveUp;
+  action = ClaimStep(second, gaveUp, now);
+  ASSERT_EQ(action.mKind, ClaimActionKind::TakeOver);
+  EXPECT_EQ(action.mVersion, 1);
+  event.mKind = ClaimEventKind::Written;
+  event.mVersion = 2;
+  EXPECT_EQ(ClaimStep(second, event, now).mKind, ClaimActionKind::HandOn);
+}
+
+} // namespace caraway
