--- a/src/decide/ShareLease.cpp
+++ b/src/decide/ShareLease.cpp
@@ -158,6 +158,27 @@
   }
 }
 
+bool
+SameButForRenewals(const ShareTable& aLeft, const ShareTable& aRight)
+{
+  if (aLeft.mMembers.size() != aRight.mMembers.size()) {
+    return false;
+  }
+  for (const auto& member : aLeft.mMembers) {
+    auto other = aRight.mMembers.find(member.first);
+    if (other == aRight.mMembers.end() ||
+        other->second.mSuspectedBy != member.second.mSuspectedBy) {
+      return false;
+    }
+  }
+  for (int i = 0; i < kShareSlots; ++i) {
+    if (aLeft.mSlots[i].mHolder != aRight.mSlots[i].mHolder) {
+      return false;
+    }
+  }
+  return true;
+}
+
 } // namespace
 
 int
@@ -244,6 +265,9 @@
   }
   SuspectOrRemove(aLease, table, aNow);
   TakeFree(aLease.mSelf, table);
+  if (!SameButForRenewals(aLease.mTable, table)) {
+    table.mChanged = table.mSerial;
+  }
   return table;
 }
 
@@ -268,6 +292,26 @@
   }
 }
 
+void
+ShareLeaseRenewedOnly(ShareLease& aLease,
+                      int64_t aSerial,
+                      int64_t aVersion,
+                      TimePoint aBegun,
+                      TimePoint aNow)
+{
+  if (aVersion < aLease.mVersion) {
+    return;
+  }
+  aLease.mTable.mSerial = aSerial;
+  aLease.mVersion = aVersion;
+  aLease.mRenewed = std::max(aLease.mRenewed, aBegun);
+  for (auto& seen : aLease.mSeen) {
+    // The renewer watches the others; were they silent, it would have sent
+    // the table. Should we write next, we don't take them for silent.
+    seen.second.mSince = aNow;
+  }
+}
+
 std::vector<std::string>
 ShareLeaseAsk(const ShareLease& aLease)
 {
@@ -335,6 +379,7 @@
   if (aLeaving) {
     RemoveMember(table, aLease.mSelf);
   }
+  table.mChanged = table.mSerial;
   return table;
 }
 
--- a/src/decide/ShareLease.h
+++ b/src/decide/ShareLease.h
@@ -88,6 +88,16 @@
                   TimePoint aBegun,
                   TimePoint aNow);
 
+// The same when all that has changed since the table we know is renewals: the
+// renewer says so instead of sending the table, which at 58 members would be
+// most of what an instance moves at rest.
+void
+ShareLeaseRenewedOnly(ShareLease& aLease,
+                      int64_t aSerial,
+                      int64_t aVersion,
+                      TimePoint aBegun,
+                      TimePoint aNow);
+
 // Members whose word we need while the platform is out.
 std::vector<std::string>
 ShareLeaseAsk(const ShareLease& aLease);
--- a/src/decide/ShareTable.h
+++ b/src/decide/ShareTable.h
@@ -34,7 +34,8 @@
 // leaves the zone, so that a cut zone can go on spending it.
 struct ShareTable
 {
-  int64_t mSerial = 0;                         // grows by one with every write
+  int64_t mSerial = 0;  // grows by one with every write
+  int64_t mChanged = 0; // serial of the last write that wasn't only renewals
   std::map<std::string, ShareMember> mMembers; // by incarnation
   std::vector<ShareSlot> mSlots = std::vector<ShareSlot>(kShareSlots);
 };
--- a/src/share/ShareCodec.cpp
+++ b/src/share/ShareCodec.cpp
@@ -7,6 +7,7 @@
 {
   ShareTable table;
   table.mSerial = aJson["serial"].asInt64();
+  table.mChanged = aJson["changed"].asInt64();
   const Json::Value& members = aJson["members"];
   for (const std::string& id : members.getMemberNames()) {
     const Json::Value& entry = members[id];
@@ -38,6 +39,7 @@
 {
   Json::Value json;
   json["serial"] = Json::Int64(aTable.mSerial);
+  json["changed"] = Json::Int64(aTable.mChanged);
   json["members"] = Json::Value(Json::objectValue);
   for (const auto& entry : aTable.mMembers) {
     Json::Value member;
--- a/src/share/ShareKeeper.cpp
+++ b/src/share/ShareKeeper.cpp
@@ -14,7 +14,7 @@
 constexpr const char* kKind = "shares";
 constexpr int kTries = 4;
 constexpr Millis kPromiseTime{ 500 };
-constexpr int kRenewPart = 4;
+constexpr int kRenewPart = 5; // twice this part of a lease
 constexpr Millis kPokeTime{ 500 };
 
 // incarnation = id.random@address
@@ -215,8 +215,17 @@
     std::lock_guard<std::mutex> lock(mLock);
     also.swap(mAsked);
   }
-  mLastWrite = RenewByWrite(also);
-  return mLastWrite;
+  return RenewWith(also);
+}
+
+bool
+ShareKeeper::RenewWith(const std::map<std::string, int64_t>& aAlso)
+{
+  bool renewed = RenewByWrite(aAlso);
+  for (const auto& member : aAlso) {
+    mTakenAlong[member.first] = renewed;
+  }
+  return renewed;
 }
 
 bool
@@ -267,7 +276,7 @@
   }
   TimePoint begun = mClock.Now();
   // A frozen renewer must leave time to renew by ourselves within the lease.
-  Millis within = mSettings.mTerms.mLease / kRenewPart;
+  Millis within = mSettings.mTerms.mLease * 2 / kRenewPart;
   auto answer = Outcome([&] {
     return mPeers.Call(aRenewer.mPeerAddress, "share.renew", params, within);
   });
@@ -280,9 +289,14 @@
     return false;
   }
   std::lock_guard<std::mutex> lock(mLock);
-  ShareTable table = ShareTableParse((*json)["table"]);
-  ShareLeaseRenewed(
-    mLease, table, (*json)["version"].asInt64(), begun, mClock.Now());
+  int64_t version = (*json)["version"].asInt64();
+  if (json->isMember("table")) {
+    ShareLeaseRenewed(
+      mLease, ShareTableParse((*json)["table"]), version, begun, mClock.Now());
+  } else {
+    ShareLeaseRenewedOnly(
+      mLease, (*json)["serial"].asInt64(), version, begun, mClock.Now());
+  }
   SyncBuckets();
   return mLease.mRenewed >= begun;
 }
@@ -312,13 +326,16 @@
       also.swap(mAsked);
     }
     if (waiting) {
-      mLastWrite = RenewByWrite(also);
+      RenewWith(also);
     }
-    answer["renewed"] = mLastWrite;
+    answer["renewed"] = mTakenAlong[member];
   }
   std::lock_guard<std::mutex> lock(mLock);
-  answer["table"] = ShareTableJson(mLease.mTable);
   answer["version"] = Json::Int64(mLease.mVersion);
+  answer["serial"] = Json::Int64(mLease.mTable.mSerial);
+  if (aParams["knows"].asInt64() < mLease.mTable.mChanged) {
+    answer["table"] = ShareTableJson(mLease.mTable);
+  }
   return answer;
 }
 
--- a/src/share/ShareKeeper.h
+++ b/src/share/ShareKeeper.h
@@ -28,7 +28,7 @@
   ShareLeaseTerms mTerms;
   Millis mGrantLife{ 100 }; // from asking to being let in, at most
   Millis mAskTime{ 40 };    // one question to a holder
-  Millis mGather{ 300 };    // renewals that one write waits for
+  Millis mGather{ 400 };    // renewals that one write waits for
 };
 
 // Tokens a tenant may burst to at one holder. What is granted may be spent a
@@ -84,6 +84,7 @@
   using BucketKey = std::pair<std::string, int>; // tenant and slot
 
   bool RenewTogether();
+  bool RenewWith(const std::map<std::string, int64_t>& aAlso);
   bool RenewByWrite(const std::map<std::string, int64_t>& aAlso);
   bool RenewByPeer(const InstanceInfo& aRenewer);
   void AskPromises();
@@ -114,7 +115,9 @@
   std::function<void()> mPoke;
   std::mutex mWriteLock; // one conditional write of ours at a time
   std::map<std::string, int64_t> mAsked; // renewals for the next write
-  bool mLastWrite = false;               // how the last write for askers ended
+  // How the write that took a member along ended: another one's success says
+  // nothing about its renewal.
+  std::map<std::string, bool> mTakenAlong;
 };
 
 } // namespace caraway
