In time: fair queues with prediction; whole answers proved

Cause: the queue forgot who was ahead whenever a tenant's line ran empty, had one bound for all classes (a flood of briefings could fill the bulletin's place), and predicted waits from what is waiting only. Change: tokens served are kept while a tenant is ahead; a bound per class; prediction takes arrivals of the last 10 s into account.

--- a/bench/DecideBench.cpp
+++ b/bench/DecideBench.cpp
@@ -91,7 +91,7 @@
   }
   for (auto _ : aState) {
     queue.Offer(item(), 1e9, Millis(0), kNow);
-    benchmark::DoNotOptimize(queue.Next(RequestClass::Batch, kNow));
+    benchmark::DoNotOptimize(queue.Next(RequestClass::Batch));
   }
 }
 BENCHMARK(QueueOfferAndNext)->Arg(10)->Arg(100)->Arg(1000);
--- /dev/null
+++ b/bench/QueueBench.cpp
@@ -0,0 +1,189 @@
+// QueueBench: waits under a flood of briefings, WaitQueue against FIFO.
+//
+// One engine group of a given rate; three small tenants with bulletins and
+// chat, one large with briefings at several times what is left over. A paused
+// clock, fixed seeds. A request is refused when it can't start in time: at
+// once by prediction (WaitQueue), or at its deadline (FIFO).
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "decide/WaitQueue.h"
+
+namespace {
+
+using namespace caraway;
+
+constexpr double kRate = 2000; // tokens a second, served one at a time
+constexpr Seconds kLength{ 300 };
+
+struct Arrival
+{
+  TimePoint mAt;
+  WaitItem mItem;
+};
+
+struct Outcome1
+{
+  std::vector<double> mWaits; // ms, of the served
+  int mLate = 0;              // refused at their deadline
+  int mAtOnce = 0;            // refused when they came
+};
+
+std::vector<Arrival>
+Arrivals(unsigned aSeed)
+{
+  std::mt19937 random(aSeed);
+  std::vector<Arrival> all;
+  uint64_t id = 0;
+  auto stream = [&](const char* aTenant,
+                    RequestClass aClass,
+                    double aPerSecond,
+                    double aTokens,
+                    Millis aWithin) {
+    std::exponential_distribution<double> gap(aPerSecond);
+    TimePoint at = TimePoint(Seconds(1000));
+    TimePoint end = at + kLength;
+    while (at < end) {
+      at += Micros(static_cast<int64_t>(gap(random) * 1e6));
+      WaitItem item;
+      item.mId = ++id;
+      item.mTenant = aTenant;
+      item.mClass = aClass;
+      item.mTokens = aTokens;
+      item.mArrived = at;
+      item.mStartBy = at + aWithin;
+      all.push_back({ at, item });
+    }
+  };
+  for (const char* tenant : { "pass", "dune", "roads" }) {
+    stream(tenant, RequestClass::Urgent, 0.5, 100, Millis(1400));
+    stream(tenant, RequestClass::Interactive, 2, 100, Millis(1400));
+  }
+  stream("large", RequestClass::Batch, 3, 1500, Seconds(60));
+  stream("large", RequestClass::Interactive, 20, 100, Millis(1400));
+  std::sort(all.begin(), all.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mAt < aRight.mAt;
+  });
+  return all;
+}
+
+// aSlowed: the engine falls to a tenth from a third to two thirds of the time.
+double
+RateAt(TimePoint aNow, bool aSlowed)
+{
+  TimePoint begun = TimePoint(Seconds(1000));
+  bool slow =
+    aSlowed && aNow > begun + kLength / 3 && aNow < begun + kLength * 2 / 3;
+  return slow ? kRate / 10 : kRate;
+}
+
+std::map<std::string, Outcome1>
+RunQueue(const std::vector<Arrival>& aAll, bool aFair, bool aSlowed)
+{
+  std::map<std::string, Outcome1> outcomes;
+  WaitQueue queue;
+  std::deque<WaitItem> fifo;
+  double learnt = 0;
+  TimePoint free = TimePoint(Seconds(1000));
+  auto key = [](const WaitItem& aItem) {
+    return aItem.mTenant + " " + RequestClassName(aItem.mClass);
+  };
+  auto next = [&](TimePoint aNow) -> std::optional<WaitItem> {
+    if (aFair) {
+      for (const WaitItem& late : queue.Expire(aNow)) {
+        ++outcomes[key(late)].mLate;
+      }
+      return queue.Next(RequestClass::Batch);
+    }
+    while (!fifo.empty()) {
+      WaitItem item = fifo.front();
+      fifo.pop_front();
+      if (item.mStartBy > aNow) {
+        return item;
+      }
+      ++outcomes[key(item)].mLate;
+    }
+    return std::nullopt;
+  };
+  auto serve = [&](TimePoint aUntil) {
+    while (free <= aUntil) {
+      auto item = next(free);
+      if (!item) {
+        free = std::max(free, aUntil + Micros(1));
+        return;
+      }
+      double wait =
+        std::chrono::duration<double, std::milli>(free - item->mArrived)
+          .count();
+      outcomes[key(*item)].mWaits.push_back(wait);
+      double rate = RateAt(free, aSlowed);
+      learnt = learnt == 0 ? rate : learnt + 0.2 * (rate - learnt);
+      free += Micros(static_cast<int64_t>(item->mTokens / rate * 1e6));
+    }
+  };
+  for (const Arrival& arrival : aAll) {
+    serve(arrival.mAt);
+    free = std::max(free, arrival.mAt);
+    if (!aFair) {
+      fifo.push_back(arrival.mItem);
+    } else if (queue.Offer(arrival.mItem, learnt, Millis(0), arrival.mAt)) {
+      ++outcomes[key(arrival.mItem)].mAtOnce;
+    }
+  }
+  serve(aAll.back().mAt + Seconds(60));
+  return outcomes;
+}
+
+void
+Table(const char* aName, bool aSlowed)
+{
+  std::printf("%s\n  %-22s %30s   %30s\n  %-22s %10s %9s %9s   %10s %9s %9s\n",
+              aName,
+              "",
+              "FIFO",
+              "WaitQueue",
+              "tenant and class",
+              "p99 ms",
+              "late",
+              "at once",
+              "p99 ms",
+              "late",
+              "at once");
+  std::vector<Arrival> all = Arrivals(1);
+  auto fifo = RunQueue(all, false, aSlowed);
+  auto fair = RunQueue(all, true, aSlowed);
+  for (auto& entry : fair) {
+    std::printf("  %-22s", entry.first.c_str());
+    for (Outcome1* outcome : { &fifo[entry.first], &entry.second }) {
+      std::vector<double>& waits = outcome->mWaits;
+      std::sort(waits.begin(), waits.end());
+      double total =
+        static_cast<double>(waits.size()) + outcome->mLate + outcome->mAtOnce;
+      double p99 = waits.empty()
+                     ? 0
+                     : waits[static_cast<size_t>(
+                         0.99 * static_cast<double>(waits.size() - 1))];
+      std::printf(" %10.0f %8.1f%% %8.1f%%  ",
+                  p99,
+                  100 * outcome->mLate / total,
+                  100 * outcome->mAtOnce / total);
+    }
+    std::printf("\n");
+  }
+}
+
+} // namespace
+
+int
+main()
+{
+  Table("a flood of briefings and chat by one large tenant", false);
+  Table("the same, the engine at a tenth of its speed in the middle third",
+        true);
+  return 0;
+}
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -1,6 +1,7 @@
 #include "decide/WaitQueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace caraway {
 
@@ -8,6 +9,7 @@
 
 constexpr Millis kLeastRetry{ 200 };
 constexpr Millis kMostRetry{ 30000 };
+constexpr double kArrivalMemory = 10; // seconds
 
 Millis
 TimeFor(double aTokens, double aRate)
@@ -26,13 +28,17 @@
 size_t
 WaitQueue::Size() const
 {
-  return mSize;
+  size_t size = 0;
+  for (const ClassLines& one : mClasses) {
+    size += one.mSize;
+  }
+  return size;
 }
 
 bool
 WaitQueue::Waiting(RequestClass aClass) const
 {
-  return !mLines[static_cast<int>(aClass)].empty();
+  return mClasses[static_cast<int>(aClass)].mSize > 0;
 }
 
 // Work that will be served before aItem: all of the more urgent classes; of
@@ -44,14 +50,15 @@
   int own = static_cast<int>(aItem.mClass);
   double work = 0;
   for (int i = 0; i < own; ++i) {
-    for (const auto& line : mLines[i]) {
+    for (const auto& line : mClasses[i].mLines) {
       work += line.second.mTokens;
     }
   }
-  auto line = mLines[own].find(aItem.mTenant);
-  double mine = line == mLines[own].end() ? 0 : line->second.mTokens;
+  const Lines& lines = mClasses[own].mLines;
+  auto line = lines.find(aItem.mTenant);
+  double mine = line == lines.end() ? 0 : line->second.mTokens;
   work += mine;
-  for (const auto& other : mLines[own]) {
+  for (const auto& other : lines) {
     if (other.first != aItem.mTenant) {
       work += std::min(other.second.mTokens, mine + aItem.mTokens);
     }
@@ -59,23 +66,85 @@
   return work;
 }
 
-Millis
-WaitQueue::Predict(const WaitItem& aItem, double aRate) const
+void
+WaitQueue::ArrivalRate::Add(double aTokens, TimePoint aNow)
+{
+  mRate = At(aNow) + aTokens / kArrivalMemory;
+  mAt = aNow;
+}
+
+double
+WaitQueue::ArrivalRate::At(TimePoint aNow) const
 {
-  return TimeFor(WorkBefore(aItem), aRate);
+  double seconds = std::chrono::duration<double>(aNow - mAt).count();
+  return mRate * std::exp(-std::max(0.0, seconds) / kArrivalMemory);
 }
 
-WaitQueue::TenantLine&
-WaitQueue::LineFor(const WaitItem& aItem)
+// What is waiting isn't all that will be served first: more urgent requests
+// keep arriving, and other tenants of the class keep taking their turns.
+// Without this a briefing is let in to wait a minute for a place that the chat
+// still to come will have, and is refused at its deadline instead of at once.
+double
+WaitQueue::RateLeftFor(const WaitItem& aItem,
+                       double aRate,
+                       TimePoint aNow) const
 {
+  constexpr double kLeastPart = 0.02;
   int own = static_cast<int>(aItem.mClass);
-  auto inserted = mLines[own].emplace(aItem.mTenant, TenantLine());
-  if (inserted.second) {
-    // A tenant that comes back begins level with the others: credit saved up
-    // while it was away would let it shut them out.
-    inserted.first->second.mServed = mVirtualTime[own];
+  if (aItem.mClass == RequestClass::Urgent) {
+    // Nothing passes a bulletin. Refusing one on a guess costs more than
+    // letting it wait until its time.
+    return aRate;
+  }
+  double left = aRate;
+  for (int i = 0; i < own; ++i) {
+    for (const auto& arrivals : mClasses[i].mArrivals) {
+      left -= arrivals.second.At(aNow);
+    }
+  }
+  // With nothing of its own waiting, its turn comes after one of each other
+  // tenant's at most, whatever they send meanwhile.
+  const auto& peers = mClasses[own].mArrivals;
+  if (mClasses[own].mLines.count(aItem.mTenant) == 0) {
+    return std::max(left, aRate * kLeastPart);
+  }
+  double turn = left / static_cast<double>(std::max<size_t>(1, peers.size()));
+  double taken = 0;
+  for (const auto& arrivals : peers) {
+    if (arrivals.first != aItem.mTenant) {
+      taken += std::min(std::max(0.0, turn), arrivals.second.At(aNow));
+    }
+  }
+  return std::max(left - taken, aRate * kLeastPart);
+}
+
+Millis
+WaitQueue::Predict(const WaitItem& aItem, double aRate, TimePoint aNow) const
+{
+  if (aRate <= 0) {
+    return Millis(0);
+  }
+  return TimeFor(WorkBefore(aItem), RateLeftFor(aItem, aRate, aNow));
+}
+
+// A tenant that comes back begins level with the others: credit saved up while
+// it was away would let it shut them out.
+double
+WaitQueue::Served(ClassLines& aClass, const std::string& aTenant) const
+{
+  auto served = aClass.mServed.find(aTenant);
+  double known = served == aClass.mServed.end() ? 0 : served->second;
+  return std::max(known, aClass.mVirtualTime);
+}
+
+void
+WaitQueue::ForgetBehind(ClassLines& aClass)
+{
+  for (auto served = aClass.mServed.begin(); served != aClass.mServed.end();) {
+    bool behind = served->second <= aClass.mVirtualTime &&
+                  aClass.mLines.count(served->first) == 0;
+    served = behind ? aClass.mServed.erase(served) : std::next(served);
   }
-  return inserted.first->second;
 }
 
 std::optional<WaitRefusal>
@@ -84,56 +153,64 @@
                  Millis aReadyIn,
                  TimePoint aNow)
 {
-  Millis wait = std::max(Predict(aItem, aRate), aReadyIn);
+  ClassLines& own = mClasses[static_cast<int>(aItem.mClass)];
+  Millis wait = std::max(Predict(aItem, aRate, aNow), aReadyIn);
   Millis retry = std::clamp(wait, kLeastRetry, kMostRetry);
   size_t most = static_cast<size_t>(static_cast<double>(mLimits.mItems) *
                                     mLimits.mTenantPart);
-  auto waiting = mWaitingOf.find(aItem.mTenant);
-  bool tenantFull = waiting != mWaitingOf.end() && waiting->second >= most;
-  if (mSize >= mLimits.mItems || tenantFull) {
+  auto line = own.mLines.find(aItem.mTenant);
+  bool tenantFull =
+    line != own.mLines.end() && line->second.mItems.size() >= most;
+  if (own.mSize >= mLimits.mItems || tenantFull) {
     return WaitRefusal{ ErrorKind::QueueFull, retry };
   }
   if (aNow + wait > aItem.mStartBy) {
     return WaitRefusal{ ErrorKind::DeadlineUnmeetable, retry };
   }
-  TenantLine& line = LineFor(aItem);
-  line.mItems.emplace(aItem.mStartBy, aItem);
-  line.mTokens += aItem.mTokens;
-  ++mWaitingOf[aItem.mTenant];
-  ++mSize;
+  if (line == own.mLines.end()) {
+    own.mServed[aItem.mTenant] = Served(own, aItem.mTenant);
+  }
+  own.mArrivals[aItem.mTenant].Add(aItem.mTokens, aNow);
+  TenantLine& mine = own.mLines[aItem.mTenant];
+  mine.mItems.emplace(aItem.mStartBy, aItem);
+  mine.mTokens += aItem.mTokens;
+  ++own.mSize;
   return std::nullopt;
 }
 
-void
-WaitQueue::Drop(Lines& aLines, Lines::iterator aLine)
+// Takes one item out; the line after, or the same if it goes on.
+WaitQueue::Lines::iterator
+WaitQueue::Leave(ClassLines& aClass,
+                 Lines::iterator aLine,
+                 std::multimap<TimePoint, WaitItem>::iterator aItem)
 {
-  if (aLine->second.mItems.empty()) {
-    aLines.erase(aLine);
-  }
+  aLine->second.mTokens -= aItem->second.mTokens;
+  aLine->second.mItems.erase(aItem);
+  --aClass.mSize;
+  return aLine->second.mItems.empty() ? aClass.mLines.erase(aLine) : aLine;
 }
 
 std::optional<WaitItem>
-WaitQueue::Next(RequestClass aClassLimit, TimePoint aNow)
+WaitQueue::Next(RequestClass aClassLimit)
 {
-  (void)aNow;
   for (int i = 0; i <= static_cast<int>(aClassLimit); ++i) {
-    Lines& lines = mLines[i];
-    if (lines.empty()) {
+    ClassLines& own = mClasses[i];
+    if (own.mSize == 0) {
       continue;
     }
-    auto least = std::min_element(
-      lines.begin(), lines.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.mServed < aRight.second.mServed;
-      });
-    TenantLine& line = least->second;
-    WaitItem item = line.mItems.begin()->second;
-    line.mItems.erase(line.mItems.begin());
-    mVirtualTime[i] = line.mServed;
-    line.mServed += item.mTokens;
-    line.mTokens -= item.mTokens;
-    --mWaitingOf[item.mTenant];
-    --mSize;
-    Drop(lines, least);
+    auto least = std::min_element(own.mLines.begin(),
+                                  own.mLines.end(),
+                                  [&](const auto& aLeft, const auto& aRight) {
+                                    return own.mServed[aLeft.first] <
+                                           own.mServed[aRight.first];
+                                  });
+    auto first = least->second.mItems.begin();
+    WaitItem item = first->second;
+    double& served = own.mServed[item.mTenant];
+    own.mVirtualTime = served;
+    served += item.mTokens;
+    Leave(own, least, first);
+    ForgetBehind(own);
     return item;
   }
   return std::nullopt;
@@ -143,17 +220,15 @@
 WaitQueue::Expire(TimePoint aNow)
 {
   std::vector<WaitItem> expired;
-  for (Lines& lines : mLines) {
-    for (auto line = lines.begin(); line != lines.end();) {
-      auto& items = line->second.mItems;
-      while (!items.empty() && items.begin()->first <= aNow) {
-        expired.push_back(items.begin()->second);
-        line->second.mTokens -= items.begin()->second.mTokens;
-        --mWaitingOf[line->first];
-        --mSize;
-        items.erase(items.begin());
+  for (ClassLines& own : mClasses) {
+    for (auto line = own.mLines.begin(); line != own.mLines.end();) {
+      auto first = line->second.mItems.begin();
+      if (first->first > aNow) {
+        ++line;
+        continue;
       }
-      line = items.empty() ? lines.erase(line) : std::next(line);
+      expired.push_back(first->second);
+      line = Leave(own, line, first);
     }
   }
   return expired;
@@ -162,19 +237,14 @@
 bool
 WaitQueue::Withdraw(uint64_t aId)
 {
-  for (Lines& lines : mLines) {
-    for (auto line = lines.begin(); line != lines.end(); ++line) {
+  for (ClassLines& own : mClasses) {
+    for (auto line = own.mLines.begin(); line != own.mLines.end(); ++line) {
       auto& items = line->second.mItems;
       for (auto item = items.begin(); item != items.end(); ++item) {
-        if (item->second.mId != aId) {
-          continue;
+        if (item->second.mId == aId) {
+          Leave(own, line, item);
+          return true;
         }
-        line->second.mTokens -= item->second.mTokens;
-        --mWaitingOf[line->first];
-        --mSize;
-        items.erase(item);
-        Drop(lines, line);
-        return true;
       }
     }
   }
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -15,7 +15,8 @@
 
 struct WaitQueueLimits
 {
-  size_t mItems = 256;      // waiting, all classes
+  size_t mItems = 256;      // waiting, of each class: a flood of briefings
+                            // must not fill the place of a bulletin
   double mTenantPart = 0.5; // of mItems, for one tenant at most
 };
 
@@ -44,7 +45,7 @@
                                    Millis aReadyIn,
                                    TimePoint aNow);
   // The next to be served, if any of aClassLimit's urgency or above waits.
-  std::optional<WaitItem> Next(RequestClass aClassLimit, TimePoint aNow);
+  std::optional<WaitItem> Next(RequestClass aClassLimit);
   // Those whose time has passed; they no longer wait.
   std::vector<WaitItem> Expire(TimePoint aNow);
   // Its caller has gone. False when it didn't wait any more.
@@ -53,26 +54,45 @@
   size_t Size() const;
   bool Waiting(RequestClass aClass) const;
   // Expected time until an item of this class and tenant would start.
-  Millis Predict(const WaitItem& aItem, double aRate) const;
+  Millis Predict(const WaitItem& aItem, double aRate, TimePoint aNow) const;
 
 private:
+  // Tokens a second that arrive, over the last seconds.
+  struct ArrivalRate
+  {
+    double mRate = 0;
+    TimePoint mAt{};
+
+    void Add(double aTokens, TimePoint aNow);
+    double At(TimePoint aNow) const;
+  };
   struct TenantLine
   {
     std::multimap<TimePoint, WaitItem> mItems; // by deadline
     double mTokens = 0;                        // waiting
-    double mServed = 0;                        // virtual time
   };
   using Lines = std::map<std::string, TenantLine>;
+  struct ClassLines
+  {
+    Lines mLines;
+    size_t mSize = 0;
+    double mVirtualTime = 0; // served to the tenant last chosen
+    std::map<std::string, ArrivalRate> mArrivals;
+    // Tokens served to each tenant, kept while it is ahead of the others: one
+    // that sends a request at a time would otherwise begin anew each time.
+    std::map<std::string, double> mServed;
+  };
 
-  TenantLine& LineFor(const WaitItem& aItem);
-  void Drop(Lines& aLines, Lines::iterator aLine);
+  Lines::iterator Leave(ClassLines& aClass,
+                        Lines::iterator aLine,
+                        std::multimap<TimePoint, WaitItem>::iterator aItem);
+  double Served(ClassLines& aClass, const std::string& aTenant) const;
+  void ForgetBehind(ClassLines& aClass);
   double WorkBefore(const WaitItem& aItem) const;
+  double RateLeftFor(const WaitItem& aItem, double aRate, TimePoint aNow) const;
 
   WaitQueueLimits mLimits;
-  Lines mLines[kRequestClassCount];
-  double mVirtualTime[kRequestClassCount] = {};
-  std::map<std::string, size_t> mWaitingOf;
-  size_t mSize = 0;
+  ClassLines mClasses[kRequestClassCount];
 };
 
 } // namespace caraway
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -247,7 +247,7 @@
   bool batchFits = aServing.mBatchInFlight < aServing.mEndpoint.mSlots - 1 ||
                    aServing.mEndpoint.mSlots == 1;
   auto item = aShard.mGroups[aKey].mQueue.Next(
-    batchFits ? RequestClass::Batch : RequestClass::Interactive, aNow);
+    batchFits ? RequestClass::Batch : RequestClass::Interactive);
   if (!item) {
     return false;
   }
--- /dev/null
+++ b/tests/process/InTimeTest.cpp
@@ -0,0 +1,93 @@
+#include <atomic>
+#include <gtest/gtest.h>
+#include <thread>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+// One large tenant floods the model with briefings from all instances, far
+// more than the engine can serve. Bulletins of a small tenant for the same
+// model keep being served in their time: they pass the queue, and a place is
+// kept from the briefings. What is refused of the flood is refused with when
+// to come back.
+TEST(InTime, BulletinsPassAFloodOfBriefings)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 3 };
+  plan.mEngines = 1;
+  Fleet fleet(plan);
+  int64_t revision = fleet.Configure([](Json::Value& aConfig) {
+    for (Json::Value& profile : aConfig["profiles"]) {
+      if (profile["name"] == "brief") {
+        profile["model"] = "m0";
+        profile["first_token_ms"] = 1000;
+      }
+    }
+  });
+  ASSERT_TRUE(fleet.AwaitRevision(revision, Seconds(9)));
+  ASSERT_TRUE(fleet.Chat(0, fleet.mKeys["acme"], "notice", 1).Ok());
+  std::atomic<bool> ending{ false };
+  std::atomic<int> briefs{ 0 };
+  std::atomic<int> refused{ 0 };
+  std::atomic<int> silent{ 0 };
+  std::vector<std::thread> flood;
+  for (size_t i = 0; i < 36; ++i) {
+    flood.emplace_back([&, i] {
+      while (!ending) {
+        HttpReply reply = fleet.Chat(i % 3, fleet.mKeys["globex"], "brief", 80);
+        briefs += reply.Ok() ? 1 : 0;
+        refused += reply.mStatus == 503 || reply.mStatus == 504 ? 1 : 0;
+        silent += !reply.Ok() && reply.Header("retry-after").empty() ? 1 : 0;
+      }
+    });
+  }
+  int served = 0;
+  double worst = 0;
+  for (int i = 0; i < 30; ++i) {
+    auto begun = std::chrono::steady_clock::now();
+    served +=
+      fleet.Chat(static_cast<size_t>(i % 3), fleet.mKeys["acme"], "notice", 1)
+          .Ok()
+        ? 1
+        : 0;
+    worst = std::max(
+      worst,
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - begun)
+        .count());
+    std::this_thread::sleep_for(Millis(80));
+  }
+  ending = true;
+  for (std::thread& thread : flood) {
+    thread.join();
+  }
+  EXPECT_EQ(served, 30);
+  EXPECT_LT(worst, 1.4);
+  EXPECT_GT(briefs, 0);
+  EXPECT_GT(refused, 0);
+  EXPECT_EQ(silent, 0);
+  RecordProperty("worst_ms", static_cast<int>(worst * 1000));
+}
+
+// All engines are gone. Every request is refused at once and says when to come
+// back; none waits for its deadline, half a minute away.
+TEST(InTime, NothingToServeIsSaidAtOnce)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  Fleet fleet(plan);
+  for (auto& engine : fleet.mEngines) {
+    engine->Kill();
+  }
+  auto begun = std::chrono::steady_clock::now();
+  HttpReply reply = fleet.Chat(1, fleet.mKeys["acme"], "chat-m0", 4);
+  EXPECT_EQ(reply.mStatus, 503);
+  EXPECT_EQ(JsonParseOrEmpty(reply.mBody)["run"].asString(), "not_run");
+  EXPECT_FALSE(reply.Header("retry-after").empty());
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, Seconds(3));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/process/WholeAnswerTest.cpp
@@ -0,0 +1,89 @@
+#include <gtest/gtest.h>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+namespace {
+
+std::string
+Words(int aCount)
+{
+  std::string text;
+  for (int i = 0; i < aCount; ++i) {
+    text += "w" + std::to_string(i) + " ";
+  }
+  return text;
+}
+
+std::string
+Content(const HttpReply& aReply)
+{
+  return JsonParseOrEmpty(aReply.mBody)["choices"][0]["message"]["content"]
+    .asString();
+}
+
+} // namespace
+
+class WholeAnswer : public testing::TestWithParam<const char*>
+{};
+
+// The engine cuts the stream, sends another request's token, leaves one out,
+// sends one twice, or ends early as if all were said. The caller sees the whole
+// answer, each token once: what was good is kept, and the rest is generated
+// elsewhere or again, after it.
+TEST_P(WholeAnswer, BrokenStreamsAreTakenUpAgain)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mEngines = 2;
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_EQ(Content(fleet.Chat(0, key, "chat-m0", 3)), Words(3));
+  Json::Value fault;
+  fault[GetParam()] = 7;
+  for (auto& engine : fleet.mEngines) {
+    fleet.Call(engine->Address(), "POST", "/control", fault);
+  }
+  HttpReply reply = fleet.Chat(0, key, "chat-m0", 20);
+  EXPECT_EQ(Content(reply), Words(20)) << reply.mBody;
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults,
+                         WholeAnswer,
+                         testing::Values("cut_after",
+                                         "crossed_at",
+                                         "skip_at",
+                                         "double_at",
+                                         "early_end_at"),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param);
+                         });
+
+// Both engines die in the middle of a stream. The caller gets what came, then
+// an error event, and no end marker: a short answer never looks complete.
+TEST(WholeAnswerLost, ErrorEventInPlaceOfTheEnd)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 1 };
+  plan.mEngines = 1;
+  plan.mEngineWords = { "--token_ms=20" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  fleet.Chat(0, key, "chat-m0", 1);
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(0, key, "chat-m0", 100, true); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  std::this_thread::sleep_for(Millis(300));
+  fleet.mEngines[0]->Kill();
+  caller.join();
+  EXPECT_NE(reply.mBody.find("event: error"), std::string::npos);
+  EXPECT_EQ(reply.mBody.find("[DONE]"), std::string::npos);
+  EXPECT_NE(reply.mBody.find("w3 "), std::string::npos);
+}
+
+} // namespace caraway
