Keys, configuration and leaving: proved with real processes

Cause 1: owners went on using engines that were taken out of the configuration. Change: servings are pruned when the revision changes. Cause 2: freshness of keys was confirmed at most every 10 s (one watch), so a max_age below that refused everybody. Change: a watch lasts a quarter of it. Cause 3: a conflict told the second operator only the number; now who made the revision and why. Cause 4: SIGTERM to exit took 7 s after everything was answered: the watch was waited out. Ruled out: requests, places, claims (log line 'draining': all 0). Change: exit without joining it. Cause 5: a key withdrawn while its request waits is now refused, not served.

--- a/src/daemon/ConfigWatcher.cpp
+++ b/src/daemon/ConfigWatcher.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr Millis kWatch{ 10000 };
 constexpr Millis kStep{ 100 };
 constexpr Millis kFirstPause{ 200 };
 constexpr Millis kMostPause{ 2000 };
@@ -18,10 +17,12 @@
 ConfigWatcher::ConfigWatcher(ConfigStore& aStore,
                              ConfigHolder& aHolder,
                              PeerClient& aPeers,
+                             Millis aWatch,
                              const Clock& aClock)
   : mStore(aStore)
   , mHolder(aHolder)
   , mPeers(aPeers)
+  , mWatch(aWatch)
   , mClock(aClock)
 {
 }
@@ -87,7 +88,7 @@
     TimePoint asked = mClock.Now();
     auto index = Outcome([&] {
       return mVersion == 0 ? mStore.Index()
-                           : mStore.WatchIndex(mVersion, kWatch);
+                           : mStore.WatchIndex(mVersion, mWatch);
     });
     bool fine = false;
     if (auto* found = std::get_if<ConfigIndex>(&index)) {
--- a/src/daemon/ConfigWatcher.h
+++ b/src/daemon/ConfigWatcher.h
@@ -23,6 +23,7 @@
   ConfigWatcher(ConfigStore& aStore,
                 ConfigHolder& aHolder,
                 PeerClient& aPeers,
+                Millis aWatch,
                 const Clock& aClock);
   ~ConfigWatcher();
 
@@ -47,6 +48,7 @@
   ConfigStore& mStore;
   ConfigHolder& mHolder;
   PeerClient& mPeers;
+  Millis mWatch; // one watch; how often freshness is confirmed at least
   const Clock& mClock;
   std::atomic<int64_t> mVersion{ 0 };
   std::atomic<bool> mStopping{ false };
--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -31,6 +31,15 @@
   return settings;
 }
 
+// Freshness is confirmed when a watch returns: several times within the age
+// that keys are trusted for.
+Millis
+WatchTime(const Settings& aSettings)
+{
+  constexpr Millis kMost{ 10000 };
+  return std::min(kMost, Millis(aSettings.mKeysMaxAge) / 4);
+}
+
 LoaderSettings
 LoadSettings(const Settings& aSettings)
 {
@@ -94,8 +103,8 @@
     mSettings.mId + "." + RandomId().substr(0, kNonceDigits) + "@" + address;
   mMembers = std::make_unique<Members>(
     mClock, InstanceInfo{ mSettings.mId, mSettings.mZone, address, false });
-  mWatcher =
-    std::make_unique<ConfigWatcher>(mConfigStore, mConfig, mPeers, mClock);
+  mWatcher = std::make_unique<ConfigWatcher>(
+    mConfigStore, mConfig, mPeers, WatchTime(mSettings), mClock);
   mHeartbeat = std::make_unique<Heartbeat>(*mMembers,
                                            mPeers,
                                            mPlatform,
@@ -307,6 +316,11 @@
   std::this_thread::sleep_for(mSettings.mShutdownLag);
   mCallers->Drain();
   mCallers->StopAccepting();
+  LogInfo("draining",
+          { { "in_flight", std::to_string(mCallers->InFlight()) },
+            { "places", std::to_string(mOwner.Busy()) },
+            { "claims_idle", mClaimWorkers.Idle() ? "yes" : "no" },
+            { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" } });
   TimePoint until = mClock.Now() + mSettings.mShutdownLimit;
   auto busy = [this] {
     return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
@@ -320,7 +334,6 @@
   mShares->Leave();
   mCallers->Close();
   mAdmin->Close();
-  mWatcher->Stop();
   mPeerPort.Close();
   LogInfo("left", { { "cut", std::to_string(cut) } });
   return cut;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // carawayd: one entry instance.
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <gflags/gflags.h>
 
 #include <Poco/Exception.h>
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr int kExitOk = 0;
+constexpr int kExitCut = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitRefused = 3;
 constexpr int kExitUnreachable = 4;
@@ -42,7 +44,11 @@
   std::fflush(stdout);
   int signal = 0;
   sigwait(&signals, &signal);
-  return instance.Shutdown() == 0 ? kExitOk : 1;
+  int code = instance.Shutdown() == 0 ? kExitOk : kExitCut;
+  std::fflush(nullptr);
+  // All is answered and handed over. What is left are threads in calls that
+  // last (the watch waits 10 s), and nothing hangs on their ends.
+  std::_Exit(code);
 }
 
 } // namespace
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -405,9 +405,34 @@
   Pump(shard, aKey, now);
 }
 
+// Endpoints that were taken out of the configuration, or moved, get no new
+// work; what they are serving goes on.
+void
+ModelOwner::PruneServings(const ConfigSnapshot& aConfig)
+{
+  auto leaves = [&](const ModelServing& aServing) {
+    auto endpoint = aConfig.mEndpoints.find(aServing.mEndpoint.mName);
+    return endpoint == aConfig.mEndpoints.end() ||
+           endpoint->second.mAddress != aServing.mEndpoint.mAddress;
+  };
+  for (Shard& shard : mShards) {
+    std::lock_guard<std::mutex> lock(shard.mLock);
+    for (auto& entry : shard.mGroups) {
+      auto& servings = entry.second.mServing;
+      servings.erase(std::remove_if(servings.begin(), servings.end(), leaves),
+                     servings.end());
+    }
+  }
+}
+
 void
 ModelOwner::Sweep()
 {
+  ConfigPtr config = mConfig.Current();
+  if (config->mRevision != mPruned) {
+    PruneServings(*config);
+    mPruned = config->mRevision;
+  }
   TimePoint now = mClock.Now();
   std::vector<uint64_t> overdue;
   for (Shard& shard : mShards) {
--- a/src/own/ModelOwner.h
+++ b/src/own/ModelOwner.h
@@ -80,12 +80,15 @@
                             const EndpointSpec& aEndpoint,
                             const std::string& aAdapter);
 
+  void PruneServings(const ConfigSnapshot& aConfig);
+
   ConfigHolder& mConfig;
   Loader& mLoader;
   WorkerPool& mWorkers;
   const Clock& mClock;
   std::array<Shard, kShards> mShards;
   std::atomic<uint64_t> mNextId{ 1 };
+  int64_t mPruned = 0; // revision; used by Sweep's thread alone
 };
 
 } // namespace caraway
--- a/src/platform/ConfigStore.cpp
+++ b/src/platform/ConfigStore.cpp
@@ -29,6 +29,16 @@
   return static_cast<int>((hash >> 8) % kBuckets);
 }
 
+// Whose change came first, for the operator who has to look at it.
+leaf::error_id
+Conflict(const ConfigRevision& aNow, int64_t aExpected)
+{
+  return Fail(ErrorKind::RevisionConflict,
+              "your change is based on revision " + std::to_string(aExpected) +
+                "; " + aNow.mAuthor + " has made revision " +
+                std::to_string(aNow.mRevision) + " (" + aNow.mNote + ")");
+}
+
 std::map<std::string, Json::Value>
 CutIntoParts(const Json::Value& aConfig)
 {
@@ -149,9 +159,7 @@
     index = std::get<ConfigIndex>(standing);
   }
   if (index.mNow.mRevision != aExpected) {
-    return Fail(ErrorKind::RevisionConflict,
-                "revision " + std::to_string(index.mNow.mRevision) +
-                  " is in force, not " + std::to_string(aExpected));
+    return Conflict(index.mNow, aExpected);
   }
   Json::Value manifest;
   manifest["parts"] = Json::Value(Json::arrayValue);
@@ -176,10 +184,7 @@
     case WriteEnd::Done:
       return index.mNow;
     case WriteEnd::Conflict: {
-      ConfigIndex now = ConfigIndexParse(result.mObject.mValue);
-      return Fail(ErrorKind::RevisionConflict,
-                  now.mNow.mAuthor + " made revision " +
-                    std::to_string(now.mNow.mRevision) + ": " + now.mNow.mNote);
+      return Conflict(ConfigIndexParse(result.mObject.mValue).mNow, aExpected);
     }
     default:
       return Fail({ ErrorKind::PlatformUnavailable,
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -214,6 +214,10 @@
       break;
     }
     PlaceGrant grant = std::get<PlaceGrant>(acquired);
+    if (!mKeys.StillGood(context.mCaller)) {
+      Return(owner, { grant.mPlace, 0, false, false });
+      return Fail(ErrorKind::KeyUnknown, "withdrawn while it waited");
+    }
     aSoFar.mCold = aSoFar.mCold || grant.mCold;
     mMetrics.Observe(grant.mCold ? "cold_start" : "wait",
                      tenant,
--- /dev/null
+++ b/tests/process/ConfigTest.cpp
@@ -0,0 +1,209 @@
+#include <atomic>
+#include <gtest/gtest.h>
+#include <thread>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+namespace {
+
+Json::Value
+Mode(const char* aMode)
+{
+  Json::Value mode;
+  mode["mode"] = aMode;
+  return mode;
+}
+
+void
+Withdraw(Json::Value& aConfig, const std::string& aId)
+{
+  Json::Value kept(Json::arrayValue);
+  for (const Json::Value& key : aConfig["keys"]) {
+    if (key["id"] != aId) {
+      kept.append(key);
+    }
+  }
+  aConfig["keys"] = kept;
+}
+
+FleetPlan
+Plan()
+{
+  FleetPlan plan;
+  plan.mProxies = true;
+  return plan;
+}
+
+} // namespace
+
+// A key is withdrawn while its caller is being streamed to. The stream ends
+// with an error event within seconds, and new requests are refused on every
+// instance; other keys go on.
+TEST(Keys, WithdrawnWhileStreaming)
+{
+  FleetPlan plan;
+  plan.mEngineWords = { "--token_ms=50" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  fleet.Chat(0, key, "chat-m0", 1);
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(0, key, "chat-m0", 200, true); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  std::this_thread::sleep_for(Millis(300)); // some tokens are out
+  auto begun = std::chrono::steady_clock::now();
+  int64_t revision = fleet.Configure(
+    [](Json::Value& aConfig) { Withdraw(aConfig, "key-acme"); });
+  caller.join();
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, Seconds(3));
+  EXPECT_NE(reply.mBody.find("event: error"), std::string::npos)
+    << reply.mStatus << reply.mError << reply.mBody;
+  EXPECT_EQ(reply.mBody.find("[DONE]"), std::string::npos);
+  ASSERT_TRUE(fleet.AwaitRevision(revision, Seconds(9)));
+  for (size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(fleet.Chat(i, key, "chat-m0", 1).mStatus, 401);
+    EXPECT_TRUE(fleet.Chat(i, fleet.mKeys["globex"], "chat-m0", 1).Ok());
+  }
+}
+
+// One zone can't reach the platform; its peers in the other zone can. A change
+// gets there all the same, by them.
+TEST(Config, ReachesAZoneCutOffFromThePlatform)
+{
+  Fleet fleet(Plan());
+  fleet.ProxyMode(*fleet.mPlatformProxies["uspallata-b"], Mode("cut"));
+  int64_t revision = fleet.Configure(
+    [](Json::Value& aConfig) { aConfig["profiles"][0]["max_tokens"] = 3; });
+  EXPECT_TRUE(fleet.AwaitRevision(revision, Seconds(9)));
+}
+
+// The platform gives reads from before the change for a while, and an instance
+// is started anew in the middle. Seen from outside, no instance ever goes back
+// to an earlier revision, and all get to the newest.
+TEST(Config, NeverGoesBack)
+{
+  Fleet fleet({});
+  std::atomic<bool> ending{ false };
+  std::atomic<int> reverts{ 0 };
+  std::thread watcher([&] {
+    std::map<size_t, int64_t> seen;
+    while (!ending) {
+      for (size_t i = 0; i < 2; ++i) {
+        int64_t now = fleet.Status(i)["revision"].asInt64();
+        reverts += now < seen[i] ? 1 : 0;
+        seen[i] = now;
+      }
+    }
+  });
+  fleet.PlatformFault("stale_ms", 700);
+  int64_t revision = 1;
+  for (int i = 0; i < 4; ++i) {
+    // The administration reads what is in force: it may be shown a stale one
+    // and is then refused, which is what a second operator would be.
+    Eventually(Seconds(5), [&] {
+      try {
+        revision = fleet.Configure([&](Json::Value& aConfig) {
+          aConfig["profiles"][0]["max_tokens"] = 10 + i;
+        });
+        return true;
+      } catch (const std::exception&) {
+        return false;
+      }
+    });
+    if (i == 1) {
+      fleet.mInstances[2]->Kill();
+      fleet.mInstances[2] = fleet.StartInstance(2);
+      fleet.Announce(2, false);
+    }
+  }
+  EXPECT_EQ(revision, 5);
+  EXPECT_TRUE(fleet.AwaitRevision(revision, Seconds(9)));
+  ending = true;
+  watcher.join();
+  EXPECT_EQ(reverts, 0);
+}
+
+// An instance is started while the platform is out. It takes the configuration
+// from a peer and is not ready before that; it then knows every key.
+TEST(Config, NewInstanceStartsInAnOutage)
+{
+  Fleet fleet({});
+  std::string key = fleet.mKeys["acme"];
+  EXPECT_TRUE(fleet.Chat(0, key, "chat-m0", 1).Ok());
+  fleet.PlatformFault("outage", "refuse");
+  fleet.mInstances[1]->Kill();
+  fleet.mInstances[1] = fleet.StartInstance(1);
+  EXPECT_TRUE(Eventually(
+    Seconds(9), [&] { return fleet.Status(1)["revision"].asInt64() == 1; }));
+  std::string caller = fleet.mInstances[1]->Address("caller");
+  EXPECT_TRUE(fleet.Call(caller, "GET", "/v1/models", {}, key).Ok());
+  EXPECT_EQ(fleet.Call(caller, "GET", "/v1/models", {}, "wrong").mStatus, 401);
+}
+
+// A zone cut off from everything goes on serving the keys it knows, for the
+// time the operator set, and then refuses and says why; mended, it serves
+// again.
+TEST(Keys, CutZoneServesForAsLongAsIsSet)
+{
+  FleetPlan plan = Plan();
+  plan.mSettings = { "[keys]", "max_age_s = 4" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  std::string caller = fleet.mInstances[2]->Address("caller");
+  auto status = [&] {
+    return fleet.Call(caller, "GET", "/v1/models", {}, key).mStatus;
+  };
+  fleet.CutZone("uspallata-b", true);
+  EXPECT_EQ(status(), 200);
+  EXPECT_TRUE(Eventually(Seconds(25), [&] { return status() == 503; }));
+  EXPECT_EQ(
+    fleet
+      .Call(
+        fleet.mInstances[0]->Address("caller"), "GET", "/v1/models", {}, key)
+      .mStatus,
+    200);
+  fleet.CutZone("uspallata-b", false);
+  EXPECT_TRUE(Eventually(Seconds(9), [&] { return status() == 200; }));
+}
+
+// Two operators change the same revision. One is told what the other did, and
+// nothing of the first one's change is lost.
+TEST(Config, OperatorsRacing)
+{
+  Fleet fleet({});
+  Json::Value read =
+    JsonParseOrEmpty(fleet
+                       .Call(fleet.mInstances[0]->Address("admin"),
+                             "GET",
+                             "/admin/v1/config",
+                             {},
+                             fleet.mAdminKey)
+                       .mBody);
+  Json::Value body;
+  body["expected"] = read["revision"];
+  body["config"] = read["config"];
+  body["note"] = "first";
+  std::string admin = fleet.mInstances[2]->Address("admin");
+  EXPECT_TRUE(
+    fleet.Call(admin, "POST", "/admin/v1/config", body, fleet.mAdminKey).Ok());
+  body["note"] = "second";
+  HttpReply late = fleet.Call(fleet.mInstances[1]->Address("admin"),
+                              "POST",
+                              "/admin/v1/config",
+                              body,
+                              fleet.mAdminKey);
+  EXPECT_EQ(late.mStatus, 409);
+  EXPECT_NE(late.mBody.find("first"), std::string::npos) << late.mBody;
+  body["config"]["profiles"][0]["clas"] = "urgent";
+  HttpReply bad =
+    fleet.Call(admin, "POST", "/admin/v1/config", body, fleet.mAdminKey);
+  EXPECT_EQ(bad.mStatus, 422);
+  EXPECT_NE(bad.mBody.find("clas: unknown field"), std::string::npos);
+  EXPECT_EQ(
+    fleet.Call(admin, "POST", "/admin/v1/config", body, "wrong").mStatus, 401);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/process/LeavingTest.cpp
@@ -0,0 +1,132 @@
+#include <atomic>
+#include <gtest/gtest.h>
+#include <thread>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+namespace {
+
+// Callers behind a balancer: they go to instances that are ready, and on when
+// a connection is refused. Whatever was sent must be answered whole.
+class Callers
+{
+public:
+  Callers(Fleet& aFleet, int aCount)
+    : mFleet(aFleet)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mThreads.emplace_back([this, i] { Run(i); });
+    }
+  }
+  ~Callers() { Stop(); }
+  void Stop()
+  {
+    mEnding = true;
+    for (std::thread& thread : mThreads) {
+      thread.join();
+    }
+    mThreads.clear();
+  }
+  std::atomic<int> mAnswered{ 0 };
+  std::atomic<int> mCut{ 0 };
+
+private:
+  bool Ready(size_t aInstance)
+  {
+    return mFleet
+      .Call(mFleet.mInstances[aInstance]->Address("admin"), "GET", "/readyz")
+      .Ok();
+  }
+  void Run(int aSelf)
+  {
+    for (int i = 0; !mEnding; ++i) {
+      size_t at = static_cast<size_t>(aSelf + i) % mFleet.mInstances.size();
+      if (!Ready(at)) {
+        continue;
+      }
+      std::string key = mFleet.mKeys["acme"];
+      std::string body = std::to_string(aSelf) + "/" + std::to_string(i);
+      HttpReply reply = aSelf % 2 == 0 ? mFleet.Chat(at, key, "chat-m0", 30)
+                                       : mFleet.OrderCall(at, key, body, body);
+      mAnswered += reply.Ok() ? 1 : 0;
+      mCut += !reply.Ok() && reply.mStage != HttpStage::NotSent ? 1 : 0;
+      // Within an instance's budget of platform calls.
+      std::this_thread::sleep_for(Millis(20));
+    }
+  }
+
+  Fleet& mFleet;
+  std::atomic<bool> mEnding{ false };
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace
+
+// An instance is told to end while it streams, has requests waiting and
+// orders running. It becomes unready, finishes all of it, hands its slots on,
+// and ends with code 0. No caller loses anything.
+TEST(Leaving, ShutdownUnderLoadCutsNothing)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 3 };
+  plan.mSettings = { "[shutdown]", "lag_ms = 600" };
+  Fleet fleet(plan);
+  fleet.Chat(0, fleet.mKeys["acme"], "chat-m0", 1);
+  Callers callers(fleet, 8);
+  std::this_thread::sleep_for(Millis(600));
+  fleet.mInstances[1]->Terminate();
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+  int before = callers.mAnswered;
+  std::this_thread::sleep_for(Millis(600));
+  callers.Stop();
+  EXPECT_GT(callers.mAnswered, before);
+  EXPECT_EQ(callers.mCut, 0);
+  int slots = 0;
+  for (size_t i : { 0u, 2u }) {
+    slots += fleet.Status(i)["share_slots"].asInt();
+  }
+  EXPECT_EQ(slots, 16);
+}
+
+// An engine is taken out of the configuration while it serves. What it is
+// serving ends whole; a second later it gets nothing new.
+TEST(Leaving, EndpointTakenOutGetsNoNewWork)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mEngines = 2;
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(0, key, "chat-m0", 1).Ok());
+  size_t leaving = fleet.EngineState(0)["audit"]["loads"].asInt() == 1 ? 0 : 1;
+  HttpReply during;
+  std::thread caller([&] { during = fleet.Chat(0, key, "chat-m0", 200); });
+  EXPECT_TRUE(Eventually(Seconds(5), [&] {
+    return fleet.EngineState(leaving)["active"].asInt() == 1;
+  }));
+  int64_t revision = fleet.Configure([&](Json::Value& aConfig) {
+    Json::Value kept(Json::arrayValue);
+    for (const Json::Value& endpoint : aConfig["endpoints"]) {
+      if (endpoint["name"] != "llm-mendoza-a" + std::to_string(leaving)) {
+        kept.append(endpoint);
+      }
+    }
+    aConfig["endpoints"] = kept;
+  });
+  ASSERT_TRUE(fleet.AwaitRevision(revision, Seconds(9)));
+  std::this_thread::sleep_for(Seconds(1));
+  caller.join();
+  EXPECT_TRUE(during.Ok());
+  int before = fleet.EngineState(leaving)["audit"]["generated"].asInt();
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_TRUE(fleet.Chat(static_cast<size_t>(i % 2), key, "chat-m0", 2).Ok());
+  }
+  EXPECT_EQ(fleet.EngineState(leaving)["audit"]["generated"].asInt(), before);
+}
+
+} // namespace caraway
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -237,6 +237,13 @@
        << DigestHex(mAdminKey) << "\" }\n"
        << "[peer]\nlisten = \"127.0.0.1:0\"\nsecret = "
        << "\"0123456789abcdef\"\n";
+  text << "seeds = [";
+  for (size_t i = 0; i < mInstances.size(); ++i) {
+    if (i != aIndex && mInstances[i] && mInstances[i]->Running()) {
+      text << "\"" << mInstances[i]->Address("peer") << "\", ";
+    }
+  }
+  text << "]\n";
   if (mPlan.mProxies) {
     text << "advertise = \"" << mPeerProxies[aIndex]->Address() << "\"\n";
   }
