Briefings kept; cold starts measured; a zone replaced at once goes on

Cause found by the first run of SurviveAllInstances (failed, 95 s): with all instances replaced at new addresses, the dead holders knew none of the new ones, so their slots were waited for until the isolation limit, an hour. Ruled out: the briefings' lists (runners had them, log 'briefing_later: no holder of the share answers'). Change: a member that the platform's list hasn't had for a lease and a margin is not waited for. ZoneReplacedAtOnce shows both ways. Cold starts: idle limit by what a reload costs there.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kDrainStep{ 20 };
 constexpr int kLoadThreads = 8;
 constexpr int kClaimThreads = 4;
+constexpr int kBriefingThreads = 4;
+constexpr Millis kBriefEvery{ 1000 };
 constexpr int kPeerThreads = 512;
 constexpr size_t kNonceDigits = 8;
 
@@ -84,9 +86,11 @@
   , mLoader(LoadSettings(mSettings), mPlacements, mEngines, mClock)
   , mLoadWorkers(kLoadThreads)
   , mClaimWorkers(kClaimThreads)
+  , mBriefingWorkers(kBriefingThreads)
   , mOwner(mConfig, mLoader, mLoadWorkers, mClock)
   , mKeys(mConfig, Millis(mSettings.mKeysMaxAge))
   , mClaimBook(mClock)
+  , mBriefings(mPlatform)
 {
 }
 
@@ -139,8 +143,16 @@
   callers.mListen = mSettings.mCallerListen;
   callers.mLimits.mThreads = mSettings.mCallerConnections;
   callers.mBodyLimit = static_cast<size_t>(mSettings.mCallerBodyBytes);
-  mCallers = std::make_unique<CallerPort>(
-    callers, mConfig, mKeys, *mModels, *mServices, mMetrics, mClock);
+  mCallers = std::make_unique<CallerPort>(callers,
+                                          mConfig,
+                                          mKeys,
+                                          *mModels,
+                                          *mServices,
+                                          mBriefings,
+                                          mMetrics,
+                                          mClock);
+  mBriefingRunner = std::make_unique<BriefingRunner>(
+    mBriefings, *mModels, *mMembers, mConfig, mBriefingWorkers, mClock);
   mCallers->Open();
   mAdmin = std::make_unique<AdminPort>(
     mSettings.mAdminListen, AdminUsers(mSettings), AdminParts());
@@ -173,6 +185,11 @@
   every(kBeatEvery, [this] { mHeartbeat->Round(); });
   every(kSweepEvery, [this] { mOwner.Sweep(); });
   every(kKeepEvery, [this] { mKeeper->Round(); });
+  every(kBriefEvery, [this] {
+    if (Ready()) {
+      mBriefingRunner->Round();
+    }
+  });
   // Three tries within a lease. Until there is a configuration, and so
   // anything to share, look more often.
   Millis renew = mSettings.mShareLease / 3;
@@ -324,7 +341,8 @@
   TimePoint until = mClock.Now() + mSettings.mShutdownLimit;
   auto busy = [this] {
     return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
-           !mClaimWorkers.Idle() || !mLoadWorkers.Idle();
+           !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
+           !mBriefingWorkers.Idle();
   };
   while (busy() && mClock.Now() < until) {
     std::this_thread::sleep_for(kDrainStep);
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -17,6 +17,7 @@
 #include "own/ModelOwner.h"
 #include "peer/PeerPort.h"
 #include "platform/PlatformClient.h"
+#include "serve/BriefingRunner.h"
 #include "serve/CallerPort.h"
 
 namespace caraway {
@@ -62,6 +63,7 @@
   Loader mLoader;
   WorkerPool mLoadWorkers;
   WorkerPool mClaimWorkers;
+  WorkerPool mBriefingWorkers;
   ModelOwner mOwner;
   std::unique_ptr<EndpointKeeper> mKeeper;
   std::unique_ptr<ShareKeeper> mShares;
@@ -71,6 +73,8 @@
   std::unique_ptr<ClaimDriver> mClaims;
   std::unique_ptr<ModelCalls> mModels;
   std::unique_ptr<ServiceCalls> mServices;
+  BriefingStore mBriefings;
+  std::unique_ptr<BriefingRunner> mBriefingRunner;
   std::unique_ptr<CallerPort> mCallers;
   std::unique_ptr<AdminPort> mAdmin;
   std::vector<std::unique_ptr<Ticker>> mTickers;
--- a/src/decide/LoadPlan.cpp
+++ b/src/decide/LoadPlan.cpp
@@ -22,14 +22,14 @@
 }
 
 double
-SourceCost(const LoadCandidate& aCandidate,
+SourceCost(const EngineReport& aReport,
            const std::string& aName,
            const LoadPlanTerms& aTerms)
 {
-  if (Lies(aCandidate.mReport.mCachedInMemory, aName)) {
+  if (Lies(aReport.mCachedInMemory, aName)) {
     return aTerms.mMemoryCost;
   }
-  if (Lies(aCandidate.mReport.mCachedOnDisk, aName)) {
+  if (Lies(aReport.mCachedOnDisk, aName)) {
     return aTerms.mDiskCost;
   }
   return aTerms.mRemoteCost;
@@ -95,6 +95,17 @@
 
 } // namespace
 
+Millis
+LoadPlanIdleLimit(const EngineReport& aReport,
+                  const std::string& aName,
+                  Millis aBase,
+                  const LoadPlanTerms& aTerms)
+{
+  double part = SourceCost(aReport, aName, aTerms) / aTerms.mRemoteCost;
+  return Millis(
+    static_cast<int64_t>(static_cast<double>(aBase.count()) * part));
+}
+
 LoadPlan
 LoadPlanChoose(const std::vector<LoadCandidate>& aCandidates,
                const std::string& aName,
@@ -122,8 +133,8 @@
       continue;
     }
     constexpr double kPerActive = 0.02;
-    double cost = SourceCost(candidate, aName, aTerms) + eviction.mCost +
-                  kPerActive * candidate.mReport.mActive;
+    double cost = SourceCost(candidate.mReport, aName, aTerms) +
+                  eviction.mCost + kPerActive * candidate.mReport.mActive;
     if (plan.mCandidate < 0 || cost < best) {
       plan.mCandidate = static_cast<int>(i);
       plan.mEvict = eviction.mReplicas;
--- a/src/decide/LoadPlan.h
+++ b/src/decide/LoadPlan.h
@@ -37,6 +37,16 @@
   bool mJoin = false;                // it is there already: loading or ready
 };
 
+// How long a replica may idle at an engine before it is unloaded. Idling
+// costs accelerator time, unloading the time of a reload times its likelihood:
+// where the checkpoint lies near, a reload costs little and the replica goes
+// sooner. aBase is for one that would come from the remote store.
+Millis
+LoadPlanIdleLimit(const EngineReport& aReport,
+                  const std::string& aName,
+                  Millis aBase,
+                  const LoadPlanTerms& aTerms);
+
 // Joins a load that is under way, else takes the cheapest endpoint by where
 // the checkpoint lies, its load, and what evicting for it will cost: reload
 // time times the likelihood of soon being used, by how long it has idled.
--- a/src/decide/ShareLease.cpp
+++ b/src/decide/ShareLease.cpp
@@ -110,7 +110,10 @@
   bool knowsUs = self != aLease.mTable.mMembers.end() &&
                  member != aLease.mTable.mMembers.end() &&
                  member->second.mKnows >= self->second.mJoined;
-  if (!knowsUs) {
+  auto unlisted = aLease.mUnlisted.find(aMember);
+  bool notRun = unlisted != aLease.mUnlisted.end() &&
+                aNow - unlisted->second > terms.mLease + terms.mMargin;
+  if (!knowsUs && !notRun) {
     // It may be spending on promises from members that don't include us.
     quiet = terms.mIsolationLimit + terms.mMargin;
   }
@@ -312,6 +315,22 @@
   }
 }
 
+void
+ShareLeaseListed(ShareLease& aLease,
+                 const std::set<std::string>& aAddresses,
+                 TimePoint aNow)
+{
+  std::map<std::string, TimePoint> unlisted;
+  for (const auto& member : aLease.mTable.mMembers) {
+    if (aAddresses.count(member.second.mAddress) == 0) {
+      auto known = aLease.mUnlisted.find(member.first);
+      unlisted[member.first] =
+        known == aLease.mUnlisted.end() ? aNow : known->second;
+    }
+  }
+  aLease.mUnlisted = std::move(unlisted);
+}
+
 std::vector<std::string>
 ShareLeaseAsk(const ShareLease& aLease)
 {
--- a/src/decide/ShareLease.h
+++ b/src/decide/ShareLease.h
@@ -56,6 +56,8 @@
   // What we saw of others, by our own clock.
   std::map<std::string, ShareSeen> mSeen;
   std::map<std::string, TimePoint> mSuspected; // since our stored suspicion
+  std::map<std::string, TimePoint> mUnlisted;  // since the platform's list
+                                               // hasn't had them
 };
 
 // Does this instance hold aSlot, and may it spend from it at aNow?
@@ -98,6 +100,16 @@
                       TimePoint aBegun,
                       TimePoint aNow);
 
+// The platform's list, as addresses. A member that it hasn't had for a lease
+// and a margin isn't run by the platform any more, and needn't be waited for
+// until the isolation limit. Without this a zone whose instances were all
+// replaced at once, at new addresses, would have nobody to spend its part for
+// an hour.
+void
+ShareLeaseListed(ShareLease& aLease,
+                 const std::set<std::string>& aAddresses,
+                 TimePoint aNow);
+
 // Members whose word we need while the platform is out.
 std::vector<std::string>
 ShareLeaseAsk(const ShareLease& aLease);
--- a/src/own/EndpointKeeper.cpp
+++ b/src/own/EndpointKeeper.cpp
@@ -108,7 +108,9 @@
   }
   bool changed = PlacementObserve(next, aReport, past);
   for (const EngineReplica& seen : aReport.mReplicas) {
-    if (seen.mReady && seen.mActive == 0 && seen.mIdle > mSettings.mIdleLimit) {
+    Millis limit = LoadPlanIdleLimit(
+      aReport, seen.mName, mSettings.mIdleLimit, mSettings.mTerms);
+    if (seen.mReady && seen.mActive == 0 && seen.mIdle > limit) {
       changed =
         PlacementDecideUnload(next, seen.mName, seen.mVersion) || changed;
     }
--- a/src/peer/Members.cpp
+++ b/src/peer/Members.cpp
@@ -10,6 +10,7 @@
 // kept connection.
 constexpr int kSilences = 2;
 constexpr Seconds kForget{ 60 };
+constexpr Seconds kListFresh{ 10 };
 
 } // namespace
 
@@ -24,7 +25,10 @@
 {
   std::lock_guard<std::mutex> lock(mLock);
   std::map<std::string, Member> next;
+  mListed.clear();
+  mListedAt = mClock.Now();
   for (const InstanceInfo& info : aList) {
+    mListed.insert(info.mPeerAddress);
     if (info.mId == mSelf.mId) {
       continue;
     }
@@ -49,6 +53,15 @@
   mMembers = std::move(next);
 }
 
+std::optional<std::set<std::string>>
+Members::Listed() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  bool fresh =
+    mListedAt != TimePoint{} && mClock.Now() - mListedAt < kListFresh;
+  return fresh ? std::make_optional(mListed) : std::nullopt;
+}
+
 void
 Members::Heard(const InstanceInfo& aPeer)
 {
@@ -124,20 +137,49 @@
 }
 
 InstanceInfo
-Members::Owner(const std::string& aKey) const
+Members::OwnerAmong(const std::vector<InstanceInfo>& aFit,
+                    const std::string& aKey) const
 {
-  std::vector<InstanceInfo> fit = Fit(mSelf.mZone);
   std::vector<std::string> ids;
-  for (const InstanceInfo& info : fit) {
+  for (const InstanceInfo& info : aFit) {
     ids.push_back(info.mId);
   }
   std::string owner = RendezvousOwner(ids, aKey);
-  for (const InstanceInfo& info : fit) {
+  for (const InstanceInfo& info : aFit) {
     if (info.mId == owner) {
       return info;
     }
   }
-  return mSelf;
+  return Self();
+}
+
+InstanceInfo
+Members::Owner(const std::string& aKey) const
+{
+  return OwnerAmong(Fit(mSelf.mZone), aKey);
+}
+
+InstanceInfo
+Members::FleetOwner(const std::string& aKey) const
+{
+  std::vector<InstanceInfo> fit = Fit(mSelf.mZone);
+  for (const InstanceInfo& info : FitElsewhere()) {
+    fit.push_back(info);
+  }
+  return OwnerAmong(fit, aKey);
+}
+
+std::vector<InstanceInfo>
+Members::FitElsewhere() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  std::vector<InstanceInfo> fit;
+  for (const auto& member : mMembers) {
+    if (member.second.mInfo.mZone != mSelf.mZone && FitNow(member.second)) {
+      fit.push_back(member.second.mInfo);
+    }
+  }
+  return fit;
 }
 
 } // namespace caraway
--- a/src/peer/Members.h
+++ b/src/peer/Members.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,8 @@
   // The platform's list. Members it doesn't name are kept while they answer:
   // the list lags, and in an outage there is none.
   void TakeList(const std::vector<InstanceInfo>& aList);
+  // Addresses on the list as last read; nothing when that is long ago.
+  std::optional<std::set<std::string>> Listed() const;
   // A peer told of itself.
   void Heard(const InstanceInfo& aPeer);
   // A call to a peer's address ended without an answer.
@@ -39,6 +43,8 @@
   std::vector<InstanceInfo> Others() const;
   // Owner of aKey among the fit of our zone. Ourselves when alone.
   InstanceInfo Owner(const std::string& aKey) const;
+  // The same among the fit of all zones.
+  InstanceInfo FleetOwner(const std::string& aKey) const;
 
 private:
   struct Member
@@ -48,11 +54,16 @@
     int mSilences = 0;
   };
   bool FitNow(const Member& aMember) const;
+  std::vector<InstanceInfo> FitElsewhere() const;
+  InstanceInfo OwnerAmong(const std::vector<InstanceInfo>& aFit,
+                          const std::string& aKey) const;
 
   const Clock& mClock;
   mutable std::mutex mLock;
   InstanceInfo mSelf;
   std::map<std::string, Member> mMembers; // by id, others only
+  std::set<std::string> mListed;
+  TimePoint mListedAt{};
 };
 
 } // namespace caraway
--- /dev/null
+++ b/src/serve/BriefingStore.cpp
@@ -0,0 +1,130 @@
+#include "serve/BriefingStore.h"
+
+#include "base/RandomId.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr const char* kKind = "briefings";
+constexpr const char* kListKind = "briefings-open";
+constexpr int kTries = 8;
+
+} // namespace
+
+int
+BriefingStore::ListOf(const std::string& aId)
+{
+  unsigned hash = 2166136261u;
+  for (char c : aId) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
+  }
+  return static_cast<int>((hash >> 8) % kLists);
+}
+
+BriefingStore::BriefingStore(PlatformApi& aPlatform)
+  : mPlatform(aPlatform)
+{
+}
+
+Result<void>
+BriefingStore::ChangeList(const std::string& aId, bool aAdd)
+{
+  std::string name = std::to_string(ListOf(aId));
+  PlatformObject list;
+  auto read = Outcome([&] { return mPlatform.Read(kListKind, name); });
+  if (auto* found = std::get_if<PlatformObject>(&read)) {
+    list = *found;
+  } else if (std::get<Failure>(read).mKind != ErrorKind::NotFound) {
+    return Fail(std::get<Failure>(read));
+  }
+  for (int i = 0; i < kTries; ++i) {
+    Json::Value next(Json::objectValue);
+    for (const std::string& id : list.mValue.isObject()
+                                   ? list.mValue.getMemberNames()
+                                   : std::vector<std::string>()) {
+      next[id] = list.mValue[id];
+    }
+    bool there = next.isMember(aId);
+    if (there == aAdd) {
+      return {};
+    }
+    if (aAdd) {
+      next[aId] = 1;
+    } else {
+      next.removeMember(aId);
+    }
+    WriteResult result =
+      mPlatform.Write({ kListKind, name, list.mVersion, RandomId(), next });
+    if (result.mEnd == WriteEnd::Done) {
+      return {};
+    }
+    if (result.mEnd != WriteEnd::Conflict) {
+      break;
+    }
+    list = result.mObject;
+  }
+  return Fail(ErrorKind::PlatformUnavailable, "the list of open briefings");
+}
+
+Result<void>
+BriefingStore::Keep(const Briefing& aBriefing)
+{
+  BOOST_LEAF_CHECK(ChangeList(aBriefing.mId, true));
+  WriteResult result = mPlatform.Write(
+    { kKind, aBriefing.mId, 0, RandomId(), BriefingJson(aBriefing) });
+  if (result.mEnd != WriteEnd::Done) {
+    Failure failure =
+      FailureOf(ErrorKind::PlatformUnavailable, "the briefing isn't kept");
+    failure.mRun = RunState::MayHaveRun; // it may be kept after all, and run
+    return Fail(failure);
+  }
+  return {};
+}
+
+Result<StoredBriefing>
+BriefingStore::Read(const std::string& aId)
+{
+  BOOST_LEAF_AUTO(object, mPlatform.Read(kKind, aId));
+  return StoredBriefing{ BriefingParse(object.mValue), object.mVersion };
+}
+
+Result<void>
+BriefingStore::End(StoredBriefing& aStored, const Briefing& aEnded)
+{
+  WriteResult result = mPlatform.Write(
+    { kKind, aEnded.mId, aStored.mVersion, RandomId(), BriefingJson(aEnded) });
+  bool known =
+    result.mEnd == WriteEnd::Done || result.mEnd == WriteEnd::Conflict;
+  if (!known) {
+    return Fail(ErrorKind::PlatformUnavailable, "the ending isn't kept yet");
+  }
+  return {};
+}
+
+Result<std::set<std::string>>
+BriefingStore::Open(int aList)
+{
+  std::set<std::string> open;
+  auto read =
+    Outcome([&] { return mPlatform.Read(kListKind, std::to_string(aList)); });
+  if (auto* failure = std::get_if<Failure>(&read)) {
+    if (failure->mKind == ErrorKind::NotFound) {
+      return open;
+    }
+    return Fail(*failure);
+  }
+  for (const std::string& id :
+       std::get<PlatformObject>(read).mValue.getMemberNames()) {
+    open.insert(id);
+  }
+  return open;
+}
+
+Result<void>
+BriefingStore::Close(const std::string& aId)
+{
+  return ChangeList(aId, false);
+}
+
+} // namespace caraway
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 const std::string kServices = "/v1/services/";
+const std::string kBriefings = "/v1/briefings/";
+constexpr size_t kIdDigits = 32;
+// A briefing that couldn't be run for so long is refused for good.
+constexpr std::chrono::hours kBriefingLife{ 24 };
 constexpr size_t kIdempotencyKeyLimit = 256;
 
 bool
@@ -58,6 +62,7 @@
                        Authenticator& aKeys,
                        ModelCalls& aModels,
                        ServiceCalls& aServices,
+                       BriefingStore& aBriefings,
                        Metrics& aMetrics,
                        const Clock& aClock)
   : mSettings(std::move(aSettings))
@@ -65,6 +70,7 @@
   , mKeys(aKeys)
   , mModels(aModels)
   , mServices(aServices)
+  , mBriefings(aBriefings)
   , mMetrics(aMetrics)
   , mClock(aClock)
 {
@@ -149,6 +155,13 @@
     List(aResponse, aContext);
     return {};
   }
+  if (path == "/v1/briefings" && aRequest.getMethod() == "POST") {
+    return Accept(aRequest, aResponse, aContext);
+  }
+  if (path.compare(0, kBriefings.size(), kBriefings) == 0 &&
+      aRequest.getMethod() == "GET") {
+    return Collect(aResponse, aContext, path.substr(kBriefings.size()));
+  }
   if (path.compare(0, kServices.size(), kServices) == 0) {
     return Service(
       aRequest, aResponse, aContext, path.substr(kServices.size()));
@@ -231,6 +244,69 @@
   return {};
 }
 
+// "Accepted" is said only when it is kept at the platform: from then on it
+// outlives every instance.
+Result<void>
+CallerPort::Accept(Request& aRequest,
+                   Response& aResponse,
+                   RequestContext& aContext)
+{
+  BOOST_LEAF_AUTO(
+    body, HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime));
+  BOOST_LEAF_AUTO(json, JsonParse(body));
+  BOOST_LEAF_AUTO(call, ParseChat(json));
+  BOOST_LEAF_CHECK(FindProfile(aContext, json["model"].asString()));
+  if (aContext.mProfile.mModel.empty() || !aContext.mProfile.mRepeatable) {
+    return Fail(ErrorKind::BadRequest,
+                aContext.mProfile.mName +
+                  ": briefings are for models that may be called again");
+  }
+  Briefing briefing;
+  briefing.mId = aContext.mId;
+  briefing.mCaller = aContext.mCaller;
+  briefing.mProfile = aContext.mProfile.mName;
+  briefing.mMessages = call.mMessages;
+  briefing.mMaxTokens = call.mMaxTokens;
+  auto expires = mClock.WallNow() + kBriefingLife;
+  briefing.mExpires =
+    std::chrono::duration_cast<Millis>(expires.time_since_epoch()).count();
+  BOOST_LEAF_CHECK(mBriefings.Keep(briefing));
+  Json::Value answer;
+  answer["id"] = briefing.mId;
+  answer["state"] = BriefingStateName(briefing.mState);
+  aResponse.set("Location", kBriefings + briefing.mId);
+  constexpr int kAccepted = 202;
+  JsonSend(aResponse, kAccepted, answer);
+  return {};
+}
+
+Result<void>
+CallerPort::Collect(Response& aResponse,
+                    const RequestContext& aContext,
+                    const std::string& aId)
+{
+  bool plain = aId.size() == kIdDigits &&
+               aId.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!plain) {
+    return Fail(ErrorKind::NotFound, "no such briefing");
+  }
+  BOOST_LEAF_AUTO(stored, mBriefings.Read(aId));
+  const Briefing& briefing = stored.mBriefing;
+  if (briefing.mCaller.mTenant != aContext.mCaller.mTenant) {
+    return Fail(ErrorKind::NotFound, "no such briefing");
+  }
+  Json::Value answer;
+  answer["id"] = briefing.mId;
+  answer["state"] = BriefingStateName(briefing.mState);
+  if (briefing.mState == BriefingState::Done) {
+    answer["result"] = briefing.mAnswer;
+  } else if (briefing.mState == BriefingState::Refused) {
+    answer["problem"] = briefing.mAnswer;
+  }
+  JsonSend(aResponse, 200, answer);
+  return {};
+}
+
 Result<void>
 CallerPort::Service(Request& aRequest,
                     Response& aResponse,
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -10,6 +10,7 @@
 #include "caraway/Clock.h"
 #include "net/HttpPort.h"
 #include "serve/Authenticator.h"
+#include "serve/BriefingStore.h"
 #include "serve/ModelCalls.h"
 #include "serve/ServiceCalls.h"
 
@@ -25,6 +26,8 @@
 
 // POST /v1/chat/completions   a model profile; "stream": true for events
 // GET  /v1/models             the profiles that the key may use
+// POST /v1/briefings          a model profile that may wait: 202 once kept
+// GET  /v1/briefings/ID       its state, and its result or final refusal
 // *    /v1/services/PROFILE/… a plain service, body and method passed through
 class CallerPort
 {
@@ -34,6 +37,7 @@
              Authenticator& aKeys,
              ModelCalls& aModels,
              ServiceCalls& aServices,
+             BriefingStore& aBriefings,
              Metrics& aMetrics,
              const Clock& aClock);
 
@@ -61,6 +65,12 @@
                        Response& aResponse,
                        RequestContext& aContext,
                        const std::string& aPath);
+  Result<void> Accept(Request& aRequest,
+                      Response& aResponse,
+                      RequestContext& aContext);
+  Result<void> Collect(Response& aResponse,
+                       const RequestContext& aContext,
+                       const std::string& aId);
   void List(Response& aResponse, const RequestContext& aContext);
   Result<void> FindProfile(RequestContext& aContext,
                            const std::string& aName) const;
@@ -73,6 +83,7 @@
   Authenticator& mKeys;
   ModelCalls& mModels;
   ServiceCalls& mServices;
+  BriefingStore& mBriefings;
   Metrics& mMetrics;
   const Clock& mClock;
   std::atomic<int> mInFlight{ 0 };
--- a/src/share/ShareKeeper.cpp
+++ b/src/share/ShareKeeper.cpp
@@ -192,6 +192,10 @@
   if (mConfig.Current()->mRevision == 0) {
     return;
   }
+  if (auto listed = mMembers.Listed()) {
+    std::lock_guard<std::mutex> lock(mLock);
+    ShareLeaseListed(mLease, *listed, mClock.Now());
+  }
   InstanceInfo renewer = mMembers.Owner("shares/" + mSettings.mZone);
   bool renewed = renewer.mId != mMembers.Self().mId && RenewByPeer(renewer);
   if (!renewed) {
--- /dev/null
+++ b/tests/process/BriefingTest.cpp
@@ -0,0 +1,108 @@
+#include <gtest/gtest.h>
+
+#include "base/JsonText.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+namespace {
+
+HttpReply
+Submit(Fleet& aFleet, size_t aInstance, const std::string& aProfile)
+{
+  Json::Value body;
+  body["model"] = aProfile;
+  body["max_tokens"] = 5;
+  body["messages"][0]["role"] = "user";
+  body["messages"][0]["content"] = "the week at the pass";
+  return aFleet.Call(aFleet.mInstances[aInstance]->Address("caller"),
+                     "POST",
+                     "/v1/briefings",
+                     body,
+                     aFleet.mKeys["acme"]);
+}
+
+Json::Value
+Look(Fleet& aFleet,
+     size_t aInstance,
+     const std::string& aLocation,
+     const char* aTenant = "acme")
+{
+  return JsonParseOrEmpty(
+    aFleet
+      .Call(aFleet.mInstances[aInstance]->Address("caller"),
+            "GET",
+            aLocation,
+            {},
+            aFleet.mKeys[aTenant])
+      .mBody);
+}
+
+} // namespace
+
+// A planner submits briefings while no engine can serve, and is told that they
+// are accepted. Then every instance dies. New ones find what is owed, run it,
+// and the results are there for the planner, and for nobody else.
+TEST(Briefings, SurviveAllInstances)
+{
+  FleetPlan plan;
+  plan.mEngineWords = { "--store=", "--load_ms=1500" };
+  Fleet fleet(plan);
+  std::vector<std::string> locations;
+  for (size_t i = 0; i < 3; ++i) {
+    HttpReply reply = Submit(fleet, i, "brief");
+    ASSERT_EQ(reply.mStatus, 202) << reply.mBody;
+    locations.push_back(reply.Header("location"));
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    fleet.mInstances[i]->Kill();
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    fleet.mInstances[i] = fleet.StartInstance(i);
+    fleet.Announce(i, false);
+  }
+  for (const std::string& location : locations) {
+    EXPECT_TRUE(Eventually(
+      Seconds(30), [&] { return Look(fleet, 1, location)["state"] == "done"; }))
+      << location;
+    Json::Value result = Look(fleet, 0, location)["result"];
+    EXPECT_EQ(result["choices"][0]["message"]["content"].asString(),
+              "w0 w1 w2 w3 w4 ");
+    EXPECT_EQ(Look(fleet, 0, location, "globex")["status"].asInt(), 404);
+  }
+}
+
+// The platform can't keep a briefing: it isn't acknowledged. An answer of the
+// platform that is lost is found again, and the briefing acknowledged. One
+// whose key is withdrawn before it ran ends with a refusal that can be read.
+TEST(Briefings, AcknowledgedOnlyWhenKept)
+{
+  FleetPlan plan;
+  plan.mSettings = { "timeout_ms = 300" }; // of [platform]
+  Fleet fleet(plan);
+  fleet.PlatformFault("outage", "refuse");
+  EXPECT_NE(Submit(fleet, 0, "brief").mStatus, 202);
+  fleet.PlatformFault("outage", "");
+  fleet.PlatformFault("lose_answers", 2);
+  HttpReply kept = Submit(fleet, 1, "brief");
+  EXPECT_EQ(kept.mStatus, 202);
+  EXPECT_TRUE(Eventually(Seconds(20), [&] {
+    return Look(fleet, 2, kept.Header("location"))["state"] == "done";
+  }));
+  for (auto& engine : fleet.mEngines) {
+    engine->Kill();
+  }
+  HttpReply owed = Submit(fleet, 0, "chat-m3");
+  ASSERT_EQ(owed.mStatus, 202);
+  fleet.Configure([&](Json::Value& aConfig) {
+    aConfig["keys"][0]["id"] = "key-renewed"; // same key, granted anew
+  });
+  EXPECT_TRUE(Eventually(Seconds(20), [&] {
+    return Look(fleet, 2, owed.Header("location"))["state"] == "refused";
+  }));
+  EXPECT_EQ(
+    Look(fleet, 2, owed.Header("location"))["problem"]["run"].asString(),
+    "not_run");
+}
+
+} // namespace caraway
--- a/tests/property/ShareProperty.cpp
+++ b/tests/property/ShareProperty.cpp
@@ -264,4 +264,37 @@
   RC_ASSERT(WindowExcess(spends, rate, burst) < 1e-6);
 }
 
+// All instances of a zone die at once and others take their place at new
+// addresses. The dead never heard of the new ones, so for all these know they
+// may be cut off and spending. Once the platform's list hasn't had them for a
+// while they are taken over from; without the list it would take the isolation
+// limit, an hour, in which the zone's part of every rate is lost.
+TEST(ShareLease, ZoneReplacedAtOnce)
+{
+  for (bool listed : { true, false }) {
+    TimePoint now = TimePoint(Seconds(1000));
+    ShareLease dead;
+    dead.mSelf = "dead";
+    dead.mAddress = "a0";
+    ShareTable table = ShareLeasePropose(dead, {}, now);
+    ShareLeaseRenewed(dead, table, 1, now, now);
+    ASSERT_TRUE(ShareLeaseMaySpend(dead, 0, now));
+
+    ShareLease fresh;
+    fresh.mSelf = "fresh";
+    fresh.mAddress = "a1";
+    ShareLeaseLearn(fresh, table, 1, now);
+    for (int64_t version = 2; version < 32; ++version) {
+      now += Seconds(1);
+      if (!listed) {
+        ShareLeaseListed(fresh, { "a1" }, now);
+      }
+      table = ShareLeasePropose(fresh, {}, now);
+      ShareLeaseRenewed(fresh, table, version, now, now);
+    }
+    EXPECT_EQ(ShareLeaseMaySpend(fresh, 0, now), !listed);
+    EXPECT_FALSE(ShareLeaseMaySpend(dead, 0, now));
+  }
+}
+
 } // namespace caraway
