--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -131,6 +131,29 @@
   mServer->stopAll(true);
 }
 
+namespace {
+
+// Reads on past the limit for a while and throws it away. Closed at once, the
+// connection would be reset under a caller that is still sending, and it would
+// never see why.
+leaf::error_id
+TooLarge(std::istream& aIn,
+         size_t aLimit,
+         std::chrono::steady_clock::time_point aDeadline)
+{
+  constexpr size_t kMostThrownAway = 16 * 1024 * 1024;
+  std::string chunk(kChunk, '\0');
+  for (size_t gone = 0; aIn.good() && gone < kMostThrownAway &&
+                        std::chrono::steady_clock::now() < aDeadline;
+       gone += chunk.size()) {
+    aIn.read(&chunk[0], static_cast<std::streamsize>(chunk.size()));
+  }
+  return Fail(ErrorKind::BodyTooLarge,
+              "limit is " + std::to_string(aLimit) + " bytes");
+}
+
+} // namespace
+
 Result<std::string>
 HttpReadBody(Poco::Net::HTTPServerRequest& aRequest,
              size_t aLimit,
@@ -139,8 +162,7 @@
   auto deadline = std::chrono::steady_clock::now() + aWithin;
   if (aRequest.hasContentLength() &&
       aRequest.getContentLength64() > static_cast<Poco::Int64>(aLimit)) {
-    return Fail(ErrorKind::BodyTooLarge,
-                "limit is " + std::to_string(aLimit) + " bytes");
+    return TooLarge(aRequest.stream(), aLimit, deadline);
   }
   std::string body;
   std::string chunk(kChunk, '\0');
@@ -149,8 +171,7 @@
     in.read(&chunk[0], static_cast<std::streamsize>(chunk.size()));
     body.append(chunk, 0, static_cast<size_t>(in.gcount()));
     if (body.size() > aLimit) {
-      return Fail(ErrorKind::BodyTooLarge,
-                  "limit is " + std::to_string(aLimit) + " bytes");
+      return TooLarge(in, aLimit, deadline);
     }
     if (std::chrono::steady_clock::now() > deadline) {
       return Fail(ErrorKind::BadRequest, "the body came too slowly");
