--- a/bench/QueueBench.cpp
+++ b/bench/QueueBench.cpp
@@ -18,7 +18,8 @@
 
 using namespace caraway;
 
-constexpr double kRate = 2000; // tokens a second, served one at a time
+constexpr double kRate = 2000; // tokens a second, over all places
+constexpr size_t kPlaces = 8;
 constexpr Seconds kLength{ 300 };
 
 struct Arrival
@@ -82,6 +83,35 @@
   return slow ? kRate / 10 : kRate;
 }
 
+// Eight places, as the engine batches. The product keeps the last free one for
+// bulletins, and another from batch work.
+struct Places
+{
+  std::vector<TimePoint> mFree = std::vector<TimePoint>(kPlaces);
+  std::vector<bool> mBatch = std::vector<bool>(kPlaces);
+
+  size_t First() const
+  {
+    auto least = std::min_element(mFree.begin(), mFree.end());
+    return static_cast<size_t>(least - mFree.begin());
+  }
+  int BusyAt(TimePoint aNow) const
+  {
+    return static_cast<int>(
+      std::count_if(mFree.begin(), mFree.end(), [&](TimePoint aFree) {
+        return aFree > aNow;
+      }));
+  }
+  int BatchAt(TimePoint aNow) const
+  {
+    int count = 0;
+    for (size_t i = 0; i < kPlaces; ++i) {
+      count += mBatch[i] && mFree[i] > aNow ? 1 : 0;
+    }
+    return count;
+  }
+};
+
 std::map<std::string, Outcome1>
 RunQueue(const std::vector<Arrival>& aAll, bool aFair, bool aSlowed)
 {
@@ -89,7 +119,7 @@
   WaitQueue queue;
   std::deque<WaitItem> fifo;
   double learnt = 0;
-  TimePoint free = TimePoint(Seconds(1000));
+  Places places;
   auto key = [](const WaitItem& aItem) {
     return aItem.mTenant + " " + RequestClassName(aItem.mClass);
   };
@@ -98,7 +128,11 @@
       for (const WaitItem& late : queue.Expire(aNow)) {
         ++outcomes[key(late)].mLate;
       }
-      return queue.Next(RequestClass::Batch);
+      bool fits = places.BatchAt(aNow) < static_cast<int>(kPlaces) - 2;
+      if (places.BusyAt(aNow) >= static_cast<int>(kPlaces) - 1) {
+        return queue.Next(RequestClass::Urgent);
+      }
+      return queue.Next(fits ? RequestClass::Batch : RequestClass::Interactive);
     }
     while (!fifo.empty()) {
       WaitItem item = fifo.front();
@@ -111,24 +145,29 @@
     return std::nullopt;
   };
   auto serve = [&](TimePoint aUntil) {
-    while (free <= aUntil) {
-      auto item = next(free);
-      if (!item) {
-        free = std::max(free, aUntil + Micros(1));
+    for (;;) {
+      size_t place = places.First();
+      TimePoint now = places.mFree[place];
+      if (now > aUntil) {
         return;
       }
+      auto item = next(now);
+      if (!item) {
+        places.mFree[place] = aUntil + Micros(1);
+        continue;
+      }
       double wait =
-        std::chrono::duration<double, std::milli>(free - item->mArrived)
-          .count();
-      outcomes[key(*item)].mWaits.push_back(wait);
-      double rate = RateAt(free, aSlowed);
+        std::chrono::duration<double, std::milli>(now - item->mArrived).count();
+      outcomes[key(*item)].mWaits.push_back(std::max(0.0, wait));
+      double rate = RateAt(now, aSlowed);
       learnt = learnt == 0 ? rate : learnt + 0.2 * (rate - learnt);
-      free += Micros(static_cast<int64_t>(item->mTokens / rate * 1e6));
+      double seconds = item->mTokens / (rate / kPlaces);
+      places.mFree[place] = now + Micros(static_cast<int64_t>(seconds * 1e6));
+      places.mBatch[place] = item->mClass == RequestClass::Batch;
     }
   };
   for (const Arrival& arrival : aAll) {
     serve(arrival.mAt);
-    free = std::max(free, arrival.mAt);
     if (!aFair) {
       fifo.push_back(arrival.mItem);
     } else if (queue.Offer(arrival.mItem, learnt, Millis(0), arrival.mAt)) {
--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -3,8 +3,8 @@
 #include <sstream>
 #include <thread>
 
+#include "base/Incarnation.h"
 #include "base/Log.h"
-#include "base/RandomId.h"
 
 namespace caraway {
 
@@ -20,7 +20,6 @@
 constexpr int kBriefingThreads = 4;
 constexpr Millis kBriefEvery{ 1000 };
 constexpr int kPeerThreads = 512;
-constexpr size_t kNonceDigits = 8;
 
 PlatformClientSettings
 PlatformSettings(const Settings& aSettings)
@@ -103,8 +102,7 @@
   std::string address = mSettings.mPeerAdvertise.empty()
                           ? mPeerPort.Address()
                           : mSettings.mPeerAdvertise;
-  mIncarnation =
-    mSettings.mId + "." + RandomId().substr(0, kNonceDigits) + "@" + address;
+  mIncarnation = IncarnationMake(mSettings.mId, address);
   mMembers = std::make_unique<Members>(
     mClock, InstanceInfo{ mSettings.mId, mSettings.mZone, address, false });
   mWatcher = std::make_unique<ConfigWatcher>(
--- a/src/decide/ShareLease.cpp
+++ b/src/decide/ShareLease.cpp
@@ -6,62 +6,6 @@
 
 namespace {
 
-int
-HeldBy(const ShareTable& aTable, const std::string& aMember)
-{
-  return static_cast<int>(std::count_if(
-    aTable.mSlots.begin(), aTable.mSlots.end(), [&](const ShareSlot& aSlot) {
-      return aSlot.mHolder == aMember;
-    }));
-}
-
-// Who should have aSlot: fewest slots, not suspected, and not the holder of
-// its partner if that can be; "" when there is nobody but aSelf.
-std::string
-FewestSlots(const ShareTable& aTable, const std::string& aSelf, int aSlot)
-{
-  const std::string& partner = aTable.mSlots[SharePartnerOf(aSlot)].mHolder;
-  std::string best;
-  int least = 0;
-  for (const auto& member : aTable.mMembers) {
-    if (member.first == aSelf || !member.second.mSuspectedBy.empty()) {
-      continue;
-    }
-    int held = HeldBy(aTable, member.first) +
-               (member.first == partner ? kShareSlots : 0);
-    if (best.empty() || held < least) {
-      best = member.first;
-      least = held;
-    }
-  }
-  return best;
-}
-
-bool
-HoldsPartner(const ShareTable& aTable, const std::string& aMember, int aSlot)
-{
-  return aTable.mSlots[SharePartnerOf(aSlot)].mHolder == aMember;
-}
-
-int
-EvenShare(const ShareTable& aTable)
-{
-  int members = std::max<int>(1, static_cast<int>(aTable.mMembers.size()));
-  return (kShareSlots + members - 1) / members;
-}
-
-void
-RemoveMember(ShareTable& aTable, const std::string& aMember)
-{
-  aTable.mMembers.erase(aMember);
-  for (ShareSlot& slot : aTable.mSlots) {
-    if (slot.mHolder == aMember) {
-      // What it had left may have been spent: the next holder starts empty.
-      slot = ShareSlot();
-    }
-  }
-}
-
 void
 Join(const ShareLease& aLease, ShareTable& aTable)
 {
@@ -75,7 +19,7 @@
     }
   }
   for (const std::string& member : former) {
-    RemoveMember(aTable, member);
+    ShareTableRemove(aTable, member);
   }
   if (!aTable.mMembers.count(aLease.mSelf)) {
     ShareMember self;
@@ -141,19 +85,19 @@
     }
   }
   for (const std::string& member : gone) {
-    RemoveMember(aTable, member);
+    ShareTableRemove(aTable, member);
   }
 }
 
 void
 TakeFree(const std::string& aSelf, ShareTable& aTable)
 {
-  int room = EvenShare(aTable) - HeldBy(aTable, aSelf);
+  int room = ShareTableEvenShare(aTable) - ShareTableHeldBy(aTable, aSelf);
   // Alone, both halves are better than one left free.
   bool alone = aTable.mMembers.size() == 1;
   for (int i = 0; i < kShareSlots; ++i) {
     ShareSlot& slot = aTable.mSlots[i];
-    bool fits = alone || !HoldsPartner(aTable, aSelf, i);
+    bool fits = alone || !ShareTableHoldsPartner(aTable, aSelf, i);
     if (room > 0 && slot.mHolder.empty() && fits) {
       slot.mHolder = aSelf;
       --room;
@@ -161,47 +105,8 @@
   }
 }
 
-bool
-SameButForRenewals(const ShareTable& aLeft, const ShareTable& aRight)
-{
-  if (aLeft.mMembers.size() != aRight.mMembers.size()) {
-    return false;
-  }
-  for (const auto& member : aLeft.mMembers) {
-    auto other = aRight.mMembers.find(member.first);
-    if (other == aRight.mMembers.end() ||
-        other->second.mSuspectedBy != member.second.mSuspectedBy) {
-      return false;
-    }
-  }
-  for (int i = 0; i < kShareSlots; ++i) {
-    if (aLeft.mSlots[i].mHolder != aRight.mSlots[i].mHolder) {
-      return false;
-    }
-  }
-  return true;
-}
-
 } // namespace
 
-int
-SharePartnerOf(int aSlot)
-{
-  return (aSlot + kShareSlots / kShareHalves) % kShareSlots;
-}
-
-std::array<int, kShareHalves>
-ShareSlotsOf(const std::string& aTenant)
-{
-  // FNV-1a: the same on every build, unlike std::hash.
-  uint64_t hash = 14695981039346656037ull;
-  for (char c : aTenant) {
-    hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
-  }
-  int slot = static_cast<int>((hash >> 32) % kShareSlots);
-  return { slot, SharePartnerOf(slot) };
-}
-
 bool
 ShareLeaseMaySpend(const ShareLease& aLease, int aSlot, TimePoint aNow)
 {
@@ -268,7 +173,7 @@
   }
   SuspectOrRemove(aLease, table, aNow);
   TakeFree(aLease.mSelf, table);
-  if (!SameButForRenewals(aLease.mTable, table)) {
+  if (!ShareTableSame(aLease.mTable, table)) {
     table.mChanged = table.mSerial;
   }
   return table;
@@ -364,14 +269,14 @@
   std::set<int> slots;
   const ShareTable& table = aLease.mTable;
   bool alone = table.mMembers.size() <= 1;
-  int keep = aLeaving ? 0 : EvenShare(table);
-  int held = HeldBy(table, aLease.mSelf);
+  int keep = aLeaving ? 0 : ShareTableEvenShare(table);
+  int held = ShareTableHeldBy(table, aLease.mSelf);
   for (int i = kShareSlots - 1; i >= 0; --i) {
     if (table.mSlots[i].mHolder != aLease.mSelf) {
       continue;
     }
     // Of two halves of the same tenants, one is better somewhere else.
-    bool both = !alone && HoldsPartner(table, aLease.mSelf, i) &&
+    bool both = !alone && ShareTableHoldsPartner(table, aLease.mSelf, i) &&
                 !slots.count(SharePartnerOf(i));
     if (held - static_cast<int>(slots.size()) > keep || both) {
       slots.insert(i);
@@ -390,13 +295,13 @@
   for (const auto& slot : aLevels) {
     if (table.mSlots[slot.first].mHolder == aLease.mSelf) {
       table.mSlots[slot.first].mHolder =
-        FewestSlots(table, aLease.mSelf, slot.first);
+        ShareTableFewest(table, aLease.mSelf, slot.first);
       table.mSlots[slot.first].mLevels = slot.second;
       table.mSlots[slot.first].mFresh = false;
     }
   }
   if (aLeaving) {
-    RemoveMember(table, aLease.mSelf);
+    ShareTableRemove(table, aLease.mSelf);
   }
   table.mChanged = table.mSerial;
   return table;
--- a/src/decide/ShareTable.h
+++ b/src/decide/ShareTable.h
@@ -51,6 +51,26 @@
 int
 SharePartnerOf(int aSlot);
 
+int
+ShareTableHeldBy(const ShareTable& aTable, const std::string& aMember);
+// Slots a member has when all have equally many, rounded up.
+int
+ShareTableEvenShare(const ShareTable& aTable);
+bool
+ShareTableHoldsPartner(const ShareTable& aTable,
+                       const std::string& aMember,
+                       int aSlot);
+// Who should have aSlot: fewest slots, not suspected, and not the holder of
+// its partner if that can be; "" when there is nobody but aSelf.
+std::string
+ShareTableFewest(const ShareTable& aTable, const std::string& aSelf, int aSlot);
+// Takes a member out; its slots are free, and their next holder starts empty.
+void
+ShareTableRemove(ShareTable& aTable, const std::string& aMember);
+// The same members, suspicions and holders.
+bool
+ShareTableSame(const ShareTable& aLeft, const ShareTable& aRight);
+
 } // namespace caraway
 
 #endif
--- a/src/own/ModelGroup.h
+++ b/src/own/ModelGroup.h
@@ -60,6 +60,27 @@
   Millis mLoadTime{ 0 }; // last load, learnt
 };
 
+// The serving with the fewest requests that has a place free; null when none.
+ModelServing*
+ModelGroupLeastLoaded(ModelGroup& aGroup);
+ModelServing*
+ModelGroupServingAt(ModelGroup& aGroup, const std::string& aEndpoint);
+// The least urgent class that may have one of its free places. The last one is
+// kept for bulletins and another from batch work: requests that are running
+// can't be put aside, and on a slow engine a bulletin's time is over before
+// one of them ends.
+RequestClass
+ModelGroupClassFor(const ModelServing& aServing);
+// Until it can serve, by the last load's time; 0 when it can.
+Millis
+ModelGroupReadyIn(const ModelGroup& aGroup, TimePoint aNow);
+// aTokens were made in aSeconds at one of aServing's places.
+void
+ModelGroupLearn(ModelGroup& aGroup,
+                const ModelServing& aServing,
+                double aTokens,
+                double aSeconds);
+
 } // namespace caraway
 
 #endif
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Share of a new measurement in what is learnt.
-constexpr double kLearn = 0.2;
 // A front asks at least every kWait. One that hasn't for this long has died or
 // lost its caller.
 constexpr Millis kUnfetched{ 4000 };
@@ -21,58 +19,6 @@
   return aModel.mName + "|" + aModel.mVersion;
 }
 
-ModelServing*
-LeastLoaded(ModelGroup& aGroup)
-{
-  ModelServing* best = nullptr;
-  for (ModelServing& serving : aGroup.mServing) {
-    bool room = serving.mInFlight < serving.mEndpoint.mSlots;
-    if (room && (!best || serving.mInFlight < best->mInFlight)) {
-      best = &serving;
-    }
-  }
-  return best;
-}
-
-ModelServing*
-ServingAt(ModelGroup& aGroup, const std::string& aEndpoint)
-{
-  for (ModelServing& serving : aGroup.mServing) {
-    if (serving.mEndpoint.mName == aEndpoint) {
-      return &serving;
-    }
-  }
-  return nullptr;
-}
-
-Millis
-ReadyIn(const ModelGroup& aGroup, TimePoint aNow)
-{
-  if (!aGroup.mServing.empty()) {
-    return Millis(0);
-  }
-  Millis passed =
-    aGroup.mLoading
-      ? std::chrono::duration_cast<Millis>(aNow - aGroup.mLoadBegan)
-      : Millis(0);
-  return std::max(Millis(0), aGroup.mLoadTime - passed);
-}
-
-void
-Learn(ModelGroup& aGroup,
-      const ModelServing& aServing,
-      double aTokens,
-      double aSeconds)
-{
-  if (aTokens <= 0 || aSeconds <= 0) {
-    return;
-  }
-  double rate = aTokens / aSeconds * aServing.mEndpoint.mSlots *
-                static_cast<double>(aGroup.mServing.size());
-  aGroup.mRate =
-    aGroup.mRate == 0 ? rate : aGroup.mRate + kLearn * (rate - aGroup.mRate);
-}
-
 } // namespace
 
 ModelOwner::ModelOwner(ConfigHolder& aConfig,
@@ -128,7 +74,7 @@
     item.mStartBy =
       now + (waiter->mCold ? aRequest.mColdWithin : aRequest.mStartWithin);
     auto refusal =
-      group.mQueue.Offer(item, group.mRate, ReadyIn(group, now), now);
+      group.mQueue.Offer(item, group.mRate, ModelGroupReadyIn(group, now), now);
     if (refusal) {
       Failure failure = FailureOf(refusal->mKind, "model " + aRequest.mModel);
       failure.mRetryAfter = refusal->mRetryAfter;
@@ -216,7 +162,8 @@
   constexpr Millis kAdapterTime{ 1500 };
   {
     std::lock_guard<std::mutex> lock(aShard.mLock);
-    ModelServing* serving = ServingAt(aShard.mGroups[aKey], aEndpoint.mName);
+    ModelServing* serving =
+      ModelGroupServingAt(aShard.mGroups[aKey], aEndpoint.mName);
     if (serving && serving->mAdapters.count(aAdapter)) {
       return {};
     }
@@ -229,25 +176,21 @@
   BOOST_LEAF_CHECK(mLoader.EnsureAdapter(
     aEndpoint, adapter->second, mClock.Now() + kAdapterTime));
   std::lock_guard<std::mutex> lock(aShard.mLock);
-  ModelServing* serving = ServingAt(aShard.mGroups[aKey], aEndpoint.mName);
+  ModelServing* serving =
+    ModelGroupServingAt(aShard.mGroups[aKey], aEndpoint.mName);
   if (serving) {
     serving->mAdapters.insert(aAdapter);
   }
   return {};
 }
 
-// One place of each engine is kept from batch work, so that a bulletin finds
-// one even when briefings fill the rest.
 bool
 ModelOwner::Give(Shard& aShard,
                  const std::string& aKey,
                  ModelServing& aServing,
                  TimePoint aNow)
 {
-  bool batchFits = aServing.mBatchInFlight < aServing.mEndpoint.mSlots - 1 ||
-                   aServing.mEndpoint.mSlots == 1;
-  auto item = aShard.mGroups[aKey].mQueue.Next(
-    batchFits ? RequestClass::Batch : RequestClass::Interactive);
+  auto item = aShard.mGroups[aKey].mQueue.Next(ModelGroupClassFor(aServing));
   if (!item) {
     return false;
   }
@@ -293,7 +236,7 @@
            late.mId,
            FailureOf(ErrorKind::DeadlinePassed, "its time passed waiting"));
   }
-  while (ModelServing* serving = LeastLoaded(group)) {
+  while (ModelServing* serving = ModelGroupLeastLoaded(group)) {
     if (!Give(aShard, aKey, *serving, aNow)) {
       return;
     }
@@ -313,12 +256,12 @@
   ModelPlace place = found->second;
   shard.mPlaces.erase(found);
   ModelGroup& group = shard.mGroups[place.mGroup];
-  ModelServing* serving = ServingAt(group, place.mEndpoint);
+  ModelServing* serving = ModelGroupServingAt(group, place.mEndpoint);
   if (serving) {
     --serving->mInFlight;
     serving->mBatchInFlight -= place.mClass == RequestClass::Batch ? 1 : 0;
     double seconds = std::chrono::duration<double>(now - place.mGiven).count();
-    Learn(group, *serving, aReturn.mTokens, seconds);
+    ModelGroupLearn(group, *serving, aReturn.mTokens, seconds);
   }
   if (serving && (aReturn.mGone || aReturn.mFailed)) {
     DropServing(shard, place, now);
@@ -397,7 +340,7 @@
           { { "model", aModel.mName },
             { "endpoint", endpoint.mName },
             { "ms", std::to_string(group.mLoadTime.count()) } });
-  if (!ServingAt(group, endpoint.mName)) {
+  if (!ModelGroupServingAt(group, endpoint.mName)) {
     ModelServing serving;
     serving.mEndpoint = endpoint;
     group.mServing.push_back(serving);
--- a/src/platform/PlatformClient.cpp
+++ b/src/platform/PlatformClient.cpp
@@ -59,6 +59,22 @@
   return aReply.mStage == HttpStage::Answered && aReply.mStatus < 500;
 }
 
+// A conflict with our own write id is no conflict: a first copy was taken,
+// and this is the answer to the second.
+WriteResult
+WriteEnded(const PlatformWrite& aWrite, const HttpReply& aReply)
+{
+  Json::Value json = JsonParseOrEmpty(aReply.mBody);
+  if (aReply.mStatus != kConflict) {
+    PlatformObject object = ObjectOf(json);
+    object.mValue = aWrite.mValue;
+    return { WriteEnd::Done, std::move(object) };
+  }
+  PlatformObject standing = ObjectOf(json["current"]);
+  bool ours = standing.mWriteId == aWrite.mWriteId;
+  return { ours ? WriteEnd::Done : WriteEnd::Conflict, std::move(standing) };
+}
+
 } // namespace
 
 PlatformClient::PlatformClient(PlatformClientSettings aSettings,
@@ -205,20 +221,7 @@
   if (reply.mStage == HttpStage::NotSent) {
     return { WriteEnd::Refused, {} };
   }
-  if (!Usable(reply)) {
-    return Resolve(aWrite);
-  }
-  Json::Value json = JsonParseOrEmpty(reply.mBody);
-  if (reply.mStatus != kConflict) {
-    PlatformObject object = ObjectOf(json);
-    object.mValue = aWrite.mValue;
-    return { WriteEnd::Done, std::move(object) };
-  }
-  PlatformObject standing = ObjectOf(json["current"]);
-  // The pool tries again on a fresh connection: the first copy may have been
-  // taken and this answer be the second copy's, a conflict with ourselves.
-  bool ours = standing.mWriteId == aWrite.mWriteId;
-  return { ours ? WriteEnd::Done : WriteEnd::Conflict, std::move(standing) };
+  return Usable(reply) ? WriteEnded(aWrite, reply) : Resolve(aWrite);
 }
 
 // The write was offered and no answer came. It may have taken effect, or may
@@ -230,18 +233,9 @@
   for (int i = 0; i < mSettings.mTries; ++i) {
     Pause(i);
     HttpReply reply = SendOnceForWrite(aWrite);
-    if (!Usable(reply)) {
-      continue;
-    }
-    Json::Value json = JsonParseOrEmpty(reply.mBody);
-    if (reply.mStatus != kConflict) {
-      PlatformObject object = ObjectOf(json);
-      object.mValue = aWrite.mValue;
-      return { WriteEnd::Done, std::move(object) };
+    if (Usable(reply)) {
+      return WriteEnded(aWrite, reply);
     }
-    PlatformObject standing = ObjectOf(json["current"]);
-    bool ours = standing.mWriteId == aWrite.mWriteId;
-    return { ours ? WriteEnd::Done : WriteEnd::Conflict, std::move(standing) };
   }
   return { WriteEnd::Unknown, {} };
 }
--- a/src/serve/ClaimDriver.cpp
+++ b/src/serve/ClaimDriver.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "base/Digest.h"
+#include "base/Incarnation.h"
 #include "base/Log.h"
 #include "base/RandomId.h"
 #include "serve/ClaimCodec.h"
@@ -21,12 +22,6 @@
                                        "answered",
                                        "lost" };
 
-std::string
-AddressOf(const std::string& aIncarnation)
-{
-  return aIncarnation.substr(aIncarnation.find('@') + 1);
-}
-
 // Length first: tenant "a" with key "bc" is not tenant "ab" with key "c".
 std::string
 NameOf(const Order& aOrder)
@@ -215,7 +210,8 @@
   params["of"] = aAction.mPeer;
   params["nonce"] = aAction.mNonce;
   auto answer = Outcome([&] {
-    return mPeers.Call(AddressOf(aAction.mPeer), "claim.ask", params, kAskTime);
+    return mPeers.Call(
+      IncarnationAddress(aAction.mPeer), "claim.ask", params, kAskTime);
   });
   auto* json = std::get_if<Json::Value>(&answer);
   if (!json) {
--- /dev/null
+++ b/src/share/ShareBuckets.cpp
@@ -0,0 +1,97 @@
+#include "share/ShareBuckets.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+double
+ShareBurstPart(const Tenant& aTenant, const ShareSettings& aSettings)
+{
+  double life = std::chrono::duration<double>(aSettings.mGrantLife).count();
+  double burst = aTenant.mBurst - aTenant.mRate * life;
+  return std::max(0.0, burst) / (aSettings.mZones * kShareHalves);
+}
+
+ShareBuckets::ShareBuckets(ShareSettings aSettings, std::string aSelf)
+  : mSettings(std::move(aSettings))
+  , mSelf(std::move(aSelf))
+{
+}
+
+TokenBucket*
+ShareBuckets::Find(const std::string& aTenant, int aSlot)
+{
+  auto bucket = mBuckets.find({ aTenant, aSlot });
+  return bucket == mBuckets.end() ? nullptr : &bucket->second;
+}
+
+TokenBucket
+ShareBuckets::Make(const Tenant& aTenant,
+                   int aSlot,
+                   const ShareSlot& aTaken,
+                   TimePoint aNow)
+{
+  double rate = aTenant.mRate / (mSettings.mZones * kShareHalves);
+  double burst = ShareBurstPart(aTenant, mSettings);
+  bool held = mSlots.count(aSlot) != 0;
+  TokenBucket* known = Find(aTenant.mName, aSlot);
+  if (held && known) {
+    known->Resize(rate, burst, aNow);
+    return *known;
+  }
+  TokenBucket bucket(rate, burst, aNow);
+  auto level = aTaken.mLevels.find(aTenant.mName);
+  if (aTaken.mFresh) {
+    bucket.Fill(burst, aNow);
+  } else if (!held && level != aTaken.mLevels.end()) {
+    bucket.Fill(level->second, aNow);
+  }
+  return bucket;
+}
+
+void
+ShareBuckets::Sync(const ShareTable& aTable,
+                   const ConfigSnapshot& aConfig,
+                   TimePoint aNow)
+{
+  std::set<int> slots;
+  for (int i = 0; i < kShareSlots; ++i) {
+    if (aTable.mSlots[i].mHolder == mSelf) {
+      slots.insert(i);
+    }
+  }
+  if (slots == mSlots && aConfig.mRevision == mRevision) {
+    return;
+  }
+  std::map<Key, TokenBucket> next;
+  for (const auto& entry : aConfig.mTenants) {
+    for (int slot : ShareSlotsOf(entry.first)) {
+      if (slots.count(slot)) {
+        next.emplace(Key(entry.first, slot),
+                     Make(entry.second, slot, aTable.mSlots[slot], aNow));
+      }
+    }
+  }
+  mBuckets = std::move(next);
+  mSlots = std::move(slots);
+  mRevision = aConfig.mRevision;
+}
+
+ShareBuckets::Levels
+ShareBuckets::LevelsOf(const std::set<int>& aSlots, TimePoint aNow) const
+{
+  Levels levels;
+  for (int slot : aSlots) {
+    levels[slot];
+  }
+  for (const auto& bucket : mBuckets) {
+    int slot = bucket.first.second;
+    if (aSlots.count(slot)) {
+      levels[slot][bucket.first.first] =
+        std::max(0.0, bucket.second.Level(aNow));
+    }
+  }
+  return levels;
+}
+
+} // namespace caraway
--- a/src/share/ShareClient.cpp
+++ b/src/share/ShareClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/Incarnation.h"
 #include "share/ShareCodec.h"
 
 namespace caraway {
@@ -17,12 +18,6 @@
 // Differences of sums of doubles are not zero to the last bit.
 constexpr double kNoTokens = 1e-6;
 
-std::string
-AddressOf(const std::string& aIncarnation)
-{
-  return aIncarnation.substr(aIncarnation.find('@') + 1);
-}
-
 } // namespace
 
 ShareClient::ShareClient(ShareSettings aSettings,
@@ -162,7 +157,7 @@
   params["tenant"] = aTenant;
   params["slot"] = aSlot;
   params["tokens"] = aTokens;
-  std::string address = AddressOf(holder);
+  std::string address = IncarnationAddress(holder);
   auto answer = Outcome([&] {
     return mPeers.Call(address, "share.take", params, mSettings.mAskTime);
   });
--- a/src/share/ShareKeeper.cpp
+++ b/src/share/ShareKeeper.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <thread>
 
+#include "base/Incarnation.h"
 #include "base/Log.h"
 #include "base/RandomId.h"
 #include "share/ShareCodec.h"
@@ -17,13 +18,6 @@
 constexpr int kRenewPart = 5; // twice this part of a lease
 constexpr Millis kPokeTime{ 500 };
 
-// incarnation = id.random@address
-std::string
-AddressOf(const std::string& aIncarnation)
-{
-  return aIncarnation.substr(aIncarnation.find('@') + 1);
-}
-
 int64_t
 Nanos(TimePoint aTime)
 {
@@ -32,14 +26,6 @@
 
 } // namespace
 
-double
-ShareBurstPart(const Tenant& aTenant, const ShareSettings& aSettings)
-{
-  double life = std::chrono::duration<double>(aSettings.mGrantLife).count();
-  double burst = aTenant.mBurst - aTenant.mRate * life;
-  return std::max(0.0, burst) / (aSettings.mZones * kShareHalves);
-}
-
 ShareKeeper::ShareKeeper(ShareSettings aSettings,
                          std::string aSelf,
                          std::string aAddress,
@@ -55,6 +41,7 @@
   , mMembers(aMembers)
   , mConfig(aConfig)
   , mClock(aClock)
+  , mBuckets(mSettings, mSelf)
 {
   mLease.mTerms = mSettings.mTerms;
   mLease.mSelf = mSelf;
@@ -72,14 +59,14 @@
     return std::nullopt;
   }
   SyncBuckets();
-  auto bucket = mBuckets.find({ aTenant, aSlot });
-  if (bucket == mBuckets.end()) {
+  TokenBucket* bucket = mBuckets.Find(aTenant, aSlot);
+  if (!bucket) {
     return std::nullopt;
   }
-  double there = std::max(0.0, std::min(aTokens, bucket->second.Level(now)));
+  double there = std::max(0.0, std::min(aTokens, bucket->Level(now)));
   Taken taken;
-  taken.mRetryAfter = bucket->second.Until(aTokens, now);
-  if (there > 0 && bucket->second.Take(there, now)) {
+  taken.mRetryAfter = bucket->Until(aTokens, now);
+  if (there > 0 && bucket->Take(there, now)) {
     taken.mGrant.mTokens = there;
   }
   taken.mGrant.mHolder = mSelf;
@@ -92,13 +79,13 @@
 ShareKeeper::GiveBack(const std::string& aTenant, const ShareGrant& aGrant)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  auto bucket = mBuckets.find({ aTenant, aGrant.mSlot });
-  if (aGrant.mHolder != mSelf || bucket == mBuckets.end()) {
+  TokenBucket* bucket = mBuckets.Find(aTenant, aGrant.mSlot);
+  if (aGrant.mHolder != mSelf || !bucket) {
     return;
   }
   TimePoint takenAt = TimePoint(std::chrono::duration_cast<TimePoint::duration>(
     std::chrono::nanoseconds(aGrant.mTakenAt)));
-  bucket->second.GiveBack(aGrant.mTokens, takenAt, mClock.Now());
+  bucket->GiveBack(aGrant.mTokens, takenAt, mClock.Now());
 }
 
 std::string
@@ -126,28 +113,6 @@
   return held;
 }
 
-TokenBucket
-ShareKeeper::BucketFor(const Tenant& aTenant, int aSlot, TimePoint aNow)
-{
-  double rate = aTenant.mRate / (mSettings.mZones * kShareHalves);
-  double burst = ShareBurstPart(aTenant, mSettings);
-  bool held = mSlots.count(aSlot) != 0;
-  auto known = mBuckets.find({ aTenant.mName, aSlot });
-  if (held && known != mBuckets.end()) {
-    known->second.Resize(rate, burst, aNow);
-    return known->second;
-  }
-  TokenBucket bucket(rate, burst, aNow);
-  const ShareSlot& taken = mLease.mTable.mSlots[aSlot];
-  auto level = taken.mLevels.find(aTenant.mName);
-  if (taken.mFresh) {
-    bucket.Fill(burst, aNow);
-  } else if (!held && level != taken.mLevels.end()) {
-    bucket.Fill(level->second, aNow);
-  }
-  return bucket;
-}
-
 bool
 ShareKeeper::Settled() const
 {
@@ -155,35 +120,10 @@
   return ShareLeaseExcess(mLease, false).empty();
 }
 
-// Buckets follow the slots we hold and the tenants of the configuration. A
-// new bucket begins empty, but for a slot whose last holder left gracefully
-// and said what was left, or that nobody has ever held.
 void
 ShareKeeper::SyncBuckets()
 {
-  std::set<int> slots;
-  for (int i = 0; i < kShareSlots; ++i) {
-    if (mLease.mTable.mSlots[i].mHolder == mSelf) {
-      slots.insert(i);
-    }
-  }
-  ConfigPtr config = mConfig.Current();
-  if (slots == mSlots && config->mRevision == mBucketsRevision) {
-    return;
-  }
-  TimePoint now = mClock.Now();
-  std::map<BucketKey, TokenBucket> next;
-  for (const auto& entry : config->mTenants) {
-    for (int slot : ShareSlotsOf(entry.first)) {
-      if (slots.count(slot)) {
-        next.emplace(BucketKey(entry.first, slot),
-                     BucketFor(entry.second, slot, now));
-      }
-    }
-  }
-  mBuckets = std::move(next);
-  mSlots = std::move(slots);
-  mBucketsRevision = config->mRevision;
+  mBuckets.Sync(mLease.mTable, *mConfig.Current(), mClock.Now());
 }
 
 void
@@ -361,7 +301,7 @@
     params["of"] = member;
     auto answer = Outcome([&] {
       return mPeers.Call(
-        AddressOf(member), "share.promise", params, kPromiseTime);
+        IncarnationAddress(member), "share.promise", params, kPromiseTime);
     });
     auto* json = std::get_if<Json::Value>(&answer);
     if (!json || !(*json)["promised"].asBool()) {
@@ -399,18 +339,8 @@
     }
     // Stopped spending first; what is left then can't change any more.
     SyncBuckets();
-    std::map<int, std::map<std::string, double>> levels;
-    for (int slot : excess) {
-      mLease.mClosed.insert(slot);
-      levels[slot];
-    }
-    for (const auto& bucket : mBuckets) {
-      int slot = bucket.first.second;
-      if (excess.count(slot)) {
-        levels[slot][bucket.first.first] =
-          std::max(0.0, bucket.second.Level(mClock.Now()));
-      }
-    }
+    mLease.mClosed.insert(excess.begin(), excess.end());
+    ShareBuckets::Levels levels = mBuckets.LevelsOf(excess, mClock.Now());
     table = ShareLeaseRelease(mLease, levels, aLeaving);
     version = mLease.mVersion;
   }
@@ -448,7 +378,7 @@
   for (const std::string& holder : holders) {
     Outcome([&] {
       return mPeers.Call(
-        AddressOf(holder), "share.poke", TableJson(), kPokeTime);
+        IncarnationAddress(holder), "share.poke", TableJson(), kPokeTime);
     });
   }
 }
--- a/src/share/ShareKeeper.h
+++ b/src/share/ShareKeeper.h
@@ -11,32 +11,17 @@
 
 #include "caraway/Clock.h"
 #include "decide/ShareLease.h"
-#include "decide/TokenBucket.h"
 #include "peer/Members.h"
 #include "peer/PeerClient.h"
 #include "peer/PeerRpc.h"
 #include "platform/ConfigHolder.h"
 #include "platform/PlatformApi.h"
+#include "share/ShareBuckets.h"
 #include "share/ShareGrant.h"
+#include "share/ShareSettings.h"
 
 namespace caraway {
 
-struct ShareSettings
-{
-  std::string mZone;
-  int mZones = 1; // the fleet's zones: one part each
-  ShareLeaseTerms mTerms;
-  Millis mGrantLife{ 100 }; // from asking to being let in, at most
-  Millis mAskTime{ 40 };    // one question to a holder
-  Millis mGather{ 400 };    // renewals that one write waits for
-};
-
-// Tokens a tenant may burst to at one holder. What is granted may be spent a
-// grant's life later than it was debited, which stretches a burst by the rate
-// over that time; so that much is taken off beforehand.
-double
-ShareBurstPart(const Tenant& aTenant, const ShareSettings& aSettings);
-
 class ShareKeeper
 {
 public:
@@ -81,8 +66,6 @@
   void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
 
 private:
-  using BucketKey = std::pair<std::string, int>; // tenant and slot
-
   bool RenewTogether();
   bool RenewWith(const std::map<std::string, int64_t>& aAlso);
   bool RenewByWrite(const std::map<std::string, int64_t>& aAlso);
@@ -92,7 +75,6 @@
   void PokeHolders(const std::set<int>& aSlots);
   Json::Value TableJson() const;
   void SyncBuckets();
-  TokenBucket BucketFor(const Tenant& aTenant, int aSlot, TimePoint aNow);
   Json::Value OnRenew(const Json::Value& aParams);
   Json::Value OnPromise(const Json::Value& aParams);
   Json::Value OnTake(const Json::Value& aParams);
@@ -108,9 +90,7 @@
 
   mutable std::mutex mLock; // lease and buckets: one is nothing without other
   ShareLease mLease;
-  std::map<BucketKey, TokenBucket> mBuckets; // of our slots
-  std::set<int> mSlots;                      // that mBuckets were made for
-  int64_t mBucketsRevision = -1;
+  ShareBuckets mBuckets;
 
   std::function<void()> mPoke;
   std::mutex mWriteLock; // one conditional write of ours at a time
