Large files cut by what they are about; one reading of a chat's body

The share keeper's talk with peers, the owner's upkeep and carawayctl's entry commands have files of their own; chat and briefings read and check their body by one function.

--- /dev/null
+++ b/src/ctl/CtlEntries.cpp
@@ -0,0 +1,234 @@
+// The commands on single entries: profiles, tenants, endpoints, models, keys.
+#include "ctl/Ctl.h"
+
+#include <cstdio>
+
+#include "base/Digest.h"
+#include "base/JsonText.h"
+#include "base/RandomId.h"
+
+namespace caraway {
+
+namespace {
+
+struct Noun
+{
+  const char* mOne;
+  const char* mSection;
+  std::vector<std::string> mColumns;
+};
+
+const Noun*
+NounOf(const std::string& aWord)
+{
+  static const Noun sNouns[] = {
+    { "profile",
+      "profiles",
+      { "name",
+        "tenant",
+        "model",
+        "adapter",
+        "service",
+        "class",
+        "repeatable" } },
+    { "tenant", "tenants", { "name", "rate", "burst" } },
+    { "endpoint",
+      "endpoints",
+      { "name",
+        "zone",
+        "group",
+        "kind",
+        "address",
+        "memory",
+        "checks_fencing" } },
+    { "model", "models", { "name", "version", "base", "bytes" } },
+  };
+  for (const Noun& noun : sNouns) {
+    if (aWord == noun.mOne || aWord == noun.mSection) {
+      return &noun;
+    }
+  }
+  return nullptr;
+}
+
+leaf::error_id
+BadNoun(const std::string& aWord)
+{
+  return Fail(ErrorKind::BadRequest,
+              aWord + ": expected profile, tenant, endpoint or model");
+}
+
+Json::Value*
+Find(Json::Value& aSection, const char* aField, const std::string& aName)
+{
+  for (Json::Value& entry : aSection) {
+    if (entry[aField].asString() == aName) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+// true, 12 and 1.5 are what they look like; all else is text.
+Json::Value
+ValueOf(const std::string& aText)
+{
+  Json::Value parsed;
+  auto json = Outcome([&] { return JsonParse(aText); });
+  if (auto* value = std::get_if<Json::Value>(&json)) {
+    if (value->isBool() || value->isNumeric()) {
+      return *value;
+    }
+  }
+  return aText;
+}
+
+void
+Without(Json::Value& aSection, const char* aField, const std::string& aName)
+{
+  Json::Value kept(Json::arrayValue);
+  for (const Json::Value& entry : aSection) {
+    if (entry[aField].asString() != aName) {
+      kept.append(entry);
+    }
+  }
+  aSection = kept;
+}
+
+} // namespace
+
+Result<int>
+Ctl::List(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  const Json::Value& section = json["config"][noun->mSection];
+  Print(section, section, noun->mColumns);
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Show(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value* entry = Find(json["config"][noun->mSection], "name", aWords[1]);
+  if (!entry) {
+    return Fail(ErrorKind::NotFound, aWords[0] + " " + aWords[1]);
+  }
+  if (mOptions.mJson) {
+    std::printf("%s\n", JsonWrite(*entry).c_str());
+    return CtlExit_Ok;
+  }
+  for (const std::string& field : entry->getMemberNames()) {
+    std::printf(
+      "%-16s %s\n", field.c_str(), JsonWrite((*entry)[field]).c_str());
+  }
+  return CtlExit_Ok;
+}
+
+Result<int>
+Ctl::Set(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& section = json["config"][noun->mSection];
+  Json::Value* entry = Find(section, "name", aWords[1]);
+  bool made = entry == nullptr;
+  if (made) {
+    Json::Value fresh;
+    fresh["name"] = aWords[1];
+    entry = &section.append(fresh);
+  }
+  for (size_t i = 2; i < aWords.size(); ++i) {
+    size_t split = aWords[i].find('=');
+    if (split == std::string::npos) {
+      return Fail(ErrorKind::BadRequest, aWords[i] + ": expected FIELD=VALUE");
+    }
+    (*entry)[aWords[i].substr(0, split)] = ValueOf(aWords[i].substr(split + 1));
+  }
+  return Change(json["config"],
+                json["revision"].asInt64(),
+                std::string(made ? "made " : "changed ") + noun->mOne + " " +
+                  aWords[1]);
+}
+
+Result<int>
+Ctl::Remove(const Words& aWords)
+{
+  const Noun* noun = NounOf(aWords[0]);
+  if (!noun) {
+    return BadNoun(aWords[0]);
+  }
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& section = json["config"][noun->mSection];
+  if (!Find(section, "name", aWords[1])) {
+    return Fail(ErrorKind::NotFound, aWords[0] + " " + aWords[1]);
+  }
+  Without(section, "name", aWords[1]);
+  return Change(json["config"],
+                json["revision"].asInt64(),
+                std::string("removed ") + noun->mOne + " " + aWords[1]);
+}
+
+Result<int>
+Ctl::Keys(const Words&)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  const Json::Value& section = json["config"]["keys"];
+  Print(section, section, { "id", "tenant" });
+  return CtlExit_Ok;
+}
+
+// Made here and sent only as a digest: the key is nowhere but on this screen.
+Result<int>
+Ctl::Grant(const Words& aWords)
+{
+  constexpr size_t kIdDigits = 10;
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  std::string key = RandomKey();
+  Json::Value entry;
+  entry["id"] = "key-" + RandomId().substr(0, kIdDigits);
+  entry["tenant"] = aWords[0];
+  entry["digest"] = DigestHex(key);
+  json["config"]["keys"].append(entry);
+  BOOST_LEAF_AUTO(
+    code,
+    Change(json["config"],
+           json["revision"].asInt64(),
+           "granted " + entry["id"].asString() + " to " + aWords[0]));
+  if (mOptions.mJson) {
+    Json::Value shown;
+    shown["id"] = entry["id"];
+    shown["key"] = key;
+    std::printf("%s\n", JsonWrite(shown).c_str());
+  } else {
+    std::printf(
+      "%s  %s  (shown this once)\n", entry["id"].asCString(), key.c_str());
+  }
+  return code;
+}
+
+Result<int>
+Ctl::Withdraw(const Words& aWords)
+{
+  BOOST_LEAF_AUTO(json, mClient.Get("/admin/v1/config"));
+  Json::Value& keys = json["config"]["keys"];
+  if (!Find(keys, "id", aWords[0])) {
+    return Fail(ErrorKind::NotFound, "key " + aWords[0]);
+  }
+  Without(keys, "id", aWords[0]);
+  return Change(
+    json["config"], json["revision"].asInt64(), "withdrew " + aWords[0]);
+}
+
+} // namespace caraway
--- a/src/own/ModelOwner.h
+++ b/src/own/ModelOwner.h
@@ -44,6 +44,9 @@
   size_t Busy() const;
 
   static constexpr Millis kWait{ 1000 };
+  // A front asks at least every kWait. One that hasn't for this long has died
+  // or lost its caller.
+  static constexpr Millis kUnfetched{ 4000 };
 
 private:
   using WaiterPtr = std::shared_ptr<ModelWaiter>;
--- /dev/null
+++ b/src/own/ModelOwnerUpkeep.cpp
@@ -0,0 +1,158 @@
+// The owner's work that no request waits in: loads, and clearing up.
+#include "own/ModelOwner.h"
+
+#include <algorithm>
+
+#include "base/Log.h"
+
+namespace caraway {
+
+// The engine hasn't the model any more, or doesn't answer. If requests wait,
+// look at once where it is or can be loaded.
+void
+ModelOwner::DropServing(Shard& aShard, const ModelPlace& aPlace, TimePoint aNow)
+{
+  constexpr Seconds kReload{ 30 };
+  ModelGroup& group = aShard.mGroups[aPlace.mGroup];
+  auto& servings = group.mServing;
+  servings.erase(std::remove_if(servings.begin(),
+                                servings.end(),
+                                [&](const ModelServing& aServing) {
+                                  return aServing.mEndpoint.mName ==
+                                         aPlace.mEndpoint;
+                                }),
+                 servings.end());
+  if (!servings.empty() || group.mQueue.Size() == 0 || group.mLoading) {
+    return;
+  }
+  ConfigPtr config = mConfig.Current();
+  auto model =
+    config->mModels.find(aPlace.mGroup.substr(0, aPlace.mGroup.find('|')));
+  if (model != config->mModels.end()) {
+    StartLoad(aPlace.mGroup, group, model->second, aNow + kReload);
+  }
+}
+
+void
+ModelOwner::StartLoad(const std::string& aKey,
+                      ModelGroup& aGroup,
+                      const ModelSpec& aModel,
+                      TimePoint aUntil)
+{
+  aGroup.mLoading = true;
+  aGroup.mLoadBegan = mClock.Now();
+  mWorkers.Submit(
+    [this, aKey, aModel, aUntil] { LoadJob(aKey, aModel, aUntil); });
+}
+
+void
+ModelOwner::LoadJob(const std::string& aKey,
+                    const ModelSpec& aModel,
+                    TimePoint aUntil)
+{
+  ConfigPtr config = mConfig.Current();
+  auto loaded =
+    Outcome([&] { return mLoader.Ensure(*config, aModel, aUntil); });
+  Shard& shard = mShards[ShardOf(aKey)];
+  std::lock_guard<std::mutex> lock(shard.mLock);
+  ModelGroup& group = shard.mGroups[aKey];
+  TimePoint now = mClock.Now();
+  group.mLoading = false;
+  if (auto* failure = std::get_if<Failure>(&loaded)) {
+    LogWarn("model_not_loaded",
+            { { "model", aModel.mName }, { "reason", failure->mDetail } });
+    std::vector<uint64_t> waiting;
+    for (const auto& waiter : shard.mWaiters) {
+      if (waiter.second->mGroup == aKey) {
+        waiting.push_back(waiter.first);
+      }
+    }
+    for (uint64_t ticket : waiting) {
+      Refuse(shard, ticket, *failure);
+    }
+    return;
+  }
+  const EndpointSpec& endpoint = std::get<EndpointSpec>(loaded);
+  group.mLoadTime = std::chrono::duration_cast<Millis>(now - group.mLoadBegan);
+  LogInfo("model_ready",
+          { { "model", aModel.mName },
+            { "endpoint", endpoint.mName },
+            { "ms", std::to_string(group.mLoadTime.count()) } });
+  if (!ModelGroupServingAt(group, endpoint.mName)) {
+    ModelServing serving;
+    serving.mEndpoint = endpoint;
+    group.mServing.push_back(serving);
+  }
+  Pump(shard, aKey, now);
+}
+
+// Endpoints that were taken out of the configuration, or moved, get no new
+// work; what they are serving goes on.
+void
+ModelOwner::PruneServings(const ConfigSnapshot& aConfig)
+{
+  auto leaves = [&](const ModelServing& aServing) {
+    auto endpoint = aConfig.mEndpoints.find(aServing.mEndpoint.mName);
+    return endpoint == aConfig.mEndpoints.end() ||
+           endpoint->second.mAddress != aServing.mEndpoint.mAddress;
+  };
+  for (Shard& shard : mShards) {
+    std::lock_guard<std::mutex> lock(shard.mLock);
+    for (auto& entry : shard.mGroups) {
+      auto& servings = entry.second.mServing;
+      servings.erase(std::remove_if(servings.begin(), servings.end(), leaves),
+                     servings.end());
+    }
+  }
+}
+
+void
+ModelOwner::Sweep()
+{
+  ConfigPtr config = mConfig.Current();
+  if (config->mRevision != mPruned) {
+    PruneServings(*config);
+    mPruned = config->mRevision;
+  }
+  TimePoint now = mClock.Now();
+  std::vector<uint64_t> overdue;
+  for (Shard& shard : mShards) {
+    std::lock_guard<std::mutex> lock(shard.mLock);
+    std::vector<uint64_t> silent;
+    for (const auto& waiter : shard.mWaiters) {
+      if (now - waiter.second->mAsked > kUnfetched) {
+        silent.push_back(waiter.first);
+      }
+    }
+    for (uint64_t ticket : silent) {
+      Refuse(shard, ticket, FailureOf(ErrorKind::NoEndpoint, "not asked for"));
+      shard.mWaiters.erase(ticket);
+    }
+    for (auto& entry : shard.mGroups) {
+      if (entry.second.mQueue.Size() > 0) {
+        Pump(shard, entry.first, now);
+      }
+    }
+    for (const auto& place : shard.mPlaces) {
+      if (place.second.mTakeBack < now) {
+        overdue.push_back(place.first);
+      }
+    }
+  }
+  for (uint64_t place : overdue) {
+    Return({ place, 0, false, false });
+  }
+}
+
+size_t
+ModelOwner::Busy() const
+{
+  size_t busy = 0;
+  for (const Shard& shard : mShards) {
+    std::lock_guard<std::mutex> lock(shard.mLock);
+    busy += shard.mWaiters.size() + shard.mPlaces.size();
+  }
+  return busy;
+}
+
+} // namespace caraway
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -201,10 +201,10 @@
   return {};
 }
 
-Result<void>
-CallerPort::Chat(Request& aRequest,
-                 Response& aResponse,
-                 RequestContext& aContext)
+Result<ModelCall>
+CallerPort::ReadChat(Request& aRequest,
+                     RequestContext& aContext,
+                     bool& aStream) const
 {
   BOOST_LEAF_AUTO(
     body, HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime));
@@ -220,7 +220,18 @@
   call.mMaxTokens = call.mMaxTokens == 0
                       ? profile.mMaxTokens
                       : std::min(call.mMaxTokens, profile.mMaxTokens);
-  if (!json["stream"].asBool()) {
+  aStream = json["stream"].asBool();
+  return call;
+}
+
+Result<void>
+CallerPort::Chat(Request& aRequest,
+                 Response& aResponse,
+                 RequestContext& aContext)
+{
+  bool wantsStream = false;
+  BOOST_LEAF_AUTO(call, ReadChat(aRequest, aContext, wantsStream));
+  if (!wantsStream) {
     BOOST_LEAF_AUTO(answer,
                     mModels.Run(call, [](const auto&) { return true; }));
     aResponse.set("X-Request-Id", aContext.mId);
@@ -251,12 +262,9 @@
                    Response& aResponse,
                    RequestContext& aContext)
 {
-  BOOST_LEAF_AUTO(
-    body, HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime));
-  BOOST_LEAF_AUTO(json, JsonParse(body));
-  BOOST_LEAF_AUTO(call, ParseChat(json));
-  BOOST_LEAF_CHECK(FindProfile(aContext, json["model"].asString()));
-  if (aContext.mProfile.mModel.empty() || !aContext.mProfile.mRepeatable) {
+  bool wantsStream = false; // a briefing is collected, never streamed
+  BOOST_LEAF_AUTO(call, ReadChat(aRequest, aContext, wantsStream));
+  if (!aContext.mProfile.mRepeatable) {
     return Fail(ErrorKind::BadRequest,
                 aContext.mProfile.mName +
                   ": briefings are for models that may be called again");
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -58,6 +58,10 @@
   Result<void> Route(Request& aRequest,
                      Response& aResponse,
                      RequestContext& aContext);
+  // Body, profile and tokens of a chat or briefing.
+  Result<ModelCall> ReadChat(Request& aRequest,
+                             RequestContext& aContext,
+                             bool& aStream) const;
   Result<void> Chat(Request& aRequest,
                     Response& aResponse,
                     RequestContext& aContext);
--- /dev/null
+++ b/src/share/ShareKeeperPeers.cpp
@@ -0,0 +1,143 @@
+// What other instances ask of the share keeper, and what it tells them.
+#include "share/ShareKeeper.h"
+
+#include <algorithm>
+#include <thread>
+
+#include "base/Incarnation.h"
+#include "share/ShareCodec.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kPokeTime{ 500 };
+
+} // namespace
+
+// Those we handed slots to would find out at their next renewal, seconds
+// later, and until then nobody could spend them.
+void
+ShareKeeper::PokeHolders(const std::set<int>& aSlots)
+{
+  std::set<std::string> holders;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    for (int slot : aSlots) {
+      holders.insert(mLease.mTable.mSlots[slot].mHolder);
+    }
+  }
+  holders.erase("");
+  holders.erase(mSelf);
+  for (const std::string& holder : holders) {
+    Outcome([&] {
+      return mPeers.Call(
+        IncarnationAddress(holder), "share.poke", TableJson(), kPokeTime);
+    });
+  }
+}
+
+// The first to ask waits a moment for others; those that ask meanwhile find
+// on their turn that the write has taken them along.
+Json::Value
+ShareKeeper::OnRenew(const Json::Value& aParams)
+{
+  std::string member = aParams["member"].asString();
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mAsked[member] = aParams["knows"].asInt64();
+  }
+  Json::Value answer;
+  {
+    std::lock_guard<std::mutex> write(mWriteLock);
+    std::map<std::string, int64_t> also;
+    bool waiting = false;
+    {
+      std::lock_guard<std::mutex> lock(mLock);
+      waiting = mAsked.count(member) != 0;
+    }
+    if (waiting) {
+      std::this_thread::sleep_for(mSettings.mGather);
+      std::lock_guard<std::mutex> lock(mLock);
+      also.swap(mAsked);
+    }
+    if (waiting) {
+      RenewWith(also);
+    }
+    answer["renewed"] = mTakenAlong[member];
+  }
+  std::lock_guard<std::mutex> lock(mLock);
+  answer["version"] = Json::Int64(mLease.mVersion);
+  answer["serial"] = Json::Int64(mLease.mTable.mSerial);
+  if (aParams["knows"].asInt64() < mLease.mTable.mChanged) {
+    answer["table"] = ShareTableJson(mLease.mTable);
+  }
+  return answer;
+}
+
+Json::Value
+ShareKeeper::OnPromise(const Json::Value& aParams)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  bool ours = aParams["of"].asString() == mSelf;
+  Json::Value answer;
+  answer["promised"] =
+    ours && ShareLeasePromise(mLease, aParams["member"].asString());
+  return answer;
+}
+
+Json::Value
+ShareKeeper::OnTake(const Json::Value& aParams)
+{
+  int slot = aParams["slot"].asInt();
+  std::optional<Taken> taken;
+  if (slot >= 0 && slot < kShareSlots) {
+    taken =
+      Take(aParams["tenant"].asString(), slot, aParams["tokens"].asDouble());
+  }
+  Json::Value answer;
+  answer["holder"] = taken.has_value();
+  if (taken) {
+    answer["tokens"] = taken->mGrant.mTokens;
+    answer["at"] = Json::Int64(taken->mGrant.mTakenAt);
+    answer["self"] = mSelf;
+    answer["retry"] = Json::Int64(taken->mRetryAfter.count());
+  } else {
+    // Whoever asks the wrong one is shown the right one.
+    answer["now"] = TableJson();
+  }
+  return answer;
+}
+
+Json::Value
+ShareKeeper::OnGive(const Json::Value& aParams)
+{
+  ShareGrant grant;
+  grant.mHolder = aParams["holder"].asString();
+  grant.mSlot = aParams["slot"].asInt();
+  grant.mTokens = aParams["tokens"].asDouble();
+  grant.mTakenAt = aParams["at"].asInt64();
+  GiveBack(aParams["tenant"].asString(), grant);
+  return Json::Value(Json::objectValue);
+}
+
+void
+ShareKeeper::AddMethods(
+  const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("share.renew", [this](const auto& aParams) { return OnRenew(aParams); });
+  aAdd("share.table", [this](const auto&) { return TableJson(); });
+  aAdd("share.poke", [this](const auto& aParams) {
+    Learn(aParams["table"], aParams["version"].asInt64());
+    if (mPoke) {
+      mPoke();
+    }
+    return Json::Value(Json::objectValue);
+  });
+  aAdd("share.promise",
+       [this](const auto& aParams) { return OnPromise(aParams); });
+  aAdd("share.take", [this](const auto& aParams) { return OnTake(aParams); });
+  aAdd("share.give", [this](const auto& aParams) { return OnGive(aParams); });
+}
+
+} // namespace caraway
