Non-repeatable model profiles refused; one try of a generation apart

Found by reading as a newcomer: a model's profile could say repeatable = false, and its calls were repeated all the same, since claims are made for services only (test ConfigCodec.OnlyServices...; before, such a profile was accepted). Ruled out: making claims for models now, which needs the kept answer of a stream. A stream ended because this instance could no longer confirm its keys was told that the key was withdrawn; now key_state_stale. Bounds in complaints are whole numbers (was '>= 0.000000').

--- a/src/base/ConfigCodec.cpp
+++ b/src/base/ConfigCodec.cpp
@@ -115,6 +115,10 @@
       return bad("model", "no model " + aProfile.mModel);
     }
   }
+  if (!aProfile.mModel.empty() && !aProfile.mRepeatable) {
+    return bad("repeatable",
+               "only a service's calls can be kept from running twice");
+  }
   if (!aProfile.mAdapter.empty()) {
     auto adapter = aConfig.mModels.find(aProfile.mAdapter);
     if (adapter == aConfig.mModels.end() ||
--- a/src/base/JsonFields.cpp
+++ b/src/base/JsonFields.cpp
@@ -68,7 +68,10 @@
     return aDefault;
   }
   if (!value->isNumeric() || value->asDouble() < aLeast) {
-    Complain(aName, "expected a number >= " + std::to_string(aLeast));
+    // Bounds are whole; 0.000000 would only puzzle.
+    Complain(aName,
+             "expected a number >= " +
+               std::to_string(static_cast<int64_t>(aLeast)));
     return aDefault;
   }
   return value->asDouble();
--- a/src/serve/Authenticator.cpp
+++ b/src/serve/Authenticator.cpp
@@ -39,14 +39,17 @@
   return Caller{ key.mId, key.mDigest, key.mTenant };
 }
 
-bool
-Authenticator::StillGood(const Caller& aCaller) const
+std::optional<ErrorKind>
+Authenticator::Trouble(const Caller& aCaller) const
 {
   ConfigPtr config = mConfig.Current();
   auto key = config->mKeys.find(aCaller.mKeyId);
-  return key != config->mKeys.end() &&
-         DigestEqual(key->second.mDigest, aCaller.mDigest) &&
-         mConfig.Age() <= mMaxAge;
+  if (key == config->mKeys.end() ||
+      !DigestEqual(key->second.mDigest, aCaller.mDigest)) {
+    return ErrorKind::KeyUnknown;
+  }
+  return mConfig.Age() > mMaxAge ? std::make_optional(ErrorKind::KeyStateStale)
+                                 : std::nullopt;
 }
 
 } // namespace caraway
--- a/src/serve/Authenticator.h
+++ b/src/serve/Authenticator.h
@@ -2,6 +2,7 @@
 #ifndef caraway_serve_Authenticator_h
 #define caraway_serve_Authenticator_h
 
+#include <optional>
 #include <string>
 
 #include "caraway/Result.h"
@@ -28,8 +29,9 @@
   // aHeader is the Authorization header. KeyMissing, KeyUnknown,
   // KeyStateStale, NotReady.
   Result<Caller> Authenticate(const std::string& aHeader) const;
-  // For work that goes on: waiting requests and streams.
-  bool StillGood(const Caller& aCaller) const;
+  // For work that goes on, waiting requests and streams: what has come between
+  // (KeyUnknown: withdrawn; KeyStateStale), or nothing.
+  std::optional<ErrorKind> Trouble(const Caller& aCaller) const;
 
 private:
   const ConfigHolder& mConfig;
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -264,11 +264,7 @@
 {
   bool wantsStream = false; // a briefing is collected, never streamed
   BOOST_LEAF_AUTO(call, ReadChat(aRequest, aContext, wantsStream));
-  if (!aContext.mProfile.mRepeatable) {
-    return Fail(ErrorKind::BadRequest,
-                aContext.mProfile.mName +
-                  ": briefings are for models that may be called again");
-  }
+
   Briefing briefing;
   briefing.mId = aContext.mId;
   briefing.mCaller = aContext.mCaller;
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -60,6 +60,42 @@
   return Fail(failure);
 }
 
+GenerateCall
+EngineCallOf(const ModelCall& aCall,
+             const PlaceGrant& aGrant,
+             const ModelAnswer& aSoFar,
+             Millis aLeft)
+{
+  const RequestContext& context = aCall.mContext;
+  const Profile& profile = context.mProfile;
+  GenerateCall call;
+  call.mAddress = aGrant.mAddress;
+  call.mRequestId = context.mId;
+  call.mModel = profile.mModel;
+  call.mVersion = context.mConfig->mModels.at(profile.mModel).mVersion;
+  call.mAdapter = profile.mAdapter;
+  call.mMessages = aCall.mMessages;
+  call.mMaxTokens = aCall.mMaxTokens;
+  call.mClass = profile.mClass;
+  call.mSoFar = aSoFar.mTokens;
+  call.mFirstToken = std::max(aLeft, Millis(1));
+  return call;
+}
+
+PlaceReturn
+ReturnOf(const PlaceGrant& aGrant,
+         const GenerateResult& aResult,
+         const ModelAnswer& aSoFar)
+{
+  PlaceReturn back;
+  back.mPlace = aGrant.mPlace;
+  back.mTokens = static_cast<double>(aSoFar.mTokens.size());
+  back.mGone = aResult.mEnd == GenerateEnd::Gone;
+  back.mFailed = aResult.mEnd == GenerateEnd::NotOffered ||
+                 aResult.mEnd == GenerateEnd::Broken;
+  return back;
+}
+
 Json::Value
 GrantJson(const std::function<Result<PlaceGrant>()>& aAsk)
 {
@@ -187,6 +223,39 @@
   return std::get<ModelAnswer>(std::move(answer));
 }
 
+ModelCalls::Try
+ModelCalls::GenerateOnce(
+  const ModelCall& aCall,
+  const PlaceGrant& aGrant,
+  const std::function<bool(const std::string&)>& aOnToken,
+  ModelAnswer& aSoFar)
+{
+  const RequestContext& context = aCall.mContext;
+  const Profile& profile = context.mProfile;
+  TimePoint deadline = context.mArrived + profile.mAnswer;
+  Millis left = std::chrono::duration_cast<Millis>(deadline - mClock.Now());
+  GenerateCall call = EngineCallOf(aCall, aGrant, aSoFar, left);
+  Try once;
+  once.mResult = EngineGenerate(call, [&](const std::string& aToken) {
+    TimePoint now = mClock.Now();
+    if (aSoFar.mTokens.empty()) {
+      mMetrics.Observe("first_token",
+                       context.mCaller.mTenant,
+                       profile.mClass,
+                       MicrosBetween(context.mArrived, now));
+    }
+    once.mKeyTrouble = mKeys.Trouble(context.mCaller);
+    if (once.mKeyTrouble || now > deadline) {
+      return false;
+    }
+    aSoFar.mTokens.push_back(aToken);
+    return aOnToken(aToken);
+  });
+  return once;
+}
+
+// Takes up after the tokens that were passed on, elsewhere or at the same
+// engine, while the time, the tries and the retry budget last.
 Result<ModelAnswer>
 ModelCalls::Generate(const ModelCall& aCall,
                      const std::function<bool(const std::string&)>& aOnToken,
@@ -194,9 +263,7 @@
 {
   const RequestContext& context = aCall.mContext;
   const Profile& profile = context.mProfile;
-  const std::string& tenant = context.mCaller.mTenant;
   TimePoint deadline = context.mArrived + profile.mAnswer;
-  bool withdrawn = false;
   bool offered = false;
   Failure last = FailureOf(ErrorKind::NoEndpoint, "no engine took it");
   for (int i = 0; i < kTries && mClock.Now() < deadline; ++i) {
@@ -213,75 +280,41 @@
       last.mDetail += "; then: " + failure->mDetail;
       break;
     }
-    PlaceGrant grant = std::get<PlaceGrant>(acquired);
-    if (!mKeys.StillGood(context.mCaller)) {
+    const PlaceGrant& grant = std::get<PlaceGrant>(acquired);
+    if (auto trouble = mKeys.Trouble(context.mCaller)) {
       Return(owner, { grant.mPlace, 0, false, false });
-      return Fail(ErrorKind::KeyUnknown, "withdrawn while it waited");
+      return Fail(*trouble, "the key, while the request waited");
     }
     aSoFar.mCold = aSoFar.mCold || grant.mCold;
     mMetrics.Observe(grant.mCold ? "cold_start" : "wait",
-                     tenant,
+                     context.mCaller.mTenant,
                      profile.mClass,
                      Micros(grant.mWaited));
-    GenerateCall call;
-    call.mAddress = grant.mAddress;
-    call.mRequestId = context.mId;
-    call.mModel = profile.mModel;
-    call.mVersion = context.mConfig->mModels.at(profile.mModel).mVersion;
-    call.mAdapter = profile.mAdapter;
-    call.mMessages = aCall.mMessages;
-    call.mMaxTokens = aCall.mMaxTokens;
-    call.mClass = profile.mClass;
-    call.mSoFar = aSoFar.mTokens;
-    call.mFirstToken = std::chrono::duration_cast<Millis>(
-      std::max(deadline - mClock.Now(), TimePoint::duration(Millis(1))));
-    auto result = EngineGenerate(call, [&](const std::string& aToken) {
-      if (aSoFar.mTokens.empty()) {
-        mMetrics.Observe("first_token",
-                         tenant,
-                         profile.mClass,
-                         MicrosBetween(context.mArrived, mClock.Now()));
-      }
-      withdrawn = !mKeys.StillGood(context.mCaller);
-      if (withdrawn || mClock.Now() > deadline) {
-        return false;
-      }
-      aSoFar.mTokens.push_back(aToken);
-      return aOnToken(aToken);
-    });
-    PlaceReturn back;
-    back.mPlace = grant.mPlace;
-    back.mTokens = static_cast<double>(aSoFar.mTokens.size());
-    back.mGone = result.mEnd == GenerateEnd::Gone;
-    back.mFailed = result.mEnd == GenerateEnd::NotOffered ||
-                   result.mEnd == GenerateEnd::Broken;
-    Return(owner, back);
-    if (result.mEnd == GenerateEnd::Complete) {
-      aSoFar.mFinish = result.mReason;
+    Try once = GenerateOnce(aCall, grant, aOnToken, aSoFar);
+    Return(owner, ReturnOf(grant, once.mResult, aSoFar));
+    if (once.mResult.mEnd == GenerateEnd::Complete) {
+      aSoFar.mFinish = once.mResult.mReason;
       mMetrics.Observe("whole",
-                       tenant,
+                       context.mCaller.mTenant,
                        profile.mClass,
                        MicrosBetween(context.mArrived, mClock.Now()));
       return aSoFar;
     }
-    if (withdrawn) {
-      Failure failure = FailureOf(ErrorKind::KeyUnknown, "withdrawn meanwhile");
+    if (once.mKeyTrouble) {
+      Failure failure = FailureOf(*once.mKeyTrouble, "the key, meanwhile");
       failure.mRun = RunState::MayHaveRun;
       return Fail(failure);
     }
     LogInfo("generation_broken",
             { { "request", context.mId },
               { "endpoint", grant.mEndpoint },
-              { "reason", result.mReason } });
-    if (result.mEnd == GenerateEnd::Stopped) {
+              { "reason", once.mResult.mReason } });
+    if (once.mResult.mEnd == GenerateEnd::Stopped) {
       return Fail(ErrorKind::EndpointFailed, "stopped");
     }
-    if (result.mEnd == GenerateEnd::Broken) {
+    if (once.mResult.mEnd == GenerateEnd::Broken) {
       offered = true;
-      last = FailureOf(ErrorKind::EndpointFailed, result.mReason);
-      if (!profile.mRepeatable) {
-        break;
-      }
+      last = FailureOf(ErrorKind::EndpointFailed, once.mResult.mReason);
     }
   }
   return Fail(last);
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -58,6 +58,17 @@
   void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
 
 private:
+  // One generation at one engine, and what the key had against it.
+  struct Try
+  {
+    GenerateResult mResult;
+    std::optional<ErrorKind> mKeyTrouble;
+  };
+
+  Try GenerateOnce(const ModelCall& aCall,
+                   const PlaceGrant& aGrant,
+                   const std::function<bool(const std::string&)>& aOnToken,
+                   ModelAnswer& aSoFar);
   Result<ModelAnswer> Generate(
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken,
--- /dev/null
+++ b/tests/unit/ConfigCodecTest.cpp
@@ -0,0 +1,62 @@
+#include <gtest/gtest.h>
+
+#include "base/ConfigCodec.h"
+#include "base/JsonText.h"
+
+namespace caraway {
+
+namespace {
+
+std::string
+Trouble(const std::string& aChange)
+{
+  Json::Value config = JsonParseOrEmpty(R"({
+    "tenants":[{"name":"acme","rate":10,"burst":20}],
+    "models":[{"name":"m","bytes":5},{"name":"a","base":"m"}],
+    "endpoints":[{"name":"e","zone":"z","group":"g","kind":"engine",
+                  "address":"10.0.0.1:80","memory":10}],
+    "profiles":[{"name":"p","tenant":"acme","model":"m","adapter":"a"}]})");
+  Json::Value change = JsonParseOrEmpty(aChange);
+  for (const std::string& section : change.getMemberNames()) {
+    for (const std::string& field : change[section].getMemberNames()) {
+      config[section][0][field] = change[section][field];
+    }
+  }
+  auto parsed = Outcome([&] { return ConfigParse(config); });
+  auto* failure = std::get_if<Failure>(&parsed);
+  return failure ? failure->mDetail : "";
+}
+
+} // namespace
+
+// An operator's slip is refused whole, with the place, before it is accepted.
+TEST(ConfigCodec, SlipsAreToldWithTheirPlace)
+{
+  EXPECT_EQ(Trouble("{}"), "");
+  EXPECT_EQ(Trouble(R"({"profiles":{"model":"x"}})"),
+            "profiles.p.model: no model x");
+  EXPECT_EQ(Trouble(R"({"profiles":{"adapter":"m"}})"),
+            "profiles.p.adapter: no adapter of that model");
+  EXPECT_EQ(Trouble(R"({"profiles":{"tenant":"x"}})"),
+            "profiles.p.tenant: no tenant x");
+  EXPECT_EQ(Trouble(R"({"profiles":{"service":"g"}})"),
+            "profiles.p.model: name either a model or a service");
+  EXPECT_EQ(Trouble(R"({"models":{"bytes":11}})"),
+            "models.m.bytes: fits no engine's memory");
+  EXPECT_EQ(Trouble(R"({"endpoints":{"address":"host:80"}})"),
+            "endpoints.e.address: expected ip:port");
+  EXPECT_EQ(Trouble(R"({"tenants":{"rate":"10/s"}})"),
+            "tenants.acme.rate: expected a number >= 0");
+}
+
+// A model's profile said that its calls must not be repeated, and they were
+// all the same: claims are made for services only. Refused, rather than
+// accepted and not kept.
+TEST(ConfigCodec, OnlyServicesCanBeKeptFromRunningTwice)
+{
+  EXPECT_EQ(Trouble(R"({"profiles":{"repeatable":false}})"),
+            "profiles.p.repeatable: only a service's calls can be kept from "
+            "running twice");
+}
+
+} // namespace caraway
