Share slots come to rest

Cause: slots went to whoever had the fewest, two rules at once (even parts, halves apart) could hand them in circles, and in the gaps of a hand-over callers are refused. Ruled out: the machine being busy (nothing else ran), leases lapsing (the property holds). Change: one place for each slot by the sorted members, its partner elsewhere. The old rule wasn't run against the new test.

--- a/src/decide/ShareLease.cpp
+++ b/src/decide/ShareLease.cpp
@@ -92,15 +92,10 @@
 void
 TakeFree(const std::string& aSelf, ShareTable& aTable)
 {
-  int room = ShareTableEvenShare(aTable) - ShareTableHeldBy(aTable, aSelf);
-  // Alone, both halves are better than one left free.
-  bool alone = aTable.mMembers.size() == 1;
   for (int i = 0; i < kShareSlots; ++i) {
     ShareSlot& slot = aTable.mSlots[i];
-    bool fits = alone || !ShareTableHoldsPartner(aTable, aSelf, i);
-    if (room > 0 && slot.mHolder.empty() && fits) {
+    if (slot.mHolder.empty() && ShareTableTarget(aTable, i) == aSelf) {
       slot.mHolder = aSelf;
-      --room;
     }
   }
 }
@@ -268,17 +263,15 @@
 {
   std::set<int> slots;
   const ShareTable& table = aLease.mTable;
-  bool alone = table.mMembers.size() <= 1;
-  int keep = aLeaving ? 0 : ShareTableEvenShare(table);
-  int held = ShareTableHeldBy(table, aLease.mSelf);
-  for (int i = kShareSlots - 1; i >= 0; --i) {
+  for (int i = 0; i < kShareSlots; ++i) {
     if (table.mSlots[i].mHolder != aLease.mSelf) {
       continue;
     }
-    // Of two halves of the same tenants, one is better somewhere else.
-    bool both = !alone && ShareTableHoldsPartner(table, aLease.mSelf, i) &&
-                !slots.count(SharePartnerOf(i));
-    if (held - static_cast<int>(slots.size()) > keep || both) {
+    auto target = table.mMembers.find(ShareTableTarget(table, i));
+    bool elsewhere = target != table.mMembers.end() &&
+                     target->first != aLease.mSelf &&
+                     target->second.mSuspectedBy.empty();
+    if (aLeaving || elsewhere) {
       slots.insert(i);
     }
   }
@@ -292,10 +285,12 @@
 {
   ShareTable table = aLease.mTable;
   ++table.mSerial;
+  if (aLeaving) {
+    table.mMembers.erase(aLease.mSelf);
+  }
   for (const auto& slot : aLevels) {
     if (table.mSlots[slot.first].mHolder == aLease.mSelf) {
-      table.mSlots[slot.first].mHolder =
-        ShareTableFewest(table, aLease.mSelf, slot.first);
+      table.mSlots[slot.first].mHolder = ShareTableTarget(table, slot.first);
       table.mSlots[slot.first].mLevels = slot.second;
       table.mSlots[slot.first].mFresh = false;
     }
--- a/src/decide/ShareLease.h
+++ b/src/decide/ShareLease.h
@@ -121,10 +121,10 @@
 bool
 ShareLeasePromise(const ShareLease& aLease, const std::string& aMember);
 
-// Slots we hold beyond an even share, or all when aLeaving. The driver stops
-// spending them, then stores ShareLeaseRelease with what was left in them:
-// each goes straight to the member that holds the fewest, so that there is no
-// moment in which a tenant's share has nobody to ask.
+// Slots we hold that should be another's, or all when aLeaving. The driver
+// stops spending them, then stores ShareLeaseRelease with what was left in
+// them: each goes straight to the member that should hold it, so that there is
+// no moment in which a tenant's share has nobody to ask.
 std::set<int>
 ShareLeaseExcess(const ShareLease& aLease, bool aLeaving);
 ShareTable
--- a/src/decide/ShareTable.cpp
+++ b/src/decide/ShareTable.cpp
@@ -22,48 +22,19 @@
   return { slot, SharePartnerOf(slot) };
 }
 
-int
-ShareTableHeldBy(const ShareTable& aTable, const std::string& aMember)
-{
-  return static_cast<int>(std::count_if(
-    aTable.mSlots.begin(), aTable.mSlots.end(), [&](const ShareSlot& aSlot) {
-      return aSlot.mHolder == aMember;
-    }));
-}
-
 std::string
-ShareTableFewest(const ShareTable& aTable, const std::string& aSelf, int aSlot)
+ShareTableTarget(const ShareTable& aTable, int aSlot)
 {
-  const std::string& partner = aTable.mSlots[SharePartnerOf(aSlot)].mHolder;
-  std::string best;
-  int least = 0;
-  for (const auto& member : aTable.mMembers) {
-    if (member.first == aSelf || !member.second.mSuspectedBy.empty()) {
-      continue;
-    }
-    int held = ShareTableHeldBy(aTable, member.first) +
-               (member.first == partner ? kShareSlots : 0);
-    if (best.empty() || held < least) {
-      best = member.first;
-      least = held;
-    }
+  constexpr int kHalf = kShareSlots / kShareHalves;
+  int members = static_cast<int>(aTable.mMembers.size());
+  if (members == 0) {
+    return "";
   }
-  return best;
-}
-
-bool
-ShareTableHoldsPartner(const ShareTable& aTable,
-                       const std::string& aMember,
-                       int aSlot)
-{
-  return aTable.mSlots[SharePartnerOf(aSlot)].mHolder == aMember;
-}
-
-int
-ShareTableEvenShare(const ShareTable& aTable)
-{
-  int members = std::max<int>(1, static_cast<int>(aTable.mMembers.size()));
-  return (kShareSlots + members - 1) / members;
+  // Where the members divide a half, both halves would fall to the same one:
+  // the second half is moved on by one.
+  bool divides = kHalf % members == 0;
+  int index = divides ? (aSlot % kHalf + aSlot / kHalf) : aSlot;
+  return std::next(aTable.mMembers.begin(), index % members)->first;
 }
 
 void
--- a/src/decide/ShareTable.h
+++ b/src/decide/ShareTable.h
@@ -51,19 +51,12 @@
 int
 SharePartnerOf(int aSlot);
 
-int
-ShareTableHeldBy(const ShareTable& aTable, const std::string& aMember);
-// Slots a member has when all have equally many, rounded up.
-int
-ShareTableEvenShare(const ShareTable& aTable);
-bool
-ShareTableHoldsPartner(const ShareTable& aTable,
-                       const std::string& aMember,
-                       int aSlot);
-// Who should have aSlot: fewest slots, not suspected, and not the holder of
-// its partner if that can be; "" when there is nobody but aSelf.
+// Who should hold aSlot among the members, the same for all who see the same
+// table; "" when there are none. Never the one that should hold its partner, if
+// there are two members. Slots are handed on until they are where they should
+// be; an earlier rule, "to whoever has the fewest", could hand them in circles.
 std::string
-ShareTableFewest(const ShareTable& aTable, const std::string& aSelf, int aSlot);
+ShareTableTarget(const ShareTable& aTable, int aSlot);
 // Takes a member out; its slots are free, and their next holder starts empty.
 void
 ShareTableRemove(ShareTable& aTable, const std::string& aMember);
--- a/tests/property/ShareProperty.cpp
+++ b/tests/property/ShareProperty.cpp
@@ -297,4 +297,41 @@
   }
 }
 
+// Slots were handed from member to member in circles and never came to rest:
+// in the gaps of a hand-over callers were refused. Each slot has one place
+// where it should be, its partner another, and after one round of everybody
+// all are there, however many join.
+TEST(ShareLease, SlotsComeToRest)
+{
+  TimePoint now = TimePoint(Seconds(1000));
+  ShareTable table;
+  int64_t version = 0;
+  std::vector<ShareLease> members(20);
+  for (size_t count = 1; count <= members.size(); ++count) {
+    ShareLease& fresh = members[count - 1];
+    fresh.mSelf = "n" + std::to_string(count * 7919);
+    fresh.mAddress = "a" + std::to_string(count);
+    for (size_t i = 0; i < 2 * count; ++i) {
+      ShareLease& member = members[i % count];
+      ShareLeaseLearn(member, table, version, now);
+      table = ShareLeasePropose(member, {}, now);
+      ShareLeaseRenewed(member, table, ++version, now, now);
+      std::map<int, std::map<std::string, double>> levels;
+      for (int slot : ShareLeaseExcess(member, false)) {
+        member.mClosed.insert(slot);
+        levels[slot];
+      }
+      table = ShareLeaseRelease(member, levels, false);
+      ShareLeaseLearn(member, table, ++version, now);
+    }
+    for (int slot = 0; slot < kShareSlots; ++slot) {
+      const std::string& holder = table.mSlots[slot].mHolder;
+      EXPECT_EQ(holder, ShareTableTarget(table, slot)) << count;
+      if (count > 1) {
+        EXPECT_NE(holder, table.mSlots[SharePartnerOf(slot)].mHolder) << count;
+      }
+    }
+  }
+}
+
 } // namespace caraway
