--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -32,13 +32,14 @@
   return settings;
 }
 
-// Freshness is confirmed when a watch returns: several times within the age
-// that keys are trusted for.
+// Freshness is confirmed when a watch returns. One watch that is lost (its
+// time, 2 s more and a pause) must still leave some of the age that keys are
+// trusted for.
 Millis
 WatchTime(const Settings& aSettings)
 {
   constexpr Millis kMost{ 10000 };
-  return std::min(kMost, Millis(aSettings.mKeysMaxAge) / 4);
+  return std::min(kMost, Millis(aSettings.mKeysMaxAge) / 8);
 }
 
 LoaderSettings
