--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -35,12 +35,6 @@
   return size;
 }
 
-bool
-WaitQueue::Waiting(RequestClass aClass) const
-{
-  return mClasses[static_cast<int>(aClass)].mSize > 0;
-}
-
 // Work that will be served before aItem: all of the more urgent classes; of
 // its own class its tenant's, and of the other tenants' no more than as much
 // as its own, since they take turns by tokens.
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -52,7 +52,6 @@
   bool Withdraw(uint64_t aId);
 
   size_t Size() const;
-  bool Waiting(RequestClass aClass) const;
   // Expected time until an item of this class and tenant would start.
   Millis Predict(const WaitItem& aItem, double aRate, TimePoint aNow) const;
 
--- a/src/share/ShareKeeperPeers.cpp
+++ b/src/share/ShareKeeperPeers.cpp
@@ -1,7 +1,6 @@
 // What other instances ask of the share keeper, and what it tells them.
 #include "share/ShareKeeper.h"
 
-#include <algorithm>
 #include <thread>
 
 #include "base/Incarnation.h"
