A call lost on a kept connection isn't called unsent, nor given its time twice

Cause: HttpPool tries a call again on a new connection when a kept one fails. If that connection couldn't be made, it answered NotSent, though the call had been offered on the kept one; PlatformClient::Write turns NotSent into Refused, 'nothing was offered', and a claim or a hand-over may be in force all the same. And a silence on a kept connection was followed by a second try with the whole time: a watch of 1 s with 2 s of slack could last 6 s.

Ruled out: never trying again (an idle connection that the server closed is the usual case, and reads would fail for nothing).

Change: the second try has the time that is left; a failed connection after an offer is Lost.

--- a/src/net/HttpPool.cpp
+++ b/src/net/HttpPool.cpp
@@ -35,17 +35,35 @@
 HttpReply
 HttpPool::Call(const HttpCall& aCall)
 {
+  auto begun = std::chrono::steady_clock::now();
   SessionPtr kept = aCall.mResend ? Take(aCall.mAddress) : nullptr;
-  if (kept) {
-    HttpReply reply = HttpExchange(*kept, aCall, true);
-    if (reply.mStage == HttpStage::Answered) {
-      Put(aCall.mAddress, std::move(kept));
-      return reply;
-    }
-    if (reply.mStatus != 0) {
-      return reply;
-    }
+  if (!kept) {
+    return CallAnew(aCall);
   }
+  HttpReply first = HttpExchange(*kept, aCall, true);
+  if (first.mStage == HttpStage::Answered) {
+    Put(aCall.mAddress, std::move(kept));
+    return first;
+  }
+  // Most often the other side had closed it while it was idle. A silence has
+  // used the time up, and a second one would last as long again.
+  HttpCall second = aCall;
+  second.mTimeout -= std::chrono::duration_cast<Millis>(
+    std::chrono::steady_clock::now() - begun);
+  if (first.mStatus != 0 || second.mTimeout <= Millis(0)) {
+    return first;
+  }
+  HttpReply reply = CallAnew(second);
+  if (reply.mStage == HttpStage::NotSent) {
+    // It was offered, on the kept one; whether it was read can't be told.
+    reply.mStage = HttpStage::Lost;
+  }
+  return reply;
+}
+
+HttpReply
+HttpPool::CallAnew(const HttpCall& aCall)
+{
   HttpReply reply;
   Poco::Net::StreamSocket socket = HttpConnect(aCall, reply.mError);
   if (!reply.mError.empty()) {
--- a/tests/unit/HttpCallTest.cpp
+++ b/tests/unit/HttpCallTest.cpp
@@ -15,8 +15,9 @@
 class RawServer
 {
 public:
-  explicit RawServer(std::string aAnswer)
+  explicit RawServer(std::string aAnswer, bool aCloses = true)
     : mAnswer(std::move(aAnswer))
+    , mCloses(aCloses)
   {
     mServer.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true, false);
     mServer.listen(8);
@@ -31,7 +32,9 @@
           socket.receiveBytes(buffer, sizeof buffer);
           if (!mAnswer.empty()) {
             socket.sendBytes(mAnswer.data(), static_cast<int>(mAnswer.size()));
-            socket.shutdown();
+            if (mCloses) {
+              socket.shutdown();
+            }
           }
           mKept.push_back(socket);
         }
@@ -51,8 +54,11 @@
     return call;
   }
 
+  size_t Connections() const { return mKept.size(); }
+
 private:
-  std::string mAnswer;
+  std::string mAnswer; // to the first call of a connection; none to others
+  bool mCloses;        // the connection, after that
   Poco::Net::ServerSocket mServer;
   std::vector<Poco::Net::StreamSocket> mKept;
   std::atomic<bool> mEnding{ false };
@@ -83,6 +89,32 @@
   EXPECT_EQ(HttpCallOnce(whole.Call()).mStage, HttpStage::Answered);
 }
 
+// A kept connection is lost while a call is on it, and the server can't be
+// reached after that. The call may have been read: saying that it wasn't sent
+// would let a holder spend what it has just handed on.
+TEST(HttpCall, LostOnAKeptConnectionIsNotNotSent)
+{
+  HttpPool pool;
+  HttpCall call;
+  {
+    RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf");
+    call = server.Call();
+    EXPECT_EQ(pool.Call(call).mStage, HttpStage::Answered);
+  }
+  EXPECT_EQ(pool.Call(call).mStage, HttpStage::Lost);
+}
+
+// A server falls silent on a kept connection. The call was begun again on a
+// new one with all its time, so that it lasted twice as long as it may.
+TEST(HttpCall, SilenceOnAKeptConnectionUsesUpTheTime)
+{
+  RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf", false);
+  HttpPool pool;
+  EXPECT_EQ(pool.Call(server.Call()).mStage, HttpStage::Answered);
+  EXPECT_EQ(pool.Call(server.Call()).mStage, HttpStage::Lost);
+  EXPECT_EQ(server.Connections(), 1u);
+}
+
 TEST(HttpCall, NoConnectionMeansNotSent)
 {
   Poco::Net::ServerSocket free;
