Fresh means fresh: configuration and keys, by property

Cause: freshness was counted from an instance's start. One that starts in a cut zone takes what a peer has, with that peer's age, and then called it as fresh as its own start; its answer to a beat made its peers believe the same. A withdrawn key would have lived in a cut zone for as long as instances there are replaced. Beside it: the watch's version was noted before the revision was loaded, so that 'no change' could confirm the older one; revision and age of a beat were read at two moments.

Ruled out: that stale reads make it unsound is known and listed, not mended: only a write tells, and one a watch and instance is too many (CAPACITY.md).

Change: ConfigFollower holds the decisions, ConfigWatcher the thread. Age is never, until something confirmed it; a revision is followed once it is loaded; a beat says revision and age of one moment. Lost watches are logged with reason, time and age.

--- a/src/daemon/ConfigWatcher.cpp
+++ b/src/daemon/ConfigWatcher.cpp
@@ -19,7 +19,7 @@
                              PeerClient& aPeers,
                              Millis aWatch,
                              const Clock& aClock)
-  : mStore(aStore)
+  : mFollower(aStore, aHolder, aClock)
   , mHolder(aHolder)
   , mPeers(aPeers)
   , mWatch(aWatch)
@@ -47,37 +47,13 @@
   }
 }
 
-bool
-ConfigWatcher::Take(const ConfigIndex& aIndex, TimePoint aAsked)
-{
-  mVersion = std::max<int64_t>(mVersion, aIndex.mVersion);
-  if (aIndex.mNow.mRevision > mHolder.Current()->mRevision) {
-    auto loaded = Outcome([&] { return mStore.Load(aIndex.mNow); });
-    if (auto* failure = std::get_if<Failure>(&loaded)) {
-      LogWarn("config_not_loaded",
-              { { "revision", std::to_string(aIndex.mNow.mRevision) },
-                { "reason", failure->mDetail } });
-      mVersion = 0;
-      return false;
-    }
-    if (mHolder.Adopt(std::get<ConfigSnapshot>(std::move(loaded)))) {
-      LogInfo("config_in_force",
-              { { "revision", std::to_string(aIndex.mNow.mRevision) },
-                { "from", "platform" } });
-    }
-  }
-  mHolder.Confirm(aIndex.mNow.mRevision, aAsked);
-  return true;
-}
-
 void
 ConfigWatcher::Refresh()
 {
-  TimePoint asked = mClock.Now();
-  auto index = Outcome([&] { return mStore.Index(); });
-  if (auto* found = std::get_if<ConfigIndex>(&index)) {
-    Take(*found, asked);
-  }
+  Outcome([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(mFollower.Read());
+    return true;
+  });
 }
 
 void
@@ -86,35 +62,20 @@
   Millis pause = kFirstPause;
   while (!mStopping) {
     TimePoint asked = mClock.Now();
-    auto index = Outcome([&] {
-      return mVersion == 0 ? mStore.Index()
-                           : mStore.WatchIndex(mVersion, mWatch);
+    auto looked = Outcome([&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(mFollower.Look(mWatch));
+      return true;
     });
-    bool fine = false;
-    if (auto* found = std::get_if<ConfigIndex>(&index)) {
-      fine = Take(*found, asked);
-    } else {
-      bool noChange =
-        std::get<Failure>(index).mKind == ErrorKind::NotFound && mVersion != 0;
-      if (noChange) {
-        // As of when it was asked: the platform may have changed since.
-        mHolder.Confirm(mHolder.Current()->mRevision, asked);
-      }
-      fine = noChange;
-    }
-    if (fine) {
+    auto* failure = std::get_if<Failure>(&looked);
+    if (!failure) {
       pause = kFirstPause;
       continue;
     }
-    LogWarn(
-      "config_watch_lost",
-      { { "reason",
-          std::get_if<Failure>(&index) ? std::get<Failure>(index).mDetail
-                                       : "not loaded" },
-        { "took_ms",
-          std::to_string(
-            std::chrono::duration_cast<Millis>(mClock.Now() - asked).count()) },
-        { "age_ms", std::to_string(mHolder.Age().count()) } });
+    auto took = std::chrono::duration_cast<Millis>(mClock.Now() - asked);
+    LogWarn("config_watch_lost",
+            { { "reason", failure->mDetail },
+              { "took_ms", std::to_string(took.count()) },
+              { "age_ms", std::to_string(mHolder.Age().count()) } });
     for (Millis slept(0); slept < pause && !mStopping; slept += kStep) {
       std::this_thread::sleep_for(kStep);
     }
@@ -124,22 +85,13 @@
 
 void
 ConfigWatcher::PeerSaid(const std::string& aAddress,
-                        int64_t aRevision,
-                        Millis aAge,
+                        const ConfigFreshness& aFresh,
                         TimePoint aAsked)
 {
-  if (aRevision > mHolder.Current()->mRevision) {
-    FetchFromPeer(aAddress);
-  }
-  // It was sure at (its moment of answering - aAge), which is no later than
-  // ours of asking plus the call; counting from the asking is on the safe
-  // side.
-  if (aRevision > 0) {
-    mHolder.Confirm(aRevision, aAsked - aAge);
-  }
+  mFollower.PeerSaid(aFresh, aAsked, [&] { return FetchFromPeer(aAddress); });
 }
 
-void
+std::optional<ConfigSnapshot>
 ConfigWatcher::FetchFromPeer(const std::string& aAddress)
 {
   Json::Value params;
@@ -152,14 +104,8 @@
     return config;
   });
   auto* config = std::get_if<ConfigSnapshot>(&answer);
-  if (!config) {
-    return;
-  }
-  int64_t revision = config->mRevision;
-  if (mHolder.Adopt(std::move(*config))) {
-    LogInfo("config_in_force",
-            { { "revision", std::to_string(revision) }, { "from", aAddress } });
-  }
+  return config ? std::optional<ConfigSnapshot>(std::move(*config))
+                : std::nullopt;
 }
 
 void
--- a/src/daemon/ConfigWatcher.h
+++ b/src/daemon/ConfigWatcher.h
@@ -8,8 +8,7 @@
 
 #include "peer/PeerClient.h"
 #include "peer/PeerRpc.h"
-#include "platform/ConfigHolder.h"
-#include "platform/ConfigStore.h"
+#include "platform/ConfigFollower.h"
 
 namespace caraway {
 
@@ -29,11 +28,9 @@
 
   void Start();
   void Stop();
-  // A peer said that at the moment we began to ask it (aAsked) it had
-  // aRevision, confirmed aAge earlier.
+  // What a peer answered to a beat that we began at aAsked.
   void PeerSaid(const std::string& aAddress,
-                int64_t aRevision,
-                Millis aAge,
+                const ConfigFreshness& aFresh,
                 TimePoint aAsked);
   // Reads the index now, after a change accepted here.
   void Refresh();
@@ -42,15 +39,14 @@
 
 private:
   void Run();
-  bool Take(const ConfigIndex& aIndex, TimePoint aAsked);
-  void FetchFromPeer(const std::string& aAddress);
+  std::optional<ConfigSnapshot> FetchFromPeer(const std::string& aAddress);
 
-  ConfigStore& mStore;
+  ConfigFollower mFollower;
   ConfigHolder& mHolder;
   PeerClient& mPeers;
   Millis mWatch; // one watch; how often freshness is confirmed at least
   const Clock& mClock;
-  std::atomic<int64_t> mVersion{ 0 };
+
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
 };
--- a/src/daemon/Heartbeat.cpp
+++ b/src/daemon/Heartbeat.cpp
@@ -36,8 +36,9 @@
   json["zone"] = self.mZone;
   json["peer"] = self.mPeerAddress;
   json["leaving"] = self.mLeaving;
-  json["revision"] = Json::Int64(mConfig.Current()->mRevision);
-  json["age"] = Json::Int64(mConfig.Age().count());
+  ConfigFreshness fresh = mConfig.Fresh();
+  json["revision"] = Json::Int64(fresh.mRevision);
+  json["age"] = Json::Int64(fresh.mAge.count());
   return json;
 }
 
@@ -66,10 +67,10 @@
     return false;
   }
   Heard(*json);
-  mWatcher.PeerSaid(aAddress,
-                    (*json)["revision"].asInt64(),
-                    Millis((*json)["age"].asInt64()),
-                    asked);
+  mWatcher.PeerSaid(
+    aAddress,
+    { (*json)["revision"].asInt64(), Millis((*json)["age"].asInt64()) },
+    asked);
   return true;
 }
 
--- /dev/null
+++ b/src/platform/ConfigFollower.cpp
@@ -0,0 +1,93 @@
+#include "platform/ConfigFollower.h"
+
+#include "base/Log.h"
+
+namespace caraway {
+
+ConfigFollower::ConfigFollower(ConfigStore& aStore,
+                               ConfigHolder& aHolder,
+                               const Clock& aClock)
+  : mStore(aStore)
+  , mHolder(aHolder)
+  , mClock(aClock)
+{
+}
+
+Result<void>
+ConfigFollower::Look(Millis aWatch)
+{
+  Followed followed;
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    followed = mFollowed;
+  }
+  if (followed.mVersion == 0) {
+    return Read();
+  }
+  TimePoint asked = mClock.Now();
+  auto index =
+    Outcome([&] { return mStore.WatchIndex(followed.mVersion, aWatch); });
+  if (auto* found = std::get_if<ConfigIndex>(&index)) {
+    return Take(*found, asked);
+  }
+  const Failure& failure = std::get<Failure>(index);
+  if (failure.mKind != ErrorKind::NotFound) {
+    return Fail(failure);
+  }
+  // As of when it was asked: the platform may have changed since. And of the
+  // revision we watched from: another thread may be loading a newer one, which
+  // isn't in force here before that is done.
+  mHolder.Confirm(followed.mRevision, asked);
+  return {};
+}
+
+Result<void>
+ConfigFollower::Read()
+{
+  TimePoint asked = mClock.Now();
+  BOOST_LEAF_AUTO(index, mStore.Index());
+  return Take(index, asked);
+}
+
+Result<void>
+ConfigFollower::Take(const ConfigIndex& aIndex, TimePoint aAsked)
+{
+  if (aIndex.mNow.mRevision > mHolder.Current()->mRevision) {
+    // Not followed before it is loaded: a watch from there would say "no
+    // change", and we would go on with the old one and call it fresh.
+    BOOST_LEAF_AUTO(config, mStore.Load(aIndex.mNow));
+    if (mHolder.Adopt(std::move(config))) {
+      LogInfo("config_in_force",
+              { { "revision", std::to_string(aIndex.mNow.mRevision) },
+                { "from", "platform" } });
+    }
+  }
+  mHolder.Confirm(aIndex.mNow.mRevision, aAsked);
+  std::lock_guard<std::mutex> lock(mLock);
+  if (aIndex.mVersion > mFollowed.mVersion) {
+    mFollowed = { aIndex.mVersion, aIndex.mNow.mRevision };
+  }
+  return {};
+}
+
+void
+ConfigFollower::PeerSaid(const ConfigFreshness& aFresh,
+                         TimePoint aAsked,
+                         const Fetch& aFetch)
+{
+  if (aFresh.mRevision > mHolder.Current()->mRevision) {
+    auto config = aFetch();
+    int64_t revision = config ? config->mRevision : 0;
+    if (config && mHolder.Adopt(std::move(*config))) {
+      LogInfo("config_in_force",
+              { { "revision", std::to_string(revision) }, { "from", "peer" } });
+    }
+  }
+  // It was sure at (its moment of answering - its age), which is no earlier
+  // than our asking less its age: that is on the safe side.
+  if (aFresh.mRevision > 0) {
+    mHolder.Confirm(aFresh.mRevision, aAsked - aFresh.mAge);
+  }
+}
+
+} // namespace caraway
--- a/src/platform/ConfigHolder.cpp
+++ b/src/platform/ConfigHolder.cpp
@@ -4,10 +4,20 @@
 
 namespace caraway {
 
+namespace {
+
+// Age of what nobody has confirmed yet. Were it counted from the start, an
+// instance started in a cut zone would take a stale configuration from a peer
+// and call it fresh, and its peers would believe it: withdrawn keys would live
+// as long as instances are replaced.
+constexpr std::chrono::hours kNever{ 24 * 365 };
+
+} // namespace
+
 ConfigHolder::ConfigHolder(const Clock& aClock)
   : mClock(aClock)
   , mCurrent(std::make_shared<const ConfigSnapshot>())
-  , mConfirmed(aClock.Now())
+  , mConfirmed(aClock.Now() - kNever)
 {
 }
 
@@ -39,11 +49,14 @@
   }
 }
 
-Millis
-ConfigHolder::Age() const
+// Both at one moment: an older revision with the age of a newer one would
+// tell a peer that the older one is the newest.
+ConfigFreshness
+ConfigHolder::Fresh() const
 {
   std::lock_guard<std::mutex> lock(mLock);
-  return std::chrono::duration_cast<Millis>(mClock.Now() - mConfirmed);
+  return { mCurrent->mRevision,
+           std::chrono::ceil<Millis>(mClock.Now() - mConfirmed) };
 }
 
 } // namespace caraway
--- a/src/platform/ConfigHolder.h
+++ b/src/platform/ConfigHolder.h
@@ -10,6 +10,12 @@
 
 namespace caraway {
 
+struct ConfigFreshness
+{
+  int64_t mRevision = 0; // in force
+  Millis mAge{ 0 };      // since it was last known to be the newest
+};
+
 // Only ever goes forward: a stale read, a late answer or a peer that lags
 // can't bring an older revision back.
 class ConfigHolder
@@ -24,8 +30,8 @@
   // At aAt, aRevision was known to be the newest. Ignored when we have an
   // older one than that.
   void Confirm(int64_t aRevision, TimePoint aAt);
-  // How long ago this instance last knew it had the newest revision.
-  Millis Age() const;
+  ConfigFreshness Fresh() const;
+  Millis Age() const { return Fresh().mAge; }
 
 private:
   const Clock& mClock;
