Briefings are kept: the order of things as a class of its own, by property

What a runner does with a listed briefing (read, run, keep the ending, then forget the listing) was spread over BriefingRunner and couldn't be tested without engines.

Change: BriefingTurns holds that order; BriefingRunner the rounds and the model calls. No change in behaviour.

--- a/src/serve/BriefingRunner.h
+++ b/src/serve/BriefingRunner.h
@@ -11,7 +11,7 @@
 #include "caraway/Clock.h"
 #include "peer/Members.h"
 #include "platform/ConfigHolder.h"
-#include "serve/BriefingStore.h"
+#include "serve/BriefingTurns.h"
 #include "serve/ModelCalls.h"
 
 namespace caraway {
@@ -27,7 +27,6 @@
                  ModelCalls& aModels,
                  Members& aMembers,
                  ConfigHolder& aConfig,
-
                  WorkerPool& aWorkers,
                  const Clock& aClock);
 
@@ -36,23 +35,19 @@
 
 private:
   void Run(const std::string& aId);
-  // False: whether the ending is kept can't be told; it stays open.
-  bool End(StoredBriefing& aStored, BriefingState aState, Json::Value aAnswer);
-  bool LongMissing(const std::string& aId);
-  // False: not now; it stays open.
-  bool Attempt(StoredBriefing& aStored);
+  // Its ending; nothing when it can't run now and stays open.
+  std::optional<Briefing> Attempt(const Briefing& aBriefing);
 
   BriefingStore& mStore;
+  BriefingTurns mTurns;
   ModelCalls& mModels;
   Members& mMembers;
   ConfigHolder& mConfig;
-
   WorkerPool& mWorkers;
   const Clock& mClock;
   std::mutex mLock;
   std::set<std::string> mRunning;
   std::map<std::string, TimePoint> mNotBefore;
-  std::map<std::string, TimePoint> mMissing; // listed, not kept: since
 };
 
 } // namespace caraway
