Coming back when told is let in

Cause: a refusal told the length of the queue as it stood.

Change: ReturnBook. A refusal books its return behind all that waits or is booked; one that comes back is known by a digest of what it asks for; room is kept by the part that comes, learnt; the time told goes up to 120 s. Bulletins aren't held back by bookings.

Tests fail without knowing a return, without booking, without learning who comes.

--- a/bench/QueueBench.cpp
+++ b/bench/QueueBench.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,9 @@
   std::vector<double> mWaits; // ms, of the served
   int mLate = 0;              // refused at their deadline
   int mAtOnce = 0;            // refused when they came
+  int mReturned = 0;          // of those, came back when they were told to
+  int mReturnRefused = 0;
+  int mReturnServed = 0; // and were served then
 };
 
 std::vector<Arrival>
@@ -53,6 +57,7 @@
       at += Micros(static_cast<int64_t>(gap(random) * 1e6));
       WaitItem item;
       item.mId = ++id;
+      item.mLike = id;
       item.mTenant = aTenant;
       item.mClass = aClass;
       item.mTokens = aTokens;
@@ -113,8 +118,16 @@
 };
 
 std::map<std::string, Outcome1>
-RunQueue(const std::vector<Arrival>& aAll, bool aFair, bool aSlowed)
+RunQueue(const std::vector<Arrival>& aAll,
+         bool aFair,
+         bool aSlowed,
+         bool aReturns = false)
 {
+  std::multimap<TimePoint, WaitItem> coming;
+  for (const Arrival& arrival : aAll) {
+    coming.emplace(arrival.mAt, arrival.mItem);
+  }
+  std::set<uint64_t> returned;
   std::map<std::string, Outcome1> outcomes;
   WaitQueue queue;
   std::deque<WaitItem> fifo;
@@ -159,6 +172,7 @@
       double wait =
         std::chrono::duration<double, std::milli>(now - item->mArrived).count();
       outcomes[key(*item)].mWaits.push_back(std::max(0.0, wait));
+      outcomes[key(*item)].mReturnServed += returned.count(item->mId) ? 1 : 0;
       double rate = RateAt(now, aSlowed);
       learnt = learnt == 0 ? rate : learnt + 0.2 * (rate - learnt);
       double seconds = item->mTokens / (rate / kPlaces);
@@ -166,18 +180,61 @@
       places.mBatch[place] = item->mClass == RequestClass::Batch;
     }
   };
-  for (const Arrival& arrival : aAll) {
-    serve(arrival.mAt);
+  while (!coming.empty()) {
+    TimePoint at = coming.begin()->first;
+    WaitItem item = coming.begin()->second;
+    coming.erase(coming.begin());
+    serve(at);
     if (!aFair) {
-      fifo.push_back(arrival.mItem);
-    } else if (queue.Offer(arrival.mItem, learnt, Millis(0), arrival.mAt)) {
-      ++outcomes[key(arrival.mItem)].mAtOnce;
+      fifo.push_back(item);
+      continue;
+    }
+    auto refusal = queue.Offer(item, learnt, Millis(0), at);
+    if (!refusal) {
+      continue;
+    }
+    Outcome1& outcome = outcomes[key(item)];
+    ++outcome.mAtOnce;
+    outcome.mReturnRefused += returned.count(item.mId) ? 1 : 0;
+    if (aReturns && returned.insert(item.mId).second) {
+      ++outcome.mReturned;
+      Millis within = std::chrono::duration_cast<Millis>(item.mStartBy - at);
+      item.mArrived = at + refusal->mRetryAfter;
+      item.mStartBy = item.mArrived + within;
+      coming.emplace(item.mArrived, item);
     }
   }
   serve(aAll.back().mAt + Seconds(60));
   return outcomes;
 }
 
+// Coming back once, when told to. aFlood: the large tenant comes only in every
+// fifth 20 s; else all the time, and then its coming back is more of the flood.
+void
+Returns(const char* aName, bool aBursts, bool aSlowed)
+{
+  std::vector<Arrival> all = Arrivals(1);
+  if (aBursts) {
+    auto quiet = [](const Arrival& aArrival) {
+      auto since = aArrival.mAt - TimePoint(Seconds(1000));
+      return aArrival.mItem.mTenant == "large" &&
+             since % Seconds(100) > Seconds(20);
+    };
+    all.erase(std::remove_if(all.begin(), all.end(), quiet), all.end());
+  }
+  std::printf("%s: come back as told, served then\n", aName);
+  for (const auto& entry : RunQueue(all, true, aSlowed, true)) {
+    const Outcome1& outcome = entry.second;
+    if (outcome.mReturned > 0) {
+      std::printf("  %-22s %6d %8.1f%% refused again %8.1f%%\n",
+                  entry.first.c_str(),
+                  outcome.mReturned,
+                  100.0 * outcome.mReturnServed / outcome.mReturned,
+                  100.0 * outcome.mReturnRefused / outcome.mReturned);
+    }
+  }
+}
+
 void
 Table(const char* aName, bool aSlowed)
 {
@@ -224,5 +281,9 @@
   Table("a flood of briefings and chat by one large tenant", false);
   Table("the same, the engine at a tenth of its speed in the middle third",
         true);
+  Returns("bursts of 20 s", true, false);
+  Returns(
+    "bursts of 20 s, the engine at a tenth in the middle third", true, true);
+  Returns("a flood without end", false, false);
   return 0;
 }
--- /dev/null
+++ b/src/decide/ReturnBook.h
@@ -0,0 +1,61 @@
+// ReturnBook.h: when refused requests were told to come back.
+//
+// Told nothing but the queue's length, all that a burst has refused come back
+// at one moment, beside what is new then, and most are refused again. So each
+// is told a time of its own, and what is new may not have the room that is
+// booked. One that comes back is known by what it asks for (mLike), which a
+// client that tries again sends again; it needs to do nothing for it.
+#ifndef caraway_decide_ReturnBook_h
+#define caraway_decide_ReturnBook_h
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "caraway/Time.h"
+
+namespace caraway {
+
+class ReturnBook
+{
+public:
+  void Add(const std::string& aTenant,
+           uint64_t aLike,
+           double aTokens,
+           TimePoint aDue);
+  // When it was told to come.
+  std::optional<TimePoint> Due(const std::string& aTenant,
+                               uint64_t aLike) const;
+  // It has come: its room is its own now.
+  void Use(const std::string& aTenant, uint64_t aLike);
+  // How likely the tenant's callers come when they were told to, as learnt; 0
+  // when none is told to. Room is kept by this part only: callers that never
+  // come back must not leave the engines idle.
+  double Likely(const std::string& aTenant) const;
+  // Of those due before aUntil.
+  double Tokens(const std::string& aTenant, TimePoint aUntil) const;
+  double OthersTokens(const std::string& aTenant,
+                      TimePoint aUntil,
+                      double aMostOfEach) const;
+  // Those that didn't come: their room is free again.
+  void Forget(TimePoint aNow);
+
+private:
+  struct Line
+  {
+    std::multimap<TimePoint, std::pair<uint64_t, double>> mDue; // like, tokens
+    std::map<uint64_t, TimePoint> mLike;
+  };
+  double Sum(const std::string& aTenant,
+             const Line& aLine,
+             TimePoint aUntil) const;
+  void Learn(const std::string& aTenant, bool aCame);
+
+  std::map<std::string, Line> mLines;  // by tenant
+  std::map<std::string, double> mCame; // part that came, learnt; by tenant
+};
+
+} // namespace caraway
+
+#endif
--- a/src/decide/WaitItem.h
+++ b/src/decide/WaitItem.h
@@ -15,6 +15,7 @@
   uint64_t mId = 0;
   std::string mTenant;
   RequestClass mClass = RequestClass::Interactive;
+  uint64_t mLike = 0;   // digest of what it asks for
   double mTokens = 1;   // expected work
   TimePoint mStartBy{}; // later is useless
   TimePoint mArrived{};
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -2,14 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace caraway {
 
 namespace {
 
 constexpr Millis kLeastRetry{ 200 };
-constexpr Millis kMostRetry{ 30000 };
+constexpr Millis kMostRetry{ 120000 };
+constexpr Millis kEarly{ 200 };       // what a caller's timer may be off by
 constexpr double kArrivalMemory = 10; // seconds
+constexpr double kAll = std::numeric_limits<double>::max();
 
 Millis
 TimeFor(double aTokens, double aRate)
@@ -50,7 +53,7 @@
 // its own class its tenant's, and of the other tenants' no more than as much
 // as its own, since they take turns by tokens.
 double
-WaitQueue::WorkBefore(const WaitItem& aItem) const
+WaitQueue::WorkBefore(const WaitItem& aItem, TimePoint aUntil) const
 {
   int own = static_cast<int>(aItem.mClass);
   double work = 0;
@@ -58,17 +61,21 @@
     for (const auto& line : mClasses[i].mLines) {
       work += line.second.mTokens;
     }
+    work += mClasses[i].mReturns.OthersTokens("", aUntil, kAll);
   }
   const Lines& lines = mClasses[own].mLines;
   auto line = lines.find(aItem.mTenant);
   double mine = line == lines.end() ? 0 : line->second.mTokens;
+  const ReturnBook& returns = mClasses[own].mReturns;
+  mine += returns.Tokens(aItem.mTenant, aUntil);
   work += mine;
   for (const auto& other : lines) {
     if (other.first != aItem.mTenant) {
       work += std::min(other.second.mTokens, mine + aItem.mTokens);
     }
   }
-  return work;
+  return work +
+         returns.OthersTokens(aItem.mTenant, aUntil, mine + aItem.mTokens);
 }
 
 void
@@ -124,12 +131,15 @@
 }
 
 Millis
-WaitQueue::Predict(const WaitItem& aItem, double aRate, TimePoint aNow) const
+WaitQueue::Predict(const WaitItem& aItem,
+                   double aRate,
+                   TimePoint aNow,
+                   TimePoint aUntil) const
 {
   if (aRate <= 0) {
     return Millis(0);
   }
-  return TimeFor(WorkBefore(aItem), RateLeftFor(aItem, aRate, aNow));
+  return TimeFor(WorkBefore(aItem, aUntil), RateLeftFor(aItem, aRate, aNow));
 }
 
 // A tenant that comes back begins level with the others: credit saved up while
@@ -152,6 +162,30 @@
   }
 }
 
+// Books its return for when all that waits or is booked before it will have
+// been served.
+WaitRefusal
+WaitQueue::Refuse(const WaitItem& aItem,
+                  ErrorKind aKind,
+                  double aRate,
+                  Millis aReadyIn,
+                  TimePoint aNow)
+{
+  ClassLines& own = mClasses[static_cast<int>(aItem.mClass)];
+  if (auto due = own.mReturns.Due(aItem.mTenant, aItem.mLike)) {
+    return { aKind, std::chrono::ceil<Millis>(*due - aNow) }; // came early
+  }
+  Millis wait =
+    std::max(Predict(aItem, aRate, aNow, TimePoint::max()), aReadyIn);
+  if (wait <= kMostRetry) {
+    own.mReturns.Add(aItem.mTenant,
+                     aItem.mLike,
+                     aItem.mTokens,
+                     aNow + std::max(wait, kLeastRetry));
+  }
+  return { aKind, std::clamp(wait, kLeastRetry, kMostRetry) };
+}
+
 std::optional<WaitRefusal>
 WaitQueue::Offer(const WaitItem& aItem,
                  double aRate,
@@ -159,18 +193,32 @@
                  TimePoint aNow)
 {
   ClassLines& own = mClasses[static_cast<int>(aItem.mClass)];
-  Millis wait = std::max(Predict(aItem, aRate, aNow), aReadyIn);
-  Millis retry = std::clamp(wait, kLeastRetry, kMostRetry);
+  own.mReturns.Forget(aNow);
+  // One that comes back when it was told to has its room; what is new may not
+  // have the room of those that will come back before it would be served.
+  auto due = own.mReturns.Due(aItem.mTenant, aItem.mLike);
+  bool returns = due && *due <= aNow + kEarly;
+  if (returns) {
+    own.mReturns.Use(aItem.mTenant, aItem.mLike);
+  }
+  bool roomed = returns || aItem.mClass == RequestClass::Urgent;
+  TimePoint until = roomed ? aNow : aItem.mStartBy;
+  double likely = roomed ? 0 : own.mReturns.Likely(aItem.mTenant);
+  auto patience = std::chrono::duration_cast<Millis>(aItem.mStartBy - aNow);
+  // Behind those that will come back with all of their patience.
+  Millis within(static_cast<int64_t>(static_cast<double>(patience.count()) *
+                                     (1 - likely / 2)));
+  Millis wait = std::max(Predict(aItem, aRate, aNow, until), aReadyIn);
   size_t most = static_cast<size_t>(static_cast<double>(mLimits.mItems) *
                                     mLimits.mTenantPart);
   auto line = own.mLines.find(aItem.mTenant);
   bool tenantFull =
     line != own.mLines.end() && line->second.mItems.size() >= most;
   if (own.mSize >= mLimits.mItems || tenantFull) {
-    return WaitRefusal{ ErrorKind::QueueFull, retry };
+    return Refuse(aItem, ErrorKind::QueueFull, aRate, aReadyIn, aNow);
   }
-  if (aNow + wait > aItem.mStartBy) {
-    return WaitRefusal{ ErrorKind::DeadlineUnmeetable, retry };
+  if (wait > within) {
+    return Refuse(aItem, ErrorKind::DeadlineUnmeetable, aRate, aReadyIn, aNow);
   }
   if (line == own.mLines.end()) {
     own.mServed[aItem.mTenant] = Served(own, aItem.mTenant);
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -11,6 +11,8 @@
 #include "caraway/ErrorKind.h"
 #include "decide/WaitItem.h"
 
+#include "decide/ReturnBook.h"
+
 namespace caraway {
 
 struct WaitQueueLimits
@@ -55,7 +57,11 @@
   // Of those waiting; the least urgent when nobody does.
   RequestClass MostUrgent() const;
   // Expected time until an item of this class and tenant would start.
-  Millis Predict(const WaitItem& aItem, double aRate, TimePoint aNow) const;
+  // Counting returns that are due before aUntil as well.
+  Millis Predict(const WaitItem& aItem,
+                 double aRate,
+                 TimePoint aNow,
+                 TimePoint aUntil) const;
 
 private:
   // Tokens a second that arrive, over the last seconds.
@@ -82,6 +88,7 @@
     // Tokens served to each tenant, kept while it is ahead of the others: one
     // that sends a request at a time would otherwise begin anew each time.
     std::map<std::string, double> mServed;
+    ReturnBook mReturns;
   };
 
   Lines::iterator Leave(ClassLines& aClass,
@@ -89,7 +96,12 @@
                         std::multimap<TimePoint, WaitItem>::iterator aItem);
   double Served(ClassLines& aClass, const std::string& aTenant) const;
   void ForgetBehind(ClassLines& aClass);
-  double WorkBefore(const WaitItem& aItem) const;
+  WaitRefusal Refuse(const WaitItem& aItem,
+                     ErrorKind aKind,
+                     double aRate,
+                     Millis aReadyIn,
+                     TimePoint aNow);
+  double WorkBefore(const WaitItem& aItem, TimePoint aUntil) const;
   double RateLeftFor(const WaitItem& aItem, double aRate, TimePoint aNow) const;
 
   WaitQueueLimits mLimits;
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -65,6 +65,7 @@
     item.mId = NextId(index);
     item.mTenant = aRequest.mTenant;
     item.mClass = aRequest.mClass;
+    item.mLike = aRequest.mLike;
     item.mTokens = aRequest.mTokens;
     item.mArrived = now;
     item.mStartBy =
--- a/src/own/PlaceRequest.cpp
+++ b/src/own/PlaceRequest.cpp
@@ -12,6 +12,7 @@
   }
   json["tenant"] = aRequest.mTenant;
   json["class"] = static_cast<int>(aRequest.mClass);
+  json["like"] = Json::UInt64(aRequest.mLike);
   json["tokens"] = aRequest.mTokens;
   json["start"] = Json::Int64(aRequest.mStartWithin.count());
   json["cold"] = Json::Int64(aRequest.mColdWithin.count());
@@ -30,6 +31,7 @@
   if (number >= 0 && number < kRequestClassCount) {
     request.mClass = static_cast<RequestClass>(number);
   }
+  request.mLike = aJson["like"].asUInt64();
   request.mTokens = aJson["tokens"].asDouble();
   request.mStartWithin = Millis(aJson["start"].asInt64());
   request.mColdWithin = Millis(aJson["cold"].asInt64());
--- a/src/own/PlaceRequest.h
+++ b/src/own/PlaceRequest.h
@@ -17,6 +17,7 @@
   std::string mAdapter; // "" = none
   std::string mTenant;
   RequestClass mClass = RequestClass::Interactive;
+  uint64_t mLike = 0;          // digest of what is asked, to know a return by
   double mTokens = 1;          // expected work
   Millis mStartWithin{ 1400 }; // when the model is ready somewhere
   Millis mColdWithin{ 30000 }; // when it has to be loaded
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "base/Digest.h"
 #include "base/JsonText.h"
 #include "base/Log.h"
 
@@ -31,6 +32,17 @@
   return std::ceil(static_cast<double>(bytes) / kBytesPerToken);
 }
 
+// The same for the same request sent again, at whichever instance.
+uint64_t
+LikeOf(const ModelCall& aCall)
+{
+  constexpr size_t kDigits = 15;
+  std::string text = aCall.mContext.mProfile.mName + " " +
+                     std::to_string(aCall.mMaxTokens) +
+                     JsonWrite(aCall.mMessages);
+  return std::stoull(DigestHex(text).substr(0, kDigits), nullptr, 16);
+}
+
 PlaceRequest
 PlaceFor(const ModelCall& aCall, TimePoint aNow)
 {
@@ -43,6 +55,7 @@
   request.mTenant = aCall.mContext.mCaller.mTenant;
   request.mClass = profile.mClass;
   request.mTokens = ModelCallCost(aCall);
+  request.mLike = LikeOf(aCall);
   request.mStartWithin = profile.mFirstToken - passed;
   request.mColdWithin = profile.mColdStart - passed;
   request.mHoldFor = profile.mAnswer + profile.mColdStart;
--- a/tests/property/WaitQueueProperty.cpp
+++ b/tests/property/WaitQueueProperty.cpp
@@ -25,6 +25,7 @@
     if (what < 3) {
       WaitItem item;
       item.mId = ++next;
+      item.mLike = static_cast<uint64_t>(tape.Below(20));
       item.mTenant = std::string(1, static_cast<char>('a' + tape.Below(3)));
       item.mClass = static_cast<RequestClass>(tape.Below(3));
       item.mTokens = 1 + tape.Below(20);
@@ -98,4 +99,75 @@
   }
 }
 
+namespace {
+
+// One queue at 1000 tokens a second, fed 200 ms of work at a time until it
+// refuses; served by Serve.
+struct Fed
+{
+  WaitQueue mQueue;
+  TimePoint mNow = TimePoint(Seconds(1000));
+  uint64_t mNext = 0;
+
+  std::optional<WaitRefusal> Offer(const std::string& aTenant, uint64_t aLike)
+  {
+    WaitItem item;
+    item.mId = ++mNext;
+    item.mLike = aLike;
+    item.mTenant = aTenant;
+    item.mTokens = 200;
+    item.mStartBy = mNow + Millis(1400);
+    return mQueue.Offer(item, 1000, Millis(0), mNow);
+  }
+  void Serve(Millis aTime)
+  {
+    for (Millis at(0); at < aTime; at += Millis(200)) {
+      mQueue.Next(RequestClass::Batch);
+      mNow += Millis(200);
+    }
+  }
+};
+
+} // namespace
+
+// A caller is refused in a burst and told when to come back; it does, while the
+// burst goes on with others. It is let in then. Before, it was told the length
+// of the queue as it stood, and came back to a queue that others had filled.
+TEST(WaitQueue, ComingBackWhenToldIsLetIn)
+{
+  Fed fed;
+  uint64_t like = 1000;
+  std::optional<WaitRefusal> refusal;
+  while (!refusal) {
+    refusal = fed.Offer("acme", ++like);
+  }
+  uint64_t refused = like;
+  for (int i = 0; i < 5; ++i) {
+    fed.Offer("acme", ++like); // told later times than it was
+  }
+  TimePoint due = fed.mNow + refusal->mRetryAfter;
+  while (fed.mNow < due) {
+    fed.Serve(Millis(200));
+    fed.Offer("acme", ++like);
+    fed.Offer("acme", ++like);
+  }
+  EXPECT_FALSE(fed.Offer("acme", refused));
+}
+
+// Callers that never come back when told: the room kept for them would leave
+// the engines idle while others are refused. After some that didn't come,
+// hardly any is kept.
+TEST(WaitQueue, NoRoomIsKeptForThoseWhoNeverCome)
+{
+  Fed fed;
+  uint64_t like = 0;
+  for (int i = 0; i < 500; ++i) {
+    fed.Offer("acme", ++like);
+    fed.Offer("acme", ++like);
+    fed.Serve(Millis(200));
+  }
+  // The queue is as full as patience allows: 1.4 s of work.
+  EXPECT_GE(fed.mQueue.Size(), 5u);
+}
+
 } // namespace caraway
