A withdrawn key leaves the queue; leaving and shutdown shown by taking them apart

Cause: a caller that waited for a load when its key was withdrawn was told so at the load's end (WithdrawnWhileWaiting: 6 s, failed first). The key was looked at once a place was granted. Beside it: a key withdrawn after an engine had been offered the request was refused with not_run, which may be untrue. And the shutdown test passed without the drain and without the balancer's lag: its callers look at readiness first and their requests are short.

Change: the key is looked at between the rounds of waiting (a second each); may_have_run after an offer. Two tests: WhatIsUnderWayEndsWhole, ServesOnUntilTheBalancerHasSeen.

--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -151,31 +151,47 @@
 // The zone's owner of the model; if it doesn't answer, the next; at last
 // ourselves. A second owner decides by the same conditional updates.
 Result<PlaceGrant>
-ModelCalls::Acquire(const PlaceRequest& aRequest, InstanceInfo& aOwner)
+ModelCalls::Acquire(const ModelCall& aCall, InstanceInfo& aOwner)
 {
+  PlaceRequest request = PlaceFor(aCall, mClock.Now());
+  const Caller& caller = aCall.mContext.mCaller;
   constexpr int kOwners = 2;
   for (int i = 0; i < kOwners; ++i) {
-    aOwner = mMembers.Owner("model/" + aRequest.mModel);
+    aOwner = mMembers.Owner("model/" + request.mModel);
     if (aOwner.mId == mMembers.Self().mId) {
       break;
     }
-    if (auto answer = AcquireFrom(aRequest, aOwner)) {
+    if (auto answer = AcquireFrom(request, caller, aOwner)) {
       return std::move(*answer);
     }
     mMembers.Dead(aOwner.mPeerAddress);
   }
   aOwner = mMembers.Self();
-  Result<PlaceGrant> grant = mOwner.Acquire(aRequest);
+  Result<PlaceGrant> grant = mOwner.Acquire(request);
   while (grant && grant->mTicket != 0) {
+    BOOST_LEAF_CHECK(StillValid(caller));
     grant = mOwner.Await(grant->mTicket);
   }
   return grant;
 }
 
+// Asked between the rounds of waiting. A withdrawn key would otherwise hold its
+// place in the queue until the load's end, and its caller in the dark.
+Result<void>
+ModelCalls::StillValid(const Caller& aCaller) const
+{
+  if (auto trouble = mKeys.Trouble(aCaller)) {
+    return Fail(*trouble, "the key, while the request waited");
+  }
+  return {};
+}
+
 // Short calls, again and again: an owner that is frozen or dies while we wait
 // is noticed within one of them.
 std::optional<Result<PlaceGrant>>
 ModelCalls::AcquireFrom(const PlaceRequest& aRequest,
+                        const Caller& aCaller,
+
                         const InstanceInfo& aOwner)
 {
   const char* method = "model.acquire";
@@ -194,6 +210,9 @@
     if (!json->isMember("ticket")) {
       return Result<PlaceGrant>(PlaceGrantParse(*json));
     }
+    if (auto valid = StillValid(aCaller); !valid) {
+      return Result<PlaceGrant>(valid.error());
+    }
     method = "model.await";
     params = *json;
   }
@@ -284,8 +303,7 @@
       break;
     }
     InstanceInfo owner;
-    auto acquired =
-      Outcome([&] { return Acquire(PlaceFor(aCall, mClock.Now()), owner); });
+    auto acquired = Outcome([&] { return Acquire(aCall, owner); });
     if (auto* failure = std::get_if<Failure>(&acquired)) {
       if (!offered) {
         return Fail(*failure);
@@ -296,7 +314,10 @@
     const PlaceGrant& grant = std::get<PlaceGrant>(acquired);
     if (auto trouble = mKeys.Trouble(context.mCaller)) {
       Return(owner, { grant.mPlace, 0, false, false });
-      return Fail(*trouble, "the key, while the request waited");
+      Failure failure =
+        FailureOf(*trouble, "the key, while the request waited");
+      failure.mRun = offered ? RunState::MayHaveRun : failure.mRun;
+      return Fail(failure);
     }
     aSoFar.mCold = aSoFar.mCold || grant.mCold;
     mMetrics.Observe(grant.mCold ? "cold_start" : "wait",
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -73,10 +73,11 @@
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken,
     ModelAnswer& aSoFar);
-  Result<PlaceGrant> Acquire(const PlaceRequest& aRequest,
-                             InstanceInfo& aOwner);
+  Result<PlaceGrant> Acquire(const ModelCall& aCall, InstanceInfo& aOwner);
+  Result<void> StillValid(const Caller& aCaller) const;
   // nullopt: that owner doesn't answer.
   std::optional<Result<PlaceGrant>> AcquireFrom(const PlaceRequest& aRequest,
+                                                const Caller& aCaller,
                                                 const InstanceInfo& aOwner);
   void Return(const InstanceInfo& aOwner, const PlaceReturn& aReturn);
 
--- a/tests/process/ConfigTest.cpp
+++ b/tests/process/ConfigTest.cpp
@@ -69,6 +69,39 @@
   }
 }
 
+// A key is withdrawn while its caller waits for a model to be loaded. The
+// caller is refused within seconds and not at the load's end, and nothing runs
+// for it; another tenant's caller, who waits for the same load, is served.
+TEST(Keys, WithdrawnWhileWaiting)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mWeightsMs = 6000;
+  Fleet fleet(plan);
+  HttpReply refused;
+  HttpReply served;
+  auto wait = [&](HttpReply& aReply, const char* aTenant) {
+    return std::thread([&aReply, aTenant, &fleet] {
+      aReply = fleet.Chat(0, fleet.mKeys[aTenant], "chat-m0", 1);
+    });
+  };
+  std::thread acme = wait(refused, "acme");
+  std::thread globex = wait(served, "globex");
+  EXPECT_TRUE(Eventually(Seconds(5), [&] {
+    return fleet.EngineState(0)["audit"]["loads"].asInt() == 1;
+  }));
+  auto begun = std::chrono::steady_clock::now();
+  fleet.Configure([](Json::Value& aConfig) { Withdraw(aConfig, "key-acme"); });
+  acme.join();
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, Seconds(4));
+  EXPECT_EQ(refused.mStatus, 401) << refused.mBody;
+  EXPECT_NE(refused.mBody.find("not_run"), std::string::npos) << refused.mBody;
+  globex.join();
+  EXPECT_TRUE(served.Ok()) << served.mBody;
+  EXPECT_EQ(fleet.EngineState(0)["audit"]["generated"].asInt(), 1);
+}
+
 // One zone can't reach the platform; its peers in the other zone can. A change
 // gets there all the same, by them.
 TEST(Config, ReachesAZoneCutOffFromThePlatform)
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -92,6 +92,49 @@
   EXPECT_EQ(slots, 16);
 }
 
+// A guest is being streamed to when the instance is told to end. The stream
+// ends whole, though nothing new is let in meanwhile.
+TEST(Leaving, WhatIsUnderWayEndsWhole)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mEngineWords = { "--token_ms=20" };
+  plan.mSettings = { "[shutdown]", "lag_ms = 200" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  fleet.Chat(1, key, "chat-m0", 1);
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 150, true); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+  EXPECT_EQ(reply.mStatus, 200) << reply.mError;
+  EXPECT_NE(reply.mBody.find("[DONE]"), std::string::npos) << reply.mBody;
+}
+
+// The balancer goes on sending until it has seen that an instance isn't ready.
+// Whatever it sends in that time is served.
+TEST(Leaving, ServesOnUntilTheBalancerHasSeen)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mSettings = { "[shutdown]", "lag_ms = 3000" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  std::string admin = fleet.mInstances[1]->Address("admin");
+  fleet.mInstances[1]->Terminate();
+  EXPECT_TRUE(Eventually(
+    Seconds(2), [&] { return !fleet.Call(admin, "GET", "/readyz").Ok(); }));
+  HttpReply reply = fleet.Chat(1, key, "chat-m0", 1);
+  EXPECT_TRUE(reply.Ok()) << reply.mStatus << reply.mError;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 // An engine is taken out of the configuration while it serves. What it is
 // serving ends whole; a second later it gets nothing new.
 TEST(Leaving, EndpointTakenOutGetsNoNewWork)
