--- a/src/decide/ShareLease.h
+++ b/src/decide/ShareLease.h
@@ -4,9 +4,8 @@
 // write of the zone's table (shared by all who ask within a moment), never a
 // read: reads may be stale. A silent member is first suspected, in a write;
 // only a lease and a margin after seeing that in force may another take its
-// slots.
-// A holder that renews after the suspicion clears it, and one that renewed
-// before it has stopped by then. The clocks are compared only with
+// slots. A holder that renews after the suspicion clears it, and one that
+// renewed before it has stopped by then. The clocks are compared only with
 // themselves; the margin covers their drift.
 //
 // Without the platform nobody can take slots, but a holder can't know that it
--- a/tests/property/ConfigProperty.cpp
+++ b/tests/property/ConfigProperty.cpp
@@ -69,12 +69,7 @@
   void Weather(Tape& aTape)
   {
     mPlatform.mOnWrite = [&aTape](const PlatformWrite&) {
-      const MemoryFault faults[] = { MemoryFault::Refused,
-                                     MemoryFault::AnswerLost,
-                                     MemoryFault::WriteLost,
-                                     MemoryFault::Late };
-      int what = aTape.Below(40);
-      return what < 4 ? faults[what] : MemoryFault::None;
+      return MemoryFaultOf(aTape.Below(40));
     };
     mPlatform.mOnRead = [this, &aTape] {
       int what = aTape.Below(16);
--- a/tests/support/MemoryPlatform.h
+++ b/tests/support/MemoryPlatform.h
@@ -21,6 +21,17 @@
   Late,       // may be: when the test applies it
 };
 
+// By what a test drew: 0 to 3 are faults, all above is none.
+inline MemoryFault
+MemoryFaultOf(int aDrawn)
+{
+  const MemoryFault faults[] = { MemoryFault::Refused,
+                                 MemoryFault::AnswerLost,
+                                 MemoryFault::WriteLost,
+                                 MemoryFault::Late };
+  return aDrawn < 4 ? faults[aDrawn] : MemoryFault::None;
+}
+
 class MemoryPlatform : public PlatformApi
 {
 public:
