The gate says when to ask again

Ruled out: a longer interval for all (the next in turn would leave the store idle); holding the question open (a thread each, and a dead gate noticed late).

Change: an answer carries when to ask again: 100 ms, and 50 ms more for each that is before, a third of the lease at most.

--- a/bench/GateBench.cpp
+++ b/bench/GateBench.cpp
@@ -7,6 +7,7 @@
 // users' sizes that slows in proportion above its limit; a stepped clock.
 #include <algorithm>
 #include <cstdio>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -18,7 +19,6 @@
 
 constexpr Millis kStep{ 20 };
 constexpr int kFullSpeed = 4;
-constexpr Millis kAskEvery{ 100 };
 
 struct Load
 {
@@ -28,6 +28,7 @@
   double mLeft = 0; // s at full speed
   bool mIn = false;
   TimePoint mAsked{};
+  Millis mAgain{ 0 };
   double mTook = -1; // s; -1 = not ready yet
 };
 
@@ -58,9 +59,11 @@
   return loads;
 }
 
-void
+// The most questions within one second.
+int
 Run(const Policy& aPolicy, std::vector<Load>& aLoads, TimePoint aStart)
 {
+  std::map<Seconds, int> asks;
   LoadGateTerms terms;
   terms.mUrgentBeyond = aPolicy.mUrgentBeyond;
   if (!aPolicy.mClasses) {
@@ -71,11 +74,15 @@
   for (TimePoint now = aStart; ready < aLoads.size(); now += kStep) {
     int inside = 0;
     for (Load& load : aLoads) {
-      bool due =
-        load.mTook < 0 && now >= load.mWanted && now - load.mAsked >= kAskEvery;
+      bool due = load.mTook < 0 && now >= load.mWanted &&
+                 now - load.mAsked >= load.mAgain;
       if (due && aPolicy.mGate) {
         load.mAsked = now;
-        load.mIn = LoadGateAsk(gate, { load.mId, load.mClass, false }, now);
+        LoadGateAnswer answer =
+          LoadGateAsk(gate, { load.mId, load.mClass, false }, now);
+        load.mIn = answer.mIn;
+        load.mAgain = answer.mAgain;
+        ++asks[std::chrono::duration_cast<Seconds>(now - aStart)];
       } else if (due) {
         load.mIn = true;
       }
@@ -96,10 +103,18 @@
       }
     }
   }
+  int most = 0;
+  for (const auto& second : asks) {
+    most = std::max(most, second.second);
+  }
+  return most;
 }
 
 void
-Print(const Policy& aPolicy, int aModels, const std::vector<Load>& aLoads)
+Print(const Policy& aPolicy,
+      int aModels,
+      const std::vector<Load>& aLoads,
+      int aAsks)
 {
   std::printf("%-26s %6d", aPolicy.mName, aModels);
   for (int one = 0; one < kRequestClassCount; ++one) {
@@ -113,7 +128,7 @@
     std::printf(
       "  %6.1f %6.1f", times[times.size() / 2], times[times.size() - 1]);
   }
-  std::printf("\n");
+  std::printf("  %6d\n", aAsks);
 }
 
 } // namespace
@@ -126,21 +141,23 @@
                               { "by class", true, true, 0 },
                               { "by class, urgent beyond", true, true, 2 } };
   TimePoint start = TimePoint(Seconds(1000));
-  std::printf("%-26s %6s  %13s  %13s  %13s\n",
+  std::printf("%-26s %6s  %13s  %13s  %13s  %6s\n",
               "policy",
               "models",
               "urgent p50 max",
               "chat p50 max",
-              "batch p50 max");
+              "batch p50 max",
+              "asks/s");
   for (int models : { 10, 30, 100 }) {
     for (const Policy& policy : policies) {
       std::vector<Load> all;
+      int asks = 0;
       for (unsigned seed = 201; seed < 211; ++seed) {
         std::vector<Load> loads = Wake(models, seed, start);
-        Run(policy, loads, start);
+        asks = std::max(asks, Run(policy, loads, start));
         all.insert(all.end(), loads.begin(), loads.end());
       }
-      Print(policy, models, all);
+      Print(policy, models, all, asks);
     }
   }
   return 0;
--- a/src/decide/LoadGate.cpp
+++ b/src/decide/LoadGate.cpp
@@ -23,17 +23,29 @@
          aGate.mTerms.mHandicap[static_cast<size_t>(aEntry.mClass)];
 }
 
-// Is anybody who waits before aEntry?
-bool
-AnotherIsFirst(const LoadGate& aGate, const LoadGateEntry& aEntry)
+// How many wait before aEntry?
+int
+Before(const LoadGate& aGate, const LoadGateEntry& aEntry)
 {
+  int before = 0;
   for (const auto& other : aGate.mEntries) {
-    if (!other.second.mIn &&
-        TurnOf(aGate, other.second) < TurnOf(aGate, aEntry)) {
-      return true;
-    }
+    bool earlier =
+      !other.second.mIn && TurnOf(aGate, other.second) < TurnOf(aGate, aEntry);
+    before += earlier ? 1 : 0;
   }
-  return false;
+  return before;
+}
+
+// A load takes seconds, so that whoever is far behind need not ask often: a
+// hundred that wait would ask one instance a thousand times a second.
+Millis
+AskAgain(const LoadGate& aGate, const LoadGateEntry& aEntry, int aBefore)
+{
+  constexpr Millis kSoon{ 100 };
+  constexpr Millis kForEach{ 50 };
+  constexpr int kPartOfLease = 3; // two answers may be lost
+  Millis most = aGate.mTerms.mLease / kPartOfLease;
+  return aEntry.mIn ? most : std::min(most, kSoon + aBefore * kForEach);
 }
 
 } // namespace
@@ -55,7 +67,7 @@
   return inside;
 }
 
-bool
+LoadGateAnswer
 LoadGateAsk(LoadGate& aGate, const LoadGateQuestion& aQuestion, TimePoint aNow)
 {
   DropUnseen(aGate, aNow);
@@ -68,14 +80,15 @@
   entry.mSeen = aNow;
   entry.mClass = std::min(entry.mClass, aQuestion.mClass);
   entry.mIn = entry.mIn || aQuestion.mInside;
-  if (entry.mIn) {
-    return true;
+  int before = Before(aGate, entry);
+  if (!entry.mIn) {
+    bool urgent = entry.mClass == RequestClass::Urgent;
+    int places =
+      aGate.mTerms.mAtOnce + (urgent ? aGate.mTerms.mUrgentBeyond : 0);
+    entry.mIn = LoadGateInside(aGate) < places && before == 0 &&
+                aGate.mStarts.Take(1, aNow);
   }
-  bool urgent = entry.mClass == RequestClass::Urgent;
-  int places = aGate.mTerms.mAtOnce + (urgent ? aGate.mTerms.mUrgentBeyond : 0);
-  entry.mIn = LoadGateInside(aGate) < places && !AnotherIsFirst(aGate, entry) &&
-              aGate.mStarts.Take(1, aNow);
-  return entry.mIn;
+  return { entry.mIn, AskAgain(aGate, entry, before) };
 }
 
 void
--- a/src/decide/LoadGate.h
+++ b/src/decide/LoadGate.h
@@ -60,9 +60,14 @@
   bool mInside = false; // another gate let it in before; counted, not stopped
 };
 
-// Let in, until a lease passes without its asking again; else it asks again
-// soon. Idempotent: an answer may be lost.
-bool
+struct LoadGateAnswer
+{
+  bool mIn = false;     // until a lease passes without its asking again
+  Millis mAgain{ 100 }; // when to ask again; later the more are before it
+};
+
+// Idempotent: an answer may be lost.
+LoadGateAnswer
 LoadGateAsk(LoadGate& aGate, const LoadGateQuestion& aQuestion, TimePoint aNow);
 void
 LoadGateLeave(LoadGate& aGate, const std::string& aId);
--- a/src/own/LoadTurn.cpp
+++ b/src/own/LoadTurn.cpp
@@ -6,13 +6,6 @@
 
 namespace caraway {
 
-namespace {
-
-constexpr Millis kAskEvery{ 100 };   // waiting
-constexpr Millis kKeepEvery{ 1000 }; // loading; a third of the gate's lease
-
-} // namespace
-
 LoadTurn::LoadTurn(StoreGate* aGate, Urgency aUrgency)
   : mGate(aGate)
   , mUrgency(std::move(aUrgency))
@@ -31,7 +24,9 @@
 LoadTurn::Ask()
 {
   mAsked = mGate->Time().Now();
-  mIn = mGate->Ask({ mId, mUrgency(), mIn });
+  LoadGateAnswer answer = mGate->Ask({ mId, mUrgency(), mIn });
+  mIn = answer.mIn;
+  mAgain = answer.mAgain;
 }
 
 bool
@@ -40,7 +35,7 @@
   while (mGate && !mIn && mGate->Time().Now() < aUntil) {
     Ask();
     if (!mIn) {
-      std::this_thread::sleep_for(kAskEvery);
+      std::this_thread::sleep_for(mAgain);
     }
   }
   return In();
@@ -49,7 +44,7 @@
 void
 LoadTurn::Keep()
 {
-  if (mIn && mGate->Time().Now() - mAsked > kKeepEvery) {
+  if (mIn && mGate->Time().Now() - mAsked > mAgain) {
     Ask();
   }
 }
--- a/src/own/LoadTurn.h
+++ b/src/own/LoadTurn.h
@@ -36,6 +36,7 @@
   std::string mId;
   bool mIn = false;
   TimePoint mAsked{};
+  Millis mAgain{ 0 };
 };
 
 } // namespace caraway
--- a/src/own/StoreGate.cpp
+++ b/src/own/StoreGate.cpp
@@ -54,7 +54,7 @@
 {
 }
 
-bool
+LoadGateAnswer
 StoreGate::Ask(const LoadGateQuestion& aQuestion)
 {
   InstanceInfo owner = mMembers.FleetOwner(kOwnerKey);
@@ -67,7 +67,7 @@
   return answer ? *answer : AnswerHere(1, aQuestion);
 }
 
-std::optional<bool>
+std::optional<LoadGateAnswer>
 StoreGate::AskAt(const InstanceInfo& aOwner, const LoadGateQuestion& aQuestion)
 {
   auto answer = Outcome([&] {
@@ -79,10 +79,11 @@
     mMembers.Silent(aOwner.mPeerAddress);
     return std::nullopt;
   }
-  return (*json)["in"].asBool();
+  return LoadGateAnswer{ (*json)["in"].asBool(),
+                         Millis((*json)["again"].asInt64()) };
 }
 
-bool
+LoadGateAnswer
 StoreGate::AnswerHere(int aZones, const LoadGateQuestion& aQuestion)
 {
   std::lock_guard<std::mutex> lock(mLock);
@@ -139,9 +140,12 @@
 StoreGate::AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd)
 {
   aAdd("load.ask", [this](const Json::Value& aParams) {
-    Json::Value answer;
-    answer["in"] = AnswerHere(mMembers.FitZones(), QuestionParse(aParams));
-    return answer;
+    LoadGateAnswer answer =
+      AnswerHere(mMembers.FitZones(), QuestionParse(aParams));
+    Json::Value json;
+    json["in"] = answer.mIn;
+    json["again"] = Json::Int64(answer.mAgain.count());
+    return json;
   });
   aAdd("load.leave", [this](const Json::Value& aParams) {
     std::lock_guard<std::mutex> lock(mLock);
--- a/src/own/StoreGate.h
+++ b/src/own/StoreGate.h
@@ -30,7 +30,7 @@
             const Clock& aClock);
 
   // One question, answered in kAskTime at most.
-  bool Ask(const LoadGateQuestion& aQuestion);
+  LoadGateAnswer Ask(const LoadGateQuestion& aQuestion);
   // Unsaid, the place would be free a lease later.
   void Leave(const std::string& aId);
 
@@ -45,10 +45,10 @@
 
 private:
   // Nothing when aOwner doesn't answer.
-  std::optional<bool> AskAt(const InstanceInfo& aOwner,
-                            const LoadGateQuestion& aQuestion);
+  std::optional<LoadGateAnswer> AskAt(const InstanceInfo& aOwner,
+                                      const LoadGateQuestion& aQuestion);
   // From our own gate, for so many of the fleet's zones.
-  bool AnswerHere(int aZones, const LoadGateQuestion& aQuestion);
+  LoadGateAnswer AnswerHere(int aZones, const LoadGateQuestion& aQuestion);
 
   StoreGateSettings mSettings;
   Members& mMembers;
--- a/tests/property/LoadGateProperty.cpp
+++ b/tests/property/LoadGateProperty.cpp
@@ -33,7 +33,7 @@
   {
     bool before =
       mGate.mEntries.count(aLoad.mId) != 0 && mGate.mEntries[aLoad.mId].mIn;
-    bool in = LoadGateAsk(mGate, { aLoad.mId, aLoad.mClass, false }, mNow);
+    bool in = LoadGateAsk(mGate, { aLoad.mId, aLoad.mClass, false }, mNow).mIn;
     if (in && !before) {
       mStarts.push_back(mNow);
       Check(mGate.mEntries[aLoad.mId]);
@@ -138,12 +138,14 @@
   TimePoint now = TimePoint(Seconds(1000));
   LoadGate gate({}, now);
   for (const char* id : { "a", "b", "c", "d" }) {
-    EXPECT_TRUE(LoadGateAsk(gate, { id, RequestClass::Batch, false }, now));
+    EXPECT_TRUE(LoadGateAsk(gate, { id, RequestClass::Batch, false }, now).mIn);
   }
   EXPECT_FALSE(
-    LoadGateAsk(gate, { "chat", RequestClass::Interactive, false }, now));
-  EXPECT_FALSE(LoadGateAsk(gate, { "late", RequestClass::Batch, false }, now));
-  EXPECT_TRUE(LoadGateAsk(gate, { "late", RequestClass::Urgent, false }, now));
+    LoadGateAsk(gate, { "chat", RequestClass::Interactive, false }, now).mIn);
+  EXPECT_FALSE(
+    LoadGateAsk(gate, { "late", RequestClass::Batch, false }, now).mIn);
+  EXPECT_TRUE(
+    LoadGateAsk(gate, { "late", RequestClass::Urgent, false }, now).mIn);
 }
 
 } // namespace caraway
