One way to ask whether a step failed

Includes of optional where it is used, and WaitQueue's in order. No change in behaviour; tests keep their assertions.

Left: the process tests that begin alike (one zone, two instances), as their plan is each test's own setting.

--- a/include/caraway/Result.h
+++ b/include/caraway/Result.h
@@ -3,6 +3,7 @@
 #define caraway_Result_h
 
 #include <boost/leaf.hpp>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -50,6 +51,20 @@
     [] { return Either(FailureOf(ErrorKind::Internal, "unknown error")); });
 }
 
+// The same for a callable returning Result<void>: the Failure it raised, if
+// any.
+template<class Try>
+std::optional<Failure>
+FailureIn(Try&& aTry)
+{
+  auto outcome = Outcome([&]() -> Result<bool> {
+    BOOST_LEAF_CHECK(aTry());
+    return true;
+  });
+  auto* failure = std::get_if<Failure>(&outcome);
+  return failure ? std::optional<Failure>(std::move(*failure)) : std::nullopt;
+}
+
 } // namespace caraway
 
 #endif
--- a/src/daemon/ConfigWatcher.cpp
+++ b/src/daemon/ConfigWatcher.cpp
@@ -50,10 +50,7 @@
 void
 ConfigWatcher::Refresh()
 {
-  Outcome([&]() -> Result<bool> {
-    BOOST_LEAF_CHECK(mFollower.Read());
-    return true;
-  });
+  FailureIn([&] { return mFollower.Read(); });
 }
 
 void
@@ -62,11 +59,7 @@
   Millis pause = kFirstPause;
   while (!mStopping) {
     TimePoint asked = mClock.Now();
-    auto looked = Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(mFollower.Look(mWatch));
-      return true;
-    });
-    auto* failure = std::get_if<Failure>(&looked);
+    auto failure = FailureIn([&] { return mFollower.Look(mWatch); });
     if (!failure) {
       pause = kFirstPause;
       continue;
--- a/src/daemon/ConfigWatcher.h
+++ b/src/daemon/ConfigWatcher.h
@@ -3,6 +3,7 @@
 #define caraway_daemon_ConfigWatcher_h
 
 #include <atomic>
+#include <optional>
 #include <string>
 #include <thread>
 
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -9,9 +9,8 @@
 #include <vector>
 
 #include "caraway/ErrorKind.h"
-#include "decide/WaitItem.h"
-
 #include "decide/ReturnBook.h"
+#include "decide/WaitItem.h"
 
 namespace caraway {
 
--- a/src/own/Loader.cpp
+++ b/src/own/Loader.cpp
@@ -118,17 +118,15 @@
     if (!room) {
       continue;
     }
-    auto loaded = Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(LoadAt(chosen, record, aModel, turn, aUntil));
-      return true;
-    });
-    if (std::holds_alternative<bool>(loaded)) {
+    auto failure =
+      FailureIn([&] { return LoadAt(chosen, record, aModel, turn, aUntil); });
+    if (!failure) {
       return chosen;
     }
     LogInfo("load_failed",
             { { "model", aModel.mName },
               { "endpoint", chosen.mName },
-              { "reason", std::get<Failure>(loaded).mDetail } });
+              { "reason", failure->mDetail } });
     std::this_thread::sleep_for(mSettings.mPoll);
   }
   return Fail(ErrorKind::NoCapacity, "no engine could load it in time");
@@ -310,14 +308,12 @@
   if (mGate && !mGate->EnterAdapter(aUntil)) {
     return Fail(ErrorKind::NoCapacity, "too many adapters are on their way");
   }
-  auto loaded = Outcome([&]() -> Result<bool> {
-    BOOST_LEAF_CHECK(LoadAdapter(aEndpoint, aAdapter, aUntil));
-    return true;
-  });
+  auto failure =
+    FailureIn([&] { return LoadAdapter(aEndpoint, aAdapter, aUntil); });
   if (mGate) {
     mGate->LeaveAdapter();
   }
-  if (auto* failure = std::get_if<Failure>(&loaded)) {
+  if (failure) {
     return Fail(*failure);
   }
   return {};
@@ -331,11 +327,9 @@
   LoadTurn noTurn(nullptr, nullptr);
   while (mClock.Now() < aUntil) {
     BOOST_LEAF_AUTO(stored, mStore.Read(aEndpoint));
-    auto loaded = Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(LoadAt(aEndpoint, stored, aAdapter, noTurn, aUntil));
-      return true;
-    });
-    if (std::holds_alternative<bool>(loaded)) {
+    auto failure = FailureIn(
+      [&] { return LoadAt(aEndpoint, stored, aAdapter, noTurn, aUntil); });
+    if (!failure) {
       return {};
     }
     std::this_thread::sleep_for(mSettings.mPoll);
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -131,12 +131,11 @@
     aShard.mPlaces[aWaiter->mPlace].mTakeBack = now + aWaiter->mHoldFor;
   }
   if (!aWaiter->mAdapter.empty()) {
-    auto adapter = Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(ReadyAdapter(
-        aShard, aWaiter->mGroup, aWaiter->mEndpoint, aWaiter->mAdapter));
-      return true;
+    auto failure = FailureIn([&] {
+      return ReadyAdapter(
+        aShard, aWaiter->mGroup, aWaiter->mEndpoint, aWaiter->mAdapter);
     });
-    if (auto* failure = std::get_if<Failure>(&adapter)) {
+    if (failure) {
       Return({ aWaiter->mPlace, 0, false, false });
       return Fail(*failure);
     }
--- a/src/own/StoreGate.h
+++ b/src/own/StoreGate.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "caraway/Clock.h"
--- a/src/serve/BriefingRunner.h
+++ b/src/serve/BriefingRunner.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
--- a/src/serve/BriefingTurns.cpp
+++ b/src/serve/BriefingTurns.cpp
@@ -27,10 +27,7 @@
   }
   if (ended) {
     // Where this fails the next turn finds it ended and tries again.
-    Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(mStore.Close(aId));
-      return true;
-    });
+    FailureIn([&] { return mStore.Close(aId); });
   }
   return ended;
 }
@@ -45,11 +42,7 @@
   if (!ending) {
     return false;
   }
-  auto kept = Outcome([&]() -> Result<bool> {
-    BOOST_LEAF_CHECK(mStore.End(aStored, *ending));
-    return true;
-  });
-  return std::holds_alternative<bool>(kept);
+  return !FailureIn([&] { return mStore.End(aStored, *ending); });
 }
 
 bool
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -102,11 +102,8 @@
   if (mDraining) {
     aResponse.setKeepAlive(false);
   }
-  auto served = Outcome([&]() -> Result<bool> {
-    BOOST_LEAF_CHECK(Route(aRequest, aResponse, context));
-    return true;
-  });
-  if (auto* failure = std::get_if<Failure>(&served)) {
+  auto failure = FailureIn([&] { return Route(aRequest, aResponse, context); });
+  if (failure) {
     Refuse(aResponse, context, *failure);
   }
 }
--- a/tests/property/BriefingProperty.cpp
+++ b/tests/property/BriefingProperty.cpp
@@ -54,11 +54,7 @@
   {
     Briefing briefing;
     briefing.mId = "b" + std::to_string(mMade++);
-    auto kept = Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(aAt.mStore.Keep(briefing));
-      return true;
-    });
-    if (std::holds_alternative<bool>(kept)) {
+    if (!FailureIn([&] { return aAt.mStore.Keep(briefing); })) {
       mAccepted.push_back(briefing.mId);
     }
   }
--- a/tests/property/ConfigProperty.cpp
+++ b/tests/property/ConfigProperty.cpp
@@ -101,10 +101,7 @@
 
   void Look(Follower& aAt)
   {
-    Outcome([&]() -> Result<bool> {
-      BOOST_LEAF_CHECK(aAt.mFollower.Look(Millis(0)));
-      return true;
-    });
+    FailureIn([&] { return aAt.mFollower.Look(Millis(0)); });
   }
 
   void Ask(size_t aFrom, size_t aTo)
