A store gate that stalls for a moment lets nobody else in

At 350 instances one owner that stalls for a third of a second would have let in everyone who waits, beside those it had let in itself; in a zone that is cut off every instance gave out the zone's part again.

Ruled out: waiting as long as nobody answers (a cut zone would load nothing); a longer time to answer (the same at its end, and slower where the owner died).

Change: unanswered once, the load asks again 100 ms later, and one that is in stays in. Unanswered twice, it asks the owner among its own zone for the zone's part, so that a zone has one gate, not one for each instance. Calls that one stall leaves unanswered together count as one silence of a member (200 ms).

Cost: a load whose gate's owner has died waits about half a second more.

--- a/src/own/StoreGate.cpp
+++ b/src/own/StoreGate.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 constexpr const char* kOwnerKey = "store-gate";
+constexpr const char* kZoneOnly = "zone_only"; // of a question
 constexpr Millis kAskTime{ 300 };
+constexpr Millis kAskLater{ 100 };
 
 Json::Value
 QuestionJson(const LoadGateQuestion& aQuestion)
@@ -29,6 +31,13 @@
   return question;
 }
 
+// Nobody could be asked: whoever is in stays in.
+LoadGateAnswer
+Later(const LoadGateQuestion& aQuestion)
+{
+  return { aQuestion.mInside, kAskLater };
+}
+
 } // namespace
 
 LoadGateTerms
@@ -61,19 +70,39 @@
   if (owner.mId == mMembers.Self().mId) {
     return AnswerHere(mMembers.FitZones(), aQuestion);
   }
-  auto answer = AskAt(owner, aQuestion);
-  // Not reached: as if we were alone in our zone, until we see who else is
-  // there. The one we didn't reach may be letting in for the rest.
-  return answer ? *answer : AnswerHere(1, aQuestion);
+  if (auto answer = AskAt(owner, QuestionJson(aQuestion))) {
+    return *answer;
+  }
+  // It may have stalled for a moment, and hold the places it gave. Letting
+  // ourselves in, and everyone else who asked it, would make the store slow
+  // for all. A load takes seconds; a second question costs it half of one.
+  return mMembers.IsFit(owner.mId) ? Later(aQuestion) : AskZone(aQuestion);
+}
+
+LoadGateAnswer
+StoreGate::AskZone(const LoadGateQuestion& aQuestion)
+{
+  InstanceInfo owner = mMembers.Owner(kOwnerKey);
+  if (owner.mId == mMembers.Self().mId) {
+    return AnswerHere(1, aQuestion);
+  }
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mAskedZone.insert(aQuestion.mId);
+  }
+  Json::Value question = QuestionJson(aQuestion);
+  question[kZoneOnly] = true;
+  auto answer = AskAt(owner, question);
+  return answer ? *answer : Later(aQuestion);
 }
 
 std::optional<LoadGateAnswer>
-StoreGate::AskAt(const InstanceInfo& aOwner, const LoadGateQuestion& aQuestion)
+StoreGate::AskAt(const InstanceInfo& aOwner, const Json::Value& aQuestion)
 {
   auto answer = Outcome([&] {
-    return mPeers.Call(
-      aOwner.mPeerAddress, "load.ask", QuestionJson(aQuestion), kAskTime);
+    return mPeers.Call(aOwner.mPeerAddress, "load.ask", aQuestion, kAskTime);
   });
+
   auto* json = std::get_if<Json::Value>(&answer);
   if (!json) {
     mMembers.Silent(aOwner.mPeerAddress);
@@ -97,20 +126,31 @@
 void
 StoreGate::Leave(const std::string& aId)
 {
+  bool askedZone = false;
   {
     std::lock_guard<std::mutex> lock(mLock);
     LoadGateLeave(mGate, aId);
+    askedZone = mAskedZone.erase(aId) > 0;
   }
-  InstanceInfo owner = mMembers.FleetOwner(kOwnerKey);
-  if (owner.mId != mMembers.Self().mId) {
-    Json::Value params;
-    params["id"] = aId;
-    Outcome([&] {
-      return mPeers.Call(owner.mPeerAddress, "load.leave", params, kAskTime);
-    });
+  LeaveAt(mMembers.FleetOwner(kOwnerKey), aId);
+  if (askedZone) {
+    LeaveAt(mMembers.Owner(kOwnerKey), aId);
   }
 }
 
+void
+StoreGate::LeaveAt(const InstanceInfo& aOwner, const std::string& aId)
+{
+  if (aOwner.mId == mMembers.Self().mId) {
+    return;
+  }
+  Json::Value params;
+  params["id"] = aId;
+  Outcome([&] {
+    return mPeers.Call(aOwner.mPeerAddress, "load.leave", params, kAskTime);
+  });
+}
+
 bool
 StoreGate::EnterAdapter(TimePoint aUntil)
 {
@@ -140,8 +180,8 @@
 StoreGate::AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd)
 {
   aAdd("load.ask", [this](const Json::Value& aParams) {
-    LoadGateAnswer answer =
-      AnswerHere(mMembers.FitZones(), QuestionParse(aParams));
+    int zones = aParams[kZoneOnly].asBool() ? 1 : mMembers.FitZones();
+    LoadGateAnswer answer = AnswerHere(zones, QuestionParse(aParams));
     Json::Value json;
     json["in"] = answer.mIn;
     json["again"] = Json::Int64(answer.mAgain.count());
--- a/src/own/StoreGate.h
+++ b/src/own/StoreGate.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "caraway/Clock.h"
@@ -19,9 +20,10 @@
 
 // Every instance has a gate; the one that all who reach each other agree on is
 // asked, and keeps to the part of the zones it reaches. So zones that are cut
-// off from each other keep to the limit together. While views of the members
-// differ, two gates may let in more; the store is slower then, and nothing
-// else happens.
+// off from each other keep to the limit together. Where it doesn't answer
+// twice, each zone's instances ask one of theirs for the zone's part. While
+// views of the members differ, two gates may let in more; the store is slower
+// then, and nothing else happens.
 class StoreGate
 {
 public:
@@ -30,7 +32,8 @@
             PeerClient& aPeers,
             const Clock& aClock);
 
-  // One question, answered in kAskTime at most.
+  // Asks two gates in turn at most, 300 ms each. Not answered, the load waits
+  // and is to ask again.
   LoadGateAnswer Ask(const LoadGateQuestion& aQuestion);
   // Unsaid, the place would be free a lease later.
   void Leave(const std::string& aId);
@@ -47,7 +50,9 @@
 private:
   // Nothing when aOwner doesn't answer.
   std::optional<LoadGateAnswer> AskAt(const InstanceInfo& aOwner,
-                                      const LoadGateQuestion& aQuestion);
+                                      const Json::Value& aQuestion);
+  LoadGateAnswer AskZone(const LoadGateQuestion& aQuestion);
+  void LeaveAt(const InstanceInfo& aOwner, const std::string& aId);
   // From our own gate, for so many of the fleet's zones.
   LoadGateAnswer AnswerHere(int aZones, const LoadGateQuestion& aQuestion);
 
@@ -57,6 +62,7 @@
   const Clock& mClock;
   std::mutex mLock;
   LoadGate mGate;
+  std::set<std::string> mAskedZone; // ids of loads that asked their zone's
   std::mutex mAdapterLock;
   std::condition_variable mAdapterFree;
   int mAdapters = 0; // in flight from here
--- a/src/peer/Members.cpp
+++ b/src/peer/Members.cpp
@@ -9,6 +9,9 @@
 // Two calls in a row without an answer: one may be lost to a restart of a
 // kept connection.
 constexpr int kSilences = 2;
+// Several loads may ask one peer at the same moment; were each unanswered call
+// to count, a stall of a third of a second would look like a death.
+constexpr Millis kApart{ 200 };
 constexpr Seconds kForget{ 60 };
 constexpr Seconds kListFresh{ 10 };
 
@@ -79,9 +82,13 @@
 Members::Silent(const std::string& aAddress)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  for (auto& member : mMembers) {
-    if (member.second.mInfo.mPeerAddress == aAddress) {
-      ++member.second.mSilences;
+  TimePoint now = mClock.Now();
+  for (auto& entry : mMembers) {
+    Member& member = entry.second;
+    bool apart = member.mSilences == 0 || now - member.mSilentAt >= kApart;
+    if (member.mInfo.mPeerAddress == aAddress && apart) {
+      ++member.mSilences;
+      member.mSilentAt = now;
     }
   }
 }
@@ -89,8 +96,11 @@
 void
 Members::Dead(const std::string& aAddress)
 {
-  for (int i = 0; i < kSilences; ++i) {
-    Silent(aAddress);
+  std::lock_guard<std::mutex> lock(mLock);
+  for (auto& member : mMembers) {
+    if (member.second.mInfo.mPeerAddress == aAddress) {
+      member.second.mSilences = kSilences;
+    }
   }
 }
 
@@ -179,6 +189,28 @@
   return static_cast<int>(zones.size());
 }
 
+bool
+Members::IsFit(const std::string& aId) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  auto member = mMembers.find(aId);
+  return member != mMembers.end() && FitNow(member->second);
+}
+
+std::vector<std::string>
+Members::Strangers() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  std::vector<std::string> strangers;
+  for (const auto& entry : mMembers) {
+    const Member& member = entry.second;
+    if (member.mHeard == TimePoint{} && member.mSilences == 0) {
+      strangers.push_back(member.mInfo.mPeerAddress);
+    }
+  }
+  return strangers;
+}
+
 int
 Members::FitCount() const
 {
--- a/src/peer/Members.h
+++ b/src/peer/Members.h
@@ -28,7 +28,8 @@
   std::optional<std::set<std::string>> Listed() const;
   // A peer told of itself.
   void Heard(const InstanceInfo& aPeer);
-  // A call to a peer's address ended without an answer.
+  // A call to a peer's address ended without an answer. Calls that one stall
+  // leaves unanswered together count as one.
   void Silent(const std::string& aAddress);
   // The same, beyond doubt: a call that was given ample time. No new work
   // until it is heard again.
@@ -44,6 +45,10 @@
   // Instances fit for new work, in all zones; ourselves counted unless we
   // are leaving.
   int FitCount() const;
+  bool IsFit(const std::string& aId) const; // another's
+  // Addresses of members on the list that never told of themselves; empty of
+  // those that were silent.
+  std::vector<std::string> Strangers() const;
   // All others, fit or not, except those that leave.
   std::vector<InstanceInfo> Others() const;
   // Owner of aKey among the fit of our zone. Ourselves when alone.
@@ -57,6 +62,7 @@
     InstanceInfo mInfo;
     TimePoint mHeard{};
     int mSilences = 0;
+    TimePoint mSilentAt{}; // the last one counted
   };
   bool FitNow(const Member& aMember) const;
   std::vector<InstanceInfo> FitElsewhere() const;
--- /dev/null
+++ b/tests/unit/StoreGateTest.cpp
@@ -0,0 +1,113 @@
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+
+#include "caraway/PausedClock.h"
+#include "own/StoreGate.h"
+#include "peer/PeerPort.h"
+
+namespace caraway {
+
+namespace {
+
+const std::string kSecret = "0123456789abcdef";
+
+// An instance as far as the store's gate needs one.
+struct GateNode
+{
+  GateNode(const std::string& aId,
+           const std::string& aZone,
+           PausedClock& aClock)
+    : mPort(kSecret)
+    , mPeers(kSecret, aZone + "/" + aId)
+  {
+    mPort.Open("127.0.0.1:0", 4);
+    mInfo = { aId, aZone, mPort.Address(), false };
+    mMembers = std::make_unique<Members>(aClock, mInfo);
+    StoreGateSettings settings;
+    settings.mZones = 2;
+    mGate = std::make_unique<StoreGate>(settings, *mMembers, mPeers, aClock);
+  }
+  void Serve()
+  {
+    mGate->AddMethods([this](const char* aName, PeerMethod aMethod) {
+      mPort.Add(aName, std::move(aMethod));
+    });
+    mPort.Serve();
+  }
+
+  PeerPort mPort;
+  PeerClient mPeers;
+  InstanceInfo mInfo;
+  std::unique_ptr<Members> mMembers;
+  std::unique_ptr<StoreGate> mGate;
+};
+
+// i2 of the other zone owns the fleet's gate. It takes questions and doesn't
+// answer them.
+class StalledGate : public ::testing::Test
+{
+protected:
+  StalledGate()
+  {
+    mOwner.mPort.Add("load.ask", [this](const Json::Value&) {
+      std::unique_lock<std::mutex> lock(mLock);
+      mGoOn.wait(lock, [this] { return mReleased; });
+      return Json::Value(Json::objectValue);
+    });
+    mOwner.mPort.Serve();
+    for (GateNode* node : { &mNear0, &mNear1 }) {
+      node->Serve();
+      for (GateNode* other : { &mNear0, &mNear1, &mOwner }) {
+        node->mMembers->Heard(other->mInfo);
+      }
+    }
+  }
+  ~StalledGate() override
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mReleased = true;
+    mGoOn.notify_all();
+  }
+  bool Ask(GateNode& aNode, const std::string& aId, bool aInside = false)
+  {
+    return aNode.mGate->Ask({ aId, RequestClass::Interactive, aInside }).mIn;
+  }
+
+  PausedClock mClock;
+  GateNode mNear0{ "i0", "mendoza-a", mClock };
+  GateNode mNear1{ "i1", "mendoza-a", mClock };
+  GateNode mOwner{ "i2", "uspallata-b", mClock };
+  std::mutex mLock;
+  std::condition_variable mGoOn;
+  bool mReleased = false;
+};
+
+} // namespace
+
+// The gate's owner stalls for a moment while several loads ask. Were each to
+// take its asker's own gate for the fleet's, all would start beside those that
+// the owner let in. They are told to ask again; one that is in stays in.
+TEST_F(StalledGate, AMomentLetsNobodyElseIn)
+{
+  EXPECT_TRUE(Ask(mNear0, "inside", true));
+  for (const char* id : { "a", "b", "c" }) {
+    EXPECT_FALSE(Ask(mNear0, id)) << id;
+  }
+}
+
+// The owner doesn't come back. Two instances that each went by their own gate
+// would both give out the zone's part; the zone's owner gives it out once.
+TEST_F(StalledGate, ZoneThenGivesItsPartOnce)
+{
+  int in = 0;
+  for (int round = 0; round < 4; ++round) {
+    for (GateNode* node : { &mNear0, &mNear1 }) {
+      in += Ask(*node, node->mInfo.mId + std::to_string(round)) ? 1 : 0;
+    }
+    mClock.Advance(Millis(400));
+  }
+  EXPECT_EQ(in, 4 / 2);
+}
+
+} // namespace caraway
