A newcomer greets those it reads of

Ruled out: reading the list more often (it is the platform's call that grows with the fleet already, 117/s at 350).

Change: each round begins with greeting those on the list that never told of themselves, 16 in all at most, until one is silent.

The new test fails without the greeting (four of five peers not told in the first round).

--- a/src/daemon/Heartbeat.cpp
+++ b/src/daemon/Heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "daemon/Heartbeat.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -7,6 +9,8 @@
 constexpr Millis kBeatTime{ 700 };
 constexpr Millis kListEvery{ 3000 };
 constexpr int kFarEvery = 4; // rounds
+// All of a small fleet. In a large one the rest learn of us from the list.
+constexpr size_t kGreetings = 16;
 
 } // namespace
 
@@ -88,10 +92,25 @@
   }
 }
 
+void
+Heartbeat::Greet()
+{
+  std::vector<std::string> strangers = mMembers.Strangers();
+  std::shuffle(strangers.begin(), strangers.end(), mRandom);
+  for (const std::string& stranger : strangers) {
+    // One that is silent costs the round its time; the next round goes on.
+    if (mGreeted == kGreetings || !Beat(stranger)) {
+      return;
+    }
+    ++mGreeted;
+  }
+}
+
 void
 Heartbeat::Round()
 {
   ReadList();
+  Greet();
   std::vector<std::string> near;
   std::vector<std::string> far;
   for (const InstanceInfo& peer : mMembers.Others()) {
--- a/src/daemon/Heartbeat.h
+++ b/src/daemon/Heartbeat.h
@@ -15,8 +15,10 @@
 namespace caraway {
 
 // Each round one peer of our zone and, every few rounds, one of another: the
-// cost of an instance doesn't grow with the fleet. A beat says who we are,
-// whether we leave, and which configuration we have.
+// cost of an instance doesn't grow with the fleet. A newcomer begins by
+// greeting those it reads of; else they would learn of it from the list, a few
+// seconds later, and until then hold another for the owner of what it owns. A
+// beat says who we are, whether we leave, and which configuration we have.
 class Heartbeat
 {
 public:
@@ -36,6 +38,7 @@
 
 private:
   void ReadList();
+  void Greet();
   bool Beat(const std::string& aAddress);
   Json::Value Self() const;
   void Heard(const Json::Value& aJson);
@@ -50,6 +53,7 @@
   std::mt19937 mRandom{ std::random_device{}() };
   TimePoint mListRead{};
   int mRounds = 0;
+  size_t mGreeted = 0; // peers
 };
 
 } // namespace caraway
--- /dev/null
+++ b/tests/unit/HeartbeatTest.cpp
@@ -0,0 +1,101 @@
+#include <atomic>
+#include <gtest/gtest.h>
+#include <list>
+
+#include "caraway/PausedClock.h"
+#include "daemon/Heartbeat.h"
+#include "peer/PeerPort.h"
+#include "support/MemoryPlatform.h"
+
+namespace caraway {
+
+namespace {
+
+const std::string kSecret = "0123456789abcdef";
+
+// A member that counts the beats it gets.
+struct Listener
+{
+  explicit Listener(const std::string& aId)
+    : mPort(kSecret)
+  {
+    mPort.Open("127.0.0.1:0", 2);
+    mInfo = { aId, "mendoza-a", mPort.Address(), false };
+    mPort.Add("beat", [this](const Json::Value&) {
+      ++mBeats;
+      Json::Value self;
+      self["id"] = mInfo.mId;
+      self["zone"] = mInfo.mZone;
+      self["peer"] = mInfo.mPeerAddress;
+      return self;
+    });
+    mPort.Serve();
+  }
+
+  PeerPort mPort;
+  InstanceInfo mInfo;
+  std::atomic<int> mBeats{ 0 };
+};
+
+class Newcomer : public ::testing::Test
+{
+protected:
+  void Meet(int aMembers)
+  {
+    std::vector<InstanceInfo> list;
+    for (int i = 0; i < aMembers; ++i) {
+      mOthers.emplace_back("i" + std::to_string(i));
+      list.push_back(mOthers.back().mInfo);
+    }
+    mMembers.TakeList(list);
+  }
+  int Beats() const
+  {
+    int beats = 0;
+    for (const Listener& other : mOthers) {
+      beats += other.mBeats;
+    }
+    return beats;
+  }
+
+  PausedClock mClock;
+  MemoryPlatform mPlatform;
+  ConfigStore mStore{ mPlatform };
+  ConfigHolder mHolder{ mClock };
+  PeerClient mPeers{ kSecret, "mendoza-a/new" };
+  Members mMembers{ mClock, { "new", "mendoza-a", "127.0.0.1:1", false } };
+  ConfigWatcher mWatcher{ mStore, mHolder, mPeers, Millis(100), mClock };
+  Heartbeat mHeartbeat{ mMembers, mPeers, mPlatform, mHolder,
+                        mWatcher, {},     mClock };
+  std::list<Listener> mOthers;
+};
+
+} // namespace
+
+// An instance that starts reads the list; the others read it seconds later.
+// Until then they took another for the owner of what the newcomer owns: two
+// gates before the weight store, two queues for one model.
+TEST_F(Newcomer, IsKnownToAllAfterOneRound)
+{
+  Meet(5);
+  mHeartbeat.Round();
+  for (const Listener& other : mOthers) {
+    EXPECT_GE(other.mBeats, 1) << other.mInfo.mId;
+  }
+  int greeted = Beats();
+  mHeartbeat.Round();
+  EXPECT_EQ(Beats(), greeted + 1); // the usual one
+}
+
+// In a large fleet that is replaced whole, each greeting all would be the
+// square of its size.
+TEST_F(Newcomer, GreetsNoMoreThanSixteen)
+{
+  Meet(20);
+  for (int round = 0; round < 3; ++round) {
+    mHeartbeat.Round();
+  }
+  EXPECT_LE(Beats(), 16 + 3);
+}
+
+} // namespace caraway
