One home zone for a model that isn't busy

Ruled out (docs/design/home-zones.md): asking the other zones at each cold request (two that ask at once both load); one owner in the fleet (a zone that is cut off has none until the loss is noticed).

Change: a model's owner in a zone sends requests to the model's home zone (rendezvous over the near zones that have engines and answer), unless a replica is ready or awaited here. A home that fails is made up for by one's own zone; a silent one is in doubt as a whole until heard; a busy zone (60 requests in a minute) gets a replica of its own, loaded while the home still serves. Setting: near, by default all zones. A zone without engines is served by the others; it refused everything before.

Tests: three of the four new process tests fail without it (2 loads for a burst, the other zone's replica unused, refusal where there are no engines); the fourth fails without the doubt. That the last of three tries stays in its own zone has no test.

WakingFleet's tests had seven models asked for in two zones to make fourteen loads; they ask for fourteen models now, with the same bounds.

--- a/bench/ColdBench.cpp
+++ b/bench/ColdBench.cpp
@@ -128,11 +128,26 @@
   return calls;
 }
 
+enum class Policy
+{
+  Baseline,
+  EachZone, // the product until it had home zones
+  HomeZone  // the product
+};
+
+const char*
+PolicyName(Policy aPolicy)
+{
+  const char* names[] = { "baseline", "each zone", "home zone" };
+  return names[static_cast<size_t>(aPolicy)];
+}
+
 class Day
 {
 public:
-  Day(bool aOurs, double aIdleLimit, unsigned aSeed)
-    : mOurs(aOurs)
+  Day(Policy aPolicy, double aIdleLimit, unsigned aSeed)
+    : mOurs(aPolicy != Policy::Baseline)
+    , mHomes(aPolicy == Policy::HomeZone)
     , mIdleLimit(aIdleLimit)
     , mRandom(aSeed)
     , mEngines(kEngines)
@@ -168,12 +183,14 @@
 
   void Serve(const Call& aCall)
   {
-    int zone = aCall.mRouter % kZones;
+    int near = aCall.mRouter % kZones;
+    int zone = mHomes ? aCall.mModel % kZones : near;
     std::string replica = ReplicaName(aCall);
     for (size_t i = 0; i < mEngines.size(); ++i) {
       auto found = mEngines[i].mLoaded.find(replica);
-      bool here = found != mEngines[i].mLoaded.end() &&
-                  (!mOurs || mEngines[i].mZone == zone);
+      bool here =
+        found != mEngines[i].mLoaded.end() &&
+        (!mOurs || mEngines[i].mZone == zone || mEngines[i].mZone == near);
       if (!here) {
         continue;
       }
@@ -186,6 +203,10 @@
     }
     int engine = mOurs ? ChooseOurs(zone, aCall.mModel)
                        : ChooseBaseline(zone, aCall.mModel);
+    if (engine < 0 && zone != near) {
+      engine = ChooseOurs(near, aCall.mModel);
+    }
+
     if (engine < 0) {
       ++mResult.mRefused;
       return;
@@ -350,6 +371,7 @@
   }
 
   bool mOurs;
+  bool mHomes;
   double mIdleLimit;
   std::mt19937 mRandom;
   std::vector<Engine> mEngines;
@@ -383,11 +405,13 @@
               kRouters,
               kSecondsPerUnit * 8,
               kSecondsPerUnit * 30);
-  std::printf("%-12s %-10s %5s %8s %8s %8s %8s %11s %9s\n",
+  std::printf("%-12s %-10s %5s %8s %8s %8s %8s %8s %11s %9s\n",
               "deployment",
               "policy",
               "seed",
               "loads",
+              "waited",
+
               "p50 s",
               "p99 s",
               "p99.9 s",
@@ -396,18 +420,21 @@
   for (const Deployment& deployment : deployments) {
     for (unsigned seed : { 101u, 102u }) {
       std::vector<Call> calls = Calls(deployment, seed);
-      for (bool ours : { false, true }) {
-        Result result = Day(ours, 300, seed).Run(calls);
-        std::printf("%-12s %-10s %5u %8d %8.1f %8.1f %8.1f %11.1f %8.2f%%\n",
-                    deployment.mName,
-                    ours ? "product" : "baseline",
-                    seed,
-                    result.mLoads,
-                    Part(result.mCold, 0.5),
-                    Part(result.mCold, 0.99),
-                    Part(result.mCold, 0.999),
-                    result.mIdleHours,
-                    100.0 * result.mRefused / result.mCalls);
+      for (Policy policy :
+           { Policy::Baseline, Policy::EachZone, Policy::HomeZone }) {
+        Result result = Day(policy, 300, seed).Run(calls);
+        std::printf(
+          "%-12s %-10s %5u %8d %8zu %8.1f %8.1f %8.1f %11.1f %8.2f%%\n",
+          deployment.mName,
+          PolicyName(policy),
+          seed,
+          result.mLoads,
+          result.mCold.size(),
+          Part(result.mCold, 0.5),
+          Part(result.mCold, 0.99),
+          Part(result.mCold, 0.999),
+          result.mIdleHours,
+          100.0 * result.mRefused / result.mCalls);
         std::fflush(stdout);
       }
     }
--- a/src/ctl/CtlFiles.cpp
+++ b/src/ctl/CtlFiles.cpp
@@ -96,7 +96,9 @@
           "config_age_ms",
           "in_flight",
           "models_busy",
-          "share_slots", "fit_instances", "silent" });
+          "share_slots",
+          "fit_instances",
+          "silent" });
   return CtlExit_Ok;
 }
 
--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -131,6 +131,8 @@
   mGate =
     std::make_unique<StoreGate>(StoreOf(mSettings), *mMembers, mPeers, mClock);
   mLoader.TakeTurns(*mGate);
+  mHomes = std::make_unique<HomeZones>(mSettings.mNear, *mMembers);
+  mOwner.SendHome(*mHomes);
   EndpointKeeperSettings keeping;
   keeping.mIdleLimit = Millis(mSettings.mModelIdleLimit);
   keeping.mOrderHorizon = Millis(mSettings.mModelOrderHorizon);
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -56,6 +56,8 @@
   std::string mIncarnation; // id.random@address, known once the port is bound
   PeerClient mPeers;
   std::unique_ptr<Members> mMembers;
+  std::unique_ptr<HomeZones> mHomes;
+
   std::unique_ptr<ConfigWatcher> mWatcher;
   std::unique_ptr<Heartbeat> mHeartbeat;
   PlacementStore mPlacements;
--- a/src/daemon/Settings.cpp
+++ b/src/daemon/Settings.cpp
@@ -12,6 +12,29 @@
 
 constexpr size_t kDigestDigits = 64;
 
+void
+ReadNear(TomlFields& aFields, Settings& aOut)
+{
+  const toml::node* node = aFields.Node("near", false);
+  if (!node) {
+    aOut.mNear = aOut.mZones;
+    return;
+  }
+  aFields.Texts("near", aOut.mNear, false);
+  auto in = [](const std::vector<std::string>& aZones,
+               const std::string& aZone) {
+    return std::find(aZones.begin(), aZones.end(), aZone) != aZones.end();
+  };
+  if (!in(aOut.mNear, aOut.mZone)) {
+    aFields.Complain(node, "near", "expected our own zone among them");
+  }
+  for (const std::string& zone : aOut.mNear) {
+    if (!in(aOut.mZones, zone)) {
+      aFields.Complain(node, "near", zone + " isn't one of zones");
+    }
+  }
+}
+
 void
 ReadInstance(TomlFields aFields, Settings& aOut)
 {
@@ -23,6 +46,7 @@
   if (!aOut.mZones.empty() && !among) {
     aFields.Complain(aFields.Node("zone", false), "zone", "isn't one of zones");
   }
+  ReadNear(aFields, aOut);
 }
 
 void
--- a/src/daemon/Settings.h
+++ b/src/daemon/Settings.h
@@ -22,6 +22,7 @@
   std::string mId;                 // its name, unique in the fleet
   std::string mZone;               // its availability zone
   std::vector<std::string> mZones; // all of the fleet's zones
+  std::vector<std::string> mNear;  // a few ms away; default: all
 
   // [caller]
   std::string mCallerListen;          // ip:port
--- a/src/own/ModelGroup.h
+++ b/src/own/ModelGroup.h
@@ -10,6 +10,7 @@
 
 #include "caraway/EndpointSpec.h"
 #include "caraway/Failure.h"
+#include "decide/HomeZone.h"
 #include "decide/WaitQueue.h"
 
 namespace caraway {
@@ -58,6 +59,7 @@
   TimePoint mLoadBegan{};
   double mRate = 0;      // tokens a second, learnt; 0 = not yet
   Millis mLoadTime{ 0 }; // last load, learnt
+  HomeZoneState mHome;
 };
 
 // The serving with the fewest requests that has a place free; null when none.
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -40,6 +40,36 @@
   return mNextId++ * kShards + aShard;
 }
 
+std::string
+ModelOwner::AwayFrom(const PlaceRequest& aRequest,
+                     const ModelSpec& aModel,
+                     const ConfigSnapshot& aConfig,
+                     ModelGroup& aGroup,
+                     TimePoint aNow)
+{
+  constexpr Seconds kBusyLoad{ 30 };
+  if (!mHomes) {
+    return "";
+  }
+  if (!aRequest.mFailedZone.empty()) {
+    HomeZoneFailed(aGroup.mHome, mHomeTerms, aNow);
+  }
+  if (aRequest.mHere) {
+    return "";
+  }
+  std::string home = mHomes->Of(aModel.mName, aConfig);
+  HomeZoneView view;
+  view.mHome = mHomes->IsOurs(home);
+  view.mServing = !aGroup.mServing.empty();
+  view.mWaiting = aGroup.mQueue.Size() > 0;
+  auto action = HomeZoneAsk(aGroup.mHome, view, mHomeTerms, aNow);
+  if (action == HomeZoneAction::AwayAndLoad && !aGroup.mLoading) {
+    LogInfo("load_for_busy_zone", { { "model", aModel.mName } });
+    StartLoad(KeyOf(aModel), aGroup, aModel, aNow + kBusyLoad);
+  }
+  return action == HomeZoneAction::Here ? "" : home;
+}
+
 Result<PlaceGrant>
 ModelOwner::Acquire(const PlaceRequest& aRequest)
 {
@@ -56,6 +86,11 @@
   {
     std::lock_guard<std::mutex> lock(shard.mLock);
     ModelGroup& group = shard.mGroups[key];
+    PlaceGrant away;
+    away.mAway = AwayFrom(aRequest, model->second, *config, group, now);
+    if (!away.mAway.empty()) {
+      return away;
+    }
     waiter->mGroup = key;
     waiter->mAdapter = aRequest.mAdapter;
     waiter->mHoldFor = aRequest.mHoldFor;
--- a/src/own/ModelOwner.h
+++ b/src/own/ModelOwner.h
@@ -11,6 +11,7 @@
 
 #include "base/WorkerPool.h"
 #include "caraway/Clock.h"
+#include "own/HomeZones.h"
 #include "own/Loader.h"
 #include "own/ModelGroup.h"
 #include "own/PlaceRequest.h"
@@ -20,7 +21,8 @@
 
 // All front instances of a zone ask the same owner for a place, so that a
 // burst of first requests makes one load, a queue has one order, and many
-// routers don't choose the same engine. Any instance can be the owner: two at
+// routers don't choose the same engine. It sends them to the model's home zone,
+// if that is another. Any instance can be the owner: two at
 // once cost a second queue, not a promise.
 class ModelOwner
 {
@@ -30,9 +32,12 @@
              WorkerPool& aWorkers,
              const Clock& aClock);
 
-  // Blocks for kWait at most: a place, a refusal (true "not run"), or a
-  // ticket for Await. A front that waited in one long call would not notice
-  // that its owner is frozen.
+  // Without, every zone is the home of all models.
+  void SendHome(HomeZones& aHomes) { mHomes = &aHomes; }
+
+  // Blocks for kWait at most: a place, a zone to ask instead, a refusal (true
+  // "not run"), or a ticket for Await. A front that waited in one long call
+  // would not notice that its owner is frozen.
   Result<PlaceGrant> Acquire(const PlaceRequest& aRequest);
   Result<PlaceGrant> Await(uint64_t aTicket);
   void Return(const PlaceReturn& aReturn);
@@ -60,6 +65,12 @@
   static constexpr size_t kShards = 16;
 
   size_t ShardOf(const std::string& aKey) const;
+  // The zone to ask instead; "" = none.
+  std::string AwayFrom(const PlaceRequest& aRequest,
+                       const ModelSpec& aModel,
+                       const ConfigSnapshot& aConfig,
+                       ModelGroup& aGroup,
+                       TimePoint aNow);
   // Numbers carry their shard, so that whoever brings one back finds it.
   uint64_t NextId(size_t aShard);
   Shard& ShardWith(uint64_t aId) { return mShards[aId % kShards]; }
@@ -89,6 +100,9 @@
   Loader& mLoader;
   WorkerPool& mWorkers;
   const Clock& mClock;
+  HomeZones* mHomes = nullptr;
+  HomeZoneTerms mHomeTerms;
+
   std::array<Shard, kShards> mShards;
   std::atomic<uint64_t> mNextId{ 1 };
   int64_t mPruned = 0; // revision; used by Sweep's thread alone
--- a/src/own/PlaceRequest.cpp
+++ b/src/own/PlaceRequest.cpp
@@ -17,6 +17,13 @@
   json["start"] = Json::Int64(aRequest.mStartWithin.count());
   json["cold"] = Json::Int64(aRequest.mColdWithin.count());
   json["hold"] = Json::Int64(aRequest.mHoldFor.count());
+  if (aRequest.mHere) {
+    json["here"] = true;
+  }
+  if (!aRequest.mFailedZone.empty()) {
+    json["failed"] = aRequest.mFailedZone;
+  }
+
   return json;
 }
 
@@ -36,6 +43,9 @@
   request.mStartWithin = Millis(aJson["start"].asInt64());
   request.mColdWithin = Millis(aJson["cold"].asInt64());
   request.mHoldFor = Millis(aJson["hold"].asInt64());
+  request.mHere = aJson["here"].asBool();
+  request.mFailedZone = aJson["failed"].asString();
+
   return request;
 }
 
@@ -47,6 +57,10 @@
     json["ticket"] = Json::UInt64(aGrant.mTicket);
     return json;
   }
+  if (!aGrant.mAway.empty()) {
+    json["away"] = aGrant.mAway;
+    return json;
+  }
   json["place"] = Json::UInt64(aGrant.mPlace);
   json["endpoint"] = aGrant.mEndpoint;
   json["address"] = aGrant.mAddress;
@@ -60,6 +74,7 @@
 {
   PlaceGrant grant;
   grant.mTicket = aJson["ticket"].asUInt64();
+  grant.mAway = aJson["away"].asString();
   grant.mPlace = aJson["place"].asUInt64();
   grant.mEndpoint = aJson["endpoint"].asString();
   grant.mAddress = aJson["address"].asString();
--- a/src/own/PlaceRequest.h
+++ b/src/own/PlaceRequest.h
@@ -22,12 +22,15 @@
   Millis mStartWithin{ 1400 }; // when the model is ready somewhere
   Millis mColdWithin{ 30000 }; // when it has to be loaded
   Millis mHoldFor{ 60000 };    // a place not given back by then is taken back
+  bool mHere = false;          // not to be sent to another zone
+  std::string mFailedZone;     // the home that didn't serve it; "" = none
 };
 
-// Either a place, or a ticket to ask again with.
+// A place, or a ticket to ask again with, or another zone to ask.
 struct PlaceGrant
 {
   uint64_t mTicket = 0; // not 0: still waiting
+  std::string mAway;    // not "": the model's home zone, to be asked instead
   uint64_t mPlace = 0;  // to give back
   std::string mEndpoint;
   std::string mAddress;
--- a/src/peer/Members.cpp
+++ b/src/peer/Members.cpp
@@ -75,6 +75,7 @@
   Member& member = mMembers[aPeer.mId];
   member.mInfo = aPeer;
   member.mHeard = mClock.Now();
+  mDoubted.erase(aPeer.mZone);
   member.mSilences = 0;
 }
 
@@ -179,14 +180,45 @@
   return OwnerAmong(fit, aKey);
 }
 
-int
-Members::FitZones() const
+std::optional<InstanceInfo>
+Members::OwnerIn(const std::string& aZone, const std::string& aKey) const
+{
+  std::vector<InstanceInfo> fit = Fit(aZone);
+  return fit.empty() ? std::nullopt : std::make_optional(OwnerAmong(fit, aKey));
+}
+
+std::set<std::string>
+Members::FitZoneNames() const
 {
   std::set<std::string> zones = { mSelf.mZone };
   for (const InstanceInfo& member : FitElsewhere()) {
     zones.insert(member.mZone);
   }
-  return static_cast<int>(zones.size());
+  return zones;
+}
+
+int
+Members::FitZones() const
+{
+  return static_cast<int>(FitZoneNames().size());
+}
+
+std::set<std::string>
+Members::AnsweringZones() const
+{
+  std::set<std::string> zones = FitZoneNames();
+  std::lock_guard<std::mutex> lock(mLock);
+  for (const std::string& doubted : mDoubted) {
+    zones.erase(doubted);
+  }
+  return zones;
+}
+
+void
+Members::DoubtZone(const std::string& aZone)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mDoubted.insert(aZone);
 }
 
 bool
--- a/src/peer/Members.h
+++ b/src/peer/Members.h
@@ -42,6 +42,12 @@
   std::vector<InstanceInfo> Fit(const std::string& aZone) const;
   // Zones with an instance that is fit for new work, ours among them.
   int FitZones() const;
+  // The same, without those in doubt.
+  std::set<std::string> AnsweringZones() const;
+  // A call to one of its instances went unanswered: the zone may be cut off,
+  // and finding out one instance after the other would take a call's time for
+  // each. Ends when one of them is heard.
+  void DoubtZone(const std::string& aZone);
   // Instances fit for new work, in all zones; ourselves counted unless we
   // are leaving.
   int FitCount() const;
@@ -53,6 +59,9 @@
   std::vector<InstanceInfo> Others() const;
   // Owner of aKey among the fit of our zone. Ourselves when alone.
   InstanceInfo Owner(const std::string& aKey) const;
+  // The same in another zone; nothing when it has no fit instance.
+  std::optional<InstanceInfo> OwnerIn(const std::string& aZone,
+                                      const std::string& aKey) const;
   // The same among the fit of all zones.
   InstanceInfo FleetOwner(const std::string& aKey) const;
 
@@ -66,6 +75,7 @@
   };
   bool FitNow(const Member& aMember) const;
   std::vector<InstanceInfo> FitElsewhere() const;
+  std::set<std::string> FitZoneNames() const;
   InstanceInfo OwnerAmong(const std::vector<InstanceInfo>& aFit,
                           const std::string& aKey) const;
 
@@ -73,6 +83,7 @@
   mutable std::mutex mLock;
   InstanceInfo mSelf;
   std::map<std::string, Member> mMembers; // by id, others only
+  std::set<std::string> mDoubted;         // zones
   std::set<std::string> mListed;
   TimePoint mListedAt{};
 };
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -62,6 +62,12 @@
   return request;
 }
 
+std::string
+OwnerKey(const PlaceRequest& aRequest)
+{
+  return "model/" + aRequest.mModel;
+}
+
 // A refusal by an owner elsewhere, back as the failure it was.
 leaf::error_id
 PeerRefusal(const Json::Value& aJson)
@@ -148,28 +154,88 @@
 {
 }
 
+// Our zone's owner first: it knows whether there is a replica here, and
+// otherwise sends us to the model's home zone. Where that fails, back to our
+// zone, which then loads the model itself.
+Result<PlaceGrant>
+ModelCalls::Acquire(const ModelCall& aCall, bool aHere, InstanceInfo& aOwner)
+{
+  const Caller& caller = aCall.mContext.mCaller;
+  PlaceRequest request = PlaceFor(aCall, mClock.Now());
+  request.mHere = aHere;
+  Result<PlaceGrant> grant = AcquireNear(request, caller, aOwner);
+  if (!grant || grant->mAway.empty()) {
+    return grant;
+  }
+  std::string zone = grant->mAway;
+  if (auto away = AcquireAway(request, zone, caller, aOwner)) {
+    return std::move(*away);
+  }
+  request = PlaceFor(aCall, mClock.Now());
+  request.mFailedZone = zone;
+  return AcquireNear(request, caller, aOwner);
+}
+
+std::optional<Result<PlaceGrant>>
+ModelCalls::AcquireAway(PlaceRequest aRequest,
+                        const std::string& aZone,
+                        const Caller& aCaller,
+                        InstanceInfo& aOwner)
+{
+  auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
+  if (!owner) {
+    return std::nullopt;
+  }
+  aOwner = *owner;
+  aRequest.mHere = true; // else two zones could send it to and fro
+  bool silent = false;
+  auto answer = Outcome([&]() -> Result<PlaceGrant> {
+    auto answered = AcquireFrom(aRequest, aCaller, aOwner);
+    silent = !answered;
+    return silent ? Fail(ErrorKind::NoEndpoint, "the home is silent")
+                  : std::move(*answered);
+  });
+  if (silent) {
+    mMetrics.Count("caraway_home_silent_total", "zone=\"" + aZone + "\"");
+    mMembers.Dead(aOwner.mPeerAddress);
+    mMembers.DoubtZone(aZone);
+    return std::nullopt;
+  }
+  if (auto* grant = std::get_if<PlaceGrant>(&answer)) {
+    mMetrics.Count("caraway_served_away_total", "zone=\"" + aZone + "\"");
+    return Result<PlaceGrant>(std::move(*grant));
+  }
+  const Failure& failure = std::get<Failure>(answer);
+  bool elsewhere = failure.mKind == ErrorKind::NoEndpoint ||
+                   failure.mKind == ErrorKind::NoCapacity;
+  if (elsewhere) {
+    return std::nullopt;
+  }
+  return Result<PlaceGrant>(Fail(failure));
+}
+
 // The zone's owner of the model; if it doesn't answer, the next; at last
 // ourselves. A second owner decides by the same conditional updates.
 Result<PlaceGrant>
-ModelCalls::Acquire(const ModelCall& aCall, InstanceInfo& aOwner)
+ModelCalls::AcquireNear(const PlaceRequest& aRequest,
+                        const Caller& aCaller,
+                        InstanceInfo& aOwner)
 {
-  PlaceRequest request = PlaceFor(aCall, mClock.Now());
-  const Caller& caller = aCall.mContext.mCaller;
   constexpr int kOwners = 2;
   for (int i = 0; i < kOwners; ++i) {
-    aOwner = mMembers.Owner("model/" + request.mModel);
+    aOwner = mMembers.Owner(OwnerKey(aRequest));
     if (aOwner.mId == mMembers.Self().mId) {
       break;
     }
-    if (auto answer = AcquireFrom(request, caller, aOwner)) {
+    if (auto answer = AcquireFrom(aRequest, aCaller, aOwner)) {
       return std::move(*answer);
     }
     mMembers.Dead(aOwner.mPeerAddress);
   }
   aOwner = mMembers.Self();
-  Result<PlaceGrant> grant = mOwner.Acquire(request);
+  Result<PlaceGrant> grant = mOwner.Acquire(aRequest);
   while (grant && grant->mTicket != 0) {
-    BOOST_LEAF_CHECK(StillValid(caller));
+    BOOST_LEAF_CHECK(StillValid(aCaller));
     grant = mOwner.Await(grant->mTicket);
   }
   return grant;
@@ -191,7 +257,6 @@
 std::optional<Result<PlaceGrant>>
 ModelCalls::AcquireFrom(const PlaceRequest& aRequest,
                         const Caller& aCaller,
-
                         const InstanceInfo& aOwner)
 {
   const char* method = "model.acquire";
@@ -303,7 +368,9 @@
       break;
     }
     InstanceInfo owner;
-    auto acquired = Outcome([&] { return Acquire(aCall, owner); });
+    // The last try is here: what broke the others may lie between the zones.
+    bool here = i + 1 == kTries;
+    auto acquired = Outcome([&] { return Acquire(aCall, here, owner); });
     if (auto* failure = std::get_if<Failure>(&acquired)) {
       if (!offered) {
         return Fail(*failure);
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -73,7 +73,19 @@
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken,
     ModelAnswer& aSoFar);
-  Result<PlaceGrant> Acquire(const ModelCall& aCall, InstanceInfo& aOwner);
+  // aHere: at an engine of our zone, wherever the model's home is.
+  Result<PlaceGrant> Acquire(const ModelCall& aCall,
+                             bool aHere,
+                             InstanceInfo& aOwner);
+  Result<PlaceGrant> AcquireNear(const PlaceRequest& aRequest,
+                                 const Caller& aCaller,
+                                 InstanceInfo& aOwner);
+  // nullopt: the zone doesn't answer or can't serve it.
+  std::optional<Result<PlaceGrant>> AcquireAway(PlaceRequest aRequest,
+                                                const std::string& aZone,
+                                                const Caller& aCaller,
+                                                InstanceInfo& aOwner);
+
   Result<void> StillValid(const Caller& aCaller) const;
   // nullopt: that owner doesn't answer.
   std::optional<Result<PlaceGrant>> AcquireFrom(const PlaceRequest& aRequest,
--- /dev/null
+++ b/tests/process/HomeZoneTest.cpp
@@ -0,0 +1,121 @@
+#include <future>
+#include <gtest/gtest.h>
+
+#include "decide/HomeZone.h"
+#include "support/Fleet.h"
+
+namespace caraway {
+
+namespace {
+
+FleetPlan
+Plan()
+{
+  FleetPlan plan;
+  plan.mMemory = 1000;
+  plan.mModels = 8;
+  plan.mProxies = true;
+  return plan;
+}
+
+int
+Loads(Fleet& aFleet)
+{
+  int loads = 0;
+  for (size_t i = 0; i < aFleet.mEngines.size(); ++i) {
+    loads += aFleet.EngineState(i)["audit"]["loads"].asInt();
+  }
+  return loads;
+}
+
+// Profiles of models whose home is aZone.
+std::vector<std::string>
+AtHomeIn(const Fleet& aFleet, const std::string& aZone)
+{
+  std::vector<std::string> profiles;
+  for (int i = 0; i < aFleet.mPlan.mModels; ++i) {
+    std::string model = "m" + std::to_string(i);
+    if (HomeZoneOf(aFleet.mPlan.mZones, model) == aZone) {
+      profiles.push_back("chat-" + model);
+    }
+  }
+  return profiles;
+}
+
+} // namespace
+
+// First requests for one cold model burst in both zones. Each zone's owner
+// would load it, and both replicas would idle afterwards; the home loads it,
+// and all wait for that.
+TEST(HomeZones, BurstInAllZonesMakesOneLoad)
+{
+  Fleet fleet(Plan());
+  std::vector<std::future<HttpReply>> burst;
+  for (size_t i = 0; i < 12; ++i) {
+    burst.push_back(std::async(std::launch::async, [&, i] {
+      return fleet.Chat(i % 3, fleet.mKeys["acme"], "chat-m0", 4);
+    }));
+  }
+  for (auto& reply : burst) {
+    EXPECT_TRUE(reply.get().Ok());
+  }
+  EXPECT_EQ(Loads(fleet), 1);
+}
+
+// The home zone is cut off. Callers elsewhere get their answers from a replica
+// in their own zone. Only the first waits for the silent home; were each model
+// to find that out for itself, each would be late by an owner's time.
+TEST(HomeZones, CutOffHomeIsFoundSilentOnce)
+{
+  Fleet fleet(Plan());
+  std::vector<std::string> away = AtHomeIn(fleet, "mendoza-a");
+  ASSERT_GE(away.size(), 2u);
+  fleet.CutZone("mendoza-a", true);
+  for (const std::string& profile : away) {
+    HttpReply reply = fleet.Chat(2, fleet.mKeys["acme"], profile, 4);
+    EXPECT_TRUE(reply.Ok()) << profile << ": " << reply.mBody;
+  }
+  EXPECT_LE(fleet.Metric(2, "caraway_home_silent_total{zone=\"mendoza-a\"}"),
+            1);
+  EXPECT_EQ(Loads(fleet), static_cast<int>(away.size()));
+}
+
+// A replica that the home has is used from everywhere until the home is lost;
+// its engine's process dies with requests to come.
+TEST(HomeZones, WarmAtHomeServesTheOthers)
+{
+  Fleet fleet(Plan());
+  std::string profile = AtHomeIn(fleet, "mendoza-a").at(0);
+  EXPECT_TRUE(fleet.Chat(0, fleet.mKeys["acme"], profile, 4).Ok());
+  EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], profile, 4).Ok());
+  EXPECT_EQ(Loads(fleet), 1);
+  EXPECT_EQ(fleet.Metric(2, "caraway_served_away_total{zone=\"mendoza-a\"}"),
+            1);
+  fleet.mEngines[0]->Kill();
+  HttpReply reply = fleet.Chat(2, fleet.mKeys["acme"], profile, 4);
+  EXPECT_TRUE(reply.Ok()) << reply.mBody;
+  EXPECT_EQ(fleet.EngineState(1)["audit"]["loads"].asInt(), 1);
+}
+
+// A zone whose engines have all been taken out serves its callers from the
+// other.
+TEST(HomeZones, ZoneWithoutEnginesServesFromTheOther)
+{
+  Fleet fleet(Plan());
+  fleet.Configure([](Json::Value& aConfig) {
+    Json::Value kept;
+    for (const Json::Value& endpoint : aConfig["endpoints"]) {
+      if (endpoint["name"].asString() != "llm-uspallata-b0") {
+        kept.append(endpoint);
+      }
+    }
+    aConfig["endpoints"] = kept;
+  });
+  for (int model = 0; model < fleet.mPlan.mModels; ++model) {
+    std::string profile = "chat-m" + std::to_string(model);
+    HttpReply reply = fleet.Chat(2, fleet.mKeys["acme"], profile, 4);
+    EXPECT_TRUE(reply.Ok()) << profile << ": " << reply.mBody;
+  }
+}
+
+} // namespace caraway
--- a/tests/process/StoreGateTest.cpp
+++ b/tests/process/StoreGateTest.cpp
@@ -18,7 +18,7 @@
   {
     FleetPlan plan;
     plan.mMemory = 1000;
-    plan.mModels = 8;
+    plan.mModels = 15;
     plan.mWeightsMs = 600;
     plan.mProxies = true;
     plan.mSettings = { "[store]", "starts_per_second = 100" };
@@ -27,14 +27,13 @@
 
   void Wake()
   {
-    for (int model = 1; model < 8; ++model) {
-      for (size_t at : { 0u, 2u }) {
-        mCallers.emplace_back([this, model, at] {
-          HttpReply reply = mFleet.Chat(
-            at, mFleet.mKeys["acme"], "chat-m" + std::to_string(model), 1);
-          mAnswered += reply.Ok() ? 1 : 0;
-        });
-      }
+    for (int model = 1; model < 15; ++model) {
+      size_t at = model % 2 == 0 ? 0 : 2;
+      mCallers.emplace_back([this, model, at] {
+        HttpReply reply = mFleet.Chat(
+          at, mFleet.mKeys["acme"], "chat-m" + std::to_string(model), 1);
+        mAnswered += reply.Ok() ? 1 : 0;
+      });
     }
   }
   void Join()
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -98,7 +98,7 @@
     }
     return slots == 16 * static_cast<int>(mPlan.mZones.size());
   });
-    if (!held) {
+  if (!held) {
     throw std::runtime_error("the shares aren't held; see " + mFolder);
   }
   // Until all know all, two of them may hold themselves for the owner of one
@@ -114,7 +114,6 @@
   if (!met) {
     throw std::runtime_error("not all know all; see " + mFolder);
   }
-
 }
 
 Fleet::~Fleet()
--- a/tests/unit/SettingsTest.cpp
+++ b/tests/unit/SettingsTest.cpp
@@ -53,4 +53,21 @@
   EXPECT_NE(Trouble(kGood + "[keys\n").find("f.toml:15"), std::string::npos);
 }
 
+// A zone that shares models with one that doesn't exist, or not with itself,
+// would load nothing where it is sent.
+TEST(Settings, NearZonesAreZonesAndOurs)
+{
+  auto near = [](const std::string& aZones) {
+    std::string text = kGood;
+    std::string mark = "zones = [\"a\", \"b\"]\n";
+    text.insert(text.find(mark) + mark.size(), "near = " + aZones + "\n");
+    return Trouble(text);
+  };
+  EXPECT_EQ(near("[\"a\"]"), "");
+  EXPECT_EQ(near("[\"b\"]"),
+            "f.toml:5: instance.near: expected our own zone among them");
+  EXPECT_EQ(near("[\"a\", \"c\"]"),
+            "f.toml:5: instance.near: c isn't one of zones");
+}
+
 } // namespace caraway
