Callers who ask the same are told to come back one after the other

Cause, found by the first process test of coming back: a return is known by a digest of what is asked. All of a tenant's callers that asked the same (3 to 4 of the test's 150) shared one booking, were told its time, and came back to the room of one.

Ruled out: the whole seconds of Retry-After (all that are due within a second come together; a second's work fits in the 1.4 s of patience).

Change: each refusal books for itself; one that comes back takes the earliest booking of those alike. One that comes before its time can't be told from another caller, and is booked twice; that the first isn't used is learnt as it was for those who never come.

--- a/src/decide/ReturnBook.cpp
+++ b/src/decide/ReturnBook.cpp
@@ -21,8 +21,7 @@
                 TimePoint aDue)
 {
   Line& line = mLines[aTenant];
-  if (line.mLike.size() < kMostBooked &&
-      line.mLike.emplace(aLike, aDue).second) {
+  if (line.mDue.size() < kMostBooked && line.mLike[aLike].insert(aDue).second) {
     line.mDue.emplace(aDue, std::make_pair(aLike, aTokens));
   }
 }
@@ -37,7 +36,7 @@
   auto known = line->second.mLike.find(aLike);
   return known == line->second.mLike.end()
            ? std::nullopt
-           : std::optional<TimePoint>(known->second);
+           : std::optional<TimePoint>(*known->second.begin());
 }
 
 void
@@ -45,19 +44,29 @@
 {
   Learn(aTenant, true);
   Line& line = mLines[aTenant];
-  auto range = line.mDue.equal_range(line.mLike[aLike]);
+  auto range = line.mDue.equal_range(*line.mLike[aLike].begin());
   for (auto one = range.first; one != range.second; ++one) {
     if (one->second.first == aLike) {
       line.mDue.erase(one);
       break;
     }
   }
-  line.mLike.erase(aLike);
+  line.EraseFirst(aLike);
   if (line.mDue.empty()) {
     mLines.erase(aTenant);
   }
 }
 
+void
+ReturnBook::Line::EraseFirst(uint64_t aLike)
+{
+  auto alike = mLike.find(aLike);
+  alike->second.erase(alike->second.begin());
+  if (alike->second.empty()) {
+    mLike.erase(alike);
+  }
+}
+
 void
 ReturnBook::Learn(const std::string& aTenant, bool aCame)
 {
@@ -117,7 +126,7 @@
     auto& due = line->second.mDue;
     while (!due.empty() && due.begin()->first < aNow - kLate) {
       Learn(line->first, false);
-      line->second.mLike.erase(due.begin()->second.first);
+      line->second.EraseFirst(due.begin()->second.first);
       due.erase(due.begin());
     }
     line = due.empty() ? mLines.erase(line) : std::next(line);
--- a/src/decide/ReturnBook.h
+++ b/src/decide/ReturnBook.h
@@ -4,13 +4,16 @@
 // at one moment, beside what is new then, and most are refused again. So each
 // is told a time of its own, and what is new may not have the room that is
 // booked. One that comes back is known by what it asks for (mLike), which a
-// client that tries again sends again; it needs to do nothing for it.
+// client that tries again sends again; it needs to do nothing for it. Many
+// callers may ask for the same: each has a booking, and whoever comes first
+// takes the earliest.
 #ifndef caraway_decide_ReturnBook_h
 #define caraway_decide_ReturnBook_h
 
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "caraway/Time.h"
@@ -24,7 +27,7 @@
            uint64_t aLike,
            double aTokens,
            TimePoint aDue);
-  // When it was told to come.
+  // When the first of those alike was told to come.
   std::optional<TimePoint> Due(const std::string& aTenant,
                                uint64_t aLike) const;
   // It has come: its room is its own now.
@@ -45,7 +48,8 @@
   struct Line
   {
     std::multimap<TimePoint, std::pair<uint64_t, double>> mDue; // like, tokens
-    std::map<uint64_t, TimePoint> mLike;
+    std::map<uint64_t, std::set<TimePoint>> mLike;              // when due
+    void EraseFirst(uint64_t aLike);
   };
   double Sum(const std::string& aTenant,
              const Line& aLine,
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -172,9 +172,10 @@
                   TimePoint aNow)
 {
   ClassLines& own = mClasses[static_cast<int>(aItem.mClass)];
-  if (auto due = own.mReturns.Due(aItem.mTenant, aItem.mLike)) {
-    return { aKind, std::chrono::ceil<Millis>(*due - aNow) }; // came early
-  }
+  // One that comes before its time can't be told from another that asks the
+  // same. It gets a second booking; that nobody comes for the first is learnt
+  // (ReturnBook::Likely). Told the first's time, all alike would come at once
+  // to the room of one.
   Millis wait =
     std::max(Predict(aItem, aRate, aNow, TimePoint::max()), aReadyIn);
   if (wait <= kMostRetry) {
--- a/tests/property/WaitQueueProperty.cpp
+++ b/tests/property/WaitQueueProperty.cpp
@@ -154,6 +154,31 @@
   EXPECT_FALSE(fed.Offer("acme", refused));
 }
 
+// Many callers ask for the same, as drivers do at a closed pass. Told one
+// time, that of the first, all came back to the room of one. Each has its own.
+TEST(WaitQueue, CallersWhoAskTheSameComeBackInTurn)
+{
+  Fed fed;
+  constexpr uint64_t kSame = 7;
+  while (!fed.Offer("acme", kSame)) {
+  }
+  std::vector<TimePoint> told;
+  for (int i = 0; i < 10; ++i) {
+    auto refusal = fed.Offer("acme", kSame);
+    ASSERT_TRUE(refusal);
+    told.push_back(fed.mNow + refusal->mRetryAfter);
+  }
+  int in = 0;
+  for (TimePoint due : told) {
+    while (fed.mNow < due) {
+      fed.Serve(Millis(200));
+    }
+    in += fed.Offer("acme", kSame) ? 0 : 1;
+  }
+  EXPECT_EQ(in, 10);
+  EXPECT_GT(told.back() - told.front(), Millis(500));
+}
+
 // Callers that never come back when told: the room kept for them would leave
 // the engines idle while others are refused. After some that didn't come,
 // hardly any is kept.
