--- a/bench/ColdBench.cpp
+++ b/bench/ColdBench.cpp
@@ -203,9 +203,7 @@
     }
     int engine = mOurs ? ChooseOurs(zone, aCall.mModel)
                        : ChooseBaseline(zone, aCall.mModel);
-    if (engine < 0 && zone != near) {
-      engine = ChooseOurs(near, aCall.mModel);
-    }
+    
 
     if (engine < 0) {
       ++mResult.mRefused;
