A busy zone's own replica evicts nothing that is in use

Cause, found by the failure bench, which has callers under way now: engines with room for two models each, four models in use from both zones.

Change: a load that nobody waits for evicts nothing used within a minute, and is given up at once where there is no room (caraway_optional_loads_given_up _total). If the home fails meanwhile, those who wait by then get a load of their own.

Before: the new test fails (the zone's own model evicted, 4 loads of 3); after: passes.

--- /dev/null
+++ b/bench/BenchCallers.h
@@ -0,0 +1,53 @@
+// BenchCallers.h: callers behind a balancer, under way while things fail.
+#ifndef caraway_bench_BenchCallers_h
+#define caraway_bench_BenchCallers_h
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "support/Fleet.h"
+
+namespace caraway {
+
+struct BenchCounts
+{
+  int mAnswered = 0;
+  int mRefused = 0;                // with a problem document
+  int mCut = 0;                    // no answer, or half of one
+  double mSlowest = 0;             // s, of those answered
+  std::map<std::string, int> mWhy; // refusals by kind
+};
+
+// Each sends one request after the other, to any instance but those that don't
+// accept a connection, as a balancer would.
+class BenchCallers
+{
+public:
+  BenchCallers(Fleet& aFleet, size_t aCallers);
+  ~BenchCallers();
+
+  // Where an instance takes callers; to be told before it is replaced, too.
+  void At(size_t aInstance, const std::string& aAddress);
+  BenchCounts Take(); // since the last time
+
+private:
+  void Run(unsigned aSeed);
+  HttpReply Send(unsigned aInstance, const std::string& aBody);
+  void Note(const HttpReply& aReply, double aSeconds);
+
+  std::string mKey;
+  std::mutex mLock;
+  std::vector<std::string> mAddresses; // by instance
+  BenchCounts mCounts;
+  std::atomic<bool> mEnding{ false };
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace caraway
+
+#endif
--- a/bench/ColdBench.cpp
+++ b/bench/ColdBench.cpp
@@ -203,7 +203,6 @@
     }
     int engine = mOurs ? ChooseOurs(zone, aCall.mModel)
                        : ChooseBaseline(zone, aCall.mModel);
-    
 
     if (engine < 0) {
       ++mResult.mRefused;
--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -330,6 +330,8 @@
   count("caraway_loads_decided_total", mLoader.Counts().mDecided);
   count("caraway_loads_joined_total", mLoader.Counts().mJoined);
   count("caraway_evictions_total", mLoader.Counts().mEvicted);
+  count("caraway_optional_loads_given_up_total",
+        mLoader.Counts().mOptionalGivenUp);
   const ShareClientCounts& shares = mShareClient->Counts();
   count("caraway_share_takes_total", shares.mTakes);
   count("caraway_share_asks_total", shares.mAsks);
@@ -352,6 +354,7 @@
   std::this_thread::sleep_for(mSettings.mShutdownLag);
   mCallers->Drain();
   mCallers->StopAccepting();
+  
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
             { "places", std::to_string(mOwner.Busy()) },
--- a/src/own/Loader.cpp
+++ b/src/own/Loader.cpp
@@ -80,9 +80,15 @@
 Result<EndpointSpec>
 Loader::Ensure(const ConfigSnapshot& aConfig,
                const ModelSpec& aModel,
+               LoadNeed aNeed,
                const LoadTurn::Urgency& aUrgency,
                TimePoint aUntil)
 {
+  bool optional = aNeed == LoadNeed::Optional;
+  LoadPlanTerms terms = mSettings.mTerms;
+  if (optional) {
+    terms.mLeastIdle = terms.mOptionalLeastIdle;
+  }
   std::vector<EndpointSpec> engines = EnginesOf(aConfig, mSettings.mZone);
   LoadTurn turn(mGate, aUrgency);
   while (mClock.Now() < aUntil) {
@@ -91,11 +97,12 @@
     if (!AnyReachable(candidates)) {
       return Fail(ErrorKind::NoEndpoint, "no engine answers in this zone");
     }
-    LoadPlan plan = LoadPlanChoose(candidates,
-                                   aModel.mName,
-                                   aModel.mVersion,
-                                   aModel.mBytes,
-                                   mSettings.mTerms);
+    LoadPlan plan = LoadPlanChoose(
+      candidates, aModel.mName, aModel.mVersion, aModel.mBytes, terms);
+    if (plan.mCandidate < 0 && optional) {
+      ++mCounts.mOptionalGivenUp;
+      return Fail(ErrorKind::NoCapacity, "no room for a replica to spare");
+    }
     if (plan.mCandidate < 0) {
       std::this_thread::sleep_for(kCrowded);
       continue;
--- a/src/own/Loader.h
+++ b/src/own/Loader.h
@@ -22,11 +22,18 @@
   LoadPlanTerms mTerms;
 };
 
+enum class LoadNeed
+{
+  Waited,  // requests wait for it
+  Optional // saves a way; nobody waits
+};
+
 struct LoaderCounts
 {
   std::atomic<int64_t> mDecided{ 0 };
   std::atomic<int64_t> mEvicted{ 0 };
   std::atomic<int64_t> mJoined{ 0 };
+  std::atomic<int64_t> mOptionalGivenUp{ 0 };
 };
 
 class Loader
@@ -40,9 +47,13 @@
   void TakeTurns(StoreGate& aGate) { mGate = &aGate; }
 
   // Blocks until the model is ready at an engine of this zone. NoCapacity
-  // when none has room in time, NoEndpoint when none answers.
+  // when none has room in time, NoEndpoint when none answers. An optional load
+  // evicts nothing that was used lately, and fails at once without room: a busy
+  // zone's replica isn't worth another model's cold start.
+
   Result<EndpointSpec> Ensure(const ConfigSnapshot& aConfig,
                               const ModelSpec& aModel,
+                              LoadNeed aNeed,
                               const LoadTurn::Urgency& aUrgency,
                               TimePoint aUntil);
   // The same for an adapter, at the given engine.
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -65,7 +65,8 @@
   auto action = HomeZoneAsk(aGroup.mHome, view, mHomeTerms, aNow);
   if (action == HomeZoneAction::AwayAndLoad && !aGroup.mLoading) {
     LogInfo("load_for_busy_zone", { { "model", aModel.mName } });
-    StartLoad(KeyOf(aModel), aGroup, aModel, aNow + kBusyLoad);
+    StartLoad(
+      KeyOf(aModel), aGroup, aModel, LoadNeed::Optional, aNow + kBusyLoad);
   }
   return action == HomeZoneAction::Here ? "" : home;
 }
@@ -114,7 +115,7 @@
     }
     shard.mWaiters[item.mId] = waiter;
     if (waiter->mCold && !group.mLoading) {
-      StartLoad(key, group, model->second, item.mStartBy);
+      StartLoad(key, group, model->second, LoadNeed::Waited, item.mStartBy);
     }
     Pump(shard, key, now);
   }
--- a/src/own/ModelOwner.h
+++ b/src/own/ModelOwner.h
@@ -85,10 +85,16 @@
   void StartLoad(const std::string& aKey,
                  ModelGroup& aGroup,
                  const ModelSpec& aModel,
+                 LoadNeed aNeed,
                  TimePoint aUntil);
   void LoadJob(const std::string& aKey,
                const ModelSpec& aModel,
+               LoadNeed aNeed,
                TimePoint aUntil);
+  void LoadFailed(const std::string& aKey,
+                  const ModelSpec& aModel,
+                  LoadNeed aNeed,
+                  const Failure& aFailure);
   Result<void> ReadyAdapter(Shard& aShard,
                             const std::string& aKey,
                             const EndpointSpec& aEndpoint,
--- a/src/own/ModelOwnerUpkeep.cpp
+++ b/src/own/ModelOwnerUpkeep.cpp
@@ -29,7 +29,8 @@
   auto model =
     config->mModels.find(aPlace.mGroup.substr(0, aPlace.mGroup.find('|')));
   if (model != config->mModels.end()) {
-    StartLoad(aPlace.mGroup, group, model->second, aNow + kReload);
+    StartLoad(
+      aPlace.mGroup, group, model->second, LoadNeed::Waited, aNow + kReload);
   }
 }
 
@@ -37,17 +38,47 @@
 ModelOwner::StartLoad(const std::string& aKey,
                       ModelGroup& aGroup,
                       const ModelSpec& aModel,
+                      LoadNeed aNeed,
                       TimePoint aUntil)
 {
   aGroup.mLoading = true;
   aGroup.mLoadBegan = mClock.Now();
-  mWorkers.Submit(
-    [this, aKey, aModel, aUntil] { LoadJob(aKey, aModel, aUntil); });
+  mWorkers.Submit([this, aKey, aModel, aNeed, aUntil] {
+    LoadJob(aKey, aModel, aNeed, aUntil);
+  });
+}
+
+void
+ModelOwner::LoadFailed(const std::string& aKey,
+                       const ModelSpec& aModel,
+                       LoadNeed aNeed,
+                       const Failure& aFailure)
+{
+  LogWarn("model_not_loaded",
+          { { "model", aModel.mName }, { "reason", aFailure.mDetail } });
+  Shard& shard = mShards[ShardOf(aKey)];
+  std::vector<uint64_t> waiting;
+  TimePoint until{};
+  for (const auto& waiter : shard.mWaiters) {
+    if (waiter.second->mGroup == aKey) {
+      waiting.push_back(waiter.first);
+      until = std::max(until, waiter.second->mItem.mStartBy);
+    }
+  }
+  if (aNeed == LoadNeed::Optional && !waiting.empty()) {
+    // The home failed meanwhile, and they wait for us now.
+    StartLoad(aKey, shard.mGroups[aKey], aModel, LoadNeed::Waited, until);
+    return;
+  }
+  for (uint64_t ticket : waiting) {
+    Refuse(shard, ticket, aFailure);
+  }
 }
 
 void
 ModelOwner::LoadJob(const std::string& aKey,
                     const ModelSpec& aModel,
+                    LoadNeed aNeed,
                     TimePoint aUntil)
 {
   ConfigPtr config = mConfig.Current();
@@ -56,24 +87,14 @@
     std::lock_guard<std::mutex> lock(shard.mLock);
     return shard.mGroups[aKey].mQueue.MostUrgent();
   };
-  auto loaded =
-    Outcome([&] { return mLoader.Ensure(*config, aModel, urgency, aUntil); });
+  auto loaded = Outcome(
+    [&] { return mLoader.Ensure(*config, aModel, aNeed, urgency, aUntil); });
   std::lock_guard<std::mutex> lock(shard.mLock);
   ModelGroup& group = shard.mGroups[aKey];
   TimePoint now = mClock.Now();
   group.mLoading = false;
   if (auto* failure = std::get_if<Failure>(&loaded)) {
-    LogWarn("model_not_loaded",
-            { { "model", aModel.mName }, { "reason", failure->mDetail } });
-    std::vector<uint64_t> waiting;
-    for (const auto& waiter : shard.mWaiters) {
-      if (waiter.second->mGroup == aKey) {
-        waiting.push_back(waiter.first);
-      }
-    }
-    for (uint64_t ticket : waiting) {
-      Refuse(shard, ticket, *failure);
-    }
+    LoadFailed(aKey, aModel, aNeed, *failure);
     return;
   }
   const EndpointSpec& endpoint = std::get<EndpointSpec>(loaded);
--- a/tests/process/HomeZoneTest.cpp
+++ b/tests/process/HomeZoneTest.cpp
@@ -1,5 +1,6 @@
 #include <future>
 #include <gtest/gtest.h>
+#include <thread>
 
 #include "decide/HomeZone.h"
 #include "support/Fleet.h"
@@ -97,6 +98,31 @@
   EXPECT_EQ(fleet.EngineState(1)["audit"]["loads"].asInt(), 1);
 }
 
+// A zone is busy with a model that is at home elsewhere, and its own models
+// were used seconds ago. A replica of its own would evict one of them, which
+// would be cold a moment later and evict in turn; without room it is done
+// without.
+TEST(HomeZones, BusyZoneEvictsNothingInUse)
+{
+  FleetPlan plan = Plan();
+  plan.mMemory = 100; // two models
+  Fleet fleet(plan);
+  std::vector<std::string> ours = AtHomeIn(fleet, "uspallata-b");
+  std::string busy = AtHomeIn(fleet, "mendoza-a").at(0);
+  ASSERT_GE(ours.size(), 2u);
+  for (const std::string& profile : { ours[0], ours[1], busy }) {
+    EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], profile, 1).Ok());
+  }
+  std::this_thread::sleep_for(Millis(2200)); // else none could be evicted
+  for (int i = 0; i < 80; ++i) {
+    EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], busy, 1).Ok());
+  }
+  EXPECT_TRUE(Eventually(Seconds(5), [&] {
+    return fleet.Metric(2, "caraway_optional_loads_given_up_total") == 1;
+  }));
+  EXPECT_EQ(Loads(fleet), 3);
+}
+
 // A zone whose engines have all been taken out serves its callers from the
 // other.
 TEST(HomeZones, ZoneWithoutEnginesServesFromTheOther)
