Whoever still comes to an instance that leaves is told at once

After the balancer's lag the port stopped accepting, and its listener stayed open: new connections waited in the backlog for our end, seconds later, and were reset with their requests sent.

Tried and not kept: closing the listener at once, so that a connection is refused.

Change: the port goes on accepting until the end and refuses new requests with shutting_down, 503, not run, come back in a second; an order with an Idempotency-Key is told may_have_run, since it may have been sent before. The listener is closed at the end.

Before: the new test gets 'Connection reset by peer'.

A request to a leaving instance on a kept connection was served before and is refused now, after the lag; within it everything is served, as before.

--- a/src/decide/LoadPlan.h
+++ b/src/decide/LoadPlan.h
@@ -25,7 +25,7 @@
   double mRemoteCost = 1.0;
   // A replica used within this time isn't evicted: two models that wake in
   // turn would otherwise evict each other on every request.
-    Millis mLeastIdle{ 2000 };
+  Millis mLeastIdle{ 2000 };
   // The same for a load that nobody waits for.
   Millis mOptionalLeastIdle{ 60000 };
   // Idle this long, a replica is as good as free.
--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -4,7 +4,6 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 
 #include "base/Log.h"
 
@@ -82,18 +81,18 @@
   : mPool(2, aLimits.mThreads, 30, kStackBytes)
 {
   constexpr int kBacklog = 256;
-  Poco::Net::ServerSocket socket;
+
   // Never shared: that this process could bind the port is taken as proof
   // that its former life is dead.
   constexpr bool kReuseAddress = true;
   constexpr bool kReusePort = false;
-  socket.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
-  socket.listen(kBacklog);
-  mAddress = socket.address().toString();
+  mListener.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
+  mListener.listen(kBacklog);
+  mAddress = mListener.address().toString();
   mServer = std::make_unique<Poco::Net::HTTPServer>(
     new FunctionFactory(std::move(aHandler)),
     mPool,
-    socket,
+    mListener,
     ServerParams(aLimits));
   mServer->start();
 }
@@ -118,10 +117,14 @@
 void
 HttpPort::StopAccepting()
 {
-  if (!mStopped) {
-    mServer->stop();
-    mStopped = true;
+  if (mStopped) {
+    return;
   }
+  mStopped = true;
+  mServer->stop();
+  // Stopping ends the accepting alone. Left open, the listener would go on
+  // taking connections that nobody serves.
+  mListener.close();
 }
 
 void
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -101,13 +101,31 @@
   context.mConfig = mConfig.Current();
   if (mDraining) {
     aResponse.setKeepAlive(false);
+    Refuse(aResponse, context, Leaving(aRequest));
+    return;
   }
+
   auto failure = FailureIn([&] { return Route(aRequest, aResponse, context); });
   if (failure) {
     Refuse(aResponse, context, *failure);
   }
 }
 
+Failure
+CallerPort::Leaving(Request& aRequest) const
+{
+  // Unread, it would have the connection reset before the answer is seen.
+  Outcome([&] {
+    return HttpReadBody(aRequest, mSettings.mBodyLimit, mSettings.mBodyTime);
+  });
+  Failure failure = FailureOf(ErrorKind::ShuttingDown, "ask another instance");
+  if (aRequest.has("Idempotency-Key")) {
+    // Not here; but the order may have run when it was sent before.
+    failure.mRun = RunState::MayHaveRun;
+  }
+  return failure;
+}
+
 void
 CallerPort::Refuse(Response& aResponse,
                    const RequestContext& aContext,
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -45,9 +45,10 @@
   std::string Address() const { return mPort->Address(); }
   // Requests between their first byte and their last.
   int InFlight() const { return mInFlight; }
-  // Connections are closed after the request they are serving.
+  // What is under way goes on. New requests are refused at once: whoever still
+  // connects after the balancer's lag would otherwise wait in the listener for
+  // our end, and be reset with its request sent.
   void Drain() { mDraining = true; }
-  void StopAccepting() { mPort->StopAccepting(); }
   void Close() { mPort.reset(); }
 
 private:
@@ -55,6 +56,8 @@
   using Response = Poco::Net::HTTPServerResponse;
 
   void Handle(Request& aRequest, Response& aResponse);
+  // To whoever comes while we leave.
+  Failure Leaving(Request& aRequest) const;
   Result<void> Route(Request& aRequest,
                      Response& aResponse,
                      RequestContext& aContext);
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -135,6 +135,40 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
 }
 
+// An instance leaves; a long answer keeps it for seconds after the balancer's
+// lag. A caller that still comes isn't served any more. Left in the listener's
+// backlog it would wait for the end and then be reset, with its request sent;
+// it is told at once to ask another. Of an order that may have been sent
+// before, the refusal doesn't say that it never ran.
+TEST(Leaving, WhoeverStillComesIsToldAtOnce)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mEngineWords = { "--token_ms=40" };
+  plan.mSettings = { "[shutdown]", "lag_ms = 200" };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply slow;
+  std::thread caller([&] { slow = fleet.Chat(1, key, "chat-m0", 100); });
+  std::this_thread::sleep_for(Millis(100));
+  fleet.mInstances[1]->Terminate();
+  HttpReply reply;
+  do {
+    reply = fleet.Chat(1, key, "chat-m0", 1);
+  } while (reply.Ok());
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(JsonParseOrEmpty(reply.mBody)["run"].asString(), "not_run");
+  EXPECT_FALSE(reply.Header("retry-after").empty());
+  reply = fleet.OrderCall(1, key, "k1", "sent before, elsewhere");
+  EXPECT_EQ(JsonParseOrEmpty(reply.mBody)["run"].asString(), "may_have_run");
+  EXPECT_TRUE(fleet.mInstances[1]->Running()); // with the slow one
+  caller.join();
+  EXPECT_TRUE(slow.Ok()) << slow.mError;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 // An engine is taken out of the configuration while it serves. What it is
 // serving ends whole; a second later it gets nothing new.
 TEST(Leaving, EndpointTakenOutGetsNoNewWork)
