A silent home is told to the zone's owner of the model

Cause, found by reading: the instance that found a home zone silent doubted it, and nobody asked it about that but itself. With several instances in a zone the models' owners went on sending requests to the silent home, and each found it silent anew. The test had one instance in the zone, where the two are one.

Change: the request that comes back tells the owner that the zone was silent; an instance that doubts a zone doesn't wait for it again.

--- a/src/own/HomeZones.cpp
+++ b/src/own/HomeZones.cpp
@@ -46,7 +46,7 @@
 }
 
 void
-HomeZones::Failed(const std::string& aZone)
+HomeZones::Silent(const std::string& aZone)
 {
   mMembers.DoubtZone(aZone);
 }
--- a/src/own/HomeZones.h
+++ b/src/own/HomeZones.h
@@ -24,7 +24,7 @@
   bool IsOurs(const std::string& aZone) const;
   // Nobody answered a request that was sent there. It is nobody's home until
   // one of its instances is heard.
-  void Failed(const std::string& aZone);
+  void Silent(const std::string& aZone);
 
 private:
   bool HasEngines(const std::string& aZone, const ConfigSnapshot& aConfig);
--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -51,6 +51,9 @@
   if (!mHomes) {
     return "";
   }
+  if (aRequest.mZoneSilent) {
+    mHomes->Silent(aRequest.mFailedZone);
+  }
   if (!aRequest.mFailedZone.empty()) {
     HomeZoneFailed(aGroup.mHome, mHomeTerms, aNow);
   }
--- a/src/own/PlaceRequest.cpp
+++ b/src/own/PlaceRequest.cpp
@@ -22,6 +22,7 @@
   }
   if (!aRequest.mFailedZone.empty()) {
     json["failed"] = aRequest.mFailedZone;
+    json["silent"] = aRequest.mZoneSilent;
   }
 
   return json;
@@ -45,6 +46,7 @@
   request.mHoldFor = Millis(aJson["hold"].asInt64());
   request.mHere = aJson["here"].asBool();
   request.mFailedZone = aJson["failed"].asString();
+  request.mZoneSilent = aJson["silent"].asBool();
 
   return request;
 }
--- a/src/own/PlaceRequest.h
+++ b/src/own/PlaceRequest.h
@@ -24,6 +24,7 @@
   Millis mHoldFor{ 60000 };    // a place not given back by then is taken back
   bool mHere = false;          // not to be sent to another zone
   std::string mFailedZone;     // the home that didn't serve it; "" = none
+  bool mZoneSilent = false;    // it didn't answer, that is
 };
 
 // A place, or a ticket to ask again with, or another zone to ask.
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -168,11 +168,13 @@
     return grant;
   }
   std::string zone = grant->mAway;
-  if (auto away = AcquireAway(request, zone, caller, aOwner)) {
+  bool silent = false;
+  if (auto away = AcquireAway(request, zone, caller, aOwner, silent)) {
     return std::move(*away);
   }
   request = PlaceFor(aCall, mClock.Now());
   request.mFailedZone = zone;
+  request.mZoneSilent = silent;
   return AcquireNear(request, caller, aOwner);
 }
 
@@ -180,22 +182,24 @@
 ModelCalls::AcquireAway(PlaceRequest aRequest,
                         const std::string& aZone,
                         const Caller& aCaller,
-                        InstanceInfo& aOwner)
+                        InstanceInfo& aOwner,
+                        bool& aSilent)
 {
   auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
-  if (!owner) {
+  // Found by another request, and not known to our zone's owner.
+  aSilent = !owner || mMembers.AnsweringZones().count(aZone) == 0;
+  if (aSilent) {
     return std::nullopt;
   }
   aOwner = *owner;
   aRequest.mHere = true; // else two zones could send it to and fro
-  bool silent = false;
   auto answer = Outcome([&]() -> Result<PlaceGrant> {
     auto answered = AcquireFrom(aRequest, aCaller, aOwner);
-    silent = !answered;
-    return silent ? Fail(ErrorKind::NoEndpoint, "the home is silent")
-                  : std::move(*answered);
+    aSilent = !answered;
+    return aSilent ? Fail(ErrorKind::NoEndpoint, "the home is silent")
+                   : std::move(*answered);
   });
-  if (silent) {
+  if (aSilent) {
     mMetrics.Count("caraway_home_silent_total", "zone=\"" + aZone + "\"");
     mMembers.Dead(aOwner.mPeerAddress);
     mMembers.DoubtZone(aZone);
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -80,11 +80,12 @@
   Result<PlaceGrant> AcquireNear(const PlaceRequest& aRequest,
                                  const Caller& aCaller,
                                  InstanceInfo& aOwner);
-  // nullopt: the zone doesn't answer or can't serve it.
+  // nullopt: the zone doesn't answer (aSilent) or can't serve it.
   std::optional<Result<PlaceGrant>> AcquireAway(PlaceRequest aRequest,
                                                 const std::string& aZone,
                                                 const Caller& aCaller,
-                                                InstanceInfo& aOwner);
+                                                InstanceInfo& aOwner,
+                                                bool& aSilent);
 
   Result<void> StillValid(const Caller& aCaller) const;
   // nullopt: that owner doesn't answer.
