An adapter's turn is a scope, and its limit has a test

Change: AdapterTurn, as LoadTurn is for weights. The new test fails when the limit is taken out, and passes with it.

--- a/src/own/Loader.cpp
+++ b/src/own/Loader.cpp
@@ -5,6 +5,7 @@
 #include "base/Log.h"
 #include "base/RandomId.h"
 #include "decide/PlacementStep.h"
+#include "own/AdapterTurn.h"
 
 namespace caraway {
 
@@ -312,18 +313,11 @@
                       const ModelSpec& aAdapter,
                       TimePoint aUntil)
 {
-  if (mGate && !mGate->EnterAdapter(aUntil)) {
+  AdapterTurn turn(mGate, aUntil);
+  if (!turn.In()) {
     return Fail(ErrorKind::NoCapacity, "too many adapters are on their way");
   }
-  auto failure =
-    FailureIn([&] { return LoadAdapter(aEndpoint, aAdapter, aUntil); });
-  if (mGate) {
-    mGate->LeaveAdapter();
-  }
-  if (failure) {
-    return Fail(*failure);
-  }
-  return {};
+  return LoadAdapter(aEndpoint, aAdapter, aUntil);
 }
 
 Result<void>
--- a/tests/unit/StoreGateTest.cpp
+++ b/tests/unit/StoreGateTest.cpp
@@ -1,9 +1,10 @@
 #include <condition_variable>
 #include <gtest/gtest.h>
+#include <list>
 #include <mutex>
 
 #include "caraway/PausedClock.h"
-#include "own/StoreGate.h"
+#include "own/AdapterTurn.h"
 #include "peer/PeerPort.h"
 
 namespace caraway {
@@ -110,4 +111,23 @@
   EXPECT_EQ(in, 4 / 2);
 }
 
+// A burst wants more adapters at once than the fleet may have on their way.
+// Each instance keeps to its part, so that they don't all arrive late; a place
+// that comes free is given to the next.
+TEST(AdapterTurns, EachInstanceKeepsToItsPart)
+{
+  PausedClock clock;
+  GateNode node("i0", "mendoza-a", clock);
+  node.mMembers->Heard({ "i1", "mendoza-a", "127.0.0.1:1", false });
+  node.mMembers->Heard({ "i2", "uspallata-b", "127.0.0.1:2", false });
+  constexpr size_t kPart = 30 / 3;
+  std::list<AdapterTurn> turns;
+  for (size_t i = 0; i < kPart; ++i) {
+    EXPECT_TRUE(turns.emplace_back(node.mGate.get(), clock.Now()).In());
+  }
+  EXPECT_FALSE(AdapterTurn(node.mGate.get(), clock.Now()).In());
+  turns.pop_front();
+  EXPECT_TRUE(AdapterTurn(node.mGate.get(), clock.Now()).In());
+}
+
 } // namespace caraway
