--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -150,8 +150,10 @@
     SharesOf(mSettings), mSettings.mZones, *mShares, mPeers, *mMembers, mClock);
   mClaims = std::make_unique<ClaimDriver>(
     mIncarnation, mPlatform, mPeers, mClaimBook, mClaimWorkers, mClock);
+  mPlaces =
+    std::make_unique<PlaceFinder>(mOwner, *mMembers, mPeers, mKeys, mMetrics);
   mModels = std::make_unique<ModelCalls>(
-    mOwner, *mMembers, mPeers, *mShareClient, mKeys, mMetrics, mClock);
+    *mPlaces, *mShareClient, mKeys, mMetrics, mClock);
   mServices = std::make_unique<ServiceCalls>(
     *mClaims, *mShareClient, mSettings.mZone, mClock);
   AddPeerMethods();
@@ -190,7 +192,7 @@
   mShares->AddMethods(add);
   mGate->AddMethods(add);
   mClaims->AddMethods(add);
-  mModels->AddMethods(add);
+  mPlaces->AddMethods(add);
   add("status", [this](const Json::Value&) { return Status(); });
 }
 
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -74,6 +74,7 @@
   Authenticator mKeys;
   ClaimBook mClaimBook;
   std::unique_ptr<ClaimDriver> mClaims;
+  std::unique_ptr<PlaceFinder> mPlaces;
   std::unique_ptr<ModelCalls> mModels;
   std::unique_ptr<ServiceCalls> mServices;
   BriefingStore mBriefings;
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -9,12 +9,9 @@
 
 #include "base/Metrics.h"
 #include "caraway/Clock.h"
-#include "own/ModelOwner.h"
-#include "peer/Members.h"
-#include "peer/PeerClient.h"
-#include "peer/PeerRpc.h"
 #include "serve/Authenticator.h"
 #include "serve/EngineStream.h"
+#include "serve/PlaceFinder.h"
 #include "serve/RequestContext.h"
 #include "serve/RetryBudget.h"
 #include "share/ShareClient.h"
@@ -39,9 +36,7 @@
 class ModelCalls
 {
 public:
-  ModelCalls(ModelOwner& aOwner,
-             Members& aMembers,
-             PeerClient& aPeers,
+  ModelCalls(PlaceFinder& aPlaces,
              ShareClient& aShares,
              Authenticator& aKeys,
              Metrics& aMetrics,
@@ -55,8 +50,6 @@
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken);
 
-  void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
-
 private:
   // One generation at one engine, and what the key had against it.
   struct Try
@@ -73,30 +66,7 @@
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken,
     ModelAnswer& aSoFar);
-  // aHere: at an engine of our zone, wherever the model's home is.
-  Result<PlaceGrant> Acquire(const ModelCall& aCall,
-                             bool aHere,
-                             InstanceInfo& aOwner);
-  Result<PlaceGrant> AcquireNear(const PlaceRequest& aRequest,
-                                 const Caller& aCaller,
-                                 InstanceInfo& aOwner);
-  // nullopt: the zone doesn't answer (aSilent) or can't serve it.
-  std::optional<Result<PlaceGrant>> AcquireAway(PlaceRequest aRequest,
-                                                const std::string& aZone,
-                                                const Caller& aCaller,
-                                                InstanceInfo& aOwner,
-                                                bool& aSilent);
-
-  Result<void> StillValid(const Caller& aCaller) const;
-  // nullopt: that owner doesn't answer.
-  std::optional<Result<PlaceGrant>> AcquireFrom(const PlaceRequest& aRequest,
-                                                const Caller& aCaller,
-                                                const InstanceInfo& aOwner);
-  void Return(const InstanceInfo& aOwner, const PlaceReturn& aReturn);
-
-  ModelOwner& mOwner;
-  Members& mMembers;
-  PeerClient& mPeers;
+  PlaceFinder& mPlaces;
   ShareClient& mShares;
   Authenticator& mKeys;
   Metrics& mMetrics;
--- /dev/null
+++ b/src/serve/PlaceFinder.cpp
@@ -0,0 +1,223 @@
+#include "serve/PlaceFinder.h"
+
+namespace caraway {
+
+namespace {
+
+// An owner answers within ModelOwner::kWait, or loads an adapter first.
+constexpr Millis kOwnerTime{ 2700 };
+constexpr Millis kReturnTime{ 500 };
+
+std::string
+OwnerKey(const PlaceRequest& aRequest)
+{
+  return "model/" + aRequest.mModel;
+}
+
+// A refusal by an owner elsewhere, back as the failure it was.
+leaf::error_id
+PeerRefusal(const Json::Value& aJson)
+{
+  Failure failure = FailureOf(ErrorKindOf(aJson["kind"].asCString()),
+                              aJson["detail"].asString());
+  failure.mRetryAfter = Millis(aJson["retry"].asInt64());
+  failure.mRun = RunState::NotRun;
+  return Fail(failure);
+}
+
+Json::Value
+GrantJson(const std::function<Result<PlaceGrant>()>& aAsk)
+{
+  auto answer = Outcome(aAsk);
+  if (auto* failure = std::get_if<Failure>(&answer)) {
+    Json::Value json;
+    json["kind"] = ErrorAnswerOf(failure->mKind).mName;
+    json["detail"] = failure->mDetail;
+    json["retry"] = Json::Int64(failure->mRetryAfter.count());
+    return json;
+  }
+  return PlaceGrantJson(std::get<PlaceGrant>(answer));
+}
+
+} // namespace
+
+PlaceFinder::PlaceFinder(ModelOwner& aOwner,
+                         Members& aMembers,
+                         PeerClient& aPeers,
+                         Authenticator& aKeys,
+                         Metrics& aMetrics)
+  : mOwner(aOwner)
+  , mMembers(aMembers)
+  , mPeers(aPeers)
+  , mKeys(aKeys)
+  , mMetrics(aMetrics)
+{
+}
+
+// Our zone's owner first: it knows whether there is a replica here, and
+// otherwise sends us to the model's home zone. Where that fails, back to our
+// zone, which then loads the model itself.
+Result<PlaceGrant>
+PlaceFinder::Acquire(const std::function<PlaceRequest()>& aRequest,
+                     const Caller& aCaller,
+                     InstanceInfo& aOwner)
+{
+  PlaceRequest request = aRequest();
+  Result<PlaceGrant> grant = AcquireNear(request, aCaller, aOwner);
+  if (!grant || grant->mAway.empty()) {
+    return grant;
+  }
+  std::string zone = grant->mAway;
+  bool silent = false;
+  if (auto away = AcquireAway(request, zone, aCaller, aOwner, silent)) {
+    return std::move(*away);
+  }
+  request = aRequest();
+  request.mFailedZone = zone;
+  request.mZoneSilent = silent;
+  return AcquireNear(request, aCaller, aOwner);
+}
+
+std::optional<Result<PlaceGrant>>
+PlaceFinder::AcquireAway(PlaceRequest aRequest,
+                         const std::string& aZone,
+                         const Caller& aCaller,
+                         InstanceInfo& aOwner,
+                         bool& aSilent)
+{
+  auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
+  // Found by another request, and not known to our zone's owner.
+  aSilent = !owner || mMembers.AnsweringZones().count(aZone) == 0;
+  if (aSilent) {
+    return std::nullopt;
+  }
+  aOwner = *owner;
+  aRequest.mHere = true; // else two zones could send it to and fro
+  auto answer = Outcome([&]() -> Result<PlaceGrant> {
+    auto answered = AcquireFrom(aRequest, aCaller, aOwner);
+    aSilent = !answered;
+    return aSilent ? Fail(ErrorKind::NoEndpoint, "the home is silent")
+                   : std::move(*answered);
+  });
+  if (aSilent) {
+    mMetrics.Count("caraway_home_silent_total", "zone=\"" + aZone + "\"");
+    mMembers.Dead(aOwner.mPeerAddress);
+    mMembers.DoubtZone(aZone);
+    return std::nullopt;
+  }
+  if (auto* grant = std::get_if<PlaceGrant>(&answer)) {
+    mMetrics.Count("caraway_served_away_total", "zone=\"" + aZone + "\"");
+    return Result<PlaceGrant>(std::move(*grant));
+  }
+  const Failure& failure = std::get<Failure>(answer);
+  bool elsewhere = failure.mKind == ErrorKind::NoEndpoint ||
+                   failure.mKind == ErrorKind::NoCapacity;
+  if (elsewhere) {
+    return std::nullopt;
+  }
+  return Result<PlaceGrant>(Fail(failure));
+}
+
+// The zone's owner of the model; if it doesn't answer, the next; at last
+// ourselves. A second owner decides by the same conditional updates.
+Result<PlaceGrant>
+PlaceFinder::AcquireNear(const PlaceRequest& aRequest,
+                         const Caller& aCaller,
+                         InstanceInfo& aOwner)
+{
+  constexpr int kOwners = 2;
+  for (int i = 0; i < kOwners; ++i) {
+    aOwner = mMembers.Owner(OwnerKey(aRequest));
+    if (aOwner.mId == mMembers.Self().mId) {
+      break;
+    }
+    if (auto answer = AcquireFrom(aRequest, aCaller, aOwner)) {
+      return std::move(*answer);
+    }
+    mMembers.Dead(aOwner.mPeerAddress);
+  }
+  aOwner = mMembers.Self();
+  Result<PlaceGrant> grant = mOwner.Acquire(aRequest);
+  while (grant && grant->mTicket != 0) {
+    BOOST_LEAF_CHECK(StillValid(aCaller));
+    grant = mOwner.Await(grant->mTicket);
+  }
+  return grant;
+}
+
+// Asked between the rounds of waiting. A withdrawn key would otherwise hold its
+// place in the queue until the load's end, and its caller in the dark.
+Result<void>
+PlaceFinder::StillValid(const Caller& aCaller) const
+{
+  if (auto trouble = mKeys.Trouble(aCaller)) {
+    return Fail(*trouble, "the key, while the request waited");
+  }
+  return {};
+}
+
+// Short calls, again and again: an owner that is frozen or dies while we wait
+// is noticed within one of them.
+std::optional<Result<PlaceGrant>>
+PlaceFinder::AcquireFrom(const PlaceRequest& aRequest,
+                         const Caller& aCaller,
+                         const InstanceInfo& aOwner)
+{
+  const char* method = "model.acquire";
+  Json::Value params = PlaceRequestJson(aRequest);
+  for (;;) {
+    auto answer = Outcome([&] {
+      return mPeers.Call(aOwner.mPeerAddress, method, params, kOwnerTime);
+    });
+    auto* json = std::get_if<Json::Value>(&answer);
+    if (!json) {
+      return std::nullopt;
+    }
+    if (json->isMember("kind")) {
+      return Result<PlaceGrant>(PeerRefusal(*json));
+    }
+    if (!json->isMember("ticket")) {
+      return Result<PlaceGrant>(PlaceGrantParse(*json));
+    }
+    if (auto valid = StillValid(aCaller); !valid) {
+      return Result<PlaceGrant>(valid.error());
+    }
+    method = "model.await";
+    params = *json;
+  }
+}
+
+void
+PlaceFinder::Return(const InstanceInfo& aOwner, const PlaceReturn& aReturn)
+{
+  if (aOwner.mId == mMembers.Self().mId) {
+    mOwner.Return(aReturn);
+    return;
+  }
+  Outcome([&] {
+    return mPeers.Call(aOwner.mPeerAddress,
+                       "model.return",
+                       PlaceReturnJson(aReturn),
+                       kReturnTime);
+  });
+}
+
+void
+PlaceFinder::AddMethods(
+  const std::function<void(const char*, PeerMethod)>& aAdd)
+{
+  aAdd("model.acquire", [this](const Json::Value& aParams) {
+    return GrantJson(
+      [&] { return mOwner.Acquire(PlaceRequestParse(aParams)); });
+  });
+  aAdd("model.await", [this](const Json::Value& aParams) {
+    return GrantJson(
+      [&] { return mOwner.Await(aParams["ticket"].asUInt64()); });
+  });
+  aAdd("model.return", [this](const Json::Value& aParams) {
+    mOwner.Return(PlaceReturnParse(aParams));
+    return Json::Value(Json::objectValue);
+  });
+}
+
+} // namespace caraway
