One death at a home zone isn't taken for the zone's loss

Cause, found by reading: the first silence of a home's owner put the whole zone in doubt, and its models were loaded anew wherever they were asked for, until one of its instances was heard.

Ruled out: telling a death (refused at once) from a cut (no answer) by time; it would spare a request 2.7 s in a cut, at the price of another rule.

Change: two owners of the home zone are asked in turn, as in one's own zone, before the zone is in doubt.

Before: the new test's model is loaded a second time; after: it isn't, twice run with the other five.

--- a/src/serve/PlaceFinder.cpp
+++ b/src/serve/PlaceFinder.cpp
@@ -7,6 +7,7 @@
 // An owner answers within ModelOwner::kWait, or loads an adapter first.
 constexpr Millis kOwnerTime{ 2700 };
 constexpr Millis kReturnTime{ 500 };
+constexpr int kOwners = 2; // asked in turn, of a zone
 
 std::string
 OwnerKey(const PlaceRequest& aRequest)
@@ -78,6 +79,27 @@
   return AcquireNear(request, aCaller, aOwner);
 }
 
+// Two owners, as in our zone: one may have died. Both silent, it is the zone.
+std::optional<Result<PlaceGrant>>
+PlaceFinder::AskZone(const PlaceRequest& aRequest,
+                     const std::string& aZone,
+                     const Caller& aCaller,
+                     InstanceInfo& aOwner)
+{
+  for (int i = 0; i < kOwners; ++i) {
+    auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
+    if (!owner) {
+      break;
+    }
+    aOwner = *owner;
+    if (auto answer = AcquireFrom(aRequest, aCaller, aOwner)) {
+      return answer;
+    }
+    mMembers.Dead(aOwner.mPeerAddress);
+  }
+  return std::nullopt;
+}
+
 std::optional<Result<PlaceGrant>>
 PlaceFinder::AcquireAway(PlaceRequest aRequest,
                          const std::string& aZone,
@@ -85,26 +107,24 @@
                          InstanceInfo& aOwner,
                          bool& aSilent)
 {
-  auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
   // Found by another request, and not known to our zone's owner.
-  aSilent = !owner || mMembers.AnsweringZones().count(aZone) == 0;
+  aSilent = mMembers.AnsweringZones().count(aZone) == 0;
   if (aSilent) {
     return std::nullopt;
   }
-  aOwner = *owner;
   aRequest.mHere = true; // else two zones could send it to and fro
   auto answer = Outcome([&]() -> Result<PlaceGrant> {
-    auto answered = AcquireFrom(aRequest, aCaller, aOwner);
+    auto answered = AskZone(aRequest, aZone, aCaller, aOwner);
     aSilent = !answered;
     return aSilent ? Fail(ErrorKind::NoEndpoint, "the home is silent")
                    : std::move(*answered);
   });
   if (aSilent) {
     mMetrics.Count("caraway_home_silent_total", "zone=\"" + aZone + "\"");
-    mMembers.Dead(aOwner.mPeerAddress);
     mMembers.DoubtZone(aZone);
     return std::nullopt;
   }
+
   if (auto* grant = std::get_if<PlaceGrant>(&answer)) {
     mMetrics.Count("caraway_served_away_total", "zone=\"" + aZone + "\"");
     return Result<PlaceGrant>(std::move(*grant));
@@ -125,7 +145,6 @@
                          const Caller& aCaller,
                          InstanceInfo& aOwner)
 {
-  constexpr int kOwners = 2;
   for (int i = 0; i < kOwners; ++i) {
     aOwner = mMembers.Owner(OwnerKey(aRequest));
     if (aOwner.mId == mMembers.Self().mId) {
--- a/src/serve/PlaceFinder.h
+++ b/src/serve/PlaceFinder.h
@@ -44,6 +44,11 @@
                                                 InstanceInfo& aOwner,
                                                 bool& aSilent);
 
+  // nullopt: nobody there answers.
+  std::optional<Result<PlaceGrant>> AskZone(const PlaceRequest& aRequest,
+                                            const std::string& aZone,
+                                            const Caller& aCaller,
+                                            InstanceInfo& aOwner);
   Result<void> StillValid(const Caller& aCaller) const;
   // nullopt: that owner doesn't answer.
   std::optional<Result<PlaceGrant>> AcquireFrom(const PlaceRequest& aRequest,
--- a/tests/process/HomeZoneTest.cpp
+++ b/tests/process/HomeZoneTest.cpp
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "decide/HomeZone.h"
+#include "decide/Rendezvous.h"
 #include "support/Fleet.h"
 
 namespace caraway {
@@ -108,6 +109,21 @@
   EXPECT_EQ(fleet.EngineState(1)["audit"]["loads"].asInt(), 1);
 }
 
+// The instance that owns the model at its home dies. The other one there is
+// asked; taken for the loss of the zone, one death would make the home's models
+// cold for everyone else.
+TEST(HomeZones, OneDeathAtHomeIsNoLostZone)
+{
+  Fleet fleet(Plan());
+  std::string profile = AtHomeIn(fleet, "mendoza-a").at(0);
+  std::string model = profile.substr(std::string("chat-").size());
+  EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], profile, 4).Ok());
+  bool first = RendezvousOwner({ "i0", "i1" }, "model/" + model) == "i0";
+  fleet.mInstances[first ? 0 : 1]->Kill();
+  EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], profile, 4).Ok());
+  EXPECT_EQ(fleet.EngineState(1)["audit"]["loads"].asInt(), 0);
+}
+
 // A zone is busy with a model that is at home elsewhere, and its own models
 // were used seconds ago. A replica of its own would evict one of them, which
 // would be cold a moment later and evict in turn; without room it is done
