--- a/bench/FailureBench.cpp
+++ b/bench/FailureBench.cpp
@@ -103,16 +103,6 @@
   return true;
 }
 
-int
-Loads(Fleet& aFleet)
-{
-  int loads = 0;
-  for (size_t i = 0; i < aFleet.mEngines.size(); ++i) {
-    loads += aFleet.EngineState(i)["audit"]["loads"].asInt();
-  }
-  return loads;
-}
-
 void
 PrintWhy(const BenchCounts& aCounts)
 {
@@ -132,7 +122,7 @@
   CallsMeter meter(aFleet);
   std::this_thread::sleep_for(Seconds(2));
   aCallers.Take();
-  int loads = Loads(aFleet);
+  int loads = aFleet.EngineAudit("loads");
   aHappens();
 
   auto begun = std::chrono::steady_clock::now();
@@ -154,7 +144,7 @@
               counts.mRefused,
               counts.mCut,
               counts.mSlowest,
-              Loads(aFleet) - loads);
+              aFleet.EngineAudit("loads") - loads);
   PrintWhy(counts);
 
   std::fflush(stdout);
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -44,16 +44,6 @@
     .count();
 }
 
-int
-Loads(Fleet& aFleet)
-{
-  int loads = 0;
-  for (size_t i = 0; i < aFleet.mEngines.size(); ++i) {
-    loads += aFleet.EngineState(i)["audit"]["loads"].asInt();
-  }
-  return loads;
-}
-
 void
 ColdAndWarm(Fleet& aFleet)
 {
@@ -77,8 +67,8 @@
   Step(whole == 6,
        "a burst of 6 first requests at 2 instances: " + std::to_string(whole) +
          " whole answers");
-  Step(Loads(aFleet) == 1,
-       "loads made for it: " + std::to_string(Loads(aFleet)));
+  Step(aFleet.EngineAudit("loads") == 1,
+       "loads made for it: " + std::to_string(aFleet.EngineAudit("loads")));
   int64_t warm = MillisOf([&] { aFleet.Chat(1, key, "chat-m0", 8); });
   Step(warm < cold,
        "cold start " + std::to_string(cold) + " ms, warm " +
--- a/tests/process/HomeZoneTest.cpp
+++ b/tests/process/HomeZoneTest.cpp
@@ -20,16 +20,6 @@
   return plan;
 }
 
-int
-Loads(Fleet& aFleet)
-{
-  int loads = 0;
-  for (size_t i = 0; i < aFleet.mEngines.size(); ++i) {
-    loads += aFleet.EngineState(i)["audit"]["loads"].asInt();
-  }
-  return loads;
-}
-
 // Profiles of models whose home is aZone.
 std::vector<std::string>
 AtHomeIn(const Fleet& aFleet, const std::string& aZone)
@@ -61,7 +51,7 @@
   for (auto& reply : burst) {
     EXPECT_TRUE(reply.get().Ok());
   }
-  EXPECT_EQ(Loads(fleet), 1);
+  EXPECT_EQ(fleet.EngineAudit("loads"), 1);
 }
 
 // The home zone is cut off. Callers elsewhere get their answers from a replica
@@ -89,7 +79,7 @@
   }
   EXPECT_LE(found, 2);
 
-  EXPECT_EQ(Loads(fleet), static_cast<int>(away.size()));
+  EXPECT_EQ(fleet.EngineAudit("loads"), static_cast<int>(away.size()));
 }
 
 // A replica that the home has is used from everywhere until the home is lost;
@@ -100,7 +90,7 @@
   std::string profile = AtHomeIn(fleet, "mendoza-a").at(0);
   EXPECT_TRUE(fleet.Chat(0, fleet.mKeys["acme"], profile, 4).Ok());
   EXPECT_TRUE(fleet.Chat(2, fleet.mKeys["acme"], profile, 4).Ok());
-  EXPECT_EQ(Loads(fleet), 1);
+  EXPECT_EQ(fleet.EngineAudit("loads"), 1);
   EXPECT_EQ(fleet.Metric(2, "caraway_served_away_total{zone=\"mendoza-a\"}"),
             1);
   fleet.mEngines[0]->Kill();
@@ -146,7 +136,7 @@
   EXPECT_TRUE(Eventually(Seconds(5), [&] {
     return fleet.Metric(2, "caraway_optional_loads_given_up_total") == 1;
   }));
-  EXPECT_EQ(Loads(fleet), 3);
+  EXPECT_EQ(fleet.EngineAudit("loads"), 3);
 }
 
 // A zone whose engines have all been taken out serves its callers from the
--- a/tests/process/PlacementTest.cpp
+++ b/tests/process/PlacementTest.cpp
@@ -88,16 +88,6 @@
   std::thread mThread;
 };
 
-int
-Sum(Fleet& aFleet, const char* aAudit)
-{
-  int sum = 0;
-  for (size_t i = 0; i < aFleet.mEngines.size(); ++i) {
-    sum += aFleet.EngineState(i)["audit"][aAudit].asInt();
-  }
-  return sum;
-}
-
 size_t
 OwnerOfLoad(Fleet& aFleet)
 {
@@ -129,7 +119,7 @@
   for (auto& reply : burst) {
     EXPECT_TRUE(reply.get().Ok());
   }
-  EXPECT_EQ(Sum(fleet, "loads"), 1);
+  EXPECT_EQ(fleet.EngineAudit("loads"), 1);
 }
 
 // The instance that decided a load is killed while the engine is loading. The
@@ -146,13 +136,14 @@
   auto first = std::async(std::launch::async, [&] {
     return fleet.Chat(0, fleet.mKeys["acme"], "chat-m0", 4);
   });
-  ASSERT_TRUE(Eventually(Seconds(5), [&] { return Sum(fleet, "loads") == 1; }));
+  ASSERT_TRUE(
+    Eventually(Seconds(5), [&] { return fleet.EngineAudit("loads") == 1; }));
   size_t owner = OwnerOfLoad(fleet);
   ASSERT_LT(owner, fleet.mInstances.size());
   fleet.mInstances[owner]->Kill();
   size_t other = owner == 2 ? 1 : 2;
   EXPECT_TRUE(fleet.Chat(other, fleet.mKeys["acme"], "chat-m0", 4).Ok());
-  EXPECT_EQ(Sum(fleet, "loads"), 1);
+  EXPECT_EQ(fleet.EngineAudit("loads"), 1);
   first.wait();
 }
 
@@ -171,7 +162,8 @@
   auto first = std::async(std::launch::async, [&] {
     return fleet.Chat(0, fleet.mKeys["acme"], "chat-m0", 4);
   });
-  ASSERT_TRUE(Eventually(Seconds(5), [&] { return Sum(fleet, "loads") == 1; }));
+  ASSERT_TRUE(
+    Eventually(Seconds(5), [&] { return fleet.EngineAudit("loads") == 1; }));
   size_t owner = OwnerOfLoad(fleet);
   ASSERT_LT(owner, fleet.mInstances.size());
   fleet.mInstances[owner]->Stop();
@@ -185,7 +177,7 @@
   auditor.Stop();
   EXPECT_GT(auditor.Looks(), 0);
   EXPECT_EQ(auditor.Undecided(), 0);
-  EXPECT_EQ(Sum(fleet, "overcommits"), 0);
+  EXPECT_EQ(fleet.EngineAudit("overcommits"), 0);
 }
 
 class PlacementTrouble : public testing::TestWithParam<bool>
@@ -250,7 +242,7 @@
   auditor.Stop();
   EXPECT_GT(auditor.Looks(), 20);
   EXPECT_EQ(auditor.Undecided(), 0);
-  EXPECT_EQ(Sum(fleet, "overcommits"), 0);
+  EXPECT_EQ(fleet.EngineAudit("overcommits"), 0);
   EXPECT_GE(served, 20);
 }
 
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -442,6 +442,16 @@
     Call(mEngines[aEngine]->Address(), "GET", "/state").mBody);
 }
 
+int
+Fleet::EngineAudit(const char* aCount)
+{
+  int sum = 0;
+  for (size_t i = 0; i < mEngines.size(); ++i) {
+    sum += EngineState(i)["audit"][aCount].asInt();
+  }
+  return sum;
+}
+
 void
 Fleet::PlatformFault(const std::string& aName, const Json::Value& aValue)
 {
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -68,6 +68,8 @@
   // Runs of a body, over all services.
   int Runs(const std::string& aBody);
   Json::Value EngineState(size_t aEngine);
+  // "loads", "overcommits" and the like, over all engines.
+  int EngineAudit(const char* aCount);
   void PlatformFault(const std::string& aName, const Json::Value& aValue);
   Json::Value PlatformCounters();
   void ProxyMode(Child& aProxy, const Json::Value& aMode);
