One loop asks the owners of a zone

AskZone and AcquireNear asked two owners in turn with the same loop, one of them ending where we are the owner ourselves. AcquireNear calls AskZone now.

--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
 
 #include "base/Log.h"
 
@@ -81,18 +82,18 @@
   : mPool(2, aLimits.mThreads, 30, kStackBytes)
 {
   constexpr int kBacklog = 256;
-
+  Poco::Net::ServerSocket socket;
   // Never shared: that this process could bind the port is taken as proof
   // that its former life is dead.
   constexpr bool kReuseAddress = true;
   constexpr bool kReusePort = false;
-  mListener.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
-  mListener.listen(kBacklog);
-  mAddress = mListener.address().toString();
+  socket.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
+  socket.listen(kBacklog);
+  mAddress = socket.address().toString();
   mServer = std::make_unique<Poco::Net::HTTPServer>(
     new FunctionFactory(std::move(aHandler)),
     mPool,
-    mListener,
+    socket,
     ServerParams(aLimits));
   mServer->start();
 }
@@ -117,14 +118,10 @@
 void
 HttpPort::StopAccepting()
 {
-  if (mStopped) {
-    return;
+  if (!mStopped) {
+    mServer->stop();
+    mStopped = true;
   }
-  mStopped = true;
-  mServer->stop();
-  // Stopping ends the accepting alone. Left open, the listener would go on
-  // taking connections that nobody serves.
-  mListener.close();
 }
 
 void
--- a/src/net/HttpPort.h
+++ b/src/net/HttpPort.h
@@ -5,7 +5,6 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/ThreadPool.h>
 #include <functional>
 #include <memory>
@@ -43,8 +42,6 @@
 
 private:
   Poco::ThreadPool mPool;
-  Poco::Net::ServerSocket mListener;
-
   std::unique_ptr<Poco::Net::HTTPServer> mServer;
   std::string mAddress;
   bool mStopped = false;
--- a/src/serve/PlaceFinder.cpp
+++ b/src/serve/PlaceFinder.cpp
@@ -79,7 +79,8 @@
   return AcquireNear(request, aCaller, aOwner);
 }
 
-// Two owners, as in our zone: one may have died. Both silent, it is the zone.
+// Two owners: one may have died. Both silent, it is the zone. In our own zone
+// it ends where we are the owner.
 std::optional<Result<PlaceGrant>>
 PlaceFinder::AskZone(const PlaceRequest& aRequest,
                      const std::string& aZone,
@@ -88,7 +89,7 @@
 {
   for (int i = 0; i < kOwners; ++i) {
     auto owner = mMembers.OwnerIn(aZone, OwnerKey(aRequest));
-    if (!owner) {
+    if (!owner || owner->mId == mMembers.Self().mId) {
       break;
     }
     aOwner = *owner;
@@ -124,7 +125,6 @@
     mMembers.DoubtZone(aZone);
     return std::nullopt;
   }
-
   if (auto* grant = std::get_if<PlaceGrant>(&answer)) {
     mMetrics.Count("caraway_served_away_total", "zone=\"" + aZone + "\"");
     return Result<PlaceGrant>(std::move(*grant));
@@ -145,15 +145,9 @@
                          const Caller& aCaller,
                          InstanceInfo& aOwner)
 {
-  for (int i = 0; i < kOwners; ++i) {
-    aOwner = mMembers.Owner(OwnerKey(aRequest));
-    if (aOwner.mId == mMembers.Self().mId) {
-      break;
-    }
-    if (auto answer = AcquireFrom(aRequest, aCaller, aOwner)) {
-      return std::move(*answer);
-    }
-    mMembers.Dead(aOwner.mPeerAddress);
+  const std::string& zone = mMembers.Self().mZone;
+  if (auto answer = AskZone(aRequest, zone, aCaller, aOwner)) {
+    return std::move(*answer);
   }
   aOwner = mMembers.Self();
   Result<PlaceGrant> grant = mOwner.Acquire(aRequest);
--- a/src/serve/PlaceFinder.h
+++ b/src/serve/PlaceFinder.h
@@ -43,7 +43,6 @@
                                                 const Caller& aCaller,
                                                 InstanceInfo& aOwner,
                                                 bool& aSilent);
-
   // nullopt: nobody there answers.
   std::optional<Result<PlaceGrant>> AskZone(const PlaceRequest& aRequest,
                                             const std::string& aZone,
