A warm request doesn't look for its model's home

The home was reckoned, over all members, under the shard's lock, for every request that a front brings, also where a replica is ready or awaited here and the answer is 'here' whatever the home is. It is reckoned only where it counts. No time was measured.

--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -60,11 +60,16 @@
   if (aRequest.mHere) {
     return "";
   }
-  std::string home = mHomes->Of(aModel.mName, aConfig);
   HomeZoneView view;
-  view.mHome = mHomes->IsOurs(home);
   view.mServing = !aGroup.mServing.empty();
   view.mWaiting = aGroup.mQueue.Size() > 0;
+  std::string home;
+  if (!view.mServing && !view.mWaiting) {
+    // Looks at all members; a warm request doesn't need to.
+    home = mHomes->Of(aModel.mName, aConfig);
+    view.mHome = mHomes->IsOurs(home);
+  }
+
   auto action = HomeZoneAsk(aGroup.mHome, view, mHomeTerms, aNow);
   if (action == HomeZoneAction::AwayAndLoad && !aGroup.mLoading) {
     LogInfo("load_for_busy_zone", { { "model", aModel.mName } });
