What the reading of the whole change left over

The caller's port stops only at its end now, so that HttpPort needs no listener of its own, no flag and no separate stopping: its destructor does both. A field of a property's world that nothing read, the choice of a zone that isn't the home written twice, a comment that said one call where two are made, and blank lines left by an editing script. Behaviour is as it was.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -355,7 +355,6 @@
   // The balancer goes on sending until it has seen that we aren't ready.
   std::this_thread::sleep_for(mSettings.mShutdownLag);
   mCallers->Drain();
-
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
             { "places", std::to_string(mOwner.Busy()) },
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -57,7 +57,6 @@
   PeerClient mPeers;
   std::unique_ptr<Members> mMembers;
   std::unique_ptr<HomeZones> mHomes;
-
   std::unique_ptr<ConfigWatcher> mWatcher;
   std::unique_ptr<Heartbeat> mHeartbeat;
   PlacementStore mPlacements;
--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -100,7 +100,8 @@
 
 HttpPort::~HttpPort()
 {
-  CloseAll();
+  mServer->stop();
+  mServer->stopAll(true);
 }
 
 std::string
@@ -115,22 +116,6 @@
   return mServer->currentConnections();
 }
 
-void
-HttpPort::StopAccepting()
-{
-  if (!mStopped) {
-    mServer->stop();
-    mStopped = true;
-  }
-}
-
-void
-HttpPort::CloseAll()
-{
-  StopAccepting();
-  mServer->stopAll(true);
-}
-
 namespace {
 
 // Reads on past the limit for a while and throws it away. Closed at once, the
--- a/src/net/HttpPort.h
+++ b/src/net/HttpPort.h
@@ -33,18 +33,15 @@
   HttpPort(const std::string& aListen,
            HttpPortLimits aLimits,
            HttpHandler aHandler);
-  ~HttpPort();
+  ~HttpPort(); // cuts what is under way
 
   std::string Address() const; // ip:port as bound
   int Connections() const;
-  void StopAccepting(); // closes the listener; live connections go on
-  void CloseAll();
 
 private:
   Poco::ThreadPool mPool;
   std::unique_ptr<Poco::Net::HTTPServer> mServer;
   std::string mAddress;
-  bool mStopped = false;
 };
 
 // The body, whole. BodyTooLarge over aLimit, BadRequest when it comes slower
--- a/src/own/ModelOwner.h
+++ b/src/own/ModelOwner.h
@@ -108,7 +108,6 @@
   const Clock& mClock;
   HomeZones* mHomes = nullptr;
   HomeZoneTerms mHomeTerms;
-
   std::array<Shard, kShards> mShards;
   std::atomic<uint64_t> mNextId{ 1 };
   int64_t mPruned = 0; // revision; used by Sweep's thread alone
--- a/src/own/PlaceRequest.cpp
+++ b/src/own/PlaceRequest.cpp
@@ -24,7 +24,6 @@
     json["failed"] = aRequest.mFailedZone;
     json["silent"] = aRequest.mZoneSilent;
   }
-
   return json;
 }
 
--- a/src/own/StoreGate.cpp
+++ b/src/own/StoreGate.cpp
@@ -102,7 +102,6 @@
   auto answer = Outcome([&] {
     return mPeers.Call(aOwner.mPeerAddress, "load.ask", aQuestion, kAskTime);
   });
-
   auto* json = std::get_if<Json::Value>(&answer);
   if (!json) {
     mMembers.Silent(aOwner.mPeerAddress);
--- a/src/peer/Members.h
+++ b/src/peer/Members.h
@@ -44,9 +44,9 @@
   int FitZones() const;
   // The same, without those in doubt.
   std::set<std::string> AnsweringZones() const;
-  // A call to one of its instances went unanswered: the zone may be cut off,
-  // and finding out one instance after the other would take a call's time for
-  // each. Ends when one of them is heard.
+  // Calls to two of its instances went unanswered: the zone may be cut off, and
+  // finding out one instance after the other would take a call's time for each.
+  // Ends when one of them is heard.
   void DoubtZone(const std::string& aZone);
   // Instances fit for new work, in all zones; ourselves counted unless we
   // are leaving.
--- a/tests/property/HomeZoneProperty.cpp
+++ b/tests/property/HomeZoneProperty.cpp
@@ -30,7 +30,6 @@
   HomeZoneTerms mTerms;
   TimePoint mNow = TimePoint(Seconds(1000));
   std::vector<Zone> mZones;
-  bool mTrouble = false; // a cut, ever
   int mBusyLoads = 0;
 
   World()
@@ -50,6 +49,7 @@
   }
   // Whom a zone holds for the home: cuts are noticed by the requests alone.
   Zone& Home() { return Named(HomeZoneOf(kZones, "m")); }
+  Zone& Away() { return &Home() == &mZones[0] ? mZones[1] : mZones[0]; }
 
   HomeZoneAction Ask(Zone& aZone)
   {
@@ -167,8 +167,7 @@
 TEST(HomeZone, WaitsForTheLoadThatIsUnderWay)
 {
   World world;
-  Zone& away =
-    &world.Home() == &world.mZones[0] ? world.mZones[1] : world.mZones[0];
+  Zone& away = world.Away();
   world.Home().mCut = true;
   world.Request(away);
   world.mNow += 2 * world.mTerms.mFailed;
@@ -180,8 +179,7 @@
 TEST(HomeZone, BackAfterTheHomeFailed)
 {
   World world;
-  Zone& away =
-    &world.Home() == &world.mZones[0] ? world.mZones[1] : world.mZones[0];
+  Zone& away = world.Away();
   world.Home().mCut = true;
   world.Request(away);
   world.End(away, true);
