Order counts come from servers' reports

Cause: an entry's count is of its heartbeats, not of orders accepted, so that every order had a wrong condition and was refused (17,528 of 17,528). Ruled out: fencing, busy servers. Now the count is read from the server's report, and an entry counts by what it shows differently than the one before.

--- a/src/decide/BackendEntry.h
+++ b/src/decide/BackendEntry.h
@@ -22,8 +22,6 @@
   int mSlots = 1;
   bool mDraining = false;
   int64_t mBorn = 0;   // start of this life, Unix milliseconds
-  int64_t mOrders = 0; // orders accepted in this life
-  bool mTellsModels = false;
   HeldModels mModels;
   std::set<std::string> mInMemory; // copies of weights at hand
   std::set<std::string> mOnDisk;
--- a/src/decide/Fleet.cpp
+++ b/src/decide/Fleet.cpp
@@ -42,6 +42,44 @@
   return total;
 }
 
+// Does to aHeld what turned aBefore into aAfter.
+bool
+ApplyNews(const HeldModels& aBefore,
+          const HeldModels& aAfter,
+          HeldModels& aHeld)
+{
+  HeldModels held = aHeld;
+  for (const auto& [model, adapters] : aBefore) {
+    if (!aAfter.count(model)) {
+      held.erase(model);
+    }
+  }
+  for (const auto& [model, adapters] : aAfter) {
+    auto before = aBefore.find(model);
+    if (before == aBefore.end()) {
+      held[model] = adapters;
+      continue;
+    }
+    auto at = held.find(model);
+    if (at == held.end()) {
+      continue; // seen to go since
+    }
+    for (const std::string& adapter : before->second) {
+      if (!adapters.count(adapter)) {
+        at->second.erase(adapter);
+      }
+    }
+    for (const std::string& adapter : adapters) {
+      if (!before->second.count(adapter)) {
+        at->second.insert(adapter);
+      }
+    }
+  }
+  bool changed = held != aHeld;
+  aHeld = std::move(held);
+  return changed;
+}
+
 int
 CountOf(const std::map<std::string, int>& aCounts, const std::string& aModel)
 {
@@ -76,20 +114,17 @@
 {
   auto [at, added] = mBackends.try_emplace(aEntry.mId);
   Backend& backend = at->second;
-  bool reborn = aEntry.mBorn != backend.mEntry.mBorn;
-  // An entry may be older than what the server was seen to accept since.
-  bool newer = added || reborn || aEntry.mOrders >= backend.mOrders;
-  bool drains = !backend.mEntry.mDraining && aEntry.mDraining;
+  BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
-  if (reborn && !added) {
+  if (added || before.mBorn != aEntry.mBorn) {
+    backend.mModels = aEntry.mModels;
+    backend.mOrders = -1;
     backend.mStrikes = 0;
     backend.mAvoidUntil = TimePoint();
+    return true;
   }
-  if (newer) {
-    backend.mModels = aEntry.mModels;
-    backend.mOrders = aEntry.mOrders;
-  }
-  return newer || drains;
+  bool changed = ApplyNews(before.mModels, aEntry.mModels, backend.mModels);
+  return changed || before.mDraining != aEntry.mDraining;
 }
 
 void
--- a/src/decide/Fleet.h
+++ b/src/decide/Fleet.h
@@ -16,8 +16,8 @@
 struct Backend
 {
   BackendEntry mEntry;
-  HeldModels mModels;  // the newest told, by its entry or by who orders
-  int64_t mOrders = 0; // accepted when mModels held
+  HeldModels mModels;   // the newest told, by its entry or by who orders
+  int64_t mOrders = -1; // accepted in this life; negative = not known
   std::map<std::string, int> mMine;   // own requests under way, by model
   std::map<std::string, int> mOthers; // those of other instances, as told
   int mStrikes = 0;                   // failures in a row
@@ -60,7 +60,9 @@
 class Fleet
 {
 public:
-  // True when anything that matters to requests changed.
+  // True when anything that matters to requests changed. What the entry shows
+  // differently than the entry before is news; the rest may be older than
+  // what was seen of the server since.
   bool Put(const BackendEntry& aEntry);
   void Remove(const std::string& aId);
   // Told by the one who gives a server its orders. Ignored when what is
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -598,6 +598,10 @@
     EndJob(aServer, "too many tries");
     return;
   }
+  if (backend->mOrders < 0) {
+    Resync(*job);
+    return;
+  }
   ModelOrder order = job->mSteps.front();
   order.mOrders = backend->mOrders;
   order.mHolder = mState.mSettings.mName;
@@ -751,6 +755,7 @@
     if (!job || !backend) {
       return;
     }
+    HeldModels planned = backend->mModels;
     bool newer = aReport.mOrders > backend->mOrders ||
                  (aReport.mOrders == backend->mOrders && !aReport.mBusy);
     if (newer) {
@@ -763,12 +768,11 @@
       mChanged();
       return;
     }
-    // What it holds may be other than what was planned with.
-    if (newer && !aReport.mBusy) {
+    if (planned != backend->mModels) {
       EndJob(server, "planned anew");
       return;
     }
-    Retry(*job, kResyncRetry);
+    Retry(*job, newer && !aReport.mBusy ? Millis(0) : kResyncRetry);
   });
 }
 
