Room is looked at right before each load order

Now: blind retries only behind this job's own unload, a settled report otherwise, and the room is computed again before each load.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -157,6 +157,28 @@
   return aModel.mLoad;
 }
 
+bool
+FitsNow(const EngineSpec& aEngine,
+        const Backend& aBackend,
+        const std::string& aModel,
+        const std::string& aAdapter)
+{
+  auto model = aEngine.mModels.find(aModel);
+  if (model == aEngine.mModels.end()) {
+    return false;
+  }
+  double free = FreeMb(aEngine, aBackend);
+  if (aAdapter.empty()) {
+    return free >= model->second.mMb;
+  }
+  size_t adapters = 0;
+  for (const auto& [name, held] : aBackend.mModels) {
+    adapters += held.size();
+  }
+  return free >= model->second.mAdapterMb &&
+         static_cast<int>(adapters) < aEngine.mAdapterSlots;
+}
+
 std::optional<PlacementChoice>
 ChoosePlace(const EngineSpec& aEngine,
             const std::string& aModel,
@@ -171,7 +193,7 @@
   for (const auto& [id, backend] : aFleet.All()) {
     if (backend.mEntry.mService != aFacts.mService ||
         backend.mEntry.mZone != aFacts.mZone || backend.mEntry.mDraining ||
-        backend.Holds(aModel, "")) {
+        backend.Holds(aModel, "") || aFacts.mAvoid.count(id)) {
       continue;
     }
     PlacementChoice choice;
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -35,6 +35,7 @@
   std::string mZone;                    // servers of this zone only
   std::map<std::string, double> mRates; // requests a second, by model
   std::map<std::string, Millis> mBusy;  // servers with an order under way
+  std::set<std::string> mAvoid;         // servers that fail just now
   Millis mStoreWait{ 0 };               // until the store lets a load begin
 };
 
@@ -52,6 +53,16 @@
 Millis
 LoadTime(const ModelWeights& aModel, WeightSource aSource);
 
+// Whether aModel, or aAdapter of it, fits beside what aBackend is believed to
+// hold. A server that is ordered to load more than fits fails as a whole, with
+// all that runs there; so this is asked again right before each order: what a
+// server holds may have changed since the choice was made.
+bool
+FitsNow(const EngineSpec& aEngine,
+        const Backend& aBackend,
+        const std::string& aModel,
+        const std::string& aAdapter);
+
 // Nothing when no server of the zone can ever take it: too large, or all that
 // it could push out is in use.
 std::optional<PlacementChoice>
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -20,6 +20,7 @@
 constexpr Millis kOrderRetry{ 25 };
 constexpr Millis kResyncRetry{ 120 }; // reports are some hundred ms old
 constexpr int kMostTries = 60;
+constexpr int kMostUnanswered = 4; // then another server is tried
 
 // The server's entry tells when a load has ended; if it doesn't, the server
 // is asked so long after the expected end, and then as often.
@@ -313,6 +314,11 @@
     auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
     facts.mBusy[server] = std::max(left, Millis(50));
   }
+  for (const auto& [id, backend] : mState.mFleet.All()) {
+    if (now < backend.mAvoidUntil) {
+      facts.mAvoid.insert(id);
+    }
+  }
   facts.mStoreWait = mStoreLoads.Wait(now);
   return facts;
 }
@@ -598,11 +604,17 @@
     EndJob(aServer, "too many tries");
     return;
   }
-  if (backend->mOrders < 0) {
+  if (backend->mOrders < 0 || job->mNeedsReport) {
     Resync(*job);
     return;
   }
   ModelOrder order = job->mSteps.front();
+  const EngineSpec* engine = EngineOf(job->mWant.mService);
+  if (order.mLoad &&
+      (!engine || !FitsNow(*engine, *backend, order.mModel, order.mAdapter))) {
+    EndJob(aServer, "no room any more");
+    return;
+  }
   order.mOrders = backend->mOrders;
   order.mHolder = mState.mSettings.mName;
   order.mToken = mLease.Token();
@@ -650,11 +662,11 @@
       }
       break;
     case OrderAnswer::Busy:
-      if (job->mTries % 4 == 3) {
-        Resync(*job);
-      } else {
-        Retry(*job, kOrderRetry);
-      }
+      // An unload of this job's may still wait for its runs. Any other order
+      // under way changes what the server holds under the same count, and a
+      // load beside it could take memory that isn't there.
+      job->mNeedsReport = !job->mCounted;
+      Retry(*job, job->mCounted ? kOrderRetry : Millis(0));
       break;
     case OrderAnswer::Unknown:
       // Sent again under the same count: only one of the two can take effect.
@@ -662,7 +674,13 @@
         .Text("server", aServer)
         .Text("model", step.mModel)
         .Count("try", job->mTries);
-      Retry(*job, kOrderRetry * 4);
+      job->mCounted = false;
+      mState.mFleet.Heard(aServer, ServerNews::Broken, mState.Now());
+      if (++job->mUnanswered >= kMostUnanswered) {
+        EndJob(aServer, "no answer");
+      } else {
+        Retry(*job, kOrderRetry * 4);
+      }
       break;
     case OrderAnswer::Fenced:
     case OrderAnswer::NotIt:
@@ -683,6 +701,7 @@
   ModelOrder step = aJob.mSteps.front();
   aJob.mSteps.pop_front();
   aJob.mTries = 0;
+  aJob.mCounted = true;
   HeldModels models = backend->mModels;
   if (!step.mLoad && step.mAdapter.empty()) {
     models.erase(step.mModel);
@@ -772,7 +791,10 @@
       EndJob(server, "planned anew");
       return;
     }
-    Retry(*job, newer && !aReport.mBusy ? Millis(0) : kResyncRetry);
+    // While an order is under way its outcome isn't in the report.
+    bool settled = !aReport.mBusy && aReport.mOrders >= backend->mOrders;
+    job->mNeedsReport = !settled;
+    Retry(*job, settled ? Millis(0) : kResyncRetry);
   });
 }
 
@@ -882,9 +904,31 @@
     .Text("why", aWhy)
     .Ms("took_ms", mState.AgeOf(found->second.mBegan));
   mStoreLoads.Ended(aServer);
+  const Job& job = found->second;
+  Backend* backend = mState.mFleet.Find(aServer);
+  bool there =
+    backend && backend->Holds(job.mWant.mModel, job.mWant.mAdapter);
+  // An order may still be under way, or come late: what the server holds is
+  // known only from its next report.
+  if (backend && !there) {
+    backend->mOrders = -1;
+  }
   mJobs.erase(found);
 }
 
+// Another holder may have ordered since.
+void
+OrderDesk::ForgetCounts()
+{
+  if (mCountsToken == mLease.Token()) {
+    return;
+  }
+  mCountsToken = mLease.Token();
+  for (auto& [id, backend] : mState.mFleet.All()) {
+    backend.mOrders = -1;
+  }
+}
+
 void
 OrderDesk::TellContent(const Backend& aBackend)
 {
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -70,6 +70,11 @@
     TimePoint mBegan{};
     TimePoint mExpected{};
     bool mLoading = false; // its last order was accepted
+    // Only own orders can be under way at the server: the count of the last
+    // accepted one is known, and no answer was missed since.
+    bool mCounted = false;
+    bool mNeedsReport = false; // before the next order
+    int mUnanswered = 0;
     int mTries = 0;        // of the step at hand
     uint64_t mId = 0;
   };
@@ -105,6 +110,7 @@
                  uint64_t aId,
                  std::function<void(const ServerReport&)> aThen);
   void EndJob(const std::string& aServer, const char* aWhy);
+  void ForgetCounts();
   void TellContent(const Backend& aBackend);
 
   EntryState& mState;
@@ -118,6 +124,7 @@
   std::map<std::pair<std::string, std::string>, TimePoint> mAdapterUse;
   StoreLoads mStoreLoads;
   uint64_t mNextJob = 0;
+  int64_t mCountsToken = 0; // lease under which counts of orders are known
 };
 
 } // namespace caraway
