--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -24,6 +24,10 @@
 // Of the time that the platform grants, left for the process to end in.
 constexpr Millis kEndMargin{ 500 };
 
+// A quarter of the granted time for requests to get to a server, the rest for
+// streams to end.
+constexpr int kStartPart = 4;
+
 // Between two looks whether everything is done.
 constexpr Millis kLeaveLook{ 50 };
 
@@ -248,6 +252,7 @@
   }
   mState.mLeaving = true;
   mLeavingSince = mState.Now();
+  mState.mLastStart = mLeavingSince + mState.mSettings.mGrace / kStartPart;
   mState.mLog.Line("leaving").Count("under_way",
                                     static_cast<int64_t>(mFront.UnderWay()));
   mTokens.Release();
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -39,6 +39,8 @@
   RepeatBudget mRepeats;
   int mInstances = 1; // that may be running, this one included
   bool mLeaving = false;
+  // What isn't at a server by then wouldn't end before the process does.
+  TimePoint mLastStart = TimePoint::max();
   std::mt19937 mRandom;
 };
 
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -24,6 +24,9 @@
 // What isn't expected to be there sooner is worth trying again after this.
 constexpr Millis kComeBack{ 500 };
 
+// Other instances can take it at once.
+constexpr Millis kComeBackElsewhere{ 20 };
+
 // Sends of one request: repeats cost the servers work; beyond a few they
 // help nobody.
 constexpr int kMostSends = 6;
@@ -319,6 +322,12 @@
     auto expected = mPlaces.Expected(Want());
     wait = expected.value_or(Millis(0));
   }
+  // An instance that leaves sends those away who would be cut off: another
+  // one can still serve them.
+  if (now + wait > mState.mLastStart) {
+    Refuse(ErrorKind::ShuttingDown, kComeBackElsewhere, "instance leaves");
+    return true;
+  }
   if (now + wait + kServiceTime <= mFirstBy) {
     return false;
   }
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -22,10 +22,11 @@
 constexpr int kMostTries = 60;
 constexpr int kMostUnanswered = 4; // then another server is tried
 
-// The server's entry tells when a load has ended; if it doesn't, the server
-// is asked so long after the expected end, and then as often.
-constexpr Millis kPollAfter{ 350 };
-constexpr Millis kPollAgain{ 250 };
+// A server is asked whether a load has ended so long after it should have,
+// and then as often: reports are a hundred milliseconds old, and a report
+// costs an eighth of a call to the store, which tells it later.
+constexpr Millis kPollAfter{ 120 };
+constexpr Millis kPollAgain{ 120 };
 
 // A load that takes so much longer than expected is given up.
 constexpr int kLoadPatience = 6;
