What a server holds is told by who orders it

Ruled out: room check (it computes from the account), late orders. Now the holder's account counts, told to all at once and again each second; entries count where nobody told for three seconds. A request that finds a model missing only keeps off for a moment, it doesn't touch the account.

--- a/src/decide/Fleet.cpp
+++ b/src/decide/Fleet.cpp
@@ -20,6 +20,13 @@
 constexpr Millis kFirstAvoid{ 200 };
 constexpr int kMostDoublings = 4;
 
+// Who orders a server tells each second what it holds; after three silent
+// ones the server's own entry is better than nothing.
+constexpr Millis kTold{ 3000 };
+
+// An adapter on its way arrives within this, and a lost note is told again.
+constexpr Millis kDoubt{ 60 };
+
 // One failure weighs a fifth: three in a row show, one doesn't.
 constexpr double kNewsWeight = 0.2;
 
@@ -110,7 +117,27 @@
 }
 
 bool
-Fleet::Put(const BackendEntry& aEntry)
+Backend::Doubted(const std::string& aModel,
+                 const std::string& aAdapter,
+                 TimePoint aNow) const
+{
+  auto found = mDoubts.find({ aModel, aAdapter });
+  return found != mDoubts.end() && aNow < found->second;
+}
+
+void
+Fleet::Doubt(const std::string& aId,
+             const std::string& aModel,
+             const std::string& aAdapter,
+             TimePoint aNow)
+{
+  if (Backend* backend = Find(aId)) {
+    backend->mDoubts[{ aModel, aAdapter }] = aNow + kDoubt;
+  }
+}
+
+bool
+Fleet::Put(const BackendEntry& aEntry, TimePoint aNow)
 {
   auto [at, added] = mBackends.try_emplace(aEntry.mId);
   Backend& backend = at->second;
@@ -119,11 +146,15 @@
   if (added || before.mBorn != aEntry.mBorn) {
     backend.mModels = aEntry.mModels;
     backend.mOrders = -1;
+    backend.mToldAt = TimePoint();
+    backend.mDoubts.clear();
     backend.mStrikes = 0;
     backend.mAvoidUntil = TimePoint();
     return true;
   }
-  bool changed = ApplyNews(before.mModels, aEntry.mModels, backend.mModels);
+  bool told =
+    backend.mToldAt != TimePoint() && aNow - backend.mToldAt < kTold;
+  bool changed = !told && ApplyNews(before.mModels, aEntry.mModels, backend.mModels);
   return changed || before.mDraining != aEntry.mDraining;
 }
 
@@ -137,17 +168,19 @@
 Fleet::PutContent(const std::string& aId,
                   int64_t aBorn,
                   int64_t aOrders,
-                  const HeldModels& aModels)
+                  const HeldModels& aModels,
+                  TimePoint aNow)
 {
   Backend* backend = Find(aId);
   if (!backend || backend->mEntry.mBorn != aBorn ||
-      aOrders < backend->mOrders ||
-      (aOrders == backend->mOrders && aModels == backend->mModels)) {
+      aOrders < backend->mOrders) {
     return false;
   }
+  bool changed = aModels != backend->mModels;
   backend->mOrders = aOrders;
   backend->mModels = aModels;
-  return true;
+  backend->mToldAt = aNow;
+  return changed;
 }
 
 Backend*
--- a/src/decide/Fleet.h
+++ b/src/decide/Fleet.h
@@ -18,6 +18,9 @@
   BackendEntry mEntry;
   HeldModels mModels;   // the newest told, by its entry or by who orders
   int64_t mOrders = -1; // accepted in this life; negative = not known
+  TimePoint mToldAt{};  // when who orders it last told mModels
+  // Model and adapter that it was found not to hold, whatever is believed.
+  std::map<std::pair<std::string, std::string>, TimePoint> mDoubts;
   std::map<std::string, int> mMine;   // own requests under way, by model
   std::map<std::string, int> mOthers; // those of other instances, as told
   int mStrikes = 0;                   // failures in a row
@@ -27,6 +30,9 @@
   int UnderWay() const;
   int UnderWay(const std::string& aModel) const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
+  bool Doubted(const std::string& aModel,
+               const std::string& aAdapter,
+               TimePoint aNow) const;
 };
 
 // What a request needs of a server.
@@ -61,16 +67,24 @@
 {
 public:
   // True when anything that matters to requests changed. What the entry shows
-  // differently than the entry before is news; the rest may be older than
-  // what was seen of the server since.
-  bool Put(const BackendEntry& aEntry);
+  // differently than the entry before is news, unless who orders the server
+  // has told lately what it holds: entries come late, and one from before an
+  // order would undo what the order did.
+  bool Put(const BackendEntry& aEntry, TimePoint aNow);
   void Remove(const std::string& aId);
   // Told by the one who gives a server its orders. Ignored when what is
   // known is of a later life or order.
   bool PutContent(const std::string& aId,
                   int64_t aBorn,
                   int64_t aOrders,
-                  const HeldModels& aModels);
+                  const HeldModels& aModels,
+                  TimePoint aNow);
+  // A request found that the server doesn't hold this. Nothing is sent there
+  // for it for a moment; the account of what is held stays with who orders.
+  void Doubt(const std::string& aId,
+             const std::string& aModel,
+             const std::string& aAdapter,
+             TimePoint aNow);
 
   Backend* Find(const std::string& aId);
   std::map<std::string, Backend>& All() { return mBackends; }
--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -144,7 +144,7 @@
       .Count("born", entry->mBorn)
       .Count("revision", aObject.mRevision);
   }
-  return mState.mFleet.Put(*entry);
+  return mState.mFleet.Put(*entry, mState.Now());
 }
 
 void
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -596,14 +596,9 @@
     .Text("why", "not run")
     .Text("server", server)
     .Count("status", status);
-  Backend* backend = mState.mFleet.Find(server);
-  if (status == 421 && backend && !mFacts.mModel.empty()) {
-    // It doesn't hold what was believed; the next report says what it does.
-    if (mFacts.mAdapter.empty()) {
-      backend->mModels.erase(mFacts.mModel);
-    } else if (backend->Holds(mFacts.mModel, "")) {
-      backend->mModels[mFacts.mModel].erase(mFacts.mAdapter);
-    }
+  if (status == 421 && !mFacts.mModel.empty()) {
+    mState.mFleet.Doubt(
+      server, mFacts.mModel, mFacts.mAdapter, mState.Now());
   }
   if (!MaySendAgain()) {
     if (mStreaming) {
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -15,6 +15,8 @@
 
 constexpr Millis kPump{ 25 };
 constexpr Millis kGrow{ 500 };
+constexpr Millis kTellAll{ 1000 };
+constexpr Millis kRecheck{ 1000 };
 
 constexpr Millis kOrderTime{ 500 };
 constexpr Millis kOrderRetry{ 25 };
@@ -117,14 +119,13 @@
   mPeers.Add("want", [this](const Json::Value& aParams) {
     return OnWanted(ReadWant(aParams));
   });
-  mPeers.OnNote("content", [this](const Json::Value& aNote) {
-    if (mState.mFleet.PutContent(aNote["id"].asString(),
-                                 aNote["born"].asInt64(),
-                                 aNote["orders"].asInt64(),
-                                 ReadModels(aNote["models"]))) {
-      mChanged();
+  mPeers.OnNote("contents", [this](const Json::Value& aNote) {
+    for (const Json::Value& content : aNote) {
+      TakeContent(content);
     }
   });
+  mPeers.OnNote("content",
+                [this](const Json::Value& aNote) { TakeContent(aNote); });
   mPeers.OnFill([this](Json::Value& aPulse) {
     if (mLease.Holds()) {
       aPulse["leases"].append(mLease.Name());
@@ -134,6 +135,68 @@
   mLease.Start();
   mState.mReactor.Every(kPump, [this] { Pump(); });
   mState.mReactor.Every(kGrow, [this] { Grow(); });
+  mState.mReactor.Every(kTellAll, [this] { TellAll(); });
+}
+
+void
+OrderDesk::TakeContent(const Json::Value& aNote)
+{
+  if (mState.mFleet.PutContent(aNote["id"].asString(),
+                               aNote["born"].asInt64(),
+                               aNote["orders"].asInt64(),
+                               ReadModels(aNote["models"]),
+                               mState.Now())) {
+    mChanged();
+  }
+}
+
+// A note that was lost is made good within a second.
+void
+OrderDesk::TellAll()
+{
+  if (!mLease.MayAct()) {
+    return;
+  }
+  Json::Value all(Json::arrayValue);
+  for (auto& [id, backend] : mState.mFleet.All()) {
+    if (backend.mEntry.mZone == mState.mSettings.mZone &&
+        backend.mOrders >= 0 && mCountsToken == mLease.Token()) {
+      backend.mToldAt = mState.Now();
+      all.append(ContentJson(backend));
+    }
+  }
+  if (!all.empty()) {
+    mPeers.SendNote("contents", all);
+  }
+}
+
+// What is believed to be there is asked for: perhaps it isn't.
+void
+OrderDesk::Recheck(const std::string& aServer)
+{
+  TimePoint now = mState.Now();
+  TimePoint& last = mRechecked[aServer];
+  Backend* backend = mState.mFleet.Find(aServer);
+  if (mJobs.count(aServer) || now - last < kRecheck || !backend) {
+    return;
+  }
+  last = now;
+  int64_t born = backend->mEntry.mBorn;
+  FetchReport(aServer, [this, aServer, born](
+                         const std::optional<ServerReport>& aReport) {
+    Backend* known = mState.mFleet.Find(aServer);
+    if (!aReport || aReport->mBusy || !known || mJobs.count(aServer)) {
+      return;
+    }
+    if (mState.mFleet.PutContent(
+          aServer, born, aReport->mOrders, aReport->mModels, mState.Now())) {
+      mState.mLog.Line("content_corrected")
+        .Text("server", aServer)
+        .Count("orders", aReport->mOrders);
+      TellContent(*known);
+      mChanged();
+    }
+  });
 }
 
 OrderDesk::Key
@@ -376,13 +439,17 @@
       return aWant.mAdapter.empty() || aWant.mAdapter == job.mWant.mAdapter;
     }
   }
-  if (!aWant.mAdapter.empty()) {
-    for (const auto& [id, backend] : mState.mFleet.All()) {
-      if (backend.mEntry.mZone == mState.mSettings.mZone &&
-          backend.mEntry.mService == aWant.mService &&
-          !backend.mEntry.mDraining && backend.Holds(aWant.mModel, "")) {
-        return BeginAdapter(aWant);
-      }
+  for (const auto& [id, backend] : mState.mFleet.All()) {
+    if (backend.mEntry.mZone != mState.mSettings.mZone ||
+        backend.mEntry.mService != aWant.mService ||
+        backend.mEntry.mDraining || !backend.Holds(aWant.mModel, "")) {
+      continue;
+    }
+    if (!aWant.mAdapter.empty()) {
+      return BeginAdapter(aWant);
+    }
+    if (aWant.mPriority < kLowestPriority) {
+      Recheck(id);
     }
   }
   mStoreLoads.SetLimits(engine->mLoadsPerSecond,
@@ -430,6 +497,7 @@
       continue;
     }
     if (backend.Holds(aWant.mModel, aWant.mAdapter)) {
+      Recheck(id);
       return true;
     }
     size_t count = 0;
@@ -710,7 +778,7 @@
     models[step.mModel].erase(step.mAdapter);
   }
   mState.mFleet.PutContent(
-    aJob.mServer, aJob.mBorn, backend->mOrders + 1, models);
+    aJob.mServer, aJob.mBorn, backend->mOrders + 1, models, mState.Now());
   std::string server = aJob.mServer;
   uint64_t id = aJob.mId;
   if (!step.mLoad) {
@@ -747,7 +815,8 @@
     }
     HeldModels models = backend->mModels;
     models[job->mWant.mModel].insert(job->mWant.mAdapter);
-    mState.mFleet.PutContent(server, job->mBorn, backend->mOrders, models);
+    mState.mFleet.PutContent(
+      server, job->mBorn, backend->mOrders, models, mState.Now());
     TellContent(*backend);
     EndJob(server, "adapter loaded");
     mChanged();
@@ -780,7 +849,7 @@
                  (aReport.mOrders == backend->mOrders && !aReport.mBusy);
     if (newer) {
       mState.mFleet.PutContent(
-        server, job->mBorn, aReport.mOrders, aReport.mModels);
+        server, job->mBorn, aReport.mOrders, aReport.mModels, mState.Now());
       TellContent(*backend);
     }
     if (backend->Holds(job->mWant.mModel, job->mWant.mAdapter)) {
@@ -800,40 +869,52 @@
 }
 
 void
-OrderDesk::AskReport(const std::string& aServer,
-                     uint64_t aId,
-                     std::function<void(const ServerReport&)> aThen)
+OrderDesk::FetchReport(
+  const std::string& aServer,
+  std::function<void(const std::optional<ServerReport>&)> aThen)
 {
   Backend* backend = mState.mFleet.Find(aServer);
   if (!backend) {
-    EndJob(aServer, "server gone");
+    aThen(std::nullopt);
     return;
   }
   OutRequest request;
   request.mAddress = backend->mEntry.mAddress;
   request.mPeer = aServer;
   request.mHead = wire::WriteReportRequest(request.mAddress);
-  CallForAnswer(
-    mState.mReactor,
-    mState.mServerPool,
-    std::move(request),
-    kOrderTime,
-    [this, aServer, aId, then = std::move(aThen)](ShortAnswer& aAnswer) {
-      Job* job = Find(aServer, aId);
-      auto report = wire::ReadReport(aAnswer.mBody);
-      if (job && !report) {
-        if (++job->mTries > kMostTries) {
-          EndJob(aServer, "no report");
-        } else if (job->mLoading) {
-          mState.mReactor.After(
-            kPollAgain, [this, aServer, aId] { PollLoaded(aServer, aId); });
-        } else {
-          Retry(*job, kResyncRetry);
-        }
-      } else if (job) {
-        then(*report);
-      }
-    });
+  CallForAnswer(mState.mReactor,
+                mState.mServerPool,
+                std::move(request),
+                kOrderTime,
+                [then = std::move(aThen)](ShortAnswer& aAnswer) {
+                  then(wire::ReadReport(aAnswer.mBody));
+                });
+}
+
+void
+OrderDesk::AskReport(const std::string& aServer,
+                     uint64_t aId,
+                     std::function<void(const ServerReport&)> aThen)
+{
+  FetchReport(aServer,
+              [this, aServer, aId, then = std::move(aThen)](
+                const std::optional<ServerReport>& aReport) {
+                Job* job = Find(aServer, aId);
+                if (!job) {
+                  return;
+                }
+                if (aReport) {
+                  then(*aReport);
+                } else if (++job->mTries > kMostTries) {
+                  EndJob(aServer, "no report");
+                } else if (job->mLoading) {
+                  mState.mReactor.After(kPollAgain, [this, aServer, aId] {
+                    PollLoaded(aServer, aId);
+                  });
+                } else {
+                  Retry(*job, kResyncRetry);
+                }
+              });
 }
 
 void
@@ -855,7 +936,7 @@
     }
     if (!aReport.mBusy && aReport.mOrders >= backend->mOrders) {
       mState.mFleet.PutContent(
-        aServer, job->mBorn, aReport.mOrders, aReport.mModels);
+        aServer, job->mBorn, aReport.mOrders, aReport.mModels, mState.Now());
       OnChanged();
       mChanged();
       if (Find(aServer, aId)) {
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -111,7 +111,13 @@
                  std::function<void(const ServerReport&)> aThen);
   void EndJob(const std::string& aServer, const char* aWhy);
   void ForgetCounts();
+  void FetchReport(
+    const std::string& aServer,
+    std::function<void(const std::optional<ServerReport>&)> aThen);
   void TellContent(const Backend& aBackend);
+  void TakeContent(const Json::Value& aNote);
+  void TellAll();
+  void Recheck(const std::string& aServer);
 
   EntryState& mState;
   Peers& mPeers;
@@ -122,6 +128,7 @@
   std::map<std::string, Job> mJobs; // by server
   // Last use by a request, by server and adapter; only what is ordered here.
   std::map<std::pair<std::string, std::string>, TimePoint> mAdapterUse;
+  std::map<std::string, TimePoint> mRechecked; // by server
   StoreLoads mStoreLoads;
   uint64_t mNextJob = 0;
   int64_t mCountsToken = 0; // lease under which counts of orders are known
