Adapters in use keep their places; a lease given up is taken soon

Ruled out: lost content notes, late entries. Now victims are chosen among those not in use, by demand, and an accepted unload counts once a report shows it. Also found: a candidate that had read a lease slept through its release for up to six seconds (LeaseStep.LeaseGivenUpIsTakenSoon failed first).

--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -151,6 +151,16 @@
   }
 }
 
+void
+LeaseStep::OnGivenUp(TimePoint aNow)
+{
+  mHeard = false;
+  if (mToken == 0 && !mPending) {
+    mSeen.reset();
+    mNext = aNow;
+  }
+}
+
 void
 LeaseStep::Release(TimePoint aNow)
 {
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -60,6 +60,9 @@
   // Another instance says that it holds the lease.
   void OnClaim(const std::string& aHolder, TimePoint aNow);
 
+  // It says so no longer, and lives: what was read before is outdated.
+  void OnGivenUp(TimePoint aNow);
+
   // Gives the lease up, with a last write.
   void Release(TimePoint aNow);
 
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -87,11 +87,18 @@
   return changed;
 }
 
+// Of a model with all its adapters, or of one adapter.
 int
-CountOf(const std::map<std::string, int>& aCounts, const std::string& aModel)
+CountOf(const std::map<std::string, int>& aCounts, const std::string& aName)
 {
-  auto found = aCounts.find(aModel);
-  return found == aCounts.end() ? 0 : found->second;
+  int count = 0;
+  std::string prefix = aName + "/";
+  for (const auto& [name, number] : aCounts) {
+    if (name == aName || name.rfind(prefix, 0) == 0) {
+      count += number;
+    }
+  }
+  return count;
 }
 
 } // namespace
@@ -103,9 +110,9 @@
 }
 
 int
-Backend::UnderWay(const std::string& aModel) const
+Backend::UnderWay(const std::string& aName) const
 {
-  return CountOf(mMine, aModel) + CountOf(mOthers, aModel);
+  return CountOf(mMine, aName) + CountOf(mOthers, aName);
 }
 
 bool
@@ -127,9 +134,9 @@
 
 void
 ServerView::Doubt(const std::string& aId,
-             const std::string& aModel,
-             const std::string& aAdapter,
-             TimePoint aNow)
+                  const std::string& aModel,
+                  const std::string& aAdapter,
+                  TimePoint aNow)
 {
   if (Backend* backend = Find(aId)) {
     backend->mDoubts[{ aModel, aAdapter }] = aNow + kDoubt;
@@ -152,9 +159,9 @@
     backend.mAvoidUntil = TimePoint();
     return true;
   }
-  bool told =
-    backend.mToldAt != TimePoint() && aNow - backend.mToldAt < kTold;
-  bool changed = !told && ApplyNews(before.mModels, aEntry.mModels, backend.mModels);
+  bool told = backend.mToldAt != TimePoint() && aNow - backend.mToldAt < kTold;
+  bool changed =
+    !told && ApplyNews(before.mModels, aEntry.mModels, backend.mModels);
   return changed || before.mDraining != aEntry.mDraining;
 }
 
@@ -166,10 +173,10 @@
 
 bool
 ServerView::PutContent(const std::string& aId,
-                  int64_t aBorn,
-                  int64_t aOrders,
-                  const HeldModels& aModels,
-                  TimePoint aNow)
+                       int64_t aBorn,
+                       int64_t aOrders,
+                       const HeldModels& aModels,
+                       TimePoint aNow)
 {
   Backend* backend = Find(aId);
   if (!backend || backend->mEntry.mBorn != aBorn ||
@@ -191,7 +198,9 @@
 }
 
 ServerChoice
-ServerView::Choose(const ServerWish& aWish, TimePoint aNow, std::mt19937& aRandom)
+ServerView::Choose(const ServerWish& aWish,
+                   TimePoint aNow,
+                   std::mt19937& aRandom)
 {
   ServerChoice choice;
   std::uniform_real_distribution<double> chance(0, kChance);
@@ -226,21 +235,21 @@
 }
 
 void
-ServerView::Began(const std::string& aId, const std::string& aModel)
+ServerView::Began(const std::string& aId, const std::string& aName)
 {
   if (Backend* backend = Find(aId)) {
-    ++backend->mMine[aModel];
+    ++backend->mMine[aName];
   }
 }
 
 void
-ServerView::Ended(const std::string& aId, const std::string& aModel)
+ServerView::Ended(const std::string& aId, const std::string& aName)
 {
   Backend* backend = Find(aId);
   if (!backend) {
     return;
   }
-  auto found = backend->mMine.find(aModel);
+  auto found = backend->mMine.find(aName);
   if (found != backend->mMine.end() && --found->second <= 0) {
     backend->mMine.erase(found);
   }
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -1,5 +1,5 @@
-// ServerView.h: what this instance believes of the servers, and which one gets a
-// request.
+// ServerView.h: what this instance believes of the servers, and which one gets
+// a request.
 #ifndef caraway_decide_ServerView_h
 #define caraway_decide_ServerView_h
 
@@ -21,14 +21,16 @@
   TimePoint mToldAt{};  // when who orders it last told mModels
   // Model and adapter that it was found not to hold, whatever is believed.
   std::map<std::pair<std::string, std::string>, TimePoint> mDoubts;
-  std::map<std::string, int> mMine;   // own requests under way, by model
+  // Own requests under way, by MODEL or MODEL/ADAPTER.
+  std::map<std::string, int> mMine;
   std::map<std::string, int> mOthers; // those of other instances, as told
   int mStrikes = 0;                   // failures in a row
   double mFailing = 0;                // share of late failures, 0 to 1
   TimePoint mAvoidUntil{};
 
   int UnderWay() const;
-  int UnderWay(const std::string& aModel) const;
+  // Of a model with its adapters, or of one MODEL/ADAPTER.
+  int UnderWay(const std::string& aName) const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
   bool Doubted(const std::string& aModel,
                const std::string& aAdapter,
@@ -60,7 +62,7 @@
   Broken, // reset, silent, garbled or not to be reached
 };
 
-// Requests of one instance under way, by server and model.
+// Requests of one instance under way, by server and MODEL or MODEL/ADAPTER.
 using UnderWayCounts = std::map<std::string, std::map<std::string, int>>;
 
 class ServerView
@@ -94,8 +96,9 @@
                       TimePoint aNow,
                       std::mt19937& aRandom);
 
-  void Began(const std::string& aId, const std::string& aModel);
-  void Ended(const std::string& aId, const std::string& aModel);
+  // aName: MODEL or MODEL/ADAPTER.
+  void Began(const std::string& aId, const std::string& aName);
+  void Ended(const std::string& aId, const std::string& aName);
   void Heard(const std::string& aId, ServerNews aNews, TimePoint aNow);
 
   // Replaces what aPeer told before.
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -7,8 +7,8 @@
 #include "base/EventLog.h"
 #include "base/Metrics.h"
 #include "decide/DemandLog.h"
-#include "decide/ServerView.h"
 #include "decide/RepeatBudget.h"
+#include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
 #include "entry/EntrySettings.h"
 #include "net/ChannelPool.h"
@@ -34,7 +34,7 @@
   ServingConfigPtr mConfig; // null until one is known
   ServerView mServers;
   bool mServersKnown = false; // the list was read at least once
-  DemandLog mDemand;        // of all instances
+  DemandLog mDemand;          // of all instances
   std::map<std::string, int> mAskedSincePulse; // here, by model
   RepeatBudget mRepeats;
   int mInstances = 1; // that may be running, this one included
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -147,6 +147,13 @@
                                       : RequestClass::Batch;
 }
 
+std::string
+Exchange::FullName() const
+{
+  return mFacts.mAdapter.empty() ? mFacts.mModel
+                                 : mFacts.mModel + "/" + mFacts.mAdapter;
+}
+
 void
 Exchange::Begin()
 {
@@ -169,6 +176,10 @@
     mState.mDemand.Add(mFacts.mModel, 1, mArrived);
     ++mState.mAskedSincePulse[mFacts.mModel];
   }
+  if (!mFacts.mAdapter.empty()) {
+    mState.mDemand.Add(FullName(), 1, mArrived);
+    ++mState.mAskedSincePulse[FullName()];
+  }
   std::weak_ptr<Exchange> weak = weak_from_this();
   mTimer = mState.mReactor.After(most, [weak] {
     if (auto exchange = weak.lock()) {
@@ -385,7 +396,7 @@
   request.mHead = ServerHead(aBackend);
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareAgain : kIdleShareOnce;
-  mState.mServers.Began(mServer, mFacts.mModel);
+  mState.mServers.Began(mServer, FullName());
   std::weak_ptr<Exchange> weak = weak_from_this();
   OutCall::Events events;
   events.mIsOurs = [weak](const HttpHead& aHead) {
@@ -483,7 +494,7 @@
 Exchange::ForgetCall()
 {
   if (!mServer.empty()) {
-    mState.mServers.Ended(mServer, mFacts.mModel);
+    mState.mServers.Ended(mServer, FullName());
   }
   mServer.clear();
   // It may be running one of its events.
@@ -597,8 +608,7 @@
     .Text("server", server)
     .Count("status", status);
   if (status == 421 && !mFacts.mModel.empty()) {
-    mState.mServers.Doubt(
-      server, mFacts.mModel, mFacts.mAdapter, mState.Now());
+    mState.mServers.Doubt(server, mFacts.mModel, mFacts.mAdapter, mState.Now());
   }
   if (!MaySendAgain()) {
     if (mStreaming) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -78,6 +78,7 @@
 
   Millis Since(TimePoint aThen) const;
   RequestClass Class() const;
+  std::string FullName() const; // MODEL or MODEL/ADAPTER
 
   EntryState& mState;
   ExchangeOwner& mOwner;
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -73,6 +73,10 @@
   std::string other = mPeers.HolderOf(mName);
   if (!other.empty()) {
     mStep.OnClaim(other, now);
+    mClaimer = other;
+  } else if (mPeers.Alive(mClaimer)) {
+    mStep.OnGivenUp(now); // it lives, and says so no more
+    mClaimer.clear();
   }
   switch (mStep.Due(now)) {
     case LeaseAction::None:
--- a/src/entry/LeaseLoop.h
+++ b/src/entry/LeaseLoop.h
@@ -41,7 +41,8 @@
   Peers& mPeers;
   std::string mName;
   LeaseStep mStep;
-  bool mTold = false; // what the last log line said
+  std::string mClaimer; // the last that said it holds the lease
+  bool mTold = false;   // what the last log line said
 };
 
 } // namespace caraway
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -142,10 +142,10 @@
 OrderDesk::TakeContent(const Json::Value& aNote)
 {
   if (mState.mServers.PutContent(aNote["id"].asString(),
-                               aNote["born"].asInt64(),
-                               aNote["orders"].asInt64(),
-                               ReadModels(aNote["models"]),
-                               mState.Now())) {
+                                 aNote["born"].asInt64(),
+                                 aNote["orders"].asInt64(),
+                                 ReadModels(aNote["models"]),
+                                 mState.Now())) {
     mChanged();
   }
 }
@@ -182,21 +182,21 @@
   }
   last = now;
   int64_t born = backend->mEntry.mBorn;
-  FetchReport(aServer, [this, aServer, born](
-                         const std::optional<ServerReport>& aReport) {
-    Backend* known = mState.mServers.Find(aServer);
-    if (!aReport || aReport->mBusy || !known || mJobs.count(aServer)) {
-      return;
-    }
-    if (mState.mServers.PutContent(
-          aServer, born, aReport->mOrders, aReport->mModels, mState.Now())) {
-      mState.mLog.Line("content_corrected")
-        .Text("server", aServer)
-        .Count("orders", aReport->mOrders);
-      TellContent(*known);
-      mChanged();
-    }
-  });
+  FetchReport(
+    aServer, [this, aServer, born](const std::optional<ServerReport>& aReport) {
+      Backend* known = mState.mServers.Find(aServer);
+      if (!aReport || aReport->mBusy || !known || mJobs.count(aServer)) {
+        return;
+      }
+      if (mState.mServers.PutContent(
+            aServer, born, aReport->mOrders, aReport->mModels, mState.Now())) {
+        mState.mLog.Line("content_corrected")
+          .Text("server", aServer)
+          .Count("orders", aReport->mOrders);
+        TellContent(*known);
+        mChanged();
+      }
+    });
 }
 
 OrderDesk::Key
@@ -358,8 +358,8 @@
     }
   }
   const EngineSpec* engine = EngineOf(aWant.mService);
-  auto choice =
-    ChoosePlace(*engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
+  auto choice = ChoosePlace(
+    *engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
   if (!choice) {
     return std::nullopt;
   }
@@ -441,8 +441,8 @@
   }
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mZone != mState.mSettings.mZone ||
-        backend.mEntry.mService != aWant.mService ||
-        backend.mEntry.mDraining || !backend.Holds(aWant.mModel, "")) {
+        backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
+        !backend.Holds(aWant.mModel, "")) {
       continue;
     }
     if (!aWant.mAdapter.empty()) {
@@ -454,8 +454,8 @@
   }
   mStoreLoads.SetLimits(engine->mLoadsPerSecond,
                         static_cast<int>(mState.mSettings.mZones.size()));
-  auto choice =
-    ChoosePlace(*engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
+  auto choice = ChoosePlace(
+    *engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
   if (!choice) {
     mState.mLog.Line("place_none")
       .Text("model", aWant.mModel)
@@ -521,39 +521,44 @@
                 : 0;
   job.mLoad = kAdapterBase + Millis(static_cast<int64_t>(mb / kAdapterMbPerMs));
   if (static_cast<int>(bestCount) >= engine->mAdapterSlots) {
-    // The one that this desk ordered or saw used longest ago.
-    const std::string* model = nullptr;
-    const std::string* adapter = nullptr;
-    TimePoint oldest = TimePoint::max();
-    for (const auto& [name, adapters] : best->mModels) {
-      for (const std::string& held : adapters) {
-        TimePoint used = mAdapterUse[{ job.mServer, name + "/" + held }];
-        if (used < oldest) {
-          oldest = used;
-          model = &name;
-          adapter = &held;
-        }
-      }
-    }
-    if (!model) {
+    auto victim = LeastAskedAdapter(*best);
+    if (!victim) {
       return false;
     }
-    ModelOrder order;
-    order.mLoad = false;
-    order.mModel = *model;
-    order.mAdapter = *adapter;
-    job.mSteps.push_back(order);
+    job.mSteps.push_back(*victim);
   }
   ModelOrder load;
   load.mModel = aWant.mModel;
   load.mAdapter = aWant.mAdapter;
   job.mSteps.push_back(load);
-  mAdapterUse[{ job.mServer, aWant.mModel + "/" + aWant.mAdapter }] =
-    mState.Now();
   StartJob(std::move(job));
   return true;
 }
 
+// Its unload; nothing while all are in use.
+std::optional<ModelOrder>
+OrderDesk::LeastAskedAdapter(const Backend& aBackend) const
+{
+  std::optional<ModelOrder> least;
+  double leastRate = 0;
+  for (const auto& [model, adapters] : aBackend.mModels) {
+    for (const std::string& adapter : adapters) {
+      std::string name = model + "/" + adapter;
+      double rate = mState.mDemand.Rate(name, mState.Now());
+      if (aBackend.UnderWay(name) > 0 || (least && rate >= leastRate)) {
+        continue;
+      }
+      ModelOrder order;
+      order.mLoad = false;
+      order.mModel = model;
+      order.mAdapter = adapter;
+      least = order;
+      leastRate = rate;
+    }
+  }
+  return least;
+}
+
 // More replicas of what is asked for more than its servers can carry, before
 // requests have to wait.
 void
@@ -719,6 +724,9 @@
   const ModelOrder& step = job->mSteps.front();
   switch (aAnswer) {
     case OrderAnswer::Accepted:
+      // An adapter in use goes when its requests have ended; until a report
+      // shows that, its place isn't free.
+      job->mNeedsReport = !step.mLoad && !step.mAdapter.empty();
       OnAccepted(*job);
       break;
     case OrderAnswer::Holds:
@@ -988,8 +996,7 @@
   mStoreLoads.Ended(aServer);
   const Job& job = found->second;
   Backend* backend = mState.mServers.Find(aServer);
-  bool there =
-    backend && backend->Holds(job.mWant.mModel, job.mWant.mAdapter);
+  bool there = backend && backend->Holds(job.mWant.mModel, job.mWant.mAdapter);
   // An order may still be under way, or come late: what the server holds is
   // known only from its next report.
   if (backend && !there) {
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -75,7 +75,7 @@
     bool mCounted = false;
     bool mNeedsReport = false; // before the next order
     int mUnanswered = 0;
-    int mTries = 0;        // of the step at hand
+    int mTries = 0; // of the step at hand
     uint64_t mId = 0;
   };
 
@@ -91,6 +91,7 @@
   void Pump();
   bool Begin(const PlaceWant& aWant);
   bool BeginAdapter(const PlaceWant& aWant);
+  std::optional<ModelOrder> LeastAskedAdapter(const Backend& aBackend) const;
   PlacementFacts FactsFor(const std::string& aService) const;
   std::optional<Millis> Estimate(const PlaceWant& aWant) const;
   void Grow();
@@ -125,9 +126,7 @@
   LeaseLoop mLease;
   std::map<Key, Asked> mAsked;
   std::map<Key, Queued> mQueue;
-  std::map<std::string, Job> mJobs; // by server
-  // Last use by a request, by server and adapter; only what is ordered here.
-  std::map<std::pair<std::string, std::string>, TimePoint> mAdapterUse;
+  std::map<std::string, Job> mJobs;            // by server
   std::map<std::string, TimePoint> mRechecked; // by server
   StoreLoads mStoreLoads;
   uint64_t mNextJob = 0;
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -93,6 +93,13 @@
          mState.Now() - aPeer.mHeardAt < kAlive;
 }
 
+bool
+Peers::Alive(const std::string& aName) const
+{
+  auto found = mPeers.find(aName);
+  return found != mPeers.end() && Alive(found->second);
+}
+
 std::string
 Peers::HolderOf(const std::string& aLease) const
 {
@@ -164,7 +171,7 @@
                 }
                 Sweep();
                 mState.mReactor.After(mListWait, [this] { List(); });
-      mListWait = std::min(mListWait * 2, kListAgain);
+                mListWait = std::min(mListWait * 2, kListAgain);
               });
 }
 
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -62,6 +62,7 @@
   std::string HolderOf(const std::string& aLease) const;
   const std::map<std::string, Peer>& All() const { return mPeers; }
   bool Alive(const Peer& aPeer) const;
+  bool Alive(const std::string& aName) const;
 
   void OnReadable() override;
 
--- a/tests/platform/CallersTest.cpp
+++ b/tests/platform/CallersTest.cpp
@@ -29,9 +29,10 @@
 {
   EntryWorld world;
   world.AwaitReady();
-  EXPECT_EQ(401,
-            world.Call(0, "/order/x", "r1", { { wire::kAuthorization, "Bearer no" } })
-              ->mStatus);
+  EXPECT_EQ(
+    401,
+    world.Call(0, "/order/x", "r1", { { wire::kAuthorization, "Bearer no" } })
+      ->mStatus);
   EXPECT_EQ(404, world.Call(0, "/nowhere/x", "r2")->mStatus);
   EXPECT_EQ(0, world.RunsOf("r1") + world.RunsOf("r2"));
 }
--- /dev/null
+++ b/tests/platform/OrdersTest.cpp
@@ -0,0 +1,240 @@
+// Orders to model servers: what is missing is brought, one holder at a time,
+// never more than fits, whatever becomes of an order.
+
+#include <gtest/gtest.h>
+
+#include "platform/WireNames.h"
+#include "support/EntryWorld.h"
+
+namespace caraway {
+
+namespace {
+
+std::vector<HttpField>
+Model(const std::string& aName)
+{
+  return { { wire::kModel, aName }, { wire::kTokens, "100,50" } };
+}
+
+CallerPtr
+Stream(EntryWorld& aWorld, const std::string& aModel, const std::string& aId)
+{
+  return aWorld.Call(0, "/resume/stream", aId, Model(aModel));
+}
+
+} // namespace
+
+TEST(Orders, MissingModelIsLoadedAndServed)
+{
+  EntryWorld world;
+  world.mEngines[0]->mOnDisk = { "m1" };
+  world.List(*world.mEngines[0], "engine", "a");
+  world.AwaitReady();
+  CallerPtr call = Stream(world, "m1", "r1");
+  EXPECT_EQ(200, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+  EXPECT_EQ(1, world.mEngines[0]->mOrdersSeen);
+}
+
+TEST(Orders, WhatNobodyAsksForMakesWay)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mModels = { { "m0", {} }, { "m1", {} }, { "m2", {} } };
+  world.List(engine, "engine", "a");
+  world.AwaitReady();
+  Stream(world, "m0", "r1");
+  EXPECT_EQ(200, Stream(world, "m3", "r2")->mStatus);
+  EXPECT_TRUE(engine.mModels.count("m0"));
+  EXPECT_EQ(3u, engine.mModels.size());
+  EXPECT_EQ(0, engine.mOverfull);
+}
+
+// Many callers ask for one cold model at the same moment: one load.
+TEST(Orders, BurstForOneModelLoadsItOnce)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 10; ++i) {
+    calls.push_back(
+      world.Send(0, "/resume/stream", "r" + std::to_string(i), Model("m1")));
+  }
+  EXPECT_TRUE(world.Until(
+    [&] {
+      for (const CallerPtr& call : calls) {
+        if (!call->mWhole) {
+          return false;
+        }
+      }
+      return true;
+    },
+    Seconds(4)));
+  EXPECT_EQ(1, world.mEngines[0]->mOrdersSeen);
+}
+
+TEST(Orders, AdapterIsBroughtAndAnotherMakesWay)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mAdapterPlaces = 8;
+  world.AwaitReady();
+  for (int i = 0; i < 12; ++i) {
+    CallerPtr call =
+      Stream(world, "m0/a" + std::to_string(i), "r" + std::to_string(i));
+    EXPECT_EQ(200, call->mStatus);
+  }
+  EXPECT_EQ(0, engine.mOverfull);
+  EXPECT_LE(engine.mModels["m0"].size(), 8u);
+}
+
+// All eight adapters are in use when a ninth is asked for. A server accepts
+// the unload of one and carries it out when its streams have ended; until then
+// its place isn't free.
+TEST(Orders, PlaceOfAnAdapterInUseIsNotFree)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mEvents = 40;
+  engine.mEventGap = Millis(50);
+  world.AwaitReady();
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 10; ++i) {
+    calls.push_back(world.Send(0,
+                               "/resume/stream",
+                               "r" + std::to_string(i),
+                               Model("m0/a" + std::to_string(i))));
+    world.For(Millis(100));
+  }
+  world.Until([&] { return calls.back()->mWhole; }, Seconds(6));
+  EXPECT_EQ(0, engine.mOverfull);
+  EXPECT_GE(engine.mOrdersSeen, 9);
+}
+
+// The server carries a load out and its answer is lost. The same order is
+// sent again under the same count, so that it can't take effect twice.
+TEST(Orders, OrderWithoutAnswerTakesEffectOnce)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  world.AwaitReady();
+  engine.mSwallowsOrders = true;
+  CallerPtr call = world.Send(0, "/resume/stream", "r1", Model("m1"));
+  world.Until([&] { return engine.mOrdersSeen >= 2; }, Seconds(2));
+  engine.mSwallowsOrders = false;
+  EXPECT_TRUE(world.Until([&] { return call->mWhole; }, Seconds(4)));
+  EXPECT_EQ(1, engine.mOrders);
+}
+
+// The instance is killed while a load that it ordered is under way. Its next
+// life sees two models and room for a third, and plans a load into it. By the
+// time the server takes orders again the first load has filled the room.
+TEST(Orders, LoadOfAFormerLifeFillsTheRoomFirst)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mModels = { { "m0", {} }, { "m1", {} } };
+  engine.mLoadTime = Millis(2500);
+  engine.mEvents = 1;
+  world.List(engine, "engine", "a");
+  world.AwaitReady();
+  world.Send(0, "/resume/stream", "r1", Model("m2"));
+  ASSERT_TRUE(world.Until([&] { return engine.mBusy; }, Seconds(1)));
+  world.mInstances[0].reset();
+  world.mInstances[0] = world.MakeInstance(0);
+  world.AwaitReady();
+  world.Send(0, "/resume/stream", "r2", Model("m3"));
+  // The server's entry tells of the first load before a report does, so that
+  // belief and report agree while the plan is old.
+  world.For(Millis(300));
+  HeldModels before = engine.mModels;
+  engine.mModels["m2"];
+  world.List(engine, "engine", "a");
+  engine.mModels = before;
+  world.Until([&] { return !engine.mBusy; }, Seconds(4));
+  CallerPtr call = Stream(world, "m3", "r3");
+  world.For(Seconds(1));
+  EXPECT_EQ(0, engine.mOverfull);
+}
+
+// An entry from before an adapter was loaded comes after it. The account of
+// what the server holds must not lose the adapter, or a ninth is ordered.
+TEST(Orders, LateEntryDoesNotUndoAnOrder)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  world.AwaitReady();
+  for (int i = 0; i < 8; ++i) {
+    Stream(world, "m0/a" + std::to_string(i), "r" + std::to_string(i));
+  }
+  ASSERT_EQ(8u, engine.mModels["m0"].size());
+  HeldModels all = engine.mModels;
+  world.List(engine, "engine", "a"); // with all eight
+  world.For(Millis(1000));
+  engine.mModels["m0"] = { "a0", "a1" };
+  world.List(engine, "engine", "a"); // as it was long before
+  engine.mModels = all;
+  world.For(Millis(1200));
+  Stream(world, "m0/a9", "r9");
+  world.For(Millis(300));
+  EXPECT_EQ(0, engine.mOverfull);
+}
+
+// A server finds that it doesn't hold an adapter that it was believed to
+// hold. Requests keep off for a moment; the account stays with who orders.
+TEST(Orders, RefusedRequestDoesNotChangeTheAccount)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  world.mEngines[0]->mExpectedId = "somebody-else"; // 421 to all
+  Stream(world, "m0", "r1");
+  const Backend* backend =
+    world.mInstances[0]->State().mServers.Find(world.mEngines[0]->Id());
+  ASSERT_TRUE(backend);
+  EXPECT_TRUE(backend->Holds("m0", ""));
+}
+
+// Two instances of a zone: only one orders. When it is gone for good the
+// other takes over under a higher token, after the silence.
+TEST(Orders, OneHolderAtATimeUnderRisingTokens)
+{
+  EntryPlan plan;
+  plan.mInstances = 2;
+  EntryWorld world(plan);
+  StandInServer& engine = *world.mEngines[0];
+  world.AwaitReady();
+  for (size_t i = 0; i < 2; ++i) {
+    world.Call(i,
+               "/resume/stream",
+               "r" + std::to_string(i),
+               Model("m" + std::to_string(i + 1)));
+  }
+  EXPECT_EQ(1u, engine.mHolders.size());
+  bool firstHolds = *engine.mHolders.begin() == "i0";
+  size_t gone = firstHolds ? 0 : 1;
+  world.mInstances[gone]->Leave();
+  ASSERT_TRUE(
+    world.Until([&] { return world.mInstances[gone]->Gone(); }, Seconds(9)));
+  world.mInstances[gone].reset();
+  CallerPtr call = world.Call(1 - gone, "/resume/stream", "r9", Model("m4"));
+  EXPECT_EQ(200, call->mStatus);
+  EXPECT_EQ(2u, engine.mHolders.size());
+  for (size_t i = 1; i < engine.mTokens.size(); ++i) {
+    EXPECT_GE(engine.mTokens[i], engine.mTokens[i - 1]);
+  }
+  EXPECT_GT(engine.mTokens.back(), engine.mTokens.front());
+}
+
+// The server counts its heartbeats in the entry and orders in its report. An
+// order under the heartbeats' count would be refused for ever.
+TEST(Orders, EntryCountsHeartbeatsNotOrders)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mOrders = 5;
+  world.AwaitReady();
+  EXPECT_EQ(200, Stream(world, "m1", "r1")->mStatus);
+  EXPECT_EQ(6, engine.mOrders);
+}
+
+} // namespace caraway
--- a/tests/platform/StreamsTest.cpp
+++ b/tests/platform/StreamsTest.cpp
@@ -90,8 +90,8 @@
   CallerPtr call = world.Send(0, "/stream/stream", "r1", kModel);
   ASSERT_TRUE(world.Until([&] { return call->mStatus == 200; }, Seconds(1)));
   call->mChannel->Close();
-  EXPECT_TRUE(world.Until(
-    [&] { return world.mEngines[0]->mLeft == 1; }, Millis(500)));
+  EXPECT_TRUE(
+    world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Millis(500)));
 }
 
 TEST(Streams, CallerThatLeavesBeforeTheFirstEventStopsTheServer)
@@ -100,11 +100,11 @@
   world.AwaitReady();
   world.mEngines[0]->mWork = Seconds(5);
   CallerPtr call = world.Send(0, "/stream/stream", "r1", kModel);
-  ASSERT_TRUE(world.Until(
-    [&] { return !world.mEngines[0]->mRuns.empty(); }, Seconds(1)));
+  ASSERT_TRUE(
+    world.Until([&] { return !world.mEngines[0]->mRuns.empty(); }, Seconds(1)));
   call->mChannel->Close();
-  EXPECT_TRUE(world.Until(
-    [&] { return world.mEngines[0]->mLeft == 1; }, Millis(500)));
+  EXPECT_TRUE(
+    world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Millis(500)));
 }
 
 } // namespace caraway
--- /dev/null
+++ b/tests/platform/TokensTest.cpp
@@ -0,0 +1,97 @@
+// A tenant's rate and burst in tokens, over all instances together.
+
+#include <gtest/gtest.h>
+
+#include "platform/WireNames.h"
+#include "support/EntryWorld.h"
+
+namespace caraway {
+
+namespace {
+
+EntryPlan
+ThreeInstances()
+{
+  EntryPlan plan;
+  plan.mInstances = 3;
+  return plan;
+}
+
+std::vector<HttpField>
+Cost(int aTokens)
+{
+  return { { wire::kTokens, std::to_string(aTokens) + ",0" } };
+}
+
+} // namespace
+
+// A tenant sends several times its rate at all instances at once: what runs
+// stays at rate and burst, and refusals say when to come back.
+TEST(Tokens, FloodStaysAtTheLimit)
+{
+  EntryWorld world(ThreeInstances());
+  world.mConfig["tenants"][0]["ratePerS"] = 20000;
+  world.mConfig["tenants"][0]["burst"] = 20000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(2500));
+  TimePoint begin = world.mClock.Now();
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 300; ++i) {
+    calls.push_back(world.Send(static_cast<size_t>(i % 3),
+                               "/order/x",
+                               "r" + std::to_string(i),
+                               Cost(1000)));
+    world.For(Millis(5));
+  }
+  world.For(Millis(300));
+  double seconds =
+    std::chrono::duration<double>(world.mClock.Now() - begin).count();
+  int served = 0;
+  for (const CallerPtr& call : calls) {
+    served += call->mStatus == 200 ? 1 : 0;
+    if (call->mStatus != 200) {
+      EXPECT_EQ(429, call->mStatus);
+      EXPECT_NE("", call->Field(wire::kRetryAfter));
+    }
+  }
+  EXPECT_LE(served, 20 + 20 * seconds);
+  // Not much less either: a limit that is split must not be lost in parts.
+  EXPECT_GE(served, 0.7 * 20 * seconds);
+}
+
+// All of a tenant's callers come to one instance: it may use far more than
+// an even part.
+TEST(Tokens, OneInstanceMayUseTheCommonPart)
+{
+  EntryWorld world(ThreeInstances());
+  world.mConfig["tenants"][0]["ratePerS"] = 30000;
+  world.mConfig["tenants"][0]["burst"] = 30000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(2500));
+  int served = 0;
+  for (int i = 0; i < 18; ++i) {
+    served +=
+      world.Call(0, "/order/x", "r" + std::to_string(i), Cost(1000))->mStatus ==
+      200;
+  }
+  // An even third of the burst would let in ten.
+  EXPECT_EQ(18, served);
+}
+
+// A request that costs more than the whole burst passes when nothing else
+// was spent; its tenant pays with the seconds that follow.
+TEST(Tokens, RequestAboveTheBurstPassesOnce)
+{
+  EntryWorld world;
+  world.mConfig["tenants"][0]["ratePerS"] = 1000;
+  world.mConfig["tenants"][0]["burst"] = 1000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(2500));
+  EXPECT_EQ(200, world.Call(0, "/order/x", "r1", Cost(3000))->mStatus);
+  EXPECT_EQ(429, world.Call(0, "/order/x", "r2", Cost(500))->mStatus);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/property/LeaseStepProperty.cpp
@@ -0,0 +1,187 @@
+// A lease in the object store has one holder at a time, whatever becomes of
+// calls, pauses and processes.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <vector>
+
+#include "decide/LeaseStep.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kStep{ 50 };
+
+// The object and the writes on their way to it.
+struct LeaseObject
+{
+  std::optional<LeaseRecord> mRecord;
+  int64_t mRevision = 0;
+
+  // The new revision, or nothing when the condition doesn't hold.
+  std::optional<int64_t> Write(const LeaseRecord& aWanted)
+  {
+    int64_t now = mRecord ? mRecord->mRevision : 0;
+    if (aWanted.mRevision != now) {
+      return std::nullopt;
+    }
+    mRecord = aWanted;
+    mRecord->mRevision = ++mRevision;
+    return mRevision;
+  }
+};
+
+struct Candidate
+{
+  explicit Candidate(std::string aName)
+    : mName(std::move(aName))
+    , mStep(mName, LeaseTimes())
+  {
+  }
+  std::string mName;
+  LeaseStep mStep;
+  TimePoint mPausedUntil{};
+};
+
+struct LateWrite
+{
+  TimePoint mAt;
+  LeaseRecord mRecord;
+};
+
+} // namespace
+
+RC_GTEST_PROP(LeaseStepRandom, OneActsAtATimeUnderRisingTokens, ())
+{
+  LeaseObject object;
+  std::vector<Candidate> candidates;
+  for (const char* name : { "a", "b", "c" }) {
+    candidates.emplace_back(name);
+  }
+  std::vector<LateWrite> late;
+  TimePoint now{ Seconds(1000) };
+  std::string lastActor;
+  TimePoint lastActed{};
+  int64_t lastToken = 0;
+  auto chance = [](int aOf) { return *rc::gen::inRange(0, aOf) == 0; };
+  for (int turn = 0; turn < 600; ++turn, now += kStep) {
+    for (auto at = late.begin(); at != late.end();) {
+      if (at->mAt <= now) {
+        object.Write(at->mRecord);
+        at = late.erase(at);
+      } else {
+        ++at;
+      }
+    }
+    size_t pick = *rc::gen::inRange<size_t>(0, candidates.size());
+    Candidate& unlucky = candidates[pick];
+    if (chance(150)) {
+      unlucky.mPausedUntil = now + Millis(*rc::gen::inRange(100, 9000));
+    }
+    if (chance(250)) { // killed, and started again under the same name
+      unlucky = Candidate(unlucky.mName);
+    }
+    for (Candidate& candidate : candidates) {
+      if (now < candidate.mPausedUntil) {
+        continue;
+      }
+      LeaseStep& step = candidate.mStep;
+      if (step.MayAct(now)) {
+        RC_ASSERT(step.Token() >= lastToken);
+        if (!lastActor.empty() && lastActor != candidate.mName) {
+          RC_ASSERT(now - lastActed >= LeaseTimes().mSilence);
+          RC_ASSERT(step.Token() > lastToken);
+        }
+        lastActor = candidate.mName;
+        lastActed = now;
+        lastToken = step.Token();
+      }
+      LeaseAction action = step.Due(now);
+      if (action == LeaseAction::Read) {
+        if (chance(8)) {
+          step.OnFailed(now);
+        } else {
+          step.OnRead(object.mRecord, now);
+        }
+      } else if (action == LeaseAction::Write) {
+        LeaseRecord wanted = step.WantedRecord();
+        if (chance(8)) { // done now or later, and not answered
+          late.push_back(
+            { now + Millis(*rc::gen::inRange(0, 8000)), wanted });
+          step.OnFailed(now);
+        } else if (auto revision = object.Write(wanted)) {
+          step.OnWritten(*revision, now, now);
+        } else {
+          step.OnConflict(object.mRecord, now);
+        }
+      }
+    }
+  }
+}
+
+namespace {
+
+void
+Serve(LeaseStep& aStep, LeaseObject& aObject, TimePoint aNow)
+{
+  LeaseAction action = aStep.Due(aNow);
+  if (action == LeaseAction::Read) {
+    aStep.OnRead(aObject.mRecord, aNow);
+  } else if (action == LeaseAction::Write) {
+    if (auto revision = aObject.Write(aStep.WantedRecord())) {
+      aStep.OnWritten(*revision, aNow, aNow);
+    } else {
+      aStep.OnConflict(aObject.mRecord, aNow);
+    }
+  }
+}
+
+} // namespace
+
+// The holder leaves and gives the lease up. Another one that had read it
+// before takes it at the next look, not after a whole lease.
+TEST(LeaseStep, LeaseGivenUpIsTakenSoon)
+{
+  LeaseObject object;
+  LeaseStep first("a", LeaseTimes());
+  LeaseStep second("b", LeaseTimes());
+  TimePoint now{ Seconds(1000) };
+  Serve(first, object, now);
+  Serve(first, object, now);
+  ASSERT_TRUE(first.Holds(now));
+  Serve(second, object, now); // reads it, and waits
+  Serve(second, object, now);
+  second.OnClaim("a", now);
+  now += Millis(300);
+  first.Release(now);
+  Serve(first, object, now);
+  ASSERT_TRUE(first.Released());
+  second.OnGivenUp(now);
+  for (int i = 0; i < 4; ++i, now += Millis(100)) {
+    Serve(second, object, now);
+  }
+  EXPECT_TRUE(second.Holds(now));
+  EXPECT_FALSE(second.MayAct(now));
+  EXPECT_TRUE(second.MayAct(now + LeaseTimes().mSilence));
+}
+
+// A machine's next life takes its own lease back at once, under a new token.
+TEST(LeaseStep, OwnLeaseIsTakenBackAtOnce)
+{
+  LeaseObject object;
+  TimePoint now{ Seconds(1000) };
+  LeaseStep life("a", LeaseTimes());
+  Serve(life, object, now);
+  Serve(life, object, now);
+  int64_t token = life.Token();
+  LeaseStep next("a", LeaseTimes());
+  Serve(next, object, now + Seconds(1));
+  Serve(next, object, now + Seconds(1));
+  EXPECT_TRUE(next.MayAct(now + Seconds(1)));
+  EXPECT_GT(next.Token(), token);
+}
+
+} // namespace caraway
--- a/tests/support/EntryWorld.cpp
+++ b/tests/support/EntryWorld.cpp
@@ -87,11 +87,10 @@
   }
   return "nodeName = \"i" + std::to_string(aIndex) + "\"\nzone = \"" +
          ports.mZone + "\"\nip = \"127.0.0.1\"\ninternalPorts = [" +
-         std::to_string(ports.mPeers) + "," +
-         std::to_string(ports.mPeers + 1) +
-         "]\nheartbeatMs = 1200\n[zones]\n" + zones + "[listen]\nfront = " +
-         address(ports.mCallers) + "readinessAddr = " +
-         address(ports.mReadiness) +
+         std::to_string(ports.mPeers) + "," + std::to_string(ports.mPeers + 1) +
+         "]\nheartbeatMs = 1200\n[zones]\n" + zones +
+         "[listen]\nfront = " + address(ports.mCallers) +
+         "readinessAddr = " + address(ports.mReadiness) +
          "[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 8\nleaseMs = 300\n"
          "retryBudgetSlack = 100\n[platform]\naddress = \"" +
          ports.mStore + "\"\n";
@@ -173,9 +172,8 @@
                  const std::string& aZone,
                  const std::string& aState)
 {
-  mStore->Put(wire::kServersKind,
-              aServer.Id(),
-              aServer.Entry(aService, aZone, aState));
+  mStore->Put(
+    wire::kServersKind, aServer.Id(), aServer.Entry(aService, aZone, aState));
 }
 
 bool
--- a/tests/support/EntryWorld.h
+++ b/tests/support/EntryWorld.h
@@ -20,7 +20,7 @@
 struct CallerView
 {
   std::shared_ptr<Channel> mChannel;
-  std::string mBytes;   // all that came, not yet read as answers
+  std::string mBytes; // all that came, not yet read as answers
   HttpHead mHead;
   std::string mBody;
   int mStatus = 0;      // 0 = no head yet
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -227,7 +227,9 @@
     own.push_back({ "Transfer-Encoding", "chunked" });
     channel.Write(WriteHead("HTTP/1.1 200 OK", own));
     std::string last = ValueOf(aHead, wire::kLastEvent);
-    Stream(aVisitor, id, last.empty() ? 1 : std::stoi(last) + 1);
+    std::string model = ValueOf(aHead, wire::kModel);
+    mInUse.insert(model);
+    Stream(aVisitor, model, last.empty() ? 1 : std::stoi(last) + 1);
     return;
   }
   switch (mManners) {
@@ -278,30 +280,46 @@
 
 void
 StandInServer::Stream(const std::shared_ptr<Visitor>& aVisitor,
-                      const std::string& aId,
+                      const std::string& aModel,
                       int aNext)
 {
   if (aVisitor->mGone) {
+    EndUse(aModel);
     return;
   }
   Channel& channel = *aVisitor->mChannel;
   if (aNext > mEvents) {
     channel.Write("0\r\n\r\n");
     aVisitor->mWorking = false;
+    EndUse(aModel);
     return;
   }
   if (mManners == Manners::StopsMidway && aNext == 3) {
     channel.Write(Chunk(EventText(aNext).substr(0, 8)));
     aVisitor->mWorking = false;
     channel.Finish();
+    EndUse(aModel);
     return;
   }
   channel.Write(Chunk(EventText(aNext)));
-  mReactor.After(mEventGap, [this, aVisitor, aId, aNext] {
-    Stream(aVisitor, aId, aNext + 1);
+  mReactor.After(mEventGap, [this, aVisitor, aModel, aNext] {
+    Stream(aVisitor, aModel, aNext + 1);
   });
 }
 
+void
+StandInServer::EndUse(const std::string& aModel)
+{
+  auto found = mInUse.find(aModel);
+  if (found != mInUse.end()) {
+    mInUse.erase(found);
+  }
+  if (!mInUse.count(aModel) && mGoing.erase(aModel)) {
+    size_t slash = aModel.find('/');
+    mModels[aModel.substr(0, slash)].erase(aModel.substr(slash + 1));
+  }
+}
+
 void
 StandInServer::OnOrder(const std::shared_ptr<Visitor>& aVisitor,
                        const Json::Value& aOrder)
@@ -331,6 +349,10 @@
     mModels.erase(model);
     return 202;
   }
+  if (!load && mInUse.count(model + "/" + adapter)) {
+    mGoing.insert(model + "/" + adapter);
+    return 202;
+  }
   if (!load) {
     mModels[model].erase(adapter);
     return 200;
@@ -339,9 +361,8 @@
   for (const auto& [name, held] : mModels) {
     adapters += held.size();
   }
-  bool full = adapter.empty()
-                ? static_cast<int>(mModels.size()) >= mPlaces
-                : static_cast<int>(adapters) >= mAdapterPlaces;
+  bool full = adapter.empty() ? static_cast<int>(mModels.size()) >= mPlaces
+                              : static_cast<int>(adapters) >= mAdapterPlaces;
   mOverfull += full ? 1 : 0;
   if (!adapter.empty()) {
     mModels[model].insert(adapter);
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -23,17 +23,17 @@
 enum class Manners
 {
   Proper,
-  Refuses,      // proves that it did not run them
-  RunsAndCuts,  // runs, then closes without an answer
-  Truncates,    // closes in the middle of the body
-  Unsealed,     // a success that isn't marked as its own
-  Encoded,      // a success in a coding that nobody asked for
-  LateAnswer,   // another request's answer first, then the right one
-  ExtraAnswer,  // a second answer behind the right one
-  Garbage,      // bytes that are no answer
-  Fails,        // 500 of its own
-  Hangs,        // never answers
-  StopsMidway,  // a stream stops in the middle of its third event
+  Refuses,     // proves that it did not run them
+  RunsAndCuts, // runs, then closes without an answer
+  Truncates,   // closes in the middle of the body
+  Unsealed,    // a success that isn't marked as its own
+  Encoded,     // a success in a coding that nobody asked for
+  LateAnswer,  // another request's answer first, then the right one
+  ExtraAnswer, // a second answer behind the right one
+  Garbage,     // bytes that are no answer
+  Fails,       // 500 of its own
+  Hangs,       // never answers
+  StopsMidway, // a stream stops in the middle of its third event
 };
 
 struct ServerRun
@@ -61,26 +61,29 @@
                     const std::string& aState = "ready") const;
 
   std::vector<ServerRun> mRuns;
-  int mArrivals = 0;  // of requests, refused ones too
-  int mLeft = 0;      // connections closed while it worked
+  int mArrivals = 0; // of requests, refused ones too
+  int mLeft = 0;     // connections closed while it worked
   int mOrdersSeen = 0;
-  int mOverfull = 0;  // loads ordered beyond its memory or adapter places
+  int mOverfull = 0; // loads ordered beyond its memory or adapter places
   std::set<std::string> mHolders;
   std::vector<int64_t> mTokens; // fencing tokens, as they came
 
+  std::multiset<std::string> mInUse; // MODEL/ADAPTER of streams under way
+  std::set<std::string> mGoing;      // unloaded when their streams end
+
   Manners mManners = Manners::Proper;
   std::string mExpectedId; // answers 421 to who expects another
   HeldModels mModels;
   std::set<std::string> mOnDisk;
   int64_t mOrders = 0;
   bool mBusy = false;
-  int mPlaces = 3;        // models that fit
+  int mPlaces = 3; // models that fit
   int mAdapterPlaces = 8;
-  Millis mWork{ 5 };      // before an answer
+  Millis mWork{ 5 }; // before an answer
   Millis mLoadTime{ 100 };
-  Millis mOrderDelay{ 0 }; // orders are answered and begun so much later
+  Millis mOrderDelay{ 0 };      // orders are answered and begun so much later
   bool mSwallowsOrders = false; // carries them out, answers none
-  int mEvents = 5;        // of a stream
+  int mEvents = 5;              // of a stream
   Millis mEventGap{ 10 };
 
 private:
@@ -95,10 +98,11 @@
             const HttpHead& aHead,
             const std::string& aBody);
   void Stream(const std::shared_ptr<Visitor>& aVisitor,
-              const std::string& aId,
+              const std::string& aModel,
               int aNext);
   void OnOrder(const std::shared_ptr<Visitor>& aVisitor,
                const Json::Value& aOrder);
+  void EndUse(const std::string& aModel);
   int CarryOut(const Json::Value& aOrder);
   void Report(const std::shared_ptr<Visitor>& aVisitor);
   void Reply(const std::shared_ptr<Visitor>& aVisitor,
