A tenant's tokens go to its more urgent routes first

Ruled out: uneven instances (all asked one keeper, nobody's part was idle). Now streams leave a part of the burst to more urgent routes, and tokens that accrue within an eighth of a request's target are waited for.

--- a/src/decide/ServingConfig.cpp
+++ b/src/decide/ServingConfig.cpp
@@ -1,5 +1,7 @@
 #include "decide/ServingConfig.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 const RouteSpec*
@@ -17,4 +19,14 @@
   return best;
 }
 
+int
+ServingConfig::LeastUrgent() const
+{
+  int least = 0;
+  for (const RouteSpec& route : mRoutes) {
+    least = std::max(least, route.mPriority);
+  }
+  return least;
+}
+
 } // namespace caraway
--- a/src/decide/TenantTokens.cpp
+++ b/src/decide/TenantTokens.cpp
@@ -10,6 +10,10 @@
 // are let in without a question.
 constexpr double kEven = 0.5;
 
+// Left by the least urgent routes; those between leave less. Small, so that a
+// burst of one route alone still finds most of its tenant's burst.
+constexpr double kReserve = 0.25;
+
 // A usual request's tokens: below this an even part is of no use, and the
 // keeper has it all.
 constexpr double kUsualCost = 2000;
@@ -19,6 +23,14 @@
 
 } // namespace
 
+double
+ReserveFor(int aPriority, int aLeastUrgent)
+{
+  return aLeastUrgent <= 0
+           ? 0
+           : kReserve * std::clamp(aPriority, 0, aLeastUrgent) / aLeastUrgent;
+}
+
 double
 EvenShare(const TenantLimit& aLimit, int aInstances)
 {
@@ -54,6 +66,7 @@
 TenantBuckets::Take(const TenantLimit& aLimit,
                     double aShare,
                     double aTokens,
+                    double aReserve,
                     TimePoint aNow)
 {
   if (aShare <= 0) {
@@ -61,6 +74,10 @@
   }
   TokenBucket& bucket = Bucket(aLimit, aShare, aNow);
   double most = std::min(aTokens, bucket.Burst());
+  double reserve = std::min(aReserve * bucket.Burst(), bucket.Burst() - most);
+  if (bucket.Level(aNow) < most + reserve) {
+    return false;
+  }
   if (!bucket.Take(most, aNow)) {
     return false;
   }
--- a/src/decide/TenantTokens.h
+++ b/src/decide/TenantTokens.h
@@ -22,12 +22,14 @@
 class TenantBuckets
 {
 public:
-  // Takes aTokens, or nothing. A full bucket lends what a request costs
+  // Takes aTokens, or nothing; never the last aReserve of the burst. A full
+  // bucket lends what a request costs
   // beyond the whole burst: it could never pass otherwise, and its tenant
   // pays with the seconds that follow.
   bool Take(const TenantLimit& aLimit,
             double aShare,
             double aTokens,
+            double aReserve,
             TimePoint aNow);
   // Begins to fill the bucket, if there is none yet.
   void Prepare(const TenantLimit& aLimit, double aShare, TimePoint aNow);
@@ -40,6 +42,13 @@
   std::map<std::string, TokenBucket> mBuckets;
 };
 
+// The part of the burst that a stream leaves for more urgent ones of its
+// tenant. A tenant that asks for more than its limit would otherwise spend it
+// on whatever comes first, mostly on what is least urgent; so its urgent routes
+// find tokens while the others wait.
+double
+ReserveFor(int aPriority, int aLeastUrgent);
+
 // Of rate and burst: the part that is split evenly between instances. None
 // where an even part couldn't pay a usual request.
 double
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 
+#include "decide/TenantTokens.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
@@ -27,6 +28,10 @@
 // Other instances can take it at once.
 constexpr Millis kComeBackElsewhere{ 20 };
 
+// Of a request's target: the part that it waits for its tenant's tokens.
+constexpr int kTokenPatience = 8;
+constexpr Millis kLeastPatience{ 50 };
+
 // Sends of one request: repeats cost the servers work; beyond a few they
 // help nobody.
 constexpr int kMostSends = 6;
@@ -191,13 +196,18 @@
     Dispatch();
     return;
   }
-  mTokens.Ask(mTenant,
-              CostOf(mFacts, tenant->second),
-              [weak](bool aGranted, Millis aAfter) {
-                if (auto exchange = weak.lock()) {
-                  exchange->OnTokens(aGranted, aAfter);
-                }
-              });
+  TokenRequest request;
+  request.mTenant = mTenant;
+  request.mTokens = CostOf(mFacts, tenant->second);
+  request.mPatience = std::max(route.mTarget / kTokenPatience, kLeastPatience);
+  if (route.mKind == RouteKind::Stream) {
+    request.mReserve = ReserveFor(route.mPriority, mConfig->LeastUrgent());
+  }
+  mTokens.Ask(request, [weak](bool aGranted, Millis aAfter) {
+    if (auto exchange = weak.lock()) {
+      exchange->OnTokens(aGranted, aAfter);
+    }
+  });
 }
 
 bool
--- a/src/entry/TokenAsker.h
+++ b/src/entry/TokenAsker.h
@@ -9,6 +9,14 @@
 
 namespace caraway {
 
+struct TokenRequest
+{
+  std::string mTenant;
+  double mTokens = 0;
+  double mReserve = 0;   // of the burst, to be left for more urgent requests
+  Millis mPatience{ 0 }; // tokens that accrue within it are waited for
+};
+
 class TokenAsker
 {
 public:
@@ -16,8 +24,8 @@
   using Done = std::function<void(bool aGranted, Millis aAfter)>;
 
   virtual ~TokenAsker() = default;
-  // Answers once, now or within a few hundred milliseconds.
-  virtual void Ask(const std::string& aTenant, double aTokens, Done aDone) = 0;
+  // Answers once, now or soon after the request's patience.
+  virtual void Ask(const TokenRequest& aRequest, Done aDone) = 0;
 };
 
 } // namespace caraway
--- a/src/entry/TokenDesk.cpp
+++ b/src/entry/TokenDesk.cpp
@@ -1,5 +1,7 @@
 #include "entry/TokenDesk.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -13,9 +15,8 @@
 // While nobody keeps the common part; a lease moves on within seconds.
 constexpr Millis kNoKeeper{ 700 };
 
-// Waited for here instead of refusing: a tenth of an urgent request's time to
-// its first event, twice.
-constexpr Millis kShortWait{ 80 };
+// Between two looks for tokens.
+constexpr Millis kShortestWait{ 15 };
 
 // New tenants' buckets begin to fill so soon after their configuration.
 constexpr Millis kPrepare{ 200 };
@@ -34,8 +35,11 @@
 TokenDesk::Start()
 {
   mPeers.Add("lend", [this](const Json::Value& aParams) {
-    Loan loan =
-      Lend(aParams["tenant"].asString(), aParams["tokens"].asDouble());
+    TokenRequest request;
+    request.mTenant = aParams["tenant"].asString();
+    request.mTokens = aParams["tokens"].asDouble();
+    request.mReserve = aParams["reserve"].asDouble();
+    Loan loan = Lend(request);
     Json::Value result;
     result["granted"] = loan.mGranted;
     result["after_ms"] = Json::Int64(loan.mAfter.count());
@@ -85,102 +89,115 @@
 }
 
 TokenDesk::Loan
-TokenDesk::Lend(const std::string& aTenant, double aTokens)
+TokenDesk::Lend(const TokenRequest& aRequest)
 {
   ServingConfigPtr config = mState.mConfig;
-  auto limit = config ? config->mTenants.find(aTenant)
-                      : std::map<std::string, TenantLimit>::const_iterator();
-  if (!mLease.Holds() || !config || limit == config->mTenants.end() ||
-      aTokens < 0) {
+  if (!mLease.Holds() || !config || aRequest.mTokens < 0) {
+    return { false, kNoKeeper };
+  }
+  auto limit = config->mTenants.find(aRequest.mTenant);
+  if (limit == config->mTenants.end()) {
     return { false, kNoKeeper };
   }
   TimePoint now = mState.Now();
   BeginKeeping();
   double share = KeeperShare(limit->second, mState.mInstances);
-  if (mKept.Take(limit->second, share, aTokens, now)) {
+  if (mKept.Take(
+        limit->second, share, aRequest.mTokens, aRequest.mReserve, now)) {
     return { true, Millis(0) };
   }
-  return { false, mKept.Until(aTenant, aTokens, now) };
+  return { false, mKept.Until(aRequest.mTenant, aRequest.mTokens, now) };
+}
+
+void
+TokenDesk::Ask(const TokenRequest& aRequest, Done aDone)
+{
+  AskUntil(aRequest, mState.Now() + aRequest.mPatience, std::move(aDone));
 }
 
 // Tokens that accrue within a moment are waited for: a refusal would cost the
 // caller more. It also bridges the first moment of a new bucket.
 void
-TokenDesk::Ask(const std::string& aTenant, double aTokens, Done aDone)
+TokenDesk::AskUntil(const TokenRequest& aRequest, TimePoint aUntil, Done aDone)
 {
-  AskOnce(aTenant,
-          aTokens,
-          [this, aTenant, aTokens, aDone](bool aGranted, Millis aAfter) {
-            if (aGranted || aAfter > kShortWait) {
+  AskOnce(aRequest,
+          [this, aRequest, aUntil, aDone](bool aGranted, Millis aAfter) {
+            Millis wait = std::max(aAfter, kShortestWait);
+            if (aGranted || mState.Now() + wait > aUntil) {
               aDone(aGranted, aAfter);
               return;
             }
-            mState.mReactor.After(aAfter, [this, aTenant, aTokens, aDone] {
-              AskOnce(aTenant, aTokens, aDone);
+            mState.mReactor.After(wait, [this, aRequest, aUntil, aDone] {
+              AskUntil(aRequest, aUntil, aDone);
             });
           });
 }
 
 void
-TokenDesk::AskOnce(const std::string& aTenant, double aTokens, Done aDone)
+TokenDesk::AskOnce(const TokenRequest& aRequest, Done aDone)
 {
   if (!mState.mConfig) {
     aDone(false, kNoKeeper);
     return;
   }
-  auto limit = mState.mConfig->mTenants.find(aTenant);
+  auto limit = mState.mConfig->mTenants.find(aRequest.mTenant);
   if (limit == mState.mConfig->mTenants.end()) {
     aDone(true, Millis(0));
     return;
   }
   double share = EvenShare(limit->second, mState.mInstances);
-  if (mEven.Take(limit->second, share, aTokens, mState.Now())) {
+  if (mEven.Take(limit->second,
+                 share,
+                 aRequest.mTokens,
+                 aRequest.mReserve,
+                 mState.Now())) {
     aDone(true, Millis(0));
   } else if (mLease.Holds()) {
-    Tell(aTenant, aTokens, "self", Lend(aTenant, aTokens), aDone);
+    Tell(aRequest, "self", Lend(aRequest), aDone);
   } else {
-    AskKeeper(aTenant, aTokens, std::move(aDone));
+    AskKeeper(aRequest, std::move(aDone));
   }
 }
 
 void
-TokenDesk::AskKeeper(const std::string& aTenant, double aTokens, Done aDone)
+TokenDesk::AskKeeper(const TokenRequest& aRequest, Done aDone)
 {
   std::string keeper = mPeers.HolderOf(kLease);
   if (keeper.empty()) {
-    Tell(aTenant, aTokens, "nobody", { false, kNoKeeper }, aDone);
+    Tell(aRequest, "nobody", { false, kNoKeeper }, aDone);
     return;
   }
   Json::Value params;
-  params["tenant"] = aTenant;
-  params["tokens"] = aTokens;
-  mPeers.Call(keeper,
-              "lend",
-              params,
-              kAskTime,
-              [this, aTenant, aTokens, keeper, aDone](
-                bool aGood, const Json::Value& aResult) {
-                Loan loan{ false, kNoKeeper };
-                if (aGood && aResult["granted"].isBool() &&
-                    aResult["after_ms"].isInt64()) {
-                  loan.mGranted = aResult["granted"].asBool();
-                  loan.mAfter = Millis(aResult["after_ms"].asInt64());
-                }
-                Tell(aTenant, aTokens, keeper, loan, aDone);
-              });
+  params["tenant"] = aRequest.mTenant;
+  params["tokens"] = aRequest.mTokens;
+  params["reserve"] = aRequest.mReserve;
+  mPeers.Call(
+    keeper,
+    "lend",
+    params,
+    kAskTime,
+    [this, aRequest, keeper, aDone](bool aGood, const Json::Value& aResult) {
+      Loan loan{ false, kNoKeeper };
+      if (aGood && aResult["granted"].isBool() &&
+          aResult["after_ms"].isInt64()) {
+        loan.mGranted = aResult["granted"].asBool();
+        loan.mAfter = Millis(aResult["after_ms"].asInt64());
+      }
+      Tell(aRequest, keeper, loan, aDone);
+    });
 }
 
 void
-TokenDesk::Tell(const std::string& aTenant,
-                double aTokens,
+TokenDesk::Tell(const TokenRequest& aRequest,
                 const std::string& aBy,
                 const Loan& aLoan,
                 const Done& aDone)
 {
   if (!aLoan.mGranted) {
     mState.mLog.Line("tokens_refused")
-      .Text("tenant", aTenant)
-      .Number("tokens", aTokens)
+      .Text("tenant", aRequest.mTenant)
+      .Number("tokens", aRequest.mTokens)
+      .Number("reserve", aRequest.mReserve)
       .Text("keeper", aBy)
       .Ms("after_ms", aLoan.mAfter)
       .Count("instances", mState.mInstances);
--- a/src/entry/TokenDesk.h
+++ b/src/entry/TokenDesk.h
@@ -19,7 +19,7 @@
   void Release() { mLease.Release(); }
   const LeaseLoop& Lease() const { return mLease; }
 
-  void Ask(const std::string& aTenant, double aTokens, Done aDone) override;
+  void Ask(const TokenRequest& aRequest, Done aDone) override;
 
 private:
   struct Loan
@@ -29,11 +29,11 @@
   };
   void Prepare();
   void BeginKeeping();
-  Loan Lend(const std::string& aTenant, double aTokens);
-  void AskKeeper(const std::string& aTenant, double aTokens, Done aDone);
-  void AskOnce(const std::string& aTenant, double aTokens, Done aDone);
-  void Tell(const std::string& aTenant,
-            double aTokens,
+  Loan Lend(const TokenRequest& aRequest);
+  void AskKeeper(const TokenRequest& aRequest, Done aDone);
+  void AskUntil(const TokenRequest& aRequest, TimePoint aUntil, Done aDone);
+  void AskOnce(const TokenRequest& aRequest, Done aDone);
+  void Tell(const TokenRequest& aRequest,
             const std::string& aBy,
             const Loan& aLoan,
             const Done& aDone);
