--- a/src/decide/StoreLoads.cpp
+++ b/src/decide/StoreLoads.cpp
@@ -14,6 +14,9 @@
 // The span over which the rate is counted; the store's own is as long.
 constexpr Seconds kWindow{ 5 };
 
+// A part that is a whole number in decimals must not lose a load to binary.
+constexpr double kRounding = 1e-6;
+
 } // namespace
 
 void
@@ -38,7 +41,8 @@
   }
   // At least one: a window's part below one would never let any begin.
   double most = std::max(
-    1.0, std::floor(mPerSecond * static_cast<double>(kWindow.count())));
+    1.0,
+    std::floor(mPerSecond * static_cast<double>(kWindow.count()) + kRounding));
   size_t recent = 0;
   for (TimePoint began : mBegan) {
     recent += aNow - began < kWindow ? 1 : 0;
--- /dev/null
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -0,0 +1,278 @@
+// The entry instance's decisions on a paused clock: budgets, limits, where a
+// model goes and which server gets a request.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "decide/DemandLog.h"
+#include "decide/PlacementPlan.h"
+#include "decide/RepeatBudget.h"
+#include "decide/ServerView.h"
+#include "decide/StoreLoads.h"
+#include "decide/TenantTokens.h"
+
+namespace caraway {
+
+namespace {
+
+const TimePoint kStart{ Seconds(1000) };
+
+TenantLimit
+Limit(double aRate, double aBurst)
+{
+  TenantLimit limit;
+  limit.mName = "t";
+  limit.mRate = aRate;
+  limit.mBurst = aBurst;
+  return limit;
+}
+
+BackendEntry
+Entry(const std::string& aId,
+      const std::string& aZone,
+      const std::vector<std::string>& aModels,
+      const std::vector<std::string>& aOnDisk = {})
+{
+  BackendEntry entry;
+  entry.mId = aId;
+  entry.mService = "e";
+  entry.mZone = aZone;
+  entry.mSlots = 32;
+  for (const std::string& model : aModels) {
+    entry.mModels[model];
+  }
+  entry.mOnDisk.insert(aOnDisk.begin(), aOnDisk.end());
+  return entry;
+}
+
+EngineSpec
+Engine()
+{
+  EngineSpec engine;
+  engine.mMemoryMb = 230000;
+  engine.mAdapterSlots = 8;
+  for (int i = 0; i < 106; ++i) {
+    ModelWeights model;
+    model.mMb = 72700;
+    engine.mModels["m" + std::to_string(i)] = model;
+  }
+  return engine;
+}
+
+} // namespace
+
+// Instances with any traffic of their own, the same moment or not: repeats of
+// all together stay under ratio times requests plus slack in every window.
+RC_GTEST_PROP(RepeatBudgetRandom, AllTogetherStayWithin, ())
+{
+  constexpr int kInstances = 4;
+  RepeatLimits limits{ 0.2, 40, Seconds(10) };
+  std::vector<RepeatBudget> budgets(kInstances, RepeatBudget(limits));
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> repeats;
+  TimePoint now = kStart;
+  for (int i = 0; i < 400; ++i) {
+    now += Millis(*rc::gen::inRange(0, 120));
+    auto who = *rc::gen::inRange<size_t>(0, kInstances);
+    if (*rc::gen::inRange(0, 3) == 0) {
+      if (budgets[who].Spend("s", kInstances, now)) {
+        repeats.push_back(now);
+      }
+    } else {
+      budgets[who].OnRequest("s", now);
+      requests.push_back(now);
+    }
+    auto within = [now](const std::vector<TimePoint>& aTimes) {
+      return static_cast<double>(
+        std::count_if(aTimes.begin(), aTimes.end(), [now](TimePoint aTime) {
+          return now - aTime <= Seconds(10);
+        }));
+    };
+    RC_ASSERT(within(repeats) <= 0.2 * within(requests) + 40);
+  }
+}
+
+// The parts of a limit, spent at will by instances that can't talk, and the
+// keeper's: together never over rate and burst in any span. Requests are
+// smaller than the parts here, so that nothing is lent beyond a burst.
+RC_GTEST_PROP(TenantTokensRandom, PartsNeverExceedTheWhole, ())
+{
+  constexpr int kInstances = 3;
+  TenantLimit limit = Limit(20000, 20000);
+  std::vector<TenantBuckets> places(kInstances + 1);
+  std::vector<std::pair<TimePoint, double>> spent;
+  TimePoint now = kStart;
+  for (int i = 0; i < 300; ++i) {
+    now += Millis(*rc::gen::inRange(0, 60));
+    auto who = *rc::gen::inRange<size_t>(0, kInstances + 1);
+    double share = who == kInstances ? KeeperShare(limit, kInstances)
+                                     : EvenShare(limit, kInstances);
+    double tokens = *rc::gen::inRange(1, 3000);
+    if (places[who].Take(limit, share, tokens, 0, now)) {
+      spent.push_back({ now, tokens });
+    }
+  }
+  for (size_t from = 0; from < spent.size(); ++from) {
+    double sum = 0;
+    for (size_t to = from; to < spent.size(); ++to) {
+      sum += spent[to].second;
+      std::chrono::duration<double> span = spent[to].first - spent[from].first;
+      RC_ASSERT(sum <= limit.mBurst + limit.mRate * span.count() + 1);
+    }
+  }
+}
+
+// A tenant asks for three times its limit, mostly for what is least urgent:
+// its urgent requests still find tokens.
+TEST(TenantTokens, UrgentRoutesFindTokensInAnOverload)
+{
+  TenantLimit limit = Limit(10000, 10000);
+  TenantBuckets bucket;
+  bucket.Prepare(limit, 1, kStart);
+  int urgent = 0;
+  int rest = 0;
+  for (int ms = 1000; ms < 21000; ms += 50) {
+    TimePoint now = kStart + Millis(ms);
+    rest += bucket.Take(limit, 1, 1500, ReserveFor(2, 2), now) ? 1 : 0;
+    if (ms % 500 == 0) {
+      urgent += bucket.Take(limit, 1, 1500, ReserveFor(0, 2), now) ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(40, urgent);
+  EXPECT_GT(rest, 60);
+}
+
+// Loads of a zone: never more in five seconds, or at once, than its part.
+TEST(StoreLoads, ZoneKeepsToItsPart)
+{
+  StoreLoads loads;
+  loads.SetLimits(4.8, 3);
+  int begun = 0;
+  for (int ms = 0; ms < 5000; ms += 10) {
+    TimePoint now = kStart + Millis(ms);
+    if (loads.Wait(now) == Millis(0)) {
+      std::string server = std::to_string(begun++);
+      loads.Began(server, now + Millis(10), now);
+      loads.Ended(server); // at once, so that only the rate binds
+    }
+  }
+  EXPECT_EQ(8, begun);
+  StoreLoads few;
+  few.SetLimits(100, 3);
+  few.Began("a", kStart + Seconds(6), kStart);
+  EXPECT_EQ(Millis(0), few.Wait(kStart));
+  few.Began("b", kStart + Seconds(7), kStart);
+  EXPECT_EQ(Millis(6000), few.Wait(kStart));
+}
+
+// A rare model goes where its copy lies, unless that server is busy for longer
+// than the difference; what yields is what is asked for least.
+TEST(PlacementPlan, ModelGoesWhereItsCopyLies)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", { "m1", "m2", "m3" }), kStart);
+  servers.Put(Entry("s2", "a", { "m4", "m5", "m6" }, { "m9" }), kStart);
+  servers.Put(Entry("s3", "b", {}, { "m9" }), kStart);
+  PlacementFacts facts;
+  facts.mService = "e";
+  facts.mZone = "a";
+  facts.mRates = { { "m4", 0.3 }, { "m5", 0.01 }, { "m6", 2 } };
+  auto choice = ChoosePlace(Engine(), "m9", servers, facts);
+  ASSERT_TRUE(choice);
+  EXPECT_EQ("s2", choice->mServer);
+  EXPECT_EQ(WeightSource::Disk, choice->mSource);
+  EXPECT_EQ(std::vector<std::string>{ "m5" }, choice->mEvict);
+  facts.mBusy["s2"] = Seconds(20);
+  EXPECT_EQ("s1", ChoosePlace(Engine(), "m9", servers, facts)->mServer);
+}
+
+TEST(PlacementPlan, WhatIsInUseDoesNotYield)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", { "m1", "m2", "m3" }), kStart);
+  for (const char* model : { "m1", "m2/a1", "m3" }) {
+    servers.Began("s1", model);
+  }
+  PlacementFacts facts;
+  facts.mService = "e";
+  facts.mZone = "a";
+  EXPECT_FALSE(ChoosePlace(Engine(), "m9", servers, facts));
+  servers.Ended("s1", "m2/a1");
+  EXPECT_TRUE(ChoosePlace(Engine(), "m9", servers, facts));
+}
+
+TEST(PlacementPlan, RoomIsWhatTheAccountLeaves)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", { "m1", "m2" }), kStart);
+  EXPECT_TRUE(FitsNow(Engine(), *servers.Find("s1"), "m3", ""));
+  servers.PutContent(
+    "s1", 0, 1, { { "m1", {} }, { "m2", {} }, { "m3", {} } }, kStart);
+  EXPECT_FALSE(FitsNow(Engine(), *servers.Find("s1"), "m4", ""));
+}
+
+// A server that fails is avoided, and used again when it is the only one: a
+// zone isn't emptied by suspicion.
+TEST(ServerView, SuspectsAreUsedWhenNobodyElseIsLeft)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", {}), kStart);
+  servers.Put(Entry("s2", "a", {}), kStart);
+  std::mt19937 random(1);
+  servers.Heard("s1", ServerNews::Broken, kStart);
+  ServerWish wish;
+  wish.mService = "e";
+  wish.mZone = "a";
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ("s2", servers.Choose(wish, kStart, random).mBackend->mEntry.mId);
+  }
+  wish.mExcluded = { "s2" };
+  EXPECT_EQ("s1", servers.Choose(wish, kStart, random).mBackend->mEntry.mId);
+}
+
+// Requests of other instances count: all send to the one with the fewest.
+TEST(ServerView, OthersRequestsCount)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", { "m1" }), kStart);
+  servers.Put(Entry("s2", "a", { "m1" }), kStart);
+  servers.PutOthers("peer", { { "s1", { { "m1", 20 } } } });
+  std::mt19937 random(1);
+  ServerWish wish;
+  wish.mService = "e";
+  wish.mModel = "m1";
+  wish.mZone = "a";
+  EXPECT_EQ("s2", servers.Choose(wish, kStart, random).mBackend->mEntry.mId);
+  servers.ForgetPeer("peer");
+  EXPECT_EQ(0, servers.Find("s1")->UnderWay());
+}
+
+// A server that starts again under its id holds nothing of before.
+TEST(ServerView, NextLifeForgetsTheFormer)
+{
+  ServerView servers;
+  BackendEntry entry = Entry("s1", "a", { "m1" });
+  servers.Put(entry, kStart);
+  servers.PutContent("s1", 0, 7, { { "m1", { "a1" } } }, kStart);
+  entry.mBorn = 5;
+  entry.mModels.clear();
+  servers.Put(entry, kStart);
+  EXPECT_FALSE(servers.Find("s1")->Holds("m1", ""));
+  EXPECT_EQ(-1, servers.Find("s1")->mOrders);
+  EXPECT_FALSE(servers.PutContent("s1", 0, 8, { { "m1", {} } }, kStart));
+}
+
+TEST(DemandLog, MovesOnWithinSeconds)
+{
+  DemandLog log;
+  for (int i = 0; i < 80; ++i) {
+    log.Add("old", 1, kStart + Millis(100 * i));
+  }
+  TimePoint later = kStart + Seconds(24);
+  for (int i = 0; i < 20; ++i) {
+    log.Add("new", 1, later);
+  }
+  EXPECT_GT(log.Rate("new", later), log.Rate("old", later));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/unit/EventLogTest.cpp
@@ -0,0 +1,72 @@
+// Logs never block and stay bounded.
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "base/EventLog.h"
+#include "base/JsonText.h"
+#include "caraway/PausedClock.h"
+
+namespace caraway {
+
+TEST(EventLog, LinesAreJsonAndQuoted)
+{
+  PausedClock clock;
+  EventLog log(clock, "i1", -1);
+  log.Line("request_sent")
+    .Text("id", "a\"b\n\xff")
+    .Count("n", 7)
+    .Flag("f", true);
+  Json::Value line = JsonParseOrEmpty(log.Gathered());
+  EXPECT_EQ("request_sent", line["event"].asString());
+  EXPECT_EQ("i1", line["instance"].asString());
+  EXPECT_EQ(7, line["n"].asInt());
+  EXPECT_TRUE(line["f"].asBool());
+}
+
+// One event floods: the others keep their lines, and what was left out is told.
+TEST(EventLog, FloodOfOneEventLeavesTheOthersTheirLines)
+{
+  PausedClock clock;
+  EventLog log(clock, "i1", -1);
+  for (int i = 0; i < 1000; ++i) {
+    log.Line("flood");
+  }
+  EXPECT_EQ(800, log.LeftOut());
+  log.Line("other");
+  EXPECT_NE(std::string::npos, log.Gathered().find("\"other\""));
+  clock.Advance(Seconds(1));
+  log.Line("flood");
+  EXPECT_NE(std::string::npos, log.Gathered().find("\"lines\":800"));
+}
+
+// Nobody reads the pipe: writing returns at once, memory stays bounded, and
+// lines flow again when somebody reads.
+TEST(EventLog, FullPipeBlocksNobody)
+{
+  int ends[2];
+  ASSERT_EQ(0, pipe(ends));
+  PausedClock clock;
+  EventLog log(clock, "i1", ends[1]);
+  auto begin = std::chrono::steady_clock::now();
+  for (int second = 0; second < 60; ++second) {
+    for (int i = 0; i < 190; ++i) {
+      log.Line("busy").Text("text", std::string(100, 'x'));
+    }
+    log.Flush();
+    clock.Advance(Seconds(1));
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, Seconds(2));
+  EXPECT_LE(log.Waiting(), 300u * 1024);
+  EXPECT_GT(log.LeftOut(), 0);
+  size_t waiting = log.Waiting();
+  char bytes[65536];
+  ASSERT_GT(read(ends[0], bytes, sizeof bytes), 0);
+  log.Flush();
+  EXPECT_LT(log.Waiting(), waiting);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/unit/WireMessagesTest.cpp
@@ -0,0 +1,279 @@
+// Each translation of the platform's words, with good messages and bad ones.
+
+#include <gtest/gtest.h>
+
+#include "base/JsonText.h"
+#include "platform/ConfigMessage.h"
+#include "platform/OrderMessage.h"
+#include "platform/RequestHead.h"
+#include "platform/ServerEntry.h"
+#include "platform/SettingsFile.h"
+#include "platform/StoreMessage.h"
+#include "platform/WireNames.h"
+
+namespace caraway::wire {
+
+namespace {
+
+constexpr char kSettings[] = R"(
+nodeName = "front-1"
+zone = "mendoza-a"
+ip = "10.1.0.25"
+internalPorts = [7600,7615]
+heartbeatMs = 1200
+unknownField = 7
+[zones]
+mendoza-a = "cuyo"
+sanjuan-c = "cuyo"
+[listen]
+front = "10.1.0.25:8221"
+readinessAddr = "10.1.0.25:8224"
+[limits]
+cpuShare = 0.25
+[bounds]
+drainMs = 2000
+graceS = 8
+leaseMs = 3000
+retryBudgetRatio = 0.2
+retryBudgetSlack = 52
+budgetWindowS = 10
+[platform]
+address = "10.200.1.7:8225"
+)";
+
+std::string
+Without(std::string aText, const std::string& aLine)
+{
+  size_t at = aText.find(aLine);
+  return aText.erase(at, aText.find('\n', at) - at);
+}
+
+std::string
+Replaced(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+HttpHead
+Head(const std::string& aText)
+{
+  HttpHead head;
+  size_t used = 0;
+  EXPECT_EQ(HeadState::Whole, ReadRequestHead(aText, head, used));
+  return head;
+}
+
+} // namespace
+
+TEST(WireSettings, ReadsWhatTheInstanceNeeds)
+{
+  SettingsReading reading = ReadSettings(kSettings);
+  EXPECT_TRUE(reading.mTroubles.empty());
+  EXPECT_EQ("front-1", reading.mSettings.mName);
+  EXPECT_EQ("10.1.0.25:7600", reading.mSettings.mPeers);
+  EXPECT_EQ("10.1.0.25:7601", reading.mSettings.mMetrics);
+  EXPECT_EQ(Millis(8000), reading.mSettings.mGrace);
+  EXPECT_EQ(Millis(10000), reading.mSettings.mRepeatWindow);
+  EXPECT_EQ(2u, reading.mSettings.mZones.size());
+}
+
+TEST(WireSettings, TellsAllThatIsWrongAtOnceWithLines)
+{
+  std::string text = Without(kSettings, "nodeName");
+  text = Without(text, "address");
+  text = Replaced(text, "10.1.0.25:8221", "nowhere");
+  text = Replaced(text, "graceS = 8", "graceS = true");
+  SettingsReading reading = ReadSettings(text);
+  std::vector<std::string> fields;
+  for (const SettingsTrouble& trouble : reading.mTroubles) {
+    fields.push_back(trouble.mField);
+    EXPECT_FALSE(trouble.mExpected.empty());
+  }
+  std::vector<std::string> expected = {
+    "nodeName", "listen.front", "platform.address", "bounds.graceS"
+  };
+  EXPECT_EQ(expected, fields);
+  EXPECT_GT(reading.mTroubles.back().mLine, 0);
+}
+
+TEST(WireSettings, BadTomlAndMissingFileAreTold)
+{
+  EXPECT_EQ(1u, ReadSettings("a = [").mTroubles.size());
+  EXPECT_EQ(1u, ReadSettingsFile("/nowhere/at/all").mTroubles.size());
+}
+
+TEST(WireConfig, ReadsRoutesServicesAndTenants)
+{
+  Json::Value spec = JsonParseOrEmpty(R"({"version":7,"routes":[
+    {"name":"r","host":"h","pathPrefix":"/p/","kind":"streaming",
+     "timeoutMs":25000,"targetLatencyMs":3000,"priority":1,"service":"e",
+     "maxAttempts":2,"resumable":true},
+    {"name":"s","host":"h","pathPrefix":"/p/q/","kind":"unsafe",
+     "trafficSplit":[{"service":"e","weight":90},{"service":"f","weight":10}]}],
+    "services":[{"name":"e","maxConns":230,"engine":{"weightsMb":230000.0,
+      "adapterSlots":8,"loadsPerS":4.8,"models":[{"name":"m","weightsMb":72700,
+      "loadS":6.0,"warmS":0.6,"diskS":1.3,"adapterMb":66}]}}],
+    "limits":{"maxHeaderBytes":16384,"idleTimeoutMs":15000},
+    "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens",
+      "plainTokens":200,"ratePerS":79073,"burst":79073}]})");
+  int leftOut = -1;
+  auto config = ReadConfig(spec, leftOut);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(0, leftOut);
+  EXPECT_EQ(7, config->mVersion);
+  EXPECT_EQ("s", config->Match("h", "/p/q/x")->mName);
+  EXPECT_EQ("r", config->Match("h", "/p/x")->mName);
+  EXPECT_EQ(nullptr, config->Match("h", "/other"));
+  EXPECT_EQ(nullptr, config->Match("x", "/p/x"));
+  EXPECT_EQ(RouteKind::AtMostOnce, config->mRoutes[1].mKind);
+  EXPECT_EQ(2u, config->mRoutes[1].mSplit.size());
+  EXPECT_TRUE(config->mRoutes[0].mResumable);
+  const EngineSpec& engine = *config->mServices.at("e").mEngine;
+  EXPECT_EQ(Millis(1300), engine.mModels.at("m").mDisk);
+  EXPECT_EQ(8, engine.mAdapterSlots);
+  EXPECT_EQ("t", config->mTenantOfKey.at("k2"));
+  EXPECT_EQ(200, config->mTenants.at("t").mPlainTokens);
+}
+
+// A part that can't be read is left out and counted; the rest is in force.
+TEST(WireConfig, UnreadablePartsAreLeftOut)
+{
+  int leftOut = 0;
+  EXPECT_FALSE(ReadConfig(Json::Value("noise"), leftOut));
+  EXPECT_FALSE(ReadConfig(JsonParseOrEmpty(R"({"routes":[]})"), leftOut));
+  auto config =
+    ReadConfig(JsonParseOrEmpty(R"({"version":2,"routes":[7,{"host":"h"},
+      {"host":"h","pathPrefix":"/","kind":"odd","service":"e"},
+      {"host":"h","pathPrefix":"/","kind":"safe","service":"e"}],
+      "services":[{}],"tenants":["x"]})"),
+               leftOut);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(1u, config->mRoutes.size());
+  EXPECT_EQ(5, leftOut);
+}
+
+TEST(WireServer, ReadsAnEntry)
+{
+  auto entry = ReadServerEntry("i-1", JsonParseOrEmpty(R"({"service":"e",
+    "address":"10.128.0.9:8080","zone":"a","slots":32,"state":"draining",
+    "sequence":4,"born":1700000000001,"models":[{"name":"m","version":1,
+    "adapters":["a1"]}],"atHand":{"inMemory":["m"],"onDisk":["m","n"]}})"));
+  ASSERT_TRUE(entry);
+  EXPECT_TRUE(entry->mDraining);
+  EXPECT_EQ(1700000000001, entry->mBorn);
+  EXPECT_EQ(1u, entry->mModels.at("m").count("a1"));
+  EXPECT_EQ(2u, entry->mOnDisk.size());
+}
+
+TEST(WireServer, BadEntriesNameNoServer)
+{
+  for (
+    const char* text :
+    { "{}",
+      R"({"service":7,"address":"1.2.3.4:5","zone":"a","slots":1,"state":"ready"})",
+      R"({"service":"e","address":"nowhere","zone":"a","slots":1,"state":"ready"})",
+      R"({"service":"e","address":"1.2.3.4:5","zone":"a","slots":0,"state":"ready"})",
+      R"({"service":"e","address":"1.2.3.4:5","zone":"a","slots":1,"state":"odd"})",
+      R"({"service":"e","address":"1.2.3.4:5","zone":"a","slots":1,"state":"ready","models":"m"})" }) {
+    EXPECT_FALSE(ReadServerEntry("i-1", JsonParseOrEmpty(text))) << text;
+  }
+}
+
+TEST(WireStore, CallsAndAnswers)
+{
+  EXPECT_EQ("/objects/servers?after=i%2F1",
+            ListCall("servers", "i/1", false).mTarget);
+  EXPECT_EQ("/objects/k?staleOk=1", ListCall("k", "", true).mTarget);
+  EXPECT_EQ("/objects/k?watch=5&waitMs=2000",
+            WatchCall("k", 5, Seconds(2)).mTarget);
+  StoreObject object{ "n", 12, Json::Value("s") };
+  EXPECT_EQ(
+    12,
+    JsonParseOrEmpty(ReplaceCall("k", object).mBody)["metadata"]["revision"]
+      .asInt());
+  auto page = ReadWatchAnswer(R"({"events":[{"removed":true,"object":
+    {"metadata":{"name":"n","revision":9},"spec":{}}},{"object":7}],"asOf":11})");
+  ASSERT_TRUE(page);
+  ASSERT_EQ(1u, page->mChanges.size());
+  EXPECT_TRUE(page->mChanges[0].mRemoved);
+  EXPECT_EQ(11, page->mAsOf);
+  EXPECT_FALSE(ReadListAnswer("noise"));
+  EXPECT_FALSE(ReadListAnswer(R"({"items":[]})"));
+  EXPECT_FALSE(ReadObjectAnswer(R"({"metadata":{}})"));
+  EXPECT_EQ(StoreOutcome::Unknown, ReadOutcome(0));
+  EXPECT_EQ(StoreOutcome::NotDone, ReadOutcome(429));
+  EXPECT_EQ(StoreOutcome::Gone, ReadOutcome(410));
+}
+
+TEST(WireOrder, WrittenAndAnswered)
+{
+  ModelOrder order;
+  order.mModel = "m";
+  order.mAdapter = "a3";
+  order.mOrders = 2;
+  order.mHolder = "node-7";
+  order.mToken = 41;
+  OrderCall call = WriteOrder(order, "1.2.3.4:5", "i-1");
+  Json::Value body = JsonParseOrEmpty(call.mBody);
+  EXPECT_EQ("load", body["operation"].asString());
+  EXPECT_EQ(2, body["precondition"].asInt());
+  EXPECT_EQ(41, body["fenceToken"].asInt());
+  EXPECT_NE(std::string::npos, call.mHead.find("Expect-Instance: i-1"));
+  EXPECT_EQ(OrderAnswer::Busy, ReadOrderAnswer(409));
+  EXPECT_EQ(OrderAnswer::Unknown, ReadOrderAnswer(0));
+  EXPECT_EQ(OrderAnswer::Fenced, ReadOrderAnswer(412));
+}
+
+TEST(WireOrder, ReportCountsAdaptersOnTheirWay)
+{
+  auto report = ReadReport(R"({"models":[{"name":"m","adapters":["a1"]}],
+    "busy":false,"sequence":2,"coming":["m/a2@3"]})");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(2u, report->mModels.at("m").size());
+  EXPECT_FALSE(ReadReport(R"({"models":[],"busy":false})"));
+  EXPECT_FALSE(ReadReport("noise"));
+}
+
+TEST(WireRequest, FactsOfARequest)
+{
+  auto facts = ReadRequestFacts(
+    Head("POST /p/x?y=1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\n"
+         "Model: m/a1\r\nToken-Count: 1460,80\r\nDeadline-Remaining: 120.5\r\n"
+         "Authorization: Bearer k\r\n\r\n"));
+  ASSERT_TRUE(facts);
+  EXPECT_EQ("/p/x", facts->mPath);
+  EXPECT_EQ("m", facts->mModel);
+  EXPECT_EQ("a1", facts->mAdapter);
+  EXPECT_EQ(1460, *facts->mPromptTokens);
+  EXPECT_EQ(Millis(120), *facts->mDeadline);
+  EXPECT_EQ("k", facts->mKey);
+  for (const char* bad : { "Token-Count: x\r\n",
+                           "Token-Count: 1\r\n",
+                           "Token-Count: -1,2\r\n",
+                           "Deadline-Remaining: soon\r\n" }) {
+    EXPECT_FALSE(ReadRequestFacts(
+      Head(std::string("GET / HTTP/1.1\r\nAttempt-Id: r\r\n") + bad + "\r\n")));
+  }
+}
+
+TEST(WireRequest, ServerHeadHasOnlyWhatTheServerMayHave)
+{
+  HttpHead caller = Head("POST /p HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\n"
+                         "Connection: close\r\nAuthorization: Bearer k\r\n"
+                         "Tenant: evil\r\nHold: evil\r\nX-Own: kept\r\n"
+                         "Deadline-Remaining: 9\r\n\r\n");
+  ServerSend send;
+  send.mInstance = "i-1";
+  send.mTenant = "t";
+  send.mLeft = Millis(5);
+  std::string head = WriteServerRequest(caller, send);
+  EXPECT_EQ(std::string::npos, head.find("evil"));
+  EXPECT_EQ(std::string::npos, head.find("Bearer"));
+  EXPECT_EQ(std::string::npos, head.find("Connection"));
+  EXPECT_NE(std::string::npos, head.find("X-Own: kept"));
+  EXPECT_NE(std::string::npos, head.find("Deadline-Remaining: 5\r\n"));
+  EXPECT_NE(std::string::npos, head.find("Tenant: t\r\n"));
+  EXPECT_EQ("0.250", RetryAfterField(Millis(250)).mValue);
+}
+
+} // namespace caraway::wire
