explain joins logs; pulses go to instances in turn; placement facts once a pump

Ruled out: memory (6 MB), descriptors. Now pulses go to eight at a time, claims and demand in turn; facts are worked out once a pump.

--- a/src/ctl/Ctl.cpp
+++ b/src/ctl/Ctl.cpp
@@ -1,10 +1,13 @@
 #include "ctl/Ctl.h"
 
 #include <cstdio>
+#include <fstream>
+#include <sstream>
 
 #include "base/Digest.h"
 #include "base/JsonText.h"
 #include "base/RandomId.h"
+#include "ctl/RequestStory.h"
 #include "ctl/Table.h"
 
 namespace caraway {
@@ -79,6 +82,12 @@
     0,
     0,
     &Ctl::AdminKey },
+  { "explain",
+    "ID FILE...",
+    "one request's story from the logs of several instances",
+    2,
+    1024,
+    &Ctl::Explain },
   { "help", "[COMMAND]", "this text, or a command's line", 0, 1, &Ctl::Help },
 };
 
@@ -167,6 +176,23 @@
   return CtlExit_Ok;
 }
 
+Result<int>
+Ctl::Explain(const Words& aWords)
+{
+  RequestStory story(aWords[0]);
+  for (size_t i = 1; i < aWords.size(); ++i) {
+    std::ifstream file(aWords[i]);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+      return Fail(ErrorKind::NotFound, "can't read " + aWords[i]);
+    }
+    story.Read(text.str());
+  }
+  std::fputs(story.Text().c_str(), stdout);
+  return CtlExit_Ok;
+}
+
 Result<int>
 Ctl::AdminKey(const Words&)
 {
--- a/src/ctl/Ctl.h
+++ b/src/ctl/Ctl.h
@@ -58,6 +58,7 @@
   Result<int> Rollback(const Words& aWords);
   Result<int> Status(const Words& aWords);
   Result<int> AdminKey(const Words& aWords);
+  Result<int> Explain(const Words& aWords);
   Result<int> Help(const Words& aWords);
 
   Result<int> Change(const Json::Value& aConfig,
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -59,7 +59,8 @@
   options.mNote = FLAGS_note;
   caraway::Ctl::Words words(aWords + 1, aWords + aCount);
   bool local =
-    !words.empty() && (words[0] == "help" || words[0] == "admin-key");
+    !words.empty() &&
+    (words[0] == "help" || words[0] == "admin-key" || words[0] == "explain");
   if (!local && options.mAdmin.empty()) {
     std::fprintf(stderr,
                  "carawayctl: no address: give --admin or CARAWAY_ADMIN\n");
--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -34,19 +34,8 @@
          found->second.mAdapterMb * static_cast<double>(aAdapters.size());
 }
 
-int
-ReplicasOf(const ServerView& aServers, const std::string& aModel)
-{
-  int count = 0;
-  for (const auto& [id, backend] : aServers.All()) {
-    count += !backend.mEntry.mDraining && backend.Holds(aModel, "") ? 1 : 0;
-  }
-  return count;
-}
-
 double
 ValueOf(const EngineSpec& aEngine,
-        const ServerView& aServers,
         const std::string& aModel,
         const PlacementFacts& aFacts)
 {
@@ -55,7 +44,9 @@
   if (rate == aFacts.mRates.end() || model == aEngine.mModels.end()) {
     return 0;
   }
-  int replicas = std::max(1, ReplicasOf(aServers, aModel));
+  auto count = aFacts.mReplicas.find(aModel);
+  int replicas =
+    count == aFacts.mReplicas.end() ? 1 : std::max(1, count->second);
   // It comes back from this server's disk, where it leaves a copy; another
   // replica serves meanwhile, unless the demand needs both.
   double seconds = static_cast<double>(model->second.mDisk.count()) / 1000.0;
@@ -65,7 +56,6 @@
 
 std::vector<Victim>
 VictimsOf(const EngineSpec& aEngine,
-          const ServerView& aServers,
           const Backend& aBackend,
           const PlacementFacts& aFacts)
 {
@@ -73,7 +63,7 @@
   for (const auto& [model, adapters] : aBackend.mModels) {
     if (aBackend.UnderWay(model) == 0) {
       victims.push_back({ model,
-                          ValueOf(aEngine, aServers, model, aFacts),
+                          ValueOf(aEngine, model, aFacts),
                           MbOf(aEngine, model, adapters) });
     }
   }
@@ -99,7 +89,6 @@
 std::optional<double>
 Weigh(const EngineSpec& aEngine,
       const std::string& aModel,
-      const ServerView& aServers,
       const Backend& aBackend,
       const PlacementFacts& aFacts,
       PlacementChoice& aChoice)
@@ -107,7 +96,7 @@
   const ModelWeights& weights = aEngine.mModels.at(aModel);
   double free = FreeMb(aEngine, aBackend);
   double lost = 0;
-  for (const Victim& victim : VictimsOf(aEngine, aServers, aBackend, aFacts)) {
+  for (const Victim& victim : VictimsOf(aEngine, aBackend, aFacts)) {
     if (free >= weights.mMb) {
       break;
     }
@@ -133,6 +122,18 @@
 
 } // namespace
 
+std::map<std::string, int>
+CountReplicas(const ServerView& aServers)
+{
+  std::map<std::string, int> counts;
+  for (const auto& [id, backend] : aServers.All()) {
+    for (const auto& [model, adapters] : backend.mModels) {
+      counts[model] += backend.mEntry.mDraining ? 0 : 1;
+    }
+  }
+  return counts;
+}
+
 WeightSource
 SourceOf(const Backend& aBackend, const std::string& aModel)
 {
@@ -197,7 +198,7 @@
       continue;
     }
     PlacementChoice choice;
-    auto cost = Weigh(aEngine, aModel, aServers, backend, aFacts, choice);
+    auto cost = Weigh(aEngine, aModel, backend, aFacts, choice);
     if (cost && (!best || *cost < bestCost)) {
       best = std::move(choice);
       bestCost = *cost;
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -34,6 +34,7 @@
   std::string mService;
   std::string mZone;                    // servers of this zone only
   std::map<std::string, double> mRates; // requests a second, by model
+  std::map<std::string, int> mReplicas; // by model, over all zones
   std::map<std::string, Millis> mBusy;  // servers with an order under way
   std::set<std::string> mAvoid;         // servers that fail just now
   Millis mStoreWait{ 0 };               // until the store lets a load begin
@@ -48,6 +49,10 @@
   Millis mLoad{ 0 }; // from then on
 };
 
+// Servers that hold each model and aren't leaving.
+std::map<std::string, int>
+CountReplicas(const ServerView& aServers);
+
 WeightSource
 SourceOf(const Backend& aBackend, const std::string& aModel);
 Millis
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -20,8 +20,8 @@
 constexpr Millis kFirstAvoid{ 200 };
 constexpr int kMostDoublings = 4;
 
-// Who orders a server tells each second what it holds; after three silent
-// ones the server's own entry is better than nothing.
+// Who orders a server tells again and again what it holds, each second in a
+// small fleet; after this the server's own entry is better than nothing.
 constexpr Millis kTold{ 3000 };
 
 // An adapter on its way arrives within this, and a lost note is told again.
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -160,7 +160,9 @@
   mState.mServers.PutOthers(aPeer.mName, std::move(counts));
   const Json::Value& asked = aPulse["asked"];
   for (const std::string& model : asked.getMemberNames()) {
-    mState.mDemand.Add(model, asked[model].asInt(), mState.Now());
+    // Each pulse reaches a part of the instances only, in turn.
+    mState.mDemand.Add(
+      model, asked[model].asInt() * mPeers.PulseTurns(), mState.Now());
   }
   int64_t version = mState.mConfig ? mState.mConfig->mVersion : 0;
   if (aPulse["config"].asInt64() > version) {
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kPump{ 25 };
 constexpr Millis kGrow{ 500 };
 constexpr Millis kTellAll{ 1000 };
+constexpr int kTellTurns = 4; // of pulses: a second in a small fleet
 constexpr Millis kRecheck{ 1000 };
 
 constexpr Millis kOrderTime{ 500 };
@@ -45,6 +46,9 @@
 
 constexpr int kLowestPriority = 9;
 
+// Seconds of waiting that another zone must save to be asked before one's own.
+constexpr double kOtherZone = 0.1;
+
 Json::Value
 WantJson(const PlaceWant& aWant)
 {
@@ -137,7 +141,12 @@
   mLease.Start();
   mState.mReactor.Every(kPump, [this] { Pump(); });
   mState.mReactor.Every(kGrow, [this] { Grow(); });
-  mState.mReactor.Every(kTellAll, [this] { TellAll(); });
+  mState.mReactor.Every(kTellAll, [this] {
+    TouchAll();
+    if (mState.Now() - mToldAll >= mPeers.PulseGap() * kTellTurns) {
+      TellAll();
+    }
+  });
 }
 
 void
@@ -152,21 +161,41 @@
   }
 }
 
-// A note that was lost is made good within a second.
-void
-OrderDesk::TellAll()
+// The servers whose content this instance accounts for.
+std::vector<Backend*>
+OrderDesk::Accounted()
 {
-  if (!mLease.MayAct()) {
-    return;
+  std::vector<Backend*> accounted;
+  if (!mLease.MayAct() || mCountsToken != mLease.Token()) {
+    return accounted;
   }
-  Json::Value all(Json::arrayValue);
   for (auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mZone == mState.mSettings.mZone &&
-        backend.mOrders >= 0 && mCountsToken == mLease.Token()) {
-      backend.mToldAt = mState.Now();
-      all.append(ContentJson(backend));
+        backend.mOrders >= 0) {
+      accounted.push_back(&backend);
     }
   }
+  return accounted;
+}
+
+// The account holds here, however seldom it is told.
+void
+OrderDesk::TouchAll()
+{
+  for (Backend* backend : Accounted()) {
+    backend->mToldAt = mState.Now();
+  }
+}
+
+// A note that was lost is made good.
+void
+OrderDesk::TellAll()
+{
+  mToldAll = mState.Now();
+  Json::Value all(Json::arrayValue);
+  for (Backend* backend : Accounted()) {
+    all.append(ContentJson(*backend));
+  }
   if (!all.empty()) {
     mPeers.SendNote("contents", all);
   }
@@ -221,6 +250,22 @@
 
 // ---- Asking
 
+// Who orders in aZone, and how many loads it has under way; nothing when nobody
+// is known to.
+std::optional<OrderDesk::ZoneDesk>
+OrderDesk::DeskOf(const std::string& aZone) const
+{
+  if (aZone == mState.mSettings.mZone && mLease.Holds()) {
+    return ZoneDesk{ "", static_cast<int>(mJobs.size() + mQueue.size()) };
+  }
+  std::string holder = mPeers.HolderOf("orders-" + aZone);
+  auto peer = mPeers.All().find(holder);
+  if (peer == mPeers.All().end()) {
+    return std::nullopt;
+  }
+  return ZoneDesk{ holder, peer->second.mJobs };
+}
+
 // Where it can be had soonest: the model itself for an adapter, else a copy
 // of its weights; this zone before others, those with few loads under way
 // before busy ones.
@@ -228,38 +273,34 @@
 OrderDesk::ZoneFor(const PlaceWant& aWant) const
 {
   const EngineSpec* engine = EngineOf(aWant.mService);
-  auto weights = engine ? engine->mModels.find(aWant.mModel)
-                        : std::map<std::string, ModelWeights>::const_iterator();
-  if (!engine || weights == engine->mModels.end()) {
+  if (!engine || !engine->mModels.count(aWant.mModel)) {
     return "";
   }
-  constexpr double kOtherZone = 0.1; // seconds, to prefer one's own
-  std::string best;
-  double bestCost = 0;
-  std::map<std::string, int> servers;
-  for (const auto& [id, backend] : mState.mServers.All()) {
-    servers[backend.mEntry.mZone] += 1;
-  }
+  const ModelWeights& weights = engine->mModels.at(aWant.mModel);
+  std::map<std::string, int> servers;    // by zone
+  std::map<std::string, Millis> soonest; // without queueing
   for (const auto& [id, backend] : mState.mServers.All()) {
-    const std::string& zone = backend.mEntry.mZone;
-    bool own = zone == mState.mSettings.mZone;
-    std::string lease = "orders-" + zone;
-    std::string holder = mPeers.HolderOf(lease);
-    bool held = (own && mLease.Holds()) || !holder.empty();
-    if (backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
-        !held) {
+    if (backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining) {
       continue;
     }
-    double cost = own ? 0 : kOtherZone;
-    if (!backend.Holds(aWant.mModel, "")) {
-      Millis load = LoadTime(weights->second, SourceOf(backend, aWant.mModel));
-      cost += static_cast<double>(load.count()) / 1000.0;
+    const std::string& zone = backend.mEntry.mZone;
+    servers[zone] += 1;
+    Millis load = backend.Holds(aWant.mModel, "")
+                    ? Millis(0)
+                    : LoadTime(weights, SourceOf(backend, aWant.mModel));
+    auto at = soonest.emplace(zone, load).first;
+    at->second = std::min(at->second, load);
+  }
+  std::string best;
+  double bestCost = 0;
+  for (const auto& [zone, load] : soonest) {
+    auto desk = DeskOf(zone);
+    if (!desk) {
+      continue;
     }
-    auto peer = mPeers.All().find(holder);
-    int jobs = own && mLease.Holds()        ? static_cast<int>(mJobs.size())
-               : peer == mPeers.All().end() ? 0
-                                            : peer->second.mJobs;
-    cost += static_cast<double>(jobs) / std::max(1, servers[zone]);
+    double cost = zone == mState.mSettings.mZone ? 0 : kOtherZone;
+    cost += static_cast<double>(load.count()) / 1000.0;
+    cost += static_cast<double>(desk->mJobs) / servers[zone];
     if (best.empty() || cost < bestCost) {
       best = zone;
       bestCost = cost;
@@ -377,6 +418,7 @@
   facts.mService = aService;
   facts.mZone = mState.mSettings.mZone;
   facts.mRates = mState.mDemand.Rates(now);
+  facts.mReplicas = CountReplicas(mState.mServers);
   for (const auto& [server, job] : mJobs) {
     auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
     facts.mBusy[server] = std::max(left, Millis(50));
@@ -424,8 +466,14 @@
               return rank(*aOne) < rank(*aOther);
             });
   std::vector<Key> begun;
+  // Worked out once for all of them: it looks at every server and model.
+  std::map<std::string, PlacementFacts> facts;
   for (Queued* queued : queue) {
-    if (Begin(queued->mWant)) {
+    const std::string& service = queued->mWant.mService;
+    if (!facts.count(service)) {
+      facts[service] = FactsFor(service);
+    }
+    if (Begin(queued->mWant, facts[service])) {
       begun.push_back(KeyOf(queued->mWant));
     }
   }
@@ -448,7 +496,7 @@
 
 // True when the want needn't wait here any longer.
 bool
-OrderDesk::Begin(const PlaceWant& aWant)
+OrderDesk::Begin(const PlaceWant& aWant, PlacementFacts& aFacts)
 {
   const EngineSpec* engine = EngineOf(aWant.mService);
   if (!engine) {
@@ -471,13 +519,15 @@
       return BeginAdapter(aWant);
     }
     if (aWant.mPriority < kLowestPriority) {
+      // Who asks hasn't heard of it yet, or found it missing.
       Recheck(id);
+      return true;
     }
   }
   mStoreLoads.SetLimits(engine->mLoadsPerSecond,
                         static_cast<int>(mState.mSettings.mZones.size()));
-  auto choice = ChoosePlace(
-    *engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
+  aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
+  auto choice = ChoosePlace(*engine, aWant.mModel, mState.mServers, aFacts);
   if (!choice) {
     mState.mLog.Line("place_none")
       .Text("model", aWant.mModel)
@@ -502,6 +552,7 @@
   ModelOrder load;
   load.mModel = aWant.mModel;
   job.mSteps.push_back(load);
+  aFacts.mBusy[job.mServer] = job.mLoad;
   StartJob(std::move(job));
   return aWant.mAdapter.empty();
 }
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -84,6 +84,12 @@
   const EngineSpec* EngineOf(const std::string& aService) const;
 
   // Asking.
+  struct ZoneDesk
+  {
+    std::string mHolder; // "" = this instance
+    int mJobs = 0;
+  };
+  std::optional<ZoneDesk> DeskOf(const std::string& aZone) const;
   std::string ZoneFor(const PlaceWant& aWant) const;
   void OnTold(const PlaceWant& aWant, bool aGood, const Json::Value& aResult);
 
@@ -91,7 +97,7 @@
   Json::Value OnWanted(const PlaceWant& aWant);
   void Pump();
   Millis UsualLoad(const PlaceWant& aWant) const;
-  bool Begin(const PlaceWant& aWant);
+  bool Begin(const PlaceWant& aWant, PlacementFacts& aFacts);
   bool BeginAdapter(const PlaceWant& aWant);
   std::optional<ModelOrder> LeastAskedAdapter(const Backend& aBackend) const;
   PlacementFacts FactsFor(const std::string& aService) const;
@@ -119,6 +125,8 @@
     std::function<void(const std::optional<ServerReport>&)> aThen);
   void TellContent(const Backend& aBackend);
   void TakeContent(const Json::Value& aNote);
+  std::vector<Backend*> Accounted();
+  void TouchAll();
   void TellAll();
   void Recheck(const std::string& aServer);
 
@@ -131,6 +139,7 @@
   std::map<std::string, Job> mJobs;            // by server
   std::map<std::string, TimePoint> mRechecked; // by server
   StoreLoads mStoreLoads;
+  TimePoint mToldAll{};
   uint64_t mNextJob = 0;
   int64_t mCountsToken = 0; // lease under which counts of orders are known
 };
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -16,8 +16,15 @@
 // takes longer to fill.
 constexpr Millis kPulse{ 250 };
 
+// Pulses go to so many instances at a time, to all in turn: what an instance
+// sends and reads doesn't grow with the fleet. With 72 instances each hears
+// of each every two seconds, and of somebody 32 times a second.
+constexpr size_t kAtATime = 8;
+
 // Without a pulse for so long an instance counts as gone: some may be lost.
+// In a large fleet six turns, see PulseGap().
 constexpr Millis kAlive{ 1500 };
+constexpr int kAliveTurns = 6;
 
 // After so long its entry is removed, so that the list doesn't grow with
 // every replacement. A cut that lasts longer costs one write of its own.
@@ -90,7 +97,21 @@
 Peers::Alive(const Peer& aPeer) const
 {
   return aPeer.mHeardAt != TimePoint() &&
-         mState.Now() - aPeer.mHeardAt < kAlive;
+         mState.Now() - aPeer.mHeardAt <
+           std::max(kAlive, PulseGap() * kAliveTurns);
+}
+
+int
+Peers::PulseTurns() const
+{
+  size_t turns = (mPeers.size() + kAtATime - 1) / kAtATime;
+  return static_cast<int>(std::max<size_t>(turns, 1));
+}
+
+Millis
+Peers::PulseGap() const
+{
+  return kPulse * PulseTurns();
 }
 
 bool
@@ -211,8 +232,13 @@
     fill(pulse);
   }
   std::string text = JsonWrite(pulse);
-  for (const auto& [name, peer] : mPeers) {
-    SendTo(peer, text);
+  auto next = mPeers.upper_bound(mLastPulsed);
+  for (size_t i = 0; i < std::min(kAtATime, mPeers.size()); ++i, ++next) {
+    if (next == mPeers.end()) {
+      next = mPeers.begin();
+    }
+    SendTo(next->second, text);
+    mLastPulsed = next->first;
   }
   for (const auto& [name, peer] : mPeers) {
     if (!Alive(peer)) {
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -63,6 +63,10 @@
   const std::map<std::string, Peer>& All() const { return mPeers; }
   bool Alive(const Peer& aPeer) const;
   bool Alive(const std::string& aName) const;
+  // Between two pulses to the same instance.
+  Millis PulseGap() const;
+  // Pulses after which each instance has had one.
+  int PulseTurns() const;
 
   void OnReadable() override;
 
@@ -87,6 +91,7 @@
   std::vector<std::function<void(Json::Value&)>> mFills;
   std::vector<std::function<void(const Peer&, const Json::Value&)>> mReads;
   std::map<std::string, std::function<void(const Json::Value&)>> mNotes;
+  std::string mLastPulsed;
   bool mJoined = false;
 };
 
--- a/tests/support/EntryWorld.cpp
+++ b/tests/support/EntryWorld.cpp
@@ -15,24 +15,29 @@
 
 } // namespace
 
+// Ports are handed out in twos from a range that this process has locked by
+// binding its first one: suites that run side by side don't meet.
 int
 EntryWorld::FreePort()
 {
-  // The next one is used as well; ports are handed out in twos, away from
-  // those that the system gives to outgoing connections.
-  static int sNext = 20000 + static_cast<int>(getpid() % 5000) * 2;
-  for (;;) {
-    sNext = sNext > 32000 ? 20000 : sNext + 2;
+  constexpr int kFirst = 20000; // below those of outgoing connections
+  constexpr int kRange = 250;
+  constexpr int kRanges = 48;
+  static Poco::Net::ServerSocket sLock;
+  static int sBase = 0;
+  static int sNext = 0;
+  for (int i = 0; sBase == 0 && i < kRanges; ++i) {
     try {
-      Poco::Net::ServerSocket one;
-      one.bind(Poco::Net::SocketAddress("127.0.0.1", sNext), false);
-      Poco::Net::ServerSocket other;
-      other.bind(Poco::Net::SocketAddress("127.0.0.1", sNext + 1), false);
-      return sNext;
+      sLock.bind(Poco::Net::SocketAddress("127.0.0.1", kFirst + i * kRange),
+                 false);
+      sLock.listen(1);
+      sBase = kFirst + i * kRange;
     } catch (const Poco::Exception&) {
-      continue; // taken by another process
+      sLock = Poco::Net::ServerSocket(); // another process has this range
     }
   }
+  sNext = sNext + 4 > kRange ? 2 : sNext + 2;
+  return sBase + sNext;
 }
 
 EntryWorld::EntryWorld(EntryPlan aPlan)
