--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -18,6 +18,10 @@
 // gone. Dropping them at once would leave nobody to send to meanwhile.
 constexpr Millis kBackWithin{ 2000 };
 
+// Others have seen a change for so long, and this instance's watch, which
+// gathers for less than a second, is silent: it has died.
+constexpr Millis kWatchDead{ 1200 };
+
 // News so young shows that the feed of the store works.
 constexpr Millis kFresh{ 2800 };
 
@@ -256,7 +260,7 @@
 ConfigFeed::OnPeerServers(int64_t aRevision)
 {
   if (aRevision > mServersRevision && mStore.Reached() &&
-      mState.Now() - mServerObjects.LastNews() > Millis(300)) {
+      mState.Now() - mServerObjects.LastNews() > kWatchDead) {
     mServerObjects.Refresh("another instance has seen more");
   }
 }
--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -33,7 +33,9 @@
                  size_t aMost)
 {
   std::shared_ptr<ListenPort> port(new ListenPort(aReactor, aHandler, aMost));
-  port->mSocket.bind(Poco::Net::SocketAddress(aAddress), true);
+  // Two processes on one port would share its callers unseen; the second one
+  // must not start.
+  port->mSocket.bind(Poco::Net::SocketAddress(aAddress), true, false);
   port->mSocket.listen(kBacklog);
   port->mSocket.setBlocking(false);
   aReactor.Watch(port->mSocket, port);
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -55,7 +55,7 @@
 Peers::Start()
 {
   mSocket = Poco::Net::DatagramSocket(
-    Poco::Net::SocketAddress(mState.mSettings.mPeers), true);
+    Poco::Net::SocketAddress(mState.mSettings.mPeers), true, false);
   mSocket.setBlocking(false);
   // Owned by the daemon, which outlives the reactor's last turn.
   mState.mReactor.Watch(
