--- a/src/ctl/RequestStory.cpp
+++ b/src/ctl/RequestStory.cpp
@@ -71,7 +71,7 @@
   const StoryLine* ended = FirstOf(aOthers, "place_ended");
   const StoryLine* decided = FirstOf(aOthers, "place_decided");
   if (sent && ended && waits && ended->mAt > sent->mAt) {
-    return sent->mAt - ended->mAt;
+    return sent->mAt - ended->mAt - 1; // a cause comes first also in a tie
   }
   bool caused = !sent || !ended || ended->mAt >= (waits ? waits->mAt : 0);
   if (waits && decided && caused && decided->mAt < waits->mAt &&
--- a/src/decide/TenantTokens.cpp
+++ b/src/decide/TenantTokens.cpp
@@ -40,9 +40,10 @@
 }
 
 double
-KeeperShare(const TenantLimit& aLimit, int aInstances)
+KeeperShare(const TenantLimit& aLimit, int aInstances, size_t aZones)
 {
-  return EvenShare(aLimit, aInstances) > 0 ? 1 - kEven : 1;
+  double common = EvenShare(aLimit, aInstances) > 0 ? 1 - kEven : 1;
+  return common / static_cast<double>(std::max<size_t>(aZones, 1));
 }
 
 TokenBucket&
@@ -67,12 +68,16 @@
                     double aShare,
                     double aTokens,
                     double aReserve,
+                    bool aLends,
                     TimePoint aNow)
 {
   if (aShare <= 0) {
     return false;
   }
   TokenBucket& bucket = Bucket(aLimit, aShare, aNow);
+  if (!aLends && aTokens > bucket.Burst()) {
+    return false;
+  }
   double most = std::min(aTokens, bucket.Burst());
   double reserve = std::min(aReserve * bucket.Burst(), bucket.Burst() - most);
   if (bucket.Level(aNow) < most + reserve) {
@@ -94,14 +99,18 @@
 }
 
 Millis
-TenantBuckets::Until(const std::string& aTenant, double aTokens, TimePoint aNow)
+TenantBuckets::Until(const std::string& aTenant,
+                     double aTokens,
+                     double aReserve,
+                     TimePoint aNow)
 {
   auto found = mBuckets.find(aTenant);
   if (found == mBuckets.end()) {
     return kUnknown;
   }
   TokenBucket& bucket = found->second;
-  Millis until = bucket.Until(std::min(aTokens, bucket.Burst()), aNow);
+  double level = std::min(aTokens + aReserve * bucket.Burst(), bucket.Burst());
+  Millis until = bucket.Until(level, aNow);
   return until < Millis(0) ? kUnknown : until;
 }
 
--- a/src/decide/TenantTokens.h
+++ b/src/decide/TenantTokens.h
@@ -1,12 +1,13 @@
 // TenantTokens.h: a tenant's rate and burst, split between the instances and
-// one keeper.
+// a keeper in each zone.
 //
 // The load it answers: requests of about a thousand tokens that reach the
 // instances unevenly, from tenants that mostly stay under their limit. Half
 // of rate and burst is split evenly: an instance spends its part without
-// asking anybody. The other half is one bucket at the keeper, debited before
-// the asking instance may spend. The parts sum up to the whole, so the limit
-// holds whoever is cut off; only the keeper's half is missing then.
+// asking anybody. The other half lies in buckets at the zones' keepers, debited
+// before the asking instance may spend; one that its own keeper refuses asks
+// the next. The parts sum up to the whole, so the limit holds whoever is cut
+// off or gone; only a zone's part of the half is missing then.
 #ifndef caraway_decide_TenantTokens_h
 #define caraway_decide_TenantTokens_h
 
@@ -22,19 +23,23 @@
 class TenantBuckets
 {
 public:
-  // Takes aTokens, or nothing; never the last aReserve of the burst. A full
-  // bucket lends what a request costs
+  // Takes aTokens, or nothing; never the last aReserve of the burst. With
+  // aLends, a full bucket lends what a request costs
   // beyond the whole burst: it could never pass otherwise, and its tenant
   // pays with the seconds that follow.
   bool Take(const TenantLimit& aLimit,
             double aShare,
             double aTokens,
             double aReserve,
+            bool aLends,
             TimePoint aNow);
   // Begins to fill the bucket, if there is none yet.
   void Prepare(const TenantLimit& aLimit, double aShare, TimePoint aNow);
-  // Until aTokens may be there.
-  Millis Until(const std::string& aTenant, double aTokens, TimePoint aNow);
+  // Until Take() may succeed.
+  Millis Until(const std::string& aTenant,
+               double aTokens,
+               double aReserve,
+               TimePoint aNow);
 
 private:
   TokenBucket& Bucket(const TenantLimit& aLimit, double aShare, TimePoint aNow);
@@ -54,7 +59,7 @@
 double
 EvenShare(const TenantLimit& aLimit, int aInstances);
 double
-KeeperShare(const TenantLimit& aLimit, int aInstances);
+KeeperShare(const TenantLimit& aLimit, int aInstances, size_t aZones);
 
 } // namespace caraway
 
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -46,8 +46,13 @@
            mState.mSettings.mStore)
   , mFeed(mState, mStore, [this] { Changed(); })
   , mPeers(mState, mStore)
-  , mTokens(mState, mStore, mPeers)
-  , mOrders(mState, mStore, mPeers, [this] { Changed(); })
+  , mZoneLease(mState,
+               mStore,
+               mPeers,
+               ZoneLeaseName(mState.mSettings.mZone),
+               mState.mSettings.mOrderSilence)
+  , mTokens(mState, mPeers, mZoneLease)
+  , mOrders(mState, mPeers, mZoneLease, [this] { Changed(); })
   , mFront(mState, mTokens, mOrders)
   , mReadyReplies([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -89,6 +94,7 @@
   });
   mPeers.Start();
   mFeed.Start();
+  mZoneLease.Start();
   mTokens.Start();
   mOrders.Start();
   reactor.Every(kSweep, [this] {
@@ -118,10 +124,7 @@
 bool
 EntryDaemon::Settled() const
 {
-  auto held = [this](const LeaseLoop& aLease) {
-    return aLease.MayAct() || !mPeers.HolderOf(aLease.Name()).empty();
-  };
-  return held(mTokens.Lease()) && held(mOrders.Lease());
+  return mZoneLease.MayAct() || !mPeers.HolderOf(mZoneLease.Name()).empty();
 }
 
 // ---- What instances tell each other
@@ -266,8 +269,7 @@
   mState.mLastStart = mLeavingSince + mState.mSettings.mGrace / kStartPart;
   mState.mLog.Line("leaving").Count("under_way",
                                     static_cast<int64_t>(mFront.UnderWay()));
-  mTokens.Release();
-  mOrders.Release();
+  mZoneLease.Release();
   CheckLeaving();
 }
 
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -52,6 +52,7 @@
   StoreClient mStore;
   ConfigFeed mFeed;
   Peers mPeers;
+  LeaseLoop mZoneLease;
   TokenDesk mTokens;
   OrderDesk mOrders;
   CallerFront mFront;
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -32,6 +32,12 @@
 
 } // namespace
 
+std::string
+ZoneLeaseName(const std::string& aZone)
+{
+  return "zone-" + aZone;
+}
+
 LeaseLoop::LeaseLoop(EntryState& aState,
                      StoreClient& aStore,
                      Peers& aPeers,
@@ -52,6 +58,11 @@
 void
 LeaseLoop::Start()
 {
+  mPeers.OnFill([this](Json::Value& aPulse) {
+    if (Holds()) {
+      aPulse["leases"].append(mName);
+    }
+  });
   std::uniform_int_distribution<int64_t> stagger(0, kStagger.count());
   mState.mReactor.After(Millis(stagger(mState.mRandom)), [this] {
     Tick();
--- a/src/entry/LeaseLoop.h
+++ b/src/entry/LeaseLoop.h
@@ -12,6 +12,11 @@
 
 namespace caraway {
 
+// Its holder gives the orders of aZone's servers, and keeps the zone's part of
+// tenants' tokens.
+std::string
+ZoneLeaseName(const std::string& aZone);
+
 class LeaseLoop
 {
 public:
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -105,17 +105,13 @@
 } // namespace
 
 OrderDesk::OrderDesk(EntryState& aState,
-                     StoreClient& aStore,
                      Peers& aPeers,
+                     LeaseLoop& aLease,
                      std::function<void()> aChanged)
   : mState(aState)
   , mPeers(aPeers)
   , mChanged(std::move(aChanged))
-  , mLease(aState,
-           aStore,
-           aPeers,
-           "orders-" + aState.mSettings.mZone,
-           aState.mSettings.mOrderSilence)
+  , mLease(aLease)
 {
 }
 
@@ -133,12 +129,8 @@
   mPeers.OnNote("content",
                 [this](const Json::Value& aNote) { TakeContent(aNote); });
   mPeers.OnFill([this](Json::Value& aPulse) {
-    if (mLease.Holds()) {
-      aPulse["leases"].append(mLease.Name());
-    }
     aPulse["jobs"] = static_cast<int>(mJobs.size() + mQueue.size());
   });
-  mLease.Start();
   mState.mReactor.Every(kPump, [this] { Pump(); });
   mState.mReactor.Every(kGrow, [this] { Grow(); });
   mState.mReactor.Every(kTellAll, [this] {
@@ -258,7 +250,7 @@
   if (aZone == mState.mSettings.mZone && mLease.Holds()) {
     return ZoneDesk{ "", static_cast<int>(mJobs.size() + mQueue.size()) };
   }
-  std::string holder = mPeers.HolderOf("orders-" + aZone);
+  std::string holder = mPeers.HolderOf(ZoneLeaseName(aZone));
   auto peer = mPeers.All().find(holder);
   if (peer == mPeers.All().end()) {
     return std::nullopt;
@@ -328,7 +320,7 @@
     OnTold(aWant, true, OnWanted(aWant));
     return;
   }
-  mPeers.Call(mPeers.HolderOf("orders-" + zone),
+  mPeers.Call(mPeers.HolderOf(ZoneLeaseName(zone)),
               "want",
               WantJson(aWant),
               kAskTime,
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -27,13 +27,11 @@
 {
 public:
   OrderDesk(EntryState& aState,
-            StoreClient& aStore,
             Peers& aPeers,
+            LeaseLoop& aLease,
             std::function<void()> aChanged);
 
   void Start();
-  void Release() { mLease.Release(); }
-  const LeaseLoop& Lease() const { return mLease; }
   // The list of servers or the configuration changed.
   void OnChanged();
 
@@ -133,7 +131,7 @@
   EntryState& mState;
   Peers& mPeers;
   std::function<void()> mChanged;
-  LeaseLoop mLease;
+  LeaseLoop& mLease; // of this instance's zone
   std::map<Key, Asked> mAsked;
   std::map<Key, Queued> mQueue;
   std::map<std::string, Job> mJobs;            // by server
--- a/src/entry/TokenDesk.cpp
+++ b/src/entry/TokenDesk.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr char kLease[] = "tokens";
-
 // A keeper answers within a few milliseconds; one that doesn't is gone or
 // cut off, and the request can't wait for its successor.
 constexpr Millis kAskTime{ 250 };
@@ -23,11 +21,10 @@
 
 } // namespace
 
-TokenDesk::TokenDesk(EntryState& aState, StoreClient& aStore, Peers& aPeers)
+TokenDesk::TokenDesk(EntryState& aState, Peers& aPeers, LeaseLoop& aLease)
   : mState(aState)
   , mPeers(aPeers)
-  // A new keeper begins with an empty bucket, whatever the former one lent.
-  , mLease(aState, aStore, aPeers, kLease, Millis(0))
+  , mLease(aLease)
 {
 }
 
@@ -45,12 +42,6 @@
     result["after_ms"] = Json::Int64(loan.mAfter.count());
     return result;
   });
-  mPeers.OnFill([this](Json::Value& aPulse) {
-    if (mLease.Holds()) {
-      aPulse["leases"].append(kLease);
-    }
-  });
-  mLease.Start();
   mState.mReactor.Every(kPrepare, [this] { Prepare(); });
 }
 
@@ -73,7 +64,7 @@
     }
     mEven.Prepare(limit, EvenShare(limit, mState.mInstances), now);
     if (keeps) {
-      mKept.Prepare(limit, KeeperShare(limit, mState.mInstances), now);
+      mKept.Prepare(limit, ZoneShare(limit), now);
     }
   }
 }
@@ -101,12 +92,32 @@
   }
   TimePoint now = mState.Now();
   BeginKeeping();
-  double share = KeeperShare(limit->second, mState.mInstances);
-  if (mKept.Take(
-        limit->second, share, aRequest.mTokens, aRequest.mReserve, now)) {
+  if (mKept.Take(limit->second,
+                 ZoneShare(limit->second),
+                 aRequest.mTokens,
+                 aRequest.mReserve,
+                 LendsBeyond(),
+                 now)) {
     return { true, Millis(0) };
   }
-  return { false, mKept.Until(aRequest.mTenant, aRequest.mTokens, now) };
+  return { false,
+           mKept.Until(
+             aRequest.mTenant, aRequest.mTokens, aRequest.mReserve, now) };
+}
+
+double
+TokenDesk::ZoneShare(const TenantLimit& aLimit) const
+{
+  return KeeperShare(aLimit, mState.mInstances, mState.mSettings.mZones.size());
+}
+
+// Requests beyond a whole part are lent by one keeper of the fleet only: three
+// that lend would exceed the burst by three requests.
+bool
+TokenDesk::LendsBeyond() const
+{
+  const std::vector<std::string>& zones = mState.mSettings.mZones;
+  return zones.empty() || zones.front() == mState.mSettings.mZone;
 }
 
 void
@@ -150,59 +161,92 @@
                  share,
                  aRequest.mTokens,
                  aRequest.mReserve,
+                 false,
                  mState.Now())) {
     aDone(true, Millis(0));
-  } else if (mLease.Holds()) {
-    Tell(aRequest, "self", Lend(aRequest), aDone);
-  } else {
-    AskKeeper(aRequest, std::move(aDone));
+    return;
   }
+  AskKeepers(aRequest, Zones(), Millis(0), std::move(aDone));
 }
 
+std::vector<std::string>
+TokenDesk::Zones() const
+{
+  std::vector<std::string> zones = mState.mSettings.mZones;
+  auto own = std::find(zones.begin(), zones.end(), mState.mSettings.mZone);
+  if (own != zones.end()) {
+    std::rotate(zones.begin(), own, zones.end());
+  }
+  return zones;
+}
+
+// One keeper after the other, until one lends. aAfter: the soonest that those
+// before said.
 void
-TokenDesk::AskKeeper(const TokenRequest& aRequest, Done aDone)
+TokenDesk::AskKeepers(const TokenRequest& aRequest,
+                      const std::vector<std::string>& aZones,
+                      Millis aAfter,
+                      Done aDone)
 {
-  std::string keeper = mPeers.HolderOf(kLease);
-  if (keeper.empty()) {
-    Tell(aRequest, "nobody", { false, kNoKeeper }, aDone);
+  std::vector<std::string> rest = aZones;
+  while (!rest.empty()) {
+    std::string zone = rest.front();
+    rest.erase(rest.begin());
+    bool self = zone == mState.mSettings.mZone && mLease.Holds();
+    std::string keeper = self ? "" : mPeers.HolderOf(ZoneLeaseName(zone));
+    if (!self && keeper.empty()) {
+      continue;
+    }
+    auto next = [this, aRequest, rest, aAfter, aDone](const Loan& aLoan) {
+      if (aLoan.mGranted) {
+        aDone(true, Millis(0));
+        return;
+      }
+      Millis after =
+        aAfter > Millis(0) ? std::min(aAfter, aLoan.mAfter) : aLoan.mAfter;
+      AskKeepers(aRequest, rest, after, aDone);
+    };
+    if (self) {
+      next(Lend(aRequest));
+    } else {
+      AskPeer(aRequest, keeper, next);
+    }
     return;
   }
+  Millis after = aAfter > Millis(0) ? aAfter : kNoKeeper;
+  mState.mLog.Line("tokens_refused")
+    .Text("tenant", aRequest.mTenant)
+    .Number("tokens", aRequest.mTokens)
+    .Number("reserve", aRequest.mReserve)
+    .Text("keeper", aAfter > Millis(0) ? "all" : "nobody")
+    .Ms("after_ms", after)
+    .Count("instances", mState.mInstances);
+  aDone(false, after);
+}
+
+void
+TokenDesk::AskPeer(const TokenRequest& aRequest,
+                   const std::string& aKeeper,
+                   std::function<void(const Loan&)> aDone)
+{
   Json::Value params;
   params["tenant"] = aRequest.mTenant;
   params["tokens"] = aRequest.mTokens;
   params["reserve"] = aRequest.mReserve;
   mPeers.Call(
-    keeper,
+    aKeeper,
     "lend",
     params,
     kAskTime,
-    [this, aRequest, keeper, aDone](bool aGood, const Json::Value& aResult) {
+    [done = std::move(aDone)](bool aGood, const Json::Value& aResult) {
       Loan loan{ false, kNoKeeper };
       if (aGood && aResult["granted"].isBool() &&
           aResult["after_ms"].isInt64()) {
         loan.mGranted = aResult["granted"].asBool();
         loan.mAfter = Millis(aResult["after_ms"].asInt64());
       }
-      Tell(aRequest, keeper, loan, aDone);
+      done(loan);
     });
 }
 
-void
-TokenDesk::Tell(const TokenRequest& aRequest,
-                const std::string& aBy,
-                const Loan& aLoan,
-                const Done& aDone)
-{
-  if (!aLoan.mGranted) {
-    mState.mLog.Line("tokens_refused")
-      .Text("tenant", aRequest.mTenant)
-      .Number("tokens", aRequest.mTokens)
-      .Number("reserve", aRequest.mReserve)
-      .Text("keeper", aBy)
-      .Ms("after_ms", aLoan.mAfter)
-      .Count("instances", mState.mInstances);
-  }
-  aDone(aLoan.mGranted, aLoan.mAfter);
-}
-
 } // namespace caraway
--- a/src/entry/TokenDesk.h
+++ b/src/entry/TokenDesk.h
@@ -1,5 +1,5 @@
-// TokenDesk.h: lets tenants' requests in by their tokens; keeps the common
-// bucket while this instance holds its lease.
+// TokenDesk.h: lets tenants' requests in by their tokens; keeps the zone's part
+// of the common half while this instance holds the zone's lease.
 #ifndef caraway_entry_TokenDesk_h
 #define caraway_entry_TokenDesk_h
 
@@ -8,16 +8,17 @@
 #include "entry/Peers.h"
 #include "entry/TokenAsker.h"
 
+#include <string>
+#include <vector>
+
 namespace caraway {
 
 class TokenDesk : public TokenAsker
 {
 public:
-  TokenDesk(EntryState& aState, StoreClient& aStore, Peers& aPeers);
+  TokenDesk(EntryState& aState, Peers& aPeers, LeaseLoop& aLease);
 
   void Start();
-  void Release() { mLease.Release(); }
-  const LeaseLoop& Lease() const { return mLease; }
 
   void Ask(const TokenRequest& aRequest, Done aDone) override;
 
@@ -30,17 +31,23 @@
   void Prepare();
   void BeginKeeping();
   Loan Lend(const TokenRequest& aRequest);
-  void AskKeeper(const TokenRequest& aRequest, Done aDone);
+  // The zones to be asked, this instance's first.
+  std::vector<std::string> Zones() const;
+  void AskKeepers(const TokenRequest& aRequest,
+                  const std::vector<std::string>& aZones,
+                  Millis aAfter,
+                  Done aDone);
+  void AskPeer(const TokenRequest& aRequest,
+               const std::string& aKeeper,
+               std::function<void(const Loan&)> aDone);
+  double ZoneShare(const TenantLimit& aLimit) const;
+  bool LendsBeyond() const;
   void AskUntil(const TokenRequest& aRequest, TimePoint aUntil, Done aDone);
   void AskOnce(const TokenRequest& aRequest, Done aDone);
-  void Tell(const TokenRequest& aRequest,
-            const std::string& aBy,
-            const Loan& aLoan,
-            const Done& aDone);
 
   EntryState& mState;
   Peers& mPeers;
-  LeaseLoop mLease;
+  LeaseLoop& mLease;      // of this instance's zone
   TenantBuckets mEven;    // this instance's parts
   TenantBuckets mKept;    // the common part, while the lease is held
   int64_t mKeptToken = 0; // lease under which mKept was begun
--- a/tests/platform/TokensTest.cpp
+++ b/tests/platform/TokensTest.cpp
@@ -80,6 +80,32 @@
   EXPECT_EQ(18, served);
 }
 
+// The keeper of a zone is gone. The other zone's keeper still has its part, so
+// that a small tenant, whose limit isn't split evenly, isn't refused as a
+// whole.
+TEST(Tokens, LostKeeperCostsItsZonesPartOnly)
+{
+  EntryPlan plan;
+  plan.mZones = { "a", "b" };
+  plan.mInstances = 2;
+  EntryWorld world(plan);
+  world.mConfig["tenants"][0]["ratePerS"] = 6000;
+  world.mConfig["tenants"][0]["burst"] = 6000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(2500));
+  size_t keeper = world.LogLines(0, "lease_taken") > 0 ? 0 : 1;
+  world.mInstances[keeper].reset(); // killed: its lease lasts for seconds
+  world.For(Millis(2000));
+  int served = 0;
+  for (int i = 0; i < 5; ++i) {
+    served +=
+      world.Call(1 - keeper, "/order/x", "r" + std::to_string(i), Cost(500))
+        ->mStatus == 200;
+  }
+  EXPECT_EQ(5, served);
+}
+
 // A request that costs more than the whole burst passes when nothing else
 // was spent; its tenant pays with the seconds that follow.
 TEST(Tokens, RequestAboveTheBurstPassesOnce)
