--- /dev/null
+++ b/tests/unit/EventTableTest.cpp
@@ -0,0 +1,101 @@
+// The operators' page lists every event with its fields, and none besides.
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace caraway {
+
+namespace {
+
+using EventFields = std::map<std::string, std::set<std::string>>;
+
+std::string
+TextOf(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::set<std::string>
+WordsIn(const std::string& aText, const char* aPattern)
+{
+  std::set<std::string> words;
+  std::regex pattern(aPattern);
+  std::sregex_iterator end;
+  for (std::sregex_iterator at(aText.begin(), aText.end(), pattern); at != end;
+       ++at) {
+    words.insert((*at)[1]);
+  }
+  return words;
+}
+
+// Every statement that writes a line.
+EventFields
+WrittenEvents()
+{
+  EventFields events;
+  std::regex line("Log\\.Line\\(([^)]*)\\)([^;]*);");
+  for (const auto& file : std::filesystem::recursive_directory_iterator(
+         std::filesystem::path(CARAWAY_SOURCE_DIR) / "src")) {
+    if (file.path().extension() != ".cpp") {
+      continue;
+    }
+    std::string text = TextOf(file.path());
+    std::sregex_iterator end;
+    for (std::sregex_iterator at(text.begin(), text.end(), line); at != end;
+         ++at) {
+      std::set<std::string> fields = WordsIn(
+        (*at)[2], "\\.(?:Text|Count|Number|Ms|Flag)\\(\\s*\"([a-z_]+)\"");
+      for (const std::string& event : WordsIn((*at)[1], "\"([a-z_]+)\"")) {
+        events[event].insert(fields.begin(), fields.end());
+      }
+    }
+  }
+  return events;
+}
+
+EventFields
+ListedEvents()
+{
+  EventFields events;
+  std::istringstream page(
+    TextOf(std::filesystem::path(CARAWAY_SOURCE_DIR) / "docs/OPERATIONS.md"));
+  std::regex row("\\| ([a-z_, ]+) \\| ([a-z_, ]*) \\| .*");
+  std::string text;
+  std::smatch match;
+  while (std::getline(page, text)) {
+    if (!std::regex_match(text, match, row) || match[1] == "event") {
+      continue;
+    }
+    for (const std::string& event : WordsIn(match[1], "([a-z_]+)")) {
+      events[event] = WordsIn(match[2], "([a-z_]+)");
+    }
+  }
+  events.erase("log_left_out"); // written by the log itself
+  return events;
+}
+
+} // namespace
+
+TEST(EventTable, PageAndCodeAgree)
+{
+  EventFields written = WrittenEvents();
+  EventFields listed = ListedEvents();
+  ASSERT_GT(written.size(), 20u);
+  for (const auto& [event, fields] : written) {
+    EXPECT_EQ(1u, listed.count(event)) << event << " isn't on the page";
+    EXPECT_EQ(fields, listed[event]) << event;
+  }
+  for (const auto& [event, fields] : listed) {
+    EXPECT_EQ(1u, written.count(event)) << event << " isn't written";
+  }
+}
+
+} // namespace caraway
