A server whose address is another's is left alone; large files split

Now a refusal that names another server keeps all requests off that address while the entry goes, and a repeatable request runs as often as its route names servers for. OrderDesk, Exchange and Peers stand in files by task; behaviour unchanged by that.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -31,6 +31,7 @@
   bool mNotRun = false;  // proof that the request didn't run
   bool mEncoded = false; // its body isn't the server's plain one
   std::string mId;       // of the request that it answers
+  std::string mServer;   // that refused it, when it told its identity
 };
 
 } // namespace caraway
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -157,6 +157,7 @@
     backend.mDoubts.clear();
     backend.mStrikes = 0;
     backend.mAvoidUntil = TimePoint();
+    backend.mElsewhereUntil = TimePoint();
     return true;
   }
   bool told = backend.mToldAt != TimePoint() && aNow - backend.mToldAt < kTold;
@@ -208,7 +209,7 @@
   bool bestAvoided = true;
   for (auto& [id, backend] : mBackends) {
     if (backend.mEntry.mService != aWish.mService || backend.mEntry.mDraining ||
-        aWish.mExcluded.count(id) ||
+        aNow < backend.mElsewhereUntil || aWish.mExcluded.count(id) ||
         (!aWish.mOnly.empty() && !aWish.mOnly.count(id))) {
       continue;
     }
@@ -272,6 +273,14 @@
   backend->mAvoidUntil = aNow + kFirstAvoid * (1 << doublings);
 }
 
+void
+ServerView::Elsewhere(const std::string& aId, Millis aFor, TimePoint aNow)
+{
+  if (Backend* backend = Find(aId)) {
+    backend->mElsewhereUntil = aNow + aFor;
+  }
+}
+
 void
 ServerView::PutOthers(const std::string& aPeer, UnderWayCounts aCounts)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -27,6 +27,7 @@
   int mStrikes = 0;                   // failures in a row
   double mFailing = 0;                // share of late failures, 0 to 1
   TimePoint mAvoidUntil{};
+  TimePoint mElsewhereUntil{}; // another server answers at its address
 
   int UnderWay() const;
   // Of a model with its adapters, or of one MODEL/ADAPTER.
@@ -100,6 +101,10 @@
   void Began(const std::string& aId, const std::string& aName);
   void Ended(const std::string& aId, const std::string& aName);
   void Heard(const std::string& aId, ServerNews aNews, TimePoint aNow);
+  // Another server answered at its address, which is given out again after
+  // the server's end. Nothing is sent there for aFor, in which its entry
+  // goes; each request sent there would be refused and sent once more.
+  void Elsewhere(const std::string& aId, Millis aFor, TimePoint aNow);
 
   // Replaces what aPeer told before.
   void PutOthers(const std::string& aPeer, UnderWayCounts aCounts);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -100,6 +100,7 @@
   std::set<std::string> mTried; // servers that may have seen it
   std::set<std::string> mBad;   // servers that it isn't sent to again
   int mSends = 0;
+  int mRuns = 0;            // sends that ended without proof that it didn't run
   bool mMayHaveRun = false; // a send ended without proof that it didn't
   std::shared_ptr<OutCall> mCall;
   std::string mServer; // of mCall
--- /dev/null
+++ b/src/entry/ExchangeEnd.cpp
@@ -0,0 +1,260 @@
+#include "entry/Exchange.h"
+
+#include "entry/ExchangeTimes.h"
+#include "platform/RequestHead.h"
+
+namespace caraway {
+
+namespace {
+
+// Passed to the server beyond this instance's own end, so that the server's
+// own final answer can arrive before this instance gives up.
+constexpr Millis kLateAnswer{ 40 };
+
+// Sends of one request: repeats cost the servers work; beyond a few they
+// help nobody.
+constexpr int kMostSends = 6;
+
+// Between a server's proof that it did not run a request and the next send:
+// an adapter on its way takes about as long.
+constexpr Millis kAfterProof{ 15 };
+
+} // namespace
+
+// What may be sent once more, and the final answers.
+
+// As often as the route names servers for: a read that fails wherever it runs
+// would otherwise spend the budget that others need.
+bool
+Exchange::MayRunAgain() const
+{
+  bool repeatable = mRoute->mKind == RouteKind::Idempotent ||
+                    (mRoute->mKind == RouteKind::Stream && mRoute->mResumable);
+  return repeatable && mRuns < mRoute->mMaxServers;
+}
+
+// Takes from the budget of repeats. What is sent again goes to another
+// server if the route lets it.
+bool
+Exchange::MaySendAgain()
+{
+  if (mSends >= kMostSends || mState.Now() + kServiceTime > mGiveUpAt) {
+    return false;
+  }
+  return mState.mRepeats.Spend(mService, mState.mInstances, mState.Now());
+}
+
+void
+Exchange::DispatchLater(Millis aDelay)
+{
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  mState.mReactor.After(aDelay, [weak] {
+    auto exchange = weak.lock();
+    if (exchange && !exchange->mOver && !exchange->mCall) {
+      exchange->Dispatch();
+    }
+  });
+}
+
+void
+Exchange::OnNotSent()
+{
+  std::string server = mServer;
+  mState.mServers.Heard(server, ServerNews::Broken, mState.Now());
+  mTried.erase(server); // it never saw the request
+  mBad.insert(server);
+  ForgetCall();
+  mState.mLog.Line("request_again")
+    .Text("id", mFacts.mId)
+    .Text("why", "not connected")
+    .Text("server", server);
+  if (mSends >= kMostSends) {
+    Refuse(ErrorKind::NoEndpoint, kComeBack, "no server connects");
+    return;
+  }
+  Dispatch();
+}
+
+void
+Exchange::OnProvenNotRun()
+{
+  std::string server = mServer;
+  int status = mAnswer.mStatus;
+  ForgetCall();
+  mState.mLog.Line("request_again")
+    .Text("id", mFacts.mId)
+    .Text("why", "not run")
+    .Text("server", server)
+    .Count("status", status);
+  const std::string& answered = mAnswerFacts.mServer;
+  if (status == 421 && !answered.empty() && answered != server) {
+    constexpr int kLostBeats = 3; // an entry goes after so many silent ones
+    mState.mServers.Elsewhere(
+      server, mState.mSettings.mBeat * kLostBeats, mState.Now());
+    mState.mLog.Line("server_elsewhere")
+      .Text("server", server)
+      .Text("answered", answered);
+    mBad.insert(server);
+    mTried.erase(server); // what is there now isn't a server of its route
+  } else if (status == 421 && !mFacts.mModel.empty()) {
+    mState.mServers.Doubt(server, mFacts.mModel, mFacts.mAdapter, mState.Now());
+  }
+  if (!MaySendAgain()) {
+    if (mStreaming) {
+      mCaller->Abort();
+      End(0, "stream refused midway");
+      return;
+    }
+    Refuse(ErrorKind::NoCapacity, kComeBack, "server refused");
+    return;
+  }
+  DispatchLater(kAfterProof);
+}
+
+void
+Exchange::OnBroken(CallEnd aEnd)
+{
+  std::string server = mServer;
+  bool kept = mCall && mCall->Reused();
+  mMayHaveRun = true;
+  ++mRuns;
+  mState.mServers.Heard(server, ServerNews::Broken, mState.Now());
+  mBad.insert(server);
+  ForgetCall();
+  mEvents.clear();
+  mState.mLog.Line("server_broke")
+    .Text("id", mFacts.mId)
+    .Text("server", server)
+    .Text("how", aEnd == CallEnd::Garbled ? "garbled" : "cut")
+    .Flag("kept_connection", kept)
+    .Flag("streaming", mStreaming)
+    .Ms("after_ms", Since(mSentAt));
+  if (MayRunAgain() && MaySendAgain()) {
+    Dispatch();
+    return;
+  }
+  if (mStreaming) {
+    mCaller->Abort();
+    End(0, "stream broken off");
+    return;
+  }
+  Refuse(ErrorKind::OutcomeUnknown, Millis(0), "server broke off");
+}
+
+// ---- Answers
+
+void
+Exchange::Refuse(ErrorKind aKind, Millis aAfter, const char* aWhy)
+{
+  if (mOver) {
+    return;
+  }
+  if (mStreaming) {
+    mCaller->Abort();
+    End(0, aWhy);
+    return;
+  }
+  // A refusal promises that the request has not run and never will; what may
+  // have run gets an answer that promises nothing.
+  if (mMayHaveRun) {
+    aKind = ErrorKind::OutcomeUnknown;
+    aAfter = Millis(0);
+  }
+  const ErrorAnswer& answer = ErrorAnswerOf(aKind);
+  std::vector<HttpField> fields;
+  if (!mFacts.mId.empty()) {
+    fields.push_back(wire::RequestIdField(mFacts.mId));
+  }
+  if (aAfter > Millis(0)) {
+    fields.push_back(wire::RetryAfterField(aAfter));
+  }
+  mState.mLog.Line("request_refused")
+    .Text("id", mFacts.mId)
+    .Text("kind", answer.mName)
+    .Text("why", aWhy)
+    .Text("route", mRoute ? mRoute->mName : "")
+    .Text("tenant", mTenant)
+    .Text("model", mFacts.mModel)
+    .Text("adapter", mFacts.mAdapter)
+    .Count("config", mConfig ? mConfig->mVersion : 0)
+    .Count("sends", mSends)
+    .Ms("retry_ms", aAfter);
+  mState.mMetrics.Count("caraway_refused_total",
+                        std::string("kind=\"") + answer.mName + "\"");
+  mCaller->Answer(answer.mStatus, std::move(fields), "");
+  End(answer.mStatus, aWhy);
+}
+
+void
+Exchange::OnTimeUp()
+{
+  if (mOver) {
+    return;
+  }
+  if (mServer.empty()) {
+    Refuse(ErrorKind::DeadlineUnmeetable, kComeBack, "time is up");
+    return;
+  }
+  // The server stops by itself about now; its own final answer is better
+  // than this instance's.
+  if (mState.Now() < mGiveUpAt + kLateAnswer) {
+    std::weak_ptr<Exchange> weak = weak_from_this();
+    mTimer = mState.mReactor.After(kLateAnswer, [weak] {
+      if (auto exchange = weak.lock()) {
+        exchange->OnTimeUp();
+      }
+    });
+    return;
+  }
+  mCall->Cancel();
+  ForgetCall();
+  if (mStreaming) {
+    mCaller->Abort();
+    End(0, "stream over its time");
+    return;
+  }
+  mCaller->Answer(504, { wire::RequestIdField(mFacts.mId) }, "");
+  End(504, "time is up at the server");
+}
+
+void
+Exchange::OnCallerLeft()
+{
+  if (mOver) {
+    return;
+  }
+  if (mCall) {
+    mCall->Cancel();
+    ForgetCall();
+  }
+  End(0, "caller left");
+}
+
+void
+Exchange::End(int aStatus, const char* aWhy)
+{
+  if (mOver) {
+    return;
+  }
+  mOver = true;
+  mState.mReactor.Cancel(mTimer);
+  Millis first = mFirstAt == TimePoint()
+                   ? Millis(-1)
+                   : std::chrono::duration_cast<Millis>(mFirstAt - mArrived);
+  mState.mLog.Line("request_done")
+    .Text("id", mFacts.mId)
+    .Count("status", aStatus)
+    .Text("why", aWhy)
+    .Count("sends", mSends)
+    .Ms("first_ms", first)
+    .Ms("whole_ms", Since(mArrived));
+  mState.mMetrics.Count("caraway_requests_total",
+                        "status=\"" + std::to_string(aStatus) + "\"");
+  if (mFirstAt != TimePoint()) {
+    mState.mMetrics.Observe("first_event", mTenant, Class(), first);
+    mState.mMetrics.Observe("whole", mTenant, Class(), Since(mArrived));
+  }
+  mOwner.Over(*this);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/ExchangeSend.cpp
@@ -0,0 +1,246 @@
+#include "entry/Exchange.h"
+
+#include <algorithm>
+
+#include "platform/RequestHead.h"
+
+namespace caraway {
+
+namespace {
+
+// A connection that has been idle for long may be closed by the server just
+// as the request leaves; what may not run twice can't be sent again then.
+constexpr double kIdleShareOnce = 0.4;
+
+constexpr double kIdleShareAgain = 0.7;
+
+// The id of the last event in aEvents that has one; "" when none has.
+std::string
+LastIdIn(std::string_view aEvents)
+{
+  size_t at = aEvents.rfind("id:");
+  while (at != std::string_view::npos && at > 0 && aEvents[at - 1] != '\n') {
+    at = at == 0 ? std::string_view::npos : aEvents.rfind("id:", at - 1);
+  }
+  if (at == std::string_view::npos) {
+    return "";
+  }
+  std::string_view id = aEvents.substr(at + 3);
+  id = id.substr(0, id.find_first_of("\r\n"));
+  while (!id.empty() && id.front() == ' ') {
+    id.remove_prefix(1);
+  }
+  return std::string(id);
+}
+
+// Bytes up to the end of the last whole event.
+size_t
+WholeEvents(std::string_view aBytes)
+{
+  size_t plain = aBytes.rfind("\n\n");
+  size_t crlf = aBytes.rfind("\r\n\r\n");
+  size_t end = plain == std::string_view::npos ? 0 : plain + 2;
+  if (crlf != std::string_view::npos) {
+    end = std::max(end, crlf + 4);
+  }
+  return end;
+}
+
+} // namespace
+
+// One send to a server: its answer, relayed as it comes.
+
+std::string
+Exchange::ServerHead(const Backend& aBackend) const
+{
+  wire::ServerSend send;
+  send.mInstance = aBackend.mEntry.mId;
+  send.mTenant = mTenant;
+  send.mPriority = mPriority;
+  send.mBodyBytes = mRequest.mBody.size();
+  send.mLastEvent = mLastEvent;
+  // Rounded down: more than is left would be work that nobody waits for.
+  auto left = std::chrono::duration_cast<Millis>(mGiveUpAt - mState.Now());
+  send.mLeft = std::max(left, Millis(1));
+  return wire::WriteServerRequest(mRequest.mHead, send);
+}
+
+void
+Exchange::Send(Backend& aBackend)
+{
+  bool again = MayRunAgain();
+  mServer = aBackend.mEntry.mId;
+  mTried.insert(mServer);
+  ++mSends;
+  mSentAt = mState.Now();
+  mHaveAnswer = false;
+  mBody.clear();
+  mState.mLog.Line("request_sent")
+    .Text("id", mFacts.mId)
+    .Text("route", mRoute->mName)
+    .Text("tenant", mTenant)
+    .Text("server", mServer)
+    .Text("model", mFacts.mModel)
+    .Text("adapter", mFacts.mAdapter)
+    .Count("send", mSends)
+    .Count("under_way", aBackend.UnderWay())
+    .Number("failing", aBackend.mFailing)
+    .Count("config", mConfig->mVersion)
+    .Ms("waited_ms", Since(mArrived));
+  OutRequest request;
+  request.mAddress = aBackend.mEntry.mAddress;
+  request.mPeer = mServer;
+  request.mHead = ServerHead(aBackend);
+  request.mBody = mRequest.mBody;
+  request.mIdleShare = again ? kIdleShareAgain : kIdleShareOnce;
+  mState.mServers.Began(mServer, FullName());
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  OutCall::Events events;
+  events.mIsOurs = [weak](const HttpHead& aHead) {
+    auto exchange = weak.lock();
+    std::string id = wire::ReadAnswerFacts(aHead).mId;
+    return !exchange || id.empty() || id == exchange->mFacts.mId;
+  };
+  events.mHead = [weak](const HttpHead& aHead) {
+    if (auto exchange = weak.lock()) {
+      exchange->OnHead(aHead);
+    }
+  };
+  events.mBody = [weak](std::string& aBytes) {
+    if (auto exchange = weak.lock()) {
+      exchange->OnBody(aBytes);
+    }
+  };
+  events.mEnd = [weak](CallEnd aEnd) {
+    if (auto exchange = weak.lock()) {
+      exchange->OnCallEnd(aEnd);
+    }
+  };
+  mCall = OutCall::Start(
+    mState.mReactor, mState.mServerPool, std::move(request), std::move(events));
+}
+
+void
+Exchange::OnHead(const HttpHead& aHead)
+{
+  mAnswer = aHead;
+  mAnswerFacts = wire::ReadAnswerFacts(aHead);
+  mHaveAnswer = true;
+  bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
+  if (mAnswerFacts.mNotRun) {
+    return;
+  }
+  // A success that a server didn't seal, or in a coding that nobody asked
+  // for, isn't what the server made.
+  bool spoilt = success && (!mAnswerFacts.mSealed || mAnswerFacts.mEncoded);
+  // A stream that goes on must go on as a stream.
+  if (spoilt || (mStreaming && !success)) {
+    mCall->Cancel();
+    OnCallEnd(CallEnd::Garbled);
+    return;
+  }
+  if (success && mRoute->mKind == RouteKind::Stream && !mStreaming) {
+    StartStream(aHead);
+  }
+}
+
+void
+Exchange::StartStream(const HttpHead& aHead)
+{
+  mStreaming = true;
+  mFirstAt = mState.Now();
+  mCaller->BeginStream(aHead.mStatus, wire::CallerFields(aHead));
+}
+
+void
+Exchange::OnBody(std::string& aBytes)
+{
+  if (!mStreaming || mAnswerFacts.mNotRun) {
+    mBody += aBytes;
+    aBytes.clear();
+    return;
+  }
+  if (!mRoute->mResumable) {
+    mCaller->StreamPiece(aBytes);
+    aBytes.clear();
+    return;
+  }
+  mEvents += aBytes;
+  aBytes.clear();
+  ForwardEvents();
+}
+
+// Only whole events: a server may stop in the middle of one, and another
+// then goes on after the last that the caller has in full.
+void
+Exchange::ForwardEvents()
+{
+  size_t whole = WholeEvents(mEvents);
+  if (whole == 0) {
+    return;
+  }
+  std::string id = LastIdIn(std::string_view(mEvents).substr(0, whole));
+  if (!id.empty()) {
+    mLastEvent = id;
+  }
+  mCaller->StreamPiece(std::string_view(mEvents).substr(0, whole));
+  mEvents.erase(0, whole);
+}
+
+void
+Exchange::ForgetCall()
+{
+  if (!mServer.empty()) {
+    mState.mServers.Ended(mServer, FullName());
+  }
+  mServer.clear();
+  // It may be running one of its events.
+  mState.mReactor.After(Millis(0), [call = std::move(mCall)] {});
+  mCall.reset();
+}
+
+void
+Exchange::OnCallEnd(CallEnd aEnd)
+{
+  if (mOver || mServer.empty()) {
+    return;
+  }
+  if (aEnd == CallEnd::NotSent) {
+    OnNotSent();
+  } else if (mHaveAnswer && mAnswerFacts.mNotRun) {
+    OnProvenNotRun();
+  } else if (aEnd != CallEnd::Whole) {
+    OnBroken(aEnd);
+  } else {
+    OnWhole();
+  }
+}
+
+void
+Exchange::OnWhole()
+{
+  bool failed = mAnswer.mStatus >= 500;
+  mState.mServers.Heard(
+    mServer, failed ? ServerNews::Failed : ServerNews::Good, mState.Now());
+  ForgetCall();
+  if (mStreaming) {
+    mCaller->StreamPiece(mEvents);
+    mCaller->EndStream();
+    End(mAnswer.mStatus, "served");
+    return;
+  }
+  mRuns += failed ? 1 : 0;
+  if (failed && MayRunAgain() && MaySendAgain()) {
+    mState.mLog.Line("request_again")
+      .Text("id", mFacts.mId)
+      .Text("why", "server failed")
+      .Count("status", mAnswer.mStatus);
+    Dispatch();
+    return;
+  }
+  mFirstAt = mState.Now();
+  mCaller->Answer(mAnswer.mStatus, wire::CallerFields(mAnswer), mBody);
+  End(mAnswer.mStatus, "served");
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/OrderDeskDecide.cpp
@@ -0,0 +1,357 @@
+#include "entry/OrderDesk.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kForgetWant{ 1500 };
+
+// An adapter's way to a server: a few milliseconds, and a share by size.
+constexpr Millis kAdapterBase{ 4 };
+
+constexpr double kAdapterMbPerMs = 5.0;
+
+// More demand than a replica serves well: half of its places taken.
+constexpr double kBusyShare = 0.5;
+
+// A model that is asked for so often a second is kept in each zone, so that
+// a zone that is cut off goes on serving it.
+constexpr double kEveryZoneRate = 2.0;
+
+} // namespace
+
+// What the holder of a zone decides: which wants begin, where, and which models
+// get another replica.
+
+Json::Value
+OrderDesk::OnWanted(const PlaceWant& aWant)
+{
+  Json::Value result(Json::objectValue);
+  if (!mLease.Holds() || !EngineOf(aWant.mService)) {
+    result["none"] = "not the holder";
+    return result;
+  }
+  TimePoint now = mState.Now();
+  auto [at, added] = mQueue.try_emplace(KeyOf(aWant));
+  Queued& queued = at->second;
+  if (added) {
+    queued.mWant = aWant;
+    queued.mSince = now;
+  }
+  queued.mWant.mPriority = std::min(queued.mWant.mPriority, aWant.mPriority);
+  queued.mAskedAt = now;
+  queued.mNeedBy = std::max(queued.mNeedBy, now + aWant.mLeft);
+  if (added) {
+    Pump();
+  }
+  if (auto expected = Estimate(aWant)) {
+    result["expected_ms"] = Json::Int64(expected->count());
+  }
+  return result;
+}
+
+std::optional<Millis>
+OrderDesk::Estimate(const PlaceWant& aWant) const
+{
+  TimePoint now = mState.Now();
+  for (const auto& [server, job] : mJobs) {
+    if (job.mWant.mModel == aWant.mModel &&
+        job.mWant.mService == aWant.mService) {
+      auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
+      return std::max(left, Millis(20));
+    }
+  }
+  const EngineSpec* engine = EngineOf(aWant.mService);
+  auto choice = ChoosePlace(
+    *engine, aWant.mModel, mState.mServers, FactsFor(aWant.mService));
+  if (!choice) {
+    return std::nullopt;
+  }
+  return choice->mWait + choice->mLoad;
+}
+
+PlacementFacts
+OrderDesk::FactsFor(const std::string& aService) const
+{
+  TimePoint now = mState.Now();
+  PlacementFacts facts;
+  facts.mService = aService;
+  facts.mZone = mState.mSettings.mZone;
+  facts.mRates = mState.mDemand.Rates(now);
+  facts.mReplicas = CountReplicas(mState.mServers);
+  for (const auto& [server, job] : mJobs) {
+    auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
+    facts.mBusy[server] = std::max(left, Millis(50));
+  }
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (now < std::max(backend.mAvoidUntil, backend.mElsewhereUntil)) {
+      facts.mAvoid.insert(id);
+    }
+  }
+  facts.mStoreWait = mStoreLoads.Wait(now);
+  return facts;
+}
+
+// Begins what can begin now, the most urgent first.
+void
+OrderDesk::Pump()
+{
+  TimePoint now = mState.Now();
+  if (!mLease.Holds()) {
+    mQueue.clear();
+    return;
+  }
+  std::vector<Queued*> queue;
+  for (auto at = mQueue.begin(); at != mQueue.end();) {
+    if (now - at->second.mAskedAt > kForgetWant) {
+      at = mQueue.erase(at);
+    } else {
+      queue.push_back(&at->second);
+      ++at;
+    }
+  }
+  if (!mLease.MayAct()) {
+    return;
+  }
+  // When loads can't keep up, first come first served makes all late. Those
+  // that can still be in time go first, the oldest of them before the others;
+  // what is late already waits for a lull.
+  auto rank = [this, now](const Queued& aQueued) {
+    bool late = now + UsualLoad(aQueued.mWant) > aQueued.mNeedBy;
+    return std::make_tuple(late, aQueued.mWant.mPriority, aQueued.mSince);
+  };
+  std::sort(queue.begin(),
+            queue.end(),
+            [&rank](const Queued* aOne, const Queued* aOther) {
+              return rank(*aOne) < rank(*aOther);
+            });
+  std::vector<Key> begun;
+  // Worked out once for all of them: it looks at every server and model.
+  std::map<std::string, PlacementFacts> facts;
+  for (Queued* queued : queue) {
+    const std::string& service = queued->mWant.mService;
+    if (!facts.count(service)) {
+      facts[service] = FactsFor(service);
+    }
+    if (Begin(queued->mWant, facts[service])) {
+      begun.push_back(KeyOf(queued->mWant));
+    }
+  }
+  for (const Key& key : begun) {
+    mQueue.erase(key);
+  }
+}
+
+// From a disk of this zone; what must come from the store is late anyway.
+Millis
+OrderDesk::UsualLoad(const PlaceWant& aWant) const
+{
+  const EngineSpec* engine = EngineOf(aWant.mService);
+  if (!engine || !aWant.mAdapter.empty()) {
+    return Millis(0);
+  }
+  auto model = engine->mModels.find(aWant.mModel);
+  return model == engine->mModels.end() ? Millis(0) : model->second.mDisk;
+}
+
+// True when the want needn't wait here any longer.
+bool
+OrderDesk::Begin(const PlaceWant& aWant, PlacementFacts& aFacts)
+{
+  const EngineSpec* engine = EngineOf(aWant.mService);
+  if (!engine) {
+    return true;
+  }
+  for (const auto& [server, job] : mJobs) {
+    if (job.mWant.mModel == aWant.mModel &&
+        job.mWant.mService == aWant.mService) {
+      // The model is on its way; an adapter of it waits for that.
+      return aWant.mAdapter.empty() || aWant.mAdapter == job.mWant.mAdapter;
+    }
+  }
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (backend.mEntry.mZone != mState.mSettings.mZone ||
+        backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
+        !backend.Holds(aWant.mModel, "")) {
+      continue;
+    }
+    if (!aWant.mAdapter.empty()) {
+      return BeginAdapter(aWant);
+    }
+    if (aWant.mPriority < kLowestPriority) {
+      // Who asks hasn't heard of it yet, or found it missing.
+      Recheck(id);
+      return true;
+    }
+  }
+  mStoreLoads.SetLimits(engine->mLoadsPerSecond,
+                        static_cast<int>(mState.mSettings.mZones.size()));
+  aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
+  auto choice = ChoosePlace(*engine, aWant.mModel, mState.mServers, aFacts);
+  if (!choice) {
+    mState.mLog.Line("place_none")
+      .Text("model", aWant.mModel)
+      .Count("jobs", static_cast<int64_t>(mJobs.size()));
+    return false;
+  }
+  if (choice->mWait > Millis(0)) {
+    return false;
+  }
+  Job job;
+  job.mWant = aWant;
+  job.mWant.mAdapter.clear();
+  job.mServer = choice->mServer;
+  job.mSource = choice->mSource;
+  job.mLoad = choice->mLoad;
+  for (const std::string& model : choice->mEvict) {
+    ModelOrder order;
+    order.mLoad = false;
+    order.mModel = model;
+    job.mSteps.push_back(order);
+  }
+  ModelOrder load;
+  load.mModel = aWant.mModel;
+  job.mSteps.push_back(load);
+  aFacts.mBusy[job.mServer] = job.mLoad;
+  StartJob(std::move(job));
+  return aWant.mAdapter.empty();
+}
+
+bool
+OrderDesk::BeginAdapter(const PlaceWant& aWant)
+{
+  const EngineSpec* engine = EngineOf(aWant.mService);
+  TimePoint now = mState.Now();
+  Backend* best = nullptr;
+  size_t bestCount = 0;
+  for (auto& [id, backend] : mState.mServers.All()) {
+    if (backend.mEntry.mZone != mState.mSettings.mZone ||
+        backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
+        !backend.Holds(aWant.mModel, "") || mJobs.count(id) ||
+        now < std::max(backend.mAvoidUntil, backend.mElsewhereUntil)) {
+      continue;
+    }
+    if (backend.Holds(aWant.mModel, aWant.mAdapter)) {
+      Recheck(id);
+      return true;
+    }
+    size_t count = 0;
+    for (const auto& [model, adapters] : backend.mModels) {
+      count += adapters.size();
+    }
+    if (!best || count < bestCount) {
+      best = &backend;
+      bestCount = count;
+    }
+  }
+  if (!best) {
+    return false;
+  }
+  Job job;
+  job.mWant = aWant;
+  job.mServer = best->mEntry.mId;
+  job.mSource = WeightSource::Memory;
+  double mb = engine->mModels.count(aWant.mModel)
+                ? engine->mModels.at(aWant.mModel).mAdapterMb
+                : 0;
+  job.mLoad = kAdapterBase + Millis(static_cast<int64_t>(mb / kAdapterMbPerMs));
+  if (static_cast<int>(bestCount) >= engine->mAdapterSlots) {
+    auto victim = LeastAskedAdapter(*best);
+    if (!victim) {
+      return false;
+    }
+    job.mSteps.push_back(*victim);
+  }
+  ModelOrder load;
+  load.mModel = aWant.mModel;
+  load.mAdapter = aWant.mAdapter;
+  job.mSteps.push_back(load);
+  StartJob(std::move(job));
+  return true;
+}
+
+// Its unload; nothing while all are in use.
+std::optional<ModelOrder>
+OrderDesk::LeastAskedAdapter(const Backend& aBackend) const
+{
+  std::optional<ModelOrder> least;
+  double leastRate = 0;
+  for (const auto& [model, adapters] : aBackend.mModels) {
+    for (const std::string& adapter : adapters) {
+      std::string name = model + "/" + adapter;
+      double rate = mState.mDemand.Rate(name, mState.Now());
+      if (aBackend.UnderWay(name) > 0 || (least && rate >= leastRate)) {
+        continue;
+      }
+      ModelOrder order;
+      order.mLoad = false;
+      order.mModel = model;
+      order.mAdapter = adapter;
+      least = order;
+      leastRate = rate;
+    }
+  }
+  return least;
+}
+
+// More replicas of what is asked for more than its servers can carry, before
+// requests have to wait.
+void
+OrderDesk::Grow()
+{
+  if (!mLease.MayAct() || !mState.mConfig) {
+    return;
+  }
+  for (const auto& [name, service] : mState.mConfig->mServices) {
+    if (!service.mEngine) {
+      continue;
+    }
+    for (const auto& [model, weights] : service.mEngine->mModels) {
+      if (mState.mDemand.Rate(model, mState.Now()) > 0.2 &&
+          WantsReplica(name, model)) {
+        OnWanted({ name, model, "", kLowestPriority, Millis(0) });
+      }
+    }
+  }
+}
+
+bool
+OrderDesk::WantsReplica(const std::string& aService, const std::string& aModel)
+{
+  int underWay = 0;
+  int slots = 0;
+  std::map<std::string, int> replicas; // by zone
+  for (const std::string& zone : mState.mSettings.mZones) {
+    replicas[zone] = 0;
+  }
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (backend.mEntry.mService != aService || backend.mEntry.mDraining ||
+        !backend.Holds(aModel, "")) {
+      continue;
+    }
+    underWay += backend.UnderWay(aModel);
+    slots += backend.mEntry.mSlots;
+    replicas[backend.mEntry.mZone] += 1;
+  }
+  const std::string& here = mState.mSettings.mZone;
+  double rate = mState.mDemand.Rate(aModel, mState.Now());
+  if (replicas[here] == 0 && rate > kEveryZoneRate) {
+    return true;
+  }
+  if (slots == 0 || underWay < kBusyShare * slots) {
+    return false;
+  }
+  // One zone at a time adds one: that with the fewest, the first of these.
+  for (const auto& [zone, count] : replicas) {
+    bool fewer =
+      count < replicas[here] || (count == replicas[here] && zone < here);
+    if (fewer) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/OrderNotes.h
@@ -0,0 +1,27 @@
+// OrderNotes.h: what instances tell each other about models: wants, and what
+// servers hold.
+#ifndef caraway_entry_OrderNotes_h
+#define caraway_entry_OrderNotes_h
+
+#include <json/json.h>
+
+#include "decide/ServerView.h"
+#include "entry/PlaceAsker.h"
+
+namespace caraway {
+
+Json::Value
+WantJson(const PlaceWant& aWant);
+PlaceWant
+ReadWant(const Json::Value& aWant);
+
+// A server, its life, orders accepted, and what it holds. Readers throw
+// Json::Exception when a field has another type.
+Json::Value
+ContentJson(const Backend& aBackend);
+HeldModels
+ReadModels(const Json::Value& aModels);
+
+} // namespace caraway
+
+#endif
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -24,6 +24,7 @@
 // Without a pulse for so long an instance counts as gone: some may be lost.
 // In a large fleet six turns, see PulseGap().
 constexpr Millis kAlive{ 1500 };
+
 constexpr int kAliveTurns = 6;
 
 // After so long its entry is removed, so that the list doesn't grow with
@@ -34,7 +35,9 @@
 // time up to the last: instances that start together may each read it before
 // the others are on it. One that reads it later greets all, and is known.
 constexpr Millis kListSoon{ 300 };
+
 constexpr Millis kListAgain{ 10000 };
+
 constexpr Millis kListRetry{ 300 };
 
 // A datagram larger than this is cut into pieces by the network.
@@ -342,77 +345,4 @@
   }
 }
 
-// ---- Calls
-
-ShortReply
-Peers::Answer(const InboundRequest& aRequest)
-{
-  Json::Value request = JsonParseOrEmpty(aRequest.mBody);
-  Json::Value reply;
-  reply["jsonrpc"] = "2.0";
-  reply["id"] = request["id"];
-  auto method = request["method"].isString()
-                  ? mMethods.find(request["method"].asString())
-                  : mMethods.end();
-  if (method == mMethods.end()) {
-    reply["error"]["code"] = -32601;
-    reply["error"]["message"] = "no such method";
-  } else {
-    try {
-      reply["result"] = method->second(request["params"]);
-    } catch (const Json::Exception& error) {
-      mState.mLog.Line("peer_call_unreadable")
-        .Text("method", method->first)
-        .Text("why", error.what());
-      reply["error"]["code"] = -32602;
-      reply["error"]["message"] = "parameters of another type";
-    }
-  }
-  return { 200, "application/json", JsonWrite(reply) };
-}
-
-void
-Peers::Call(const std::string& aPeer,
-            const std::string& aMethod,
-            const Json::Value& aParams,
-            Millis aMost,
-            Reply aReply)
-{
-  auto found = mPeers.find(aPeer);
-  if (found == mPeers.end()) {
-    aReply(false, Json::Value());
-    return;
-  }
-  Json::Value body;
-  body["jsonrpc"] = "2.0";
-  body["id"] = 1; // one call a connection at a time
-  body["method"] = aMethod;
-  body["params"] = aParams;
-  OutRequest request;
-  request.mAddress = found->second.mAddress;
-  request.mBody = JsonWrite(body);
-  request.mConnect = std::min(aMost, Millis(300));
-  request.mHead =
-    WriteHead("POST /rpc HTTP/1.1",
-              { { "Host", request.mAddress },
-                { "Content-Type", "application/json" },
-                { "Content-Length", std::to_string(request.mBody.size()) } });
-  CallForAnswer(
-    mState.mReactor,
-    mState.mPeerPool,
-    std::move(request),
-    aMost,
-    [this, aMethod, aPeer, reply = std::move(aReply)](ShortAnswer& aAnswer) {
-      Json::Value answer = JsonParseOrEmpty(aAnswer.mBody);
-      bool good = answer.isMember("result");
-      if (!good) {
-        mState.mLog.Line("peer_call_failed")
-          .Text("peer", aPeer)
-          .Text("method", aMethod)
-          .Count("status", aAnswer.mStatus);
-      }
-      reply(good, answer["result"]);
-    });
-}
-
 } // namespace caraway
--- a/src/entry/PlaceAsker.h
+++ b/src/entry/PlaceAsker.h
@@ -10,6 +10,9 @@
 
 namespace caraway {
 
+// The least urgent; 0 is the most.
+inline constexpr int kLowestPriority = 9;
+
 struct PlaceWant
 {
   std::string mService;
--- a/tests/platform/AnswersTest.cpp
+++ b/tests/platform/AnswersTest.cpp
@@ -128,6 +128,31 @@
   }
 }
 
+// A read fails wherever it runs. It runs as often as its route names servers
+// for, not on and on: the budget of repeats is everybody's.
+TEST(Answers, ReadThatFailsEverywhereRunsTwice)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  SetManners(world, Manners::Fails);
+  EXPECT_EQ(500, world.Call(0, "/safe/x", "r1")->mStatus);
+  EXPECT_EQ(2, world.RunsOf("r1"));
+}
+
+// A server is gone and its address is another's, while its entry is still
+// listed. The other one refuses what isn't meant for it; it is asked once, not
+// by each request again and again.
+TEST(Answers, AddressOfAnotherServerIsLeftAlone)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  world.mPlain[0]->mExpectedId = "somebody-else";
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(200, world.Call(0, "/order/x", "r" + std::to_string(i))->mStatus);
+  }
+  EXPECT_LE(world.mPlain[0]->mArrivals, 1);
+}
+
 // A server never answers: the final answer comes when the route's time is up,
 // and the server is told to stop.
 TEST(Answers, RoutesTimeEndsARequest)
