Tokens of requests that did not run are given back

Cause: a request that was refused for want of a server had paid its tenant's tokens, came back and paid again. Ruled out as the reason of Anga's refusals by rate: the one tenant that is refused all the time asks for 3 times its lowered rate and is served at 97% of it (14.4 of 14.9 thousand tokens a second, by the new field tokens of request_sent).

Change: what was taken is returned to where it was taken from; what the bucket would have spilled meanwhile stays lost, so the limit holds (property test). tokens_refused tells rate and burst.

--- a/src/decide/ServingConfig.cpp
+++ b/src/decide/ServingConfig.cpp
@@ -19,6 +19,13 @@
   return best;
 }
 
+const TenantLimit*
+ServingConfig::Tenant(const std::string& aName) const
+{
+  auto found = mTenants.find(aName);
+  return found == mTenants.end() ? nullptr : &found->second;
+}
+
 int
 ServingConfig::LeastUrgent() const
 {
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -96,6 +96,8 @@
   // Longest prefix of the host that begins aPath; null when there is none.
   const RouteSpec* Match(const std::string& aHost,
                          const std::string& aPath) const;
+  // Null when there is none of that name.
+  const TenantLimit* Tenant(const std::string& aName) const;
   // The largest priority of a route: the least urgent.
   int LeastUrgent() const;
 };
--- a/src/decide/TenantTokens.cpp
+++ b/src/decide/TenantTokens.cpp
@@ -90,6 +90,18 @@
   return true;
 }
 
+void
+TenantBuckets::GiveBack(const std::string& aTenant,
+                        double aTokens,
+                        TimePoint aTakenAt,
+                        TimePoint aNow)
+{
+  auto found = mBuckets.find(aTenant);
+  if (found != mBuckets.end()) {
+    found->second.GiveBack(aTokens, aTakenAt, aNow);
+  }
+}
+
 void
 TenantBuckets::Prepare(const TenantLimit& aLimit, double aShare, TimePoint aNow)
 {
--- a/src/decide/TenantTokens.h
+++ b/src/decide/TenantTokens.h
@@ -33,6 +33,12 @@
             double aReserve,
             bool aLends,
             TimePoint aNow);
+  // aTokens that were taken at aTakenAt aren't used. What the bucket would
+  // have spilled meanwhile doesn't come back.
+  void GiveBack(const std::string& aTenant,
+                double aTokens,
+                TimePoint aTakenAt,
+                TimePoint aNow);
   // Begins to fill the bucket, if there is none yet.
   void Prepare(const TenantLimit& aLimit, double aShare, TimePoint aNow);
   // Until Take() may succeed.
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -137,21 +137,24 @@
       exchange->OnTimeUp();
     }
   });
-  auto tenant = mConfig->mTenants.find(mTenant);
-  if (tenant == mConfig->mTenants.end() || tenant->second.mRate <= 0) {
+  const TenantLimit* tenant = mConfig->Tenant(mTenant);
+  if (!tenant || tenant->mRate <= 0) {
     Dispatch();
     return;
   }
   TokenRequest request;
   request.mTenant = mTenant;
-  request.mTokens = CostOf(mFacts, tenant->second);
+  request.mTokens = CostOf(mFacts, *tenant);
   request.mPatience = std::max(route.mTarget / kTokenPatience, kLeastPatience);
   if (route.mKind == RouteKind::Stream) {
     request.mReserve = ReserveFor(route.mPriority, mConfig->LeastUrgent());
   }
-  mTokens.Ask(request, [weak](bool aGranted, Millis aAfter) {
-    if (auto exchange = weak.lock()) {
-      exchange->OnTokens(aGranted, aAfter);
+  mTokens.Ask(request, [weak, &tokens = mTokens](const TokenAnswer& aAnswer) {
+    auto exchange = weak.lock();
+    if (exchange && !exchange->mOver) {
+      exchange->OnTokens(aAnswer);
+    } else if (aAnswer.mGrant) {
+      tokens.GiveBack(*aAnswer.mGrant); // its caller left meanwhile
     }
   });
 }
@@ -187,21 +190,19 @@
     return false;
   }
   mTenant = tenant->second;
-  auto limit = mConfig->mTenants.find(mTenant);
-  if (limit != mConfig->mTenants.end() && limit->second.mPriority) {
-    mPriority = *limit->second.mPriority;
+  const TenantLimit* limit = mConfig->Tenant(mTenant);
+  if (limit && limit->mPriority) {
+    mPriority = *limit->mPriority;
   }
   return true;
 }
 
 void
-Exchange::OnTokens(bool aGranted, Millis aAfter)
+Exchange::OnTokens(const TokenAnswer& aAnswer)
 {
-  if (mOver) {
-    return;
-  }
-  if (!aGranted) {
-    Refuse(ErrorKind::RateExceeded, aAfter, "tenant's rate");
+  mGrant = aAnswer.mGrant;
+  if (!mGrant) {
+    Refuse(ErrorKind::RateExceeded, aAnswer.mAfter, "tenant's rate");
     return;
   }
   Dispatch();
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -48,7 +48,7 @@
 private:
   // Admission.
   bool Identify();
-  void OnTokens(bool aGranted, Millis aAfter);
+  void OnTokens(const TokenAnswer& aAnswer);
   // Finding a server.
   void Dispatch();
   bool FindServer();
@@ -97,8 +97,9 @@
   TimePoint mFirstBy{};  // the caller leaves without a first byte by then
   Reactor::TimerId mTimer{};
 
-  std::set<std::string> mTried; // servers that may have seen it
-  std::set<std::string> mBad;   // servers that it isn't sent to again
+  std::set<std::string> mTried;     // servers that may have seen it
+  std::set<std::string> mBad;       // servers that it isn't sent to again
+  std::optional<TokenGrant> mGrant; // while its tokens aren't used
   int mSends = 0;
   int mRuns = 0;            // sends that ended without proof that it didn't run
   bool mMayHaveRun = false; // a send ended without proof that it didn't
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -117,6 +117,7 @@
   std::string server = mServer;
   bool kept = mCall && mCall->Reused();
   mMayHaveRun = true;
+  mGrant.reset();
   ++mRuns;
   mState.mServers.Heard(server, ServerNews::Broken, mState.Now());
   mBad.insert(server);
@@ -208,6 +209,7 @@
   }
   mCall->Cancel();
   ForgetCall();
+  mGrant.reset();
   if (mStreaming) {
     mCaller->Abort();
     End(0, "stream over its time");
@@ -226,6 +228,7 @@
   if (mCall) {
     mCall->Cancel();
     ForgetCall();
+    mGrant.reset();
   }
   End(0, "caller left");
 }
@@ -238,6 +241,9 @@
   }
   mOver = true;
   mState.mReactor.Cancel(mTimer);
+  if (mGrant) {
+    mTokens.GiveBack(*mGrant);
+  }
   Millis first = mFirstAt == TimePoint()
                    ? Millis(-1)
                    : std::chrono::duration_cast<Millis>(mFirstAt - mArrived);
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -79,6 +79,7 @@
     .Text("id", mFacts.mId)
     .Text("route", mRoute->mName)
     .Text("tenant", mTenant)
+    .Number("tokens", mGrant ? mGrant->mTokens : 0)
     .Text("server", mServer)
     .Text("model", mFacts.mModel)
     .Text("adapter", mFacts.mAdapter)
@@ -130,6 +131,7 @@
   if (mAnswerFacts.mNotRun) {
     return;
   }
+  mGrant.reset(); // it runs: its tokens are used
   // A success that a server didn't seal, or in a coding that nobody asked
   // for, isn't what the server made.
   bool spoilt = success && (!mAnswerFacts.mSealed || mAnswerFacts.mEncoded);
--- a/src/entry/TokenAsker.h
+++ b/src/entry/TokenAsker.h
@@ -3,6 +3,7 @@
 #define caraway_entry_TokenAsker_h
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "caraway/Time.h"
@@ -17,15 +18,31 @@
   Millis mPatience{ 0 }; // tokens that accrue within it are waited for
 };
 
+// Tokens that were taken for a request, and where.
+struct TokenGrant
+{
+  std::string mTenant;
+  double mTokens = 0;
+  std::string mKeeper; // who lent them; "" = this instance's own part
+  TimePoint mAt{};
+};
+
+struct TokenAnswer
+{
+  std::optional<TokenGrant> mGrant; // nothing = refused
+  Millis mAfter{ 0 };               // when refused: come back then
+};
+
 class TokenAsker
 {
 public:
-  // aGranted false: aAfter says when to come back.
-  using Done = std::function<void(bool aGranted, Millis aAfter)>;
+  using Done = std::function<void(const TokenAnswer& aAnswer)>;
 
   virtual ~TokenAsker() = default;
   // Answers once, now or soon after the request's patience.
   virtual void Ask(const TokenRequest& aRequest, Done aDone) = 0;
+  // The request didn't run, and never will.
+  virtual void GiveBack(const TokenGrant& aGrant) = 0;
 };
 
 } // namespace caraway
--- a/src/entry/TokenDesk.cpp
+++ b/src/entry/TokenDesk.cpp
@@ -42,6 +42,14 @@
     result["after_ms"] = Json::Int64(loan.mAfter.count());
     return result;
   });
+  mPeers.Add("take_back", [this](const Json::Value& aParams) {
+    TokenGrant grant;
+    grant.mTenant = aParams["tenant"].asString();
+    grant.mTokens = aParams["tokens"].asDouble();
+    grant.mAt = mState.Now() - Millis(aParams["age_ms"].asInt64());
+    TakeBack(grant);
+    return Json::Value(Json::objectValue);
+  });
   mState.mReactor.Every(kPrepare, [this] { Prepare(); });
 }
 
@@ -86,14 +94,14 @@
   if (!mLease.Holds() || !config || aRequest.mTokens < 0) {
     return { false, kNoKeeper };
   }
-  auto limit = config->mTenants.find(aRequest.mTenant);
-  if (limit == config->mTenants.end()) {
+  const TenantLimit* limit = config->Tenant(aRequest.mTenant);
+  if (!limit) {
     return { false, kNoKeeper };
   }
   TimePoint now = mState.Now();
   BeginKeeping();
-  if (mKept.Take(limit->second,
-                 ZoneShare(limit->second),
+  if (mKept.Take(*limit,
+                 ZoneShare(*limit),
                  aRequest.mTokens,
                  aRequest.mReserve,
                  LendsBeyond(),
@@ -132,10 +140,10 @@
 TokenDesk::AskUntil(const TokenRequest& aRequest, TimePoint aUntil, Done aDone)
 {
   AskOnce(aRequest,
-          [this, aRequest, aUntil, aDone](bool aGranted, Millis aAfter) {
-            Millis wait = std::max(aAfter, kShortestWait);
-            if (aGranted || mState.Now() + wait > aUntil) {
-              aDone(aGranted, aAfter);
+          [this, aRequest, aUntil, aDone](const TokenAnswer& aAnswer) {
+            Millis wait = std::max(aAnswer.mAfter, kShortestWait);
+            if (aAnswer.mGrant || mState.Now() + wait > aUntil) {
+              aDone(aAnswer);
               return;
             }
             mState.mReactor.After(wait, [this, aRequest, aUntil, aDone] {
@@ -148,22 +156,22 @@
 TokenDesk::AskOnce(const TokenRequest& aRequest, Done aDone)
 {
   if (!mState.mConfig) {
-    aDone(false, kNoKeeper);
+    aDone({ std::nullopt, kNoKeeper });
     return;
   }
-  auto limit = mState.mConfig->mTenants.find(aRequest.mTenant);
-  if (limit == mState.mConfig->mTenants.end()) {
-    aDone(true, Millis(0));
+  const TenantLimit* limit = mState.mConfig->Tenant(aRequest.mTenant);
+  if (!limit) {
+    aDone({ TokenGrant(), Millis(0) });
     return;
   }
-  double share = EvenShare(limit->second, mState.mInstances);
-  if (mEven.Take(limit->second,
+  double share = EvenShare(*limit, mState.mInstances);
+  if (mEven.Take(*limit,
                  share,
                  aRequest.mTokens,
                  aRequest.mReserve,
                  false,
                  mState.Now())) {
-    aDone(true, Millis(0));
+    aDone({ GrantOf(aRequest, ""), Millis(0) });
     return;
   }
   AskKeepers(aRequest, Zones(), Millis(0), std::move(aDone));
@@ -197,15 +205,17 @@
     if (!self && keeper.empty()) {
       continue;
     }
-    auto next = [this, aRequest, rest, aAfter, aDone](const Loan& aLoan) {
-      if (aLoan.mGranted) {
-        aDone(true, Millis(0));
-        return;
-      }
-      Millis after =
-        aAfter > Millis(0) ? std::min(aAfter, aLoan.mAfter) : aLoan.mAfter;
-      AskKeepers(aRequest, rest, after, aDone);
-    };
+    auto next =
+      [this, aRequest, rest, aAfter, aDone, keeper, self](const Loan& aLoan) {
+        if (aLoan.mGranted) {
+          const std::string& name = self ? mState.mSettings.mName : keeper;
+          aDone({ GrantOf(aRequest, name), Millis(0) });
+          return;
+        }
+        Millis after =
+          aAfter > Millis(0) ? std::min(aAfter, aLoan.mAfter) : aLoan.mAfter;
+        AskKeepers(aRequest, rest, after, aDone);
+      };
     if (self) {
       next(Lend(aRequest));
     } else {
@@ -214,14 +224,64 @@
     return;
   }
   Millis after = aAfter > Millis(0) ? aAfter : kNoKeeper;
+  const TenantLimit* limit = mState.mConfig->Tenant(aRequest.mTenant);
   mState.mLog.Line("tokens_refused")
     .Text("tenant", aRequest.mTenant)
     .Number("tokens", aRequest.mTokens)
     .Number("reserve", aRequest.mReserve)
+    .Number("rate", limit ? limit->mRate : 0)
+    .Number("burst", limit ? limit->mBurst : 0)
     .Text("keeper", aAfter > Millis(0) ? "all" : "nobody")
     .Ms("after_ms", after)
     .Count("instances", mState.mInstances);
-  aDone(false, after);
+  aDone({ std::nullopt, after });
+}
+
+TokenGrant
+TokenDesk::GrantOf(const TokenRequest& aRequest,
+                   const std::string& aKeeper) const
+{
+  return { aRequest.mTenant, aRequest.mTokens, aKeeper, mState.Now() };
+}
+
+// A request that was refused for want of a server comes back and is charged
+// again; unless its tokens are given back, a tenant within its rate is refused
+// by rate while a model loads.
+void
+TokenDesk::GiveBack(const TokenGrant& aGrant)
+{
+  if (aGrant.mTokens <= 0) {
+    return;
+  }
+  if (aGrant.mKeeper.empty()) {
+    mEven.GiveBack(aGrant.mTenant, aGrant.mTokens, aGrant.mAt, mState.Now());
+    return;
+  }
+  if (aGrant.mKeeper == mState.mSettings.mName) {
+    TakeBack(aGrant);
+    return;
+  }
+  Json::Value params;
+  params["tenant"] = aGrant.mTenant;
+  params["tokens"] = aGrant.mTokens;
+  params["age_ms"] = Json::Int64(mState.AgeOf(aGrant.mAt).count());
+  // Lost on the way, they are spent: the limit holds all the same.
+  mPeers.Call(aGrant.mKeeper,
+              "take_back",
+              params,
+              kAskTime,
+              [](bool, const Json::Value&) {});
+}
+
+// A keeper that lost the lease meanwhile has no bucket for it any more; a new
+// one's knows nothing of what its forerunner lent.
+void
+TokenDesk::TakeBack(const TokenGrant& aGrant)
+{
+  if (mLease.Holds() && aGrant.mTokens > 0) {
+    BeginKeeping();
+    mKept.GiveBack(aGrant.mTenant, aGrant.mTokens, aGrant.mAt, mState.Now());
+  }
 }
 
 void
--- a/src/entry/TokenDesk.h
+++ b/src/entry/TokenDesk.h
@@ -21,6 +21,7 @@
   void Start();
 
   void Ask(const TokenRequest& aRequest, Done aDone) override;
+  void GiveBack(const TokenGrant& aGrant) override;
 
 private:
   struct Loan
@@ -31,6 +32,9 @@
   void Prepare();
   void BeginKeeping();
   Loan Lend(const TokenRequest& aRequest);
+  void TakeBack(const TokenGrant& aGrant);
+  TokenGrant GrantOf(const TokenRequest& aRequest,
+                     const std::string& aKeeper) const;
   // The zones to be asked, this instance's first.
   std::vector<std::string> Zones() const;
   void AskKeepers(const TokenRequest& aRequest,
--- a/tests/platform/TokensTest.cpp
+++ b/tests/platform/TokensTest.cpp
@@ -80,6 +80,35 @@
   EXPECT_EQ(18, served);
 }
 
+// No server can be reached, so that a request is refused with the promise that
+// it didn't run. Its tokens are given back: the tenant's next request, to a
+// service that works, isn't refused by rate. The first costs more than an
+// instance's own part, so that it was lent by the keeper.
+TEST(Tokens, WhatDidNotRunCostsNothing)
+{
+  EntryPlan plan;
+  plan.mInstances = 2;
+  EntryWorld world(plan);
+  world.mEngines[0]->mModels = { { "m1", {} } };
+  world.List(*world.mEngines[0], "engine", "a");
+  world.mConfig["tenants"][0]["ratePerS"] = 6000;
+  world.mConfig["tenants"][0]["burst"] = 6000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(1500));
+  for (auto& server : world.mPlain) {
+    server->mManners = Manners::Refuses;
+  }
+  CallerPtr refused = world.Call(0, "/order/x", "r1", Cost(5500));
+  EXPECT_EQ(503, refused->mStatus);
+  CallerPtr next =
+    world.Call(1,
+               "/stream/x",
+               "r2",
+               { { wire::kTokens, "5500,0" }, { wire::kModel, "m1" } });
+  EXPECT_EQ(200, next->mStatus);
+}
+
 // The keeper of a zone is gone. The other zone's keeper still has its part, so
 // that a small tenant, whose limit isn't split evenly, isn't refused as a
 // whole.
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -123,6 +123,45 @@
   }
 }
 
+// Some requests are refused for want of a server, sooner or later after their
+// tokens were taken, and give them back: what runs still never exceeds rate
+// and burst in any span, counted from when its tokens were taken.
+RC_GTEST_PROP(TenantTokensRandom, GivenBackNeverExceedsTheWhole, ())
+{
+  TenantLimit limit = Limit(20000, 20000);
+  TenantBuckets bucket;
+  bucket.Prepare(limit, 1, kStart);
+  std::vector<std::pair<TimePoint, double>> spent;
+  std::vector<std::pair<TimePoint, double>> waiting;
+  TimePoint now = kStart;
+  for (int i = 0; i < 300; ++i) {
+    now += Millis(*rc::gen::inRange(0, 60));
+    double tokens = *rc::gen::inRange(1, 3000);
+    if (bucket.Take(limit, 1, tokens, 0, false, now)) {
+      waiting.push_back({ now, tokens });
+    }
+    if (!waiting.empty() && *rc::gen::inRange(0, 3) > 0) {
+      auto which = *rc::gen::inRange<size_t>(0, waiting.size());
+      auto [at, amount] = waiting[which];
+      waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(which));
+      if (*rc::gen::inRange(0, 2) == 0) {
+        bucket.GiveBack("t", amount, at, now);
+      } else {
+        spent.push_back({ at, amount });
+      }
+    }
+  }
+  std::sort(spent.begin(), spent.end());
+  for (size_t from = 0; from < spent.size(); ++from) {
+    double sum = 0;
+    for (size_t to = from; to < spent.size(); ++to) {
+      sum += spent[to].second;
+      std::chrono::duration<double> span = spent[to].first - spent[from].first;
+      RC_ASSERT(sum <= limit.mBurst + limit.mRate * span.count() + 1);
+    }
+  }
+}
+
 // A tenant asks for three times its limit, mostly for what is least urgent:
 // its urgent requests still find tokens.
 TEST(TenantTokens, UrgentRoutesFindTokensInAnOverload)
