A place takes two orders instead of four, and its load's own time only

Besides, the time allowed for the unload was waited for again after the load.

Change: the load is sent when the unload should be done; where an unload waits for runs, it is tried ever less often, up to each 100 ms.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// An unload of an idle model: two calls to the server.
-constexpr Millis kUnload{ 30 };
-
 // Weighs what is pushed out: seconds of reload it will cost somebody, times
 // how often. A model that is asked for once a second counts as much as the
 // wait of the request at hand.
@@ -110,15 +107,15 @@
   }
   aChoice.mServer = aBackend.mEntry.mId;
   aChoice.mSource = SourceOf(aBackend, aModel);
-  aChoice.mLoad = LoadTime(weights, aChoice.mSource) +
-                  kUnload * static_cast<int>(aChoice.mEvict.size());
+  aChoice.mLoad = LoadTime(weights, aChoice.mSource);
+  aChoice.mUnload = kUnloadTime * static_cast<int>(aChoice.mEvict.size());
   auto busy = aFacts.mBusy.find(aBackend.mEntry.mId);
   aChoice.mWait = busy == aFacts.mBusy.end() ? Millis(0) : busy->second;
   if (aChoice.mSource == WeightSource::Store) {
     aChoice.mWait = std::max(aChoice.mWait, aFacts.mStoreWait);
   }
-  Millis whole = aChoice.mWait + aChoice.mLoad;
-  return static_cast<double>(whole.count()) / 1000.0 + kEvictWeight * lost;
+  return static_cast<double>(aChoice.Whole().count()) / 1000.0 +
+         kEvictWeight * lost;
 }
 
 } // namespace
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -48,10 +48,19 @@
   std::string mServer;
   std::vector<std::string> mEvict; // models that make way, in this order
   WeightSource mSource = WeightSource::Store;
-  Millis mWait{ 0 }; // before it can begin
-  Millis mLoad{ 0 }; // from then on
+  Millis mWait{ 0 };   // before it can begin
+  Millis mUnload{ 0 }; // of what makes way
+  Millis mLoad{ 0 };   // from then on
+
+  Millis Whole() const { return mWait + mUnload + mLoad; }
 };
 
+// What a server takes to carry out the unload of a model that nobody uses; it
+// accepts no other order meanwhile. Sent at once, the next order is refused
+// twice, and each has its price: with this a place takes two orders, without
+// four.
+inline constexpr Millis kUnloadTime{ 50 };
+
 // Servers that hold each model and aren't leaving.
 std::map<std::string, int>
 CountReplicas(const ServerView& aServers);
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -65,6 +65,7 @@
     int64_t mBorn = 0;
     std::deque<ModelOrder> mSteps;
     WeightSource mSource = WeightSource::Store;
+    Millis mUnload{ 0 };
     Millis mLoad{ 0 };
     TimePoint mBegan{};
     TimePoint mExpected{};
@@ -75,6 +76,7 @@
     bool mNeedsReport = false; // before the next order
     int mUnanswered = 0;
     int mTries = 0; // of the step at hand
+    int mBusy = 0;  // answers that another order is under way
     uint64_t mId = 0;
   };
 
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -69,7 +69,7 @@
   if (!choice) {
     return std::nullopt;
   }
-  return choice->mWait + choice->mLoad;
+  return choice->Whole();
 }
 
 PlacementFacts
@@ -209,6 +209,7 @@
   job.mWant.mAdapter.clear();
   job.mServer = choice->mServer;
   job.mSource = choice->mSource;
+  job.mUnload = choice->mUnload;
   job.mLoad = choice->mLoad;
   for (const std::string& model : choice->mEvict) {
     ModelOrder order;
@@ -219,7 +220,7 @@
   ModelOrder load;
   load.mModel = aWant.mModel;
   job.mSteps.push_back(load);
-  aFacts.mBusy[job.mServer] = job.mLoad;
+  aFacts.mBusy[job.mServer] = choice->Whole();
   StartJob(std::move(job));
   return aWant.mAdapter.empty();
 }
--- a/src/entry/OrderDeskSend.cpp
+++ b/src/entry/OrderDeskSend.cpp
@@ -12,6 +12,16 @@
 
 constexpr Millis kOrderRetry{ 25 };
 
+// An unload waits for its runs, which take up to seconds: the longer it has
+// lasted, the less is lost by asking later.
+constexpr Millis kMostBusyDelay{ 100 };
+
+Millis
+BusyDelay(int aTimes)
+{
+  return std::min(kOrderRetry * aTimes, kMostBusyDelay);
+}
+
 constexpr int kMostUnanswered = 4; // then another server is tried
 
 // A server is asked whether a load has ended so long after it should have,
@@ -19,6 +29,10 @@
 // costs an eighth of a call to the store, which tells it later.
 constexpr Millis kPollAfter{ 120 };
 
+// A server's timers run a little late, as all do; who comes too early is sent
+// a second time.
+constexpr Millis kLoadMargin{ 10 };
+
 // A pulse may be lost, so two of them are waited for; in a large fleet, where
 // pulses are rare, no longer than a load takes.
 constexpr int kSettleTurns = 2;
@@ -44,7 +58,7 @@
   TimePoint now = mState.Now();
   aJob.mBorn = backend->mEntry.mBorn;
   aJob.mBegan = now;
-  aJob.mExpected = now + aJob.mLoad;
+  aJob.mExpected = now + aJob.mUnload + aJob.mLoad;
   aJob.mId = ++mNextJob;
   if (aJob.mSource == WeightSource::Store) {
     mStoreLoads.Began(aJob.mServer, aJob.mExpected, now);
@@ -59,7 +73,7 @@
     .Count("orders", backend->mOrders)
     .Number("rate", mState.mDemand.Rate(aJob.mWant.mModel, now))
     .Count("priority", aJob.mWant.mPriority)
-    .Ms("expected_ms", aJob.mLoad);
+    .Ms("expected_ms", aJob.mUnload + aJob.mLoad);
   std::string server = aJob.mServer;
   uint64_t id = aJob.mId;
   mJobs[server] = std::move(aJob);
@@ -149,11 +163,12 @@
       }
       break;
     case OrderAnswer::Busy:
+      ++job->mBusy;
       // An unload of this job's may still wait for its runs. Any other order
       // under way changes what the server holds under the same count, and a
       // load beside it could take memory that isn't there.
       job->mNeedsReport = !job->mCounted;
-      Retry(*job, job->mCounted ? kOrderRetry : Millis(0));
+      Retry(*job, job->mCounted ? BusyDelay(job->mBusy) : Millis(0));
       break;
     case OrderAnswer::Unknown:
       // Sent again under the same count: only one of the two can take effect.
@@ -207,7 +222,8 @@
   if (job && job->mSteps.empty()) {
     AfterLoadOrder(*job);
   } else if (job) {
-    SendStep(server, id);
+    // A server refuses the next order until it has carried out this one.
+    Retry(*job, step.mAdapter.empty() ? kUnloadTime : Millis(0));
   }
 }
 
@@ -225,7 +241,8 @@
   }
   // Servers don't tell when an adapter has come, and their reports tell of a
   // model only a fifth of a second late: a quarter of what its load takes.
-  mState.mReactor.After(aJob.mLoad,
+  bool adapter = !aJob.mWant.mAdapter.empty();
+  mState.mReactor.After(aJob.mLoad + (adapter ? Millis(0) : kLoadMargin),
                         [this, server, id] { TakeAsLoaded(server, id); });
 }
 
@@ -299,6 +316,7 @@
     .Text("model", found->second.mWant.mModel)
     .Text("adapter", found->second.mWant.mAdapter)
     .Text("why", aWhy)
+    .Count("busy", found->second.mBusy)
     .Ms("took_ms", mState.AgeOf(found->second.mBegan));
   mStoreLoads.Ended(aServer);
   const Job& job = found->second;
--- a/tests/platform/OrdersTest.cpp
+++ b/tests/platform/OrdersTest.cpp
@@ -66,6 +66,21 @@
   EXPECT_EQ(0, engine.mOverfull);
 }
 
+// A server carries an unload out in some 50 ms and refuses orders meanwhile.
+// A place for a rare model takes one unload and one load, none of them twice:
+// orders have their price, and there are a dozen such places a second.
+TEST(Orders, PlaceTakesTwoOrders)
+{
+  EntryWorld world;
+  StandInServer& engine = *world.mEngines[0];
+  engine.mModels = { { "m0", {} }, { "m1", {} }, { "m2", {} } };
+  engine.mUnloadTime = Millis(45);
+  world.List(engine, "engine", "a");
+  world.AwaitReady();
+  EXPECT_EQ(200, Stream(world, "m3", "r1")->mStatus);
+  EXPECT_EQ(2, engine.mOrdersSeen);
+}
+
 // Many callers ask for one cold model at the same moment: one load.
 TEST(Orders, BurstForOneModelLoadsItOnce)
 {
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -347,6 +347,8 @@
   ++mOrders;
   if (!load && adapter.empty()) {
     mModels.erase(model);
+    mBusy = mUnloadTime > Millis(0);
+    mReactor.After(mUnloadTime, [this] { mBusy = false; });
     return 202;
   }
   if (!load && mInUse.count(model + "/" + adapter)) {
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -82,6 +82,7 @@
   int mAdapterPlaces = 8;
   Millis mWork{ 5 }; // before an answer
   Millis mLoadTime{ 100 };
+  Millis mUnloadTime{ 0 };      // no other order is accepted meanwhile
   Millis mReportLag{ 0 };       // a load that ended shows so much later
   Millis mOrderDelay{ 0 };      // orders are answered and begun so much later
   bool mSwallowsOrders = false; // carries them out, answers none
