A model is kept in every zone only from 6 requests a second on

Cause: replicas of the middling models took the places of rare ones. A model asked for six times a second keeps a fifth of a server's places busy; below that one replica serves all zones, and a zone that is cut off has it from its own disk in less than a second.

--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -18,7 +18,7 @@
 
 // A model that is asked for so often a second is kept in each zone, so that
 // a zone that is cut off goes on serving it.
-constexpr double kEveryZoneRate = 2.0;
+constexpr double kEveryZoneRate = 6.0;
 
 } // namespace
 
