What doesn't fit a socket's buffer at once is no longer lost

Cause: POCO reports a full socket buffer (EAGAIN) by the same exception as a broken connection, and the channel took it for one: it dropped the rest of its output.

Ruled out: time (calls failed after 2 s as after 0.5 s), size limits, the caller's reader (it had 65,461 bytes of 118,390).

Change: EAGAIN means waiting for the socket; output is cut off the queue once a flush.

--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -1,6 +1,7 @@
 #include "net/Channel.h"
 
 #include <Poco/Exception.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -23,6 +24,15 @@
 // How long the other side's last bytes are read after the last answer.
 constexpr Millis kLinger{ 300 };
 
+// POCO reports a full or an empty buffer of a socket like a broken connection.
+// Taken for one, whatever didn't fit at once was lost: a slow caller's stream
+// went on after a gap of whole events.
+bool
+WouldBlock(const Poco::Exception& aError)
+{
+  return aError.code() == EAGAIN || aError.code() == EWOULDBLOCK;
+}
+
 void
 SetOptions(Poco::Net::StreamSocket& aSocket)
 {
@@ -104,21 +114,25 @@
 void
 Channel::Flush()
 {
+  size_t done = 0;
   try {
-    while (!mOutput.empty()) {
-      int sent =
-        mSocket.sendBytes(mOutput.data(), static_cast<int>(mOutput.size()));
+    while (done < mOutput.size()) {
+      int sent = mSocket.sendBytes(mOutput.data() + done,
+                                   static_cast<int>(mOutput.size() - done));
       if (sent <= 0) {
         break;
       }
       mSent = true;
-      mOutput.erase(0, static_cast<size_t>(sent));
+      done += static_cast<size_t>(sent);
     }
-  } catch (const Poco::Exception&) {
+  } catch (const Poco::Exception& error) {
     // The read side tells the end: an answer may still lie there, sent before
     // the other side stopped reading.
-    mOutput.clear();
+    if (!WouldBlock(error)) {
+      done = mOutput.size();
+    }
   }
+  mOutput.erase(0, done);
   bool want = !mOutput.empty();
   if (want != mWantWrite) {
     mWantWrite = want;
@@ -174,7 +188,10 @@
       return true; // nothing there yet
     }
     aEnd = ChannelEnd::Closed;
-  } catch (const Poco::Exception&) {
+  } catch (const Poco::Exception& error) {
+    if (WouldBlock(error)) {
+      return true;
+    }
     aEnd = ChannelEnd::Failed;
   }
   return false;
