A zone's work goes to those with more of a core, and costs less of it

Each queued want was weighed against each server 40 times a second, and demand counted anew each time.

Change: a free lease is left to others the longer, the smaller the own part of a core; the same order decides who watches the store. Wants are looked at when something changed and a server is free; demand and replicas are counted ten times a second.

--- /dev/null
+++ b/bench/PlaceBench.cpp
@@ -0,0 +1,113 @@
+// What a zone's lease holder computes to place a missing model: a grown fleet
+// of 60 servers, 353 models known by demand, one instance.
+
+#include <benchmark/benchmark.h>
+
+#include "decide/DemandLog.h"
+#include "decide/PlacementPlan.h"
+
+namespace caraway {
+
+namespace {
+
+const TimePoint kNow{ Seconds(1000) };
+
+constexpr int kModels = 353;
+constexpr int kServers = 60;
+
+std::string
+ModelName(int aIndex)
+{
+  return "model-" + std::to_string(aIndex);
+}
+
+struct World
+{
+  World()
+  {
+    mEngine.mMemoryMb = 230000;
+    mEngine.mAdapterSlots = 8;
+    for (int i = 0; i < kModels; ++i) {
+      ModelWeights model;
+      model.mMb = 72700;
+      mEngine.mModels[ModelName(i)] = model;
+      mDemand.Add(ModelName(i), 1.0 + i % 7, kNow);
+    }
+    for (int i = 0; i < kServers; ++i) {
+      BackendEntry entry;
+      entry.mId = "server-" + std::to_string(i);
+      entry.mService = "e";
+      entry.mZone = "zone-" + std::to_string(i % 4);
+      entry.mSlots = 32;
+      for (int k = 0; k < 3; ++k) {
+        entry.mModels[ModelName((i * 3 + k) % kModels)];
+      }
+      for (int k = 0; k < 20; ++k) {
+        entry.mOnDisk.insert(ModelName((i * 17 + k * 5) % kModels));
+      }
+      mServers.Put(entry, kNow);
+      for (int k = 0; k < 6; ++k) {
+        mServers.Began(entry.mId, ModelName((i * 3 + k % 3) % kModels));
+      }
+    }
+  }
+
+  PlacementFacts Facts() const
+  {
+    PlacementFacts facts;
+    facts.mService = "e";
+    facts.mZone = "zone-1";
+    facts.mRates = mDemand.Rates(kNow);
+    facts.mReplicas = CountReplicas(mServers);
+    return facts;
+  }
+
+  EngineSpec mEngine;
+  ServerView mServers;
+  DemandLog mDemand;
+};
+
+} // namespace
+
+void
+PlacementFactsOfAFleet(benchmark::State& aState)
+{
+  World world;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(world.Facts());
+  }
+}
+BENCHMARK(PlacementFactsOfAFleet);
+
+void
+ChoosePlaceInAFleet(benchmark::State& aState)
+{
+  World world;
+  PlacementFacts facts = world.Facts();
+  int next = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(ChoosePlace(
+      world.mEngine, ModelName(next++ % kModels), world.mServers, facts));
+  }
+}
+BENCHMARK(ChoosePlaceInAFleet);
+
+void
+ChooseServerInAFleet(benchmark::State& aState)
+{
+  World world;
+  std::mt19937 random(1);
+  ServerWish wish;
+  wish.mService = "e";
+  wish.mZone = "zone-1";
+  int next = 0;
+  for (auto _ : aState) {
+    wish.mModel = ModelName(next++ % 180);
+    benchmark::DoNotOptimize(world.mServers.Choose(wish, kNow, random));
+  }
+}
+BENCHMARK(ChooseServerInAFleet);
+
+} // namespace caraway
+
+BENCHMARK_MAIN();
--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -43,13 +43,23 @@
     mPending = true;
     return LeaseAction::Read;
   }
-  bool free = mSeen->mHolder.empty() || Mine(*mSeen);
-  if (free || aNow - mSeenAt >= mTimes.mLength) {
-    mPending = true;
-    return LeaseAction::Write;
+  mNext = TakeFrom();
+  if (aNow < mNext) {
+    return LeaseAction::None;
+  }
+  mPending = true;
+  return LeaseAction::Write;
+}
+
+// When the lease that was seen may be taken.
+TimePoint
+LeaseStep::TakeFrom() const
+{
+  if (Mine(*mSeen)) {
+    return mSeenAt;
   }
-  mNext = mSeenAt + mTimes.mLength;
-  return LeaseAction::None;
+  Millis lasts = mSeen->mHolder.empty() ? Millis(0) : mTimes.mLength;
+  return mSeenAt + lasts + mTimes.mYield;
 }
 
 LeaseRecord
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -33,6 +33,7 @@
   Millis mRetry{ 300 };    // after a call that failed
   Millis mSilence{ 3000 }; // after another holder's end, before acting
   Millis mHeard{ 1500 };   // a holder that was heard of so lately is alive
+  Millis mYield{ 0 };      // a free lease is left to others for so long
 };
 
 enum class LeaseAction
@@ -73,6 +74,7 @@
   bool Released() const { return mReleased; }
 
 private:
+  TimePoint TakeFrom() const;
   void See(const LeaseRecord& aRecord, TimePoint aNow);
   bool Mine(const LeaseRecord& aRecord) const;
 
--- a/src/decide/WatchStep.cpp
+++ b/src/decide/WatchStep.cpp
@@ -4,8 +4,16 @@
 
 namespace caraway {
 
-WatchStep::WatchStep(std::string aSelf)
-  : mSelf(std::move(aSelf))
+std::string
+WatchRank(double aCpuShare, const std::string& aName)
+{
+  constexpr int kSteps = 1000;
+  auto less = static_cast<int>(kSteps * (1 - std::clamp(aCpuShare, 0.0, 1.0)));
+  return std::to_string(kSteps + less) + "/" + aName;
+}
+
+WatchStep::WatchStep(std::string aRank)
+  : mSelf(std::move(aRank))
 {
 }
 
--- a/src/decide/WatchStep.h
+++ b/src/decide/WatchStep.h
@@ -4,7 +4,7 @@
 // The load it answers: every watch returns with each server's heartbeat, so
 // that what the store is asked grows with instances times servers: 79 instances
 // made 7,800 of their 9,200 calls for it in 51 s. One of a zone reads, the
-// first by name that does so well, and tells the others what matters to them.
+// first by rank that does so well, and tells the others what matters to them.
 // Nobody is appointed: who hears nothing fresh reads by itself, tells so, and
 // stops again when it hears somebody before it. So the worst is that all read,
 // as if there were no telling.
@@ -17,6 +17,11 @@
 
 namespace caraway {
 
+// Those with more of a core come first, since the reader has the most to do;
+// among equals the name decides.
+std::string
+WatchRank(double aCpuShare, const std::string& aName);
+
 class WatchStep
 {
 public:
@@ -25,9 +30,9 @@
   // enough to notice and to read the list.
   static constexpr Millis kFollow{ 1300 };
 
-  explicit WatchStep(std::string aSelf);
+  explicit WatchStep(std::string aRank);
 
-  // aFrom tells what it read from the store at aNewsAt. True when this
+  // aFrom, a rank, tells what it read from the store at aNewsAt. True when this
   // instance goes by it. aOwnFresh: it has news from the store itself.
   bool OnTold(const std::string& aFrom,
               TimePoint aNewsAt,
@@ -39,7 +44,7 @@
   void Forget() { mLeader.clear(); }
 
 private:
-  std::string mSelf;
+  std::string mSelf;   // rank
   std::string mLeader; // "" = none was ever followed
   TimePoint mNewsAt{}; // of the leader
 };
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -40,7 +40,8 @@
   , mStore(aStore)
   , mPeers(aPeers)
   , mFeed(aFeed)
-  , mStep(aState.mSettings.mName)
+  , mRank(WatchRank(aState.mSettings.mCpuShare, aState.mSettings.mName))
+  , mStep(mRank)
 {
 }
 
@@ -125,6 +126,7 @@
 {
   Json::Value news;
   news["from"] = mState.mSettings.mName;
+  news["rank"] = mRank;
   news["since"] = Json::Int64(mMarks.front().mRevision);
   news["to"] = Json::Int64(mMarks.back().mRevision);
   news["age_ms"] = Json::Int64(mState.AgeOf(mFeed.ListNews()).count());
@@ -156,7 +158,10 @@
   int64_t known = mFeed.ServersRevision();
   // News that begin behind what is known here have a gap before them.
   if (known == 0 || aNews["since"].asInt64() > known ||
-      !mStep.OnTold(from, newsAt, !mFeed.Paused() && mFeed.Fresh(), now)) {
+      !mStep.OnTold(aNews["rank"].asString(),
+                    newsAt,
+                    !mFeed.Paused() && mFeed.Fresh(),
+                    now)) {
     return;
   }
   if (!mFeed.Paused()) {
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -56,6 +56,7 @@
   StoreClient& mStore;
   Peers& mPeers;
   ConfigFeed& mFeed;
+  std::string mRank;
   WatchStep mStep;
   std::deque<Told> mLately;
   std::deque<Mark> mMarks;
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -13,6 +13,11 @@
 // that most find it taken instead of racing for it.
 constexpr Millis kStagger{ 300 };
 
+// Left to others by an instance that has a whole core, longer by who has less:
+// 0.1 s by half a core, 0.4 s by an eighth. The holder of a zone of 20
+// instances and 15 servers needs about an eighth of a core for its orders.
+constexpr Millis kYieldOfACore{ 50 };
+
 std::optional<LeaseRecord>
 ReadRecord(const std::string& aBody)
 {
@@ -47,9 +52,12 @@
   , mStore(aStore)
   , mPeers(aPeers)
   , mName(std::move(aName))
-  , mStep(aState.mSettings.mName, [aSilence] {
+  , mStep(aState.mSettings.mName, [aSilence, &aState] {
     LeaseTimes times;
     times.mSilence = aSilence;
+    auto yield = static_cast<double>(kYieldOfACore.count());
+    times.mYield =
+      Millis(static_cast<int64_t>(yield / aState.mSettings.mCpuShare));
     return times;
   }())
 {
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -100,8 +100,9 @@
   bool Begin(const PlaceWant& aWant, PlacementFacts& aFacts);
   bool BeginAdapter(const PlaceWant& aWant);
   std::optional<ModelOrder> LeastAskedAdapter(const Backend& aBackend) const;
-  PlacementFacts FactsFor(const std::string& aService) const;
-  std::optional<Millis> Estimate(const PlaceWant& aWant) const;
+  PlacementFacts& FactsFor(const std::string& aService);
+  bool AnyFree(const PlacementFacts& aFacts) const;
+  std::optional<Millis> Estimate(const PlaceWant& aWant);
   void Grow();
   bool WantsReplica(const std::string& aService, const std::string& aModel);
 
@@ -143,6 +144,10 @@
   // Until when, by server and model; see PlacementFacts.
   std::map<std::pair<std::string, std::string>, TimePoint> mSettling;
   StoreLoads mStoreLoads;
+  // By service, with when demand and replicas were counted.
+  std::map<std::string, std::pair<TimePoint, PlacementFacts>> mFacts;
+  bool mPumpDue = false;
+  TimePoint mPumpedAt{};
   TimePoint mToldAll{};
   uint64_t mNextJob = 0;
   int64_t mCountsToken = 0; // lease under which counts of orders are known
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -16,6 +16,14 @@
 // More demand than a replica serves well: half of its places taken.
 constexpr double kBusyShare = 0.5;
 
+// Demand and replicas are counted anew so often: they change over seconds, and
+// counting looks at each server and model of the fleet.
+constexpr Millis kFactsAge{ 100 };
+
+// Queued wants are looked at when something changed, and so often for what time
+// alone changes.
+constexpr Millis kPumpAnyway{ 100 };
+
 // A model that is asked for so often a second is kept in each zone, so that
 // a zone that is cut off goes on serving it.
 constexpr double kEveryZoneRate = 6.0;
@@ -44,6 +52,7 @@
   queued.mAskedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aWant.mLeft);
   if (added) {
+    mPumpDue = true;
     Pump();
   }
   if (auto expected = Estimate(aWant)) {
@@ -53,7 +62,7 @@
 }
 
 std::optional<Millis>
-OrderDesk::Estimate(const PlaceWant& aWant) const
+OrderDesk::Estimate(const PlaceWant& aWant)
 {
   TimePoint now = mState.Now();
   for (const auto& [server, job] : mJobs) {
@@ -72,15 +81,21 @@
   return choice->Whole();
 }
 
-PlacementFacts
-OrderDesk::FactsFor(const std::string& aService) const
+PlacementFacts&
+OrderDesk::FactsFor(const std::string& aService)
 {
   TimePoint now = mState.Now();
-  PlacementFacts facts;
-  facts.mService = aService;
-  facts.mZone = mState.mSettings.mZone;
-  facts.mRates = mState.mDemand.Rates(now);
-  facts.mReplicas = CountReplicas(mState.mServers);
+  auto& [countedAt, facts] = mFacts[aService];
+  if (now - countedAt >= kFactsAge) {
+    countedAt = now;
+    facts.mService = aService;
+    facts.mZone = mState.mSettings.mZone;
+    facts.mRates = mState.mDemand.Rates(now);
+    facts.mReplicas = CountReplicas(mState.mServers);
+  }
+  facts.mBusy.clear();
+  facts.mAvoid.clear();
+  facts.mSettling.clear();
   for (const auto& [server, job] : mJobs) {
     auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
     facts.mBusy[server] = std::max(left, Millis(50));
@@ -117,9 +132,12 @@
       ++at;
     }
   }
-  if (!mLease.MayAct()) {
+  bool due = mPumpDue || now - mPumpedAt >= kPumpAnyway;
+  if (!mLease.MayAct() || !due || queue.empty()) {
     return;
   }
+  mPumpDue = false;
+  mPumpedAt = now;
   // When loads can't keep up, first come first served makes all late. Those
   // that can still be in time go first, the oldest of them before the others;
   // what is late already waits for a lull.
@@ -133,14 +151,9 @@
               return rank(*aOne) < rank(*aOther);
             });
   std::vector<Key> begun;
-  // Worked out once for all of them: it looks at every server and model.
-  std::map<std::string, PlacementFacts> facts;
   for (Queued* queued : queue) {
-    const std::string& service = queued->mWant.mService;
-    if (!facts.count(service)) {
-      facts[service] = FactsFor(service);
-    }
-    if (Begin(queued->mWant, facts[service])) {
+    PlacementFacts& facts = FactsFor(queued->mWant.mService);
+    if (AnyFree(facts) && Begin(queued->mWant, facts)) {
       begun.push_back(KeyOf(queued->mWant));
     }
   }
@@ -149,6 +162,22 @@
   }
 }
 
+// Some server of this zone takes orders now. In an overload none does most of
+// the time, and looking for a place for each want would take the instance's
+// whole part of a core.
+bool
+OrderDesk::AnyFree(const PlacementFacts& aFacts) const
+{
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (backend.mEntry.mService == aFacts.mService &&
+        backend.mEntry.mZone == aFacts.mZone && !backend.mEntry.mDraining &&
+        !aFacts.mBusy.count(id) && !aFacts.mAvoid.count(id)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // From a disk of this zone; what must come from the store is late anyway.
 Millis
 OrderDesk::UsualLoad(const PlaceWant& aWant) const
--- a/src/entry/OrderDeskSend.cpp
+++ b/src/entry/OrderDeskSend.cpp
@@ -284,6 +284,7 @@
 void
 OrderDesk::OnChanged()
 {
+  mPumpDue = true;
   std::vector<std::string> loaded;
   std::vector<std::string> lost;
   for (const auto& [server, job] : mJobs) {
@@ -330,6 +331,7 @@
   if (there && job.mWant.mAdapter.empty()) {
     Settle(aServer, job.mWant.mModel);
   }
+  mPumpDue = true;
   mJobs.erase(found);
 }
 
--- a/tests/property/LeaseStepProperty.cpp
+++ b/tests/property/LeaseStepProperty.cpp
@@ -34,11 +34,20 @@
   }
 };
 
+// One of them leaves a free lease to the others.
+LeaseTimes
+TimesOf(const std::string& aName)
+{
+  LeaseTimes times;
+  times.mYield = aName == "c" ? Millis(400) : Millis(0);
+  return times;
+}
+
 struct Candidate
 {
   explicit Candidate(std::string aName)
     : mName(std::move(aName))
-    , mStep(mName, LeaseTimes())
+    , mStep(mName, TimesOf(mName))
   {
   }
   std::string mName;
@@ -183,4 +192,23 @@
   EXPECT_GT(next.Token(), token);
 }
 
+// Both see the same free lease; the weaker one waits, hears who took it, and
+// makes no call for it.
+TEST(LeaseStep, WeakLeavesAFreeLeaseToTheStrong)
+{
+  TimePoint now{ Seconds(1000) };
+  LeaseTimes times;
+  times.mYield = Millis(400);
+  LeaseStep weak("w", times);
+  EXPECT_EQ(LeaseAction::Read, weak.Due(now));
+  weak.OnRead(std::nullopt, now);
+  EXPECT_EQ(LeaseAction::None, weak.Due(now + Millis(300)));
+  weak.OnClaim("s", now + Millis(350));
+  EXPECT_EQ(LeaseAction::None, weak.Due(now + Millis(500)));
+  LeaseStep alone("w", times);
+  alone.Due(now);
+  alone.OnRead(std::nullopt, now);
+  EXPECT_EQ(LeaseAction::Write, alone.Due(now + Millis(400)));
+}
+
 } // namespace caraway
--- a/tests/property/WatchStepProperty.cpp
+++ b/tests/property/WatchStepProperty.cpp
@@ -97,6 +97,12 @@
   RC_ASSERT(reading == 1);
 }
 
+TEST(WatchStep, StrongerComesFirst)
+{
+  EXPECT_LT(WatchRank(0.5, "z"), WatchRank(0.12, "a"));
+  EXPECT_LT(WatchRank(0.25, "a"), WatchRank(0.25, "b"));
+}
+
 // Two that read hear each other at the same moment: one of them goes on.
 TEST(WatchStep, TwoReadersDoNotFollowEachOther)
 {
