Popular models are loaded first; holders hear of use directly; settings are watched

(3) urgent kinds' loads came behind less urgent ones that could still be in time.

Change: WantOrder: popular first, then by priority, then in time before late; each instance tells who orders a zone what it has under way there (counts are kept up by difference now). Besides: settings are read again when the file changes without a signal; GiveUpIfHopeless is split; unused parts go.

--- a/src/decide/RepeatBudget.h
+++ b/src/decide/RepeatBudget.h
@@ -27,6 +27,8 @@
 public:
   explicit RepeatBudget(RepeatLimits aLimits);
 
+  void SetLimits(RepeatLimits aLimits) { mLimits = aLimits; }
+
   void OnRequest(const std::string& aService, TimePoint aNow);
   // True and spent, or false. aInstances: all that may be running.
   bool Spend(const std::string& aService, int aInstances, TimePoint aNow);
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -150,6 +150,14 @@
   Backend& backend = at->second;
   BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
+  if (added) {
+    for (const auto& [peer, counts] : mPeerCounts) {
+      auto told = counts.find(aEntry.mId);
+      if (told != counts.end()) {
+        CountOthers({ *told }, 1);
+      }
+    }
+  }
   if (added || before.mBorn != aEntry.mBorn) {
     backend.mModels = aEntry.mModels;
     backend.mOrders = -1;
@@ -286,46 +294,53 @@
 void
 ServerView::PutOthers(const std::string& aPeer, UnderWayCounts aCounts)
 {
-  mPeerCounts[aPeer] = std::move(aCounts);
-  RecountOthers();
+  UnderWayCounts& counts = mPeerCounts[aPeer];
+  CountOthers(counts, -1);
+  counts = std::move(aCounts);
+  CountOthers(counts, 1);
 }
 
 void
-ServerView::ForgetPeer(const std::string& aPeer)
+ServerView::PutOthersIn(const std::string& aZone,
+                        const std::string& aPeer,
+                        const UnderWayCounts& aCounts)
 {
-  if (mPeerCounts.erase(aPeer)) {
-    RecountOthers();
+  UnderWayCounts counts = aCounts;
+  for (const auto& [id, models] : mPeerCounts[aPeer]) {
+    const Backend* backend = Find(id);
+    if (backend && backend->mEntry.mZone != aZone) {
+      counts[id] = models;
+    }
   }
+  PutOthers(aPeer, std::move(counts));
 }
 
 void
-ServerView::RecountOthers()
+ServerView::ForgetPeer(const std::string& aPeer)
 {
-  for (auto& [id, backend] : mBackends) {
-    backend.mOthers.clear();
-  }
-  for (const auto& [peer, servers] : mPeerCounts) {
-    for (const auto& [id, models] : servers) {
-      Backend* backend = Find(id);
-      for (const auto& [model, count] : models) {
-        if (backend) {
-          backend->mOthers[model] += count;
-        }
-      }
-    }
+  auto found = mPeerCounts.find(aPeer);
+  if (found != mPeerCounts.end()) {
+    CountOthers(found->second, -1);
+    mPeerCounts.erase(found);
   }
 }
 
-UnderWayCounts
-ServerView::Mine() const
+void
+ServerView::CountOthers(const UnderWayCounts& aCounts, int aSign)
 {
-  UnderWayCounts counts;
-  for (const auto& [id, backend] : mBackends) {
-    if (!backend.mMine.empty()) {
-      counts[id] = backend.mMine;
+  for (const auto& [id, models] : aCounts) {
+    Backend* backend = Find(id);
+    if (!backend) {
+      continue;
+    }
+    for (const auto& [model, count] : models) {
+      auto at = backend->mOthers.emplace(model, 0).first;
+      at->second += aSign * count;
+      if (at->second <= 0) {
+        backend->mOthers.erase(at);
+      }
     }
   }
-  return counts;
 }
 
 } // namespace caraway
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -108,11 +108,15 @@
 
   // Replaces what aPeer told before.
   void PutOthers(const std::string& aPeer, UnderWayCounts aCounts);
+  // The same for the servers of aZone only.
+  void PutOthersIn(const std::string& aZone,
+                   const std::string& aPeer,
+                   const UnderWayCounts& aCounts);
   void ForgetPeer(const std::string& aPeer);
-  UnderWayCounts Mine() const;
 
 private:
-  void RecountOthers();
+  // Adds what a peer told to what servers have under way, or takes it away.
+  void CountOthers(const UnderWayCounts& aCounts, int aSign);
 
   std::map<std::string, Backend> mBackends;
   std::map<std::string, UnderWayCounts> mPeerCounts;
--- /dev/null
+++ b/src/decide/WantOrder.cpp
@@ -0,0 +1,13 @@
+#include "decide/WantOrder.h"
+
+namespace caraway {
+
+WantOrderKey
+WantRank(const WantFacts& aWant, TimePoint aNow)
+{
+  bool popular = aWant.mAsked && aWant.mRate >= kPopularRate;
+  bool late = aNow + aWant.mLoad > aWant.mNeedBy;
+  return { !popular, aWant.mPriority, late, aWant.mSince };
+}
+
+} // namespace caraway
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Longest wait of one turn: signals are looked at between turns.
-constexpr Millis kTurn{ 100 };
-
 constexpr Millis kSweep{ 500 };
 
 // Callers' connections at a time; two hundred descriptors are left for
@@ -44,6 +41,7 @@
   , mFeed(mState, mStore, [this] { Changed(); })
   , mPeers(mState, mStore)
   , mRelay(mState, mStore, mPeers, mFeed)
+  , mUse(mState, mPeers)
   , mZoneLease(mState,
                mStore,
                mPeers,
@@ -83,6 +81,7 @@
   });
   mPeers.Start();
   mRelay.Start();
+  mUse.Start();
   mFeed.Start();
   mZoneLease.Start();
   mTokens.Start();
@@ -123,38 +122,13 @@
 EntryDaemon::FillPulse(Json::Value& aPulse)
 {
   mRelay.FillPulse(aPulse);
-  Json::Value& underWay = aPulse["under_way"];
-  underWay = Json::Value(Json::objectValue);
-  for (const auto& [id, models] : mState.mServers.Mine()) {
-    for (const auto& [model, count] : models) {
-      underWay[id][model] = count;
-    }
-  }
-  Json::Value& asked = aPulse["asked"];
-  asked = Json::Value(Json::objectValue);
-  for (const auto& [model, count] : mState.mAskedSincePulse) {
-    asked[model] = count;
-  }
-  mState.mAskedSincePulse.clear();
+  mUse.FillPulse(aPulse);
 }
 
 void
 EntryDaemon::ReadPulse(const Peer& aPeer, const Json::Value& aPulse)
 {
-  UnderWayCounts counts;
-  const Json::Value& underWay = aPulse["under_way"];
-  for (const std::string& id : underWay.getMemberNames()) {
-    for (const std::string& model : underWay[id].getMemberNames()) {
-      counts[id][model] = underWay[id][model].asInt();
-    }
-  }
-  mState.mServers.PutOthers(aPeer.mName, std::move(counts));
-  const Json::Value& asked = aPulse["asked"];
-  for (const std::string& model : asked.getMemberNames()) {
-    // Each pulse reaches a part of the instances only, in turn.
-    mState.mDemand.Add(
-      model, asked[model].asInt() * mPeers.PulseTurns(), mState.Now());
-  }
+  mUse.ReadPulse(aPeer, aPulse);
   mRelay.ReadPulse(aPeer, aPulse);
   mFront.ServersChanged();
 }
@@ -187,15 +161,6 @@
   mState.mLog.Flush();
 }
 
-void
-EntryDaemon::Run()
-{
-  while (!mGone) {
-    Turn(kTurn);
-  }
-  mState.mLog.Flush();
-}
-
 void
 EntryDaemon::Leave()
 {
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -13,6 +13,7 @@
 #include "entry/Peers.h"
 #include "entry/ShortPort.h"
 #include "entry/TokenDesk.h"
+#include "entry/UseRelay.h"
 #include "store/StoreClient.h"
 
 namespace caraway {
@@ -25,9 +26,7 @@
   EntryDaemon(const Clock& aClock, EntrySettings aSettings, int aLogFile);
   ~EntryDaemon() { mState.mReactor.Drop(); }
 
-  // Serves until it has left; see Leave().
-  void Run();
-  // One wait of at most aMost and what it brought, for tests.
+  // One wait of at most aMost and what it brought; until Gone().
   void Turn(Millis aMost);
   // Begins to leave: unready at once, ends when nothing is under way, within
   // the time that the platform grants.
@@ -52,6 +51,7 @@
   ConfigFeed mFeed;
   Peers mPeers;
   FeedRelay mRelay;
+  UseRelay mUse;
   LeaseLoop mZoneLease;
   TokenDesk mTokens;
   OrderDesk mOrders;
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -20,7 +20,6 @@
   std::string mMetrics;            // ip:port for metrics; "" = none
   std::string mStore;              // ip:port of the object store
   double mCpuShare = 1;            // of a core
-  Millis mDrain{ 2000 };           // a leaving server gets nothing after it
   Millis mGrace{ 8000 };           // from SIGTERM to SIGKILL
   Millis mOrderSilence{ 3000 };    // between two holders' orders to a server
   Millis mBeat{ 1200 };            // servers write to their entries so often
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -274,39 +274,51 @@
   return GiveUpIfHopeless(choice);
 }
 
+bool
+Exchange::ServersGone(const ServerChoice& aChoice) const
+{
+  return !mWaiting && !mTried.empty() && !aChoice.mHeld &&
+         static_cast<int>(mTried.size()) >= mRoute->mMaxServers;
+}
+
 // Knowing that a request can't be served in time is told at once: its caller
 // can then come back when it can.
 bool
 Exchange::GiveUpIfHopeless(const ServerChoice& aChoice)
 {
-  TimePoint now = mState.Now();
-  if (!mWaiting && !mTried.empty() &&
-      static_cast<int>(mTried.size()) >= mRoute->mMaxServers &&
-      !aChoice.mHeld) {
+  if (ServersGone(aChoice)) {
     Refuse(ErrorKind::NoEndpoint, kComeBack, "its servers are gone");
     return true;
   }
   Millis wait{ 0 };
   if (!aChoice.mHeld) {
-    auto expected = mPlaces.Expected(Want());
-    wait = expected.value_or(Millis(0));
+    wait = mPlaces.Expected(Want()).value_or(Millis(0));
   }
+  TimePoint begin = mState.Now() + wait;
   // An instance that leaves sends those away who would be cut off: another
   // one can still serve them.
-  if (now + wait > mState.mLastStart) {
+  if (begin > mState.mLastStart) {
     Refuse(ErrorKind::ShuttingDown, kComeBackElsewhere, "instance leaves");
     return true;
   }
-  if (now + wait + kServiceTime <= mFirstBy) {
+  if (begin + kServiceTime <= mFirstBy) {
     return false;
   }
-  // Those who wait for the same thing come back spread over a fifth.
-  std::uniform_int_distribution<int64_t> spread(0, wait.count() / 5 + 100);
-  Millis after = std::max(wait, kComeBack) + Millis(spread(mState.mRandom));
-  Refuse(aChoice.mHeld ? ErrorKind::NoCapacity : ErrorKind::DeadlineUnmeetable,
-         after,
-         aChoice.mHeld ? "servers full" : "model comes too late");
+  RefuseAsLate(wait, aChoice.mHeld);
   return true;
 }
 
+void
+Exchange::RefuseAsLate(Millis aWait, bool aHeld)
+{
+  // Those who wait for the same thing come back spread over a fifth.
+  std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
+  Millis after = std::max(aWait, kComeBack) + Millis(spread(mState.mRandom));
+  if (aHeld) {
+    Refuse(ErrorKind::NoCapacity, after, "servers full");
+  } else {
+    Refuse(ErrorKind::DeadlineUnmeetable, after, "model comes too late");
+  }
+}
+
 } // namespace caraway
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -52,7 +52,10 @@
   // Finding a server.
   void Dispatch();
   bool FindServer();
+  // It may go to no other server, and none of those it went to is left.
+  bool ServersGone(const ServerChoice& aChoice) const;
   bool GiveUpIfHopeless(const ServerChoice& aChoice);
+  void RefuseAsLate(Millis aWait, bool aHeld);
   PlaceWant Want() const;
   // One send.
   void Send(Backend& aBackend);
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -17,6 +17,7 @@
 #include "decide/ModelOrder.h"
 #include "decide/PlacementPlan.h"
 #include "decide/StoreLoads.h"
+#include "decide/WantOrder.h"
 #include "entry/LeaseLoop.h"
 #include "entry/Peers.h"
 #include "entry/PlaceAsker.h"
@@ -96,6 +97,7 @@
   // Deciding.
   Json::Value OnWanted(const PlaceWant& aWant);
   void Pump();
+  WantFacts RankFacts(const Queued& aQueued) const;
   Millis UsualLoad(const PlaceWant& aWant) const;
   bool Begin(const PlaceWant& aWant, PlacementFacts& aFacts);
   bool BeginAdapter(const PlaceWant& aWant);
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -138,20 +138,13 @@
   }
   mPumpDue = false;
   mPumpedAt = now;
-  // When loads can't keep up, first come first served makes all late. Those
-  // that can still be in time go first, the oldest of them before the others;
-  // what is late already waits for a lull.
-  auto rank = [this, now](const Queued& aQueued) {
-    bool late = now + UsualLoad(aQueued.mWant) > aQueued.mNeedBy;
-    return std::make_tuple(late, aQueued.mWant.mPriority, aQueued.mSince);
-  };
-  std::sort(queue.begin(),
-            queue.end(),
-            [&rank](const Queued* aOne, const Queued* aOther) {
-              return rank(*aOne) < rank(*aOther);
-            });
-  std::vector<Key> begun;
+  std::vector<std::pair<WantOrderKey, Queued*>> ranked;
   for (Queued* queued : queue) {
+    ranked.emplace_back(WantRank(RankFacts(*queued), now), queued);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<Key> begun;
+  for (const auto& [rank, queued] : ranked) {
     PlacementFacts& facts = FactsFor(queued->mWant.mService);
     if (AnyFree(facts) && Begin(queued->mWant, facts)) {
       begun.push_back(KeyOf(queued->mWant));
@@ -162,6 +155,19 @@
   }
 }
 
+WantFacts
+OrderDesk::RankFacts(const Queued& aQueued) const
+{
+  WantFacts facts;
+  facts.mRate = mState.mDemand.Rate(aQueued.mWant.mModel, mState.Now());
+  facts.mPriority = aQueued.mWant.mPriority;
+  facts.mAsked = aQueued.mWant.mPriority < kLowestPriority;
+  facts.mSince = aQueued.mSince;
+  facts.mNeedBy = aQueued.mNeedBy;
+  facts.mLoad = UsualLoad(aQueued.mWant);
+  return facts;
+}
+
 // Some server of this zone takes orders now. In an overload none does most of
 // the time, and looking for a place for each want would take the instance's
 // whole part of a core.
--- a/src/entry/OrderTimes.h
+++ b/src/entry/OrderTimes.h
@@ -6,11 +6,12 @@
 
 namespace caraway {
 
-// A server answers an order within milliseconds; one that doesn't within this
-// is down, or its answer is lost.
-// Of one step of a job, reports included; then it is planned anew.
+// Of one step of a job, reports included; then it is planned anew. Six seconds
+// of asking: longer than all but the longest streams hold up an unload.
 inline constexpr int kMostTries = 60;
 
+// A server answers an order within milliseconds; one that doesn't within this
+// is down, or its answer is lost.
 inline constexpr Millis kOrderTime{ 500 };
 
 } // namespace caraway
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -268,6 +268,17 @@
   }
 }
 
+void
+Peers::SendNoteTo(const std::string& aPeer,
+                  const std::string& aKind,
+                  const Json::Value& aNote)
+{
+  auto found = mPeers.find(aPeer);
+  if (found != mPeers.end()) {
+    SendTo(found->second, NoteText(aKind, aNote));
+  }
+}
+
 void
 Peers::SendNoteInZone(const std::string& aKind, const Json::Value& aNote)
 {
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -50,6 +50,9 @@
   void OnNote(const std::string& aKind,
               std::function<void(const Json::Value&)> aRead);
   void SendNote(const std::string& aKind, const Json::Value& aNote);
+  void SendNoteTo(const std::string& aPeer,
+                  const std::string& aKind,
+                  const Json::Value& aNote);
   // To the instances of this zone only.
   void SendNoteInZone(const std::string& aKind, const Json::Value& aNote);
 
--- /dev/null
+++ b/src/entry/SettingsWatch.cpp
@@ -0,0 +1,73 @@
+#include "entry/SettingsWatch.h"
+
+#include <sys/stat.h>
+
+namespace caraway {
+
+namespace {
+
+// What changes without a signal holds within a second, as long as a leaving
+// instance gets requests anyway.
+constexpr Millis kLook{ 1000 };
+
+constexpr int64_t kNanos = 1000000000;
+
+} // namespace
+
+SettingsWatch::SettingsWatch(EntryState& aState,
+                             std::string aPath,
+                             Reader aReader)
+  : mState(aState)
+  , mPath(std::move(aPath))
+  , mReader(std::move(aReader))
+  , mSeen(LookAtFile())
+{
+}
+
+void
+SettingsWatch::Start()
+{
+  mState.mReactor.Every(kLook, [this] {
+    if (LookAtFile() != mSeen) {
+      Reload("file changed");
+    }
+  });
+}
+
+SettingsWatch::Look
+SettingsWatch::LookAtFile() const
+{
+  struct stat file = {};
+  if (stat(mPath.c_str(), &file) != 0) {
+    return { 0, 0 };
+  }
+  return { file.st_mtim.tv_sec * kNanos + file.st_mtim.tv_nsec, file.st_size };
+}
+
+void
+SettingsWatch::Reload(const char* aWhy)
+{
+  mSeen = LookAtFile();
+  std::string wrong;
+  auto settings = mReader(mPath, wrong);
+  mState.mLog.Line("settings_reloaded")
+    .Text("why", aWhy)
+    .Flag("good", settings.has_value())
+    .Text("wrong", wrong);
+  if (settings) {
+    Apply(*settings);
+  }
+}
+
+void
+SettingsWatch::Apply(const EntrySettings& aSettings)
+{
+  EntrySettings& mine = mState.mSettings;
+  mine.mGrace = aSettings.mGrace;
+  mine.mBeat = aSettings.mBeat;
+  mState.mRepeats.SetLimits({ aSettings.mRepeatRatio,
+                              aSettings.mRepeatSlack,
+                              aSettings.mRepeatWindow });
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/UseRelay.cpp
@@ -0,0 +1,124 @@
+#include "entry/UseRelay.h"
+
+#include "entry/LeaseLoop.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr char kUse[] = "use";
+
+// As often as pulses are in a small fleet. A tenth of a kilobyte a zone: with
+// 79 instances and four zones 60 KB/s at each holder.
+constexpr Millis kTell{ 250 };
+
+UnderWayCounts
+ReadCounts(const Json::Value& aServers)
+{
+  UnderWayCounts counts;
+  for (const std::string& id : aServers.getMemberNames()) {
+    for (const std::string& model : aServers[id].getMemberNames()) {
+      counts[id][model] = aServers[id][model].asInt();
+    }
+  }
+  return counts;
+}
+
+} // namespace
+
+UseRelay::UseRelay(EntryState& aState, Peers& aPeers)
+  : mState(aState)
+  , mPeers(aPeers)
+{
+}
+
+void
+UseRelay::Start()
+{
+  mPeers.OnNote(kUse, [this](const Json::Value& aNote) { OnTold(aNote); });
+  mState.mReactor.Every(kTell, [this] { Tell(); });
+}
+
+// aZone "" = all servers.
+Json::Value
+UseRelay::UseOf(const std::string& aZone) const
+{
+  Json::Value use(Json::objectValue);
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (!aZone.empty() && backend.mEntry.mZone != aZone) {
+      continue;
+    }
+    for (const auto& [model, count] : backend.mMine) {
+      use[id][model] = count;
+    }
+  }
+  return use;
+}
+
+void
+UseRelay::FillPulse(Json::Value& aPulse)
+{
+  aPulse["under_way"] = UseOf("");
+  Json::Value& asked = aPulse["asked"];
+  asked = Json::Value(Json::objectValue);
+  for (const auto& [model, count] : mState.mAskedSincePulse) {
+    asked[model] = count;
+  }
+  mState.mAskedSincePulse.clear();
+}
+
+void
+UseRelay::ReadPulse(const Peer& aPeer, const Json::Value& aPulse)
+{
+  mState.mServers.PutOthers(aPeer.mName, ReadCounts(aPulse["under_way"]));
+  const Json::Value& asked = aPulse["asked"];
+  for (const std::string& model : asked.getMemberNames()) {
+    // Each pulse reaches a part of the instances only, in turn.
+    mState.mDemand.Add(
+      model, asked[model].asInt() * mPeers.PulseTurns(), mState.Now());
+  }
+}
+
+void
+UseRelay::Tell()
+{
+  if (mPeers.PulseTurns() == 1) {
+    return; // pulses reach everybody as often
+  }
+  for (const std::string& zone : mState.mSettings.mZones) {
+    std::string holder = mPeers.HolderOf(ZoneLeaseName(zone));
+    if (!holder.empty()) {
+      TellHolder(zone, holder);
+    }
+  }
+}
+
+void
+UseRelay::TellHolder(const std::string& aZone, const std::string& aHolder)
+{
+  Json::Value use = UseOf(aZone);
+  // Once more when all has ended, and then nothing.
+  if (use.empty() && !mTold.count(aZone)) {
+    return;
+  }
+  if (use.empty()) {
+    mTold.erase(aZone);
+  } else {
+    mTold.insert(aZone);
+  }
+  Json::Value note;
+  note["from"] = mState.mSettings.mName;
+  note["zone"] = aZone;
+  note["servers"] = std::move(use);
+  mPeers.SendNoteTo(aHolder, kUse, note);
+}
+
+void
+UseRelay::OnTold(const Json::Value& aNote)
+{
+  mState.mServers.PutOthersIn(aNote["zone"].asString(),
+                              aNote["from"].asString(),
+                              ReadCounts(aNote["servers"]));
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/UseRelay.h
@@ -0,0 +1,40 @@
+// UseRelay.h: what is under way at servers and asked for, told among instances.
+//
+// Pulses carry both to all instances in turn, which in a large fleet takes
+// seconds. Whoever orders a zone's servers must know sooner which models are in
+// use: an unload waits for the model's requests, and the server takes no other
+// order meanwhile. So each instance tells it directly, of its servers only.
+#ifndef caraway_entry_UseRelay_h
+#define caraway_entry_UseRelay_h
+
+#include <set>
+#include <string>
+
+#include "entry/EntryState.h"
+#include "entry/Peers.h"
+
+namespace caraway {
+
+class UseRelay
+{
+public:
+  UseRelay(EntryState& aState, Peers& aPeers);
+
+  void Start();
+  void FillPulse(Json::Value& aPulse);
+  void ReadPulse(const Peer& aPeer, const Json::Value& aPulse);
+
+private:
+  void Tell();
+  void TellHolder(const std::string& aZone, const std::string& aHolder);
+  Json::Value UseOf(const std::string& aZone) const;
+  void OnTold(const Json::Value& aNote);
+
+  EntryState& mState;
+  Peers& mPeers;
+  std::set<std::string> mTold; // zones whose holder was last told of some use
+};
+
+} // namespace caraway
+
+#endif
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -10,6 +10,7 @@
 
 #include "caraway/BootClock.h"
 #include "entry/EntryDaemon.h"
+#include "entry/SettingsWatch.h"
 #include "platform/SettingsFile.h"
 #include "platform/WireNames.h"
 
@@ -18,6 +19,9 @@
 
 namespace {
 
+// Longest wait of one turn: signals are looked at between turns.
+constexpr caraway::Millis kTurn{ 100 };
+
 std::atomic<bool> sLeave{ false };
 std::atomic<bool> sReload{ false };
 
@@ -62,17 +66,16 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-// What may change while the process runs; the rest needs a new one.
-void
-Reload(caraway::EntryDaemon& aDaemon, const std::string& aPath)
+std::optional<caraway::EntrySettings>
+ReadAgain(const std::string& aPath, std::string& aWrong)
 {
   auto reading = caraway::wire::ReadSettingsFile(aPath);
-  bool good = reading.mTroubles.empty();
-  aDaemon.State().mLog.Line("settings_reloaded").Flag("good", good);
-  if (good) {
-    aDaemon.State().mSettings.mGrace = reading.mSettings.mGrace;
-    aDaemon.State().mSettings.mDrain = reading.mSettings.mDrain;
+  if (reading.mTroubles.empty()) {
+    return reading.mSettings;
   }
+  const auto& first = reading.mTroubles.front();
+  aWrong = first.mField + ": expected " + first.mExpected;
+  return std::nullopt;
 }
 
 } // namespace
@@ -92,10 +95,12 @@
   caraway::BootClock clock;
   try {
     caraway::EntryDaemon daemon(clock, reading.mSettings, STDOUT_FILENO);
+    caraway::SettingsWatch settings(daemon.State(), path, ReadAgain);
+    settings.Start();
     while (!daemon.Gone()) {
-      daemon.Turn(caraway::Millis(100));
+      daemon.Turn(kTurn);
       if (sReload.exchange(false)) {
-        Reload(daemon, path);
+        settings.Reload("signal");
       }
       if (sLeave) {
         daemon.Leave();
--- a/src/net/ChannelPool.cpp
+++ b/src/net/ChannelPool.cpp
@@ -83,14 +83,4 @@
   mIdle.erase(found);
 }
 
-size_t
-ChannelPool::Idle() const
-{
-  size_t count = 0;
-  for (const auto& [key, idle] : mIdle) {
-    count += idle.size();
-  }
-  return count;
-}
-
 } // namespace caraway
--- a/src/net/ChannelPool.h
+++ b/src/net/ChannelPool.h
@@ -30,7 +30,6 @@
   void Sweep();
   // Closes all that is idle to aPeer.
   void Drop(const std::string& aAddress, const std::string& aPeer);
-  size_t Idle() const;
 
 private:
   struct IdleChannel
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -10,6 +10,7 @@
 #include "decide/ServerView.h"
 #include "decide/StoreLoads.h"
 #include "decide/TenantTokens.h"
+#include "decide/WantOrder.h"
 
 namespace caraway {
 
@@ -274,6 +275,30 @@
   EXPECT_EQ(WeightSource::Store, SourceOf(*servers.Find("s1"), "m7"));
 }
 
+// A burst for rare models, and the only servers of a model asked for twenty
+// times a second are gone: it is late for those who ask, and still goes first.
+TEST(WantOrder, PopularModelGoesBeforeABurstOfRareOnes)
+{
+  WantFacts rare;
+  rare.mRate = 0.2;
+  rare.mSince = kStart;
+  rare.mNeedBy = kStart + Seconds(2);
+  rare.mLoad = Millis(780);
+  WantFacts popular = rare;
+  popular.mRate = 20;
+  popular.mSince = kStart + Millis(500);
+  popular.mNeedBy = kStart + Millis(700);
+  TimePoint now = kStart + Millis(600);
+  EXPECT_LT(WantRank(popular, now), WantRank(rare, now));
+  // A further replica of it can wait, and so can a rare one that is late.
+  WantFacts replica = popular;
+  replica.mAsked = false;
+  EXPECT_LT(WantRank(rare, now), WantRank(replica, now));
+  WantFacts late = rare;
+  late.mNeedBy = now;
+  EXPECT_LT(WantRank(rare, now), WantRank(late, now));
+}
+
 TEST(PlacementPlan, RoomIsWhatTheAccountLeaves)
 {
   ServerView servers;
@@ -338,6 +363,26 @@
   EXPECT_TRUE(servers.Choose(wish, kStart + Millis(20), random).mBackend);
 }
 
+// Pulses tell of all servers, notes of one zone's; a server that is listed only
+// now has what was told of it before. Nothing is counted twice or stays.
+TEST(ServerView, OthersRequestsAreCountedOnce)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", {}), kStart);
+  servers.PutOthers("p",
+                    { { "s1", { { "m1", 2 } } }, { "s2", { { "m2", 3 } } } });
+  servers.Put(Entry("s2", "b", {}), kStart);
+  EXPECT_EQ(3, servers.Find("s2")->UnderWay("m2"));
+  servers.PutOthersIn("a", "p", { { "s1", { { "m4", 1 } } } });
+  EXPECT_EQ(0, servers.Find("s1")->UnderWay("m1"));
+  EXPECT_EQ(1, servers.Find("s1")->UnderWay("m4"));
+  EXPECT_EQ(3, servers.Find("s2")->UnderWay("m2"));
+  servers.PutOthersIn("b", "p", {});
+  EXPECT_EQ(0, servers.Find("s2")->UnderWay());
+  servers.ForgetPeer("p");
+  EXPECT_EQ(0, servers.Find("s1")->UnderWay());
+}
+
 // A server that starts again under its id holds nothing of before.
 TEST(ServerView, NextLifeForgetsTheFormer)
 {
--- /dev/null
+++ b/tests/unit/SettingsWatchTest.cpp
@@ -0,0 +1,64 @@
+// Settings that change while an instance runs.
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "caraway/BootClock.h"
+#include "entry/SettingsWatch.h"
+
+namespace caraway {
+
+namespace {
+
+// A stand-in for the platform's file: the seconds of grace, or nonsense.
+std::optional<EntrySettings>
+ReadGrace(const std::string& aPath, std::string& aWrong)
+{
+  std::ifstream file(aPath);
+  int64_t seconds = 0;
+  if (!(file >> seconds)) {
+    aWrong = "not a number";
+    return std::nullopt;
+  }
+  EntrySettings settings;
+  settings.mGrace = Seconds(seconds);
+  return settings;
+}
+
+void
+Write(const std::string& aPath, const std::string& aText)
+{
+  std::ofstream(aPath) << aText;
+}
+
+} // namespace
+
+// The file changes without a signal, then becomes unreadable: the new value is
+// in force within some seconds, and an unreadable file changes nothing.
+TEST(SettingsWatch, SilentChangeIsNoticedAndNonsenseIsNot)
+{
+  std::string path = testing::TempDir() + "settings-watch.txt";
+  Write(path, "8");
+  BootClock clock;
+  EntryState state(clock, EntrySettings(), -1);
+  SettingsWatch watch(state, path, ReadGrace);
+  watch.Start();
+  auto turnFor = [&](Millis aTime) {
+    TimePoint until = clock.Now() + aTime;
+    while (clock.Now() < until) {
+      state.mReactor.Turn(Millis(20));
+    }
+  };
+  Write(path, "12");
+  turnFor(Millis(1300));
+  EXPECT_EQ(Seconds(12), state.mSettings.mGrace);
+  Write(path, "nonsense");
+  turnFor(Millis(1300));
+  EXPECT_EQ(Seconds(12), state.mSettings.mGrace);
+  EXPECT_NE(std::string::npos, state.mLog.Gathered().find("not a number"));
+  std::remove(path.c_str());
+}
+
+} // namespace caraway
