A popular model on full servers gets a replica before loads of rare ones

Change: NeedOfReplica, a pure step now, also counts what else fills a model's servers, and says when a replica can't wait.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -11,6 +11,20 @@
 // wait of the request at hand.
 constexpr double kEvictWeight = 1.0;
 
+// More demand than a replica serves well: half of its places taken.
+constexpr double kBusyShare = 0.5;
+
+// Servers so full, by whatever they hold, make a model's requests wait or be
+// refused. From two requests a second on a replica elsewhere serves more of
+// them than the load of a rare model, so it goes before those.
+constexpr double kFullShare = 0.9;
+
+constexpr double kFullRate = 2.0;
+
+// A model that is asked for so often a second is kept in each zone, so that
+// a zone that is cut off goes on serving it.
+constexpr double kEveryZoneRate = 6.0;
+
 struct Victim
 {
   std::string mModel;
@@ -182,6 +196,48 @@
          static_cast<int>(adapters) < aEngine.mAdapterSlots;
 }
 
+ReplicaNeed
+NeedOfReplica(const std::string& aService,
+              const std::string& aModel,
+              const ServerView& aServers,
+              const std::vector<std::string>& aZones,
+              const std::string& aHere,
+              double aRate)
+{
+  int ofModel = 0;
+  int ofAll = 0;
+  int slots = 0;
+  std::map<std::string, int> replicas; // by zone
+  for (const std::string& zone : aZones) {
+    replicas[zone] = 0;
+  }
+  for (const auto& [id, backend] : aServers.All()) {
+    if (backend.mEntry.mService != aService || backend.mEntry.mDraining ||
+        !backend.Holds(aModel, "")) {
+      continue;
+    }
+    ofModel += backend.UnderWay(aModel);
+    ofAll += backend.UnderWay();
+    slots += backend.mEntry.mSlots;
+    replicas[backend.mEntry.mZone] += 1;
+  }
+  if (replicas[aHere] == 0 && aRate > kEveryZoneRate) {
+    return ReplicaNeed::Soon;
+  }
+  bool full = aRate >= kFullRate && ofAll >= kFullShare * slots;
+  bool busy = ofModel >= kBusyShare * slots;
+  if (slots == 0 || !(full || busy)) {
+    return ReplicaNeed::None;
+  }
+  // One zone at a time adds one: that with the fewest, the first of these.
+  for (const auto& [zone, count] : replicas) {
+    if (count < replicas[aHere] || (count == replicas[aHere] && zone < aHere)) {
+      return ReplicaNeed::None;
+    }
+  }
+  return full ? ReplicaNeed::Now : ReplicaNeed::Soon;
+}
+
 std::optional<PlacementChoice>
 ChoosePlace(const EngineSpec& aEngine,
             const std::string& aModel,
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -80,6 +80,24 @@
         const std::string& aModel,
         const std::string& aAdapter);
 
+enum class ReplicaNeed
+{
+  None,
+  Soon, // before requests have to wait
+  Now,  // they wait already
+};
+
+// Whether aHere should load another replica of aModel, asked for aRate times a
+// second: more is asked of the servers that hold it than they serve well, or a
+// busy model isn't held in this zone at all.
+ReplicaNeed
+NeedOfReplica(const std::string& aService,
+              const std::string& aModel,
+              const ServerView& aServers,
+              const std::vector<std::string>& aZones,
+              const std::string& aHere,
+              double aRate);
+
 // Nothing when no server of the zone can ever take it: too large, or all that
 // it could push out is in use.
 std::optional<PlacementChoice>
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -106,7 +106,6 @@
   bool AnyFree(const PlacementFacts& aFacts) const;
   std::optional<Millis> Estimate(const PlaceWant& aWant);
   void Grow();
-  bool WantsReplica(const std::string& aService, const std::string& aModel);
 
   // Ordering.
   Job* Find(const std::string& aServer, uint64_t aId);
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -13,8 +13,8 @@
 
 constexpr double kAdapterMbPerMs = 5.0;
 
-// More demand than a replica serves well: half of its places taken.
-constexpr double kBusyShare = 0.5;
+// Of a model that is asked for less often one replica is enough anywhere.
+constexpr double kNoReplicaRate = 0.2;
 
 // Demand and replicas are counted anew so often: they change over seconds, and
 // counting looks at each server and model of the fleet.
@@ -24,10 +24,6 @@
 // alone changes.
 constexpr Millis kPumpAnyway{ 100 };
 
-// A model that is asked for so often a second is kept in each zone, so that
-// a zone that is cut off goes on serving it.
-constexpr double kEveryZoneRate = 6.0;
-
 } // namespace
 
 // What the holder of a zone decides: which wants begin, where, and which models
@@ -161,7 +157,7 @@
   WantFacts facts;
   facts.mRate = mState.mDemand.Rate(aQueued.mWant.mModel, mState.Now());
   facts.mPriority = aQueued.mWant.mPriority;
-  facts.mAsked = aQueued.mWant.mPriority < kLowestPriority;
+  facts.mAsked = aQueued.mWant.mPriority < kLowestPriority; // or all are full
   facts.mSince = aQueued.mSince;
   facts.mNeedBy = aQueued.mNeedBy;
   facts.mLoad = UsualLoad(aQueued.mWant);
@@ -220,7 +216,7 @@
     if (!aWant.mAdapter.empty()) {
       return BeginAdapter(aWant);
     }
-    if (aWant.mPriority < kLowestPriority) {
+    if (!aWant.mMore) {
       // Who asks hasn't heard of it yet, or found it missing.
       Recheck(id);
       return true;
@@ -345,54 +341,25 @@
   if (!mLease.MayAct() || !mState.mConfig) {
     return;
   }
+  const std::string& here = mState.mSettings.mZone;
   for (const auto& [name, service] : mState.mConfig->mServices) {
     if (!service.mEngine) {
       continue;
     }
     for (const auto& [model, weights] : service.mEngine->mModels) {
-      if (mState.mDemand.Rate(model, mState.Now()) > 0.2 &&
-          WantsReplica(name, model)) {
-        OnWanted({ name, model, "", kLowestPriority, Millis(0) });
+      double rate = mState.mDemand.Rate(model, mState.Now());
+      if (rate <= kNoReplicaRate) {
+        continue;
+      }
+      ReplicaNeed need = NeedOfReplica(
+        name, model, mState.mServers, mState.mSettings.mZones, here, rate);
+      if (need != ReplicaNeed::None) {
+        PlaceWant want{ name, model, "", kLowestPriority, Millis(0), true };
+        want.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
+        OnWanted(want);
       }
     }
   }
 }
 
-bool
-OrderDesk::WantsReplica(const std::string& aService, const std::string& aModel)
-{
-  int underWay = 0;
-  int slots = 0;
-  std::map<std::string, int> replicas; // by zone
-  for (const std::string& zone : mState.mSettings.mZones) {
-    replicas[zone] = 0;
-  }
-  for (const auto& [id, backend] : mState.mServers.All()) {
-    if (backend.mEntry.mService != aService || backend.mEntry.mDraining ||
-        !backend.Holds(aModel, "")) {
-      continue;
-    }
-    underWay += backend.UnderWay(aModel);
-    slots += backend.mEntry.mSlots;
-    replicas[backend.mEntry.mZone] += 1;
-  }
-  const std::string& here = mState.mSettings.mZone;
-  double rate = mState.mDemand.Rate(aModel, mState.Now());
-  if (replicas[here] == 0 && rate > kEveryZoneRate) {
-    return true;
-  }
-  if (slots == 0 || underWay < kBusyShare * slots) {
-    return false;
-  }
-  // One zone at a time adds one: that with the fewest, the first of these.
-  for (const auto& [zone, count] : replicas) {
-    bool fewer =
-      count < replicas[here] || (count == replicas[here] && zone < here);
-    if (fewer) {
-      return false;
-    }
-  }
-  return true;
-}
-
 } // namespace caraway
--- a/src/entry/PlaceAsker.h
+++ b/src/entry/PlaceAsker.h
@@ -20,6 +20,7 @@
   std::string mAdapter; // "" = the model itself
   int mPriority = 5;    // 0 = most urgent
   Millis mLeft{ 0 };    // until the request's answer begins late
+  bool mMore = false;   // another replica, though there is one
 };
 
 class PlaceAsker
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -281,6 +281,25 @@
   EXPECT_EQ(WeightSource::Store, SourceOf(*servers.Find("s1"), "m7"));
 }
 
+// The only server of a model is full, partly with others' requests: while they
+// are refused there, servers elsewhere have room.
+TEST(PlacementPlan, ModelOnFullServersNeedsAReplicaNow)
+{
+  ServerView servers;
+  servers.Put(Entry("s1", "a", { "m1", "m2" }), kStart);
+  servers.Put(Entry("s2", "b", { "m3" }), kStart);
+  auto need = [&](const std::string& aHere, double aRate) {
+    return NeedOfReplica("e", "m1", servers, { "a", "b" }, aHere, aRate);
+  };
+  EXPECT_EQ(ReplicaNeed::None, need("b", 3));
+  for (int i = 0; i < 32; ++i) {
+    servers.Began("s1", i < 10 ? "m1" : "m2");
+  }
+  EXPECT_EQ(ReplicaNeed::Now, need("b", 3));
+  EXPECT_EQ(ReplicaNeed::None, need("a", 3));   // the other zone has fewer
+  EXPECT_EQ(ReplicaNeed::None, need("b", 0.3)); // a rare one waits there
+}
+
 // A burst for rare models, and the only servers of a model asked for twenty
 // times a second are gone: it is late for those who ask, and still goes first.
 TEST(WantOrder, PopularModelGoesBeforeABurstOfRareOnes)
