One zone loads a rare model, not two at once

Change: holders tell each other what they take up; one that hears of it leaves it to the other, unless it would have it 0.3 s sooner.

--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -36,6 +36,7 @@
   , mPeers(aPeers)
   , mChanged(std::move(aChanged))
   , mLease(aLease)
+  , mClaims(aState.mSettings.mZone)
 {
 }
 
@@ -52,6 +53,7 @@
   });
   mPeers.OnNote("content",
                 [this](const Json::Value& aNote) { TakeContent(aNote); });
+  mPeers.OnNote(kClaim, [this](const Json::Value& aNote) { OnClaim(aNote); });
   mPeers.OnFill([this](Json::Value& aPulse) {
     aPulse["jobs"] = static_cast<int>(mJobs.size() + mQueue.size());
   });
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <tuple>
 
+#include "decide/LoadClaims.h"
 #include "decide/ModelOrder.h"
 #include "decide/PlacementPlan.h"
 #include "decide/StoreLoads.h"
@@ -105,7 +106,11 @@
   PlacementFacts& FactsFor(const std::string& aService);
   bool AnyFree(const PlacementFacts& aFacts) const;
   std::optional<Millis> Estimate(const PlaceWant& aWant);
+  std::optional<Millis> LeftToAnother(const PlaceWant& aWant);
   void Grow();
+  // To the other zones' holders, for a model that nobody holds.
+  void TellClaim(const PlaceWant& aWant, bool aBegun, Millis aExpected);
+  void OnClaim(const Json::Value& aNote);
 
   // Ordering.
   Job* Find(const std::string& aServer, uint64_t aId);
@@ -145,6 +150,7 @@
   // Until when, by server and model; see PlacementFacts.
   std::map<std::pair<std::string, std::string>, TimePoint> mSettling;
   StoreLoads mStoreLoads;
+  LoadClaims mClaims;
   // By service, with when demand and replicas were counted.
   std::map<std::string, std::pair<TimePoint, PlacementFacts>> mFacts;
   bool mPumpDue = false;
--- /dev/null
+++ b/src/entry/OrderDeskClaims.cpp
@@ -0,0 +1,55 @@
+#include "entry/OrderDesk.h"
+
+#include "entry/OrderNotes.h"
+
+namespace caraway {
+
+// What the zones' holders tell each other, so that one of them loads a model.
+
+void
+OrderDesk::TellClaim(const PlaceWant& aWant, bool aBegun, Millis aExpected)
+{
+  if (aWant.mMore) {
+    return;
+  }
+  Json::Value note;
+  note["zone"] = mState.mSettings.mZone;
+  note["service"] = aWant.mService;
+  note["model"] = aWant.mModel;
+  note["begun"] = aBegun;
+  note["expected_ms"] = Json::Int64(aExpected.count());
+  for (const std::string& zone : mState.mSettings.mZones) {
+    std::string holder = mPeers.HolderOf(ZoneLeaseName(zone));
+    if (zone != mState.mSettings.mZone && !holder.empty()) {
+      mPeers.SendNoteTo(holder, kClaim, note);
+    }
+  }
+}
+
+void
+OrderDesk::OnClaim(const Json::Value& aNote)
+{
+  std::string service = aNote["service"].asString();
+  std::string model = aNote["model"].asString();
+  Key key{ service, model, "" };
+  auto mine =
+    mQueue.count(key) ? LoadClaims::Mine::Queued : LoadClaims::Mine::None;
+  for (const auto& [server, job] : mJobs) {
+    if (job.mWant.mService == service && job.mWant.mModel == model) {
+      mine = LoadClaims::Mine::Begun;
+    }
+  }
+  TimePoint expected = mState.Now() + Millis(aNote["expected_ms"].asInt64());
+  if (mClaims.OnClaim(model,
+                      aNote["zone"].asString(),
+                      aNote["begun"].asBool(),
+                      expected,
+                      mine)) {
+    mState.mLog.Line("place_left_to_zone")
+      .Text("model", model)
+      .Text("zone", aNote["zone"].asString());
+    mQueue.erase(key);
+  }
+}
+
+} // namespace caraway
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -16,6 +16,13 @@
 // Of a model that is asked for less often one replica is enough anywhere.
 constexpr double kNoReplicaRate = 0.2;
 
+// Taken over from another zone's queue only when it comes so much sooner: what
+// is told of a queue is a guess, and two loads for one cost a server's second.
+constexpr Millis kSooner{ 300 };
+
+// The least that is told to those who wait.
+constexpr Millis kSoon{ 20 };
+
 // Demand and replicas are counted anew so often: they change over seconds, and
 // counting looks at each server and model of the fleet.
 constexpr Millis kFactsAge{ 100 };
@@ -38,6 +45,10 @@
     return result;
   }
   TimePoint now = mState.Now();
+  if (auto left = LeftToAnother(aWant)) {
+    result["expected_ms"] = Json::Int64(left->count());
+    return result;
+  }
   auto [at, added] = mQueue.try_emplace(KeyOf(aWant));
   Queued& queued = at->second;
   if (added) {
@@ -53,10 +64,31 @@
   }
   if (auto expected = Estimate(aWant)) {
     result["expected_ms"] = Json::Int64(expected->count());
+    if (added && mQueue.count(KeyOf(aWant))) {
+      TellClaim(aWant, false, *expected);
+    }
   }
   return result;
 }
 
+// When another zone brings aWant; nothing when this one has to, or does it
+// notably sooner.
+std::optional<Millis>
+OrderDesk::LeftToAnother(const PlaceWant& aWant)
+{
+  TimePoint now = mState.Now();
+  auto elsewhere = aWant.mMore || !aWant.mAdapter.empty()
+                     ? std::nullopt
+                     : mClaims.Elsewhere(aWant.mModel, now);
+  if (!elsewhere) {
+    return std::nullopt;
+  }
+  auto left =
+    std::max(std::chrono::duration_cast<Millis>(*elsewhere - now), kSoon);
+  auto here = Estimate(aWant);
+  return here && *here + kSooner < left ? std::nullopt : std::optional(left);
+}
+
 std::optional<Millis>
 OrderDesk::Estimate(const PlaceWant& aWant)
 {
@@ -65,7 +97,7 @@
     if (job.mWant.mModel == aWant.mModel &&
         job.mWant.mService == aWant.mService) {
       auto left = std::chrono::duration_cast<Millis>(job.mExpected - now);
-      return std::max(left, Millis(20));
+      return std::max(left, kSoon);
     }
   }
   const EngineSpec* engine = EngineOf(aWant.mService);
@@ -117,6 +149,7 @@
   TimePoint now = mState.Now();
   if (!mLease.Holds()) {
     mQueue.clear();
+    mClaims.Forget(now);
     return;
   }
   std::vector<Queued*> queue;
@@ -252,6 +285,7 @@
   load.mModel = aWant.mModel;
   job.mSteps.push_back(load);
   aFacts.mBusy[job.mServer] = choice->Whole();
+  TellClaim(aWant, true, choice->Whole());
   StartJob(std::move(job));
   return aWant.mAdapter.empty();
 }
--- a/src/entry/OrderNotes.h
+++ b/src/entry/OrderNotes.h
@@ -10,6 +10,9 @@
 
 namespace caraway {
 
+// A zone has taken up the load of a model; see LoadClaims.
+inline constexpr char kClaim[] = "load_claim";
+
 Json::Value
 WantJson(const PlaceWant& aWant);
 PlaceWant
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "decide/DemandLog.h"
+#include "decide/LoadClaims.h"
 #include "decide/PlacementPlan.h"
 #include "decide/RepeatBudget.h"
 #include "decide/ServerView.h"
@@ -281,6 +282,27 @@
   EXPECT_EQ(WeightSource::Store, SourceOf(*servers.Find("s1"), "m7"));
 }
 
+// Two zones take up the same rare model at the same moment and hear of each
+// other, before or after they have begun: never do both drop it, and only when
+// both have begun do both load it.
+TEST(LoadClaims, OneOfTwoZonesGoesOn)
+{
+  using Mine = LoadClaims::Mine;
+  TimePoint expected = kStart + Seconds(1);
+  LoadClaims a("a");
+  LoadClaims b("b");
+  EXPECT_FALSE(a.OnClaim("m", "b", false, expected, Mine::Queued));
+  EXPECT_TRUE(b.OnClaim("m", "a", false, expected, Mine::Queued));
+  EXPECT_FALSE(a.Elsewhere("m", kStart));
+  EXPECT_TRUE(b.Elsewhere("m", kStart));
+  // It didn't come: whoever is asked may take it up.
+  EXPECT_FALSE(b.Elsewhere("m", expected + Seconds(1)));
+  // The second by name has begun: the first, which hasn't, leaves it.
+  EXPECT_TRUE(a.OnClaim("n", "b", true, expected, Mine::Queued));
+  EXPECT_FALSE(b.OnClaim("n", "a", false, expected, Mine::Begun));
+  EXPECT_FALSE(a.OnClaim("o", "b", true, expected, Mine::Begun));
+}
+
 // The only server of a model is full, partly with others' requests: while they
 // are refused there, servers elsewhere have room.
 TEST(PlacementPlan, ModelOnFullServersNeedsAReplicaNow)
