Zones are asked by when a server with the copy takes orders

Change: holders tell with what a server holds for how long it takes no order; ZoneChoice weighs that and the zone's queue, a pure step now.

--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -28,6 +28,7 @@
   double mFailing = 0;                // share of late failures, 0 to 1
   TimePoint mAvoidUntil{};
   TimePoint mElsewhereUntil{}; // another server answers at its address
+  TimePoint mLoadingUntil{};   // takes no order before, as its holder told
 
   int UnderWay() const;
   // Of a model with its adapters, or of one MODEL/ADAPTER.
--- /dev/null
+++ b/src/decide/ZoneChoice.cpp
@@ -0,0 +1,38 @@
+#include "decide/ZoneChoice.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+// What a queued want takes of a server, most of them from its disk.
+constexpr double kSecondsALoad = 0.8;
+
+// Seconds of waiting that another zone must save to be asked before one's own:
+// its answers cross between zones twice.
+constexpr double kOtherZone = 0.1;
+
+double
+CostOf(const ZoneOffer& aOffer, const std::string& aHere)
+{
+  double seconds = std::chrono::duration<double>(aOffer.mSoonest).count();
+  double queue = kSecondsALoad * aOffer.mQueued / std::max(1, aOffer.mServers);
+  return seconds + queue + (aOffer.mZone == aHere ? 0 : kOtherZone);
+}
+
+} // namespace
+
+std::string
+ChooseZone(const std::vector<ZoneOffer>& aOffers, const std::string& aHere)
+{
+  auto best =
+    std::min_element(aOffers.begin(),
+                     aOffers.end(),
+                     [&aHere](const ZoneOffer& aOne, const ZoneOffer& aOther) {
+                       return CostOf(aOne, aHere) < CostOf(aOther, aHere);
+                     });
+  return best == aOffers.end() ? "" : best->mZone;
+}
+
+} // namespace caraway
--- a/src/entry/OrderDesk.cpp
+++ b/src/entry/OrderDesk.cpp
@@ -23,9 +23,6 @@
 
 constexpr Millis kRecheck{ 1000 };
 
-// Seconds of waiting that another zone must save to be asked before one's own.
-constexpr double kOtherZone = 0.1;
-
 } // namespace
 
 OrderDesk::OrderDesk(EntryState& aState,
@@ -55,7 +52,7 @@
                 [this](const Json::Value& aNote) { TakeContent(aNote); });
   mPeers.OnNote(kClaim, [this](const Json::Value& aNote) { OnClaim(aNote); });
   mPeers.OnFill([this](Json::Value& aPulse) {
-    aPulse["jobs"] = static_cast<int>(mJobs.size() + mQueue.size());
+    aPulse["queued"] = static_cast<int>(mQueue.size());
   });
   mState.mReactor.Every(kPump, [this] { Pump(); });
   mState.mReactor.Every(kGrow, [this] { Grow(); });
@@ -70,6 +67,10 @@
 void
 OrderDesk::TakeContent(const Json::Value& aNote)
 {
+  if (Backend* backend = mState.mServers.Find(aNote["id"].asString())) {
+    backend->mLoadingUntil =
+      mState.Now() + Millis(aNote["loading_ms"].asInt64());
+  }
   if (mState.mServers.PutContent(aNote["id"].asString(),
                                  aNote["born"].asInt64(),
                                  aNote["orders"].asInt64(),
@@ -112,7 +113,7 @@
   mToldAll = mState.Now();
   Json::Value all(Json::arrayValue);
   for (Backend* backend : Accounted()) {
-    all.append(ContentJson(*backend));
+    all.append(ContentJson(*backend, LoadingFor(*backend)));
   }
   if (!all.empty()) {
     mPeers.SendNote("contents", all);
@@ -168,25 +169,35 @@
 
 // ---- Asking
 
-// Who orders in aZone, and how many loads it has under way; nothing when nobody
-// is known to.
+// Until aBackend takes an order, as far as is known here.
+Millis
+OrderDesk::LoadingFor(const Backend& aBackend) const
+{
+  auto job = mJobs.find(aBackend.mEntry.mId);
+  TimePoint until =
+    job == mJobs.end() ? aBackend.mLoadingUntil : job->second.mExpected;
+  auto left = std::chrono::duration_cast<Millis>(until - mState.Now());
+  return std::max(left, Millis(0));
+}
+
+// Who orders in aZone, and how many wants it has queued; nothing when nobody is
+// known to.
 std::optional<OrderDesk::ZoneDesk>
 OrderDesk::DeskOf(const std::string& aZone) const
 {
   if (aZone == mState.mSettings.mZone && mLease.Holds()) {
-    return ZoneDesk{ "", static_cast<int>(mJobs.size() + mQueue.size()) };
+    return ZoneDesk{ "", static_cast<int>(mQueue.size()) };
   }
   std::string holder = mPeers.HolderOf(ZoneLeaseName(aZone));
   auto peer = mPeers.All().find(holder);
   if (peer == mPeers.All().end()) {
     return std::nullopt;
   }
-  return ZoneDesk{ holder, peer->second.mJobs };
+  return ZoneDesk{ holder, peer->second.mQueued };
 }
 
 // Where it can be had soonest: the model itself for an adapter, else a copy
-// of its weights; this zone before others, those with few loads under way
-// before busy ones.
+// of its weights.
 std::string
 OrderDesk::ZoneFor(const PlaceWant& aWant) const
 {
@@ -195,36 +206,30 @@
     return "";
   }
   const ModelWeights& weights = engine->mModels.at(aWant.mModel);
-  std::map<std::string, int> servers;    // by zone
-  std::map<std::string, Millis> soonest; // without queueing
+  std::map<std::string, ZoneOffer> offers;
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining) {
       continue;
     }
-    const std::string& zone = backend.mEntry.mZone;
-    servers[zone] += 1;
-    Millis load = backend.Holds(aWant.mModel, "")
-                    ? Millis(0)
-                    : LoadTime(weights, SourceOf(backend, aWant.mModel));
-    auto at = soonest.emplace(zone, load).first;
-    at->second = std::min(at->second, load);
-  }
-  std::string best;
-  double bestCost = 0;
-  for (const auto& [zone, load] : soonest) {
-    auto desk = DeskOf(zone);
-    if (!desk) {
-      continue;
+    Millis wait{ 0 };
+    if (!backend.Holds(aWant.mModel, "")) {
+      wait = LoadTime(weights, SourceOf(backend, aWant.mModel)) +
+             LoadingFor(backend);
     }
-    double cost = zone == mState.mSettings.mZone ? 0 : kOtherZone;
-    cost += static_cast<double>(load.count()) / 1000.0;
-    cost += static_cast<double>(desk->mJobs) / servers[zone];
-    if (best.empty() || cost < bestCost) {
-      best = zone;
-      bestCost = cost;
+    ZoneOffer& offer = offers[backend.mEntry.mZone];
+    offer.mSoonest =
+      offer.mServers == 0 ? wait : std::min(offer.mSoonest, wait);
+    offer.mServers += 1;
+  }
+  std::vector<ZoneOffer> known;
+  for (auto& [zone, offer] : offers) {
+    if (auto desk = DeskOf(zone)) {
+      offer.mZone = zone;
+      offer.mQueued = desk->mQueued;
+      known.push_back(offer);
     }
   }
-  return best;
+  return ChooseZone(known, mState.mSettings.mZone);
 }
 
 void
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -19,6 +19,7 @@
 #include "decide/PlacementPlan.h"
 #include "decide/StoreLoads.h"
 #include "decide/WantOrder.h"
+#include "decide/ZoneChoice.h"
 #include "entry/LeaseLoop.h"
 #include "entry/Peers.h"
 #include "entry/PlaceAsker.h"
@@ -89,9 +90,10 @@
   struct ZoneDesk
   {
     std::string mHolder; // "" = this instance
-    int mJobs = 0;
+    int mQueued = 0;
   };
   std::optional<ZoneDesk> DeskOf(const std::string& aZone) const;
+  Millis LoadingFor(const Backend& aBackend) const;
   std::string ZoneFor(const PlaceWant& aWant) const;
   void OnTold(const PlaceWant& aWant, bool aGood, const Json::Value& aResult);
 
--- a/src/entry/OrderDeskSend.cpp
+++ b/src/entry/OrderDeskSend.cpp
@@ -76,7 +76,12 @@
     .Ms("expected_ms", aJob.mUnload + aJob.mLoad);
   std::string server = aJob.mServer;
   uint64_t id = aJob.mId;
+  // That it loads now; with an unload first, that one's end tells it.
+  bool tell = first.mLoad && first.mAdapter.empty();
   mJobs[server] = std::move(aJob);
+  if (tell) {
+    TellContent(*backend);
+  }
   SendStep(server, id);
 }
 
@@ -366,7 +371,7 @@
 void
 OrderDesk::TellContent(const Backend& aBackend)
 {
-  mPeers.SendNote("content", ContentJson(aBackend));
+  mPeers.SendNote("content", ContentJson(aBackend, LoadingFor(aBackend)));
 }
 
 } // namespace caraway
--- a/src/entry/OrderNotes.cpp
+++ b/src/entry/OrderNotes.cpp
@@ -25,12 +25,13 @@
 }
 
 Json::Value
-ContentJson(const Backend& aBackend)
+ContentJson(const Backend& aBackend, Millis aLoading)
 {
   Json::Value content;
   content["id"] = aBackend.mEntry.mId;
   content["born"] = Json::Int64(aBackend.mEntry.mBorn);
   content["orders"] = Json::Int64(aBackend.mOrders);
+  content["loading_ms"] = Json::Int64(aLoading.count());
   content["models"] = Json::Value(Json::objectValue);
   for (const auto& [model, adapters] : aBackend.mModels) {
     Json::Value& list = content["models"][model];
--- a/src/entry/OrderNotes.h
+++ b/src/entry/OrderNotes.h
@@ -18,10 +18,11 @@
 PlaceWant
 ReadWant(const Json::Value& aWant);
 
-// A server, its life, orders accepted, and what it holds. Readers throw
+// A server, its life, orders accepted, what it holds, and for how long it will
+// take no other order. Readers throw
 // Json::Exception when a field has another type.
 Json::Value
-ContentJson(const Backend& aBackend);
+ContentJson(const Backend& aBackend, Millis aLoading);
 HeldModels
 ReadModels(const Json::Value& aModels);
 
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -367,7 +367,7 @@
   for (const Json::Value& lease : aPulse["leases"]) {
     peer.mLeases.push_back(lease.asString());
   }
-  peer.mJobs = aPulse["jobs"].asInt();
+  peer.mQueued = aPulse["queued"].asInt();
   for (const auto& read : mReads) {
     read(peer, aPulse);
   }
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -29,7 +29,7 @@
   std::string mAddress;
   TimePoint mHeardAt{};             // by datagram; never = only listed
   std::vector<std::string> mLeases; // that it says it holds
-  int mJobs = 0;                    // loads under way that it ordered
+  int mQueued = 0;                  // models that wait for its orders
 };
 
 class Peers : public SocketHandler
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -12,6 +12,7 @@
 #include "decide/StoreLoads.h"
 #include "decide/TenantTokens.h"
 #include "decide/WantOrder.h"
+#include "decide/ZoneChoice.h"
 
 namespace caraway {
 
@@ -282,6 +283,21 @@
   EXPECT_EQ(WeightSource::Store, SourceOf(*servers.Find("s1"), "m7"));
 }
 
+// A copy lies here, on a server that loads something else for another second,
+// and in another zone on an idle one: that zone is asked. Its queue counts too.
+TEST(ZoneChoice, IdleServerElsewhereGoesBeforeABusyOneHere)
+{
+  ZoneOffer here{ "a", 6, 0, Millis(780 + 900) };
+  ZoneOffer other{ "b", 6, 0, Millis(780) };
+  EXPECT_EQ("b", ChooseZone({ here, other }, "a"));
+  other.mQueued = 9;
+  EXPECT_EQ("a", ChooseZone({ here, other }, "a"));
+  here.mSoonest = Millis(780);
+  other.mQueued = 0;
+  EXPECT_EQ("a", ChooseZone({ here, other }, "a"));
+  EXPECT_EQ("", ChooseZone({}, "a"));
+}
+
 // Two zones take up the same rare model at the same moment and hear of each
 // other, before or after they have begun: never do both drop it, and only when
 // both have begun do both load it.
