Metrics of pauses, cold starts and calls to the store; a hostile scraper is tried

Pauses between a stream's pieces, time to the first byte where a model had to be brought, the store's time by call, ages, loads and the lease. Two hundred slow scrapers disturb no caller (Callers.ManySlowScrapersDisturbNothing).

--- a/src/base/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -45,9 +45,21 @@
 {
   std::string key = "caraway_" + std::string(aMeasure) + "_seconds{tenant=\"" +
                     aTenant + "\",class=\"" + RequestClassName(aClass) + "\"";
-  Shard& shard = ShardFor(key);
+  Add(key, aTime);
+}
+
+void
+Metrics::Time(const char* aName, const std::string& aLabels, Micros aTime)
+{
+  Add(std::string(aName) + "{" + aLabels, aTime);
+}
+
+void
+Metrics::Add(const std::string& aKey, Micros aTime)
+{
+  Shard& shard = ShardFor(aKey);
   std::lock_guard<std::mutex> lock(shard.mLock);
-  shard.mSeries[key].Add(std::chrono::duration<double>(aTime).count());
+  shard.mSeries[aKey].Add(std::chrono::duration<double>(aTime).count());
 }
 
 void
--- a/src/base/Metrics.h
+++ b/src/base/Metrics.h
@@ -22,6 +22,8 @@
                const std::string& aTenant,
                RequestClass aClass,
                Micros aTime);
+  // A distribution that isn't of a tenant's requests; aLabels as for Count().
+  void Time(const char* aName, const std::string& aLabels, Micros aTime);
   // aLabels as in the text format, e.g. kind="rate_exceeded".
   void Count(const char* aName, const std::string& aLabels, int64_t aBy = 1);
 
@@ -35,6 +37,7 @@
     std::map<std::string, int64_t> mCounters;
   };
   Shard& ShardFor(const std::string& aKey);
+  void Add(const std::string& aKey, Micros aTime);
 
   static constexpr size_t kShards = 8;
   std::array<Shard, kShards> mShards;
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -148,6 +148,11 @@
   gauge("caraway_requests_waiting", static_cast<int64_t>(mFront.Waiting()));
   gauge("caraway_sockets", static_cast<int64_t>(mState.mReactor.Sockets()));
   gauge("caraway_log_lines_left_out", mState.mLog.LeftOut());
+  gauge("caraway_list_age_ms", mState.AgeOf(mFeed.ListNews()).count());
+  gauge("caraway_list_told_by_another", mFeed.Paused() ? 1 : 0);
+  gauge("caraway_lease_held", mZoneLease.Holds() ? 1 : 0);
+  gauge("caraway_loads_under_way", static_cast<int64_t>(mOrders.Loads()));
+  gauge("caraway_loads_queued", static_cast<int64_t>(mOrders.Waiting()));
   gauge("caraway_store_age_ms", mState.AgeOf(mStore.LastGood()).count());
   return { 200, "text/plain", text };
 }
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -269,6 +269,7 @@
     return true;
   }
   if (engine && !choice.mHeld && !mFacts.mModel.empty()) {
+    mColdStart = true;
     mPlaces.Want(Want());
   }
   return GiveUpIfHopeless(choice);
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -75,6 +75,7 @@
   // Answers.
   void StartStream(const HttpHead& aHead);
   void ForwardEvents();
+  void NotePause();
   void Refuse(ErrorKind aKind, Millis aAfter, const char* aWhy);
   void OnTimeUp();
   void End(int aStatus, const char* aWhy);
@@ -118,6 +119,8 @@
   std::string mLastEvent;  // id of the last event handed over
   bool mStreaming = false; // the caller has the head of a stream
   bool mWaiting = false;
+  bool mColdStart = false; // its model or adapter had to be brought
+  TimePoint mLastPiece{};  // of a stream
   bool mOver = false;
 };
 
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -258,6 +258,9 @@
                         "status=\"" + std::to_string(aStatus) + "\"");
   if (mFirstAt != TimePoint()) {
     mState.mMetrics.Observe("first_event", mTenant, Class(), first);
+    if (mColdStart) {
+      mState.mMetrics.Observe("cold_start", mTenant, Class(), first);
+    }
     mState.mMetrics.Observe("whole", mTenant, Class(), Since(mArrived));
   }
   mOwner.Over(*this);
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -162,6 +162,7 @@
     aBytes.clear();
     return;
   }
+  NotePause();
   if (!mRoute->mResumable) {
     mCaller->StreamPiece(aBytes);
     aBytes.clear();
@@ -172,6 +173,17 @@
   ForwardEvents();
 }
 
+// Between two pieces of a stream, as they come from its servers.
+void
+Exchange::NotePause()
+{
+  TimePoint now = mState.Now();
+  if (mLastPiece != TimePoint()) {
+    mState.mMetrics.Observe("pause", mTenant, Class(), Since(mLastPiece));
+  }
+  mLastPiece = now;
+}
+
 // Only whole events: a server may stop in the middle of one, and another
 // then goes on after the last that the caller has in full.
 void
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -38,6 +38,9 @@
   // The list of servers or the configuration changed.
   void OnChanged();
 
+  size_t Loads() const { return mJobs.size(); }
+  size_t Waiting() const { return mQueue.size(); }
+
   void Want(const PlaceWant& aWant) override;
   std::optional<Millis> Expected(const PlaceWant& aWant) override;
 
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -79,10 +79,15 @@
                 mPool,
                 std::move(request),
                 aWait + kWaitMargin,
-                [this, aWhat, done = std::move(aDone)](ShortAnswer& aAnswer) {
+                [this, aWhat, asked = mReactor.Now(), done = std::move(aDone)](
+                  ShortAnswer& aAnswer) {
                   StoreOutcome outcome = aAnswer.mEnd == CallEnd::NotSent
                                            ? StoreOutcome::NotDone
                                            : wire::ReadOutcome(aAnswer.mStatus);
+                  mMetrics.Time(
+                    "caraway_store_call_seconds",
+                    std::string("call=\"") + aWhat + "\"",
+                    std::chrono::duration_cast<Micros>(mReactor.Now() - asked));
                   Note(aWhat, outcome);
                   done(outcome, aAnswer.mBody);
                 });
--- a/tests/platform/CallersTest.cpp
+++ b/tests/platform/CallersTest.cpp
@@ -5,6 +5,8 @@
 #include "platform/WireNames.h"
 #include "support/EntryWorld.h"
 
+#include <Poco/Net/StreamSocket.h>
+
 namespace caraway {
 
 TEST(Callers, ServerGetsTheTenantAndNeverTheKey)
@@ -150,4 +152,52 @@
   EXPECT_EQ(408, slow->mStatus);
 }
 
+// Two hundred scrapers connect, ask half a question or read nothing. Callers
+// are served meanwhile, and a proper scraper is once the others have gone.
+TEST(Callers, ManySlowScrapersDisturbNothing)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  Poco::Net::SocketAddress metrics(
+    world.mInstances[0]->State().mSettings.mMetrics);
+  std::vector<Poco::Net::StreamSocket> slow;
+  for (int i = 0; i < 200; ++i) {
+    Poco::Net::StreamSocket socket;
+    socket.connectNB(metrics);
+    slow.push_back(socket);
+    world.For(Millis(2));
+    try {
+      socket.sendBytes("GET /metrics HTTP/1.1\r\nHost: x\r\n", 34);
+    } catch (const Poco::Exception&) {
+      // Turned away: too many at once.
+    }
+  }
+  for (int i = 0; i < 5; ++i) {
+    CallerPtr call = world.Call(0, "/safe/x", "r" + std::to_string(i));
+    EXPECT_EQ(200, call->mStatus);
+    EXPECT_LT(call->mHeadAt - call->mAsked, Millis(300));
+  }
+  slow.clear();
+  world.For(Millis(200));
+  Poco::Net::StreamSocket proper(metrics);
+  std::string ask = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+  proper.sendBytes(ask.data(), static_cast<int>(ask.size()));
+  proper.setBlocking(false);
+  std::string answer;
+  world.Until(
+    [&] {
+      char bytes[4096];
+      try {
+        int count = proper.receiveBytes(bytes, sizeof bytes);
+        answer.append(bytes, static_cast<size_t>(std::max(count, 0)));
+      } catch (const Poco::Exception&) {
+        // Nothing there yet.
+      }
+      return answer.find("caraway_store_age_ms") != std::string::npos; // last
+    },
+    Seconds(3));
+  EXPECT_NE(std::string::npos, answer.find("caraway_list_age_ms"));
+  EXPECT_NE(std::string::npos, answer.find("caraway_store_call_seconds"));
+}
+
 } // namespace caraway
