--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -17,6 +17,13 @@
 {
 }
 
+void
+EntryState::CountDemand(const std::string& aName, TimePoint aNow)
+{
+  mDemand.Add(aName, 1, aNow);
+  ++mAskedSincePulse[aName];
+}
+
 Millis
 EntryState::AgeOf(TimePoint aThen) const
 {
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -22,6 +22,8 @@
   EntryState(const Clock& aClock, EntrySettings aSettings, int aLogFile);
 
   TimePoint Now() const { return mReactor.Now(); }
+  // A request here asks for aName, MODEL or MODEL/ADAPTER.
+  void CountDemand(const std::string& aName, TimePoint aNow);
   // Age of aThen in whole milliseconds; -1 when it never happened.
   Millis AgeOf(TimePoint aThen) const;
 
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -82,12 +82,6 @@
 {
 }
 
-Millis
-Exchange::Since(TimePoint aThen) const
-{
-  return std::chrono::duration_cast<Millis>(mState.Now() - aThen);
-}
-
 RequestClass
 Exchange::Class() const
 {
@@ -124,12 +118,10 @@
   }
   mState.mRepeats.OnRequest(mService, mArrived);
   if (!mFacts.mModel.empty()) {
-    mState.mDemand.Add(mFacts.mModel, 1, mArrived);
-    ++mState.mAskedSincePulse[mFacts.mModel];
+    mState.CountDemand(mFacts.mModel, mArrived);
   }
   if (!mFacts.mAdapter.empty()) {
-    mState.mDemand.Add(FullName(), 1, mArrived);
-    ++mState.mAskedSincePulse[FullName()];
+    mState.CountDemand(FullName(), mArrived);
   }
   std::weak_ptr<Exchange> weak = weak_from_this();
   mTimer = mState.mReactor.After(most, [weak] {
@@ -213,7 +205,7 @@
 PlaceWant
 Exchange::Want() const
 {
-  Millis left = mRoute->mTarget - kServiceTime - Since(mArrived);
+  Millis left = mRoute->mTarget - kServiceTime - mState.AgeOf(mArrived);
   return { mService, mFacts.mModel, mFacts.mAdapter, mPriority, left };
 }
 
@@ -227,7 +219,7 @@
       .Text("service", mService)
       .Text("model", mFacts.mModel)
       .Text("adapter", mFacts.mAdapter)
-      .Ms("since_ms", Since(mArrived));
+      .Ms("since_ms", mState.AgeOf(mArrived));
     mOwner.Wait(shared_from_this());
   }
 }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -16,8 +16,9 @@
 
 namespace caraway {
 
-// Where requests wait for a server; see CallerFront.
 class Exchange;
+
+// Where requests wait for a server; see CallerFront.
 class ExchangeOwner
 {
 public:
@@ -80,7 +81,6 @@
   void OnTimeUp();
   void End(int aStatus, const char* aWhy);
 
-  Millis Since(TimePoint aThen) const;
   RequestClass Class() const;
   std::string FullName() const; // MODEL or MODEL/ADAPTER
 
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -129,7 +129,7 @@
     .Text("how", aEnd == CallEnd::Garbled ? "garbled" : "cut")
     .Flag("kept_connection", kept)
     .Flag("streaming", mStreaming)
-    .Ms("after_ms", Since(mSentAt));
+    .Ms("after_ms", mState.AgeOf(mSentAt));
   if (MayRunAgain() && MaySendAgain()) {
     Dispatch();
     return;
@@ -253,7 +253,7 @@
     .Text("why", aWhy)
     .Count("sends", mSends)
     .Ms("first_ms", first)
-    .Ms("whole_ms", Since(mArrived));
+    .Ms("whole_ms", mState.AgeOf(mArrived));
   mState.mMetrics.Count("caraway_requests_total",
                         "status=\"" + std::to_string(aStatus) + "\"");
   if (mFirstAt != TimePoint()) {
@@ -261,7 +261,7 @@
     if (mColdStart) {
       mState.mMetrics.Observe("cold_start", mTenant, Class(), first);
     }
-    mState.mMetrics.Observe("whole", mTenant, Class(), Since(mArrived));
+    mState.mMetrics.Observe("whole", mTenant, Class(), mState.AgeOf(mArrived));
   }
   mOwner.Over(*this);
 }
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -87,7 +87,7 @@
     .Count("under_way", aBackend.UnderWay())
     .Number("failing", aBackend.mFailing)
     .Count("config", mConfig->mVersion)
-    .Ms("waited_ms", Since(mArrived));
+    .Ms("waited_ms", mState.AgeOf(mArrived));
   OutRequest request;
   request.mAddress = aBackend.mEntry.mAddress;
   request.mPeer = mServer;
@@ -179,7 +179,8 @@
 {
   TimePoint now = mState.Now();
   if (mLastPiece != TimePoint()) {
-    mState.mMetrics.Observe("pause", mTenant, Class(), Since(mLastPiece));
+    mState.mMetrics.Observe(
+      "pause", mTenant, Class(), mState.AgeOf(mLastPiece));
   }
   mLastPiece = now;
 }
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -83,7 +83,8 @@
 FeedRelay::OnTaken(const StoreChange& aChange)
 {
   if (!mFeed.Paused()) {
-    mLately.push_back({ mState.Now(), aChange });
+    size_t bytes = JsonWrite(aChange.mObject.mSpec).size();
+    mLately.push_back({ mState.Now(), aChange, bytes });
   }
 }
 
@@ -107,18 +108,24 @@
   }
   size_t bytes = 0;
   for (const Told& told : mLately) {
-    bytes += JsonWrite(told.mChange.mObject.mSpec).size();
+    bytes += told.mBytes;
   }
   while (bytes > kMostBytes && mMarks.size() > 1) {
     mMarks.pop_front();
-    while (!mLately.empty() && mLately.front().mAt < mMarks.front().mAt) {
-      bytes -= JsonWrite(mLately.front().mChange.mObject.mSpec).size();
-      mLately.pop_front();
-    }
+    bytes -= DropBeforeFirstMark();
   }
+  DropBeforeFirstMark();
+}
+
+size_t
+FeedRelay::DropBeforeFirstMark()
+{
+  size_t bytes = 0;
   while (!mLately.empty() && mLately.front().mAt < mMarks.front().mAt) {
+    bytes += mLately.front().mBytes;
     mLately.pop_front();
   }
+  return bytes;
 }
 
 Json::Value
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -34,6 +34,7 @@
   {
     TimePoint mAt{};
     StoreChange mChange;
+    size_t mBytes = 0; // of it as text
   };
   struct Mark
   {
@@ -45,6 +46,8 @@
   void OnTaken(const StoreChange& aChange);
   void Tell();
   void Trim();
+  // What the marks don't reach back to; returns its bytes.
+  size_t DropBeforeFirstMark();
   Json::Value News();
   void OnTold(const Json::Value& aNews);
   void Check();
--- a/tests/platform/TokensTest.cpp
+++ b/tests/platform/TokensTest.cpp
@@ -23,6 +23,17 @@
   return { { wire::kTokens, std::to_string(aTokens) + ",0" } };
 }
 
+// The first tenant's limit, in force at all instances and full.
+void
+Limit(EntryWorld& aWorld, int aTokens)
+{
+  aWorld.mConfig["tenants"][0]["ratePerS"] = aTokens;
+  aWorld.mConfig["tenants"][0]["burst"] = aTokens;
+  aWorld.Configure();
+  aWorld.AwaitReady();
+  aWorld.For(Millis(2500));
+}
+
 } // namespace
 
 // A tenant sends several times its rate at all instances at once: what runs
@@ -30,11 +41,7 @@
 TEST(Tokens, FloodStaysAtTheLimit)
 {
   EntryWorld world(ThreeInstances());
-  world.mConfig["tenants"][0]["ratePerS"] = 20000;
-  world.mConfig["tenants"][0]["burst"] = 20000;
-  world.Configure();
-  world.AwaitReady();
-  world.For(Millis(2500));
+  Limit(world, 20000);
   TimePoint begin = world.mClock.Now();
   std::vector<CallerPtr> calls;
   for (int i = 0; i < 300; ++i) {
@@ -65,11 +72,7 @@
 TEST(Tokens, OneInstanceMayUseTheCommonPart)
 {
   EntryWorld world(ThreeInstances());
-  world.mConfig["tenants"][0]["ratePerS"] = 30000;
-  world.mConfig["tenants"][0]["burst"] = 30000;
-  world.Configure();
-  world.AwaitReady();
-  world.For(Millis(2500));
+  Limit(world, 30000);
   int served = 0;
   for (int i = 0; i < 18; ++i) {
     served +=
@@ -85,11 +88,7 @@
 TEST(Tokens, RateOfIdleInstancesIsUsed)
 {
   EntryWorld world(ThreeInstances());
-  world.mConfig["tenants"][0]["ratePerS"] = 30000;
-  world.mConfig["tenants"][0]["burst"] = 30000;
-  world.Configure();
-  world.AwaitReady();
-  world.For(Millis(2500));
+  Limit(world, 30000);
   constexpr int kAsked = 170;
   std::vector<CallerPtr> calls;
   for (int i = 0; i < kAsked; ++i) {
@@ -144,11 +143,7 @@
   plan.mZones = { "a", "b" };
   plan.mInstances = 2;
   EntryWorld world(plan);
-  world.mConfig["tenants"][0]["ratePerS"] = 6000;
-  world.mConfig["tenants"][0]["burst"] = 6000;
-  world.Configure();
-  world.AwaitReady();
-  world.For(Millis(2500));
+  Limit(world, 6000);
   size_t keeper = world.LogLines(0, "lease_taken") > 0 ? 0 : 1;
   world.mInstances[keeper].reset(); // killed: its lease lasts for seconds
   world.For(Millis(2000));
@@ -166,11 +161,7 @@
 TEST(Tokens, RequestAboveTheBurstPassesOnce)
 {
   EntryWorld world;
-  world.mConfig["tenants"][0]["ratePerS"] = 1000;
-  world.mConfig["tenants"][0]["burst"] = 1000;
-  world.Configure();
-  world.AwaitReady();
-  world.For(Millis(2500));
+  Limit(world, 1000);
   EXPECT_EQ(200, world.Call(0, "/order/x", "r1", Cost(3000))->mStatus);
   EXPECT_EQ(429, world.Call(0, "/order/x", "r2", Cost(500))->mStatus);
 }
