Logs: why this instance ended a caller's connection, and what it dropped

No line said that a connection was closed, by whom and why, how many requests it had carried, or that bytes on it were dropped, so that the five hypotheses couldn't be told apart. Each end by this instance has one reason now (ConnEndReason), told before it happens; connection_ended, input_dropped, connection_turned_away. No decision changed.

--- a/src/entry/CallerFront.cpp
+++ b/src/entry/CallerFront.cpp
@@ -42,6 +42,40 @@
   }
 }
 
+void
+CallerFront::OnConnEnd(const InboundConn& aConn, const ConnEnd& aEnd)
+{
+  if (aEnd.mReason == ConnEndReason::AnswerSaidSo && aEnd.mUnread == 0) {
+    return; // the caller knew
+  }
+  auto found = mExchanges.find(&aConn);
+  mState.mLog.Line("connection_ended")
+    .Text("why", ConnEndName(aEnd.mReason))
+    .Text("id", found == mExchanges.end() ? "" : found->second->Id())
+    .Flag("busy", aEnd.mBusy)
+    .Count("requests", aEnd.mRequests)
+    .Count("unread", static_cast<int64_t>(aEnd.mUnread))
+    .Ms("age_ms", aEnd.mAge)
+    .Ms("quiet_ms", aEnd.mQuiet)
+    .Ms("reading_ms", aEnd.mReading)
+    .Ms("idle_limit_ms", aEnd.mIdleLimit)
+    .Count("config", mState.mConfig ? mState.mConfig->mVersion : 0);
+}
+
+void
+CallerFront::OnDropped(size_t aBytes)
+{
+  mState.mLog.Line("input_dropped")
+    .Count("bytes", static_cast<int64_t>(aBytes));
+}
+
+void
+CallerFront::OnTurnedAway(size_t aOpen)
+{
+  mState.mLog.Line("connection_turned_away")
+    .Count("open", static_cast<int64_t>(aOpen));
+}
+
 void
 CallerFront::OnBad(int aStatus, const char* aWhy)
 {
--- a/src/entry/CallerFront.h
+++ b/src/entry/CallerFront.h
@@ -27,6 +27,9 @@
   void OnRequest(const std::shared_ptr<InboundConn>& aConn,
                  InboundRequest& aRequest) override;
   void OnLeft(InboundConn& aConn) override;
+  void OnConnEnd(const InboundConn& aConn, const ConnEnd& aEnd) override;
+  void OnDropped(size_t aBytes) override;
+  void OnTurnedAway(size_t aOpen) override;
   void OnBad(int aStatus, const char* aWhy) override;
   CallerLimits Limits() const override;
   bool Leaving() const override { return mState.mLeaving; }
--- /dev/null
+++ b/src/entry/ConnEnd.h
@@ -0,0 +1,42 @@
+// ConnEnd.h: why this instance ended a caller's connection, and what it knew.
+#ifndef caraway_entry_ConnEnd_h
+#define caraway_entry_ConnEnd_h
+
+#include <cstddef>
+
+#include "caraway/Time.h"
+
+namespace caraway {
+
+enum class ConnEndReason
+{
+  AnswerSaidSo,  // the answer before said that the connection ends
+  Unreadable,    // what came is no request, or too large or slow
+  IdleTooLong,   // over the limit of idle time
+  Leaving,       // idle at an instance that leaves
+  AnswerBroken,  // the answer under way can't be completed
+  ReaderSlow,    // too much of the answer waits for its caller
+  TooMuchBehind, // too much was sent behind the request under way
+  InstanceEnds,  // the process ends with it
+};
+
+// For the log.
+const char*
+ConnEndName(ConnEndReason aReason);
+
+// What the log tells of a connection that this instance ended.
+struct ConnEnd
+{
+  ConnEndReason mReason = ConnEndReason::AnswerSaidSo;
+  int mRequests = 0;   // read on it
+  bool mBusy = false;  // the last of them has no whole answer
+  size_t mUnread = 0;  // bytes received and dropped
+  Millis mAge{};       // since it was accepted
+  Millis mQuiet{};     // since its last answer, or since it was accepted
+  Millis mReading{};   // from the last request's first byte to its last
+  Millis mIdleLimit{}; // that it was judged by
+};
+
+} // namespace caraway
+
+#endif
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -201,7 +201,7 @@
   Millis since = mState.AgeOf(mLeavingSince);
   if (since >= kBalancerLag) {
     mCallers->Close();
-    mCallers->CloseIdle();
+    mCallers->CloseIdle(ConnEndReason::Leaving);
     LeaveZone();
   }
   bool done = since >= kBalancerLag + kLeaveLook && mFront.UnderWay() == 0 &&
@@ -210,6 +210,7 @@
     mState.mLog.Line("left")
       .Ms("after_ms", since)
       .Count("cut", static_cast<int64_t>(mFront.UnderWay()));
+    mCallers->EndAll();
     mGone = true;
     return;
   }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -42,6 +42,7 @@
   bool TryAgain();
   void OnCallerLeft();
 
+  const std::string& Id() const { return mFacts.mId; }
   int Priority() const { return mPriority; }
   TimePoint Arrived() const { return mArrived; }
   const InboundConn* Caller() const { return mCaller.get(); }
--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -48,7 +48,8 @@
 InboundConn::InboundConn(Reactor& aReactor, InboundHandler& aHandler)
   : mReactor(aReactor)
   , mHandler(aHandler)
-  , mQuietSince(aReactor.Now())
+  , mAccepted(aReactor.Now())
+  , mQuietSince(mAccepted)
 {
 }
 
@@ -63,6 +64,7 @@
   // The channel keeps the connection alive, until it closes.
   events.mData = [conn] { conn->OnData(); };
   events.mEnd = [conn](ChannelEnd) { conn->OnEnd(); };
+  events.mDropped = [&aHandler](size_t aBytes) { aHandler.OnDropped(aBytes); };
   conn->mChannel->Listen(std::move(events));
   return conn;
 }
@@ -74,7 +76,7 @@
     // The next request already: it waits, within reason.
     if (mChannel->Input().size() >
         mHandler.Limits().mHeadBytes + mHandler.Limits().mBodyBytes) {
-      Abort();
+      Abort(ConnEndReason::TooMuchBehind);
     }
     return;
   }
@@ -101,8 +103,10 @@
     return;
   }
   mReader.reset();
+  mReading = std::chrono::duration_cast<Millis>(mReactor.Now() - mBegan);
   mBegan = TimePoint();
   mBusy = true;
+  ++mRequests;
   mKeep = mRequest.mHead.mKeepAlive;
   mHandler.OnRequest(self, mRequest);
 }
@@ -166,6 +170,7 @@
 {
   mHandler.OnBad(aStatus, aWhy);
   mBusy = true;
+  mWhyLast = ConnEndReason::Unreadable;
   Answer(aStatus, {}, "", false);
 }
 
@@ -201,6 +206,8 @@
   mStreaming = false;
   mQuietSince = mReactor.Now();
   if (!aKeep) {
+    mEnding = true;
+    TellEnd(mWhyLast);
     mChannel->Finish();
     return;
   }
@@ -243,7 +250,7 @@
   mChannel->Write(chunk);
   if (mChannel->Queued() > kMostUnread) {
     bool wasBusy = mBusy;
-    Abort();
+    Abort(ConnEndReason::ReaderSlow);
     if (wasBusy) {
       mHandler.OnLeft(*this);
     }
@@ -258,12 +265,31 @@
 }
 
 void
-InboundConn::Abort()
+InboundConn::Abort(ConnEndReason aReason)
 {
+  if (Open()) {
+    TellEnd(aReason);
+  }
   mBusy = false;
   mChannel->Close();
 }
 
+void
+InboundConn::TellEnd(ConnEndReason aReason)
+{
+  TimePoint now = mReactor.Now();
+  ConnEnd end;
+  end.mReason = aReason;
+  end.mRequests = mRequests;
+  end.mBusy = mBusy;
+  end.mUnread = mChannel->Input().size();
+  end.mAge = std::chrono::duration_cast<Millis>(now - mAccepted);
+  end.mQuiet = std::chrono::duration_cast<Millis>(now - mQuietSince);
+  end.mReading = mReading;
+  end.mIdleLimit = mHandler.Limits().mIdle;
+  mHandler.OnConnEnd(*this, end);
+}
+
 bool
 InboundConn::Idle() const
 {
@@ -272,9 +298,11 @@
 }
 
 void
-InboundConn::CloseIfIdle()
+InboundConn::CloseIfIdle(ConnEndReason aReason)
 {
-  if (Idle()) {
+  if (Open() && !mEnding && Idle()) {
+    mEnding = true;
+    TellEnd(aReason);
     mChannel->Finish();
   }
 }
@@ -292,7 +320,7 @@
       Reject(408, mReader ? "body too slow" : "head too slow");
     }
   } else if (aNow - mQuietSince > limits.mIdle) {
-    CloseIfIdle();
+    CloseIfIdle(ConnEndReason::IdleTooLong);
   }
 }
 
--- a/src/entry/InboundConn.h
+++ b/src/entry/InboundConn.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "decide/ServingConfig.h"
+#include "entry/ConnEnd.h"
 #include "net/BodyReader.h"
 #include "net/Channel.h"
 #include "net/HttpHead.h"
@@ -31,6 +32,17 @@
                          InboundRequest& aRequest) = 0;
   // The caller closed before its answer was whole.
   virtual void OnLeft(InboundConn& aConn) { (void)aConn; }
+  // This instance is about to end the connection; not told when the caller
+  // ends it.
+  virtual void OnConnEnd(const InboundConn& aConn, const ConnEnd& aEnd)
+  {
+    (void)aConn;
+    (void)aEnd;
+  }
+  // So many bytes arrived after this instance had ended the connection.
+  virtual void OnDropped(size_t aBytes) { (void)aBytes; }
+  // A new connection was closed at once: aOpen are open already.
+  virtual void OnTurnedAway(size_t aOpen) { (void)aOpen; }
   // A request that couldn't be read was answered with aStatus.
   virtual void OnBad(int aStatus, const char* aWhy)
   {
@@ -60,10 +72,10 @@
   void StreamPiece(std::string_view aBytes);
   void EndStream();
   // Ends the connection so that what was sent can't look complete.
-  void Abort();
+  void Abort(ConnEndReason aReason = ConnEndReason::AnswerBroken);
 
   // Closes it if no request is being read or answered.
-  void CloseIfIdle();
+  void CloseIfIdle(ConnEndReason aReason);
   bool Open() const { return mChannel->Open(); }
   bool Busy() const { return mBusy; }
   bool Idle() const;
@@ -80,6 +92,7 @@
   bool ReadBody();
   void Reject(int aStatus, const char* aWhy);
   void AfterAnswer(bool aKeep);
+  void TellEnd(ConnEndReason aReason);
   std::string FirstLine(int aStatus) const;
 
   Reactor& mReactor;
@@ -89,9 +102,14 @@
   InboundRequest mRequest;
   bool mBusy = false; // a request is being answered
   bool mStreaming = false;
-  bool mKeep = true;       // the caller wants to go on
+  bool mEnding = false; // by this instance; what is queued still goes out
+  bool mKeep = true;    // the caller wants to go on
+  int mRequests = 0;    // read so far
+  ConnEndReason mWhyLast = ConnEndReason::AnswerSaidSo; // of the last answer
+  TimePoint mAccepted{};
   TimePoint mQuietSince{}; // last request ended, or the connection began
   TimePoint mBegan{};      // first byte of the request being read
+  Millis mReading{};       // the last request's first byte to its last
 };
 
 const char*
--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -59,6 +59,8 @@
       }
       if (mConns.size() < mMost) {
         mConns.push_back(InboundConn::Start(mReactor, socket, mHandler));
+      } else {
+        mHandler.OnTurnedAway(mConns.size());
       }
     }
   } catch (const Poco::Exception&) {
@@ -85,10 +87,18 @@
 }
 
 void
-ListenPort::CloseIdle()
+ListenPort::CloseIdle(ConnEndReason aReason)
 {
   for (const auto& conn : mConns) {
-    conn->CloseIfIdle();
+    conn->CloseIfIdle(aReason);
+  }
+}
+
+void
+ListenPort::EndAll()
+{
+  for (const auto& conn : mConns) {
+    conn->Abort(ConnEndReason::InstanceEnds);
   }
 }
 
--- a/src/entry/ListenPort.h
+++ b/src/entry/ListenPort.h
@@ -28,7 +28,9 @@
   // No new connections from now on.
   void Close();
   // Closes connections on which nothing is under way.
-  void CloseIdle();
+  void CloseIdle(ConnEndReason aReason);
+  // Ends all connections, as the process does.
+  void EndAll();
   // Forgets closed connections, ends those that are too slow or idle.
   void Sweep();
 
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -211,9 +211,10 @@
   size_t before = mInput.size();
   bool alive = ReadSome(end);
   if (mFinishing) {
+    mDropped += mInput.size();
     mInput.clear();
     if (!alive) {
-      Close();
+      EndLinger();
     }
     return;
   }
@@ -260,8 +261,11 @@
   }
   auto self = shared_from_this();
   mFinishing = true;
+  auto dropped = std::move(mEvents.mDropped);
   mReactor.After(Millis(0), [events = std::move(mEvents)] {});
   mEvents = Events();
+  mEvents.mDropped = std::move(dropped);
+  mDropped = mInput.size();
   mInput.clear();
   if (!mConnecting) {
     Flush();
@@ -271,9 +275,19 @@
   // A reader that has stopped reading is given up as well.
   mTimer = mReactor.After(mOutput.empty() ? kLinger : kLinger * 10, [weak] {
     if (auto alive = weak.lock()) {
-      alive->Close();
+      alive->EndLinger();
     }
   });
 }
 
+void
+Channel::EndLinger()
+{
+  auto told = std::move(mEvents.mDropped);
+  Close();
+  if (told && mDropped > 0) {
+    told(mDropped);
+  }
+}
+
 } // namespace caraway
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -30,6 +30,8 @@
     std::function<void(ChannelEnd)> mEnd; // once; the channel is closed then
     std::function<void()> mConnected;     // outgoing ones only
     std::function<void()> mDrained;       // Queued() reached zero
+    // Once, after Finish(): so many bytes were received and dropped.
+    std::function<void(size_t)> mDropped;
   };
 
   // An accepted connection.
@@ -64,6 +66,7 @@
   void Start(bool aConnecting);
   void Flush();
   void End(ChannelEnd aEnd);
+  void EndLinger();
   bool ReadSome(ChannelEnd& aEnd);
 
   Reactor& mReactor;
@@ -76,6 +79,7 @@
   bool mWantWrite = false;
   bool mSent = false;
   bool mFinishing = false;
+  size_t mDropped = 0; // bytes, since Finish()
   Reactor::TimerId mTimer;
 };
 
