--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -1,5 +1,5 @@
 // An instance that is told to stop: unready at once, nothing cut, nothing
-// read and dropped.
+// read and dropped, nothing begun that its end would cut.
 
 #include <gtest/gtest.h>
 
@@ -13,6 +13,60 @@
 const std::vector<HttpField> kModel = { { wire::kModel, "m0" },
                                         { wire::kTokens, "100,50" } };
 
+const std::vector<HttpField> kLong = { { wire::kModel, "m0" },
+                                       { wire::kTokens, "1,1" },
+                                       { wire::kDeadline, "25000" } };
+
+const std::vector<HttpField> kLongPlain = { { wire::kDeadline, "25000" } };
+
+EntryPlan
+TwoInstances()
+{
+  EntryPlan plan;
+  plan.mInstances = 2;
+  return plan;
+}
+
+// Routes wait as long as their callers do.
+void
+LetRequestsLast(EntryWorld& aWorld)
+{
+  for (Json::Value& route : aWorld.mConfig["routes"]) {
+    route["timeoutMs"] = 25000;
+  }
+  aWorld.Configure();
+}
+
+// A stream of four seconds is under way at the first instance, which leaves.
+CallerPtr
+LeaveDuringAStream(EntryWorld& aWorld, const std::string& aBehind = "")
+{
+  LetRequestsLast(aWorld);
+  aWorld.mEngines[0]->mEventGap = Millis(800);
+  aWorld.AwaitReady();
+  CallerPtr call = aWorld.SendRaw(
+    0, aWorld.RequestText("/stream/stream", "r1", kLong) + aBehind);
+  EXPECT_TRUE(aWorld.Until([&] { return call->mStatus == 200; }, Seconds(2)));
+  aWorld.mInstances[0]->Leave();
+  return call;
+}
+
+// The answer to the second request on aCall's connection: 0 = none.
+int
+SecondStatus(const CallerView& aCall)
+{
+  HttpHead head;
+  size_t used = 0;
+  bool whole = ReadAnswerHead(aCall.mOver, head, used) == HeadState::Whole;
+  return whole ? head.mStatus : 0;
+}
+
+bool
+AwaitGone(EntryWorld& aWorld)
+{
+  return aWorld.Until([&] { return aWorld.mInstances[0]->Gone(); }, Seconds(9));
+}
+
 } // namespace
 
 TEST(LeavingEntry, StreamUnderWayEndsWhole)
@@ -69,4 +123,139 @@
   EXPECT_EQ(0, world.RunsOf("r1"));
 }
 
+// Guards against a request behind a stream that is begun late in the leave and
+// cut by its end.
+TEST(LeavingEntry, RequestBehindAStreamIsntBegunForTheEndToCut)
+{
+  EntryWorld world(TwoInstances());
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(5);
+  }
+  std::string behind = world.RequestText("/order/x", "r2", kLongPlain);
+  CallerPtr call = LeaveDuringAStream(world, behind);
+  ASSERT_TRUE(world.Until([&] { return call->mWhole; }, Seconds(6)));
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(503, SecondStatus(*call));
+  EXPECT_EQ(0, world.RunsOf("r2"));
+}
+
+// Guards against a request that was sent as the stream before it ended, and was
+// read and dropped.
+TEST(LeavingEntry, RequestSentAsAStreamEndsIsAnswered)
+{
+  EntryWorld world(TwoInstances());
+  CallerPtr call = LeaveDuringAStream(world);
+  ASSERT_TRUE(world.Until([&] { return call->mWhole; }, Seconds(6)));
+  call->mChannel->Write(world.RequestText("/order/x", "r2", kLongPlain));
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(503, SecondStatus(*call));
+  EXPECT_EQ(0, world.RunsOf("r2"));
+}
+
+// Guards against a refusal for the tenant's rate by an instance that has given
+// the tenant's tokens away itself.
+TEST(LeavingEntry, RefusalOfALastInstanceIsntAboutTheRate)
+{
+  EntryWorld world;
+  std::string behind = world.RequestText("/order/x", "r2", kLongPlain);
+  CallerPtr call = LeaveDuringAStream(world, behind);
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(503, SecondStatus(*call));
+}
+
+// Guards against a request whose body comes slowly, so that it is whole, and
+// begun, long after the instance should begin nothing.
+TEST(LeavingEntry, RequestThatIsWholeTooLateIsRefused)
+{
+  EntryWorld world(TwoInstances());
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(6);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  std::string text = world.RequestText("/order/x", "r1", kLongPlain);
+  CallerPtr call = world.SendRaw(0, text.substr(0, text.size() - 1));
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  world.For(Millis(4000));
+  call->mChannel->Write(text.substr(text.size() - 1));
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(503, call->mStatus);
+  EXPECT_EQ(0, world.RunsOf("r1"));
+}
+
+// Guards against a repeat that is sent so late that only the end can follow.
+TEST(LeavingEntry, RepeatThatTheEndWouldCutIsntSent)
+{
+  EntryWorld world(TwoInstances());
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(4);
+    server->mManners = Manners::RunsAndCuts;
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/safe/x", "r1", kLongPlain);
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(502, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+  EXPECT_EQ(1, world.RunsOf("r1"));
+}
+
+// Guards against a caller whose request is still at a server when the instance
+// ends, and who gets a closed connection for an answer.
+TEST(LeavingEntry, WhatIsStillAtAServerAtTheEndIsAnswered)
+{
+  EntryWorld world;
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(20);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/order/x", "r1", kLongPlain);
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  world.Until([&] { return call->mWhole; }, Millis(300));
+  EXPECT_EQ(502, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+}
+
+// Guards against a connection that waits in the listening socket when that is
+// closed, and is reset with its request.
+TEST(LeavingEntry, LastOneToConnectIsAnswered)
+{
+  EntryWorld world(TwoInstances());
+  world.AwaitReady();
+  world.mInstances[0]->Leave();
+  world.For(Millis(2440));
+  // The caller connects and sends while the instance doesn't run.
+  CallerPtr call = world.Send(0, "/order/x", "r1");
+  TimePoint until = world.mClock.Now() + Millis(200);
+  while (world.mClock.Now() < until) {
+    world.mReactor.Turn(Millis(10));
+  }
+  world.Until([&] { return call->mWhole || call->mClosed; }, Seconds(2));
+  EXPECT_TRUE(call->mWhole);
+}
+
+// Guards against an end that nobody can explain: it names the connection's
+// requests and the one under way.
+TEST(LeavingEntry, EndOfABusyConnectionIsLogged)
+{
+  EntryWorld world;
+  world.mEngines[0]->mEventGap = Seconds(3);
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/stream/stream", "r1", kLong);
+  ASSERT_TRUE(world.Until([&] { return call->mStatus == 200; }, Seconds(2)));
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  EXPECT_EQ(1,
+            world.LogLines(0,
+                           "\"event\":\"connection_ended\",\"why\":"
+                           "\"instance_ends\",\"id\":\"r1\""));
+}
+
 } // namespace caraway
--- /dev/null
+++ b/tests/platform/OpenConnectionsTest.cpp
@@ -0,0 +1,136 @@
+// A configuration that changes what callers may send, while their connections
+// are open under the one before.
+
+#include <gtest/gtest.h>
+
+#include "platform/WireNames.h"
+#include "support/EntryWorld.h"
+
+namespace caraway {
+
+namespace {
+
+const std::vector<HttpField> kLong = { { wire::kModel, "m0" },
+                                       { wire::kTokens, "1,1" },
+                                       { wire::kDeadline, "25000" } };
+
+// A stream of two and a half seconds is under way.
+CallerPtr
+BeginStream(EntryWorld& aWorld)
+{
+  for (Json::Value& route : aWorld.mConfig["routes"]) {
+    route["timeoutMs"] = 25000;
+  }
+  aWorld.Configure();
+  aWorld.mEngines[0]->mEventGap = Millis(500);
+  aWorld.AwaitReady();
+  CallerPtr call = aWorld.Send(0, "/stream/stream", "r1", kLong);
+  EXPECT_TRUE(aWorld.Until([&] { return call->mStatus == 200; }, Seconds(2)));
+  return call;
+}
+
+} // namespace
+
+// Guards against a connection that is closed under a caller who reuses it
+// within the limit that held when it was left idle.
+TEST(OpenConnections, IdleLimitThatFallsLeavesThePauseUnderWayAlone)
+{
+  EntryWorld world;
+  world.mConfig["limits"]["idleTimeoutMs"] = 10000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Seconds(1));
+  CallerPtr call = world.Send(0, "/order/x", "r1");
+  ASSERT_TRUE(world.Until([&] { return call->mWhole; }, Seconds(2)));
+  world.For(Seconds(2));
+  world.mConfig["limits"]["idleTimeoutMs"] = 1000;
+  world.Configure();
+  world.For(Seconds(2));
+  ASSERT_FALSE(call->mClosed);
+  call->mChannel->Write(world.RequestText("/order/x", "r2"));
+  world.Until([&] { return world.RunsOf("r2") > 0 && !call->mOver.empty(); },
+              Seconds(2));
+  EXPECT_EQ(0u, call->mOver.find("HTTP/1.1 200"));
+  // The pause that begins now is judged by the limit of now.
+  EXPECT_TRUE(world.Until([&] { return call->mClosed; }, Seconds(3)));
+}
+
+// Guards against a stream that is cut, and a next request that gets neither
+// answer nor refusal, because a limit fell below what lies behind the stream.
+TEST(OpenConnections, SizeLimitThatFallsCutsNothing)
+{
+  EntryWorld world;
+  CallerPtr call = BeginStream(world);
+  world.mConfig["limits"]["maxHeaderBytes"] = 1000;
+  world.mConfig["limits"]["maxBodyBytes"] = 2000;
+  world.Configure();
+  world.For(Seconds(1));
+  std::string big(60000, 'x');
+  call->mChannel->Write(world.RequestText("/order/x", "r2", {}, big));
+  ASSERT_TRUE(
+    world.Until([&] { return call->mWhole || call->mClosed; }, Seconds(5)));
+  EXPECT_TRUE(call->mWhole);
+  world.Until([&] { return !call->mOver.empty(); }, Seconds(2));
+  EXPECT_EQ(0u, call->mOver.find("HTTP/1.1 200"));
+}
+
+// Guards against a body that is called too slow by a limit that fell while it
+// came.
+TEST(OpenConnections, TimeLimitThatFallsSparesTheBodyUnderWay)
+{
+  EntryWorld world;
+  world.mConfig["limits"]["idleTimeoutMs"] = 10000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Seconds(1));
+  std::string text = world.RequestText("/order/x", "r1");
+  CallerPtr call = world.SendRaw(0, text.substr(0, text.size() - 1));
+  world.For(Millis(500));
+  world.mConfig["limits"]["idleTimeoutMs"] = 1000;
+  world.Configure();
+  world.For(Millis(2500));
+  call->mChannel->Write(text.substr(text.size() - 1));
+  ASSERT_TRUE(
+    world.Until([&] { return call->mWhole || call->mClosed; }, Seconds(3)));
+  EXPECT_EQ(200, call->mStatus);
+}
+
+// Guards against a caller that sends more behind a stream than may wait, and
+// loses the stream for it.
+TEST(OpenConnections, CallerThatSendsAheadKeepsItsStream)
+{
+  EntryWorld world;
+  world.mConfig["limits"]["maxHeaderBytes"] = 2000;
+  world.mConfig["limits"]["maxBodyBytes"] = 2000;
+  CallerPtr call = BeginStream(world);
+  std::string body(1500, 'x');
+  std::string ahead;
+  for (int i = 0; i < 6; ++i) {
+    ahead += world.RequestText("/order/x", "a" + std::to_string(i), {}, body);
+  }
+  call->mChannel->Write(ahead);
+  ASSERT_TRUE(
+    world.Until([&] { return call->mWhole || call->mClosed; }, Seconds(5)));
+  EXPECT_TRUE(call->mWhole);
+  world.Until([&] { return world.RunsOf("a5") > 0; }, Seconds(3));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(1, world.RunsOf("a" + std::to_string(i))) << i;
+  }
+}
+
+// Guards against a caller that goes while input waits unread here, and isn't
+// noticed: its server would work on for nobody.
+TEST(OpenConnections, CallerThatSendsAheadAndGoesIsNoticed)
+{
+  EntryWorld world;
+  world.mConfig["limits"]["maxHeaderBytes"] = 2000;
+  world.mConfig["limits"]["maxBodyBytes"] = 2000;
+  CallerPtr call = BeginStream(world);
+  call->mChannel->Write(std::string(100000, 'x'));
+  world.For(Millis(300));
+  call->mChannel->Close();
+  EXPECT_TRUE(
+    world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Seconds(1)));
+}
+
+} // namespace caraway
