Tests: bytes behind a whole answer don't begin with that answer

CallerView::mOver is what came behind the whole answer. What came after the answer had been found whole was added with all bytes before it, so that a test of a second answer could read the first one's status for it. The answer is read again from the start each time now, and the rest is what is left of it. As strict as before for every test that uses it.

--- a/tests/support/EntryWorld.cpp
+++ b/tests/support/EntryWorld.cpp
@@ -264,10 +264,6 @@
     aView.mStatus = aView.mHead.mStatus;
     aView.mHeadAt = mClock.Now();
   }
-  if (aView.mWhole) {
-    aView.mOver += aView.mBytes;
-    return;
-  }
   // Read from the start each time: answers in tests are short.
   HttpHead head;
   ReadAnswerHead(aView.mBytes, head, used);
@@ -276,8 +272,8 @@
   aView.mBody.clear();
   EXPECT_TRUE(reader.Take(rest, aView.mBody));
   if (reader.Done()) {
+    aView.mWholeAt = aView.mWhole ? aView.mWholeAt : mClock.Now();
     aView.mWhole = true;
-    aView.mWholeAt = mClock.Now();
     aView.mOver = rest;
   }
 }
