What a leaving instance may begin is asked in one place, before each send

Callers saw: a request taken 4.7 s after SIGTERM, run, and cut 7.5 s after it with half an answer; or 429 for a tenant's rate by an instance that had given the tenant's tokens away itself.

Cause: the last moment for a request to begin (a quarter of the grace) was looked at only where no server was free. Whatever found a free server was sent, however late: a request behind a stream from before SIGTERM on a connection whose caller had been told that it stays, one whose body ended late, a repeat. Nothing asked how long it would take.

Change: LeavePlan (pure) knows the times of a leave. Every send, first, again, resumed or after a wait, passes Exchange::MayStart, the only way to a server. It may start if it has its final answer before the end whatever its server does (its own deadline), or while callers are still expected and the like of it usually fits (RunTimes: smoothed mean and two deviations by route). What is read after callers are no longer expected is refused as the instance leaves, before tokens are asked for. A stream that its caller already reads may go on elsewhere until the end. Ruled out: refusing all after SIGTERM (the balancer still sends for 2.5 s, and callers retry once only); a fixed last moment for all (orders of a second would be refused, streams of six begun).

--- /dev/null
+++ b/src/decide/RunTimes.cpp
@@ -0,0 +1,51 @@
+#include "decide/RunTimes.h"
+
+#include <cmath>
+
+namespace caraway {
+
+namespace {
+
+// Weights of the newest run, as in RFC 6298.
+constexpr double kMeanGain = 0.125;
+
+constexpr double kDeviationGain = 0.25;
+
+constexpr double kDeviations = 2;
+
+// Routes come and go with configurations; what was learnt is learnt again.
+constexpr size_t kMostRoutes = 4096;
+
+} // namespace
+
+void
+RunTimes::Note(const std::string& aRoute, Millis aTook)
+{
+  if (mRoutes.size() >= kMostRoutes && mRoutes.count(aRoute) == 0) {
+    mRoutes.clear();
+  }
+  auto took = static_cast<double>(aTook.count());
+  auto [at, isNew] = mRoutes.try_emplace(aRoute);
+  Estimate& estimate = at->second;
+  if (isNew) {
+    estimate = { took, took / 2 };
+    return;
+  }
+  double off = std::abs(took - estimate.mMean);
+  estimate.mDeviation += kDeviationGain * (off - estimate.mDeviation);
+  estimate.mMean += kMeanGain * (took - estimate.mMean);
+}
+
+Millis
+RunTimes::Usual(const std::string& aRoute) const
+{
+  auto found = mRoutes.find(aRoute);
+  if (found == mRoutes.end()) {
+    return Millis(0);
+  }
+  const Estimate& estimate = found->second;
+  return Millis(
+    static_cast<int64_t>(estimate.mMean + kDeviations * estimate.mDeviation));
+}
+
+} // namespace caraway
--- a/src/entry/CallerFront.h
+++ b/src/entry/CallerFront.h
@@ -32,7 +32,7 @@
   void OnTurnedAway(size_t aOpen) override;
   void OnBad(int aStatus, const char* aWhy) override;
   CallerLimits Limits() const override;
-  bool Leaving() const override { return mState.mLeaving; }
+  bool Leaving() const override { return mState.mLeave.Leaving(); }
 
   void Wait(const std::shared_ptr<Exchange>& aExchange) override;
   void Over(Exchange& aExchange) override;
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -14,17 +14,6 @@
 constexpr size_t kMostCallers = 3400;
 constexpr size_t kMostOthers = 64;
 
-// The balancer asks once a second and needs two misses to send nobody here
-// any more; what arrives until then is served.
-constexpr Millis kBalancerLag{ 2500 };
-
-// Of the time that the platform grants, left for the process to end in.
-constexpr Millis kEndMargin{ 500 };
-
-// A quarter of the granted time for requests to get to a server, the rest for
-// streams to end.
-constexpr int kStartPart = 4;
-
 // Between two looks whether everything is done.
 constexpr Millis kLeaveLook{ 50 };
 
@@ -109,7 +98,7 @@
 bool
 EntryDaemon::Ready() const
 {
-  return !mState.mLeaving && mState.mConfig && mState.mServersKnown;
+  return !mState.mLeave.Leaving() && mState.mConfig && mState.mServersKnown;
 }
 
 bool
@@ -171,12 +160,13 @@
 void
 EntryDaemon::Leave()
 {
-  if (mState.mLeaving) {
+  if (mState.mLeave.Leaving()) {
     return;
   }
-  mState.mLeaving = true;
   mLeavingSince = mState.Now();
-  mState.mLastStart = mLeavingSince + mState.mSettings.mGrace / kStartPart;
+  LeaveTimes times;
+  times.mGrace = mState.mSettings.mGrace;
+  mState.mLeave.Begin(mLeavingSince, times);
   mState.mLog.Line("leaving").Count("under_way",
                                     static_cast<int64_t>(mFront.UnderWay()));
   mZoneLease.Release();
@@ -198,19 +188,19 @@
 void
 EntryDaemon::CheckLeaving()
 {
-  Millis since = mState.AgeOf(mLeavingSince);
-  if (since >= kBalancerLag) {
+  TimePoint now = mState.Now();
+  bool closed = !mState.mLeave.ExpectsCallers(now);
+  if (closed) {
     mCallers->Close();
     mCallers->CloseIdle(ConnEndReason::Leaving);
     LeaveZone();
   }
-  bool done = since >= kBalancerLag + kLeaveLook && mFront.UnderWay() == 0 &&
-              mCallers->AllClosed();
-  if (done || since >= mState.mSettings.mGrace - kEndMargin) {
+  bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed();
+  if (done || now >= mState.mLeave.End()) {
+    mCallers->EndAll();
     mState.mLog.Line("left")
-      .Ms("after_ms", since)
+      .Ms("after_ms", mState.AgeOf(mLeavingSince))
       .Count("cut", static_cast<int64_t>(mFront.UnderWay()));
-    mCallers->EndAll();
     mGone = true;
     return;
   }
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -7,7 +7,9 @@
 #include "base/EventLog.h"
 #include "base/Metrics.h"
 #include "decide/DemandLog.h"
+#include "decide/LeavePlan.h"
 #include "decide/RepeatBudget.h"
+#include "decide/RunTimes.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
 #include "entry/EntrySettings.h"
@@ -40,9 +42,8 @@
   std::map<std::string, int> mAskedSincePulse; // here, by model
   RepeatBudget mRepeats;
   int mInstances = 1; // that may be running, this one included
-  bool mLeaving = false;
-  // What isn't at a server by then wouldn't end before the process does.
-  TimePoint mLastStart = TimePoint::max();
+  RunTimes mRunTimes;
+  LeavePlan mLeave;
   std::mt19937 mRandom;
 };
 
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -16,9 +16,6 @@
 
 constexpr int kPatienceTargets = 4;
 
-// Other instances can take it at once.
-constexpr Millis kComeBackElsewhere{ 20 };
-
 // Of a request's target: the part that it waits for its tenant's tokens.
 constexpr int kTokenPatience = 8;
 
@@ -123,6 +120,13 @@
   if (!mFacts.mAdapter.empty()) {
     mState.CountDemand(FullName(), mArrived);
   }
+  // Once callers are no longer expected, tenants' tokens have been given away.
+  bool admits =
+    !mState.mLeave.Leaving() || mState.mLeave.ExpectsCallers(mArrived);
+  if (!admits || !MayStart(mArrived)) {
+    RefuseAsLeaving();
+    return;
+  }
   std::weak_ptr<Exchange> weak = weak_from_this();
   mTimer = mState.mReactor.After(most, [weak] {
     if (auto exchange = weak.lock()) {
@@ -237,9 +241,30 @@
   return true;
 }
 
+bool
+Exchange::MayStart(TimePoint aStart) const
+{
+  if (mStreaming) {
+    return mState.mLeave.MayGoOn(aStart);
+  }
+  return mState.mLeave.MayStart(
+    aStart, mGiveUpAt + kLateAnswer, mState.mRunTimes.Usual(mRoute->mName));
+}
+
+// Another instance can still serve it.
+void
+Exchange::RefuseAsLeaving()
+{
+  Refuse(ErrorKind::ShuttingDown, kComeBackElsewhere, "instance leaves");
+}
+
 bool
 Exchange::FindServer()
 {
+  if (!MayStart(mState.Now())) {
+    RefuseAsLeaving();
+    return true;
+  }
   auto service = mConfig->mServices.find(mService);
   bool engine =
     service != mConfig->mServices.end() && service->second.mEngine.has_value();
@@ -288,10 +313,10 @@
     wait = mPlaces.Expected(Want()).value_or(Millis(0));
   }
   TimePoint begin = mState.Now() + wait;
-  // An instance that leaves sends those away who would be cut off: another
-  // one can still serve them.
-  if (begin > mState.mLastStart) {
-    Refuse(ErrorKind::ShuttingDown, kComeBackElsewhere, "instance leaves");
+  // How long a place takes to come free isn't known: as long as a caller would
+  // be told to stay away.
+  if (!MayStart(std::max(begin, mState.Now() + kComeBack))) {
+    RefuseAsLeaving();
     return true;
   }
   if (begin + kServiceTime <= mFirstBy) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -58,6 +58,10 @@
   bool ServersGone(const ServerChoice& aChoice) const;
   bool GiveUpIfHopeless(const ServerChoice& aChoice);
   void RefuseAsLate(Millis aWait, bool aHeld);
+  // This instance may send it to a server at aStart; false while it leaves and
+  // its end would cut the request.
+  bool MayStart(TimePoint aStart) const;
+  void RefuseAsLeaving();
   PlaceWant Want() const;
   // One send.
   void Send(Backend& aBackend);
@@ -73,6 +77,7 @@
   // Repeats.
   bool MayRunAgain() const;
   bool MaySendAgain();
+  bool MayRepeat();
   void DispatchLater(Millis aDelay);
   // Answers.
   void StartStream(const HttpHead& aHead);
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// Passed to the server beyond this instance's own end, so that the server's
-// own final answer can arrive before this instance gives up.
-constexpr Millis kLateAnswer{ 40 };
-
 // Sends of one request: repeats cost the servers work; beyond a few they
 // help nobody.
 constexpr int kMostSends = 6;
@@ -44,6 +40,12 @@
   return mState.mRepeats.Spend(mService, mState.mInstances, mState.Now());
 }
 
+bool
+Exchange::MayRepeat()
+{
+  return MayRunAgain() && MayStart(mState.Now()) && MaySendAgain();
+}
+
 void
 Exchange::DispatchLater(Millis aDelay)
 {
@@ -130,7 +132,7 @@
     .Flag("kept_connection", kept)
     .Flag("streaming", mStreaming)
     .Ms("after_ms", mState.AgeOf(mSentAt));
-  if (MayRunAgain() && MaySendAgain()) {
+  if (MayRepeat()) {
     Dispatch();
     return;
   }
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -237,6 +237,9 @@
   bool failed = mAnswer.mStatus >= 500;
   mState.mServers.Heard(
     mServer, failed ? ServerNews::Failed : ServerNews::Good, mState.Now());
+  if (!failed && mSends == 1) {
+    mState.mRunTimes.Note(mRoute->mName, mState.AgeOf(mSentAt));
+  }
   ForgetCall();
   if (mStreaming) {
     mCaller->StreamPiece(mEvents);
@@ -245,7 +248,7 @@
     return;
   }
   mRuns += failed ? 1 : 0;
-  if (failed && MayRunAgain() && MaySendAgain()) {
+  if (failed && MayRepeat()) {
     mState.mLog.Line("request_again")
       .Text("id", mFacts.mId)
       .Text("why", "server failed")
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -77,7 +77,7 @@
   TimePoint now = mState.Now();
   mZone.SetPulseGap(mPeers.PulseGap());
   mZone.Tick(now);
-  if (mZone.MustJoin() && !mJoining && !mState.mLeaving) {
+  if (mZone.MustJoin() && !mJoining && !mState.mLeave.Leaving()) {
     Join();
   }
   AskToBeCounted();
@@ -184,7 +184,7 @@
 void
 Membership::NoteCounted()
 {
-  if (mToldCounted || mJoining || mState.mLeaving || !MaySpend()) {
+  if (mToldCounted || mJoining || mState.mLeave.Leaving() || !MaySpend()) {
     return;
   }
   mJoining = true;
@@ -332,7 +332,7 @@
 void
 Membership::Forget()
 {
-  if (mForgetting || mState.mLeaving || !mStore.Reached()) {
+  if (mForgetting || mState.mLeave.Leaving() || !mStore.Reached()) {
     return;
   }
   TimePoint now = mState.Now();
