Whoever has no answer when an instance ends gets one

Callers saw: their request at a server, and their connection closed with no answer as the leaving instance's time was over.

Cause: the process ended with its connections; no one gave last answers.

Evidence: LeavingEntry.WhatIsStillAtAServerAtTheEndIsAnswered failed before (status 0, not whole), passes now.

A stream that has begun can't be ended so; its connection is closed in the middle, and the log names it.

--- a/src/entry/CallerFront.cpp
+++ b/src/entry/CallerFront.cpp
@@ -109,6 +109,15 @@
   }
 }
 
+void
+CallerFront::AnswerAll()
+{
+  auto exchanges = mExchanges; // each of them leaves the map
+  for (auto& entry : exchanges) {
+    entry.second->OnInstanceEnds();
+  }
+}
+
 void
 CallerFront::ServersChanged()
 {
--- a/src/entry/CallerFront.h
+++ b/src/entry/CallerFront.h
@@ -21,6 +21,9 @@
   // again, the most urgent first, at the end of this turn.
   void ServersChanged();
 
+  // The process ends: whoever has no final answer gets one now.
+  void AnswerAll();
+
   size_t UnderWay() const { return mExchanges.size(); }
   size_t Waiting() const { return mWaiting.size(); }
 
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -14,6 +14,9 @@
 constexpr size_t kMostCallers = 3400;
 constexpr size_t kMostOthers = 64;
 
+// For the last answers to reach their callers.
+constexpr Millis kLastAnswers{ 200 };
+
 // Between two looks whether everything is done.
 constexpr Millis kLeaveLook{ 50 };
 
@@ -195,12 +198,16 @@
     mCallers->CloseIdle(ConnEndReason::Leaving);
     LeaveZone();
   }
+  if (now >= mState.mLeave.End() && !mAnsweredAll) {
+    mAnsweredAll = true;
+    mState.mLog.Line("last_answers")
+      .Count("under_way", static_cast<int64_t>(mFront.UnderWay()));
+    mFront.AnswerAll();
+  }
   bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed();
-  if (done || now >= mState.mLeave.End()) {
+  if (done || now >= mState.mLeave.End() + kLastAnswers) {
     mCallers->EndAll();
-    mState.mLog.Line("left")
-      .Ms("after_ms", mState.AgeOf(mLeavingSince))
-      .Count("cut", static_cast<int64_t>(mFront.UnderWay()));
+    mState.mLog.Line("left").Ms("after_ms", mState.AgeOf(mLeavingSince));
     mGone = true;
     return;
   }
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -68,6 +68,7 @@
   std::shared_ptr<ListenPort> mMetricsPort;
   TimePoint mLeavingSince{};
   bool mLeftZone = false;
+  bool mAnsweredAll = false;
   bool mGone = false;
 };
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -41,6 +41,8 @@
   // Looks for a server again. True when it no longer waits.
   bool TryAgain();
   void OnCallerLeft();
+  // The process ends: a last answer, as true as one can be.
+  void OnInstanceEnds();
 
   const std::string& Id() const { return mFacts.mId; }
   int Priority() const { return mPriority; }
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -235,6 +235,27 @@
   End(0, "caller left");
 }
 
+void
+Exchange::OnInstanceEnds()
+{
+  if (mOver) {
+    return;
+  }
+  constexpr const char* kWhy = "instance ends";
+  if (mCall) {
+    mCall->Cancel();
+    ForgetCall();
+    mGrant.reset();
+    mMayHaveRun = true;
+  }
+  if (mStreaming) {
+    mCaller->Abort(ConnEndReason::InstanceEnds);
+    End(0, kWhy);
+    return;
+  }
+  Refuse(ErrorKind::ShuttingDown, kComeBackElsewhere, kWhy);
+}
+
 void
 Exchange::End(int aStatus, const char* aWhy)
 {
