A connection isn't closed over a request that has arrived, or is on its way

Callers saw: a request sent as the stream before it ended, on a connection that the stream's head had said to stay, or on one that had just been made, closed without an answer; and an order on it that can't be repeated was lost, because the closing side had read it and thrown it away.

Cause: at a leave every connection that seemed idle was closed at each look: also one that had been accepted in the same turn or whose request lay in the socket unread. The listening socket was closed with those who had connected. Finish() reads on and drops what comes, which is right only after an answer that said that the connection ends.

Evidence: LeavingEntry.RequestSentAsAStreamEndsIsAnswered and ...LastOneToConnectIsAnswered failed before (run long after SIGTERM; closed with no answer), pass now.

Change: one rule for every idle close (CloseIfIdle, for a leave and for the idle limit): what has arrived is read first, and if a request is there it is answered; else sending ends and nothing more is read, so that a request that crosses the close was taken by nobody and its caller may send it elsewhere. At a leave a connection is closed when it was quiet for as long as a caller takes to send its next request; the listening port takes all who have connected before it closes. Ruled out: keeping idle connections to the end of the grace (each restart would take all of it).

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -17,6 +17,10 @@
 // For the last answers to reach their callers.
 constexpr Millis kLastAnswers{ 200 };
 
+// A caller that was told that its connection stays sends the next request
+// within this, as a rule; it is answered here, and told to go.
+constexpr Millis kNextRequest{ 300 };
+
 // Between two looks whether everything is done.
 constexpr Millis kLeaveLook{ 50 };
 
@@ -195,7 +199,7 @@
   bool closed = !mState.mLeave.ExpectsCallers(now);
   if (closed) {
     mCallers->Close();
-    mCallers->CloseIdle(ConnEndReason::Leaving);
+    mCallers->CloseIdle(ConnEndReason::Leaving, kNextRequest);
     LeaveZone();
   }
   if (now >= mState.mLeave.End() && !mAnsweredAll) {
--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -300,10 +300,15 @@
 void
 InboundConn::CloseIfIdle(ConnEndReason aReason)
 {
+  if (!Open() || mEnding || !Idle()) {
+    return;
+  }
+  // A request that lies in the socket would be reset unread.
+  mChannel->ReadNow();
   if (Open() && !mEnding && Idle()) {
     mEnding = true;
     TellEnd(aReason);
-    mChannel->Finish();
+    mChannel->FinishUnread();
   }
 }
 
--- a/src/entry/InboundConn.h
+++ b/src/entry/InboundConn.h
@@ -74,7 +74,7 @@
   // Ends the connection so that what was sent can't look complete.
   void Abort(ConnEndReason aReason = ConnEndReason::AnswerBroken);
 
-  // Closes it if no request is being read or answered.
+  // Closes it if no request is being read or answered, and none has arrived.
   void CloseIfIdle(ConnEndReason aReason);
   bool Open() const { return mChannel->Open(); }
   bool Busy() const { return mBusy; }
--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -50,6 +50,13 @@
 
 void
 ListenPort::OnReadable()
+{
+  AcceptSome();
+}
+
+// True when there may be more.
+bool
+ListenPort::AcceptSome()
 {
   try {
     for (int i = 0; i < kAcceptAtOnce; ++i) {
@@ -64,8 +71,9 @@
       }
     }
   } catch (const Poco::Exception&) {
-    // Nothing more to accept, or the connection is gone again.
+    return false; // nothing more, or the connection is gone again
   }
+  return true;
 }
 
 void
@@ -73,6 +81,8 @@
 {
   if (mOpen) {
     mOpen = false;
+    while (AcceptSome()) {
+    }
     mReactor.Forget(mSocket);
     mSocket.close();
   }
@@ -87,10 +97,13 @@
 }
 
 void
-ListenPort::CloseIdle(ConnEndReason aReason)
+ListenPort::CloseIdle(ConnEndReason aReason, Millis aQuiet)
 {
+  TimePoint now = mReactor.Now();
   for (const auto& conn : mConns) {
-    conn->CloseIfIdle(aReason);
+    if (now - conn->QuietSince() >= aQuiet) {
+      conn->CloseIfIdle(aReason);
+    }
   }
 }
 
--- a/src/entry/ListenPort.h
+++ b/src/entry/ListenPort.h
@@ -25,10 +25,10 @@
   std::string Address() const;
   size_t Connections() const { return mConns.size(); }
   bool AllClosed() const;
-  // No new connections from now on.
+  // Takes those who have connected, and no new ones from now on.
   void Close();
-  // Closes connections on which nothing is under way.
-  void CloseIdle(ConnEndReason aReason);
+  // Closes connections on which nothing has been under way for aQuiet.
+  void CloseIdle(ConnEndReason aReason, Millis aQuiet);
   // Ends all connections, as the process does.
   void EndAll();
   // Forgets closed connections, ends those that are too slow or idle.
@@ -37,6 +37,7 @@
   void OnReadable() override;
 
 private:
+  bool AcceptSome();
   ListenPort(Reactor& aReactor, InboundHandler& aHandler, size_t aMost);
 
   Reactor& mReactor;
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -139,11 +139,17 @@
     mReactor.WatchWrite(mSocket, want);
   }
   if (!want && mFinishing) {
-    try {
-      mSocket.shutdownSend();
-    } catch (const Poco::Exception&) {
-      Close();
-    }
+    StopSending();
+  }
+}
+
+void
+Channel::StopSending()
+{
+  try {
+    mSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    Close(); // the other side has ended it already
   }
 }
 
@@ -207,6 +213,10 @@
       return;
     }
   }
+  if (mUnread) {
+    Close();
+    return;
+  }
   ChannelEnd end = ChannelEnd::Closed;
   size_t before = mInput.size();
   bool alive = ReadSome(end);
@@ -270,10 +280,31 @@
   if (!mConnecting) {
     Flush();
   }
-  std::weak_ptr<Channel> weak = self;
-  mReactor.Cancel(mTimer);
   // A reader that has stopped reading is given up as well.
-  mTimer = mReactor.After(mOutput.empty() ? kLinger : kLinger * 10, [weak] {
+  LingerFor(mOutput.empty() ? kLinger : kLinger * 10);
+}
+
+void
+Channel::FinishUnread()
+{
+  if (!mOpen || mFinishing) {
+    return;
+  }
+  auto self = shared_from_this();
+  mFinishing = true;
+  mUnread = true;
+  StopSending();
+  if (mOpen) {
+    LingerFor(kLinger);
+  }
+}
+
+void
+Channel::LingerFor(Millis aMost)
+{
+  std::weak_ptr<Channel> weak = weak_from_this();
+  mReactor.Cancel(mTimer);
+  mTimer = mReactor.After(aMost, [weak] {
     if (auto alive = weak.lock()) {
       alive->EndLinger();
     }
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -50,6 +50,11 @@
   // Closes once everything queued is sent, reading on for a moment so that
   // unread bytes don't turn the close into a reset that eats the answer.
   void Finish();
+  // Closes a connection on which no answer is due. Nothing more is read, so
+  // that the other side knows that what it sends now was taken by nobody.
+  void FinishUnread();
+  // Takes in what has arrived already, as when the socket is readable.
+  void ReadNow() { OnReadable(); }
 
   std::string& Input() { return mInput; }
   size_t Queued() const { return mOutput.size(); }
@@ -67,6 +72,8 @@
   void Flush();
   void End(ChannelEnd aEnd);
   void EndLinger();
+  void StopSending();
+  void LingerFor(Millis aMost);
   bool ReadSome(ChannelEnd& aEnd);
 
   Reactor& mReactor;
@@ -79,7 +86,8 @@
   bool mWantWrite = false;
   bool mSent = false;
   bool mFinishing = false;
-  size_t mDropped = 0; // bytes, since Finish()
+  bool mUnread = false; // FinishUnread() was called
+  size_t mDropped = 0;  // bytes, since Finish()
   Reactor::TimerId mTimer;
 };
 
