A caller is held to the limits that it could know when it began

Callers saw: beside a change of the configuration a connection closed as its next request was sent, though it had been idle for less than four fifths of the limit that held when the pause began; a stream cut and the next request behind it unanswered, as the size limits fell; 408 for a body under way.

Cause: each look took the newest limits, whatever had been open or begun under older ones.

Evidence: OpenConnections.IdleLimitThatFalls..., ...SizeLimitThatFalls..., ...TimeLimitThatFalls... failed before, pass now; the first also checks that the next pause is judged by the newer limit.

Change: a connection keeps the widest limits since it was last idle, and begins with those of now at each pause. A limit that falls is so in force from the next pause on; one that rises at once. Ruled out: the limits of the moment at which the pause began (a caller may know a newer, longer one).

--- a/src/decide/ServingConfig.cpp
+++ b/src/decide/ServingConfig.cpp
@@ -4,6 +4,15 @@
 
 namespace caraway {
 
+void
+CallerLimits::Widen(const CallerLimits& aOther)
+{
+  mHeadBytes = std::max(mHeadBytes, aOther.mHeadBytes);
+  mBodyBytes = std::max(mBodyBytes, aOther.mBodyBytes);
+  mHeadTime = std::max(mHeadTime, aOther.mHeadTime);
+  mIdle = std::max(mIdle, aOther.mIdle);
+}
+
 const RouteSpec*
 ServingConfig::Match(const std::string& aHost, const std::string& aPath) const
 {
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -78,6 +78,9 @@
 
 struct CallerLimits
 {
+  // Takes over what is larger in aOther.
+  void Widen(const CallerLimits& aOther);
+
   size_t mHeadBytes = 16384;
   size_t mBodyBytes = 4194304;
   Millis mHeadTime{ 3000 };
--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -48,6 +48,7 @@
 InboundConn::InboundConn(Reactor& aReactor, InboundHandler& aHandler)
   : mReactor(aReactor)
   , mHandler(aHandler)
+  , mLimits(aHandler.Limits())
   , mAccepted(aReactor.Now())
   , mQuietSince(mAccepted)
 {
@@ -72,15 +73,22 @@
 void
 InboundConn::OnData()
 {
-  if (mBusy) {
-    // The next request already: it waits, within reason.
-    if (mChannel->Input().size() >
-        mHandler.Limits().mHeadBytes + mHandler.Limits().mBodyBytes) {
-      Abort(ConnEndReason::TooMuchBehind);
-    }
+  if (!mBusy) {
+    ReadNext();
     return;
   }
-  ReadNext();
+  // The next request already: it waits, within reason.
+  const CallerLimits& limits = Limits();
+  if (mChannel->Input().size() > limits.mHeadBytes + limits.mBodyBytes) {
+    Abort(ConnEndReason::TooMuchBehind);
+  }
+}
+
+const CallerLimits&
+InboundConn::Limits()
+{
+  mLimits.Widen(mHandler.Limits());
+  return mLimits;
 }
 
 void
@@ -122,7 +130,7 @@
     mBegan = mReactor.Now();
   }
   size_t used = 0;
-  CallerLimits limits = mHandler.Limits();
+  const CallerLimits& limits = Limits();
   HeadState state = ReadRequestHead(input, mRequest.mHead, used);
   if (state == HeadState::Bad) {
     Reject(400, "head");
@@ -158,7 +166,7 @@
     Reject(400, "body");
     return false;
   }
-  if (mRequest.mBody.size() > mHandler.Limits().mBodyBytes) {
+  if (mRequest.mBody.size() > Limits().mBodyBytes) {
     Reject(413, "body size");
     return false;
   }
@@ -211,7 +219,9 @@
     mChannel->Finish();
     return;
   }
-  if (!mChannel->Input().empty()) {
+  if (mChannel->Input().empty()) {
+    mLimits = mHandler.Limits();
+  } else {
     // The next request is here already; a turn later, so that a caller that
     // sends many at once doesn't hold the thread.
     std::weak_ptr<InboundConn> weak = weak_from_this();
@@ -286,7 +296,7 @@
   end.mAge = std::chrono::duration_cast<Millis>(now - mAccepted);
   end.mQuiet = std::chrono::duration_cast<Millis>(now - mQuietSince);
   end.mReading = mReading;
-  end.mIdleLimit = mHandler.Limits().mIdle;
+  end.mIdleLimit = mLimits.mIdle;
   mHandler.OnConnEnd(*this, end);
 }
 
@@ -318,7 +328,7 @@
   if (mBusy || !Open()) {
     return;
   }
-  CallerLimits limits = mHandler.Limits();
+  const CallerLimits& limits = Limits();
   if (mReader || !mChannel->Input().empty()) {
     Millis most = mReader ? limits.mIdle : limits.mHeadTime;
     if (mBegan != TimePoint() && aNow - mBegan > most) {
--- a/src/entry/InboundConn.h
+++ b/src/entry/InboundConn.h
@@ -92,6 +92,7 @@
   bool ReadBody();
   void Reject(int aStatus, const char* aWhy);
   void AfterAnswer(bool aKeep);
+  const CallerLimits& Limits();
   void TellEnd(ConnEndReason aReason);
   std::string FirstLine(int aStatus) const;
 
@@ -106,6 +107,9 @@
   bool mKeep = true;    // the caller wants to go on
   int mRequests = 0;    // read so far
   ConnEndReason mWhyLast = ConnEndReason::AnswerSaidSo; // of the last answer
+  // The widest since the connection was last idle: its caller may go by any
+  // that held since then.
+  CallerLimits mLimits;
   TimePoint mAccepted{};
   TimePoint mQuietSince{}; // last request ended, or the connection began
   TimePoint mBegan{};      // first byte of the request being read
