Callers that send ahead are slowed, not cut

Callers saw: a stream cut, and the requests behind it unanswered, because more lay behind it than one request may have; its server worked on for nobody.

Cause: InboundConn aborted the connection in that case, and told neither the request under way nor the log.

Change: what is more than one request isn't read until the answer is out, and so waits with its caller. While nothing is read a caller's end is noticed with the next piece that is written to it. Ruled out: a larger bound (memory), counting requests (their sizes differ).

--- a/src/entry/ConnEnd.cpp
+++ b/src/entry/ConnEnd.cpp
@@ -18,8 +18,6 @@
       return "answer_broken";
     case ConnEndReason::ReaderSlow:
       return "reader_slow";
-    case ConnEndReason::TooMuchBehind:
-      return "too_much_behind";
     case ConnEndReason::InstanceEnds:
       return "instance_ends";
   }
--- a/src/entry/ConnEnd.h
+++ b/src/entry/ConnEnd.h
@@ -10,14 +10,13 @@
 
 enum class ConnEndReason
 {
-  AnswerSaidSo,  // the answer before said that the connection ends
-  Unreadable,    // what came is no request, or too large or slow
-  IdleTooLong,   // over the limit of idle time
-  Leaving,       // idle at an instance that leaves
-  AnswerBroken,  // the answer under way can't be completed
-  ReaderSlow,    // too much of the answer waits for its caller
-  TooMuchBehind, // too much was sent behind the request under way
-  InstanceEnds,  // the process ends with it
+  AnswerSaidSo, // the answer before said that the connection ends
+  Unreadable,   // what came is no request, or too large or slow
+  IdleTooLong,  // over the limit of idle time
+  Leaving,      // idle at an instance that leaves
+  AnswerBroken, // the answer under way can't be completed
+  ReaderSlow,   // too much of the answer waits for its caller
+  InstanceEnds, // the process ends with it
 };
 
 // For the log.
--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -77,10 +77,10 @@
     ReadNext();
     return;
   }
-  // The next request already: it waits, within reason.
+  // The next request already: what is more than one waits with its caller.
   const CallerLimits& limits = Limits();
   if (mChannel->Input().size() > limits.mHeadBytes + limits.mBodyBytes) {
-    Abort(ConnEndReason::TooMuchBehind);
+    mChannel->SetReading(false);
   }
 }
 
@@ -219,6 +219,7 @@
     mChannel->Finish();
     return;
   }
+  mChannel->SetReading(true);
   if (mChannel->Input().empty()) {
     mLimits = mHandler.Limits();
   } else {
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -130,19 +130,35 @@
     // the other side stopped reading.
     if (!WouldBlock(error)) {
       done = mOutput.size();
+      SetReading(true);
     }
   }
   mOutput.erase(0, done);
   bool want = !mOutput.empty();
   if (want != mWantWrite) {
     mWantWrite = want;
-    mReactor.WatchWrite(mSocket, want);
+    WatchAgain();
   }
   if (!want && mFinishing) {
     StopSending();
   }
 }
 
+void
+Channel::WatchAgain()
+{
+  mReactor.WatchFor(mSocket, mReading, mWantWrite);
+}
+
+void
+Channel::SetReading(bool aReading)
+{
+  if (mOpen && aReading != mReading) {
+    mReading = aReading;
+    WatchAgain();
+  }
+}
+
 void
 Channel::StopSending()
 {
@@ -277,6 +293,7 @@
   mEvents.mDropped = std::move(dropped);
   mDropped = mInput.size();
   mInput.clear();
+  SetReading(true);
   if (!mConnecting) {
     Flush();
   }
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -55,6 +55,9 @@
   void FinishUnread();
   // Takes in what has arrived already, as when the socket is readable.
   void ReadNow() { OnReadable(); }
+  // False: what arrives waits with the sender, and its end isn't noticed
+  // before something is written.
+  void SetReading(bool aReading);
 
   std::string& Input() { return mInput; }
   size_t Queued() const { return mOutput.size(); }
@@ -74,6 +77,7 @@
   void EndLinger();
   void StopSending();
   void LingerFor(Millis aMost);
+  void WatchAgain();
   bool ReadSome(ChannelEnd& aEnd);
 
   Reactor& mReactor;
@@ -84,6 +88,7 @@
   bool mOpen = true;
   bool mConnecting = false;
   bool mWantWrite = false;
+  bool mReading = true;
   bool mSent = false;
   bool mFinishing = false;
   bool mUnread = false; // FinishUnread() was called
--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -41,11 +41,12 @@
 }
 
 void
-Reactor::WatchWrite(const Poco::Net::Socket& aSocket, bool aWrite)
+Reactor::WatchFor(const Poco::Net::Socket& aSocket, bool aRead, bool aWrite)
 {
   if (mHandlers.count(aSocket.impl())) {
     mPolls.update(aSocket,
-                  PollSet::POLL_READ | (aWrite ? PollSet::POLL_WRITE : 0));
+                  PollSet::POLL_ERROR | (aRead ? PollSet::POLL_READ : 0) |
+                    (aWrite ? PollSet::POLL_WRITE : 0));
   }
 }
 
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -43,7 +43,8 @@
   void Watch(const Poco::Net::Socket& aSocket,
              std::shared_ptr<SocketHandler> aHandler,
              bool aWrite = false);
-  void WatchWrite(const Poco::Net::Socket& aSocket, bool aWrite);
+  // Errors are told in any case, as readable.
+  void WatchFor(const Poco::Net::Socket& aSocket, bool aRead, bool aWrite);
   void Forget(const Poco::Net::Socket& aSocket);
 
   TimerId After(Millis aDelay, Task aTask);
