Logs: a process that ends leaves no half line

What a reader saw: one or two lines of a play cut in the middle and run into the next one. Cause: gathered lines were handed over in one write; a pipe that was nearly full took a part of it, ending anywhere. The rest followed with the next turn, unless the process ended first: then its successor's first line stood behind half a line. Whether the two plays' lines came so isn't proved; it is the one way found. Evidence: EventLog.ProcessThatEndsLeavesNoHalfLine failed before (half a line that can't be parsed), passes now. Change: whole lines in writes of at most PIPE_BUF bytes, which a pipe takes whole or not at all. A longer line alone may still be cut; none is so long today.

--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -1,6 +1,7 @@
 #include "base/EventLog.h"
 
 #include <cerrno>
+#include <climits>
 #include <cstdio>
 #include <fcntl.h>
 #include <unistd.h>
@@ -16,6 +17,18 @@
 // Kept while the reader is slow: some seconds of lines.
 constexpr size_t kMostWaiting = 256 * 1024;
 
+// The whole lines at the start of aText that a pipe takes at once or not at
+// all: a process that ends between two writes leaves no half line behind.
+std::string_view
+LinesAtOnce(std::string_view aText)
+{
+  size_t end = aText.substr(0, PIPE_BUF).rfind('\n');
+  if (end == std::string_view::npos) {
+    end = aText.find('\n');
+  }
+  return aText.substr(0, end == std::string_view::npos ? end : end + 1);
+}
+
 void
 AppendQuoted(std::string& aOut, std::string_view aText)
 {
@@ -186,15 +199,23 @@
 void
 EventLog::Flush()
 {
-  if (mFile < 0 || mWaiting.empty()) {
+  if (mFile < 0) {
     return;
   }
-  ssize_t done = write(mFile, mWaiting.data(), mWaiting.size());
-  if (done > 0) {
-    mWaiting.erase(0, static_cast<size_t>(done));
-  } else if (done < 0 && errno != EAGAIN && errno != EINTR) {
-    mWaiting.clear(); // nobody will ever read it
+  size_t done = 0;
+  while (done < mWaiting.size()) {
+    std::string_view lines =
+      LinesAtOnce(std::string_view(mWaiting).substr(done));
+    ssize_t written = write(mFile, lines.data(), lines.size());
+    if (written < 0 && errno != EAGAIN && errno != EINTR) {
+      done = mWaiting.size(); // nobody will ever read it
+    }
+    if (written <= 0) {
+      break;
+    }
+    done += static_cast<size_t>(written);
   }
+  mWaiting.erase(0, done);
 }
 
 } // namespace caraway
--- a/tests/unit/EventLogTest.cpp
+++ b/tests/unit/EventLogTest.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <unistd.h>
 
 #include "base/EventLog.h"
@@ -69,4 +70,36 @@
   close(ends[1]);
 }
 
+// Guards against half a line of a process that ended while nobody read, with
+// the first line of its successor behind it.
+TEST(EventLog, ProcessThatEndsLeavesNoHalfLine)
+{
+  int ends[2];
+  ASSERT_EQ(0, pipe(ends));
+  PausedClock clock;
+  for (const char* name : { "first", "second" }) {
+    EventLog log(clock, name, ends[1]);
+    for (int i = 0; i < 190; ++i) {
+      log.Line("busy").Text("text", std::string(600 + i, 'x'));
+    }
+    log.Flush();
+    EXPECT_GT(log.Waiting(), 0u);
+    char bytes[2000];
+    ASSERT_GT(read(ends[0], bytes, sizeof bytes), 0);
+  }
+  close(ends[1]);
+  std::string text;
+  char bytes[4096];
+  ssize_t count = 0;
+  while ((count = read(ends[0], bytes, sizeof bytes)) > 0) {
+    text.append(bytes, static_cast<size_t>(count));
+  }
+  close(ends[0]);
+  std::istringstream lines(text.substr(text.find('\n') + 1));
+  std::string line;
+  while (std::getline(lines, line)) {
+    EXPECT_EQ("busy", JsonParseOrEmpty(line)["event"].asString()) << line;
+  }
+}
+
 } // namespace caraway
