--- a/src/entry/CallerFront.cpp
+++ b/src/entry/CallerFront.cpp
@@ -45,6 +45,9 @@
 void
 CallerFront::OnConnEnd(const InboundConn& aConn, const ConnEnd& aEnd)
 {
+  mState.mMetrics.Count("caraway_connections_ended_total",
+                        std::string("why=\"") + ConnEndName(aEnd.mReason) +
+                          "\"");
   if (aEnd.mReason == ConnEndReason::AnswerSaidSo && aEnd.mUnread == 0) {
     return; // the caller knew
   }
