--- a/tests/platform/OpenConnectionsTest.cpp
+++ b/tests/platform/OpenConnectionsTest.cpp
@@ -133,4 +133,84 @@
     world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Seconds(1)));
 }
 
+namespace {
+
+// A change of the configuration that takes away what requests under way were
+// admitted by.
+struct TakenAway
+{
+  const char* mName;
+  void (*mChange)(Json::Value& aConfig);
+};
+
+void
+RenameService(Json::Value& aConfig)
+{
+  aConfig["services"][1]["name"] = "renamed";
+  for (Json::Value& route : aConfig["routes"]) {
+    if (route["service"] == "engine") {
+      route["service"] = "renamed";
+    }
+  }
+}
+
+const TakenAway kTakenAway[] = {
+  { "Routes", [](Json::Value& aConfig) { aConfig["routes"].resize(1); } },
+  { "Key",
+    [](Json::Value& aConfig) {
+      aConfig["tenants"][0]["apiKeys"] = Json::Value(Json::arrayValue);
+    } },
+  { "Tenant",
+    [](Json::Value& aConfig) { aConfig["tenants"].removeIndex(0, nullptr); } },
+  { "Service", RenameService },
+  { "Rate",
+    [](Json::Value& aConfig) {
+      aConfig["tenants"][0]["ratePerS"] = 1;
+      aConfig["tenants"][0]["burst"] = 1;
+    } },
+  { "Time",
+    [](Json::Value& aConfig) {
+      for (Json::Value& route : aConfig["routes"]) {
+        route["timeoutMs"] = 200;
+      }
+    } },
+};
+
+class TakenAwayUnderWay : public testing::TestWithParam<TakenAway>
+{};
+
+} // namespace
+
+// Guards against a request under way, one that waits and one behind a stream
+// that end without an answer as a configuration takes away what they go by.
+TEST_P(TakenAwayUnderWay, AllAreAnswered)
+{
+  EntryWorld world;
+  world.mEngines[0]->mLoadTime = Seconds(1);
+  CallerPtr stream = BeginStream(world);
+  std::vector<HttpField> cold = kLong;
+  cold[0].mValue = "m5";
+  CallerPtr waits = world.Send(0, "/resume/stream", "r2", cold);
+  stream->mChannel->Write(world.RequestText("/order/x", "r3"));
+  world.For(Millis(200));
+  GetParam().mChange(world.mConfig);
+  world.Configure();
+  world.For(Millis(100));
+  world.Configure();
+  world.Until(
+    [&] {
+      bool behind = stream->mOver.find("HTTP/1.1 ") == 0;
+      return (stream->mWhole && behind && waits->mWhole) || stream->mClosed;
+    },
+    Seconds(8));
+  EXPECT_TRUE(stream->mWhole);
+  EXPECT_EQ(0u, stream->mOver.find("HTTP/1.1 "));
+  EXPECT_TRUE(waits->mWhole);
+}
+
+INSTANTIATE_TEST_SUITE_P(OpenConnections,
+                         TakenAwayUnderWay,
+                         testing::ValuesIn(kTakenAway),
+                         [](const auto& aInfo) { return aInfo.param.mName; });
+
 } // namespace caraway
