A soak of the entry daemon: processes, signals, configurations, faults, callers on kept connections

Instances run as processes of their own; store, servers and callers are the tests' stand-ins. SIGTERM, SIGKILL, SIGSTOP, SIGHUP, configurations (idle, size and time limits), the store silent, busy or losing answers, servers that break off, fail or refuse, servers that leave: in series and over one another, by seed. Callers keep their connections until they are told to go; many send the next request as a stream ends. Judged by what callers and servers see: whole own answers, at most once, true refusals, keys, a tenant's limit over all instances, ends within the granted time, service again after the last trouble.

--- /dev/null
+++ b/tests/soak/EntryProcess.cpp
@@ -0,0 +1,68 @@
+#include "soak/EntryProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+
+extern char** environ;
+
+namespace caraway {
+
+EntryProcess::EntryProcess(std::string aProgram,
+                           std::string aSettings,
+                           std::string aLog)
+  : mProgram(std::move(aProgram))
+  , mSettings(std::move(aSettings))
+  , mLog(std::move(aLog))
+{
+}
+
+EntryProcess::~EntryProcess()
+{
+  if (mPid > 0) {
+    kill(mPid, SIGKILL);
+    waitpid(mPid, nullptr, 0);
+  }
+}
+
+void
+EntryProcess::Start()
+{
+  std::string settings = "--settings=" + mSettings;
+  char* words[] = { mProgram.data(), settings.data(), nullptr };
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(
+    &actions, 1, mLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  int failed =
+    posix_spawn(&mPid, mProgram.c_str(), &actions, nullptr, words, environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failed != 0) {
+    mPid = -1;
+    throw std::runtime_error("can't start " + mProgram);
+  }
+}
+
+void
+EntryProcess::Signal(int aSignal) const
+{
+  if (mPid > 0) {
+    kill(mPid, aSignal);
+  }
+}
+
+bool
+EntryProcess::Running()
+{
+  int status = 0;
+  if (mPid > 0 && waitpid(mPid, &status, WNOHANG) == mPid) {
+    mCode = WIFSIGNALED(status) ? -WTERMSIG(status) : WEXITSTATUS(status);
+    mPid = -1;
+  }
+  return mPid > 0;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/soak/SoakCall.h
@@ -0,0 +1,37 @@
+// SoakCall.h: one request of the soak, as its caller and the servers saw it.
+#ifndef caraway_soak_SoakCall_h
+#define caraway_soak_SoakCall_h
+
+#include <string>
+
+#include "caraway/Time.h"
+
+namespace caraway {
+
+enum class SoakKind
+{
+  Order,  // at most once
+  Read,   // may be repeated
+  Stream, // at most once
+  Resume, // a stream that may be resumed
+};
+
+struct SoakCall
+{
+  std::string mId;
+  SoakKind mKind = SoakKind::Order;
+  std::string mTenant;
+  size_t mInstance = 0;
+  int mOnConn = 0; // requests before it on its connection
+  TimePoint mSent{};
+  TimePoint mEnded{}; // whole answer, or end of the connection
+  int mStatus = 0;    // 0 = no head came
+  bool mWhole = false;
+  bool mConnected = false;
+  bool mLeft = false; // its caller closed the connection
+  std::string mBody;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakCaller.cpp
@@ -0,0 +1,183 @@
+#include "soak/SoakCaller.h"
+
+#include "platform/WireNames.h"
+
+namespace caraway {
+
+namespace {
+
+// How long callers wait for an answer, as they tell the instance.
+constexpr Millis kDeadline{ 12000 };
+
+// A whole answer is due so long after the deadline at the latest.
+constexpr Millis kOverdue{ 1000 };
+
+const char*
+PathOf(SoakKind aKind)
+{
+  switch (aKind) {
+    case SoakKind::Order:
+      return "/order/x";
+    case SoakKind::Read:
+      return "/safe/x";
+    case SoakKind::Stream:
+      return "/stream/stream";
+    case SoakKind::Resume:
+      return "/resume/stream";
+  }
+  return "";
+}
+
+} // namespace
+
+SoakCaller::SoakCaller(SoakSite& aSite, std::string aTenant)
+  : mSite(aSite)
+  , mTenant(std::move(aTenant))
+{
+}
+
+void
+SoakCaller::Next(Millis aWait)
+{
+  std::weak_ptr<SoakCaller> weak = weak_from_this();
+  mSite.World().mReactor.After(aWait, [weak] {
+    auto self = weak.lock();
+    if (self && !self->mSite.Ending() && !self->mCall) {
+      self->Send();
+    }
+  });
+}
+
+void
+SoakCaller::Connect(size_t aInstance)
+{
+  mInstance = aInstance;
+  mOnConn = 0;
+  EntryWorld& world = mSite.World();
+  mChannel = Channel::Connect(
+    world.mReactor, world.CallerAddress(aInstance), Seconds(1));
+  std::weak_ptr<SoakCaller> weak = weak_from_this();
+  Channel::Events events;
+  events.mConnected = [weak] {
+    auto self = weak.lock();
+    if (self && self->mCall) {
+      self->mCall->mConnected = true;
+    }
+  };
+  events.mData = [weak] {
+    if (auto self = weak.lock()) {
+      self->OnData();
+    }
+  };
+  events.mEnd = [weak](ChannelEnd) {
+    if (auto self = weak.lock()) {
+      self->OnEnd();
+    }
+  };
+  mChannel->Listen(std::move(events));
+}
+
+std::string
+SoakCaller::TextOf(const SoakCall& aCall)
+{
+  std::vector<HttpField> fields = {
+    { wire::kAuthorization, "Bearer key-" + mTenant },
+    { wire::kDeadline, std::to_string(kDeadline.count()) }
+  };
+  if (aCall.mKind == SoakKind::Stream || aCall.mKind == SoakKind::Resume) {
+    std::uniform_int_distribution<int> model(0, 3);
+    fields.push_back(
+      { wire::kModel, "m" + std::to_string(model(mSite.Random())) });
+    fields.push_back({ wire::kTokens, "20,30" });
+  }
+  return mSite.World().RequestText(PathOf(aCall.mKind), aCall.mId, fields);
+}
+
+void
+SoakCaller::Send()
+{
+  bool kept = mChannel && mChannel->Open();
+  std::optional<size_t> instance =
+    kept ? std::optional<size_t>(mInstance) : mSite.Pick();
+  if (!instance) {
+    Next(Millis(200));
+    return;
+  }
+  SoakCall& call = mSite.NewCall();
+  call.mTenant = mTenant;
+  call.mInstance = *instance;
+  call.mKind = static_cast<SoakKind>(
+    std::uniform_int_distribution<int>(0, 3)(mSite.Random()));
+  call.mSent = mSite.World().mClock.Now();
+  if (!kept) {
+    Connect(*instance);
+  }
+  call.mConnected = kept;
+  call.mOnConn = mOnConn++;
+  mCall = &call;
+  mChannel->Write(TextOf(call));
+  std::weak_ptr<SoakCaller> weak = weak_from_this();
+  mSite.World().mReactor.After(kDeadline + kOverdue, [weak, sent = &call] {
+    if (auto self = weak.lock()) {
+      self->OnTimeUp(sent);
+    }
+  });
+}
+
+void
+SoakCaller::OnData()
+{
+  std::string& input = mChannel->Input();
+  if (!mCall) {
+    return; // the checks read what is left over
+  }
+  if (!mHead) {
+    HttpHead head;
+    size_t used = 0;
+    if (ReadAnswerHead(input, head, used) != HeadState::Whole) {
+      return;
+    }
+    input.erase(0, used);
+    mReader.emplace(head);
+    mHead = std::move(head);
+    mCall->mStatus = mHead->mStatus;
+  }
+  if (mReader->Take(input, mCall->mBody) && mReader->Done()) {
+    mCall->mWhole = true;
+    Finish(*mCall, mHead->mKeepAlive);
+  }
+}
+
+void
+SoakCaller::Finish(SoakCall& aCall, bool aKeep)
+{
+  aCall.mEnded = mSite.World().mClock.Now();
+  mCall = nullptr;
+  mHead.reset();
+  mReader.reset();
+  if (!aKeep) {
+    mChannel->Close();
+  }
+  // Many send the next one at once, as one stream ends.
+  std::uniform_int_distribution<int> wait(-400, 800);
+  Next(Millis(std::max(0, wait(mSite.Random()))));
+}
+
+void
+SoakCaller::OnEnd()
+{
+  if (mCall) {
+    Finish(*mCall, false);
+  }
+}
+
+void
+SoakCaller::OnTimeUp(const SoakCall* aCall)
+{
+  if (mCall == aCall) {
+    mCall->mLeft = true;
+    Finish(*mCall, false);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/soak/SoakRun.h
@@ -0,0 +1,80 @@
+// SoakRun.h: one seed: instances as processes, callers, troubles, checks.
+#ifndef caraway_soak_SoakRun_h
+#define caraway_soak_SoakRun_h
+
+#include <filesystem>
+
+#include "soak/EntryProcess.h"
+#include "soak/SoakCaller.h"
+#include "soak/SoakChecks.h"
+
+namespace caraway {
+
+struct SoakPlan
+{
+  unsigned mSeed = 1;
+  Millis mLength{ 30000 };       // of the troubles
+  int mInstances = 2;            // in each of two zones
+  int mCallers = 24;             // a quarter of them of the limited tenant
+  std::filesystem::path mFolder; // for settings and logs
+  std::string mProgram;          // the entry daemon
+};
+
+class SoakRun : public SoakSite
+{
+public:
+  explicit SoakRun(SoakPlan aPlan);
+  // Lines of what doesn't hold.
+  std::vector<std::string> Run();
+  // What happened, in a line.
+  std::string Summary() const;
+
+  std::optional<size_t> Pick() override;
+  EntryWorld& World() override { return *mWorld; }
+  std::mt19937& Random() override { return mRandom; }
+  SoakCall& NewCall() override;
+  bool Ending() const override { return mEnding; }
+
+private:
+  struct Instance
+  {
+    std::unique_ptr<EntryProcess> mProcess;
+    TimePoint mToldToEnd{}; // by SIGTERM
+    TimePoint mStartAt{};   // when it isn't running
+    TimePoint mFrozenUntil{};
+    size_t mEnds = SIZE_MAX; // of mTroubles: what it ends by
+    int mMisses = 2;         // of the balancer's questions
+  };
+  void Prepare();
+  void StartInstances();
+  void AskReadiness(size_t aIndex);
+  void LookAfter(size_t aIndex);
+  void OnGone(Instance& aInstance, size_t aIndex);
+  void NextTrouble();
+  void Do(TroubleKind aKind);
+  void Terminate(size_t aIndex);
+  void Kill(size_t aIndex);
+  void Freeze(size_t aIndex, Millis aFor);
+  void ChangeConfiguration();
+  void TroubleStore(Millis aFor);
+  void TroubleServers(Millis aFor);
+  void DrainServer(Millis aFor);
+  size_t Note(TroubleKind aKind, size_t aInstance, Millis aFor);
+  int Draw(int aFrom, int aTo);
+  TimePoint Now() const { return mWorld->mClock.Now(); }
+
+  SoakPlan mPlan;
+  std::unique_ptr<EntryWorld> mWorld;
+  std::mt19937 mRandom;
+  ChannelPool mPool;
+  std::vector<Instance> mInstances;
+  std::vector<std::shared_ptr<SoakCaller>> mCallers;
+  SoakRecord mRecord;
+  std::vector<std::string> mBroken; // seen while it ran
+  bool mCalm = false;
+  bool mEnding = false;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,69 @@
+// caraway-soak: instances as processes under signals, configurations and
+// faults, judged by what callers and servers see. A seed draws the same
+// troubles again.
+
+#include <cstdio>
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include "soak/SoakRun.h"
+
+DEFINE_uint32(first, 1, "first seed");
+DEFINE_uint32(seeds, 1, "how many seeds, one after the other");
+DEFINE_int32(seconds, 30, "how long each seed's troubles last");
+DEFINE_int32(instances, 2, "instances in each of two zones");
+DEFINE_int32(callers, 40, "callers");
+DEFINE_string(program,
+              CARAWAY_BIN_DIR "/carawayd-entry",
+              "the entry daemon to run");
+DEFINE_string(folder, "", "for settings and logs; default: under the system's");
+
+namespace {
+
+bool
+RunSeed(unsigned aSeed)
+{
+  namespace fs = std::filesystem;
+  fs::path base =
+    FLAGS_folder.empty()
+      ? fs::temp_directory_path() / ("caraway-soak-" + std::to_string(getpid()))
+      : fs::path(FLAGS_folder);
+  caraway::SoakPlan plan;
+  plan.mSeed = aSeed;
+  plan.mLength = caraway::Seconds(FLAGS_seconds);
+  plan.mInstances = FLAGS_instances;
+  plan.mCallers = FLAGS_callers;
+  plan.mProgram = FLAGS_program;
+  plan.mFolder = base / ("seed-" + std::to_string(aSeed));
+  std::vector<std::string> broken;
+  {
+    caraway::SoakRun run(plan);
+    broken = run.Run();
+    std::printf("%s\n", run.Summary().c_str());
+  }
+  for (const std::string& line : broken) {
+    std::printf("  BROKEN %s\n", line.c_str());
+  }
+  if (broken.empty()) {
+    fs::remove_all(plan.mFolder);
+  } else {
+    std::printf("  logs: %s\n", plan.mFolder.c_str());
+  }
+  std::fflush(stdout);
+  return broken.empty();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aWords)
+{
+  gflags::SetUsageMessage("soaks entry instances under faults");
+  gflags::ParseCommandLineFlags(&aCount, &aWords, true);
+  unsigned bad = 0;
+  for (unsigned i = 0; i < FLAGS_seeds; ++i) {
+    bad += RunSeed(FLAGS_first + i) ? 0 : 1;
+  }
+  std::printf("%u of %u seeds broken\n", bad, FLAGS_seeds);
+  return bad == 0 ? 0 : 1;
+}
--- a/tests/support/EntryWorld.cpp
+++ b/tests/support/EntryWorld.cpp
@@ -69,7 +69,7 @@
   }
   FirstConfig();
   Configure();
-  for (size_t i = 0; i < mPorts.size(); ++i) {
+  for (size_t i = 0; mPlan.mOwn && i < mPorts.size(); ++i) {
     mInstances.push_back(MakeInstance(i));
   }
 }
@@ -79,6 +79,18 @@
   mReactor.Drop();
 }
 
+std::string
+EntryWorld::CallerAddress(size_t aIndex) const
+{
+  return "127.0.0.1:" + std::to_string(mPorts.at(aIndex).mCallers);
+}
+
+std::string
+EntryWorld::ReadinessAddress(size_t aIndex) const
+{
+  return "127.0.0.1:" + std::to_string(mPorts.at(aIndex).mReadiness);
+}
+
 std::string
 EntryWorld::SettingsText(size_t aIndex) const
 {
@@ -230,10 +242,8 @@
 {
   auto view = std::make_shared<CallerView>();
   view->mAsked = mClock.Now();
-  view->mChannel = Channel::Connect(
-    mReactor,
-    "127.0.0.1:" + std::to_string(mPorts.at(aInstance).mCallers),
-    Seconds(1));
+  view->mChannel =
+    Channel::Connect(mReactor, CallerAddress(aInstance), Seconds(1));
   Channel::Events events;
   std::weak_ptr<CallerView> weak = view;
   events.mData = [this, weak] {
--- a/tests/support/EntryWorld.h
+++ b/tests/support/EntryWorld.h
@@ -45,6 +45,7 @@
   int mInstances = 1; // in each zone
   int mEngines = 1;   // in each zone
   int mPlain = 2;     // plain servers, in the first zone
+  bool mOwn = true;   // instances in this process; false = run by others
 };
 
 class EntryWorld
@@ -63,6 +64,10 @@
   // The settings file of an instance, as the platform writes it.
   std::string SettingsText(size_t aIndex) const;
 
+  std::string CallerAddress(size_t aIndex) const;
+  std::string ReadinessAddress(size_t aIndex) const;
+  size_t Instances() const { return mPorts.size(); }
+
   // Writes mConfig with the next version.
   void Configure();
   void List(StandInServer& aServer,
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -205,6 +205,7 @@
   run.mKey = ValueOf(aHead, wire::kAuthorization);
   run.mLastEvent = ValueOf(aHead, wire::kLastEvent);
   run.mTarget = aHead.mTarget;
+  run.mAt = mReactor.Now();
   run.mBody = aBody;
   std::string left = ValueOf(aHead, wire::kDeadline);
   run.mLeftMs = left.empty() ? -1 : std::stoll(left);
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -45,6 +45,7 @@
   std::string mTarget;
   std::string mBody;
   int64_t mLeftMs = -1;
+  TimePoint mAt{};
 };
 
 class StandInServer
