Stand-in: a server that begins to refuse streams on what it has taken

Traced: the stand-in took the request while it was proper, and 5 ms later, now refusing, answered it as a plain request; the entry passed that answer on as the server had made it. The check stays as it is.

--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -223,7 +223,8 @@
   std::string answer = "answer to " + id + " of " + aBody;
   Channel& channel = *aVisitor->mChannel;
   if (aHead.mTarget.find("/stream") != std::string::npos &&
-      (mManners == Manners::Proper || mManners == Manners::StopsMidway)) {
+      (mManners == Manners::Proper || mManners == Manners::StopsMidway ||
+       mManners == Manners::Refuses)) { // what it had taken before
     own.push_back({ "Content-Type", "text/event-stream" });
     own.push_back({ "Transfer-Encoding", "chunked" });
     channel.Write(WriteHead("HTTP/1.1 200 OK", own));
