--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -102,49 +102,66 @@
   if (!Identify()) {
     return;
   }
-  const RouteSpec& route = *mRoute;
-  mService = PickService(route, mFacts.mId);
+  mService = PickService(*mRoute, mFacts.mId);
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
+  SetTimes();
+  CountDemand();
+  // Once callers are no longer expected, tenants' tokens have been given away.
+  if (!mState.mLeave.ExpectsCallers(mArrived) || !MayStart(mArrived)) {
+    RefuseAsLeaving();
+    return;
+  }
+  const TenantLimit* tenant = mConfig->Tenant(mTenant);
+  if (!tenant || tenant->mRate <= 0) {
+    Dispatch();
+  } else {
+    AskForTokens(*tenant);
+  }
+}
+
+void
+Exchange::SetTimes()
+{
   Millis most =
-    std::min(mFacts.mDeadline.value_or(route.mTimeout), route.mTimeout);
+    std::min(mFacts.mDeadline.value_or(mRoute->mTimeout), mRoute->mTimeout);
   mGiveUpAt = mArrived + most;
   mFirstBy = mGiveUpAt;
-  if (route.mKind == RouteKind::Stream) {
-    Millis patience = std::max(kPatience, route.mTarget * kPatienceTargets);
+  if (mRoute->mKind == RouteKind::Stream) {
+    Millis patience = std::max(kPatience, mRoute->mTarget * kPatienceTargets);
     mFirstBy = std::min(mGiveUpAt, mArrived + patience);
   }
-  mState.mRepeats.OnRequest(mService, mArrived);
-  if (!mFacts.mModel.empty()) {
-    mState.CountDemand(mFacts.mModel, mArrived);
-  }
-  if (!mFacts.mAdapter.empty()) {
-    mState.CountDemand(FullName(), mArrived);
-  }
-  // Once callers are no longer expected, tenants' tokens have been given away.
-  bool admits =
-    !mState.mLeave.Leaving() || mState.mLeave.ExpectsCallers(mArrived);
-  if (!admits || !MayStart(mArrived)) {
-    RefuseAsLeaving();
-    return;
-  }
   std::weak_ptr<Exchange> weak = weak_from_this();
   mTimer = mState.mReactor.After(most, [weak] {
     if (auto exchange = weak.lock()) {
       exchange->OnTimeUp();
     }
   });
-  const TenantLimit* tenant = mConfig->Tenant(mTenant);
-  if (!tenant || tenant->mRate <= 0) {
-    Dispatch();
-    return;
+}
+
+void
+Exchange::CountDemand()
+{
+  mState.mRepeats.OnRequest(mService, mArrived);
+  if (!mFacts.mModel.empty()) {
+    mState.CountDemand(mFacts.mModel, mArrived);
+  }
+  if (!mFacts.mAdapter.empty()) {
+    mState.CountDemand(FullName(), mArrived);
   }
+}
+
+void
+Exchange::AskForTokens(const TenantLimit& aTenant)
+{
   TokenRequest request;
   request.mTenant = mTenant;
-  request.mTokens = CostOf(mFacts, *tenant);
-  request.mPatience = std::max(route.mTarget / kTokenPatience, kLeastPatience);
-  if (route.mKind == RouteKind::Stream) {
-    request.mReserve = ReserveFor(route.mPriority, mConfig->LeastUrgent());
+  request.mTokens = CostOf(mFacts, aTenant);
+  request.mPatience =
+    std::max(mRoute->mTarget / kTokenPatience, kLeastPatience);
+  if (mRoute->mKind == RouteKind::Stream) {
+    request.mReserve = ReserveFor(mRoute->mPriority, mConfig->LeastUrgent());
   }
+  std::weak_ptr<Exchange> weak = weak_from_this();
   mTokens.Ask(request, [weak, &tokens = mTokens](const TokenAnswer& aAnswer) {
     auto exchange = weak.lock();
     if (exchange && !exchange->mOver) {
@@ -244,6 +261,9 @@
 bool
 Exchange::MayStart(TimePoint aStart) const
 {
+  if (!mState.mLeave.Leaving()) {
+    return true;
+  }
   if (mStreaming) {
     return mState.mLeave.MayGoOn(aStart);
   }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -52,6 +52,9 @@
 private:
   // Admission.
   bool Identify();
+  void SetTimes();
+  void CountDemand();
+  void AskForTokens(const TenantLimit& aTenant);
   void OnTokens(const TokenAnswer& aAnswer);
   // Finding a server.
   void Dispatch();
