Nothing starts at or after a leaving instance's end

What callers would see: with a grace below 0.75 s the port is still open when the last answers go out, and a request that came at that moment was sent to a server; a request whose time ended just then was begun for no answer. Cause: MayStart compared the answer's time with the end, never the start. Why it works: the start is asked first, whatever else is known.

--- a/src/decide/LeavePlan.cpp
+++ b/src/decide/LeavePlan.cpp
@@ -24,10 +24,14 @@
 bool
 LeavePlan::MayStart(TimePoint aStart, TimePoint aAnswerBy, Millis aUsual) const
 {
-  if (!mLeaving || aAnswerBy <= mEnd) {
+  if (!mLeaving) {
     return true;
   }
-  return ExpectsCallers(aStart) && aStart + aUsual <= mEnd;
+  if (aStart >= mEnd) {
+    return false;
+  }
+  bool fits = ExpectsCallers(aStart) && aStart + aUsual <= mEnd;
+  return aAnswerBy <= mEnd || fits;
 }
 
 bool
--- /dev/null
+++ b/tests/unit/LeavePlanTest.cpp
@@ -0,0 +1,100 @@
+// What a leaving instance may begin, at the borders of its times.
+
+#include <gtest/gtest.h>
+
+#include "decide/LeavePlan.h"
+
+namespace caraway {
+
+namespace {
+
+const TimePoint kNow = TimePoint(Seconds(1000));
+
+LeavePlan
+Left(Millis aGrace)
+{
+  LeaveTimes times;
+  times.mGrace = aGrace;
+  LeavePlan plan;
+  plan.Begin(kNow, times);
+  return plan;
+}
+
+} // namespace
+
+// Guards against an instance in service that refuses long requests.
+TEST(LeavePlan, InServiceEverythingMayStart)
+{
+  LeavePlan plan;
+  EXPECT_FALSE(plan.Leaving());
+  EXPECT_TRUE(plan.ExpectsCallers(kNow));
+  EXPECT_TRUE(plan.MayStart(kNow, kNow + Seconds(600), Seconds(600)));
+  EXPECT_TRUE(plan.MayGoOn(kNow));
+  EXPECT_EQ(TimePoint::max(), plan.End());
+}
+
+// Guards against times that are off by one at the balancer's lag and the end.
+TEST(LeavePlan, BordersOfTheGrantedTime)
+{
+  LeavePlan plan = Left(Seconds(8));
+  EXPECT_TRUE(plan.Leaving());
+  EXPECT_EQ(kNow + Millis(7500), plan.End());
+  EXPECT_TRUE(plan.ExpectsCallers(kNow + Millis(2499)));
+  EXPECT_FALSE(plan.ExpectsCallers(kNow + Millis(2500)));
+  EXPECT_TRUE(plan.MayGoOn(kNow + Millis(7499)));
+  EXPECT_FALSE(plan.MayGoOn(kNow + Millis(7500)));
+}
+
+// Guards against a request that its time bounds, and that is sent away though
+// its answer comes before the end.
+TEST(LeavePlan, AnswerBeforeTheEndMayStartAnyTime)
+{
+  LeavePlan plan = Left(Seconds(8));
+  TimePoint late = kNow + Millis(7000);
+  EXPECT_TRUE(plan.MayStart(late, plan.End(), Millis(0)));
+  EXPECT_FALSE(plan.MayStart(late, plan.End() + Millis(1), Millis(0)));
+}
+
+// Guards against a request begun among the last callers that usually outlasts
+// the instance.
+TEST(LeavePlan, LastCallersAreJudgedByWhatIsUsual)
+{
+  LeavePlan plan = Left(Seconds(8));
+  TimePoint never = kNow + Seconds(600);
+  TimePoint last = kNow + Millis(2499);
+  Millis left{ 5001 };
+  EXPECT_TRUE(plan.MayStart(last, never, Millis(0)));
+  EXPECT_TRUE(plan.MayStart(last, never, left));
+  EXPECT_FALSE(plan.MayStart(last, never, left + Millis(1)));
+  EXPECT_FALSE(plan.MayStart(last + Millis(1), never, Millis(0)));
+}
+
+// Guards against a short grace that is spent on new callers alone.
+TEST(LeavePlan, ShortGraceLeavesMostOfItToWhatIsUnderWay)
+{
+  LeavePlan plan = Left(Seconds(3));
+  EXPECT_FALSE(plan.ExpectsCallers(kNow + Seconds(1)));
+  EXPECT_EQ(kNow + Millis(2500), plan.End());
+}
+
+// Guards against a start at the end itself, where the last answers go out.
+TEST(LeavePlan, NothingStartsAtTheEnd)
+{
+  for (Millis grace : { Millis(0), Millis(300), Millis(700), Millis(8000) }) {
+    LeavePlan plan = Left(grace);
+    TimePoint end = plan.End();
+    EXPECT_FALSE(plan.MayStart(end, end, Millis(0))) << grace.count();
+    EXPECT_FALSE(plan.MayStart(end, end + Seconds(9), Millis(0)))
+      << grace.count();
+    EXPECT_FALSE(plan.MayGoOn(end)) << grace.count();
+  }
+}
+
+// Guards against a grace below the margin that puts the end before the signal.
+TEST(LeavePlan, GraceBelowTheMarginEndsAtOnce)
+{
+  LeavePlan plan = Left(Millis(200));
+  EXPECT_EQ(kNow, plan.End());
+}
+
+} // namespace caraway
