Tests: how long requests usually take

Borders of RunTimes: nothing known, the first run, alike runs, a route that becomes slower, one slow run among quick ones, many routes.

--- /dev/null
+++ b/tests/unit/RunTimesTest.cpp
@@ -0,0 +1,96 @@
+// What is known of how long requests take.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "decide/RunTimes.h"
+
+namespace caraway {
+
+namespace {
+
+const char* const kRoute = "chat";
+
+} // namespace
+
+// Guards against a route of which nothing is known that counts as slow.
+TEST(RunTimes, UnknownRouteIsZero)
+{
+  RunTimes times;
+  times.Note("other", Seconds(9));
+  EXPECT_EQ(Millis(0), times.Usual(kRoute));
+}
+
+// Guards against a first run that counts for nothing.
+TEST(RunTimes, FirstRunAlreadyCounts)
+{
+  RunTimes times;
+  times.Note(kRoute, Millis(1000));
+  EXPECT_LE(Millis(1000), times.Usual(kRoute));
+}
+
+// Guards against an estimate that doesn't narrow where runs are alike.
+TEST(RunTimes, AlikeRunsAreTakenAtTheirWord)
+{
+  RunTimes times;
+  for (int i = 0; i < 100; ++i) {
+    times.Note(kRoute, Millis(1000));
+  }
+  EXPECT_LE(Millis(999), times.Usual(kRoute));
+  EXPECT_GE(Millis(1001), times.Usual(kRoute));
+}
+
+// Guards against an estimate that half of the runs outlast.
+TEST(RunTimes, FewRunsTakeLonger)
+{
+  RunTimes times;
+  int over = 0;
+  constexpr int kRuns = 1000;
+  for (int i = 0; i < kRuns; ++i) {
+    Millis took(1000 + (i * 7919) % 3000); // spread evenly over 1 s to 4 s
+    over += i > 0 && took > times.Usual(kRoute) ? 1 : 0;
+    times.Note(kRoute, took);
+  }
+  EXPECT_GE(kRuns / 10, over);
+}
+
+// Guards against a route that became slower and still counts as quick.
+TEST(RunTimes, FollowsARouteThatBecomesSlower)
+{
+  RunTimes times;
+  for (int i = 0; i < 100; ++i) {
+    times.Note(kRoute, Millis(100));
+  }
+  for (int i = 0; i < 10; ++i) {
+    times.Note(kRoute, Millis(5000));
+  }
+  EXPECT_LE(Millis(5000), times.Usual(kRoute));
+}
+
+// Guards against one slow run that makes a quick route count as slow for long.
+TEST(RunTimes, OneSlowRunIsSoonForgotten)
+{
+  RunTimes times;
+  for (int i = 0; i < 100; ++i) {
+    times.Note(kRoute, Millis(100));
+  }
+  times.Note(kRoute, Seconds(20));
+  for (int i = 0; i < 10; ++i) {
+    times.Note(kRoute, Millis(100));
+  }
+  EXPECT_GE(Millis(5000), times.Usual(kRoute));
+}
+
+// Guards against routes of old configurations that stay for ever.
+TEST(RunTimes, RoutesAreBounded)
+{
+  RunTimes times;
+  for (int i = 0; i < 20000; ++i) {
+    times.Note("route-" + std::to_string(i), Millis(100));
+  }
+  EXPECT_GE(4096u, times.Size());
+  EXPECT_NE(Millis(0), times.Usual("route-19999"));
+}
+
+} // namespace caraway
