A lease is given up though a write of it is on its way

What callers would see: when the holder of a zone's lease is told to stop just as it renews it, nobody in the zone orders models until the lease ends by itself; one that is just taking it takes it after all, and leaves. Cause: the end of any write under way was taken for the release's own; with none held yet, the release was done at once and the taking came after it. Evidence: LeaseStep.ReleaseDuringARenewalStillGivesItUp (the store still named "a") and ReleaseDuringTheTakingGivesItUp (Holds() true) failed before, and pass now. ReleaseDuringAReadingLeavesOthersAlone passed before and after. Why it works: a release waits for what is on its way, and only the write that it sent itself ends it; what isn't held by then isn't written.

--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -22,7 +22,13 @@
   if (mPending || mReleased || aNow < mNext) {
     return LeaseAction::None;
   }
+  if (mReleasing && (mToken == 0 || aNow >= mUntil)) {
+    mReleased = true;
+    mToken = 0;
+    return LeaseAction::None;
+  }
   if (mReleasing) {
+    mReleaseSent = true;
     mPending = true;
     return LeaseAction::Write;
   }
@@ -66,7 +72,7 @@
 LeaseStep::WantedRecord() const
 {
   LeaseRecord record = mSeen.value_or(LeaseRecord());
-  if (mReleasing) {
+  if (mReleaseSent) {
     record.mHolder.clear();
   } else {
     record.mHolder = mSelf;
@@ -96,7 +102,7 @@
 LeaseStep::OnWritten(int64_t aRevision, TimePoint aAskedAt, TimePoint aNow)
 {
   mPending = false;
-  if (mReleasing) {
+  if (mReleaseSent) {
     mReleased = true;
     mToken = 0;
     return;
@@ -114,14 +120,14 @@
   mSeen = written;
   mSeenAt = aNow;
   mUntil = aAskedAt + mTimes.mLength;
-  mNext = aAskedAt + mTimes.mRenew;
+  mNext = mReleasing ? aNow : aAskedAt + mTimes.mRenew;
 }
 
 void
 LeaseStep::OnConflict(const std::optional<LeaseRecord>& aRecord, TimePoint aNow)
 {
   mPending = false;
-  if (mReleasing) {
+  if (mReleaseSent) {
     mReleased = true;
     mToken = 0;
     return;
@@ -146,7 +152,7 @@
 {
   mPending = false;
   mNext = aNow + mTimes.mRetry;
-  if (mReleasing) {
+  if (mReleaseSent) {
     mReleased = true; // it ends by itself
     mToken = 0;
   }
@@ -174,12 +180,10 @@
 void
 LeaseStep::Release(TimePoint aNow)
 {
-  if (mToken > 0 && aNow < mUntil) {
-    mReleasing = true;
-    mNext = aNow;
-  } else {
-    mReleased = true;
-  }
+  // What is on its way comes first: it may still take or renew the lease.
+  mReleasing = true;
+  mReleased = !mPending && !Holds(aNow);
+  mNext = aNow;
 }
 
 } // namespace caraway
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -90,6 +90,7 @@
   bool mHeard = false;
   bool mPending = false;
   bool mReleasing = false;
+  bool mReleaseSent = false;
   bool mReleased = false;
 };
 
--- a/tests/property/LeaseStepProperty.cpp
+++ b/tests/property/LeaseStepProperty.cpp
@@ -211,4 +211,61 @@
   EXPECT_EQ(LeaseAction::Write, alone.Due(now + Millis(400)));
 }
 
+// Guards against a release that is forgotten because a renewal was on its way:
+// the zone would have no holder until the lease ends by itself.
+TEST(LeaseStep, ReleaseDuringARenewalStillGivesItUp)
+{
+  LeaseObject object;
+  TimePoint now{ Seconds(1000) };
+  LeaseStep step("a", LeaseTimes());
+  Serve(step, object, now);
+  Serve(step, object, now);
+  ASSERT_TRUE(step.Holds(now));
+  now += LeaseTimes().mRenew;
+  ASSERT_EQ(LeaseAction::Write, step.Due(now));
+  LeaseRecord renewal = step.WantedRecord();
+  step.Release(now);
+  step.OnWritten(*object.Write(renewal), now, now);
+  Serve(step, object, now);
+  EXPECT_TRUE(step.Released());
+  EXPECT_FALSE(step.Holds(now));
+  EXPECT_EQ("", object.mRecord->mHolder);
+}
+
+// Guards against an instance that leaves and takes the lease after all, because
+// its write was on its way.
+TEST(LeaseStep, ReleaseDuringTheTakingGivesItUp)
+{
+  LeaseObject object;
+  TimePoint now{ Seconds(1000) };
+  LeaseStep step("a", LeaseTimes());
+  Serve(step, object, now);
+  ASSERT_EQ(LeaseAction::Write, step.Due(now));
+  LeaseRecord taking = step.WantedRecord();
+  step.Release(now);
+  step.OnWritten(*object.Write(taking), now, now);
+  Serve(step, object, now);
+  EXPECT_TRUE(step.Released());
+  EXPECT_FALSE(step.Holds(now));
+  EXPECT_EQ("", object.mRecord->mHolder);
+}
+
+// Guards against a release that clears another's lease, which was being read.
+TEST(LeaseStep, ReleaseDuringAReadingLeavesOthersAlone)
+{
+  LeaseObject object;
+  TimePoint now{ Seconds(1000) };
+  LeaseStep other("b", LeaseTimes());
+  Serve(other, object, now);
+  Serve(other, object, now);
+  LeaseStep step("a", LeaseTimes());
+  ASSERT_EQ(LeaseAction::Read, step.Due(now));
+  step.Release(now);
+  step.OnRead(object.mRecord, now);
+  Serve(step, object, now);
+  Serve(step, object, now + Seconds(10));
+  EXPECT_TRUE(step.Released());
+  EXPECT_EQ("b", object.mRecord->mHolder);
+}
+
 } // namespace caraway
