A last answer isn't cut while its reader reads on

What callers would see: an answer with "Connection: close", as all are while an instance leaves, ends early when its caller takes more than three seconds to read it. Cause: the time for the last output was counted from its first byte, whatever was read since. Evidence: Channel.LastOutputReachesASlowReader (a reader of 2 MB every 0.4 s) failed before and passes now; LastOutputIsGivenUpOnceNobodyReads passed before and after. Why it works: the time begins again as long as the queue shrinks. An instance's end still ends it.

--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -321,8 +321,14 @@
 {
   std::weak_ptr<Channel> weak = weak_from_this();
   mReactor.Cancel(mTimer);
-  mTimer = mReactor.After(aMost, [weak] {
-    if (auto alive = weak.lock()) {
+  mTimer = mReactor.After(aMost, [weak, aMost, left = mOutput.size()] {
+    auto alive = weak.lock();
+    if (!alive) {
+      return;
+    }
+    if (alive->mOutput.size() < left) {
+      alive->LingerFor(alive->mOutput.empty() ? kLinger : aMost);
+    } else {
       alive->EndLinger();
     }
   });
--- a/tests/unit/ChannelTest.cpp
+++ b/tests/unit/ChannelTest.cpp
@@ -36,4 +36,54 @@
   EXPECT_EQ(0u, writer->Queued());
 }
 
+// Guards against a last answer that is cut though its reader, a slow one, still
+// reads it.
+TEST(Channel, LastOutputReachesASlowReader)
+{
+  BootClock clock;
+  Reactor reactor(clock);
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket reader(listener.address());
+  auto writer = Channel::Accepted(reactor, listener.acceptConnection());
+  constexpr size_t kBytes = 32u << 20;
+  constexpr size_t kAtOnce = 2u << 20;
+  writer->Write(std::string(kBytes, 'x'));
+  writer->Finish();
+  size_t got = 0;
+  std::string bytes(kAtOnce, ' ');
+  for (size_t from = 0; from < kBytes; from += kAtOnce) {
+    TimePoint until = clock.Now() + Millis(400);
+    while (clock.Now() < until) {
+      reactor.Turn(Millis(20));
+    }
+    size_t part = 0;
+    int count = 1;
+    while (part < kAtOnce && count > 0) {
+      reactor.Turn(Millis(0));
+      count =
+        reader.receiveBytes(bytes.data(), static_cast<int>(kAtOnce - part));
+      part += count > 0 ? static_cast<size_t>(count) : 0;
+    }
+    got += part;
+  }
+  EXPECT_EQ(kBytes, got);
+}
+
+// Guards against a reader that has stopped and holds its connection for ever.
+TEST(Channel, LastOutputIsGivenUpOnceNobodyReads)
+{
+  BootClock clock;
+  Reactor reactor(clock);
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket reader(listener.address());
+  auto writer = Channel::Accepted(reactor, listener.acceptConnection());
+  writer->Write(std::string(32u << 20, 'x'));
+  writer->Finish();
+  TimePoint until = clock.Now() + Seconds(8);
+  while (writer->Open() && clock.Now() < until) {
+    reactor.Turn(Millis(20));
+  }
+  EXPECT_FALSE(writer->Open());
+}
+
 } // namespace caraway
