Who waits for tokens that were given away is sent to another instance

What callers saw: 429 for the tenant's rate from an instance that leaves, though the tenant is within it; they stay away as long as the answer says. Cause: a request that waited for tokens as the instance gave them away was refused by what was left, which is nothing. Evidence: LeavingEntry.WaitingForTokensThatAreGivenAwayIsntAboutTheRate failed before (429) and passes now. Why it works: a refusal by rate is asked whether the instance still admits, as a new request is.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -120,10 +120,7 @@
   if (!mFacts.mAdapter.empty()) {
     mState.CountDemand(FullName(), mArrived);
   }
-  // Once callers are no longer expected, tenants' tokens have been given away.
-  bool admits =
-    !mState.mLeave.Leaving() || mState.mLeave.ExpectsCallers(mArrived);
-  if (!admits || !MayStart(mArrived)) {
+  if (!Admits() || !MayStart(mArrived)) {
     RefuseAsLeaving();
     return;
   }
@@ -197,6 +194,11 @@
 Exchange::OnTokens(const TokenAnswer& aAnswer)
 {
   mGrant = aAnswer.mGrant;
+  // Its tokens may have been given away while it waited for them.
+  if (!mGrant && !Admits()) {
+    RefuseAsLeaving();
+    return;
+  }
   if (!mGrant) {
     Refuse(ErrorKind::RateExceeded, aAnswer.mAfter, "tenant's rate");
     return;
@@ -241,6 +243,13 @@
   return true;
 }
 
+// Once callers are no longer expected, tenants' tokens have been given away.
+bool
+Exchange::Admits() const
+{
+  return !mState.mLeave.Leaving() || mState.mLeave.ExpectsCallers(mState.Now());
+}
+
 bool
 Exchange::MayStart(TimePoint aStart) const
 {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -60,6 +60,7 @@
   bool ServersGone(const ServerChoice& aChoice) const;
   bool GiveUpIfHopeless(const ServerChoice& aChoice);
   void RefuseAsLate(Millis aWait, bool aHeld);
+  bool Admits() const;
   // This instance may send it to a server at aStart; false while it leaves and
   // its end would cut the request.
   bool MayStart(TimePoint aStart) const;
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -61,6 +61,18 @@
   return whole ? head.mStatus : 0;
 }
 
+constexpr char kInstancesKind[] = "caraway-instances";
+
+// The instances don't run, everything else does.
+void
+StandStill(EntryWorld& aWorld, Millis aTime)
+{
+  TimePoint until = aWorld.mClock.Now() + aTime;
+  while (aWorld.mClock.Now() < until) {
+    aWorld.mReactor.Turn(Millis(10));
+  }
+}
+
 bool
 AwaitGone(EntryWorld& aWorld)
 {
@@ -258,4 +270,33 @@
                            "\"instance_ends\",\"id\":\"r1\""));
 }
 
+// Guards against a request that waits for its tenant's tokens as the instance
+// gives them away, and is refused for the tenant's rate.
+TEST(LeavingEntry, WaitingForTokensThatAreGivenAwayIsntAboutTheRate)
+{
+  EntryWorld world;
+  world.mConfig["tenants"][0]["ratePerS"] = 20;
+  world.mConfig["tenants"][0]["burst"] = 40;
+  for (Json::Value& route : world.mConfig["routes"]) {
+    route["targetLatencyMs"] = 8000; // an eighth of it waits for tokens
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  world.For(Seconds(3)); // the bucket fills
+  world.mInstances[0]->Leave();
+  world.For(Millis(2250));
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 5; ++i) {
+    calls.push_back(
+      world.Send(0, "/order/x", "r" + std::to_string(i), kLongPlain));
+  }
+  EXPECT_TRUE(AwaitGone(world));
+  int refused = 0;
+  for (const CallerPtr& call : calls) {
+    EXPECT_TRUE(call->mStatus == 200 || call->mStatus == 503) << call->mStatus;
+    refused += call->mStatus == 200 ? 0 : 1;
+  }
+  EXPECT_LT(0, refused);
+}
+
 } // namespace caraway
