Who is still sending a request when the instance ends gets an answer

What callers saw: a closed connection in the middle of their body, which promises nothing; a request that isn't repeatable is given up. Cause: last answers went to whole requests only. Evidence: LeavingEntry.RequestThatIsntWholeAtTheEndIsRefused failed before (no answer) and passes now (503). Why it works: nothing of such a request went to a server, so that a refusal is true; it goes out with the other last answers.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -207,6 +207,7 @@
     mState.mLog.Line("last_answers")
       .Count("under_way", static_cast<int64_t>(mFront.UnderWay()));
     mFront.AnswerAll();
+    mCallers->RefuseUnread();
   }
   bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed();
   if (done || now >= mState.mLeave.End() + kLastAnswers) {
--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -174,11 +174,11 @@
 }
 
 void
-InboundConn::Reject(int aStatus, const char* aWhy)
+InboundConn::Reject(int aStatus, const char* aWhy, ConnEndReason aReason)
 {
   mHandler.OnBad(aStatus, aWhy);
   mBusy = true;
-  mWhyLast = ConnEndReason::Unreadable;
+  mWhyLast = aReason;
   Answer(aStatus, {}, "", false);
 }
 
@@ -323,6 +323,19 @@
   }
 }
 
+void
+InboundConn::RefuseUnread()
+{
+  if (!Open() || mEnding || mBusy) {
+    return;
+  }
+  mChannel->ReadNow(); // it may be whole now
+  bool partial = mReader || !mChannel->Input().empty();
+  if (Open() && !mEnding && !mBusy && partial) {
+    Reject(503, "instance ends", ConnEndReason::InstanceEnds);
+  }
+}
+
 void
 InboundConn::CheckTimes(TimePoint aNow)
 {
--- a/src/entry/InboundConn.h
+++ b/src/entry/InboundConn.h
@@ -76,6 +76,8 @@
 
   // Closes it if no request is being read or answered, and none has arrived.
   void CloseIfIdle(ConnEndReason aReason);
+  // Refuses the request that is still being read.
+  void RefuseUnread();
   bool Open() const { return mChannel->Open(); }
   bool Busy() const { return mBusy; }
   bool Idle() const;
@@ -90,7 +92,9 @@
   void ReadNext();
   bool ReadHead();
   bool ReadBody();
-  void Reject(int aStatus, const char* aWhy);
+  void Reject(int aStatus,
+              const char* aWhy,
+              ConnEndReason aReason = ConnEndReason::Unreadable);
   void AfterAnswer(bool aKeep);
   const CallerLimits& Limits();
   void TellEnd(ConnEndReason aReason);
--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -107,6 +107,14 @@
   }
 }
 
+void
+ListenPort::RefuseUnread()
+{
+  for (const auto& conn : mConns) {
+    conn->RefuseUnread();
+  }
+}
+
 void
 ListenPort::EndAll()
 {
--- a/src/entry/ListenPort.h
+++ b/src/entry/ListenPort.h
@@ -29,6 +29,8 @@
   void Close();
   // Closes connections on which nothing has been under way for aQuiet.
   void CloseIdle(ConnEndReason aReason, Millis aQuiet);
+  // Refuses requests that aren't read to their end.
+  void RefuseUnread();
   // Ends all connections, as the process does.
   void EndAll();
   // Forgets closed connections, ends those that are too slow or idle.
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -270,6 +270,24 @@
                            "\"instance_ends\",\"id\":\"r1\""));
 }
 
+// Guards against a caller who is still sending when the instance ends, and gets
+// a closed connection for an answer: it can't tell that nothing ran.
+TEST(LeavingEntry, RequestThatIsntWholeAtTheEndIsRefused)
+{
+  EntryWorld world(TwoInstances());
+  world.mConfig["limits"]["idleTimeoutMs"] = 20000;
+  world.Configure();
+  world.AwaitReady();
+  std::string text = world.RequestText("/order/x", "r1", kLongPlain);
+  CallerPtr call = world.SendRaw(0, text.substr(0, text.size() - 1));
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  world.Until([&] { return call->mWhole; }, Millis(300));
+  EXPECT_EQ(503, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+}
+
 // Guards against a request that waits for its tenant's tokens as the instance
 // gives them away, and is refused for the tenant's rate.
 TEST(LeavingEntry, WaitingForTokensThatAreGivenAwayIsntAboutTheRate)
