An instance ends only once its zone is told

What callers would see: 429 for tenants within their rate, for seconds: mates leave the part of an instance unused that has gone without a word. Cause: with no caller connected the process ended in the very turn in which it began to say goodbye, and nothing was sent. Evidence: LeavingEntry.GoodbyesAreSentThoughNobodyIsConnected failed before (the instance's entry was still in the store, and its mate counted two members) and passes now. Why it works: the end waits for the answer to that call, which has a time limit of its own; the last moment stays the same.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -209,7 +209,8 @@
     mFront.AnswerAll();
     mCallers->RefuseUnread();
   }
-  bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed();
+  bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed() &&
+              !mMembers.SaysGoodbye();
   if (done || now >= mState.mLeave.End() + kLastAnswers) {
     mCallers->EndAll();
     mState.mLog.Line("left").Ms("after_ms", mState.AgeOf(mLeavingSince));
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -215,11 +215,13 @@
   if (mRevision == 0 || mJoining) {
     return;
   }
+  mSaysGoodbye = true;
   Json::Value note;
   note["name"] = mState.mSettings.mName;
   mStore.Call("leave",
               wire::DeleteCall(kKind, mState.mSettings.mName, mRevision),
               [this, note](StoreOutcome aOutcome, const std::string&) {
+                mSaysGoodbye = false;
                 if (aOutcome == StoreOutcome::Done) {
                   mPeers.SendNoteInZone(kLeft, note);
                 }
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -24,6 +24,8 @@
   void Start();
   // Tells the zone that this instance spends nothing from now on.
   void Leave();
+  // The zone isn't told yet.
+  bool SaysGoodbye() const { return mSaysGoodbye; }
   // Called when MaySpend() or OfZone() may be different.
   void OnChange(std::function<void()> aChange)
   {
@@ -65,6 +67,7 @@
   std::map<std::string, StoreObject> mEntries; // of the zone, as listed
   std::set<std::string> mAsking;               // mates, to be counted
   bool mJoining = false;                       // a write of the entry is due
+  bool mSaysGoodbye = false;                   // its entry is being removed
   bool mToldCounted = false;                   // by the entry
   bool mForgetting = false;
   bool mTold = false; // what the last log line said
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -270,6 +270,29 @@
                            "\"instance_ends\",\"id\":\"r1\""));
 }
 
+// Guards against a process that ends with its goodbyes unsent when no caller
+// is connected: its mates leave its part of the tenants' tokens unused.
+TEST(LeavingEntry, GoodbyesAreSentThoughNobodyIsConnected)
+{
+  EntryWorld world(TwoInstances());
+  world.mConfig["tenants"][0]["ratePerS"] = 20;
+  world.mConfig["tenants"][0]["burst"] = 40;
+  world.Configure();
+  world.AwaitReady();
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  world.For(Millis(200));
+  EXPECT_TRUE(world.mStore->Spec(kInstancesKind, "i0").isNull());
+  const std::string two = "\"members\":2";
+  int before = world.LogLines(1, two);
+  for (int i = 0; i < 20; ++i) {
+    world.Send(1, "/order/x", "r" + std::to_string(i));
+  }
+  world.For(Millis(300));
+  EXPECT_LT(0, world.LogLines(1, "\"event\":\"tokens_refused\""));
+  EXPECT_EQ(before, world.LogLines(1, two));
+}
+
 // Guards against a caller who is still sending when the instance ends, and gets
 // a closed connection for an answer: it can't tell that nothing ran.
 TEST(LeavingEntry, RequestThatIsntWholeAtTheEndIsRefused)
