The grace that holds at SIGTERM is the one that is granted

What callers would see: connections closed without an answer, when the granted time was shortened without a signal in the second before SIGTERM: the instance plans by the older one and is killed first. Cause: the file is looked at once a second, and a leave planned by what was read last. Evidence: SettingsWatch.ChangeIsInForceAtOnceWhenLookedAt is new with the method that it tests; that main calls it before a leave has no test. Why it works: the file is looked at as SIGTERM is handled.

--- a/src/entry/SettingsWatch.cpp
+++ b/src/entry/SettingsWatch.cpp
@@ -27,11 +27,15 @@
 void
 SettingsWatch::Start()
 {
-  mState.mReactor.Every(kLook, [this] {
-    if (LookAtFile() != mSeen) {
-      Reload("file changed");
-    }
-  });
+  mState.mReactor.Every(kLook, [this] { LookNow(); });
+}
+
+void
+SettingsWatch::LookNow()
+{
+  if (LookAtFile() != mSeen) {
+    Reload("file changed");
+  }
 }
 
 SettingsWatch::Look
--- a/src/entry/SettingsWatch.h
+++ b/src/entry/SettingsWatch.h
@@ -29,6 +29,8 @@
   // Looks at the file now and then, from now on.
   void Start();
   void Reload(const char* aWhy);
+  // Reads it again if it looks different.
+  void LookNow();
 
 private:
   using Look = std::pair<int64_t, int64_t>; // time of change, bytes
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -102,7 +102,8 @@
       if (sReload.exchange(false)) {
         settings.Reload("signal");
       }
-      if (sLeave) {
+      if (sLeave.exchange(false)) {
+        settings.LookNow(); // the time that is granted may have changed
         daemon.Leave();
       }
     }
--- a/tests/unit/SettingsWatchTest.cpp
+++ b/tests/unit/SettingsWatchTest.cpp
@@ -61,4 +61,19 @@
   std::remove(path.c_str());
 }
 
+// Guards against a process that is told to stop and goes by a grace that the
+// platform has changed: it would be killed with its last answers unsent.
+TEST(SettingsWatch, ChangeIsInForceAtOnceWhenLookedAt)
+{
+  std::string path = testing::TempDir() + "settings-watch-now.txt";
+  Write(path, "12");
+  BootClock clock;
+  EntryState state(clock, EntrySettings(), -1);
+  SettingsWatch watch(state, path, ReadGrace);
+  watch.Start();
+  Write(path, "4 ");
+  watch.LookNow();
+  EXPECT_EQ(Seconds(4), state.mSettings.mGrace);
+}
+
 } // namespace caraway
