--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -293,6 +293,62 @@
   EXPECT_EQ(before, world.LogLines(1, two));
 }
 
+// Guards against a request that an instance reads late, because it stood still,
+// and begins as if it had come in time.
+TEST(LeavingEntry, RequestReadLateAfterAStandstillIsRefused)
+{
+  EntryWorld world(TwoInstances());
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(5);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr kept = world.SendRaw(0, "");
+  world.For(Millis(100));
+  world.mInstances[0]->Leave();
+  world.For(Millis(2000));
+  kept->mChannel->Write(world.RequestText("/order/x", "r1", kLongPlain));
+  CallerPtr late = world.Send(0, "/order/x", "r2", kLongPlain);
+  StandStill(world, Millis(2700));
+  EXPECT_TRUE(AwaitGone(world));
+  for (const CallerPtr& call : { kept, late }) {
+    EXPECT_EQ(503, call->mStatus);
+    EXPECT_TRUE(call->mWhole);
+  }
+  EXPECT_EQ(0, world.RunsOf("r1") + world.RunsOf("r2"));
+}
+
+// Guards against an instance that stood still over its end and leaves without
+// the last answers.
+TEST(LeavingEntry, StandstillOverTheEndStillGivesLastAnswers)
+{
+  EntryWorld world;
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(20);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/order/x", "r1", kLongPlain);
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  world.For(Millis(7300));
+  StandStill(world, Millis(450));
+  EXPECT_TRUE(AwaitGone(world));
+  world.Until([&] { return call->mWhole; }, Millis(300));
+  EXPECT_EQ(502, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+}
+
+// Guards against a SIGTERM during the start that leaves callers unanswered.
+TEST(LeavingEntry, ToldToStopAsItStartsItAnswersAndGoes)
+{
+  EntryWorld world;
+  world.mInstances[0]->Leave();
+  CallerPtr call = world.Call(0, "/order/x", "r1");
+  EXPECT_TRUE(call->mWhole);
+  EXPECT_TRUE(AwaitGone(world));
+}
+
 // Guards against a caller who is still sending when the instance ends, and gets
 // a closed connection for an answer: it can't tell that nothing ran.
 TEST(LeavingEntry, RequestThatIsntWholeAtTheEndIsRefused)
@@ -340,4 +396,28 @@
   EXPECT_LT(0, refused);
 }
 
+// Guards against requests that wait for a busy server at a leave and are sent
+// away though a place comes free in time.
+TEST(LeavingEntry, WaitingRequestThatFitsIsServed)
+{
+  EntryPlan plan = TwoInstances();
+  plan.mPlain = 1;
+  EntryWorld world(plan);
+  world.mConfig["services"][0]["maxConns"] = 1;
+  world.mConfig["routes"][1]["timeoutMs"] = 5000;
+  world.Configure();
+  world.mPlain[0]->mWork = Millis(100);
+  world.AwaitReady();
+  world.mInstances[0]->Leave();
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 12; ++i) {
+    calls.push_back(world.Send(
+      0, "/order/x", "r" + std::to_string(i), { { wire::kDeadline, "5000" } }));
+  }
+  EXPECT_TRUE(AwaitGone(world));
+  for (const CallerPtr& call : calls) {
+    EXPECT_EQ(200, call->mStatus);
+  }
+}
+
 } // namespace caraway
--- a/tests/platform/OpenConnectionsTest.cpp
+++ b/tests/platform/OpenConnectionsTest.cpp
@@ -133,4 +133,26 @@
     world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Seconds(1)));
 }
 
+// Guards against a caller that sends many requests at once on one connection
+// and loses some of them, or gets them answered out of order.
+TEST(OpenConnections, RequestsSentAtOnceAreAnsweredInOrder)
+{
+  EntryWorld world;
+  world.AwaitReady();
+  std::string text;
+  for (int i = 0; i < 50; ++i) {
+    text += world.RequestText("/order/x", "r" + std::to_string(i));
+  }
+  CallerPtr call = world.SendRaw(0, text);
+  world.Until([&] { return world.RunsOf("r49") > 0; }, Seconds(5));
+  world.For(Millis(200));
+  size_t at = 0;
+  for (int i = 0; i < 50; ++i) {
+    std::string field =
+      std::string(wire::kRequestId) + ": r" + std::to_string(i) + "\r\n";
+    at = call->mBytes.find(field, at);
+    ASSERT_NE(std::string::npos, at) << i;
+  }
+}
+
 } // namespace caraway
