--- a/tests/platform/OpenConnectionsTest.cpp
+++ b/tests/platform/OpenConnectionsTest.cpp
@@ -133,6 +133,35 @@
     world.Until([&] { return world.mEngines[0]->mLeft == 1; }, Seconds(1)));
 }
 
+// Guards against a caller that goes while input waits unread here and its
+// server says nothing: the server would work on for nobody.
+TEST(OpenConnections, CallerThatSendsAheadAndGoesIsNoticedInSilence)
+{
+  EntryWorld world;
+  world.mConfig["limits"]["maxHeaderBytes"] = 2000;
+  world.mConfig["limits"]["maxBodyBytes"] = 2000;
+  for (Json::Value& route : world.mConfig["routes"]) {
+    route["timeoutMs"] = 25000;
+  }
+  world.Configure();
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(5);
+  }
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/order/x", "r1", kLong);
+  ASSERT_TRUE(world.Until(
+    [&] {
+      return world.mPlain[0]->mArrivals + world.mPlain[1]->mArrivals == 1;
+    },
+    Seconds(2)));
+  call->mChannel->Write(std::string(100000, 'x'));
+  world.For(Millis(300));
+  call->mChannel->Close();
+  EXPECT_TRUE(world.Until(
+    [&] { return world.mPlain[0]->mLeft + world.mPlain[1]->mLeft == 1; },
+    Millis(1500)));
+}
+
 // Guards against a caller that sends many requests at once on one connection
 // and loses some of them, or gets them answered out of order.
 TEST(OpenConnections, RequestsSentAtOnceAreAnsweredInOrder)
