--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -207,8 +207,10 @@
     mState.mLog.Line("last_answers")
       .Count("under_way", static_cast<int64_t>(mFront.UnderWay()));
     mFront.AnswerAll();
+    mCallers->RefuseUnread();
   }
-  bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed();
+  bool done = closed && mFront.UnderWay() == 0 && mCallers->AllClosed() &&
+              !mMembers.SaysGoodbye();
   if (done || now >= mState.mLeave.End() + kLastAnswers) {
     mCallers->EndAll();
     mState.mLog.Line("left").Ms("after_ms", mState.AgeOf(mLeavingSince));
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -106,8 +106,7 @@
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
   SetTimes();
   CountDemand();
-  // Once callers are no longer expected, tenants' tokens have been given away.
-  if (!mState.mLeave.ExpectsCallers(mArrived) || !MayStart(mArrived)) {
+  if (!Admits() || !MayStart(mArrived)) {
     RefuseAsLeaving();
     return;
   }
@@ -214,6 +213,11 @@
 Exchange::OnTokens(const TokenAnswer& aAnswer)
 {
   mGrant = aAnswer.mGrant;
+  // Its tokens may have been given away while it waited for them.
+  if (!mGrant && !Admits()) {
+    RefuseAsLeaving();
+    return;
+  }
   if (!mGrant) {
     Refuse(ErrorKind::RateExceeded, aAnswer.mAfter, "tenant's rate");
     return;
@@ -258,6 +262,13 @@
   return true;
 }
 
+// Once callers are no longer expected, tenants' tokens have been given away.
+bool
+Exchange::Admits() const
+{
+  return mState.mLeave.ExpectsCallers(mState.Now());
+}
+
 bool
 Exchange::MayStart(TimePoint aStart) const
 {
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -61,6 +61,18 @@
   return whole ? head.mStatus : 0;
 }
 
+constexpr char kInstancesKind[] = "caraway-instances";
+
+// The instances don't run, everything else does.
+void
+StandStill(EntryWorld& aWorld, Millis aTime)
+{
+  TimePoint until = aWorld.mClock.Now() + aTime;
+  while (aWorld.mClock.Now() < until) {
+    aWorld.mReactor.Turn(Millis(10));
+  }
+}
+
 bool
 AwaitGone(EntryWorld& aWorld)
 {
@@ -258,4 +270,154 @@
                            "\"instance_ends\",\"id\":\"r1\""));
 }
 
+// Guards against a process that ends with its goodbyes unsent when no caller
+// is connected: its mates leave its part of the tenants' tokens unused.
+TEST(LeavingEntry, GoodbyesAreSentThoughNobodyIsConnected)
+{
+  EntryWorld world(TwoInstances());
+  world.mConfig["tenants"][0]["ratePerS"] = 20;
+  world.mConfig["tenants"][0]["burst"] = 40;
+  world.Configure();
+  world.AwaitReady();
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  world.For(Millis(200));
+  EXPECT_TRUE(world.mStore->Spec(kInstancesKind, "i0").isNull());
+  const std::string two = "\"members\":2";
+  int before = world.LogLines(1, two);
+  for (int i = 0; i < 20; ++i) {
+    world.Send(1, "/order/x", "r" + std::to_string(i));
+  }
+  world.For(Millis(300));
+  EXPECT_LT(0, world.LogLines(1, "\"event\":\"tokens_refused\""));
+  EXPECT_EQ(before, world.LogLines(1, two));
+}
+
+// Guards against a request that an instance reads late, because it stood still,
+// and begins as if it had come in time.
+TEST(LeavingEntry, RequestReadLateAfterAStandstillIsRefused)
+{
+  EntryWorld world(TwoInstances());
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(5);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr kept = world.SendRaw(0, "");
+  world.For(Millis(100));
+  world.mInstances[0]->Leave();
+  world.For(Millis(2000));
+  kept->mChannel->Write(world.RequestText("/order/x", "r1", kLongPlain));
+  CallerPtr late = world.Send(0, "/order/x", "r2", kLongPlain);
+  StandStill(world, Millis(2700));
+  EXPECT_TRUE(AwaitGone(world));
+  for (const CallerPtr& call : { kept, late }) {
+    EXPECT_EQ(503, call->mStatus);
+    EXPECT_TRUE(call->mWhole);
+  }
+  EXPECT_EQ(0, world.RunsOf("r1") + world.RunsOf("r2"));
+}
+
+// Guards against an instance that stood still over its end and leaves without
+// the last answers.
+TEST(LeavingEntry, StandstillOverTheEndStillGivesLastAnswers)
+{
+  EntryWorld world;
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(20);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/order/x", "r1", kLongPlain);
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  world.For(Millis(7300));
+  StandStill(world, Millis(450));
+  EXPECT_TRUE(AwaitGone(world));
+  world.Until([&] { return call->mWhole; }, Millis(300));
+  EXPECT_EQ(502, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+}
+
+// Guards against a SIGTERM during the start that leaves callers unanswered.
+TEST(LeavingEntry, ToldToStopAsItStartsItAnswersAndGoes)
+{
+  EntryWorld world;
+  world.mInstances[0]->Leave();
+  CallerPtr call = world.Call(0, "/order/x", "r1");
+  EXPECT_TRUE(call->mWhole);
+  EXPECT_TRUE(AwaitGone(world));
+}
+
+// Guards against a caller who is still sending when the instance ends, and gets
+// a closed connection for an answer: it can't tell that nothing ran.
+TEST(LeavingEntry, RequestThatIsntWholeAtTheEndIsRefused)
+{
+  EntryWorld world(TwoInstances());
+  world.mConfig["limits"]["idleTimeoutMs"] = 20000;
+  world.Configure();
+  world.AwaitReady();
+  std::string text = world.RequestText("/order/x", "r1", kLongPlain);
+  CallerPtr call = world.SendRaw(0, text.substr(0, text.size() - 1));
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitGone(world));
+  world.Until([&] { return call->mWhole; }, Millis(300));
+  EXPECT_EQ(503, call->mStatus);
+  EXPECT_TRUE(call->mWhole);
+}
+
+// Guards against a request that waits for its tenant's tokens as the instance
+// gives them away, and is refused for the tenant's rate.
+TEST(LeavingEntry, WaitingForTokensThatAreGivenAwayIsntAboutTheRate)
+{
+  EntryWorld world;
+  world.mConfig["tenants"][0]["ratePerS"] = 20;
+  world.mConfig["tenants"][0]["burst"] = 40;
+  for (Json::Value& route : world.mConfig["routes"]) {
+    route["targetLatencyMs"] = 8000; // an eighth of it waits for tokens
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  world.For(Seconds(3)); // the bucket fills
+  world.mInstances[0]->Leave();
+  world.For(Millis(2250));
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 5; ++i) {
+    calls.push_back(
+      world.Send(0, "/order/x", "r" + std::to_string(i), kLongPlain));
+  }
+  EXPECT_TRUE(AwaitGone(world));
+  int refused = 0;
+  for (const CallerPtr& call : calls) {
+    EXPECT_TRUE(call->mStatus == 200 || call->mStatus == 503) << call->mStatus;
+    refused += call->mStatus == 200 ? 0 : 1;
+  }
+  EXPECT_LT(0, refused);
+}
+
+// Guards against requests that wait for a busy server at a leave and are sent
+// away though a place comes free in time.
+TEST(LeavingEntry, WaitingRequestThatFitsIsServed)
+{
+  EntryPlan plan = TwoInstances();
+  plan.mPlain = 1;
+  EntryWorld world(plan);
+  world.mConfig["services"][0]["maxConns"] = 1;
+  world.mConfig["routes"][1]["timeoutMs"] = 5000;
+  world.Configure();
+  world.mPlain[0]->mWork = Millis(100);
+  world.AwaitReady();
+  world.mInstances[0]->Leave();
+  std::vector<CallerPtr> calls;
+  for (int i = 0; i < 12; ++i) {
+    calls.push_back(world.Send(
+      0, "/order/x", "r" + std::to_string(i), { { wire::kDeadline, "5000" } }));
+  }
+  EXPECT_TRUE(AwaitGone(world));
+  for (const CallerPtr& call : calls) {
+    EXPECT_EQ(200, call->mStatus);
+  }
+}
+
 } // namespace caraway
