A caller that goes while its input waits unread is noticed

Callers saw nothing; a server worked on for a caller that had gone: while reading is held back, an end of the caller isn't read. Evidence: OpenConnections.CallerThatSendsAheadAndGoesIsNoticedInSilence. As strict as before. Not seen: an end that lies behind more than the socket's buffer holds.

--- a/src/entry/InboundConn.cpp
+++ b/src/entry/InboundConn.cpp
@@ -339,6 +339,7 @@
 void
 InboundConn::CheckTimes(TimePoint aNow)
 {
+  mChannel->EndIfLeft();
   if (mBusy || !Open()) {
     return;
   }
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -159,6 +159,21 @@
   }
 }
 
+void
+Channel::EndIfLeft()
+{
+  if (!mOpen || mReading || mFinishing) {
+    return;
+  }
+  tcp_info info = {};
+  socklen_t size = sizeof info;
+  int failed = getsockopt(
+    mSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  if (failed == 0 && info.tcpi_state == TCP_CLOSE_WAIT) {
+    End(ChannelEnd::Closed);
+  }
+}
+
 void
 Channel::StopSending()
 {
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -55,9 +55,10 @@
   void FinishUnread();
   // Takes in what has arrived already, as when the socket is readable.
   void ReadNow() { OnReadable(); }
-  // False: what arrives waits with the sender, and its end isn't noticed
-  // before something is written.
+  // False: what arrives waits with the sender; see EndIfLeft.
   void SetReading(bool aReading);
+  // While nothing is read, an end of the other side isn't noticed: told now.
+  void EndIfLeft();
 
   std::string& Input() { return mInput; }
   size_t Queued() const { return mOutput.size(); }
--- a/tests/platform/OpenConnectionsTest.cpp
+++ b/tests/platform/OpenConnectionsTest.cpp
@@ -148,7 +148,8 @@
     server->mWork = Seconds(5);
   }
   world.AwaitReady();
-  CallerPtr call = world.Send(0, "/order/x", "r1", kLong);
+  CallerPtr call =
+    world.Send(0, "/order/x", "r1", { { wire::kDeadline, "25000" } });
   ASSERT_TRUE(world.Until(
     [&] {
       return world.mPlain[0]->mArrivals + world.mPlain[1]->mArrivals == 1;
