A grace that is shortened during a leave holds for it

What callers would see: connections closed without an answer: an instance whose granted time was shortened after SIGTERM is killed before its own end. Cause: the plan of a leave is made at its beginning and kept; the code before it looked at the settings of now. Evidence: with Shorten() not called by the daemon, LeavingEntry.GraceThatIsShortenedHoldsForTheLeaveUnderWay failed (no answer 2.9 s later), and passes now. Why it works: the end moves with the settings, and only towards now. What was begun for the longer time gets a last answer at the new end; a longer grace changes nothing.

--- a/src/decide/LeavePlan.cpp
+++ b/src/decide/LeavePlan.cpp
@@ -8,11 +8,23 @@
 LeavePlan::Begin(TimePoint aNow, const LeaveTimes& aTimes)
 {
   mLeaving = true;
+  mBegan = aNow;
+  mTimes = aTimes;
+  Shorten(aTimes.mGrace);
+}
+
+void
+LeavePlan::Shorten(Millis aGrace)
+{
+  if (!mLeaving) {
+    return;
+  }
   // With little time granted, most of it is for what is under way.
   constexpr int kCallersPart = 3;
-  mCallersUntil =
-    aNow + std::min(aTimes.mBalancerLag, aTimes.mGrace / kCallersPart);
-  mEnd = aNow + std::max(aTimes.mGrace - aTimes.mEndMargin, Millis(0));
+  Millis callers = std::min(mTimes.mBalancerLag, aGrace / kCallersPart);
+  Millis work = std::max(aGrace - mTimes.mEndMargin, Millis(0));
+  mCallersUntil = std::min(mCallersUntil, mBegan + callers);
+  mEnd = std::min(mEnd, mBegan + work);
 }
 
 bool
--- a/src/decide/LeavePlan.h
+++ b/src/decide/LeavePlan.h
@@ -21,6 +21,8 @@
 {
 public:
   void Begin(TimePoint aNow, const LeaveTimes& aTimes);
+  // The granted time is aGrace now: the end may come sooner, never later.
+  void Shorten(Millis aGrace);
   bool Leaving() const { return mLeaving; }
 
   // Callers are still sent here; afterwards tenants' tokens are given away.
@@ -36,6 +38,8 @@
 
 private:
   bool mLeaving = false;
+  TimePoint mBegan{};
+  LeaveTimes mTimes;
   TimePoint mCallersUntil = TimePoint::max();
   TimePoint mEnd = TimePoint::max();
 };
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -196,6 +196,7 @@
 EntryDaemon::CheckLeaving()
 {
   TimePoint now = mState.Now();
+  mState.mLeave.Shorten(mState.mSettings.mGrace); // it may have changed
   bool closed = !mState.mLeave.ExpectsCallers(now);
   if (closed) {
     mCallers->Close();
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -420,4 +420,23 @@
   }
 }
 
+// Guards against an instance that is killed with its last answers unsent,
+// because the granted time was shortened while it left.
+TEST(LeavingEntry, GraceThatIsShortenedHoldsForTheLeaveUnderWay)
+{
+  EntryWorld world;
+  for (auto& server : world.mPlain) {
+    server->mWork = Seconds(20);
+  }
+  LetRequestsLast(world);
+  world.AwaitReady();
+  CallerPtr call = world.Send(0, "/order/x", "r1", kLongPlain);
+  world.For(Millis(200));
+  world.mInstances[0]->Leave();
+  world.For(Seconds(1));
+  world.mInstances[0]->State().mSettings.mGrace = Seconds(4);
+  EXPECT_TRUE(world.Until([&] { return call->mWhole; }, Millis(2900)));
+  EXPECT_EQ(502, call->mStatus);
+}
+
 } // namespace caraway
--- a/tests/unit/LeavePlanTest.cpp
+++ b/tests/unit/LeavePlanTest.cpp
@@ -97,4 +97,24 @@
   EXPECT_EQ(kNow, plan.End());
 }
 
+// Guards against a plan that goes on beyond a grace that was shortened.
+TEST(LeavePlan, ShorterGraceEndsItSooner)
+{
+  LeavePlan plan = Left(Seconds(8));
+  plan.Shorten(Seconds(3));
+  EXPECT_EQ(kNow + Millis(2500), plan.End());
+  EXPECT_FALSE(plan.ExpectsCallers(kNow + Seconds(1)));
+  plan.Shorten(Seconds(20));
+  EXPECT_EQ(kNow + Millis(2500), plan.End());
+}
+
+// Guards against an instance in service that a look at its settings ends.
+TEST(LeavePlan, InServiceNothingIsShortened)
+{
+  LeavePlan plan;
+  plan.Shorten(Seconds(1));
+  EXPECT_EQ(TimePoint::max(), plan.End());
+  EXPECT_TRUE(plan.ExpectsCallers(kNow));
+}
+
 } // namespace caraway
