carawayd: a port ends its own connections, and answers all that was sent

What callers saw: at an instance's end, whoever was connected and waited for a thread was closed with the request unread; so was whoever connected while the queue was full (also without any end), and whoever was refused before the body was read got a reset in place of the refusal.

Cause: the HTTP server in use drops its queue when it stops, closes beyond its queue, shuts sockets at once, and resets what the system had accepted when the listening socket closes. Four places closed connections, none of them knew what had been sent on them.

Why this works: HttpConnection alone decides when a connection ends; HttpEnding tells it that the port does, and every connection is known from accept to close. Idle ones end, whoever came is answered, HttpLinger reads what is left so that no reset overtakes the answer. Beyond the queue there is a 503.

HttpPort.UnreadBodyIsntTheNextRequest passes before and after.

Ruled out: another pool size or a longer queue (only the numbers change).

--- a/src/admin/AdminPort.h
+++ b/src/admin/AdminPort.h
@@ -50,7 +50,8 @@
 
   void Open();
   std::string Address() const { return mPort->Address(); }
-  void Close() { mPort.reset(); }
+  int InFlight() const { return mPort->Busy(); }
+  void Close(Millis aWithin) { mPort->End(aWithin); }
 
 private:
   using Request = Poco::Net::HTTPServerRequest;
--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -15,6 +15,7 @@
 constexpr Millis kKeepEvery{ 1000 };
 constexpr Millis kFleetTime{ 700 };
 constexpr Millis kDrainStep{ 20 };
+constexpr Millis kClosing{ 200 }; // of a port
 // Loads mostly wait: for the engine, or for their turn at the store. An
 // urgent one must not wait for a thread behind those.
 constexpr int kLoadThreads = 32;
@@ -372,9 +373,9 @@
   int cut = mCallers->InFlight();
   mTickers.clear();
   mShares->Leave();
-  mCallers->Close();
-  mAdmin->Close();
-  mPeerPort.Close();
+  mCallers->Close(kClosing);
+  mAdmin->Close(kClosing);
+  mPeerPort.Close(kClosing);
   LogInfo("left", { { "cut", std::to_string(cut) } });
   return cut;
 }
--- /dev/null
+++ b/src/net/HttpConnection.h
@@ -0,0 +1,55 @@
+// HttpConnection.h: one caller's connection, from its first request to its end.
+#ifndef caraway_net_HttpConnection_h
+#define caraway_net_HttpConnection_h
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/TCPServerConnection.h>
+
+#include "net/HttpEnding.h"
+#include "net/HttpLinger.h"
+#include "net/HttpPort.h"
+
+namespace caraway {
+
+// What the connections of a port share.
+struct HttpPortParts
+{
+  HttpPortLimits mLimits;
+  HttpHandler mHandler;
+  Poco::Net::HTTPServerParams::Ptr mParams;
+  HttpEnding mEnding;
+  HttpLinger mLinger;
+};
+
+// Decides alone when a connection ends: after an answer that said so, by its
+// caller, after its idle time, or at the port's end when no request has begun.
+class HttpConnection : public Poco::Net::TCPServerConnection
+{
+public:
+  HttpConnection(const Poco::Net::StreamSocket& aSocket, HttpPortParts& aParts);
+  ~HttpConnection() override;
+
+  void run() override;
+
+private:
+  class Session;
+
+  enum class After
+  {
+    Keep,
+    Close, // with an answer, as that said
+    Gone,  // nobody is left to answer
+  };
+
+  bool Await(const Session& aSession, bool aFirst);
+  After Serve(Session& aSession);
+  void Handle(Poco::Net::HTTPServerRequest& aRequest,
+              Poco::Net::HTTPServerResponse& aResponse);
+
+  HttpPortParts& mParts;
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/net/HttpEnding.cpp
@@ -0,0 +1,94 @@
+#include "net/HttpEnding.h"
+
+#include <cerrno>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <Poco/Exception.h>
+
+namespace caraway {
+
+HttpEnding::HttpEnding()
+  : mWake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+  if (mWake < 0) {
+    throw std::runtime_error("no event descriptor");
+  }
+}
+
+HttpEnding::~HttpEnding()
+{
+  close(mWake);
+}
+
+void
+HttpEnding::End()
+{
+  mLeaving = true;
+  mEnded = true;
+  eventfd_write(mWake, 1);
+}
+
+bool
+HttpEnding::AwaitInput(const Poco::Net::Socket& aSocket, Millis aWithin) const
+{
+  pollfd ends[] = { { aSocket.impl()->sockfd(), POLLIN, 0 },
+                    { mWake, POLLIN, 0 } };
+  nfds_t count = mEnded ? 1 : 2;
+  int ready = 0;
+  do {
+    ready = poll(ends, count, static_cast<int>(aWithin.count()));
+  } while (ready < 0 && errno == EINTR);
+  return ready > 0 && ends[0].revents != 0;
+}
+
+void
+HttpEnding::Add(const Poco::Net::StreamSocket& aSocket)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mOpen.insert(aSocket);
+}
+
+void
+HttpEnding::Remove(const Poco::Net::StreamSocket& aSocket)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mOpen.erase(aSocket);
+}
+
+size_t
+HttpEnding::Open() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mOpen.size();
+}
+
+void
+HttpEnding::SendWithin(Millis aTime)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  for (Poco::Net::StreamSocket socket : mOpen) {
+    try {
+      socket.setSendTimeout(Poco::Timespan(Micros(aTime).count()));
+    } catch (const Poco::Exception&) {
+      // Its caller has gone.
+    }
+  }
+}
+
+void
+HttpEnding::Cut()
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  for (Poco::Net::StreamSocket socket : mOpen) {
+    try {
+      socket.shutdown();
+    } catch (const Poco::Exception&) {
+      // Its caller has gone.
+    }
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/net/HttpLinger.h
@@ -0,0 +1,48 @@
+// HttpLinger.h: closes connections whose last answer is on its way.
+#ifndef caraway_net_HttpLinger_h
+#define caraway_net_HttpLinger_h
+
+#include <Poco/Net/StreamSocket.h>
+#include <chrono>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace caraway {
+
+// Closed with bytes unread, a connection is reset, and the reset overtakes the
+// answer. Each is told that nothing more comes, and read until its caller has
+// closed it too or the time is over.
+class HttpLinger
+{
+public:
+  HttpLinger();
+  ~HttpLinger();
+  HttpLinger(const HttpLinger&) = delete;
+  HttpLinger& operator=(const HttpLinger&) = delete;
+
+  void Take(const Poco::Net::StreamSocket& aSocket);
+  bool Empty() const;
+
+private:
+  struct Leaving
+  {
+    Poco::Net::StreamSocket mSocket;
+    std::chrono::steady_clock::time_point mUntil;
+  };
+
+  void Run();
+  // Whether it was woken.
+  bool ReadAway(std::vector<Leaving>& aLeaving) const;
+
+  int mWake; // something was taken, or the end
+  mutable std::mutex mLock;
+  std::vector<Leaving> mTaken;
+  size_t mHeld = 0; // taken and not yet closed
+  bool mEnding = false;
+  std::thread mThread;
+};
+
+} // namespace caraway
+
+#endif
--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -1,12 +1,12 @@
 #include "net/HttpPort.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 
 #include "base/Log.h"
+#include "net/HttpConnection.h"
+#include "net/ListenEnd.h"
 
 namespace caraway {
 
@@ -15,50 +15,26 @@
 constexpr size_t kChunk = 16 * 1024;
 // Handlers are shallow; 350 nodes pay for each idle thread's stack.
 constexpr int kStackBytes = 512 * 1024;
+// A thread that is done with its connection is a moment later free for the
+// next; without others the dispatcher would drop that one.
+constexpr int kSpareThreads = 16;
 
-class FunctionHandler : public Poco::Net::HTTPRequestHandler
+class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-  explicit FunctionHandler(const HttpHandler& aHandler)
-    : mHandler(aHandler)
+  explicit ConnectionFactory(HttpPortParts& aParts)
+    : mParts(aParts)
   {
   }
 
-  void handleRequest(Poco::Net::HTTPServerRequest& aRequest,
-                     Poco::Net::HTTPServerResponse& aResponse) override
+  Poco::Net::TCPServerConnection* createConnection(
+    const Poco::Net::StreamSocket& aSocket) override
   {
-    try {
-      mHandler(aRequest, aResponse);
-    } catch (const Poco::Exception& error) {
-      // The caller has gone, mostly. Its connection ends with this request.
-      aResponse.setKeepAlive(false);
-      LogInfo("connection_lost", { { "reason", error.displayText() } });
-    } catch (const std::exception& error) {
-      aResponse.setKeepAlive(false);
-      LogWarn("handler_failed", { { "reason", error.what() } });
-    }
+    return new HttpConnection(aSocket, mParts);
   }
 
 private:
-  const HttpHandler& mHandler;
-};
-
-class FunctionFactory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-  explicit FunctionFactory(HttpHandler aHandler)
-    : mHandler(std::move(aHandler))
-  {
-  }
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-    const Poco::Net::HTTPServerRequest&) override
-  {
-    return new FunctionHandler(mHandler);
-  }
-
-private:
-  HttpHandler mHandler;
+  HttpPortParts& mParts;
 };
 
 Poco::Net::HTTPServerParams::Ptr
@@ -67,6 +43,9 @@
   Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
   params->setMaxThreads(aLimits.mThreads);
   params->setMaxQueued(aLimits.mWaiting);
+  // A thread of the pool that waits for work holds up the port's end so long.
+  constexpr Millis kThreadIdle{ 500 };
+  params->setThreadIdleTime(Poco::Timespan(Micros(kThreadIdle).count()));
   params->setKeepAlive(true);
   params->setMaxKeepAliveRequests(0);
   params->setKeepAliveTimeout(Poco::Timespan(Micros(aLimits.mIdle).count()));
@@ -79,29 +58,31 @@
 HttpPort::HttpPort(const std::string& aListen,
                    HttpPortLimits aLimits,
                    HttpHandler aHandler)
-  : mPool(2, aLimits.mThreads, 30, kStackBytes)
+  : mParts(std::make_unique<HttpPortParts>())
+  , mPool(2, aLimits.mThreads + kSpareThreads, 30, kStackBytes)
 {
   constexpr int kBacklog = 256;
-  Poco::Net::ServerSocket socket;
   // Never shared: that this process could bind the port is taken as proof
   // that its former life is dead.
   constexpr bool kReuseAddress = true;
   constexpr bool kReusePort = false;
-  socket.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
-  socket.listen(kBacklog);
-  mAddress = socket.address().toString();
-  mServer = std::make_unique<Poco::Net::HTTPServer>(
-    new FunctionFactory(std::move(aHandler)),
-    mPool,
-    socket,
-    ServerParams(aLimits));
-  mServer->start();
+  mSocket.bind(Poco::Net::SocketAddress(aListen), kReuseAddress, kReusePort);
+  mSocket.listen(kBacklog);
+  // One that has gone again between being seen and accepted isn't waited for.
+  mSocket.setBlocking(false);
+  mAddress = mSocket.address().toString();
+  mParts->mLimits = aLimits;
+  mParts->mHandler = std::move(aHandler);
+  mParts->mParams = ServerParams(aLimits);
+  mConnections = new Poco::Net::TCPServerDispatcher(
+    new ConnectionFactory(*mParts), mPool, mParts->mParams);
+  mAcceptor = std::thread([this] { Accept(); });
 }
 
 HttpPort::~HttpPort()
 {
-  mServer->stop();
-  mServer->stopAll(true);
+  constexpr Millis kLastMoment{ 300 };
+  End(kLastMoment);
 }
 
 std::string
@@ -111,9 +92,97 @@
 }
 
 int
-HttpPort::Connections() const
+HttpPort::Busy() const
+{
+  return mParts->mEnding.Busy();
+}
+
+void
+HttpPort::Leave()
+{
+  mParts->mEnding.Leave();
+}
+
+void
+HttpPort::SendWithin(Millis aTime)
+{
+  mParts->mEnding.SendWithin(aTime);
+}
+
+void
+HttpPort::End(Millis aWithin)
+{
+  constexpr Millis kStep{ 5 };
+  if (!mAcceptor.joinable()) {
+    return;
+  }
+  auto until = std::chrono::steady_clock::now() + aWithin;
+  mParts->mEnding.End();
+  mAcceptor.join();
+  auto open = [this] {
+    return mParts->mEnding.Open() > 0 || !mParts->mLinger.Empty();
+  };
+  while (open() && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(kStep);
+  }
+  LogInfo("port_ended",
+          { { "port", mAddress },
+            { "cut", std::to_string(mParts->mEnding.Open()) } });
+  mParts->mEnding.Cut();
+  mConnections->stop();
+}
+
+void
+HttpPort::Accept()
+{
+  constexpr Millis kLook{ 10000 };
+  constexpr Millis kOutOfFiles{ 20 };
+  while (!mParts->mEnding.Ended()) {
+    if (mParts->mEnding.AwaitInput(mSocket, kLook) && !AcceptOne()) {
+      std::this_thread::sleep_for(kOutOfFiles);
+    }
+  }
+  // Whoever is connected by now counts as accepted; the next is refused by the
+  // system, and knows that nothing was sent.
+  ListenEnd(mSocket);
+  while (mParts->mEnding.AwaitInput(mSocket, Millis(0)) && AcceptOne()) {
+  }
+  mSocket.close();
+}
+
+bool
+HttpPort::AcceptOne()
+{
+  try {
+    Poco::Net::StreamSocket socket = mSocket.acceptConnection();
+    socket.setBlocking(true);
+    socket.setNoDelay(true);
+    if (mConnections->queuedConnections() >= mParts->mLimits.mWaiting) {
+      TurnAway(socket);
+      return true;
+    }
+    mParts->mEnding.Add(socket);
+    mConnections->enqueue(socket);
+    return true;
+  } catch (const Poco::Exception& error) {
+    LogInfo("connection_not_accepted", { { "reason", error.displayText() } });
+    return false;
+  }
+}
+
+// A new connection's buffer takes this whole: it never waits.
+void
+HttpPort::TurnAway(Poco::Net::StreamSocket aSocket)
 {
-  return mServer->currentConnections();
+  const std::string& body = mParts->mLimits.mFullBody;
+  std::string answer = "HTTP/1.1 503 Service Unavailable\r\n"
+                       "Connection: close\r\nRetry-After: 1\r\n"
+                       "Content-Type: application/problem+json\r\n"
+                       "Content-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body;
+  LogInfo("connection_turned_away", { { "port", mAddress } });
+  aSocket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+  mParts->mLinger.Take(aSocket);
 }
 
 namespace {
--- a/src/net/HttpPort.h
+++ b/src/net/HttpPort.h
@@ -2,13 +2,16 @@
 #ifndef caraway_net_HttpPort_h
 #define caraway_net_HttpPort_h
 
-#include <Poco/Net/HTTPServer.h>
+#include <Poco/AutoPtr.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServerDispatcher.h>
 #include <Poco/ThreadPool.h>
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "caraway/Result.h"
 
@@ -20,11 +23,14 @@
 struct HttpPortLimits
 {
   int mThreads = 64;         // connections served at a time
-  int mWaiting = 64;         // accepted and not yet served; more: closed
+  int mWaiting = 64;         // accepted and not yet served; more: refused
+  std::string mFullBody;     // of that refusal: a problem document
   Millis mIdle{ 15000 };     // kept-alive connection without a request
   Millis mTransfer{ 10000 }; // silence in the middle of a request
 };
 
+struct HttpPortParts;
+
 class HttpPort
 {
 public:
@@ -33,15 +39,33 @@
   HttpPort(const std::string& aListen,
            HttpPortLimits aLimits,
            HttpHandler aHandler);
-  ~HttpPort(); // cuts what is under way
+  ~HttpPort(); // ends, and cuts what is still under way a moment later
 
   std::string Address() const; // ip:port as bound
-  int Connections() const;
+  // Requests between their first byte and their answer's last one.
+  int Busy() const;
+
+  // Serves on; each answer ends its connection.
+  void Leave();
+  // No send takes longer; the rest of it is lost.
+  void SendWithin(Millis aTime);
+  // Nobody connects any more. Whoever is connected gets the answer to what was
+  // sent; what has none within aWithin is cut.
+  void End(Millis aWithin);
 
 private:
-  Poco::ThreadPool mPool;
-  std::unique_ptr<Poco::Net::HTTPServer> mServer;
+  using Connections = Poco::AutoPtr<Poco::Net::TCPServerDispatcher>;
+
+  void Accept();
+  bool AcceptOne();
+  void TurnAway(Poco::Net::StreamSocket aSocket);
+
+  Poco::Net::ServerSocket mSocket;
   std::string mAddress;
+  std::unique_ptr<HttpPortParts> mParts;
+  Poco::ThreadPool mPool;
+  Connections mConnections;
+  std::thread mAcceptor;
 };
 
 // The body, whole. BodyTooLarge over aLimit, BadRequest when it comes slower
--- /dev/null
+++ b/src/net/ListenEnd.cpp
@@ -0,0 +1,41 @@
+#include "net/ListenEnd.h"
+
+#include <linux/filter.h>
+#include <sys/socket.h>
+#include <thread>
+
+#include "caraway/Time.h"
+
+namespace caraway {
+
+namespace {
+
+// A handshake that has begun is over by then, across availability zones too.
+constexpr Millis kHandshake{ 20 };
+
+} // namespace
+
+void
+ListenEnd(const Poco::Net::ServerSocket& aSocket)
+{
+  constexpr uint32_t kFlags = 13; // where they are in a TCP header
+  constexpr uint32_t kSyn = 2;
+  constexpr uint32_t kDrop = 0;
+  constexpr uint32_t kPass = 0xffffffff;
+  sock_filter steps[] = {
+    { BPF_LD | BPF_B | BPF_ABS, 0, 0, kFlags },
+    { BPF_JMP | BPF_JSET | BPF_K, 0, 1, kSyn },
+    { BPF_RET | BPF_K, 0, 0, kDrop },
+    { BPF_RET | BPF_K, 0, 0, kPass },
+  };
+  sock_fprog program{ sizeof steps / sizeof steps[0], steps };
+  // Where the system hasn't this, only the one moment of closing isn't covered.
+  setsockopt(aSocket.impl()->sockfd(),
+             SOL_SOCKET,
+             SO_ATTACH_FILTER,
+             &program,
+             sizeof program);
+  std::this_thread::sleep_for(kHandshake);
+}
+
+} // namespace caraway
--- a/src/peer/PeerPort.cpp
+++ b/src/peer/PeerPort.cpp
@@ -36,9 +36,9 @@
 }
 
 void
-PeerPort::Close()
+PeerPort::Close(Millis aWithin)
 {
-  mPort.reset();
+  mPort->End(aWithin);
 }
 
 void
--- a/src/peer/PeerPort.h
+++ b/src/peer/PeerPort.h
@@ -22,7 +22,7 @@
   void Add(const std::string& aName, PeerMethod aMethod); // before Serve
   void Serve() { mServing = true; }
   std::string Address() const { return mPort->Address(); }
-  void Close();
+  void Close(Millis aWithin);
 
 private:
   void Handle(Poco::Net::HTTPServerRequest& aRequest,
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -79,16 +79,11 @@
 void
 CallerPort::Open()
 {
+  mSettings.mLimits.mFullBody = JsonWrite(ProblemJson(
+    FailureOf(ErrorKind::QueueFull, "all connections are taken"), RandomId()));
   mPort = std::make_unique<HttpPort>(
     mSettings.mListen, mSettings.mLimits, [this](auto& aIn, auto& aOut) {
-      ++mInFlight;
-      try {
-        Handle(aIn, aOut);
-      } catch (...) {
-        --mInFlight;
-        throw;
-      }
-      --mInFlight;
+      Handle(aIn, aOut);
     });
 }
 
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -44,12 +44,13 @@
   void Open();
   std::string Address() const { return mPort->Address(); }
   // Requests between their first byte and their last.
-  int InFlight() const { return mInFlight; }
+  int InFlight() const { return mPort->Busy(); }
   // What is under way goes on. New requests are refused at once: whoever still
   // connects after the balancer's lag would otherwise wait in the listener for
   // our end, and be reset with its request sent.
   void Drain() { mDraining = true; }
-  void Close() { mPort.reset(); }
+  // Whoever is connected gets the answer to what was sent.
+  void Close(Millis aWithin) { mPort->End(aWithin); }
 
 private:
   using Request = Poco::Net::HTTPServerRequest;
@@ -93,7 +94,6 @@
   BriefingStore& mBriefings;
   Metrics& mMetrics;
   const Clock& mClock;
-  std::atomic<int> mInFlight{ 0 };
   std::atomic<bool> mDraining{ false };
   std::unique_ptr<HttpPort> mPort;
 };
--- /dev/null
+++ b/tests/unit/HttpPortTest.cpp
@@ -0,0 +1,176 @@
+#include <atomic>
+#include <gtest/gtest.h>
+#include <thread>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "net/HttpCall.h"
+#include "net/HttpPort.h"
+
+namespace caraway {
+
+namespace {
+
+// A caller's connection, byte by byte.
+class RawCaller
+{
+public:
+  explicit RawCaller(const HttpPort& aPort)
+  {
+    mSocket.connect(Poco::Net::SocketAddress(aPort.Address()));
+    mSocket.setReceiveTimeout(Poco::Timespan(3, 0));
+  }
+  void Send(const std::string& aText)
+  {
+    size_t sent = 0;
+    while (sent < aText.size()) {
+      sent += static_cast<size_t>(
+        mSocket.sendBytes(&aText[sent], static_cast<int>(aText.size() - sent)));
+    }
+  }
+  void Ask() { Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"); }
+  // What one read brings; "" when the connection ended or was reset.
+  std::string Read()
+  {
+    char buffer[4096];
+    try {
+      int got = mSocket.receiveBytes(buffer, sizeof buffer);
+      return std::string(buffer, static_cast<size_t>(std::max(got, 0)));
+    } catch (const Poco::Exception& error) {
+      return "";
+    }
+  }
+  // Served once, and kept.
+  void Hold()
+  {
+    Ask();
+    ASSERT_NE(Read().find("200 OK"), std::string::npos);
+  }
+
+private:
+  Poco::Net::StreamSocket mSocket;
+};
+
+HttpPortLimits
+Limits(int aWaiting)
+{
+  HttpPortLimits limits;
+  limits.mThreads = 2;
+  limits.mWaiting = aWaiting;
+  return limits;
+}
+
+void
+SayOk(Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse& aOut)
+{
+  aOut.sendBuffer("ok", 2);
+}
+
+constexpr Millis kAccepted{ 150 }; // a connection is in the port's queue
+
+} // namespace
+
+// Guards against: a request that waits for a thread is dropped at the end.
+TEST(HttpPort, WhoeverWaitsAtTheEndIsAnswered)
+{
+  auto port = std::make_unique<HttpPort>("127.0.0.1:0", Limits(8), SayOk);
+  RawCaller first(*port);
+  RawCaller second(*port);
+  first.Hold();
+  second.Hold();
+  RawCaller waiting(*port);
+  waiting.Ask();
+  std::this_thread::sleep_for(kAccepted);
+  port.reset();
+  EXPECT_NE(waiting.Read().find("200 OK"), std::string::npos);
+}
+
+// Guards against: a connection is accepted and closed in the end's one moment.
+TEST(HttpPort, EndUnderLoadLosesNothing)
+{
+  constexpr int kRounds = 10;
+  constexpr int kCallers = 8;
+  std::atomic<int> answered{ 0 };
+  std::atomic<int> lost{ 0 };
+  for (int i = 0; i < kRounds; ++i) {
+    HttpPortLimits limits;
+    auto port = std::make_unique<HttpPort>("127.0.0.1:0", limits, SayOk);
+    HttpCall call;
+    call.mAddress = port->Address();
+    auto run = [&] {
+      HttpReply reply;
+      do {
+        reply = HttpCallOnce(call);
+        answered += reply.Ok() ? 1 : 0;
+        lost += reply.mStage == HttpStage::Lost ? 1 : 0;
+      } while (reply.Ok());
+    };
+    std::vector<std::thread> callers;
+    for (int k = 0; k < kCallers; ++k) {
+      callers.emplace_back(run);
+    }
+    std::this_thread::sleep_for(Millis(30));
+    port.reset();
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+  }
+  EXPECT_GT(answered, kRounds * kCallers);
+  EXPECT_EQ(lost, 0);
+}
+
+// Guards against: a connection beyond the queue is closed with no answer.
+TEST(HttpPort, WhoeverFindsTheQueueFullIsRefused)
+{
+  HttpPort port("127.0.0.1:0", Limits(1), SayOk);
+  RawCaller first(port);
+  first.Hold();
+  RawCaller second(port);
+  second.Hold();
+  RawCaller waiting(port);
+  std::this_thread::sleep_for(kAccepted);
+  RawCaller beyond(port);
+  beyond.Ask();
+  std::string answer = beyond.Read();
+  EXPECT_NE(answer.find("503"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+}
+
+// Guards against: a refusal is lost in the reset of what its caller still sent.
+TEST(HttpPort, RefusalBeforeTheBodyIsReadArrives)
+{
+  HttpPort port("127.0.0.1:0", Limits(8), [](auto&, auto& aOut) {
+    aOut.setKeepAlive(false);
+    aOut.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_UNAUTHORIZED);
+    aOut.setContentLength(0);
+    aOut.send();
+  });
+  constexpr size_t kBody = 8 * 1024 * 1024;
+  RawCaller caller(port);
+  std::string head =
+    "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(kBody) +
+    "\r\n\r\n";
+  EXPECT_NO_THROW(caller.Send(head + std::string(kBody, 'x')));
+  EXPECT_NE(caller.Read().find("401"), std::string::npos);
+}
+
+// Guards against: a body that nobody read is answered like the next request.
+TEST(HttpPort, UnreadBodyIsntTheNextRequest)
+{
+  std::atomic<int> requests{ 0 };
+  HttpPort port("127.0.0.1:0", Limits(8), [&](auto&, auto& aOut) {
+    ++requests;
+    aOut.sendBuffer("ok", 2);
+  });
+  RawCaller caller(port);
+  for (int i = 0; i < 2; ++i) {
+    caller.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\n"
+                "GET /\n");
+    std::this_thread::sleep_for(kAccepted);
+    EXPECT_NE(caller.Read().find("200 OK"), std::string::npos);
+  }
+  EXPECT_EQ(requests, 2);
+}
+
+} // namespace caraway
