carawayd: from SIGTERM on each answer ends its connection

What callers saw: a leaving instance's answers said that the connection is kept; the next request on it met a 503 after the balancer's lag, or the end.

Cause: keeping was decided per request and never looked at the leaving.

Before: Leaving.AnswersEndTheirConnections: "Value of: KeepsConnection(fleet, key) Actual: true Expected: false". After it passes.

Why this works: callers take their next request to the balancer, which knows. A connection that was told before SIGTERM that it is kept stays open until the port's end, and a request on it is refused by an answer.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -351,6 +351,7 @@
 {
   LogInfo("leaving", {});
   mLeaving = true;
+  mCallers->Leave();
   mMembers->LeaveSelf();
   mHeartbeat->SayLeaving();
   // The balancer goes on sending until it has seen that we aren't ready.
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -45,6 +45,8 @@
   std::string Address() const { return mPort->Address(); }
   // Requests between their first byte and their last.
   int InFlight() const { return mPort->Busy(); }
+  // Serves on; each answer ends its connection, so that callers go elsewhere.
+  void Leave() { mPort->Leave(); }
   // What is under way goes on. New requests are refused at once: whoever still
   // connects after the balancer's lag would otherwise wait in the listener for
   // our end, and be reset with its request sent.
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -1,7 +1,13 @@
 #include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <thread>
 
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
 #include "base/JsonText.h"
 #include "support/Fleet.h"
 
@@ -63,6 +69,37 @@
   std::vector<std::thread> mThreads;
 };
 
+// Two instances and slow engines; the second one will leave.
+FleetPlan
+SlowPlan(std::vector<std::string> aSettings)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mServices = 2;
+  plan.mEngineWords = { "--token_ms=40" };
+  plan.mSettings = std::move(aSettings);
+  return plan;
+}
+
+// Whether the answer to a caller that would keep its connection lets it.
+bool
+KeepsConnection(Fleet& aFleet, const std::string& aKey)
+{
+  Poco::Net::HTTPClientSession session(
+    Poco::Net::SocketAddress(aFleet.mInstances[1]->Address("caller")));
+  session.setKeepAlive(true);
+  Poco::Net::HTTPRequest request(
+    "GET", "/v1/models", Poco::Net::HTTPMessage::HTTP_1_1);
+  request.setKeepAlive(true);
+  request.set("Authorization", "Bearer " + aKey);
+  session.sendRequest(request);
+  Poco::Net::HTTPResponse response;
+  session.receiveResponse(response).ignore(1 << 20);
+  EXPECT_EQ(response.getStatus(), Poco::Net::HTTPResponse::HTTP_OK);
+  return response.getKeepAlive();
+}
+
 } // namespace
 
 // An instance is told to end while it streams, has requests waiting and
@@ -206,4 +243,18 @@
   EXPECT_EQ(fleet.EngineState(leaving)["audit"]["generated"].asInt(), before);
 }
 
+// Guards against: a kept connection is closed under its caller's next request.
+TEST(Leaving, AnswersEndTheirConnections)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 3000" }));
+  std::string key = fleet.mKeys["acme"];
+  EXPECT_TRUE(KeepsConnection(fleet, key));
+  std::string admin = fleet.mInstances[1]->Address("admin");
+  fleet.mInstances[1]->Terminate();
+  EXPECT_TRUE(Eventually(
+    Seconds(2), [&] { return !fleet.Call(admin, "GET", "/readyz").Ok(); }));
+  EXPECT_FALSE(KeepsConnection(fleet, key));
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 } // namespace caraway
