carawayd: nothing is begun that the end would cut

What callers saw: a request that was whole only after the balancer's lag was begun and cut without an answer; a call whose first try failed while the instance left was sent again, for the end to cut.

Cause: leaving was asked once, as a request's head arrived. Waiting for the body, for a place or for a first try took it past that, and no start asked again.

Before, on unchanged code: [ FAILED ] Leaving.RequestThatIsWholeTooLateIsntBegun (8149 ms) no answer at all; exit code 1 for 0 [ FAILED ] Leaving.RepeatThatTheEndWouldCutIsntSent (4866 ms) 502 for 503; 2 runs for 1

Each try at an engine asks it, before and after the wait for its place, each try at a service, each order as it is handed on. The refusal says not_run unless an earlier try may have run. The end is lag and limit together, counted from SIGTERM.

Ruled out: asking at the head and after the body only; tries and places wait too.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -91,6 +91,7 @@
 
 Instance::Instance(Settings aSettings)
   : mSettings(std::move(aSettings))
+  , mLeave(mClock)
   , mPlatform(PlatformSettings(mSettings), mClock)
   , mConfigStore(mPlatform)
   , mConfig(mClock)
@@ -154,9 +155,9 @@
   mPlaces =
     std::make_unique<PlaceFinder>(mOwner, *mMembers, mPeers, mKeys, mMetrics);
   mModels = std::make_unique<ModelCalls>(
-    *mPlaces, *mShareClient, mKeys, mMetrics, mClock);
+    *mPlaces, *mShareClient, mKeys, mLeave, mMetrics, mClock);
   mServices = std::make_unique<ServiceCalls>(
-    *mClaims, *mShareClient, mSettings.mZone, mClock);
+    *mClaims, *mShareClient, mLeave, mSettings.mZone, mClock);
   AddPeerMethods();
   mPeerPort.Serve();
   CallerPortSettings callers;
@@ -248,7 +249,7 @@
 Instance::Ready() const
 {
   // Without a table of its zone's shares it would refuse what others let in.
-  return mConfig.Current()->mRevision > 0 && !mLeaving &&
+  return mConfig.Current()->mRevision > 0 && !mLeave.Leaving() &&
          !mShares->Table().mMembers.empty();
 }
 
@@ -276,7 +277,7 @@
   json["zone"] = mSettings.mZone;
   json["incarnation"] = mIncarnation;
   json["ready"] = Ready();
-  json["leaving"] = mLeaving.load();
+  json["leaving"] = mLeave.Leaving();
   json["revision"] = Json::Int64(mConfig.Current()->mRevision);
   json["config_age_ms"] = Json::Int64(mConfig.Age().count());
   json["in_flight"] = mCallers->InFlight();
@@ -350,7 +351,10 @@
 Instance::Shutdown()
 {
   LogInfo("leaving", {});
-  mLeaving = true;
+  LeaveTimes times;
+  times.mBalancerLag = mSettings.mShutdownLag;
+  times.mGrace = mSettings.mShutdownLag + mSettings.mShutdownLimit;
+  mLeave.Begin(times);
   mCallers->Leave();
   mMembers->LeaveSelf();
   mHeartbeat->SayLeaving();
@@ -362,13 +366,12 @@
             { "places", std::to_string(mOwner.Busy()) },
             { "claims_idle", mClaimWorkers.Idle() ? "yes" : "no" },
             { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" } });
-  TimePoint until = mClock.Now() + mSettings.mShutdownLimit;
   auto busy = [this] {
     return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
            !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
            !mBriefingWorkers.Idle();
   };
-  while (busy() && mClock.Now() < until) {
+  while (busy() && mClock.Now() < mLeave.End()) {
     std::this_thread::sleep_for(kDrainStep);
   }
   int cut = mCallers->InFlight();
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -19,6 +19,7 @@
 #include "platform/PlatformClient.h"
 #include "serve/BriefingRunner.h"
 #include "serve/CallerPort.h"
+#include "serve/LeaveGate.h"
 
 namespace caraway {
 
@@ -49,6 +50,7 @@
   Settings mSettings;
   SystemClock mClock;
   Metrics mMetrics;
+  LeaveGate mLeave;
   PlatformClient mPlatform;
   ConfigStore mConfigStore;
   ConfigHolder mConfig;
@@ -81,7 +83,6 @@
   std::unique_ptr<CallerPort> mCallers;
   std::unique_ptr<AdminPort> mAdmin;
   std::vector<std::unique_ptr<Ticker>> mTickers;
-  std::atomic<bool> mLeaving{ false };
   std::atomic<bool> mPoked{ false }; // slots were handed to us
 };
 
--- /dev/null
+++ b/src/serve/LeaveGate.cpp
@@ -0,0 +1,64 @@
+#include "serve/LeaveGate.h"
+
+namespace caraway {
+
+namespace {
+
+leaf::error_id
+Refuse(RunState aRun)
+{
+  Failure failure = FailureOf(ErrorKind::ShuttingDown, "ask another instance");
+  failure.mRun = aRun;
+  return Fail(failure);
+}
+
+} // namespace
+
+LeaveGate::LeaveGate(const Clock& aClock)
+  : mClock(aClock)
+{
+}
+
+void
+LeaveGate::Begin(const LeaveTimes& aTimes)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mPlan.Begin(mClock.Now(), aTimes);
+}
+
+bool
+LeaveGate::Leaving() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mPlan.Leaving();
+}
+
+TimePoint
+LeaveGate::End() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mPlan.End();
+}
+
+Result<void>
+LeaveGate::MayStart(TimePoint aAnswerBy, RunState aRun) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  constexpr Millis kUsual{ 0 }; // nothing is known of its like
+  if (!mPlan.MayStart(mClock.Now(), aAnswerBy, kUsual)) {
+    return Refuse(aRun);
+  }
+  return {};
+}
+
+Result<void>
+LeaveGate::MayGoOn() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  if (!mPlan.MayGoOn(mClock.Now())) {
+    return Refuse(RunState::MayHaveRun);
+  }
+  return {};
+}
+
+} // namespace caraway
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -106,11 +106,13 @@
 ModelCalls::ModelCalls(PlaceFinder& aPlaces,
                        ShareClient& aShares,
                        Authenticator& aKeys,
+                       LeaveGate& aLeave,
                        Metrics& aMetrics,
                        const Clock& aClock)
   : mPlaces(aPlaces)
   , mShares(aShares)
   , mKeys(aKeys)
+  , mLeave(aLeave)
   , mMetrics(aMetrics)
   , mClock(aClock)
 {
@@ -138,6 +140,19 @@
   return std::get<ModelAnswer>(std::move(answer));
 }
 
+Result<void>
+ModelCalls::MayTry(const ModelCall& aCall,
+                   const ModelAnswer& aSoFar,
+                   bool aOffered) const
+{
+  if (!aSoFar.mTokens.empty()) {
+    return mLeave.MayGoOn();
+  }
+  return mLeave.MayStart(aCall.mContext.mArrived +
+                           aCall.mContext.mProfile.mAnswer,
+                         aOffered ? RunState::MayHaveRun : RunState::NotRun);
+}
+
 ModelCalls::Try
 ModelCalls::GenerateOnce(
   const ModelCall& aCall,
@@ -185,6 +200,7 @@
     if (i > 0 && !mRetries.Spend()) {
       break;
     }
+    BOOST_LEAF_CHECK(MayTry(aCall, aSoFar, offered));
     InstanceInfo owner;
     // The last try is here: what broke the others may lie between the zones.
     bool here = i + 1 == kTries;
@@ -203,6 +219,11 @@
       break;
     }
     const PlaceGrant& grant = std::get<PlaceGrant>(acquired);
+    auto late = FailureIn([&] { return MayTry(aCall, aSoFar, offered); });
+    if (late) {
+      mPlaces.Return(owner, { grant.mPlace, 0, false, false });
+      return Fail(*late);
+    }
     if (auto trouble = mKeys.Trouble(context.mCaller)) {
       mPlaces.Return(owner, { grant.mPlace, 0, false, false });
       Failure failure =
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -11,6 +11,7 @@
 #include "caraway/Clock.h"
 #include "serve/Authenticator.h"
 #include "serve/EngineStream.h"
+#include "serve/LeaveGate.h"
 #include "serve/PlaceFinder.h"
 #include "serve/RequestContext.h"
 #include "serve/RetryBudget.h"
@@ -39,6 +40,7 @@
   ModelCalls(PlaceFinder& aPlaces,
              ShareClient& aShares,
              Authenticator& aKeys,
+             LeaveGate& aLeave,
              Metrics& aMetrics,
              const Clock& aClock);
 
@@ -58,6 +60,10 @@
     std::optional<ErrorKind> mKeyTrouble;
   };
 
+  // Before each try, and again when it has waited for its place.
+  Result<void> MayTry(const ModelCall& aCall,
+                      const ModelAnswer& aSoFar,
+                      bool aOffered) const;
   Try GenerateOnce(const ModelCall& aCall,
                    const PlaceGrant& aGrant,
                    const std::function<bool(const std::string&)>& aOnToken,
@@ -69,6 +75,7 @@
   PlaceFinder& mPlaces;
   ShareClient& mShares;
   Authenticator& mKeys;
+  LeaveGate& mLeave;
   Metrics& mMetrics;
   const Clock& mClock;
   RetryBudget mRetries;
--- a/src/serve/ServiceCalls.cpp
+++ b/src/serve/ServiceCalls.cpp
@@ -27,10 +27,12 @@
 
 ServiceCalls::ServiceCalls(ClaimDriver& aClaims,
                            ShareClient& aShares,
+                           LeaveGate& aLeave,
                            std::string aZone,
                            const Clock& aClock)
   : mClaims(aClaims)
   , mShares(aShares)
+  , mLeave(aLeave)
   , mZone(std::move(aZone))
   , mClock(aClock)
 {
@@ -143,7 +145,8 @@
   return mClaims.Run(order, [&] {
     ClaimEvent event;
     event.mKind = ClaimEventKind::NotOffered;
-    if (next >= endpoints.size()) {
+    auto late = FailureIn([&] { return mLeave.MayStart(aDeadline); });
+    if (next >= endpoints.size() || late) {
       return event;
     }
     HttpReply reply = Send(aCall, endpoints[next++], aDeadline);
@@ -170,6 +173,7 @@
     if (mClock.Now() >= aDeadline || (!first && !mRetries.Spend())) {
       break;
     }
+    BOOST_LEAF_CHECK(mLeave.MayStart(aDeadline, last.mRun));
     first = false;
     HttpReply reply = Send(aCall, endpoint, aDeadline);
     if (reply.mStage == HttpStage::Answered) {
@@ -196,7 +200,10 @@
   }
   const Tenant& tenant = context.mConfig->mTenants.at(context.mCaller.mTenant);
   TimePoint deadline = context.mArrived + profile.mAnswer;
-  auto taken = Outcome([&] { return mShares.Take(tenant, kTokensPerCall); });
+  auto taken = Outcome([&]() -> Result<ShareTicket> {
+    BOOST_LEAF_CHECK(mLeave.MayStart(deadline));
+    return mShares.Take(tenant, kTokensPerCall);
+  });
   if (auto* refused = std::get_if<Failure>(&taken)) {
     return profile.mRepeatable ? Result<OrderAnswer>(Fail(*refused))
                                : RefuseOnce(aCall, deadline, *refused);
--- a/src/serve/ServiceCalls.h
+++ b/src/serve/ServiceCalls.h
@@ -10,6 +10,7 @@
 #include "caraway/Clock.h"
 #include "net/HttpCall.h"
 #include "serve/ClaimDriver.h"
+#include "serve/LeaveGate.h"
 #include "serve/RequestContext.h"
 #include "serve/RetryBudget.h"
 #include "share/ShareClient.h"
@@ -31,6 +32,7 @@
 public:
   ServiceCalls(ClaimDriver& aClaims,
                ShareClient& aShares,
+               LeaveGate& aLeave,
                std::string aZone,
                const Clock& aClock);
 
@@ -53,6 +55,7 @@
 
   ClaimDriver& mClaims;
   ShareClient& mShares;
+  LeaveGate& mLeave;
   std::string mZone;
   const Clock& mClock;
   RetryBudget mRetries;
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -82,6 +82,17 @@
   return plan;
 }
 
+void
+ServiceFaults(Fleet& aFleet, int aDelayMs, int aLost)
+{
+  Json::Value fault;
+  fault["delay_ms"] = aDelayMs;
+  fault["lose_answers"] = aLost;
+  for (auto& service : aFleet.mServices) {
+    aFleet.Call(service->Address(), "POST", "/control", fault);
+  }
+}
+
 // Whether the answer to a caller that would keep its connection lets it.
 bool
 KeepsConnection(Fleet& aFleet, const std::string& aKey)
@@ -100,6 +111,59 @@
   return response.getKeepAlive();
 }
 
+// A request that is sent in two parts.
+class SlowRequest
+{
+public:
+  SlowRequest(const std::string& aAddress,
+              const std::string& aPath,
+              const std::string& aKey,
+              const std::string& aBody)
+    : mSocket(Poco::Net::SocketAddress(aAddress))
+    , mRest(aBody.substr(1))
+  {
+    mSocket.setReceiveTimeout(Poco::Timespan(10, 0));
+    std::ostringstream head;
+    head << "POST " << aPath << " HTTP/1.1\r\nHost: x\r\n"
+         << "Authorization: Bearer " << aKey << "\r\n"
+         << "Content-Length: " << aBody.size() << "\r\n\r\n"
+         << aBody[0];
+    Send(head.str());
+  }
+  // The rest of it, and all that comes back.
+  std::string Finish()
+  {
+    std::string answer;
+    char buffer[4096];
+    try {
+      Send(mRest);
+      int got = 0;
+      do {
+        got = mSocket.receiveBytes(buffer, sizeof buffer);
+        answer.append(buffer, static_cast<size_t>(std::max(got, 0)));
+      } while (got > 0);
+    } catch (const Poco::Exception& error) {
+      answer += error.displayText();
+    }
+    return answer;
+  }
+
+private:
+  void Send(const std::string& aText)
+  {
+    mSocket.sendBytes(aText.data(), static_cast<int>(aText.size()));
+  }
+
+  Poco::Net::StreamSocket mSocket;
+  std::string mRest;
+};
+
+std::string
+RunOf(const HttpReply& aReply)
+{
+  return JsonParseOrEmpty(aReply.mBody)["run"].asString();
+}
+
 } // namespace
 
 // An instance is told to end while it streams, has requests waiting and
@@ -257,4 +321,49 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
 }
 
+// Guards against: a request that is whole only late is begun, for the end to
+// cut.
+TEST(Leaving, RequestThatIsWholeTooLateIsntBegun)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 500", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  int before = fleet.EngineState(0)["audit"]["generated"].asInt();
+  std::string body = R"({"model":"chat-m0","max_tokens":100,"messages":)"
+                     R"([{"role":"user","content":"open?"}]})";
+  SlowRequest request(
+    fleet.mInstances[1]->Address("caller"), "/v1/chat/completions", key, body);
+  std::this_thread::sleep_for(Millis(100));
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(1000));
+  std::string answer = request.Finish();
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("not_run"), std::string::npos) << answer;
+  EXPECT_EQ(fleet.EngineState(0)["audit"]["generated"].asInt(), before);
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
+// Guards against: a call is sent again so late that the end cuts the repeat.
+TEST(Leaving, RepeatThatTheEndWouldCutIsntSent)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 3" }));
+  ServiceFaults(fleet, 1000, 1);
+  HttpCall call;
+  call.mAddress = fleet.mInstances[1]->Address("caller");
+  call.mMethod = "POST";
+  call.mPath = "/v1/services/status/closures";
+  call.mBody = "b1";
+  call.mTimeout = Seconds(20);
+  call.mHeaders = { { "Authorization", "Bearer " + fleet.mKeys["acme"] } };
+  HttpReply reply;
+  std::thread caller([&] { reply = HttpCallOnce(call); });
+  EXPECT_TRUE(Eventually(Seconds(5), [&] { return fleet.Runs("b1") == 1; }));
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(RunOf(reply), "may_have_run");
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+  EXPECT_EQ(fleet.Runs("b1"), 1);
+}
+
 } // namespace caraway
