carawayd: what the time limit cuts gets a last answer

What callers saw: the connection closed, with no answer to a whole request and in the middle of a stream, and that only when handlers came back: more than 2.2 s after SIGTERM with 0.2 s of lag and 2 s of limit.

Cause: only a request's handler could answer, and it waits for engines, services and owners. At the limit the port was closed under it, and waited for it.

Before, on unchanged code: [ FAILED ] Leaving.WhatTheLimitCutsIsAnswered (9456 ms) whole.mStatus 0 for 503, order.mStatus 0 for 503, no error event After: OK (4510 ms).

Why this works: an answer is an object of its own (CallerAnswer) that either the handler or the port at the end writes, whoever comes first. A handler that has not begun by then can't begin. A broken stream no longer closes a connection whose caller was told that it is kept. Exit code 1 still counts requests whose work was cut.

Ruled out: shorter deadlines in each wait; one that is missed cuts again.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -15,7 +15,8 @@
 constexpr Millis kKeepEvery{ 1000 };
 constexpr Millis kFleetTime{ 700 };
 constexpr Millis kDrainStep{ 20 };
-constexpr Millis kClosing{ 200 }; // of a port
+constexpr Millis kLastAnswers{ 200 }; // all of them
+constexpr Millis kClosing{ 200 };     // of a port
 // Loads mostly wait: for the engine, or for their turn at the store. An
 // urgent one must not wait for a thread behind those.
 constexpr int kLoadThreads = 32;
@@ -374,10 +375,10 @@
   while (busy() && mClock.Now() < mLeave.End()) {
     std::this_thread::sleep_for(kDrainStep);
   }
-  int cut = mCallers->InFlight();
+  int cut = mCallers->GiveUp(mClock.Now() + kLastAnswers);
+  mCallers->Close(kClosing);
   mTickers.clear();
   mShares->Leave();
-  mCallers->Close(kClosing);
   mAdmin->Close(kClosing);
   mPeerPort.Close(kClosing);
   LogInfo("left", { { "cut", std::to_string(cut) } });
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -35,7 +35,8 @@
   // {"caller":…,"admin":…,"peer":…}: addresses as bound.
   Json::Value Addresses() const;
   // Unready, keeps serving for the balancer's lag, finishes what is under
-  // way, gives back what it owns. Returns how many requests were cut.
+  // way, gives back what it owns. Returns how many requests were cut; each of
+  // them was told.
   int Shutdown();
 
 private:
--- a/src/serve/CallerPort.cpp
+++ b/src/serve/CallerPort.cpp
@@ -25,6 +25,15 @@
   return aProfile.mTenant.empty() || aProfile.mTenant == aTenant;
 }
 
+Result<void>
+Begin(CallerAnswer& aAnswer)
+{
+  if (!aAnswer.Begin()) {
+    return Fail(ErrorKind::ShuttingDown, "ask another instance");
+  }
+  return {};
+}
+
 Result<ModelCall>
 ParseChat(const Json::Value& aJson)
 {
@@ -76,6 +85,27 @@
 {
 }
 
+class CallerPort::Owed
+{
+public:
+  Owed(CallerPort& aPort, CallerAnswer& aAnswer)
+    : mPort(aPort)
+    , mAnswer(aAnswer)
+  {
+    std::lock_guard<std::mutex> lock(mPort.mLock);
+    mPort.mOwed.insert(&mAnswer);
+  }
+  ~Owed()
+  {
+    std::lock_guard<std::mutex> lock(mPort.mLock);
+    mPort.mOwed.erase(&mAnswer);
+  }
+
+private:
+  CallerPort& mPort;
+  CallerAnswer& mAnswer;
+};
+
 void
 CallerPort::Open()
 {
@@ -87,6 +117,20 @@
     });
 }
 
+int
+CallerPort::GiveUp(TimePoint aUntil)
+{
+  constexpr Millis kSend{ 20 }; // to a caller that doesn't read
+  mPort->SendWithin(kSend);
+  std::lock_guard<std::mutex> lock(mLock);
+  int cut = 0;
+  for (CallerAnswer* answer : mOwed) {
+    bool late = mClock.Now() >= aUntil;
+    cut += late || answer->GiveUp("its time to finish is over") ? 1 : 0;
+  }
+  return cut;
+}
+
 void
 CallerPort::Handle(Request& aRequest, Response& aResponse)
 {
@@ -94,15 +138,19 @@
   context.mId = RandomId();
   context.mArrived = mClock.Now();
   context.mConfig = mConfig.Current();
+  // An order may have run when it was sent before, elsewhere.
+  CallerAnswer answer(aResponse,
+                      context.mId,
+                      aRequest.has("Idempotency-Key") ? RunState::MayHaveRun
+                                                      : RunState::NotRun);
+  Owed owed(*this, answer);
   if (mDraining) {
-    aResponse.setKeepAlive(false);
-    Refuse(aResponse, context, Leaving(aRequest));
+    Refuse(answer, context, Leaving(aRequest));
     return;
   }
-
-  auto failure = FailureIn([&] { return Route(aRequest, aResponse, context); });
+  auto failure = FailureIn([&] { return Route(aRequest, answer, context); });
   if (failure) {
-    Refuse(aResponse, context, *failure);
+    Refuse(answer, context, *failure);
   }
 }
 
@@ -122,7 +170,7 @@
 }
 
 void
-CallerPort::Refuse(Response& aResponse,
+CallerPort::Refuse(CallerAnswer& aAnswer,
                    const RequestContext& aContext,
                    const Failure& aFailure)
 {
@@ -137,16 +185,16 @@
             { "kind", kind },
             { "run", RunStateName(aFailure.mRun) },
             { "reason", aFailure.mDetail } });
-  if (!aResponse.sent()) {
+  aAnswer.Send([&](Response& aResponse) {
     // What is left of the body unread would be taken for the next request.
     aResponse.setKeepAlive(false);
     ProblemSend(aResponse, aFailure, aContext.mId);
-  }
+  });
 }
 
 Result<void>
 CallerPort::Route(Request& aRequest,
-                  Response& aResponse,
+                  CallerAnswer& aAnswer,
                   RequestContext& aContext)
 {
   BOOST_LEAF_AUTO(caller,
@@ -159,28 +207,27 @@
     return Fail(ErrorKind::BadRequest, "the path can't be read");
   }
   if (path == "/v1/chat/completions" && aRequest.getMethod() == "POST") {
-    return Chat(aRequest, aResponse, aContext);
+    return Chat(aRequest, aAnswer, aContext);
   }
   if (path == "/v1/models" && aRequest.getMethod() == "GET") {
-    List(aResponse, aContext);
+    List(aAnswer, aContext);
     return {};
   }
   if (path == "/v1/briefings" && aRequest.getMethod() == "POST") {
-    return Accept(aRequest, aResponse, aContext);
+    return Accept(aRequest, aAnswer, aContext);
   }
   if (path.compare(0, kBriefings.size(), kBriefings) == 0 &&
       aRequest.getMethod() == "GET") {
-    return Collect(aResponse, aContext, path.substr(kBriefings.size()));
+    return Collect(aAnswer, aContext, path.substr(kBriefings.size()));
   }
   if (path.compare(0, kServices.size(), kServices) == 0) {
-    return Service(
-      aRequest, aResponse, aContext, path.substr(kServices.size()));
+    return Service(aRequest, aAnswer, aContext, path.substr(kServices.size()));
   }
   return Fail(ErrorKind::NotFound, "see the README for the paths");
 }
 
 void
-CallerPort::List(Response& aResponse, const RequestContext& aContext)
+CallerPort::List(CallerAnswer& aAnswer, const RequestContext& aContext)
 {
   Json::Value json;
   json["object"] = "list";
@@ -194,7 +241,7 @@
       json["data"].append(model);
     }
   }
-  JsonSend(aResponse, 200, json);
+  aAnswer.Send([&](Response& aResponse) { JsonSend(aResponse, 200, json); });
 }
 
 // A profile of another tenant is answered like one that doesn't exist.
@@ -236,19 +283,22 @@
 
 Result<void>
 CallerPort::Chat(Request& aRequest,
-                 Response& aResponse,
+                 CallerAnswer& aAnswer,
                  RequestContext& aContext)
 {
   bool wantsStream = false;
   BOOST_LEAF_AUTO(call, ReadChat(aRequest, aContext, wantsStream));
+  BOOST_LEAF_CHECK(Begin(aAnswer));
   if (!wantsStream) {
     BOOST_LEAF_AUTO(answer,
                     mModels.Run(call, [](const auto&) { return true; }));
-    aResponse.set("X-Request-Id", aContext.mId);
-    JsonSend(aResponse, 200, ChatWholeJson(call, answer));
+    aAnswer.Send([&](Response& aResponse) {
+      aResponse.set("X-Request-Id", aContext.mId);
+      JsonSend(aResponse, 200, ChatWholeJson(call, answer));
+    });
     return {};
   }
-  ChatStream stream(aResponse, call);
+  ChatStream stream(aAnswer, call);
   auto answer = Outcome([&] {
     return mModels.Run(
       call, [&](const std::string& aToken) { return stream.Token(aToken); });
@@ -257,7 +307,6 @@
     if (!stream.Begun()) {
       return Fail(*failure);
     }
-    aResponse.setKeepAlive(false);
     stream.Break(*failure);
     return Fail(*failure);
   }
@@ -269,7 +318,7 @@
 // outlives every instance.
 Result<void>
 CallerPort::Accept(Request& aRequest,
-                   Response& aResponse,
+                   CallerAnswer& aAnswer,
                    RequestContext& aContext)
 {
   bool wantsStream = false; // a briefing is collected, never streamed
@@ -284,18 +333,21 @@
   auto expires = mClock.WallNow() + kBriefingLife;
   briefing.mExpires =
     std::chrono::duration_cast<Millis>(expires.time_since_epoch()).count();
+  BOOST_LEAF_CHECK(Begin(aAnswer));
   BOOST_LEAF_CHECK(mBriefings.Keep(briefing));
   Json::Value answer;
   answer["id"] = briefing.mId;
   answer["state"] = BriefingStateName(briefing.mState);
-  aResponse.set("Location", kBriefings + briefing.mId);
-  constexpr int kAccepted = 202;
-  JsonSend(aResponse, kAccepted, answer);
+  aAnswer.Send([&](Response& aResponse) {
+    aResponse.set("Location", kBriefings + briefing.mId);
+    constexpr int kAccepted = 202;
+    JsonSend(aResponse, kAccepted, answer);
+  });
   return {};
 }
 
 Result<void>
-CallerPort::Collect(Response& aResponse,
+CallerPort::Collect(CallerAnswer& aAnswer,
                     const RequestContext& aContext,
                     const std::string& aId)
 {
@@ -317,13 +369,13 @@
   } else if (briefing.mState == BriefingState::Refused) {
     answer["problem"] = briefing.mAnswer;
   }
-  JsonSend(aResponse, 200, answer);
+  aAnswer.Send([&](Response& aResponse) { JsonSend(aResponse, 200, answer); });
   return {};
 }
 
 Result<void>
 CallerPort::Service(Request& aRequest,
-                    Response& aResponse,
+                    CallerAnswer& aAnswer,
                     RequestContext& aContext,
                     const std::string& aPath)
 {
@@ -348,23 +400,26 @@
   if (call.mIdempotencyKey.size() > kIdempotencyKeyLimit) {
     return Fail(ErrorKind::BadRequest, "Idempotency-Key is too long");
   }
+  BOOST_LEAF_CHECK(Begin(aAnswer));
   BOOST_LEAF_AUTO(answer, mServices.Run(call));
   mMetrics.Observe(
     "whole",
     aContext.mCaller.mTenant,
     aContext.mProfile.mClass,
     std::chrono::duration_cast<Micros>(mClock.Now() - aContext.mArrived));
-  const ClaimAnswer& kept = answer.mAnswer;
-  aResponse.setStatusAndReason(
-    static_cast<Poco::Net::HTTPResponse::HTTPStatus>(kept.mStatus));
-  if (!kept.mContentType.empty()) {
-    aResponse.setContentType(kept.mContentType);
-  }
-  aResponse.set("X-Request-Id", aContext.mId);
-  if (answer.mReplayed) {
-    aResponse.set("Idempotent-Replayed", "true");
-  }
-  aResponse.sendBuffer(kept.mBody.data(), kept.mBody.size());
+  aAnswer.Send([&](Response& aResponse) {
+    const ClaimAnswer& kept = answer.mAnswer;
+    aResponse.setStatusAndReason(
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(kept.mStatus));
+    if (!kept.mContentType.empty()) {
+      aResponse.setContentType(kept.mContentType);
+    }
+    aResponse.set("X-Request-Id", aContext.mId);
+    if (answer.mReplayed) {
+      aResponse.set("Idempotent-Replayed", "true");
+    }
+    aResponse.sendBuffer(kept.mBody.data(), kept.mBody.size());
+  });
   return {};
 }
 
--- a/src/serve/CallerPort.h
+++ b/src/serve/CallerPort.h
@@ -4,6 +4,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 #include "base/Metrics.h"
@@ -11,6 +13,7 @@
 #include "net/HttpPort.h"
 #include "serve/Authenticator.h"
 #include "serve/BriefingStore.h"
+#include "serve/CallerAnswer.h"
 #include "serve/ModelCalls.h"
 #include "serve/ServiceCalls.h"
 
@@ -51,40 +54,44 @@
   // connects after the balancer's lag would otherwise wait in the listener for
   // our end, and be reset with its request sent.
   void Drain() { mDraining = true; }
+  // Gives the last answers to what is still under way, until aUntil at most.
+  // Returns how many of them had begun work that is cut.
+  int GiveUp(TimePoint aUntil);
   // Whoever is connected gets the answer to what was sent.
   void Close(Millis aWithin) { mPort->End(aWithin); }
 
 private:
   using Request = Poco::Net::HTTPServerRequest;
   using Response = Poco::Net::HTTPServerResponse;
+  class Owed; // an answer that is owed
 
   void Handle(Request& aRequest, Response& aResponse);
   // To whoever comes while we leave.
   Failure Leaving(Request& aRequest) const;
   Result<void> Route(Request& aRequest,
-                     Response& aResponse,
+                     CallerAnswer& aAnswer,
                      RequestContext& aContext);
   // Body, profile and tokens of a chat or briefing.
   Result<ModelCall> ReadChat(Request& aRequest,
                              RequestContext& aContext,
                              bool& aStream) const;
   Result<void> Chat(Request& aRequest,
-                    Response& aResponse,
+                    CallerAnswer& aAnswer,
                     RequestContext& aContext);
   Result<void> Service(Request& aRequest,
-                       Response& aResponse,
+                       CallerAnswer& aAnswer,
                        RequestContext& aContext,
                        const std::string& aPath);
   Result<void> Accept(Request& aRequest,
-                      Response& aResponse,
+                      CallerAnswer& aAnswer,
                       RequestContext& aContext);
-  Result<void> Collect(Response& aResponse,
+  Result<void> Collect(CallerAnswer& aAnswer,
                        const RequestContext& aContext,
                        const std::string& aId);
-  void List(Response& aResponse, const RequestContext& aContext);
+  void List(CallerAnswer& aAnswer, const RequestContext& aContext);
   Result<void> FindProfile(RequestContext& aContext,
                            const std::string& aName) const;
-  void Refuse(Response& aResponse,
+  void Refuse(CallerAnswer& aAnswer,
               const RequestContext& aContext,
               const Failure& aFailure);
 
@@ -97,6 +104,8 @@
   Metrics& mMetrics;
   const Clock& mClock;
   std::atomic<bool> mDraining{ false };
+  std::mutex mLock;
+  std::set<CallerAnswer*> mOwed;
   std::unique_ptr<HttpPort> mPort;
 };
 
--- a/src/serve/ChatReply.cpp
+++ b/src/serve/ChatReply.cpp
@@ -25,9 +25,8 @@
   return json;
 }
 
-ChatStream::ChatStream(Poco::Net::HTTPServerResponse& aResponse,
-                       const ModelCall& aCall)
-  : mResponse(aResponse)
+ChatStream::ChatStream(CallerAnswer& aAnswer, const ModelCall& aCall)
+  : mAnswer(aAnswer)
   , mCall(aCall)
 {
 }
@@ -44,34 +43,12 @@
   return json;
 }
 
-bool
-ChatStream::Event(const char* aName, const std::string& aData)
-{
-  try {
-    if (!mOut) {
-      mResponse.setStatus(Poco::Net::HTTPResponse::HTTP_OK);
-      mResponse.setContentType("text/event-stream");
-      mResponse.set("Cache-Control", "no-store");
-      mResponse.set("X-Request-Id", mCall.mContext.mId);
-      mResponse.setChunkedTransferEncoding(true);
-      mOut = &mResponse.send();
-    }
-    if (aName) {
-      *mOut << "event: " << aName << "\n";
-    }
-    *mOut << "data: " << aData << "\n\n" << std::flush;
-    return mOut->good();
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 bool
 ChatStream::Token(const std::string& aText)
 {
   Json::Value chunk = Chunk();
   chunk["choices"][0]["delta"]["content"] = aText;
-  return Event(nullptr, JsonWrite(chunk));
+  return mAnswer.Event(nullptr, JsonWrite(chunk));
 }
 
 void
@@ -79,14 +56,16 @@
 {
   Json::Value chunk = Chunk();
   chunk["choices"][0]["finish_reason"] = aReason;
-  Event(nullptr, JsonWrite(chunk));
-  Event(nullptr, "[DONE]");
+  mAnswer.Event(nullptr, JsonWrite(chunk));
+  mAnswer.Event(nullptr, "[DONE]");
+  mAnswer.EndEvents();
 }
 
 void
 ChatStream::Break(const Failure& aFailure)
 {
-  Event("error", JsonWrite(ProblemJson(aFailure, mCall.mContext.mId)));
+  mAnswer.Event("error", JsonWrite(ProblemJson(aFailure, mCall.mContext.mId)));
+  mAnswer.EndEvents();
 }
 
 } // namespace caraway
--- a/src/serve/ChatReply.h
+++ b/src/serve/ChatReply.h
@@ -2,10 +2,9 @@
 #ifndef caraway_serve_ChatReply_h
 #define caraway_serve_ChatReply_h
 
-#include <Poco/Net/HTTPServerResponse.h>
-#include <ostream>
 #include <string>
 
+#include "serve/CallerAnswer.h"
 #include "serve/ModelCalls.h"
 
 namespace caraway {
@@ -18,9 +17,9 @@
 class ChatStream
 {
 public:
-  ChatStream(Poco::Net::HTTPServerResponse& aResponse, const ModelCall& aCall);
+  ChatStream(CallerAnswer& aAnswer, const ModelCall& aCall);
 
-  bool Begun() const { return mOut != nullptr; }
+  bool Begun() const { return mAnswer.Streaming(); }
   bool Token(const std::string& aText); // false: the caller has gone
   void Finish(const std::string& aReason);
   // An error event in place of the end marker: a stream that ends without
@@ -28,12 +27,10 @@
   void Break(const Failure& aFailure);
 
 private:
-  bool Event(const char* aName, const std::string& aData);
   Json::Value Chunk() const;
 
-  Poco::Net::HTTPServerResponse& mResponse;
+  CallerAnswer& mAnswer;
   const ModelCall& mCall;
-  std::ostream* mOut = nullptr;
 };
 
 } // namespace caraway
--- a/src/serve/Problem.cpp
+++ b/src/serve/Problem.cpp
@@ -20,6 +20,24 @@
   aResponse.sendBuffer(text.data(), text.size());
 }
 
+void
+SetProblemHead(Poco::Net::HTTPServerResponse& aResponse,
+               const Failure& aFailure,
+               const std::string& aRequestId)
+{
+  if (aFailure.mRetryAfter > Millis(0)) {
+    // The header knows whole seconds only; never less than asked for.
+    int64_t seconds = (aFailure.mRetryAfter.count() + 999) / 1000;
+    aResponse.set("Retry-After", std::to_string(seconds));
+  }
+  if (ErrorAnswerOf(aFailure.mKind).mStatus == 401) {
+    aResponse.set("WWW-Authenticate", "Bearer");
+  }
+  aResponse.set("X-Request-Id", aRequestId);
+}
+
+constexpr const char* kProblemType = "application/problem+json";
+
 } // namespace
 
 Json::Value
@@ -44,21 +62,27 @@
             const Failure& aFailure,
             const std::string& aRequestId)
 {
-  if (aFailure.mRetryAfter > Millis(0)) {
-    // The header knows whole seconds only; never less than asked for.
-    int64_t seconds = (aFailure.mRetryAfter.count() + 999) / 1000;
-    aResponse.set("Retry-After", std::to_string(seconds));
-  }
-  if (ErrorAnswerOf(aFailure.mKind).mStatus == 401) {
-    aResponse.set("WWW-Authenticate", "Bearer");
-  }
-  aResponse.set("X-Request-Id", aRequestId);
+  SetProblemHead(aResponse, aFailure, aRequestId);
   Send(aResponse,
        ErrorAnswerOf(aFailure.mKind).mStatus,
-       "application/problem+json",
+       kProblemType,
        ProblemJson(aFailure, aRequestId));
 }
 
+void
+ProblemSendNow(Poco::Net::HTTPServerResponse& aResponse,
+               const Failure& aFailure,
+               const std::string& aRequestId)
+{
+  SetProblemHead(aResponse, aFailure, aRequestId);
+  std::string text = JsonWrite(ProblemJson(aFailure, aRequestId)) + "\n";
+  aResponse.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(
+    ErrorAnswerOf(aFailure.mKind).mStatus));
+  aResponse.setContentType(kProblemType);
+  aResponse.setContentLength64(static_cast<Poco::Int64>(text.size()));
+  aResponse.send() << text << std::flush;
+}
+
 void
 JsonSend(Poco::Net::HTTPServerResponse& aResponse,
          int aStatus,
--- a/src/serve/Problem.h
+++ b/src/serve/Problem.h
@@ -19,6 +19,13 @@
             const Failure& aFailure,
             const std::string& aRequestId);
 
+// The same at once. The above goes out when its handler returns, and that may
+// be later than the caller can wait for.
+void
+ProblemSendNow(Poco::Net::HTTPServerResponse& aResponse,
+               const Failure& aFailure,
+               const std::string& aRequestId);
+
 void
 JsonSend(Poco::Net::HTTPServerResponse& aResponse,
          int aStatus,
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -307,6 +307,41 @@
   EXPECT_EQ(fleet.EngineState(leaving)["audit"]["generated"].asInt(), before);
 }
 
+// Guards against: what the time limit cuts gets no last answer, or a late one.
+TEST(Leaving, WhatTheLimitCutsIsAnswered)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  ServiceFaults(fleet, 5000, 0);
+  HttpReply whole;
+  HttpReply stream;
+  HttpReply order;
+  std::vector<std::thread> callers;
+  callers.emplace_back([&] { whole = fleet.Chat(1, key, "chat-m0", 150); });
+  callers.emplace_back(
+    [&] { stream = fleet.Chat(1, key, "chat-m0", 150, true); });
+  callers.emplace_back([&] { order = fleet.OrderCall(1, key, "k1", "b1"); });
+  EXPECT_TRUE(Eventually(Seconds(5), [&] {
+    return fleet.EngineState(0)["active"].asInt() == 2 && fleet.Runs("b1") == 1;
+  }));
+  auto told = std::chrono::steady_clock::now();
+  fleet.mInstances[1]->Terminate();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(2200));
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
+  // The platform's timeout more: handing the shares on takes a call.
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(3200));
+  EXPECT_EQ(whole.mStatus, 503) << whole.mError;
+  EXPECT_EQ(RunOf(whole), "may_have_run");
+  EXPECT_EQ(order.mStatus, 503) << order.mError;
+  EXPECT_EQ(RunOf(order), "may_have_run");
+  EXPECT_EQ(stream.mStatus, 200) << stream.mError;
+  EXPECT_NE(stream.mBody.find("event: error"), std::string::npos);
+}
+
 // Guards against: a kept connection is closed under its caller's next request.
 TEST(Leaving, AnswersEndTheirConnections)
 {
