carawayd: peers that don't answer don't hold up the end

What callers saw: last answers came late, or after a kill.

Cause: the instance told its peers one after the other that it leaves, 0.7 s for each that is silent, before it looked at the time.

Before, on the parent of this commit: [ FAILED ] Leaving.FrozenPeersDontHoldItUp (8255 ms) more than 2.2 s after SIGTERM, with 0.2 s of lag and 2 s of limit After: OK (6549 ms).

Why this works: the telling has a thread of its own, and the lag counts from SIGTERM. Peers that aren't told learn it from the next beat or from silence.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -352,15 +352,17 @@
 Instance::Shutdown()
 {
   LogInfo("leaving", {});
+  TimePoint told = mClock.Now();
   LeaveTimes times;
   times.mBalancerLag = mSettings.mShutdownLag;
   times.mGrace = mSettings.mShutdownLag + mSettings.mShutdownLimit;
   mLeave.Begin(times);
   mCallers->Leave();
   mMembers->LeaveSelf();
-  mHeartbeat->SayLeaving();
+  // Peers that don't answer hold nothing up; it ends with the process.
+  std::thread([this] { mHeartbeat->SayLeaving(); }).detach();
   // The balancer goes on sending until it has seen that we aren't ready.
-  std::this_thread::sleep_for(mSettings.mShutdownLag);
+  std::this_thread::sleep_until(told + mSettings.mShutdownLag);
   mCallers->Drain();
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -378,6 +378,30 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
 }
 
+// Guards against: peers that don't answer hold up the last answers.
+TEST(Leaving, FrozenPeersDontHoldItUp)
+{
+  FleetPlan plan = SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 2" });
+  plan.mInstances = { 6 };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 150); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  for (size_t i : { 0u, 2u, 3u, 4u, 5u }) {
+    fleet.mInstances[i]->Stop();
+  }
+  auto told = std::chrono::steady_clock::now();
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(2200));
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(RunOf(reply), "may_have_run");
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
+}
+
 // Guards against: a call is sent again so late that the end cuts the repeat.
 TEST(Leaving, RepeatThatTheEndWouldCutIsntSent)
 {
