carawayd: an operator's request under way is waited for

What callers saw: a change of the configuration that was being sent as the instance left got neither an answer nor a refusal.

Cause: leaving waited for callers' requests only; the administration port was closed under its own.

Before, on unchanged code: [ FAILED ] Leaving.OperatorsRequestUnderWayIsAnswered (3335 ms) no answer at all After: OK (2743 ms).

Why this works: what is under way there counts like the rest, until the end.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -348,6 +348,14 @@
   return out.str();
 }
 
+bool
+Instance::Busy() const
+{
+  return mCallers->InFlight() > 0 || mAdmin->InFlight() > 0 ||
+         mOwner.Busy() > 0 || !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
+         !mBriefingWorkers.Idle();
+}
+
 int
 Instance::Shutdown()
 {
@@ -366,15 +374,12 @@
   mCallers->Drain();
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
+            { "admin", std::to_string(mAdmin->InFlight()) },
             { "places", std::to_string(mOwner.Busy()) },
             { "claims_idle", mClaimWorkers.Idle() ? "yes" : "no" },
-            { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" } });
-  auto busy = [this] {
-    return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
-           !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
-           !mBriefingWorkers.Idle();
-  };
-  while (busy() && mClock.Now() < mLeave.End()) {
+            { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" },
+            { "briefings_idle", mBriefingWorkers.Idle() ? "yes" : "no" } });
+  while (Busy() && mClock.Now() < mLeave.End()) {
     std::this_thread::sleep_for(kDrainStep);
   }
   int cut = mCallers->GiveUp(mClock.Now() + kLastAnswers);
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -42,6 +42,7 @@
 private:
   void AddPeerMethods();
   void StartTickers();
+  bool Busy() const;
   AdminPort::Parts AdminParts();
   Json::Value Status() const;
   Json::Value Fleet();
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -402,6 +402,22 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
 }
 
+// Guards against: an operator's request under way is dropped at the end.
+TEST(Leaving, OperatorsRequestUnderWayIsAnswered)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200" }));
+  SlowRequest request(fleet.mInstances[1]->Address("admin"),
+                      "/admin/v1/check",
+                      fleet.mAdminKey,
+                      R"({"config":{}})");
+  std::this_thread::sleep_for(Millis(100));
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(1000));
+  std::string answer = request.Finish();
+  EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 // Guards against: a call is sent again so late that the end cuts the repeat.
 TEST(Leaving, RepeatThatTheEndWouldCutIsntSent)
 {
