carawayd: SIGHUP ends nothing

What callers saw: all connections of an instance closed at once.

Cause: SIGHUP, which has the entry daemon read its settings again and which a closing terminal sends, was left to its default: the process ends. A second SIGTERM or SIGINT was blocked before, and is.

Before, on unchanged code: [ FAILED ] Leaving.OtherSignalsCutNothing (2653 ms) no [DONE]; exit code -1 for 0 After: OK (5436 ms).

Why this works: it is blocked and waited for like the others, and passed over.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -30,6 +30,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   caraway::Instance instance(std::move(aSettings));
@@ -43,7 +44,9 @@
   std::printf("%s\n", caraway::JsonWrite(instance.Addresses()).c_str());
   std::fflush(stdout);
   int signal = 0;
-  sigwait(&signals, &signal);
+  do {
+    sigwait(&signals, &signal);
+  } while (signal == SIGHUP); // nothing is read again
   int code = instance.Shutdown() == 0 ? kExitOk : kExitCut;
   std::fflush(nullptr);
   // All is answered and handed over. What is left are threads in calls that
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -356,6 +356,27 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
 }
 
+// Guards against: a signal other than the first SIGTERM ends it at once.
+TEST(Leaving, OtherSignalsCutNothing)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 50, true); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  kill(fleet.mInstances[1]->Pid(), SIGHUP);
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(300));
+  kill(fleet.mInstances[1]->Pid(), SIGHUP);
+  kill(fleet.mInstances[1]->Pid(), SIGINT);
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_NE(reply.mBody.find("[DONE]"), std::string::npos) << reply.mError;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 // Guards against: a request that is whole only late is begun, for the end to
 // cut.
 TEST(Leaving, RequestThatIsWholeTooLateIsntBegun)
