--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -157,12 +157,9 @@
     Poco::Net::StreamSocket socket = mSocket.acceptConnection();
     socket.setBlocking(true);
     socket.setNoDelay(true);
-    if (mConnections->queuedConnections() >= mParts->mLimits.mWaiting) {
+    if (!Enqueue(socket)) {
       TurnAway(socket);
-      return true;
     }
-    mParts->mEnding.Add(socket);
-    mConnections->enqueue(socket);
     return true;
   } catch (const Poco::Exception& error) {
     LogInfo("connection_not_accepted", { { "reason", error.displayText() } });
@@ -170,6 +167,23 @@
   }
 }
 
+// False when it would wait behind too many, or no thread can be started.
+bool
+HttpPort::Enqueue(const Poco::Net::StreamSocket& aSocket)
+{
+  if (mConnections->queuedConnections() >= mParts->mLimits.mWaiting) {
+    return false;
+  }
+  int refused = mConnections->refusedConnections();
+  mParts->mEnding.Add(aSocket);
+  mConnections->enqueue(aSocket);
+  if (mConnections->refusedConnections() == refused) {
+    return true;
+  }
+  mParts->mEnding.Remove(aSocket);
+  return false;
+}
+
 // A new connection's buffer takes this whole: it never waits.
 void
 HttpPort::TurnAway(Poco::Net::StreamSocket aSocket)
--- a/src/net/HttpPort.h
+++ b/src/net/HttpPort.h
@@ -58,6 +58,7 @@
 
   void Accept();
   bool AcceptOne();
+  bool Enqueue(const Poco::Net::StreamSocket& aSocket);
   void TurnAway(Poco::Net::StreamSocket aSocket);
 
   Poco::Net::ServerSocket mSocket;
