--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -15,6 +15,8 @@
 constexpr Millis kKeepEvery{ 1000 };
 constexpr Millis kFleetTime{ 700 };
 constexpr Millis kDrainStep{ 20 };
+constexpr Millis kLastAnswers{ 200 }; // all of them
+constexpr Millis kClosing{ 200 };     // of a port
 // Loads mostly wait: for the engine, or for their turn at the store. An
 // urgent one must not wait for a thread behind those.
 constexpr int kLoadThreads = 32;
@@ -90,6 +92,7 @@
 
 Instance::Instance(Settings aSettings)
   : mSettings(std::move(aSettings))
+  , mLeave(mClock)
   , mPlatform(PlatformSettings(mSettings), mClock)
   , mConfigStore(mPlatform)
   , mConfig(mClock)
@@ -153,9 +156,9 @@
   mPlaces =
     std::make_unique<PlaceFinder>(mOwner, *mMembers, mPeers, mKeys, mMetrics);
   mModels = std::make_unique<ModelCalls>(
-    *mPlaces, *mShareClient, mKeys, mMetrics, mClock);
+    *mPlaces, *mShareClient, mKeys, mLeave, mMetrics, mClock);
   mServices = std::make_unique<ServiceCalls>(
-    *mClaims, *mShareClient, mSettings.mZone, mClock);
+    *mClaims, *mShareClient, mLeave, mSettings.mZone, mClock);
   AddPeerMethods();
   mPeerPort.Serve();
   CallerPortSettings callers;
@@ -247,7 +250,7 @@
 Instance::Ready() const
 {
   // Without a table of its zone's shares it would refuse what others let in.
-  return mConfig.Current()->mRevision > 0 && !mLeaving &&
+  return mConfig.Current()->mRevision > 0 && !mLeave.Leaving() &&
          !mShares->Table().mMembers.empty();
 }
 
@@ -275,7 +278,7 @@
   json["zone"] = mSettings.mZone;
   json["incarnation"] = mIncarnation;
   json["ready"] = Ready();
-  json["leaving"] = mLeaving.load();
+  json["leaving"] = mLeave.Leaving();
   json["revision"] = Json::Int64(mConfig.Current()->mRevision);
   json["config_age_ms"] = Json::Int64(mConfig.Age().count());
   json["in_flight"] = mCallers->InFlight();
@@ -345,36 +348,46 @@
   return out.str();
 }
 
+bool
+Instance::Busy() const
+{
+  return mCallers->InFlight() > 0 || mAdmin->InFlight() > 0 ||
+         mOwner.Busy() > 0 || !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
+         !mBriefingWorkers.Idle();
+}
+
 int
 Instance::Shutdown()
 {
   LogInfo("leaving", {});
-  mLeaving = true;
+  TimePoint told = mClock.Now();
+  LeaveTimes times;
+  times.mBalancerLag = mSettings.mShutdownLag;
+  times.mGrace = mSettings.mShutdownLag + mSettings.mShutdownLimit;
+  mLeave.Begin(times);
+  mCallers->Leave();
   mMembers->LeaveSelf();
-  mHeartbeat->SayLeaving();
+  // Peers that don't answer hold nothing up; it ends with the process.
+  std::thread([this] { mHeartbeat->SayLeaving(); }).detach();
   // The balancer goes on sending until it has seen that we aren't ready.
-  std::this_thread::sleep_for(mSettings.mShutdownLag);
+  std::this_thread::sleep_until(told + mSettings.mShutdownLag);
   mCallers->Drain();
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
+            { "admin", std::to_string(mAdmin->InFlight()) },
             { "places", std::to_string(mOwner.Busy()) },
             { "claims_idle", mClaimWorkers.Idle() ? "yes" : "no" },
-            { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" } });
-  TimePoint until = mClock.Now() + mSettings.mShutdownLimit;
-  auto busy = [this] {
-    return mCallers->InFlight() > 0 || mOwner.Busy() > 0 ||
-           !mClaimWorkers.Idle() || !mLoadWorkers.Idle() ||
-           !mBriefingWorkers.Idle();
-  };
-  while (busy() && mClock.Now() < until) {
+            { "loads_idle", mLoadWorkers.Idle() ? "yes" : "no" },
+            { "briefings_idle", mBriefingWorkers.Idle() ? "yes" : "no" } });
+  while (Busy() && mClock.Now() < mLeave.End()) {
     std::this_thread::sleep_for(kDrainStep);
   }
-  int cut = mCallers->InFlight();
+  int cut = mCallers->GiveUp(mClock.Now() + kLastAnswers);
+  mCallers->Close(kClosing);
   mTickers.clear();
   mShares->Leave();
-  mCallers->Close();
-  mAdmin->Close();
-  mPeerPort.Close();
+  mAdmin->Close(kClosing);
+  mPeerPort.Close(kClosing);
   LogInfo("left", { { "cut", std::to_string(cut) } });
   return cut;
 }
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -19,6 +19,7 @@
 #include "platform/PlatformClient.h"
 #include "serve/BriefingRunner.h"
 #include "serve/CallerPort.h"
+#include "serve/LeaveGate.h"
 
 namespace caraway {
 
@@ -34,12 +35,14 @@
   // {"caller":…,"admin":…,"peer":…}: addresses as bound.
   Json::Value Addresses() const;
   // Unready, keeps serving for the balancer's lag, finishes what is under
-  // way, gives back what it owns. Returns how many requests were cut.
+  // way, gives back what it owns. Returns how many requests were cut; each of
+  // them was told.
   int Shutdown();
 
 private:
   void AddPeerMethods();
   void StartTickers();
+  bool Busy() const;
   AdminPort::Parts AdminParts();
   Json::Value Status() const;
   Json::Value Fleet();
@@ -49,6 +52,7 @@
   Settings mSettings;
   SystemClock mClock;
   Metrics mMetrics;
+  LeaveGate mLeave;
   PlatformClient mPlatform;
   ConfigStore mConfigStore;
   ConfigHolder mConfig;
@@ -81,7 +85,6 @@
   std::unique_ptr<CallerPort> mCallers;
   std::unique_ptr<AdminPort> mAdmin;
   std::vector<std::unique_ptr<Ticker>> mTickers;
-  std::atomic<bool> mLeaving{ false };
   std::atomic<bool> mPoked{ false }; // slots were handed to us
 };
 
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -1,7 +1,13 @@
 #include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
+#include <sstream>
 #include <thread>
 
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+
 #include "base/JsonText.h"
 #include "support/Fleet.h"
 
@@ -63,6 +69,101 @@
   std::vector<std::thread> mThreads;
 };
 
+// Two instances and slow engines; the second one will leave.
+FleetPlan
+SlowPlan(std::vector<std::string> aSettings)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mServices = 2;
+  plan.mEngineWords = { "--token_ms=40" };
+  plan.mSettings = std::move(aSettings);
+  return plan;
+}
+
+void
+ServiceFaults(Fleet& aFleet, int aDelayMs, int aLost)
+{
+  Json::Value fault;
+  fault["delay_ms"] = aDelayMs;
+  fault["lose_answers"] = aLost;
+  for (auto& service : aFleet.mServices) {
+    aFleet.Call(service->Address(), "POST", "/control", fault);
+  }
+}
+
+// Whether the answer to a caller that would keep its connection lets it.
+bool
+KeepsConnection(Fleet& aFleet, const std::string& aKey)
+{
+  Poco::Net::HTTPClientSession session(
+    Poco::Net::SocketAddress(aFleet.mInstances[1]->Address("caller")));
+  session.setKeepAlive(true);
+  Poco::Net::HTTPRequest request(
+    "GET", "/v1/models", Poco::Net::HTTPMessage::HTTP_1_1);
+  request.setKeepAlive(true);
+  request.set("Authorization", "Bearer " + aKey);
+  session.sendRequest(request);
+  Poco::Net::HTTPResponse response;
+  session.receiveResponse(response).ignore(1 << 20);
+  EXPECT_EQ(response.getStatus(), Poco::Net::HTTPResponse::HTTP_OK);
+  return response.getKeepAlive();
+}
+
+// A request that is sent in two parts.
+class SlowRequest
+{
+public:
+  SlowRequest(const std::string& aAddress,
+              const std::string& aPath,
+              const std::string& aKey,
+              const std::string& aBody)
+    : mSocket(Poco::Net::SocketAddress(aAddress))
+    , mRest(aBody.substr(1))
+  {
+    mSocket.setReceiveTimeout(Poco::Timespan(10, 0));
+    std::ostringstream head;
+    head << "POST " << aPath << " HTTP/1.1\r\nHost: x\r\n"
+         << "Authorization: Bearer " << aKey << "\r\n"
+         << "Content-Length: " << aBody.size() << "\r\n\r\n"
+         << aBody[0];
+    Send(head.str());
+  }
+  // The rest of it, and all that comes back.
+  std::string Finish()
+  {
+    std::string answer;
+    char buffer[4096];
+    try {
+      Send(mRest);
+      int got = 0;
+      do {
+        got = mSocket.receiveBytes(buffer, sizeof buffer);
+        answer.append(buffer, static_cast<size_t>(std::max(got, 0)));
+      } while (got > 0);
+    } catch (const Poco::Exception& error) {
+      answer += error.displayText();
+    }
+    return answer;
+  }
+
+private:
+  void Send(const std::string& aText)
+  {
+    mSocket.sendBytes(aText.data(), static_cast<int>(aText.size()));
+  }
+
+  Poco::Net::StreamSocket mSocket;
+  std::string mRest;
+};
+
+std::string
+RunOf(const HttpReply& aReply)
+{
+  return JsonParseOrEmpty(aReply.mBody)["run"].asString();
+}
+
 } // namespace
 
 // An instance is told to end while it streams, has requests waiting and
@@ -206,4 +307,159 @@
   EXPECT_EQ(fleet.EngineState(leaving)["audit"]["generated"].asInt(), before);
 }
 
+// Guards against: what the time limit cuts gets no last answer, or a late one.
+TEST(Leaving, WhatTheLimitCutsIsAnswered)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  ServiceFaults(fleet, 5000, 0);
+  HttpReply whole;
+  HttpReply stream;
+  HttpReply order;
+  std::vector<std::thread> callers;
+  callers.emplace_back([&] { whole = fleet.Chat(1, key, "chat-m0", 150); });
+  callers.emplace_back(
+    [&] { stream = fleet.Chat(1, key, "chat-m0", 150, true); });
+  callers.emplace_back([&] { order = fleet.OrderCall(1, key, "k1", "b1"); });
+  EXPECT_TRUE(Eventually(Seconds(5), [&] {
+    return fleet.EngineState(0)["active"].asInt() == 2 && fleet.Runs("b1") == 1;
+  }));
+  auto told = std::chrono::steady_clock::now();
+  fleet.mInstances[1]->Terminate();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(2200));
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
+  // The platform's timeout more: handing the shares on takes a call.
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(3200));
+  EXPECT_EQ(whole.mStatus, 503) << whole.mError;
+  EXPECT_EQ(RunOf(whole), "may_have_run");
+  EXPECT_EQ(order.mStatus, 503) << order.mError;
+  EXPECT_EQ(RunOf(order), "may_have_run");
+  EXPECT_EQ(stream.mStatus, 200) << stream.mError;
+  EXPECT_NE(stream.mBody.find("event: error"), std::string::npos);
+}
+
+// Guards against: a kept connection is closed under its caller's next request.
+TEST(Leaving, AnswersEndTheirConnections)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 3000" }));
+  std::string key = fleet.mKeys["acme"];
+  EXPECT_TRUE(KeepsConnection(fleet, key));
+  std::string admin = fleet.mInstances[1]->Address("admin");
+  fleet.mInstances[1]->Terminate();
+  EXPECT_TRUE(Eventually(
+    Seconds(2), [&] { return !fleet.Call(admin, "GET", "/readyz").Ok(); }));
+  EXPECT_FALSE(KeepsConnection(fleet, key));
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
+// Guards against: a signal other than the first SIGTERM ends it at once.
+TEST(Leaving, OtherSignalsCutNothing)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 50, true); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  kill(fleet.mInstances[1]->Pid(), SIGHUP);
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(300));
+  kill(fleet.mInstances[1]->Pid(), SIGHUP);
+  kill(fleet.mInstances[1]->Pid(), SIGINT);
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_NE(reply.mBody.find("[DONE]"), std::string::npos) << reply.mError;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
+// Guards against: a request that is whole only late is begun, for the end to
+// cut.
+TEST(Leaving, RequestThatIsWholeTooLateIsntBegun)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 500", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  int before = fleet.EngineState(0)["audit"]["generated"].asInt();
+  std::string body = R"({"model":"chat-m0","max_tokens":100,"messages":)"
+                     R"([{"role":"user","content":"open?"}]})";
+  SlowRequest request(
+    fleet.mInstances[1]->Address("caller"), "/v1/chat/completions", key, body);
+  std::this_thread::sleep_for(Millis(100));
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(1000));
+  std::string answer = request.Finish();
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("not_run"), std::string::npos) << answer;
+  EXPECT_EQ(fleet.EngineState(0)["audit"]["generated"].asInt(), before);
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
+// Guards against: peers that don't answer hold up the last answers.
+TEST(Leaving, FrozenPeersDontHoldItUp)
+{
+  FleetPlan plan = SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 2" });
+  plan.mInstances = { 6 };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 150); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  for (size_t i : { 0u, 2u, 3u, 4u, 5u }) {
+    fleet.mInstances[i]->Stop();
+  }
+  auto told = std::chrono::steady_clock::now();
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_LT(std::chrono::steady_clock::now() - told, Millis(2200));
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(RunOf(reply), "may_have_run");
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
+}
+
+// Guards against: an operator's request under way is dropped at the end.
+TEST(Leaving, OperatorsRequestUnderWayIsAnswered)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200" }));
+  SlowRequest request(fleet.mInstances[1]->Address("admin"),
+                      "/admin/v1/check",
+                      fleet.mAdminKey,
+                      R"({"config":{}})");
+  std::this_thread::sleep_for(Millis(100));
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(1000));
+  std::string answer = request.Finish();
+  EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
+// Guards against: a call is sent again so late that the end cuts the repeat.
+TEST(Leaving, RepeatThatTheEndWouldCutIsntSent)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 3" }));
+  ServiceFaults(fleet, 1000, 1);
+  HttpCall call;
+  call.mAddress = fleet.mInstances[1]->Address("caller");
+  call.mMethod = "POST";
+  call.mPath = "/v1/services/status/closures";
+  call.mBody = "b1";
+  call.mTimeout = Seconds(20);
+  call.mHeaders = { { "Authorization", "Bearer " + fleet.mKeys["acme"] } };
+  HttpReply reply;
+  std::thread caller([&] { reply = HttpCallOnce(call); });
+  EXPECT_TRUE(Eventually(Seconds(5), [&] { return fleet.Runs("b1") == 1; }));
+  fleet.mInstances[1]->Terminate();
+  caller.join();
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(RunOf(reply), "may_have_run");
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+  EXPECT_EQ(fleet.Runs("b1"), 1);
+}
+
 } // namespace caraway
