A read that ran and failed isn't refused as not run

Callers saw: 503, which promises that a request has not run, for a read that one server had run and answered with a failure of its own before the others refused it. Cause: only a broken send noted that the request may have run. Evidence: Answers.ReadThatRanAndFailedIsntRefusedAsNotRun failed before (both orders of the two servers), passes now: the answer promises nothing then (502).

--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -248,6 +248,7 @@
     return;
   }
   mRuns += failed ? 1 : 0;
+  mMayHaveRun = mMayHaveRun || failed;
   if (failed && MayRepeat()) {
     mState.mLog.Line("request_again")
       .Text("id", mFacts.mId)
--- a/tests/platform/AnswersTest.cpp
+++ b/tests/platform/AnswersTest.cpp
@@ -139,6 +139,23 @@
   EXPECT_EQ(2, world.RunsOf("r1"));
 }
 
+// Guards against "not run" for a read that one server ran and failed, and all
+// others refused.
+TEST(Answers, ReadThatRanAndFailedIsntRefusedAsNotRun)
+{
+  for (int first : { 0, 1 }) {
+    EntryWorld world;
+    world.AwaitReady();
+    world.mPlain[first]->mManners = Manners::Fails;
+    world.mPlain[1 - first]->mManners = Manners::Refuses;
+    for (int i = 0; i < 6; ++i) {
+      std::string id = "r" + std::to_string(i);
+      int status = world.Call(0, "/safe/x", id)->mStatus;
+      EXPECT_TRUE(status != 503 || world.RunsOf(id) == 0) << id;
+    }
+  }
+}
+
 // A server is gone and its address is another's, while its entry is still
 // listed. The other one refuses what isn't meant for it; it is asked once, not
 // by each request again and again.
