Going one after the other: four tests that fail on today's code

What the tests show on today's code: a reader that has said that it leaves is followed until its news are old; a configuration counts as fresh because the list of servers is; news that lay unread count as young as when they were sent; those that left stay on the list for seconds and are called meanwhile. Two more pass before and must after. The stand-in store can mute the watches of one port and kind, and a world can leave an instance standing still.

--- /dev/null
+++ b/tests/platform/GoingOneByOneTest.cpp
@@ -0,0 +1,231 @@
+// Instances leave one after the other: those that stay have fresh news, and
+// neither follow nor call the ones that left.
+
+#include <gtest/gtest.h>
+
+#include "platform/WireNames.h"
+#include "support/EntryWorld.h"
+
+namespace caraway {
+
+namespace {
+
+EntryPlan
+Instances(int aCount)
+{
+  EntryPlan plan;
+  plan.mInstances = aCount;
+  return plan;
+}
+
+// Withdraws the first tenant's key, and lets the first server drain.
+void
+Withdraw(EntryWorld& aWorld)
+{
+  aWorld.mConfig["tenants"][0]["apiKeys"] = Json::Value(Json::arrayValue);
+  aWorld.Configure();
+  aWorld.List(*aWorld.mPlain[0], "plain", "a", "draining");
+}
+
+bool
+KnowsConfig(EntryWorld& aWorld, size_t aInstance)
+{
+  const auto& config = aWorld.mInstances[aInstance]->State().mConfig;
+  return config && config->mVersion == aWorld.mConfig["version"].asInt64();
+}
+
+bool
+KnowsDraining(EntryWorld& aWorld, size_t aInstance)
+{
+  const Backend* server =
+    aWorld.mInstances[aInstance]->State().mServers.Find(aWorld.mPlain[0]->Id());
+  return server && server->mEntry.mDraining;
+}
+
+// The one that reads the store for the others.
+size_t
+Reader(EntryWorld& aWorld)
+{
+  aWorld.For(Millis(2500));
+  size_t reader = 0;
+  while (aWorld.LogLines(reader, "list_followed") >
+           aWorld.LogLines(reader, "list_read_again") &&
+         reader + 1 < aWorld.mInstances.size()) {
+    ++reader;
+  }
+  return reader;
+}
+
+bool
+AllKnow(EntryWorld& aWorld, size_t aBut)
+{
+  for (size_t i = 0; i < aWorld.mInstances.size(); ++i) {
+    if (i != aBut && !(KnowsConfig(aWorld, i) && KnowsDraining(aWorld, i))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// A change that all take over: what they know is as fresh as can be.
+void
+Freshen(EntryWorld& aWorld)
+{
+  aWorld.Configure();
+  std::string id = aWorld.mPlain[1]->Id();
+  aWorld.mStore->Remove(wire::kServersKind, id);
+  EXPECT_TRUE(aWorld.Until(
+    [&] {
+      for (size_t i = 0; i < aWorld.mInstances.size(); ++i) {
+        if (!KnowsConfig(aWorld, i) ||
+            aWorld.mInstances[i]->State().mServers.Find(id)) {
+          return false;
+        }
+      }
+      return true;
+    },
+    Seconds(2)));
+}
+
+// Calls to others that failed, in the logs of those that are there.
+int
+FailedCalls(EntryWorld& aWorld, size_t aFirst)
+{
+  int failed = 0;
+  for (size_t i = aFirst; i < aWorld.mInstances.size(); ++i) {
+    failed += aWorld.LogLines(i, "peer_call_failed");
+  }
+  return failed;
+}
+
+} // namespace
+
+// Guards against followers that wait for news of a reader that has said that
+// it leaves.
+TEST(GoingOneByOne, LeavingReaderIsFollowedNoMore)
+{
+  EntryWorld world(Instances(3));
+  world.AwaitReady();
+  size_t reader = Reader(world);
+  Freshen(world);
+  world.mInstances[reader]->Leave();
+  world.For(Millis(150));
+  world.mStore->SetMood(reader, StandInStore::Mood::Silent);
+  Withdraw(world);
+  EXPECT_TRUE(world.Until([&] { return AllKnow(world, reader); }, Millis(700)));
+}
+
+// Guards against a configuration that counts as fresh because the teller's list
+// of servers is.
+TEST(GoingOneByOne, ConfigurationHasAnAgeOfItsOwn)
+{
+  EntryWorld world(Instances(3));
+  world.AwaitReady();
+  size_t reader = Reader(world);
+  Freshen(world);
+  world.mStore->MuteWatchesOf(reader, wire::kConfigKind);
+  // Servers beat meanwhile, so that news of them never end.
+  world.mReactor.Every(
+    Millis(200), [&world] { world.List(*world.mEngines[0], "engine", "a"); });
+  world.For(Millis(50));
+  Withdraw(world);
+  EXPECT_TRUE(
+    world.Until([&] { return AllKnow(world, reader); }, Millis(2900)));
+}
+
+// Guards against news that lay unread and count as young as when they were
+// sent.
+TEST(GoingOneByOne, NewsAgeWhileTheyLieUnread)
+{
+  EntryWorld world(Instances(3));
+  world.AwaitReady();
+  size_t reader = Reader(world);
+  size_t late = reader == 2 ? 1 : 2;
+  world.mFrozen.insert(late);
+  world.For(Millis(1200));
+  world.mFrozen.insert(reader);
+  Withdraw(world);
+  world.For(Millis(1200));
+  world.mFrozen.erase(late);
+  EXPECT_TRUE(world.Until(
+    [&] { return KnowsConfig(world, late) && KnowsDraining(world, late); },
+    Millis(600)));
+}
+
+// Guards against calls to those that left, and against waiting for the store's
+// list to forget them.
+TEST(GoingOneByOne, ThoseThatLeftAreForgottenAndNotCalled)
+{
+  EntryPlan plan = Instances(3);
+  plan.mZones = { "a", "b" };
+  EntryWorld world(plan);
+  world.mConfig["tenants"][0]["ratePerS"] = 6000;
+  world.mConfig["tenants"][0]["burst"] = 6000;
+  world.Configure();
+  world.AwaitReady();
+  world.For(Millis(1500));
+  for (size_t i = 0; i < 4; ++i) {
+    world.mInstances[i]->Leave();
+    world.For(Millis(100));
+  }
+  ASSERT_TRUE(
+    world.Until([&] { return world.mInstances[3]->Gone(); }, Seconds(9)));
+  int before = FailedCalls(world, 4);
+  // More than the own parts: tokens are asked of others.
+  for (int i = 0; i < 20; ++i) {
+    world.Call(4 + static_cast<size_t>(i % 2),
+               "/order/x",
+               "r" + std::to_string(i),
+               { { wire::kTokens, "1500,0" } });
+  }
+  EXPECT_EQ(before, FailedCalls(world, 4));
+  for (size_t i = 4; i < 6; ++i) {
+    EXPECT_EQ(2, world.mInstances[i]->State().mInstances);
+  }
+}
+
+// Guards against a change that falls between many that leave: each that takes
+// callers has it within the bound.
+TEST(GoingOneByOne, ChangesAreInForceWhileMostLeave)
+{
+  EntryWorld world(Instances(8));
+  world.AwaitReady();
+  world.For(Millis(1500));
+  for (size_t i = 0; i < 6; ++i) {
+    world.mInstances[i]->Leave();
+    if (i == 3) {
+      Withdraw(world);
+    }
+    world.For(Millis(500));
+  }
+  world.For(Millis(500));
+  for (size_t i = 6; i < 8; ++i) {
+    EXPECT_TRUE(KnowsConfig(world, i) && KnowsDraining(world, i));
+    EXPECT_EQ(401, world.Call(i, "/order/x", "r" + std::to_string(i))->mStatus);
+  }
+}
+
+// Guards against an instance that starts again under its name and stays
+// forgotten.
+TEST(GoingOneByOne, NextLifeIsKnownAgain)
+{
+  EntryWorld world(Instances(3));
+  world.AwaitReady();
+  world.mInstances[1]->Leave();
+  ASSERT_TRUE(
+    world.Until([&] { return world.mInstances[1]->Gone(); }, Seconds(9)));
+  world.mInstances[1].reset();
+  world.mInstances[1] = world.MakeInstance(1);
+  EXPECT_TRUE(world.Until(
+    [&] {
+      for (auto& instance : world.mInstances) {
+        if (instance->State().mInstances != 3) {
+          return false;
+        }
+      }
+      return world.mInstances[1]->Ready();
+    },
+    Seconds(2)));
+}
+
+} // namespace caraway
--- a/tests/support/EntryWorld.cpp
+++ b/tests/support/EntryWorld.cpp
@@ -190,8 +190,9 @@
       return false;
     }
     mReactor.Turn(kTurn);
-    for (auto& instance : mInstances) {
-      if (instance && !instance->Gone()) {
+    for (size_t i = 0; i < mInstances.size(); ++i) {
+      auto& instance = mInstances[i];
+      if (instance && !instance->Gone() && !mFrozen.count(i)) {
         instance->Turn(Millis(0));
       }
     }
--- a/tests/support/EntryWorld.h
+++ b/tests/support/EntryWorld.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <json/json.h>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,7 @@
   std::vector<std::unique_ptr<StandInServer>> mEngines;
   std::vector<std::unique_ptr<StandInServer>> mPlain;
   std::vector<std::unique_ptr<EntryDaemon>> mInstances;
+  std::set<size_t> mFrozen; // instances that aren't turned
   // Routes /safe/, /order/, /stream/ (engine, at most once), /resume/stream/;
   // services "plain" and "engine"; tenants acme (key-acme) and globex.
   Json::Value mConfig;
--- a/tests/support/StandInStore.cpp
+++ b/tests/support/StandInStore.cpp
@@ -24,6 +24,7 @@
 
   StandInStore& mStore;
   Mood mMood = Mood::Serves;
+  std::string mMutedKind;
   std::shared_ptr<ListenPort> mListen;
 };
 
@@ -147,6 +148,12 @@
   mMuted = aMute;
 }
 
+void
+StandInStore::MuteWatchesOf(size_t aPort, const std::string& aKind)
+{
+  mPorts.at(aPort)->mMutedKind = aKind;
+}
+
 void
 StandInStore::Answer(Port& aPort,
                      const std::shared_ptr<InboundConn>& aConn,
@@ -238,7 +245,7 @@
   if (!conn || !conn->Open()) {
     return true;
   }
-  if (mMuted) {
+  if (mMuted || aWatch.mPort->mMutedKind == aWatch.mKind) {
     return false;
   }
   if (aWatch.mFrom < mForgotten) {
--- a/tests/support/StandInStore.h
+++ b/tests/support/StandInStore.h
@@ -44,6 +44,8 @@
   void ForgetHistory();
   // Ends waiting watches without an answer, and new ones hear nothing.
   void MuteWatches(bool aMute);
+  // Watches of aKind at aPort hear nothing, as if their connection had died.
+  void MuteWatchesOf(size_t aPort, const std::string& aKind);
   int Calls() const { return mCalls; }
 
 private:
