Peers: an instance that leaves says goodbye and is forgotten at once

What callers saw: while many leave one after the other, those that stay ask the gone ones for tokens and models for seconds; each such call is waited for. Cause: an instance counts as alive for six turns of pulses (13.5 s in a fleet of 72), and is forgotten only by the store's list. Now each says at once that it was told to stop, and goodbye when it takes nobody new; pulses say both again, since a datagram may be lost. Whoever hears the goodbye calls it no more; what it has under way stays known until its pulses end. Lives of one name are told apart, so that a next one is learned and a late list or pulse of the former isn't. Test, failed before: GoingOneByOne.ThoseThatLeftAreForgottenAndNotCalled (failed calls: 0 expected, 2; instances known: 2 expected, 6). Ruled out: dropping it with its counts of requests under way, by which an unload could be ordered under a stream that it still serves.

--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -210,6 +210,7 @@
 void
 Membership::Leave()
 {
+  mPeers.Leave();
   mZone.Leave();
   mOnChange();
   if (mRevision == 0 || mJoining) {
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -24,6 +24,27 @@
 
 constexpr int kAliveTurns = 6;
 
+// Whether this instance was told to stop is looked at so often; all hear it
+// then, and may lose the datagram: pulses say it too.
+constexpr Millis kLookLeaving{ 50 };
+
+// Its leases are given up in the store by then.
+constexpr Millis kLeasesAfter{ 500 };
+
+// Those that said goodbye aren't learned again from a list that is older than
+// their leaving.
+constexpr Millis kDeparted{ 15000 };
+
+constexpr char kLeaving[] = "leaving";
+
+constexpr char kGoodbye[] = "goodbye";
+
+int64_t
+StampOf(TimePoint aTime)
+{
+  return std::chrono::duration_cast<Millis>(aTime.time_since_epoch()).count();
+}
+
 // A datagram larger than this is cut into pieces by the network.
 constexpr size_t kMostDatagram = 60000;
 
@@ -57,7 +78,11 @@
   constexpr size_t kMostConns = 512;
   mPort = ListenPort::Open(
     mState.mReactor, mState.mSettings.mPeers, mReplies, kMostConns);
+  mLife = StampOf(mState.Now());
+  OnNote(kLeaving, [this](const Json::Value& aNote) { OnLeavingNote(aNote); });
+  OnNote(kGoodbye, [this](const Json::Value& aNote) { OnGoodbye(aNote); });
   mState.mReactor.Every(kPulse, [this] { Pulse(); });
+  mState.mReactor.Every(kLookLeaving, [this] { LookLeaving(); });
 }
 
 void
@@ -130,7 +155,8 @@
              const std::string& aZone,
              const std::string& aAddress)
 {
-  if (aName.empty() || aName == mState.mSettings.mName) {
+  if (aName.empty() || aName == mState.mSettings.mName ||
+      mDeparted.count(aName)) {
     return;
   }
   Peer& peer = mPeers[aName];
@@ -148,8 +174,129 @@
   mState.mInstances = static_cast<int>(mPeers.size()) + 1;
 }
 
+bool
+Peers::Stays(const std::string& aName) const
+{
+  auto found = mPeers.find(aName);
+  return found != mPeers.end() && !found->second.mLeaving;
+}
+
+// ---- Leaving
+
+Json::Value
+Peers::Self() const
+{
+  Json::Value self;
+  self["name"] = mState.mSettings.mName;
+  self["life"] = Json::Int64(mLife);
+  return self;
+}
+
+void
+Peers::LookLeaving()
+{
+  if (mState.mLeaving && !mToldLeaving) {
+    mToldLeaving = true;
+    SendNote(kLeaving, Self());
+  }
+}
+
+void
+Peers::Leave()
+{
+  if (!mLeft) {
+    mLeft = true;
+    SendNote(kGoodbye, Self());
+  }
+}
+
+void
+Peers::OnLeavingNote(const Json::Value& aNote)
+{
+  auto found = mPeers.find(aNote["name"].asString());
+  if (found == mPeers.end() || found->second.mLeaving ||
+      found->second.mLife != aNote["life"].asInt64()) {
+    return;
+  }
+  found->second.mLeaving = true;
+  mState.mLog.Line("instance_leaving").Text("peer", found->first);
+  TakeLeases(found->second);
+  mOnLeaving(found->first);
+}
+
+// The pulse that doesn't claim them any more may take a turn of all instances.
+void
+Peers::TakeLeases(const Peer& aPeer)
+{
+  mState.mReactor.After(
+    kLeasesAfter, [this, name = aPeer.mName, life = aPeer.mLife] {
+      auto found = mPeers.find(name);
+      if (found != mPeers.end() && found->second.mLife == life) {
+        found->second.mLeases.clear();
+      }
+    });
+}
+
+// What it has under way stays known until its pulses end.
+void
+Peers::OnGoodbye(const Json::Value& aNote)
+{
+  OnLeavingNote(aNote);
+  std::string name = aNote["name"].asString();
+  int64_t life = aNote["life"].asInt64();
+  Departed departed{ Peer(), mState.Now() };
+  auto found = mPeers.find(name);
+  if (found != mPeers.end()) {
+    departed.mPeer = found->second;
+  }
+  int64_t known = departed.mPeer.mLife;
+  if (IsDeparted(name, life) || (known != 0 && known != life)) {
+    return; // said before, or by an earlier life
+  }
+  departed.mPeer.mName = name;
+  departed.mPeer.mLife = life;
+  mState.mLog.Line("instance_left").Text("peer", name);
+  mDeparted[name] = std::move(departed);
+  mPeers.erase(name);
+  mState.mInstances = static_cast<int>(mPeers.size()) + 1;
+}
+
+bool
+Peers::IsDeparted(const std::string& aName, int64_t aLife) const
+{
+  auto found = mDeparted.find(aName);
+  return found != mDeparted.end() && found->second.mPeer.mLife == aLife;
+}
+
 // ---- Datagrams
 
+Json::Value
+Peers::Echoes() const
+{
+  Json::Value echoes(Json::objectValue);
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mZone == mState.mSettings.mZone && peer.mStamp > 0) {
+      echoes[name].append(Json::Int64(peer.mStamp));
+      echoes[name].append(Json::Int64(mState.AgeOf(peer.mHeardAt).count()));
+    }
+  }
+  return echoes;
+}
+
+std::optional<Millis>
+Peers::OnTheWay(const Json::Value& aEchoes) const
+{
+  const Json::Value& own = aEchoes[mState.mSettings.mName];
+  if (!own.isArray() || own.size() != 2) {
+    return std::nullopt;
+  }
+  Millis there(StampOf(mState.Now()) - own[0].asInt64() - own[1].asInt64());
+  if (there < Millis(0)) {
+    return std::nullopt; // of a stamp from before this machine started
+  }
+  return there;
+}
+
 void
 Peers::Pulse()
 {
@@ -157,6 +304,10 @@
   pulse["name"] = mState.mSettings.mName;
   pulse["zone"] = mState.mSettings.mZone;
   pulse["address"] = mState.mSettings.mPeers;
+  pulse["life"] = Json::Int64(mLife);
+  pulse["stamp"] = Json::Int64(StampOf(mState.Now()));
+  pulse["leaving"] = mState.mLeaving;
+  pulse["left"] = mLeft;
   for (const auto& fill : mFills) {
     fill(pulse);
   }
@@ -169,11 +320,25 @@
     SendTo(next->second, text);
     mLastPulsed = next->first;
   }
+  ForgetSilent();
+}
+
+void
+Peers::ForgetSilent()
+{
   for (const auto& [name, peer] : mPeers) {
     if (!Alive(peer)) {
       mState.mServers.ForgetPeer(name);
     }
   }
+  for (auto it = mDeparted.begin(); it != mDeparted.end();) {
+    const Departed& departed = it->second;
+    if (!Alive(departed.mPeer)) {
+      mState.mServers.ForgetPeer(it->first);
+    }
+    bool old = mState.Now() - departed.mAt >= kDeparted;
+    it = old && !Alive(departed.mPeer) ? mDeparted.erase(it) : std::next(it);
+  }
 }
 
 void
@@ -271,18 +436,34 @@
   if (name.empty() || name == mState.mSettings.mName) {
     return;
   }
-  bool alive = Alive(name);
-  Learn(name, aPulse["zone"].asString(), aPulse["address"].asString());
-  Peer& peer = mPeers[name];
-  if (!alive) {
-    mState.mLog.Line("instance_heard").Text("peer", name);
+  int64_t life = aPulse["life"].asInt64();
+  if (aPulse["left"].asBool()) {
+    OnGoodbye(aPulse); // the datagram that said so may be lost
+  }
+  bool departed = IsDeparted(name, life);
+  if (!departed) {
+    bool alive = Alive(name);
+    mDeparted.erase(name); // it lives again
+    Learn(name, aPulse["zone"].asString(), aPulse["address"].asString());
+    if (!alive) {
+      mState.mLog.Line("instance_heard").Text("peer", name);
+    }
+  }
+  Peer& peer = departed ? mDeparted[name].mPeer : mPeers[name];
+  if (peer.mLife != life) {
+    peer.mLife = life;
+    peer.mLeaving = false;
   }
   peer.mHeardAt = mState.Now();
+  peer.mStamp = aPulse["stamp"].asInt64();
   peer.mLeases.clear();
   for (const Json::Value& lease : aPulse["leases"]) {
     peer.mLeases.push_back(lease.asString());
   }
   peer.mQueued = aPulse["queued"].asInt();
+  if (aPulse["leaving"].asBool()) {
+    OnLeavingNote(aPulse);
+  }
   for (const auto& read : mReads) {
     read(peer, aPulse);
   }
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -3,6 +3,9 @@
 // A short datagram to each, several times a second, carries what is cheap to
 // lose: versions seen, requests under way by server and model, demand, who
 // holds which lease. What must arrive is a JSON-RPC call over TCP.
+//
+// An instance that is told to stop says so at once, and goodbye when nobody new
+// comes to it: it is forgotten then, but for what it still has under way.
 #ifndef caraway_entry_Peers_h
 #define caraway_entry_Peers_h
 
@@ -11,6 +14,7 @@
 #include <json/json.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +33,9 @@
   TimePoint mHeardAt{};             // never = only listed
   std::vector<std::string> mLeases; // that it says it holds
   int mQueued = 0;                  // models that wait for its orders
+  int64_t mLife = 0;                // differs between lives of one name
+  int64_t mStamp = 0;               // its clock, as its last pulse said
+  bool mLeaving = false;            // it was told to stop
 };
 
 class Peers : public SocketHandler
@@ -48,6 +55,11 @@
   // Datagrams beside the pulse, by their kind.
   void OnNote(const std::string& aKind,
               std::function<void(const Json::Value&)> aRead);
+  // Called with the name of one that says that it was told to stop.
+  void OnLeaving(std::function<void(const std::string&)> aLeaving)
+  {
+    mOnLeaving = std::move(aLeaving);
+  }
   void SendNote(const std::string& aKind, const Json::Value& aNote);
   void SendNoteTo(const std::string& aPeer,
                   const std::string& aKind,
@@ -67,11 +79,22 @@
              const std::string& aZone,
              const std::string& aAddress);
   void Drop(const std::string& aName);
+  // Says goodbye to all, for good: nobody calls this instance any more.
+  void Leave();
   // The one that says it holds aLease, heard lately; "" = nobody.
   std::string HolderOf(const std::string& aLease) const;
   const std::map<std::string, Peer>& All() const { return mPeers; }
   bool Alive(const Peer& aPeer) const;
   bool Alive(const std::string& aName) const;
+  // It is known, and wasn't told to stop.
+  bool Stays(const std::string& aName) const;
+
+  // How long a datagram is on its way, the time that it lies unread included:
+  // Echoes() tells those of this zone when their last pulse came, and by that
+  // each knows how long its pulse and the answer took together.
+  Json::Value Echoes() const;
+  // aEchoes: those in the datagram. None: the other has heard nothing yet.
+  std::optional<Millis> OnTheWay(const Json::Value& aEchoes) const;
   // Between two pulses to the same instance.
   Millis PulseGap() const;
   // Pulses after which each instance has had one.
@@ -80,7 +103,21 @@
   void OnReadable() override;
 
 private:
+  // One that said goodbye; its last requests may still be under way.
+  struct Departed
+  {
+    Peer mPeer;
+    TimePoint mAt{};
+  };
+
   void Pulse();
+  void ForgetSilent();
+  void LookLeaving();
+  Json::Value Self() const;
+  void OnLeavingNote(const Json::Value& aNote);
+  void OnGoodbye(const Json::Value& aNote);
+  void TakeLeases(const Peer& aPeer);
+  bool IsDeparted(const std::string& aName, int64_t aLife) const;
   void SendTo(const Peer& aPeer, const std::string& aText);
   void ReadDatagram(const std::string& aText);
   void ReadPulse(const Json::Value& aPulse);
@@ -96,6 +133,11 @@
   std::vector<std::function<void(const Peer&, const Json::Value&)>> mReads;
   std::map<std::string, std::function<void(const Json::Value&)>> mNotes;
   std::string mLastPulsed;
+  std::map<std::string, Departed> mDeparted;
+  std::function<void(const std::string&)> mOnLeaving = [](const auto&) {};
+  int64_t mLife = 0;
+  bool mToldLeaving = false;
+  bool mLeft = false;
 };
 
 } // namespace caraway
