FeedRelay: what is told has an age, and a leaving instance tells nothing

Cause: of what a reader tells, only its list of servers had an age; the configuration counted as fresh with it, and time on the way or unread counted as none. A reader that leaves was followed until it had been silent for 1.3 s. A reader's own news counted as fresh for 2.8 s, so that one that can't keep up preferred them to younger ones it was told. One try for a configuration, 1 or 2 s long, kept others from being made. Now news state both ages; who is told adds the time on the way, which it knows from when its own pulse was sent and how long the teller had it. A leaving instance tells nothing, and its followers read at once. Own news count for as long as others' do. A configuration is asked for elsewhere after half a second. A list is as old as the call for it. After changes the next watch is shorter by the time that they were gathered for: a quiet reader has news each second, as its followers rely on. The step's own tests take the time of own news in place of whether they are fresh; what they demand is the same. Ruled out: clocks of the other machine, which may jump.

--- a/src/decide/WatchStep.cpp
+++ b/src/decide/WatchStep.cpp
@@ -20,7 +20,7 @@
 bool
 WatchStep::OnTold(const std::string& aFrom,
                   TimePoint aNewsAt,
-                  bool aOwnFresh,
+                  TimePoint aOwnNewsAt,
                   TimePoint aNow)
 {
   if (aNow - aNewsAt >= kFollow || aFrom == mSelf) {
@@ -30,7 +30,7 @@
     if (aFrom > mLeader) {
       return false;
     }
-  } else if (aOwnFresh && aFrom > mSelf) {
+  } else if (aNow - aOwnNewsAt < kFollow && aFrom > mSelf) {
     return false;
   }
   mNewsAt = aFrom == mLeader ? std::max(mNewsAt, aNewsAt) : aNewsAt;
--- a/src/decide/WatchStep.h
+++ b/src/decide/WatchStep.h
@@ -32,10 +32,11 @@
   explicit WatchStep(std::string aRank);
 
   // aFrom, a rank, tells what it read from the store at aNewsAt. True when this
-  // instance goes by it. aOwnFresh: it has news from the store itself.
+  // instance goes by it. aOwnNewsAt: its own news from the store, none while it
+  // is told; they count for as long as others'.
   bool OnTold(const std::string& aFrom,
               TimePoint aNewsAt,
-              bool aOwnFresh,
+              TimePoint aOwnNewsAt,
               TimePoint aNow);
   // False: this instance reads the store.
   bool Follows(TimePoint aNow) const;
--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -97,7 +97,7 @@
 {
   TimePoint now = mState.Now();
   return mState.mServersKnown && now - ListNews() < kFresh &&
-         now - std::max(mConfigObjects.LastNews(), mToldNews) < kFresh;
+         now - ConfigNews() < kFresh;
 }
 
 int64_t
@@ -112,6 +112,12 @@
   return std::max(mServerObjects.LastNews(), mToldNews);
 }
 
+TimePoint
+ConfigFeed::ConfigNews() const
+{
+  return std::max(mConfigObjects.LastNews(), mToldConfigNews);
+}
+
 // ---- Configuration
 
 void
@@ -321,6 +327,14 @@
   }
 }
 
+void
+ConfigFeed::TakeToldConfig(int64_t aVersion, TimePoint aNewsAt)
+{
+  if (mState.mConfig && mState.mConfig->mVersion >= aVersion) {
+    mToldConfigNews = std::max(mToldConfigNews, aNewsAt);
+  }
+}
+
 Json::Value
 ConfigFeed::ServersText() const
 {
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -38,6 +38,8 @@
                 int64_t aWhole,
                 int64_t aSeen,
                 TimePoint aNewsAt);
+  // aVersion was the newest configuration at aNewsAt, as another read it.
+  void TakeToldConfig(int64_t aVersion, TimePoint aNewsAt);
   // One read of the configuration; aDone: it came, or it didn't.
   void ReadConfig(std::function<void()> aDone);
 
@@ -64,6 +66,8 @@
   bool Fresh() const;
   // When the list of servers was last heard of, by whatever way.
   TimePoint ListNews() const;
+  // The same for the configuration: when the one in force was the newest.
+  TimePoint ConfigNews() const;
 
 private:
   struct Raw
@@ -92,6 +96,7 @@
   std::function<void(const StoreChange&)> mOnTaken = [](const StoreChange&) {};
   int64_t mToldWhole = 0; // as ServersWhole(), by what another instance told
   TimePoint mToldNews{};  // of what another instance told
+  TimePoint mToldConfigNews{};
   bool mPaused = false;
 };
 
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -1,5 +1,8 @@
 #include "entry/FeedRelay.h"
 
+#include <algorithm>
+#include <optional>
+
 #include "base/JsonText.h"
 
 namespace caraway {
@@ -26,6 +29,16 @@
 
 constexpr Millis kFetchTime{ 500 };
 
+// Without the configuration for so long it is asked for elsewhere too.
+constexpr Millis kAskElsewhere{ 500 };
+
+// What nobody has said to have for so long isn't asked for.
+constexpr Millis kHeard{ 3000 };
+
+// A configuration is read from the store that long after it was known to be the
+// newest. A reader's watch of it returns after two seconds at the latest.
+constexpr Millis kConfigFollow{ 2500 };
+
 // A configuration of hundreds of routes has a tenth of a megabyte and more, and
 // both ends have a part of a core and perhaps a narrow link.
 constexpr Millis kConfigTime{ 2000 };
@@ -58,6 +71,7 @@
     return result;
   });
   mPeers.OnNote(kNews, [this](const Json::Value& aNews) { OnTold(aNews); });
+  mPeers.OnLeaving([this](const std::string& aPeer) { OnLeaving(aPeer); });
   mFeed.OnNews([this] { OnNews(); });
   mFeed.OnTaken([this](const StoreChange& aChange) { OnTaken(aChange); });
   mState.mReactor.Every(kTellAgain, [this] { Tell(); });
@@ -91,7 +105,7 @@
 void
 FeedRelay::Tell()
 {
-  if (mFeed.Paused() || !mFeed.Fresh()) {
+  if (mFeed.Paused() || !mFeed.Fresh() || mState.mLeaving) {
     return;
   }
   mMarks.push_back({ mState.Now(), mFeed.ServersWhole() });
@@ -139,6 +153,8 @@
   news["seen"] = Json::Int64(mFeed.ServersRevision());
   news["age_ms"] = Json::Int64(mState.AgeOf(mFeed.ListNews()).count());
   news["config"] = Json::Int64(mState.mConfig ? mState.mConfig->mVersion : 0);
+  news["config_age_ms"] = Json::Int64(mState.AgeOf(mFeed.ConfigNews()).count());
+  news["echoes"] = mPeers.Echoes();
   Json::Value& changes = news["changes"];
   changes = Json::Value(Json::arrayValue);
   for (const Told& told : mLately) {
@@ -161,23 +177,41 @@
 FeedRelay::OnTold(const Json::Value& aNews)
 {
   std::string from = aNews["from"].asString();
+  std::optional<Millis> onTheWay = mPeers.OnTheWay(aNews["echoes"]);
+  if (!onTheWay || !mPeers.Stays(from)) {
+    return;
+  }
   TimePoint now = mState.Now();
-  TimePoint newsAt = now - Millis(aNews["age_ms"].asInt64());
+  TimePoint newsAt = now - *onTheWay - Millis(aNews["age_ms"].asInt64());
+  Millis configAge = *onTheWay + Millis(aNews["config_age_ms"].asInt64());
   int64_t known = mFeed.ServersWhole();
   // News that begin behind what is known here have a gap before them.
   if (known == 0 || aNews["since"].asInt64() > known ||
+      configAge >= kConfigFollow ||
       !mStep.OnTold(aNews["rank"].asString(),
                     newsAt,
-                    !mFeed.Paused() && mFeed.Fresh(),
+                    !mFeed.Paused() && mFeed.Fresh() ? mFeed.ListNews()
+                                                     : TimePoint(),
                     now)) {
     return;
   }
   if (!mFeed.Paused()) {
-    mState.mLog.Line("list_followed").Text("peer", from);
+    mState.mLog.Line("list_followed")
+      .Text("peer", from)
+      .Ms("age_ms", mState.AgeOf(newsAt))
+      .Ms("on_the_way_ms", *onTheWay);
     mFeed.Pause();
     mLately.clear();
     mMarks.clear();
   }
+  mTeller = from;
+  TakeNews(aNews, *onTheWay);
+}
+
+void
+FeedRelay::TakeNews(const Json::Value& aNews, Millis aOnTheWay)
+{
+  TimePoint sentAt = mState.Now() - aOnTheWay;
   std::vector<StoreChange> changes;
   for (const Json::Value& item : aNews["changes"]) {
     StoreChange change;
@@ -187,21 +221,48 @@
     change.mRemoved = item["removed"].asBool();
     changes.push_back(std::move(change));
   }
-  mFeed.TakeTold(
-    changes, aNews["to"].asInt64(), aNews["seen"].asInt64(), newsAt);
-  WantConfig(aNews["config"].asInt64(), from);
+  mFeed.TakeTold(changes,
+                 aNews["to"].asInt64(),
+                 aNews["seen"].asInt64(),
+                 sentAt - Millis(aNews["age_ms"].asInt64()));
+  int64_t version = aNews["config"].asInt64();
+  mFeed.TakeToldConfig(version,
+                       sentAt - Millis(aNews["config_age_ms"].asInt64()));
+  WantConfig(version, aNews["from"].asString());
 }
 
 // Who is told nothing fresh reads by itself.
 void
 FeedRelay::Check()
 {
-  if (mFeed.Paused() && !mStep.Follows(mState.Now())) {
-    mState.mLog.Line("list_read_again")
-      .Text("peer", mStep.Leader())
-      .Ms("age_ms", mState.AgeOf(mFeed.ListNews()));
-    mStep.Forget();
-    mFeed.Resume();
+  AskForConfig();
+  if (!mFeed.Paused()) {
+    return;
+  }
+  if (!mStep.Follows(mState.Now())) {
+    ReadAgain("nothing fresh");
+  } else if (mState.AgeOf(mFeed.ConfigNews()) >= kConfigFollow) {
+    ReadAgain("old configuration");
+  }
+}
+
+void
+FeedRelay::ReadAgain(const char* aWhy)
+{
+  mState.mLog.Line("list_read_again")
+    .Text("peer", mTeller)
+    .Text("why", aWhy)
+    .Ms("age_ms", mState.AgeOf(mFeed.ListNews()))
+    .Ms("config_age_ms", mState.AgeOf(mFeed.ConfigNews()));
+  mStep.Forget();
+  mFeed.Resume();
+}
+
+void
+FeedRelay::OnLeaving(const std::string& aPeer)
+{
+  if (mFeed.Paused() && aPeer == mTeller) {
+    ReadAgain("it leaves");
   }
 }
 
@@ -229,39 +290,65 @@
   }
 }
 
-// From the store, which has the widest link, or when that fails from the one
-// that has it: all instances of a zone ask in the same moment.
 void
 FeedRelay::WantConfig(int64_t aVersion, const std::string& aPeer)
+{
+  if (aVersion < mConfigWanted) {
+    return;
+  }
+  if (aVersion > mConfigWanted) {
+    mConfigWanted = aVersion;
+    mConfigTurn = !mStore.Reached();
+    mConfigNext = TimePoint();
+  }
+  mConfigAt = aPeer;
+  mConfigHeard = mState.Now();
+  AskForConfig();
+}
+
+// From the store, which has the widest link, or when that fails, or takes long,
+// from the one that has it: all instances of a zone ask in the same moment. By
+// turns: who is told asks the store nothing for seconds, and doesn't know
+// whether it answers.
+void
+FeedRelay::AskForConfig()
 {
   int64_t version = mState.mConfig ? mState.mConfig->mVersion : 0;
   TimePoint now = mState.Now();
-  if (aVersion <= version || mFetchingConfig || now < mConfigNext) {
+  if (mConfigWanted <= version || now < mConfigNext ||
+      now - mConfigHeard >= kHeard) {
     return;
   }
-  mConfigNext = now + kFetchAgain;
-  mFetchingConfig = true;
-  // By turns: who is told asks the store nothing for seconds, and doesn't know
-  // whether it answers.
-  mConfigFromStore =
-    mConfigWanted == aVersion ? !mConfigFromStore : mStore.Reached();
-  mConfigWanted = aVersion;
-  if (mConfigFromStore) {
-    mFeed.ReadConfig([this] { mFetchingConfig = false; });
-  } else {
-    RelayConfig(aPeer);
+  mConfigNext = now + kAskElsewhere;
+  if (mConfigTurn && !mRelayConfig) {
+    RelayConfig(mConfigAt);
+  } else if (!mConfigTurn && !mStoreConfig) {
+    StoreConfig();
   }
+  mConfigTurn = !mConfigTurn;
+}
+
+void
+FeedRelay::StoreConfig()
+{
+  mStoreConfig = true;
+  mFeed.ReadConfig([this] {
+    mStoreConfig = false;
+    mConfigNext = std::min(mConfigNext, mState.Now() + kFetchAgain);
+  });
 }
 
 void
 FeedRelay::RelayConfig(const std::string& aPeer)
 {
+  mRelayConfig = true;
   mPeers.Call(aPeer,
               "config",
               Json::Value(Json::objectValue),
               kConfigTime,
               [this, aPeer](bool aGood, const Json::Value& aResult) {
-                mFetchingConfig = false;
+                mRelayConfig = false;
+                mConfigNext = std::min(mConfigNext, mState.Now() + kFetchAgain);
                 if (aGood && aResult.isString()) {
                   mFeed.TakeConfigText(aResult.asString(), aPeer);
                 }
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -1,9 +1,10 @@
 // FeedRelay.h: what an instance learns from others instead of from the store.
 //
 // Of each zone one instance reads the list of servers and tells the others what
-// matters of it; see WatchStep. All tell with their pulses which versions they
-// have seen, so that one that is turned away, or whose connection died in
-// silence, fetches what it lacks.
+// matters of it; see WatchStep. Told is also how old that is: since the store
+// was known to have nothing newer, with the time on the way. All tell with
+// their pulses which versions they have seen, so that one that is turned away,
+// or whose connection died in silence, fetches what it lacks.
 #ifndef caraway_entry_FeedRelay_h
 #define caraway_entry_FeedRelay_h
 
@@ -50,8 +51,13 @@
   size_t DropBeforeFirstMark();
   Json::Value News();
   void OnTold(const Json::Value& aNews);
+  void TakeNews(const Json::Value& aNews, Millis aOnTheWay);
   void Check();
+  void ReadAgain(const char* aWhy);
+  void OnLeaving(const std::string& aPeer);
   void WantConfig(int64_t aVersion, const std::string& aPeer);
+  void AskForConfig();
+  void StoreConfig();
   void RelayConfig(const std::string& aPeer);
   void RelayServers(const std::string& aPeer);
 
@@ -64,10 +70,14 @@
   std::deque<Told> mLately;
   std::deque<Mark> mMarks;
   bool mTellDue = false;
-  bool mConfigFromStore = false; // the last try to get a newer one
-  int64_t mConfigWanted = 0;     // what it was for
-  bool mFetchingConfig = false;
-  TimePoint mConfigNext{};
+  std::string mTeller;       // followed, or last followed
+  int64_t mConfigWanted = 0; // a newer one that another has
+  std::string mConfigAt;     // that other
+  bool mStoreConfig = false; // it is being asked of the store
+  bool mRelayConfig = false; // it is being asked of another instance
+  bool mConfigTurn = false;  // the next try is another instance's
+  TimePoint mConfigHeard{};  // that it is there
+  TimePoint mConfigNext{};   // when it may be asked for
   TimePoint mServersNext{};
 };
 
--- a/src/store/StoreFeed.cpp
+++ b/src/store/StoreFeed.cpp
@@ -68,7 +68,7 @@
     if (aList) {
       Start();
     } else {
-      Watch();
+      Watch(mWatchTime);
     }
   });
 }
@@ -77,6 +77,9 @@
 StoreFeed::List(const std::string& aAfter)
 {
   uint64_t round = mRound;
+  if (aAfter.empty()) {
+    mListAsked = mReactor.Now();
+  }
   mStore.Call(
     "list",
     wire::ListCall(mKind, aAfter, false),
@@ -104,22 +107,22 @@
       }
       mListing = false;
       mAsOf = mListAsOf;
-      mLastNews = mReactor.Now();
+      mLastNews = mListAsked;
       std::vector<StoreChange> all = std::move(mPages);
       mPages.clear();
       mEvents.mWhole(all);
       mEvents.mNews();
-      Watch();
+      Watch(mWatchTime);
     });
 }
 
 void
-StoreFeed::Watch()
+StoreFeed::Watch(Millis aWait)
 {
   uint64_t round = mRound;
   mStore.Wait("watch",
-              wire::WatchCall(mKind, mAsOf, mWatchTime),
-              mWatchTime,
+              wire::WatchCall(mKind, mAsOf, aWait),
+              aWait,
               [this, round](StoreOutcome aOutcome, const std::string& aBody) {
                 if (round != mRound) {
                   return;
@@ -142,12 +145,12 @@
                 }
                 mEvents.mNews();
                 if (page->mChanges.empty()) {
-                  Watch();
+                  Watch(mWatchTime);
                   return;
                 }
                 mReactor.After(kGather, [this, round] {
                   if (round == mRound) {
-                    Watch();
+                    Watch(mWatchTime - kGather);
                   }
                 });
               });
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -21,7 +21,8 @@
     std::function<void()> mNews; // after each answer, whatever it brought
   };
 
-  // aWatchTime: how long a watch waits for a change. One whose connection died
+  // aWatchTime: how long a watch waits for a change; longer than changes are
+  // gathered, which counts for the next one. One whose connection died
   // in silence is found after this and the client's margin.
   StoreFeed(Reactor& aReactor,
             EventLog& aLog,
@@ -37,11 +38,12 @@
   void Refresh(const char* aWhy);
 
   int64_t AsOf() const { return mAsOf; } // 0 = nothing was read yet
+  // When the store was last known to have nothing newer.
   TimePoint LastNews() const { return mLastNews; }
 
 private:
   void List(const std::string& aAfter);
-  void Watch();
+  void Watch(Millis aWait);
   void Later(bool aList);
 
   Reactor& mReactor;
@@ -55,6 +57,7 @@
   int64_t mListAsOf = 0; // of the first page: later pages may show more
   uint64_t mRound = 0;   // answers of earlier rounds are dropped
   bool mListing = false;
+  TimePoint mListAsked{};
   TimePoint mLastNews{};
 };
 
--- a/tests/property/WatchStepProperty.cpp
+++ b/tests/property/WatchStepProperty.cpp
@@ -30,9 +30,9 @@
   bool mFrozen = false;
 
   bool Reads(TimePoint aNow) const { return !mStep.Follows(aNow); }
-  bool OwnFresh(TimePoint aNow) const
+  TimePoint OwnNewsAt(TimePoint aNow) const
   {
-    return Reads(aNow) && aNow - mReadAt < Millis(2800);
+    return Reads(aNow) ? mReadAt : TimePoint();
   }
 };
 
@@ -51,7 +51,7 @@
           *rc::gen::inRange(0, 100) < aLost) {
         continue;
       }
-      if (other.mStep.OnTold(reader.mName, aNow, other.OwnFresh(aNow), aNow)) {
+      if (other.mStep.OnTold(reader.mName, aNow, other.OwnNewsAt(aNow), aNow)) {
         other.mNewsAt = aNow;
       }
     }
@@ -109,11 +109,21 @@
   TimePoint now{ Seconds(1000) };
   WatchStep first("a");
   WatchStep second("b");
-  EXPECT_FALSE(first.OnTold("b", now, true, now));
-  EXPECT_TRUE(second.OnTold("a", now, true, now));
+  EXPECT_FALSE(first.OnTold("b", now, now, now));
+  EXPECT_TRUE(second.OnTold("a", now, now, now));
   EXPECT_FALSE(first.Follows(now));
   EXPECT_TRUE(second.Follows(now));
   // What was sent before it stopped comes late.
-  EXPECT_FALSE(first.OnTold("b", now - Millis(50), true, now));
+  EXPECT_FALSE(first.OnTold("b", now - Millis(50), now, now));
 }
+
+// Guards against a reader that can't keep up and prefers its own old news.
+TEST(WatchStep, OwnOldNewsGiveWayToFresh)
+{
+  TimePoint now{ Seconds(1000) };
+  WatchStep first("a");
+  EXPECT_TRUE(first.OnTold("b", now, now - WatchStep::kFollow, now));
+  EXPECT_TRUE(first.Follows(now));
+}
+
 } // namespace caraway
