WatchStep: who leads a zone lets another read for it

Its answers from the store came too late for its own timers eleven times, and a configuration of second 31.3 was in force there at 47.4. Cause: both roles fall to the same one of many equal instances. Now the rank of a reader that holds the lease comes after its equals', and it asks the first of them to read. The step takes a teller for the same under another rank. Tests: GoingOneByOne.LeaderLetsAnotherRead, WatchStep.LeaderComesLastAmongEquals, WatchStep.TellerIsTheSameUnderAnotherRank. Two tests in FreshnessTest told the reader by a line that it never writes; it may write it now, when it hands over, so they count who follows at that time: the same instance is taken away as before. What goes around leaving is in a file of its own.

--- a/src/decide/WatchStep.cpp
+++ b/src/decide/WatchStep.cpp
@@ -5,13 +5,24 @@
 namespace caraway {
 
 std::string
-WatchRank(double aCpuShare, const std::string& aName)
+WatchRank(double aCpuShare, const std::string& aName, bool aLeads)
 {
   constexpr int kSteps = 1000;
   auto less = static_cast<int>(kSteps * (1 - std::clamp(aCpuShare, 0.0, 1.0)));
-  return std::to_string(kSteps + less) + "/" + aName;
+  return std::to_string(kSteps + less) + (aLeads ? "1/" : "0/") + aName;
 }
 
+namespace {
+
+// Ranks change, names don't.
+std::string
+NameOf(const std::string& aRank)
+{
+  return aRank.substr(aRank.find('/') + 1);
+}
+
+} // namespace
+
 WatchStep::WatchStep(std::string aRank)
   : mSelf(std::move(aRank))
 {
@@ -23,17 +34,18 @@
                   TimePoint aOwnNewsAt,
                   TimePoint aNow)
 {
-  if (aNow - aNewsAt >= kFollow || aFrom == mSelf) {
+  bool same = NameOf(aFrom) == NameOf(mLeader);
+  if (aNow - aNewsAt >= kFollow || NameOf(aFrom) == NameOf(mSelf)) {
     return false;
   }
   if (Follows(aNow)) {
-    if (aFrom > mLeader) {
+    if (aFrom > mLeader && !same) {
       return false;
     }
   } else if (aNow - aOwnNewsAt < kFollow && aFrom > mSelf) {
     return false;
   }
-  mNewsAt = aFrom == mLeader ? std::max(mNewsAt, aNewsAt) : aNewsAt;
+  mNewsAt = same ? std::max(mNewsAt, aNewsAt) : aNewsAt;
   mLeader = aFrom;
   return true;
 }
--- a/src/decide/WatchStep.h
+++ b/src/decide/WatchStep.h
@@ -17,9 +17,9 @@
 namespace caraway {
 
 // Those with more of a core come first, since the reader has the most to do;
-// among equals the name decides.
+// among equals one that leads its zone comes last, and else the name decides.
 std::string
-WatchRank(double aCpuShare, const std::string& aName);
+WatchRank(double aCpuShare, const std::string& aName, bool aLeads = false);
 
 class WatchStep
 {
@@ -41,6 +41,8 @@
   // False: this instance reads the store.
   bool Follows(TimePoint aNow) const;
   const std::string& Leader() const { return mLeader; }
+  // This instance's rank is another now.
+  void SetSelf(const std::string& aRank) { mSelf = aRank; }
   void Forget() { mLeader.clear(); }
 
 private:
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "base/JsonText.h"
+#include "entry/LeaseLoop.h"
 
 namespace caraway {
 
@@ -11,6 +12,11 @@
 
 constexpr char kNews[] = "news";
 
+constexpr char kReadNews[] = "read_news";
+
+// Who is asked to read does so in milliseconds, or can't.
+constexpr Millis kHandOver{ 5000 };
+
 // News are told at once, and again so often: a lost datagram is made good.
 constexpr Millis kTellAgain{ 300 };
 
@@ -53,8 +59,7 @@
   , mStore(aStore)
   , mPeers(aPeers)
   , mFeed(aFeed)
-  , mRank(WatchRank(aState.mSettings.mCpuShare, aState.mSettings.mName))
-  , mStep(mRank)
+  , mStep(Rank())
 {
 }
 
@@ -71,6 +76,11 @@
     return result;
   });
   mPeers.OnNote(kNews, [this](const Json::Value& aNews) { OnTold(aNews); });
+  mPeers.OnNote(kReadNews, [this](const Json::Value&) {
+    if (mFeed.Paused() && !mState.mLeaving) {
+      ReadAgain("asked to");
+    }
+  });
   mPeers.OnLeaving([this](const std::string& aPeer) { OnLeaving(aPeer); });
   mFeed.OnNews([this] { OnNews(); });
   mFeed.OnTaken([this](const StoreChange& aChange) { OnTaken(aChange); });
@@ -111,6 +121,38 @@
   mMarks.push_back({ mState.Now(), mFeed.ServersWhole() });
   Trim();
   mPeers.SendNoteInZone(kNews, News());
+  HandOver();
+}
+
+std::string
+FeedRelay::Rank() const
+{
+  const EntrySettings& settings = mState.mSettings;
+  return WatchRank(settings.mCpuShare,
+                   settings.mName,
+                   mPeers.Claims(ZoneLeaseName(settings.mZone)));
+}
+
+void
+FeedRelay::HandOver()
+{
+  TimePoint now = mState.Now();
+  if (!mPeers.Claims(ZoneLeaseName(mState.mSettings.mZone)) ||
+      now < mHandOverNext) {
+    return;
+  }
+  const Peer* best = nullptr;
+  for (const auto& [name, peer] : mPeers.All()) {
+    bool may = peer.mZone == mState.mSettings.mZone && !peer.mRank.empty() &&
+               !peer.mLeaving && mPeers.Alive(peer);
+    if (may && peer.mRank < (best ? best->mRank : Rank())) {
+      best = &peer;
+    }
+  }
+  if (best) {
+    mHandOverNext = now + kHandOver;
+    mPeers.SendNoteTo(best->mName, kReadNews, Json::Value());
+  }
 }
 
 void
@@ -147,7 +189,7 @@
 {
   Json::Value news;
   news["from"] = mState.mSettings.mName;
-  news["rank"] = mRank;
+  news["rank"] = Rank();
   news["since"] = Json::Int64(mMarks.front().mRevision);
   news["to"] = Json::Int64(mMarks.back().mRevision);
   news["seen"] = Json::Int64(mFeed.ServersRevision());
@@ -185,6 +227,7 @@
   TimePoint newsAt = now - *onTheWay - Millis(aNews["age_ms"].asInt64());
   Millis configAge = *onTheWay + Millis(aNews["config_age_ms"].asInt64());
   int64_t known = mFeed.ServersWhole();
+  mStep.SetSelf(Rank());
   // News that begin behind what is known here have a gap before them.
   if (known == 0 || aNews["since"].asInt64() > known ||
       configAge >= kConfigFollow ||
@@ -273,6 +316,7 @@
 {
   aPulse["config"] = Json::Int64(mState.mConfig ? mState.mConfig->mVersion : 0);
   aPulse["servers"] = Json::Int64(mFeed.ServersRevision());
+  aPulse["rank"] = Rank();
 }
 
 void
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -43,6 +43,9 @@
     int64_t mRevision = 0; // up to which the list was known then
   };
 
+  std::string Rank() const;
+  // To one that isn't burdened with the zone's orders.
+  void HandOver();
   void OnNews();
   void OnTaken(const StoreChange& aChange);
   void Tell();
@@ -65,11 +68,11 @@
   StoreClient& mStore;
   Peers& mPeers;
   ConfigFeed& mFeed;
-  std::string mRank;
   WatchStep mStep;
   std::deque<Told> mLately;
   std::deque<Mark> mMarks;
   bool mTellDue = false;
+  TimePoint mHandOverNext{};
   std::string mTeller;       // followed, or last followed
   int64_t mConfigWanted = 0; // a newer one that another has
   std::string mConfigAt;     // that other
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -24,27 +24,6 @@
 
 constexpr int kAliveTurns = 6;
 
-// Whether this instance was told to stop is looked at so often; all hear it
-// then, and may lose the datagram: pulses say it too.
-constexpr Millis kLookLeaving{ 50 };
-
-// Its leases are given up in the store by then.
-constexpr Millis kLeasesAfter{ 500 };
-
-// Those that said goodbye aren't learned again from a list that is older than
-// their leaving.
-constexpr Millis kDeparted{ 15000 };
-
-constexpr char kLeaving[] = "leaving";
-
-constexpr char kGoodbye[] = "goodbye";
-
-int64_t
-StampOf(TimePoint aTime)
-{
-  return std::chrono::duration_cast<Millis>(aTime.time_since_epoch()).count();
-}
-
 // A datagram larger than this is cut into pieces by the network.
 constexpr size_t kMostDatagram = 60000;
 
@@ -78,11 +57,9 @@
   constexpr size_t kMostConns = 512;
   mPort = ListenPort::Open(
     mState.mReactor, mState.mSettings.mPeers, mReplies, kMostConns);
-  mLife = StampOf(mState.Now());
-  OnNote(kLeaving, [this](const Json::Value& aNote) { OnLeavingNote(aNote); });
-  OnNote(kGoodbye, [this](const Json::Value& aNote) { OnGoodbye(aNote); });
+  mLife = Stamp();
   mState.mReactor.Every(kPulse, [this] { Pulse(); });
-  mState.mReactor.Every(kLookLeaving, [this] { LookLeaving(); });
+  StartLeaving();
 }
 
 void
@@ -174,129 +151,8 @@
   mState.mInstances = static_cast<int>(mPeers.size()) + 1;
 }
 
-bool
-Peers::Stays(const std::string& aName) const
-{
-  auto found = mPeers.find(aName);
-  return found != mPeers.end() && !found->second.mLeaving;
-}
-
-// ---- Leaving
-
-Json::Value
-Peers::Self() const
-{
-  Json::Value self;
-  self["name"] = mState.mSettings.mName;
-  self["life"] = Json::Int64(mLife);
-  return self;
-}
-
-void
-Peers::LookLeaving()
-{
-  if (mState.mLeaving && !mToldLeaving) {
-    mToldLeaving = true;
-    SendNote(kLeaving, Self());
-  }
-}
-
-void
-Peers::Leave()
-{
-  if (!mLeft) {
-    mLeft = true;
-    SendNote(kGoodbye, Self());
-  }
-}
-
-void
-Peers::OnLeavingNote(const Json::Value& aNote)
-{
-  auto found = mPeers.find(aNote["name"].asString());
-  if (found == mPeers.end() || found->second.mLeaving ||
-      found->second.mLife != aNote["life"].asInt64()) {
-    return;
-  }
-  found->second.mLeaving = true;
-  mState.mLog.Line("instance_leaving").Text("peer", found->first);
-  TakeLeases(found->second);
-  mOnLeaving(found->first);
-}
-
-// The pulse that doesn't claim them any more may take a turn of all instances.
-void
-Peers::TakeLeases(const Peer& aPeer)
-{
-  mState.mReactor.After(
-    kLeasesAfter, [this, name = aPeer.mName, life = aPeer.mLife] {
-      auto found = mPeers.find(name);
-      if (found != mPeers.end() && found->second.mLife == life) {
-        found->second.mLeases.clear();
-      }
-    });
-}
-
-// What it has under way stays known until its pulses end.
-void
-Peers::OnGoodbye(const Json::Value& aNote)
-{
-  OnLeavingNote(aNote);
-  std::string name = aNote["name"].asString();
-  int64_t life = aNote["life"].asInt64();
-  Departed departed{ Peer(), mState.Now() };
-  auto found = mPeers.find(name);
-  if (found != mPeers.end()) {
-    departed.mPeer = found->second;
-  }
-  int64_t known = departed.mPeer.mLife;
-  if (IsDeparted(name, life) || (known != 0 && known != life)) {
-    return; // said before, or by an earlier life
-  }
-  departed.mPeer.mName = name;
-  departed.mPeer.mLife = life;
-  mState.mLog.Line("instance_left").Text("peer", name);
-  mDeparted[name] = std::move(departed);
-  mPeers.erase(name);
-  mState.mInstances = static_cast<int>(mPeers.size()) + 1;
-}
-
-bool
-Peers::IsDeparted(const std::string& aName, int64_t aLife) const
-{
-  auto found = mDeparted.find(aName);
-  return found != mDeparted.end() && found->second.mPeer.mLife == aLife;
-}
-
 // ---- Datagrams
 
-Json::Value
-Peers::Echoes() const
-{
-  Json::Value echoes(Json::objectValue);
-  for (const auto& [name, peer] : mPeers) {
-    if (peer.mZone == mState.mSettings.mZone && peer.mStamp > 0) {
-      echoes[name].append(Json::Int64(peer.mStamp));
-      echoes[name].append(Json::Int64(mState.AgeOf(peer.mHeardAt).count()));
-    }
-  }
-  return echoes;
-}
-
-std::optional<Millis>
-Peers::OnTheWay(const Json::Value& aEchoes) const
-{
-  const Json::Value& own = aEchoes[mState.mSettings.mName];
-  if (!own.isArray() || own.size() != 2) {
-    return std::nullopt;
-  }
-  Millis there(StampOf(mState.Now()) - own[0].asInt64() - own[1].asInt64());
-  if (there < Millis(0)) {
-    return std::nullopt; // of a stamp from before this machine started
-  }
-  return there;
-}
-
 void
 Peers::Pulse()
 {
@@ -305,12 +161,16 @@
   pulse["zone"] = mState.mSettings.mZone;
   pulse["address"] = mState.mSettings.mPeers;
   pulse["life"] = Json::Int64(mLife);
-  pulse["stamp"] = Json::Int64(StampOf(mState.Now()));
+  pulse["stamp"] = Json::Int64(Stamp());
   pulse["leaving"] = mState.mLeaving;
   pulse["left"] = mLeft;
   for (const auto& fill : mFills) {
     fill(pulse);
   }
+  mClaims.clear();
+  for (const Json::Value& lease : pulse["leases"]) {
+    mClaims.insert(lease.asString());
+  }
   std::string text = JsonWrite(pulse);
   auto next = mPeers.upper_bound(mLastPulsed);
   for (size_t i = 0; i < std::min(kAtATime, mPeers.size()); ++i, ++next) {
@@ -331,14 +191,7 @@
       mState.mServers.ForgetPeer(name);
     }
   }
-  for (auto it = mDeparted.begin(); it != mDeparted.end();) {
-    const Departed& departed = it->second;
-    if (!Alive(departed.mPeer)) {
-      mState.mServers.ForgetPeer(it->first);
-    }
-    bool old = mState.Now() - departed.mAt >= kDeparted;
-    it = old && !Alive(departed.mPeer) ? mDeparted.erase(it) : std::next(it);
-  }
+  ForgetDeparted();
 }
 
 void
@@ -461,6 +314,7 @@
     peer.mLeases.push_back(lease.asString());
   }
   peer.mQueued = aPulse["queued"].asInt();
+  peer.mRank = aPulse["rank"].asString();
   if (aPulse["leaving"].asBool()) {
     OnLeavingNote(aPulse);
   }
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
   int mQueued = 0;                  // models that wait for its orders
   int64_t mLife = 0;                // differs between lives of one name
   int64_t mStamp = 0;               // its clock, as its last pulse said
+  std::string mRank;                // as a reader, see WatchStep
   bool mLeaving = false;            // it was told to stop
 };
 
@@ -86,6 +88,11 @@
   const std::map<std::string, Peer>& All() const { return mPeers; }
   bool Alive(const Peer& aPeer) const;
   bool Alive(const std::string& aName) const;
+  // This instance's last pulse said that it holds aLease.
+  bool Claims(const std::string& aLease) const
+  {
+    return mClaims.count(aLease) > 0;
+  }
   // It is known, and wasn't told to stop.
   bool Stays(const std::string& aName) const;
 
@@ -112,7 +119,10 @@
 
   void Pulse();
   void ForgetSilent();
+  void ForgetDeparted();
+  void StartLeaving();
   void LookLeaving();
+  int64_t Stamp() const; // this machine's clock
   Json::Value Self() const;
   void OnLeavingNote(const Json::Value& aNote);
   void OnGoodbye(const Json::Value& aNote);
@@ -134,6 +144,7 @@
   std::map<std::string, std::function<void(const Json::Value&)>> mNotes;
   std::string mLastPulsed;
   std::map<std::string, Departed> mDeparted;
+  std::set<std::string> mClaims; // leases
   std::function<void(const std::string&)> mOnLeaving = [](const auto&) {};
   int64_t mLife = 0;
   bool mToldLeaving = false;
--- /dev/null
+++ b/src/entry/PeersLeave.cpp
@@ -0,0 +1,177 @@
+#include "entry/Peers.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+// Who leaves, and how long datagrams are on their way.
+
+namespace {
+
+// Whether this instance was told to stop is looked at so often; all hear it
+// then, and may lose the datagram: pulses say it too.
+constexpr Millis kLookLeaving{ 50 };
+
+// Its leases are given up in the store by then.
+constexpr Millis kLeasesAfter{ 500 };
+
+// Those that said goodbye aren't learned again from a list that is older than
+// their leaving.
+constexpr Millis kDeparted{ 15000 };
+
+constexpr char kLeaving[] = "leaving";
+
+constexpr char kGoodbye[] = "goodbye";
+
+} // namespace
+
+int64_t
+Peers::Stamp() const
+{
+  auto age = mState.Now().time_since_epoch();
+  return std::chrono::duration_cast<Millis>(age).count();
+}
+
+void
+Peers::StartLeaving()
+{
+  OnNote(kLeaving, [this](const Json::Value& aNote) { OnLeavingNote(aNote); });
+  OnNote(kGoodbye, [this](const Json::Value& aNote) { OnGoodbye(aNote); });
+  mState.mReactor.Every(kLookLeaving, [this] { LookLeaving(); });
+}
+
+bool
+Peers::Stays(const std::string& aName) const
+{
+  auto found = mPeers.find(aName);
+  return found != mPeers.end() && !found->second.mLeaving;
+}
+
+Json::Value
+Peers::Self() const
+{
+  Json::Value self;
+  self["name"] = mState.mSettings.mName;
+  self["life"] = Json::Int64(mLife);
+  return self;
+}
+
+void
+Peers::LookLeaving()
+{
+  if (mState.mLeaving && !mToldLeaving) {
+    mToldLeaving = true;
+    SendNote(kLeaving, Self());
+  }
+}
+
+void
+Peers::Leave()
+{
+  if (!mLeft) {
+    mLeft = true;
+    SendNote(kGoodbye, Self());
+  }
+}
+
+void
+Peers::OnLeavingNote(const Json::Value& aNote)
+{
+  auto found = mPeers.find(aNote["name"].asString());
+  if (found == mPeers.end() || found->second.mLeaving ||
+      found->second.mLife != aNote["life"].asInt64()) {
+    return;
+  }
+  found->second.mLeaving = true;
+  mState.mLog.Line("instance_leaving").Text("peer", found->first);
+  TakeLeases(found->second);
+  mOnLeaving(found->first);
+}
+
+// The pulse that doesn't claim them any more may take a turn of all instances.
+void
+Peers::TakeLeases(const Peer& aPeer)
+{
+  mState.mReactor.After(
+    kLeasesAfter, [this, name = aPeer.mName, life = aPeer.mLife] {
+      auto found = mPeers.find(name);
+      if (found != mPeers.end() && found->second.mLife == life) {
+        found->second.mLeases.clear();
+      }
+    });
+}
+
+// What it has under way stays known until its pulses end.
+void
+Peers::OnGoodbye(const Json::Value& aNote)
+{
+  OnLeavingNote(aNote);
+  std::string name = aNote["name"].asString();
+  int64_t life = aNote["life"].asInt64();
+  Departed departed{ Peer(), mState.Now() };
+  auto found = mPeers.find(name);
+  if (found != mPeers.end()) {
+    departed.mPeer = found->second;
+  }
+  int64_t known = departed.mPeer.mLife;
+  if (IsDeparted(name, life) || (known != 0 && known != life)) {
+    return; // said before, or by an earlier life
+  }
+  departed.mPeer.mName = name;
+  departed.mPeer.mLife = life;
+  mState.mLog.Line("instance_left").Text("peer", name);
+  mDeparted[name] = std::move(departed);
+  mPeers.erase(name);
+  mState.mInstances = static_cast<int>(mPeers.size()) + 1;
+}
+
+bool
+Peers::IsDeparted(const std::string& aName, int64_t aLife) const
+{
+  auto found = mDeparted.find(aName);
+  return found != mDeparted.end() && found->second.mPeer.mLife == aLife;
+}
+
+void
+Peers::ForgetDeparted()
+{
+  for (auto it = mDeparted.begin(); it != mDeparted.end();) {
+    const Departed& departed = it->second;
+    if (!Alive(departed.mPeer)) {
+      mState.mServers.ForgetPeer(it->first);
+    }
+    bool old = mState.Now() - departed.mAt >= kDeparted;
+    it = old && !Alive(departed.mPeer) ? mDeparted.erase(it) : std::next(it);
+  }
+}
+
+// ---- On the way
+
+Json::Value
+Peers::Echoes() const
+{
+  Json::Value echoes(Json::objectValue);
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mZone == mState.mSettings.mZone && peer.mStamp > 0) {
+      echoes[name].append(Json::Int64(peer.mStamp));
+      echoes[name].append(Json::Int64(mState.AgeOf(peer.mHeardAt).count()));
+    }
+  }
+  return echoes;
+}
+
+std::optional<Millis>
+Peers::OnTheWay(const Json::Value& aEchoes) const
+{
+  const Json::Value& own = aEchoes[mState.mSettings.mName];
+  if (!own.isArray() || own.size() != 2) {
+    return std::nullopt;
+  }
+  Millis there(Stamp() - own[0].asInt64() - own[1].asInt64());
+  if (there < Millis(0)) {
+    return std::nullopt; // of a stamp from before this machine started
+  }
+  return there;
+}
+
+} // namespace caraway
--- a/tests/platform/FreshnessTest.cpp
+++ b/tests/platform/FreshnessTest.cpp
@@ -28,6 +28,13 @@
   aWorld.Configure();
 }
 
+bool
+Follows(EntryWorld& aWorld, size_t aInstance)
+{
+  return aWorld.LogLines(aInstance, "list_followed") >
+         aWorld.LogLines(aInstance, "list_read_again");
+}
+
 int64_t
 VersionAt(EntryWorld& aWorld, size_t aInstance)
 {
@@ -214,7 +221,7 @@
     world.AwaitReady();
     world.For(Millis(2500));
     size_t reader = 0;
-    while (world.LogLines(reader, "list_followed") > 0 && reader < 2) {
+    while (Follows(world, reader) && reader < 2) {
       ++reader;
     }
     if (killed) {
@@ -244,7 +251,7 @@
   EntryWorld world(TwoInstances());
   world.AwaitReady();
   world.For(Millis(1500));
-  size_t reader = world.LogLines(0, "list_followed") > 0 ? 1 : 0;
+  size_t reader = Follows(world, 0) ? 1 : 0;
   size_t follower = 1 - reader;
   std::string gone = world.mPlain[0]->Id();
   ASSERT_TRUE(world.mInstances[follower]->State().mServers.Find(gone));
--- a/tests/platform/GoingOneByOneTest.cpp
+++ b/tests/platform/GoingOneByOneTest.cpp
@@ -184,6 +184,15 @@
   }
 }
 
+// Guards against one instance that leads its zone and reads for it too.
+TEST(GoingOneByOne, LeaderLetsAnotherRead)
+{
+  EntryWorld world(Instances(4));
+  world.AwaitReady();
+  size_t reader = Reader(world);
+  EXPECT_EQ(0, world.LogLines(reader, "lease_taken"));
+}
+
 // Guards against a change that falls between many that leave: each that takes
 // callers has it within the bound.
 TEST(GoingOneByOne, ChangesAreInForceWhileMostLeave)
--- a/tests/property/WatchStepProperty.cpp
+++ b/tests/property/WatchStepProperty.cpp
@@ -103,6 +103,23 @@
   EXPECT_LT(WatchRank(0.25, "a"), WatchRank(0.25, "b"));
 }
 
+// Guards against one instance of many that leads its zone and reads for it.
+TEST(WatchStep, LeaderComesLastAmongEquals)
+{
+  EXPECT_LT(WatchRank(0.25, "b"), WatchRank(0.25, "a", true));
+  EXPECT_LT(WatchRank(0.5, "a", true), WatchRank(0.25, "b"));
+}
+
+// Guards against a teller that is lost to its followers when its rank changes.
+TEST(WatchStep, TellerIsTheSameUnderAnotherRank)
+{
+  TimePoint now{ Seconds(1000) };
+  WatchStep step(WatchRank(0.25, "b"));
+  EXPECT_TRUE(step.OnTold(WatchRank(0.25, "a"), now, TimePoint(), now));
+  EXPECT_TRUE(step.OnTold(WatchRank(0.25, "a", true), now, TimePoint(), now));
+  EXPECT_FALSE(step.OnTold(WatchRank(0.25, "b", true), now, now, now));
+}
+
 // Two that read hear each other at the same moment: one of them goes on.
 TEST(WatchStep, TwoReadersDoNotFollowEachOther)
 {
