ConfigFeed: a server that is gone doesn't come back by news told again

Cause: news repeat the changes of three seconds. A removal leaves nothing behind, so that the change before it is taken for a new server each time. Now the last revision of a server that is gone is kept for as long as news may repeat it. Test, failed before: GoingOneByOne.ServerThatIsGoneStaysGone (gone once expected, nine times).

--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -30,6 +30,9 @@
 // gathers for less than a second, is silent: it has died.
 constexpr Millis kWatchDead{ 1200 };
 
+// Other instances' news tell of a change for less.
+constexpr Millis kToldAgain{ 10000 };
+
 // News so young shows that the feed of the store works.
 constexpr Millis kFresh{ 2800 };
 
@@ -228,7 +231,11 @@
 ConfigFeed::RemoveServer(const std::string& aId)
 {
   mMissing.erase(aId);
-  mServers.erase(aId);
+  auto known = mServers.find(aId);
+  if (known != mServers.end()) {
+    NoteGone(aId, known->second.mRevision);
+    mServers.erase(known);
+  }
   StoreChange gone;
   gone.mObject.mName = aId;
   gone.mObject.mRevision = std::max(mServersRevision, mServerObjects.AsOf());
@@ -242,6 +249,16 @@
   }
 }
 
+void
+ConfigFeed::NoteGone(const std::string& aId, int64_t aRevision)
+{
+  TimePoint now = mState.Now();
+  for (auto it = mGone.begin(); it != mGone.end();) {
+    it = now - it->second.mAt >= kToldAgain ? mGone.erase(it) : std::next(it);
+  }
+  mGone[aId] = { aRevision, now };
+}
+
 void
 ConfigFeed::RemoveLater(const std::string& aId)
 {
@@ -311,11 +328,17 @@
   for (const StoreChange& change : aChanges) {
     const StoreObject& object = change.mObject;
     auto known = mServers.find(object.mName);
-    bool newer =
-      known == mServers.end() || known->second.mRevision < object.mRevision;
-    if (newer && !change.mRemoved) {
+    bool there = known != mServers.end();
+    auto gone = mGone.find(object.mName);
+    int64_t before = there                 ? known->second.mRevision
+                     : gone != mGone.end() ? gone->second.mRevision
+                                           : 0;
+    if (object.mRevision <= before) {
+      continue; // told again: of one that is gone, too
+    }
+    if (!change.mRemoved) {
       changed = TakeServer(object) || changed;
-    } else if (newer && known != mServers.end()) {
+    } else if (there) {
       RemoveServer(object.mName);
     }
   }
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -75,6 +75,12 @@
     int64_t mRevision = 0;
     std::string mSpec;
   };
+  struct Gone
+  {
+    int64_t mRevision = 0; // its last
+    TimePoint mAt{};
+  };
+  void NoteGone(const std::string& aId, int64_t aRevision);
   void OnConfig(const StoreObject& aObject);
   void OnServers(const std::vector<StoreChange>& aAll, int64_t aAsOf);
   void OnServer(const StoreChange& aChange);
@@ -90,6 +96,7 @@
   StoreFeed mServerObjects;
   std::string mConfigText;
   std::map<std::string, Raw> mServers;
+  std::map<std::string, Gone> mGone;         // servers, lately
   std::map<std::string, TimePoint> mMissing; // since when, after an outage
   int64_t mServersRevision = 0;
   std::function<void()> mOnNews = [] {};
--- a/tests/platform/GoingOneByOneTest.cpp
+++ b/tests/platform/GoingOneByOneTest.cpp
@@ -184,6 +184,23 @@
   }
 }
 
+// Guards against a server that is gone and comes back for a moment with each
+// news that still tell of its last change.
+TEST(GoingOneByOne, ServerThatIsGoneStaysGone)
+{
+  EntryWorld world(Instances(3));
+  world.AwaitReady();
+  Reader(world);
+  world.List(*world.mPlain[0], "plain", "a", "draining");
+  world.For(Millis(1200));
+  world.mStore->Remove(wire::kServersKind, world.mPlain[0]->Id());
+  world.For(Millis(2500));
+  std::string gone = "\"server_gone\",\"server\":\"" + world.mPlain[0]->Id();
+  for (size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(1, world.LogLines(i, gone));
+  }
+}
+
 // Guards against one instance that leads its zone and reads for it too.
 TEST(GoingOneByOne, LeaderLetsAnotherRead)
 {
