--- a/src/decide/WatchStep.h
+++ b/src/decide/WatchStep.h
@@ -17,9 +17,9 @@
 namespace caraway {
 
 // Those with more of a core come first, since the reader has the most to do;
-// among equals the name decides.
+// among equals one that leads its zone comes last, and else the name decides.
 std::string
-WatchRank(double aCpuShare, const std::string& aName);
+WatchRank(double aCpuShare, const std::string& aName, bool aLeads = false);
 
 class WatchStep
 {
@@ -32,14 +32,17 @@
   explicit WatchStep(std::string aRank);
 
   // aFrom, a rank, tells what it read from the store at aNewsAt. True when this
-  // instance goes by it. aOwnFresh: it has news from the store itself.
+  // instance goes by it. aOwnNewsAt: its own news from the store, none while it
+  // is told; they count for as long as others'.
   bool OnTold(const std::string& aFrom,
               TimePoint aNewsAt,
-              bool aOwnFresh,
+              TimePoint aOwnNewsAt,
               TimePoint aNow);
   // False: this instance reads the store.
   bool Follows(TimePoint aNow) const;
   const std::string& Leader() const { return mLeader; }
+  // This instance's rank is another now.
+  void SetSelf(const std::string& aRank) { mSelf = aRank; }
   void Forget() { mLeader.clear(); }
 
 private:
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -38,6 +38,8 @@
                 int64_t aWhole,
                 int64_t aSeen,
                 TimePoint aNewsAt);
+  // aVersion was the newest configuration at aNewsAt, as another read it.
+  void TakeToldConfig(int64_t aVersion, TimePoint aNewsAt);
   // One read of the configuration; aDone: it came, or it didn't.
   void ReadConfig(std::function<void()> aDone);
 
@@ -64,6 +66,8 @@
   bool Fresh() const;
   // When the list of servers was last heard of, by whatever way.
   TimePoint ListNews() const;
+  // The same for the configuration: when the one in force was the newest.
+  TimePoint ConfigNews() const;
 
 private:
   struct Raw
@@ -71,6 +75,12 @@
     int64_t mRevision = 0;
     std::string mSpec;
   };
+  struct Gone
+  {
+    int64_t mRevision = 0; // its last
+    TimePoint mAt{};
+  };
+  void NoteGone(const std::string& aId, int64_t aRevision);
   void OnConfig(const StoreObject& aObject);
   void OnServers(const std::vector<StoreChange>& aAll, int64_t aAsOf);
   void OnServer(const StoreChange& aChange);
@@ -86,12 +96,14 @@
   StoreFeed mServerObjects;
   std::string mConfigText;
   std::map<std::string, Raw> mServers;
+  std::map<std::string, Gone> mGone;         // servers, lately
   std::map<std::string, TimePoint> mMissing; // since when, after an outage
   int64_t mServersRevision = 0;
   std::function<void()> mOnNews = [] {};
   std::function<void(const StoreChange&)> mOnTaken = [](const StoreChange&) {};
   int64_t mToldWhole = 0; // as ServersWhole(), by what another instance told
   TimePoint mToldNews{};  // of what another instance told
+  TimePoint mToldConfigNews{};
   bool mPaused = false;
 };
 
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -57,7 +57,9 @@
   constexpr size_t kMostConns = 512;
   mPort = ListenPort::Open(
     mState.mReactor, mState.mSettings.mPeers, mReplies, kMostConns);
+  mLife = Stamp();
   mState.mReactor.Every(kPulse, [this] { Pulse(); });
+  StartLeaving();
 }
 
 void
@@ -130,7 +132,8 @@
              const std::string& aZone,
              const std::string& aAddress)
 {
-  if (aName.empty() || aName == mState.mSettings.mName) {
+  if (aName.empty() || aName == mState.mSettings.mName ||
+      mDeparted.count(aName)) {
     return;
   }
   Peer& peer = mPeers[aName];
@@ -157,9 +160,17 @@
   pulse["name"] = mState.mSettings.mName;
   pulse["zone"] = mState.mSettings.mZone;
   pulse["address"] = mState.mSettings.mPeers;
+  pulse["life"] = Json::Int64(mLife);
+  pulse["stamp"] = Json::Int64(Stamp());
+  pulse["leaving"] = mState.mLeaving;
+  pulse["left"] = mLeft;
   for (const auto& fill : mFills) {
     fill(pulse);
   }
+  mClaims.clear();
+  for (const Json::Value& lease : pulse["leases"]) {
+    mClaims.insert(lease.asString());
+  }
   std::string text = JsonWrite(pulse);
   auto next = mPeers.upper_bound(mLastPulsed);
   for (size_t i = 0; i < std::min(kAtATime, mPeers.size()); ++i, ++next) {
@@ -169,11 +180,18 @@
     SendTo(next->second, text);
     mLastPulsed = next->first;
   }
+  ForgetSilent();
+}
+
+void
+Peers::ForgetSilent()
+{
   for (const auto& [name, peer] : mPeers) {
     if (!Alive(peer)) {
       mState.mServers.ForgetPeer(name);
     }
   }
+  ForgetDeparted();
 }
 
 void
@@ -205,6 +223,11 @@
       SendTo(peer, text);
     }
   }
+  for (const auto& [name, departed] : mDeparted) {
+    if (EndsHere(departed)) {
+      SendTo(departed.mPeer, text);
+    }
+  }
 }
 
 void
@@ -271,18 +294,35 @@
   if (name.empty() || name == mState.mSettings.mName) {
     return;
   }
-  bool alive = Alive(name);
-  Learn(name, aPulse["zone"].asString(), aPulse["address"].asString());
-  Peer& peer = mPeers[name];
-  if (!alive) {
-    mState.mLog.Line("instance_heard").Text("peer", name);
+  int64_t life = aPulse["life"].asInt64();
+  if (aPulse["left"].asBool()) {
+    OnGoodbye(aPulse); // the datagram that said so may be lost
+  }
+  bool departed = IsDeparted(name, life);
+  if (!departed) {
+    bool alive = Alive(name);
+    mDeparted.erase(name); // it lives again
+    Learn(name, aPulse["zone"].asString(), aPulse["address"].asString());
+    if (!alive) {
+      mState.mLog.Line("instance_heard").Text("peer", name);
+    }
+  }
+  Peer& peer = departed ? mDeparted[name].mPeer : mPeers[name];
+  if (peer.mLife != life) {
+    peer.mLife = life;
+    peer.mLeaving = false;
   }
   peer.mHeardAt = mState.Now();
+  peer.mStamp = aPulse["stamp"].asInt64();
   peer.mLeases.clear();
   for (const Json::Value& lease : aPulse["leases"]) {
     peer.mLeases.push_back(lease.asString());
   }
   peer.mQueued = aPulse["queued"].asInt();
+  peer.mRank = aPulse["rank"].asString();
+  if (aPulse["leaving"].asBool()) {
+    OnLeavingNote(aPulse);
+  }
   for (const auto& read : mReads) {
     read(peer, aPulse);
   }
