Leases: one that isn't wanted any more is given up, and looked at again when its holder is silent about it

A lease step could only be released for good. Whether an instance wants a lease may now change: while it doesn't, it acts no more, gives up what it holds with a write that is tried again until it is done or the lease has ended, and asks for nothing. A taking that was under way when the lease was released is given up too; before, it stayed held, unrenewed, until its end.

A candidate that read a lease before it was given up, and never heard its holder's claim, waited a whole lease. It now reads the lease again while that holder lives and claims nothing; the time since when it was seen stays.

ZoneAdoption decides when an outsider may try for the lease of a zone that has no instance: by fresh lists of the store only, never by silence.

--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -19,12 +19,11 @@
 LeaseAction
 LeaseStep::Due(TimePoint aNow)
 {
-  if (mPending || mReleased || aNow < mNext) {
+  if (mPending || aNow < mNext) {
     return LeaseAction::None;
   }
-  if (mReleasing) {
-    mPending = true;
-    return LeaseAction::Write;
+  if (!mWanted) {
+    return GiveUp(aNow);
   }
   if (mToken > 0 && aNow >= mUntil) {
     mToken = 0; // ended unrenewed: only taking it anew counts
@@ -39,7 +38,8 @@
     mNext = aNow + mTimes.mRetry;
     return LeaseAction::None;
   }
-  if (!mSeen) {
+  if (!mSeen || mLookAgain) {
+    mLookAgain = false;
     mPending = true;
     return LeaseAction::Read;
   }
@@ -51,6 +51,19 @@
   return LeaseAction::Write;
 }
 
+LeaseAction
+LeaseStep::GiveUp(TimePoint aNow)
+{
+  if (mToken == 0 || aNow >= mUntil) {
+    mToken = 0;
+    mSeen.reset();
+    return LeaseAction::None;
+  }
+  mGivingUp = true;
+  mPending = true;
+  return LeaseAction::Write;
+}
+
 // When the lease that was seen may be taken.
 TimePoint
 LeaseStep::TakeFrom() const
@@ -66,7 +79,7 @@
 LeaseStep::WantedRecord() const
 {
   LeaseRecord record = mSeen.value_or(LeaseRecord());
-  if (mReleasing) {
+  if (mGivingUp) {
     record.mHolder.clear();
   } else {
     record.mHolder = mSelf;
@@ -96,9 +109,8 @@
 LeaseStep::OnWritten(int64_t aRevision, TimePoint aAskedAt, TimePoint aNow)
 {
   mPending = false;
-  if (mReleasing) {
-    mReleased = true;
-    mToken = 0;
+  if (mGivingUp) {
+    OnGaveUp(aNow);
     return;
   }
   if (mToken == 0) {
@@ -121,9 +133,8 @@
 LeaseStep::OnConflict(const std::optional<LeaseRecord>& aRecord, TimePoint aNow)
 {
   mPending = false;
-  if (mReleasing) {
-    mReleased = true;
-    mToken = 0;
+  if (mGivingUp) {
+    OnGaveUp(aNow);
     return;
   }
   // A write of this process's own whose answer was lost shows as a conflict
@@ -146,10 +157,7 @@
 {
   mPending = false;
   mNext = aNow + mTimes.mRetry;
-  if (mReleasing) {
-    mReleased = true; // it ends by itself
-    mToken = 0;
-  }
+  mGivingUp = false; // tried again until it ends by itself
 }
 
 void
@@ -172,13 +180,29 @@
 }
 
 void
-LeaseStep::Release(TimePoint aNow)
+LeaseStep::LookAgain(TimePoint aNow)
 {
-  if (mToken > 0 && aNow < mUntil) {
-    mReleasing = true;
+  if (mToken == 0 && !mPending) {
+    mLookAgain = true;
+    mNext = aNow;
+  }
+}
+
+void
+LeaseStep::OnGaveUp(TimePoint aNow)
+{
+  mGivingUp = false;
+  mToken = 0;
+  mSeen.reset();
+  mNext = aNow;
+}
+
+void
+LeaseStep::SetWanted(bool aWanted, TimePoint aNow)
+{
+  if (aWanted != mWanted) {
+    mWanted = aWanted;
     mNext = aNow;
-  } else {
-    mReleased = true;
   }
 }
 
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -64,16 +64,33 @@
   // It says so no longer, and lives: what was read before is outdated.
   void OnGivenUp(TimePoint aNow);
 
-  // Gives the lease up, with a last write.
-  void Release(TimePoint aNow);
-
-  bool Holds(TimePoint aNow) const { return mToken > 0 && aNow < mUntil; }
+  // The record may have changed: it is read again, and whoever holds it still
+  // keeps the time that it was seen to hold it.
+  void LookAgain(TimePoint aNow);
+
+  // Whether this instance may take and keep the lease. While not, it acts no
+  // more, gives up what it holds with a last write, and asks for nothing.
+  void SetWanted(bool aWanted, TimePoint aNow);
+  // For good.
+  void Release(TimePoint aNow) { SetWanted(false, aNow); }
+  // A free lease is left to others for so long.
+  void SetYield(Millis aYield) { mTimes.mYield = aYield; }
+
+  bool Holds(TimePoint aNow) const
+  {
+    return mWanted && mToken > 0 && aNow < mUntil;
+  }
   // Holds it, and the former holder's silence is over.
   bool MayAct(TimePoint aNow) const { return Holds(aNow) && aNow >= mActFrom; }
   int64_t Token() const { return mToken; }
-  bool Released() const { return mReleased; }
+  // It isn't wanted, and nothing is left to give up.
+  bool Released() const { return !mWanted && !mPending && mToken == 0; }
+  // Of the lease as last read; "" = none.
+  std::string SeenHolder() const { return mSeen ? mSeen->mHolder : ""; }
 
 private:
+  LeaseAction GiveUp(TimePoint aNow);
+  void OnGaveUp(TimePoint aNow);
   TimePoint TakeFrom() const;
   void See(const LeaseRecord& aRecord, TimePoint aNow);
   bool Mine(const LeaseRecord& aRecord) const;
@@ -89,8 +106,9 @@
   TimePoint mHeardAt{};
   bool mHeard = false;
   bool mPending = false;
-  bool mReleasing = false;
-  bool mReleased = false;
+  bool mWanted = true;
+  bool mGivingUp = false; // the write under way does
+  bool mLookAgain = false;
 };
 
 } // namespace caraway
--- /dev/null
+++ b/src/decide/ZoneAdoption.cpp
@@ -0,0 +1,85 @@
+#include "decide/ZoneAdoption.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+namespace {
+
+constexpr int kLostPulses = 6; // of an instance that lives
+
+} // namespace
+
+ZoneAdoption::ZoneAdoption(TimePoint aNow)
+  : mStart(aNow)
+  , mHeardAt(aNow)
+{
+}
+
+void
+ZoneAdoption::SetPulseGap(Millis aGap)
+{
+  mGap = aGap;
+  mSilent = std::max(kSilent, aGap * kLostPulses);
+}
+
+void
+ZoneAdoption::OnHeard(TimePoint aNow)
+{
+  mHeardAt = aNow;
+  mEmptySince = TimePoint();
+  mListWait = kListAgain;
+}
+
+// A list that was asked for before somebody was heard may lack it.
+void
+ZoneAdoption::OnListed(int aEntries, TimePoint aAskedAt)
+{
+  if (aAskedAt <= mListedAt) {
+    return;
+  }
+  mListedAt = aAskedAt;
+  mEntries = aEntries;
+  mListWait = aEntries > 0 ? std::min(mListWait * 2, kListMost) : kListAgain;
+  if (aEntries > 0 || aAskedAt <= mHeardAt) {
+    mEmptySince = TimePoint();
+  } else if (mEmptySince == TimePoint()) {
+    mEmptySince = aAskedAt;
+  }
+}
+
+void
+ZoneAdoption::OnLedByOther(TimePoint aNow)
+{
+  mByOtherAt = aNow;
+}
+
+bool
+ZoneAdoption::Silent(TimePoint aNow) const
+{
+  return aNow - mStart >= kAfterStart && aNow - mHeardAt >= mSilent;
+}
+
+// Those of a higher rank ask later, when nobody before them has taken it, and
+// more seldom: a silent zone costs the store a few calls, however many see it.
+bool
+ZoneAdoption::NeedsList(TimePoint aNow) const
+{
+  if (mLedHere) {
+    return aNow - mListedAt >= kListLeading;
+  }
+  Millis turn = std::max(kListAgain, mGap) * (2 * mRank);
+  bool led = mByOtherAt != TimePoint() && aNow - mByOtherAt < mSilent + turn;
+  Millis wait = mEntries > 0 ? mListWait * (1 + mRank) : kListAgain;
+  return Silent(aNow) && !led && aNow - mHeardAt >= mSilent + turn &&
+         aNow - mListedAt >= wait;
+}
+
+bool
+ZoneAdoption::MayLead(TimePoint aNow) const
+{
+  bool empty = mEmptySince != TimePoint() && mListedAt - mEmptySince >= kEmpty;
+  return empty && aNow - mStart >= kAfterStart && aNow - mListedAt < kListLife;
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/property/EmptyZoneProperty.cpp
@@ -0,0 +1,432 @@
+// A zone's lease over insiders that come and go and outsiders that take their
+// place: one acts at a time, nobody from outside while the zone may live, and
+// after the last trouble somebody leads within a stated time.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "decide/LeaseStep.h"
+#include "decide/ZoneAdoption.h"
+
+namespace caraway {
+
+namespace {
+
+const TimePoint kStart{ Seconds(1000) };
+
+constexpr Millis kStep{ 50 };
+
+// From the last trouble until somebody acts: an entry of a silent zone is gone,
+// a list in its backoff, a whole lease, and the silence after it.
+constexpr Millis kLedWithin{ 20000 };
+
+// From the start of an insider until it acts.
+constexpr Millis kBackWithin{ 6000 };
+
+constexpr int kPulseSteps = 5;
+
+struct Instance
+{
+  Instance(std::string aName, bool aInside, TimePoint aNow)
+    : mName(std::move(aName))
+    , mInside(aInside)
+    , mLease(mName, LeaseTimes())
+    , mAdoption(aNow)
+  {
+    mLease.SetWanted(aInside, aNow);
+  }
+
+  std::string mName;
+  bool mInside;
+  LeaseStep mLease;
+  ZoneAdoption mAdoption;
+  bool mAlive = true;
+  bool mLeaving = false;
+  bool mListed = false; // its entry was written
+  bool mCutFromStore = false;
+  int mSide = 0; // instances of different sides don't hear each other
+  TimePoint mFrozenUntil{};
+  TimePoint mTryNext{};
+  TimePoint mEndsAt{};
+  // When it last heard each, and whether that one claimed the lease.
+  std::map<std::string, std::pair<TimePoint, bool>> mHeard;
+  std::string mClaimer;
+  TimePoint mLookAgainAt{};
+};
+
+// A zone, its lease, outsiders, and whatever befalls them.
+class EmptyZoneWorld
+{
+public:
+  explicit EmptyZoneWorld(unsigned aSeed)
+    : mRandom(aSeed)
+  {
+    for (int i = 0; i < 2; ++i) {
+      Start("in" + std::to_string(i), true);
+    }
+    for (int i = 0; i < 3; ++i) {
+      Start("out" + std::to_string(i), false);
+    }
+  }
+
+  void Run(Millis aTime)
+  {
+    for (TimePoint end = mNow + aTime; mNow < end; mNow += kStep) {
+      Trouble();
+      RunLate();
+      ++mTurn;
+      for (auto& one : mInstances) {
+        if (one->mAlive && mNow >= one->mFrozenUntil) {
+          Turn(*one);
+        }
+      }
+      Check();
+    }
+  }
+
+  // Until somebody acts, and an insider where one lives; false when nobody does
+  // in time.
+  bool RunUntilLed(Millis aWithin, bool aInside)
+  {
+    for (TimePoint end = mNow + aWithin; mNow < end;) {
+      Run(kStep);
+      for (auto& one : mInstances) {
+        if (one->mAlive && one->mInside == aInside &&
+            one->mLease.MayAct(mNow)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  // No more trouble. Entries of the dead are removed, as their zone would have
+  // done it; an insider that still lives stays where it is.
+  void Heal()
+  {
+    mCalm = true;
+    for (auto& one : mInstances) {
+      one->mSide = 0;
+      one->mCutFromStore = false;
+      one->mFrozenUntil = TimePoint();
+      if (!one->mAlive) {
+        mEntries.erase(one->mName);
+      }
+      if (!one->mAlive && !one->mInside) {
+        *one = Instance(one->mName, false, mNow);
+      }
+    }
+  }
+
+  // All insiders leave by their word.
+  void EmptyZone()
+  {
+    for (auto& one : mInstances) {
+      if (one->mInside && one->mAlive) {
+        Leave(*one);
+      }
+    }
+  }
+
+  bool InsiderLives() const
+  {
+    return std::any_of(
+      mInstances.begin(), mInstances.end(), [](const auto& aOne) {
+        return aOne->mInside && aOne->mAlive && !aOne->mLeaving;
+      });
+  }
+
+  void Start(const std::string& aName, bool aInside)
+  {
+    for (auto& one : mInstances) {
+      if (one->mName == aName) {
+        *one = Instance(aName, aInside, mNow);
+        return;
+      }
+    }
+    mInstances.push_back(std::make_unique<Instance>(aName, aInside, mNow));
+  }
+
+  std::string mFault; // "" = none seen
+  int mAdoptions = 0;
+
+private:
+  bool Chance(unsigned aOneIn) { return mRandom() % aOneIn == 0; }
+
+  void Trouble()
+  {
+    if (mCalm) {
+      return;
+    }
+    Instance& any = *mInstances[mRandom() % mInstances.size()];
+    if (any.mAlive && Chance(150)) {
+      any.mFrozenUntil = mNow + Millis(mRandom() % 9000);
+    }
+    if (any.mAlive && Chance(400)) {
+      any.mAlive = false; // killed: its entry stands
+    }
+    if (any.mAlive && any.mInside && Chance(80)) {
+      Leave(any);
+    }
+    if (!any.mAlive && Chance(250)) {
+      Start(any.mName, any.mInside);
+    }
+    if (Chance(250)) {
+      any.mSide = static_cast<int>(mRandom() % 2);
+    }
+    if (Chance(250)) {
+      any.mCutFromStore = !any.mCutFromStore;
+    }
+  }
+
+  void Leave(Instance& aOne)
+  {
+    if (!aOne.mLeaving) {
+      aOne.mLeaving = true;
+      aOne.mLease.Release(mNow);
+      aOne.mEndsAt = mNow + Seconds(3);
+    }
+  }
+
+  void Turn(Instance& aOne)
+  {
+    if (aOne.mLeaving && mNow >= aOne.mEndsAt) {
+      if (!aOne.mCutFromStore) {
+        mEntries.erase(aOne.mName);
+      }
+      aOne.mAlive = false;
+      return;
+    }
+    if (!aOne.mListed && !aOne.mLeaving && !aOne.mCutFromStore) {
+      mEntries.insert({ aOne.mName, aOne.mInside });
+      aOne.mListed = true;
+    }
+    if (mTurn % kPulseSteps == 0) {
+      Pulse(aOne);
+    }
+    if (!aOne.mInside) {
+      Adopt(aOne);
+    }
+    HearOfHolder(aOne);
+    Serve(aOne);
+  }
+
+  void Pulse(Instance& aFrom)
+  {
+    for (auto& to : mInstances) {
+      if (to->mAlive && to.get() != &aFrom && to->mSide == aFrom.mSide &&
+          mNow >= to->mFrozenUntil && (mCalm || !Chance(5))) {
+        to->mHeard[aFrom.mName] = { mNow, aFrom.mLease.Holds(mNow) };
+        if (aFrom.mInside && !aFrom.mLeaving) {
+          to->mAdoption.OnHeard(mNow);
+        }
+      }
+    }
+  }
+
+  bool Hears(const Instance& aOne, const std::string& aName) const
+  {
+    auto found = aOne.mHeard.find(aName);
+    return found != aOne.mHeard.end() &&
+           mNow - found->second.first < Millis(1500);
+  }
+
+  void Adopt(Instance& aOne)
+  {
+    ZoneAdoption& adoption = aOne.mAdoption;
+    adoption.OnLedHere(aOne.mLease.Holds(mNow));
+    int rank = 0;
+    for (const auto& [name, heard] : aOne.mHeard) {
+      bool outside = name[0] == 'o';
+      rank += outside && name < aOne.mName && Hears(aOne, name) ? 1 : 0;
+      if (heard.second && Hears(aOne, name)) {
+        adoption.OnLedByOther(mNow);
+      }
+    }
+    adoption.SetRank(rank);
+    aOne.mLease.SetYield(ZoneAdoption::kRankYield * rank);
+    if (adoption.NeedsList(mNow) && mNow >= aOne.mTryNext) {
+      aOne.mTryNext = mNow + Millis(200);
+      if (!aOne.mCutFromStore && (mCalm || !Chance(5))) {
+        int entries = 0;
+        for (const auto& [name, inside] : mEntries) {
+          entries += inside ? 1 : 0;
+        }
+        adoption.OnListed(entries, mNow);
+        mListedEmpty[aOne.mName] = entries == 0 ? mNow : TimePoint();
+      }
+    }
+    aOne.mLease.SetWanted(adoption.MayLead(mNow), mNow);
+  }
+
+  // As LeaseLoop does it.
+  void HearOfHolder(Instance& aOne)
+  {
+    if (aOne.mLease.Released()) {
+      return;
+    }
+    std::string claimer;
+    for (const auto& [name, heard] : aOne.mHeard) {
+      if (heard.second && Hears(aOne, name)) {
+        claimer = name;
+      }
+    }
+    if (!claimer.empty()) {
+      aOne.mLease.OnClaim(claimer, mNow);
+      aOne.mClaimer = claimer;
+    } else if (Hears(aOne, aOne.mClaimer)) {
+      aOne.mLease.OnGivenUp(mNow);
+      aOne.mClaimer.clear();
+    } else if (mNow >= aOne.mLookAgainAt &&
+               Hears(aOne, aOne.mLease.SeenHolder())) {
+      aOne.mLookAgainAt = mNow + Millis(500);
+      aOne.mLease.LookAgain(mNow);
+    }
+  }
+
+  void Serve(Instance& aOne)
+  {
+    LeaseAction action = aOne.mLease.Due(mNow);
+    bool lost = aOne.mCutFromStore || (!mCalm && Chance(10));
+    if (action == LeaseAction::Read && lost) {
+      aOne.mLease.OnFailed(mNow);
+    } else if (action == LeaseAction::Read) {
+      aOne.mLookAgainAt = mNow + Millis(500);
+      aOne.mLease.OnRead(mRecord, mNow);
+    } else if (action == LeaseAction::Write) {
+      LeaseRecord wanted = aOne.mLease.WantedRecord();
+      if (lost) { // done now, later or never, and not answered
+        if (Chance(2)) {
+          mLate.push_back({ mNow + Millis(mRandom() % 8000), wanted });
+        }
+        aOne.mLease.OnFailed(mNow);
+      } else if (auto revision = Write(wanted)) {
+        aOne.mLease.OnWritten(*revision, mNow, mNow);
+      } else {
+        aOne.mLease.OnConflict(mRecord, mNow);
+      }
+    }
+  }
+
+  std::optional<int64_t> Write(const LeaseRecord& aWanted)
+  {
+    if (aWanted.mRevision != (mRecord ? mRecord->mRevision : 0)) {
+      return std::nullopt;
+    }
+    std::string before = mRecord ? mRecord->mHolder : "";
+    mRecord = aWanted;
+    mRecord->mRevision = ++mRevision;
+    if (aWanted.mHolder[0] == 'o' && aWanted.mHolder != before) {
+      ++mAdoptions;
+    }
+    return mRevision;
+  }
+
+  void RunLate()
+  {
+    for (auto at = mLate.begin(); at != mLate.end();) {
+      if (at->first <= mNow) {
+        Write(at->second);
+        at = mLate.erase(at);
+      } else {
+        ++at;
+      }
+    }
+  }
+
+  void Check()
+  {
+    for (auto& one : mInstances) {
+      if (!one->mAlive || mNow < one->mFrozenUntil ||
+          !one->mLease.MayAct(mNow)) {
+        continue;
+      }
+      int64_t token = one->mLease.Token();
+      bool other = one->mName != mActor;
+      if (token < mToken || (other && token == mToken)) {
+        mFault = one->mName + " acts under an old token";
+      }
+      if (other && !mActor.empty() && mNow - mActedAt < LeaseTimes().mSilence) {
+        mFault = one->mName + " acts beside " + mActor;
+      }
+      auto listed = mListedEmpty.find(one->mName);
+      if (!one->mInside &&
+          (listed == mListedEmpty.end() || listed->second == TimePoint() ||
+           mNow - listed->second >= ZoneAdoption::kListLife)) {
+        mFault = one->mName + " acts without an empty list";
+      }
+      mActor = one->mName;
+      mActedAt = mNow;
+      mToken = token;
+    }
+  }
+
+  std::mt19937 mRandom;
+  TimePoint mNow = kStart;
+  int mTurn = 0;
+  bool mCalm = false;
+  std::vector<std::unique_ptr<Instance>> mInstances;
+  std::map<std::string, bool> mEntries;          // whether of the zone
+  std::map<std::string, TimePoint> mListedEmpty; // by who last read it so
+  std::optional<LeaseRecord> mRecord;
+  int64_t mRevision = 0;
+  std::deque<std::pair<TimePoint, LeaseRecord>> mLate;
+  std::string mActor;
+  TimePoint mActedAt{};
+  int64_t mToken = 0;
+};
+
+constexpr unsigned kSeeds = 1000;
+
+} // namespace
+
+// Guards against two who order, and against an outsider that orders while the
+// zone's entries stand.
+TEST(EmptyZoneRandom, OneActsAndOutsidersOnlyByAnEmptyList)
+{
+  int adoptions = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    EmptyZoneWorld world(seed);
+    world.Run(Seconds(180));
+    ASSERT_EQ("", world.mFault) << "seed " << seed;
+    adoptions += world.mAdoptions;
+  }
+  EXPECT_GT(adoptions, static_cast<int>(kSeeds) / 2);
+}
+
+// Guards against servers that nobody leads after the last trouble.
+TEST(EmptyZoneRandom, SomebodyLeadsAfterTheLastTrouble)
+{
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    EmptyZoneWorld world(seed);
+    world.Run(Seconds(90));
+    world.Heal();
+    EXPECT_TRUE(world.RunUntilLed(kLedWithin, world.InsiderLives()))
+      << "seed " << seed;
+    ASSERT_EQ("", world.mFault) << "seed " << seed;
+  }
+}
+
+// Guards against a zone that is adopted and not handed back.
+TEST(EmptyZoneRandom, AdoptedZoneIsHandedBack)
+{
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    EmptyZoneWorld world(seed);
+    world.Run(Seconds(60));
+    world.Heal();
+    world.Run(Seconds(15));
+    world.EmptyZone();
+    EXPECT_TRUE(world.RunUntilLed(kLedWithin, false)) << "seed " << seed;
+    world.Start("in0", true);
+    EXPECT_TRUE(world.RunUntilLed(kBackWithin, true)) << "seed " << seed;
+    ASSERT_EQ("", world.mFault) << "seed " << seed;
+  }
+}
+
+} // namespace caraway
