Empty zones: an instance of another zone leads their servers until one of their own starts

What callers saw: when all instances of a zone had left, its servers stood idle with room, and rare models were refused with 503 "model comes too late".

Cause: only instances of a zone tried for its lease, so nobody might order there.

Why the fix works: each instance keeps a desk for every zone (ZoneDesks). It tries for another zone's ordinary lease only while fresh lists of the store, a second apart, show no instance of that zone (ZoneAdoption), the nearest by rendezvous first, and gives it up as soon as one is listed or heard. The lease's conditional update, rising token and silence stay the only judge of who orders. Silence alone is never taken for emptiness: entries of a zone that is cut off stand.

Ruled out: telling empty from cut off by silence; a second kind of lease.

Zones whose last instance died without a word keep its entry, and aren't adopted.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -49,7 +49,7 @@
                ZoneLeaseName(mState.mSettings.mZone),
                mState.mSettings.mOrderSilence)
   , mTokens(mState, mPeers, mMembers)
-  , mOrders(mState, mPeers, mZoneLease, [this] { Changed(); })
+  , mOrders(mState, mStore, mPeers, mMembers, mZoneLease, [this] { Changed(); })
   , mFront(mState, mTokens, mOrders)
   , mReadyReplies([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -153,6 +153,7 @@
   gauge("caraway_list_age_ms", mState.AgeOf(mFeed.ListNews()).count());
   gauge("caraway_list_told_by_another", mFeed.Paused() ? 1 : 0);
   gauge("caraway_lease_held", mZoneLease.Holds() ? 1 : 0);
+  gauge("caraway_zones_led", static_cast<int64_t>(mOrders.Led()));
   gauge("caraway_loads_under_way", static_cast<int64_t>(mOrders.Loads()));
   gauge("caraway_loads_queued", static_cast<int64_t>(mOrders.Waiting()));
   gauge("caraway_store_age_ms", mState.AgeOf(mStore.LastGood()).count());
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -10,11 +10,11 @@
 #include "entry/FeedRelay.h"
 #include "entry/ListenPort.h"
 #include "entry/Membership.h"
-#include "entry/OrderDesk.h"
 #include "entry/Peers.h"
 #include "entry/ShortPort.h"
 #include "entry/TokenDesk.h"
 #include "entry/UseRelay.h"
+#include "entry/ZoneDesks.h"
 #include "store/StoreClient.h"
 
 namespace caraway {
@@ -59,7 +59,7 @@
   UseRelay mUse;
   LeaseLoop mZoneLease;
   TokenDesk mTokens;
-  OrderDesk mOrders;
+  ZoneDesks mOrders;
   CallerFront mFront;
   ShortPort mReadyReplies;
   ShortPort mMetricsReplies;
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -18,6 +18,17 @@
 // instances and 15 servers needs about an eighth of a core for its orders.
 constexpr Millis kYieldOfACore{ 50 };
 
+// Pulses after which a living holder has said that it holds the lease, however
+// lately it has taken it; some are lost.
+constexpr int kClaimPulses = 2;
+
+Millis
+YieldOf(const EntrySettings& aSettings)
+{
+  auto yield = static_cast<double>(kYieldOfACore.count());
+  return Millis(static_cast<int64_t>(yield / aSettings.mCpuShare));
+}
+
 std::optional<LeaseRecord>
 ReadRecord(const std::string& aBody)
 {
@@ -52,14 +63,14 @@
   , mStore(aStore)
   , mPeers(aPeers)
   , mName(std::move(aName))
-  , mStep(aState.mSettings.mName, [aSilence, &aState] {
-    LeaseTimes times;
-    times.mSilence = aSilence;
-    auto yield = static_cast<double>(kYieldOfACore.count());
-    times.mYield =
-      Millis(static_cast<int64_t>(yield / aState.mSettings.mCpuShare));
-    return times;
-  }())
+  , mStep(aState.mSettings.mName,
+          [aSilence, &aState] {
+            LeaseTimes times;
+            times.mSilence = aSilence;
+            times.mYield = YieldOf(aState.mSettings);
+            return times;
+          }())
+  , mYield(YieldOf(aState.mSettings))
 {
 }
 
@@ -79,23 +90,27 @@
 }
 
 void
-LeaseLoop::Release()
+LeaseLoop::SetWanted(bool aWanted)
 {
-  mStep.Release(mState.Now());
-  Tick();
+  if (aWanted != mWanted) {
+    mWanted = aWanted;
+    mStep.SetWanted(aWanted, mState.Now());
+    Tick();
+  }
+}
+
+void
+LeaseLoop::SetRankYield(Millis aYield)
+{
+  mStep.SetYield(mYield + aYield);
 }
 
 void
 LeaseLoop::Tick()
 {
   TimePoint now = mState.Now();
-  std::string other = mPeers.HolderOf(mName);
-  if (!other.empty()) {
-    mStep.OnClaim(other, now);
-    mClaimer = other;
-  } else if (mPeers.Alive(mClaimer)) {
-    mStep.OnGivenUp(now); // it lives, and says so no more
-    mClaimer.clear();
+  if (!mStep.Released()) {
+    HearOfHolder(now);
   }
   switch (mStep.Due(now)) {
     case LeaseAction::None:
@@ -110,6 +125,23 @@
   TellChange();
 }
 
+void
+LeaseLoop::HearOfHolder(TimePoint aNow)
+{
+  std::string other = mPeers.HolderOf(mName);
+  if (!other.empty()) {
+    mStep.OnClaim(other, aNow);
+    mClaimer = other;
+  } else if (mPeers.Alive(mClaimer)) {
+    mStep.OnGivenUp(aNow); // it lives, and says so no more
+    mClaimer.clear();
+  } else if (aNow >= mLookAgainAt && mPeers.Alive(mStep.SeenHolder())) {
+    // Given up, perhaps, before its claim was ever heard here.
+    mLookAgainAt = aNow + mPeers.PulseGap() * kClaimPulses;
+    mStep.LookAgain(aNow);
+  }
+}
+
 void
 LeaseLoop::Read()
 {
@@ -118,6 +150,7 @@
               [this](StoreOutcome aOutcome, const std::string& aBody) {
                 TimePoint now = mState.Now();
                 auto record = ReadRecord(aBody);
+                mLookAgainAt = now + mPeers.PulseGap() * kClaimPulses;
                 if (aOutcome == StoreOutcome::Missing) {
                   mStep.OnRead(std::nullopt, now);
                 } else if (aOutcome == StoreOutcome::Done && record) {
--- a/src/entry/LeaseLoop.h
+++ b/src/entry/LeaseLoop.h
@@ -12,8 +12,7 @@
 
 namespace caraway {
 
-// Its holder gives the orders of aZone's servers, and keeps the zone's part of
-// tenants' tokens.
+// Its holder gives the orders of aZone's servers.
 std::string
 ZoneLeaseName(const std::string& aZone);
 
@@ -28,7 +27,11 @@
             Millis aSilence);
 
   void Start();
-  void Release();
+  void Release() { SetWanted(false); }
+  // While not wanted, it is given up and left alone. Wanted at the start.
+  void SetWanted(bool aWanted);
+  // A free lease is left to others for so much longer than to any candidate.
+  void SetRankYield(Millis aYield);
 
   bool Holds() const { return mStep.Holds(mState.Now()); }
   bool MayAct() const { return mStep.MayAct(mState.Now()); }
@@ -37,6 +40,7 @@
 
 private:
   void Tick();
+  void HearOfHolder(TimePoint aNow);
   void Read();
   void Write();
   void TellChange();
@@ -46,8 +50,11 @@
   Peers& mPeers;
   std::string mName;
   LeaseStep mStep;
-  std::string mClaimer; // the last that said it holds the lease
-  bool mTold = false;   // what the last log line said
+  Millis mYield;            // by this instance's part of a core
+  std::string mClaimer;     // the last that said it holds the lease
+  TimePoint mLookAgainAt{}; // at a lease whose holder lives and claims nothing
+  bool mWanted = true;
+  bool mTold = false; // what the last log line said
 };
 
 } // namespace caraway
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -260,13 +260,17 @@
 {
   std::vector<MemberEntry> zone;
   std::set<std::string> listed;
+  std::map<std::string, int> census;
+  bool readable = true;
   for (const StoreChange& change : aPage.mChanges) {
     const StoreObject& object = change.mObject;
     const Json::Value& spec = object.mSpec;
     if (!spec["address"].isString() || !spec["zone"].isString()) {
       mState.mLog.Line("instance_unreadable").Text("peer", object.mName);
+      readable = false; // it may be of any zone
       continue;
     }
+    census[spec["zone"].asString()] += 1;
     mPeers.Learn(
       object.mName, spec["zone"].asString(), spec["address"].asString());
     listed.insert(object.mName);
@@ -281,6 +285,9 @@
   if (aFresh) {
     mZone.OnListed(zone, aAskedAt, mState.Now());
   }
+  if (aFresh && readable) {
+    mOnCensus(census, aAskedAt);
+  }
   DropSilent(listed);
   mOnChange();
 }
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -29,6 +29,12 @@
   {
     mOnChange = std::move(aChange);
   }
+  // Called with how many entries each zone has, as a fresh list showed it.
+  using Census =
+    std::function<void(const std::map<std::string, int>&, TimePoint aAskedAt)>;
+  void OnCensus(Census aCensus) { mOnCensus = std::move(aCensus); }
+  // A fresh list is wanted.
+  void LookSoon() { mLookNow = true; }
 
   // This instance may spend its part of tenants' limits.
   bool MaySpend() const { return mZone.MaySpend(mState.Now()); }
@@ -56,6 +62,7 @@
   Peers& mPeers;
   ZoneMembers mZone;
   std::function<void()> mOnChange = [] {};
+  Census mOnCensus = [](const auto&, TimePoint) {};
   Millis mListWait;
   uint64_t mListRound = 0;
   bool mListing = false;
--- a/src/entry/OrderDesk.h
+++ b/src/entry/OrderDesk.h
@@ -1,9 +1,9 @@
 // OrderDesk.h: brings models and adapters to servers.
 //
-// Any instance asks; the holder of a zone's lease decides and orders. It
-// alone orders servers of its zone, one order at a time for each, under the
-// count of orders that it believes a server has accepted: an order that is
-// carried out late, after others, then does nothing.
+// The holder of a zone's lease decides and orders. It alone orders servers of
+// the zone, one order at a time for each, under the count of orders that it
+// believes a server has accepted: an order that is carried out late, after
+// others, then does nothing. Any instance asks it, see ZoneDesks.
 #ifndef caraway_entry_OrderDesk_h
 #define caraway_entry_OrderDesk_h
 
@@ -19,7 +19,6 @@
 #include "decide/PlacementPlan.h"
 #include "decide/StoreLoads.h"
 #include "decide/WantOrder.h"
-#include "decide/ZoneChoice.h"
 #include "entry/LeaseLoop.h"
 #include "entry/Peers.h"
 #include "entry/PlaceAsker.h"
@@ -27,35 +26,42 @@
 
 namespace caraway {
 
-class OrderDesk : public PlaceAsker
+class OrderDesk
 {
 public:
+  // Tells the other zones' holders.
+  using Tell = std::function<void(const char* aKind, const Json::Value& aNote)>;
+
+  // aLease: of aZone. aChanged: what some server holds is believed anew.
   OrderDesk(EntryState& aState,
             Peers& aPeers,
             LeaseLoop& aLease,
+            std::string aZone,
+            Tell aTell,
             std::function<void()> aChanged);
 
   void Start();
   // The list of servers or the configuration changed.
   void OnChanged();
 
+  const std::string& Zone() const { return mZone; }
+  // It gives the orders of its zone.
+  bool Holds() const { return mLease.Holds(); }
   size_t Loads() const { return mJobs.size(); }
   size_t Waiting() const { return mQueue.size(); }
 
-  void Want(const PlaceWant& aWant) override;
-  std::optional<Millis> Expected(const PlaceWant& aWant) override;
+  // Somebody asks for a model or adapter; when it is expected.
+  Json::Value OnWanted(const PlaceWant& aWant);
+  // Of another zone's holder.
+  void OnClaim(const Json::Value& aNote);
+  void OnStoreLoad(const Json::Value& aNote);
+  // Of this zone's holder, about one of its servers.
+  void TakeContent(const Json::Value& aNote) { mAccounts.TakeContent(aNote); }
 
 private:
   // Service, model, adapter.
   using Key = std::tuple<std::string, std::string, std::string>;
 
-  // What this instance asked for, and what it was told.
-  struct Asked
-  {
-    TimePoint mAt{};
-    TimePoint mExpected{}; // none = not told
-    bool mUnderWay = false;
-  };
   // A want that waits for a server or for the weight store.
   struct Queued
   {
@@ -89,18 +95,7 @@
   static Key KeyOf(const PlaceWant& aWant);
   const EngineSpec* EngineOf(const std::string& aService) const;
 
-  // Asking.
-  struct ZoneDesk
-  {
-    std::string mHolder; // "" = this instance
-    int mQueued = 0;
-  };
-  std::optional<ZoneDesk> DeskOf(const std::string& aZone) const;
-  std::string ZoneFor(const PlaceWant& aWant) const;
-  void OnTold(const PlaceWant& aWant, bool aGood, const Json::Value& aResult);
-
   // Deciding.
-  Json::Value OnWanted(const PlaceWant& aWant);
   void Pump();
   WantFacts RankFacts(const Queued& aQueued) const;
   Millis UsualLoad(const PlaceWant& aWant) const;
@@ -115,9 +110,7 @@
   void Grow();
   // To the other zones' holders, for a model that nobody holds.
   void TellClaim(const PlaceWant& aWant, bool aBegun, Millis aExpected);
-  void OnClaim(const Json::Value& aNote);
   void TellStoreLoad(const std::string& aServer, Millis aLeft);
-  void TellHolders(const char* aKind, const Json::Value& aNote);
 
   // Ordering.
   Job* Find(const std::string& aServer, uint64_t aId);
@@ -136,9 +129,10 @@
 
   EntryState& mState;
   Peers& mPeers;
+  Tell mTell;
   std::function<void()> mChanged;
-  LeaseLoop& mLease; // of this instance's zone
-  std::map<Key, Asked> mAsked;
+  LeaseLoop& mLease;
+  std::string mZone;
   std::map<Key, Queued> mQueue;
   std::map<std::string, Job> mJobs; // by server
   ServerAccounts mAccounts;
--- a/src/entry/OrderDeskBegin.cpp
+++ b/src/entry/OrderDeskBegin.cpp
@@ -29,7 +29,7 @@
     }
   }
   for (const auto& [id, backend] : mState.mServers.All()) {
-    if (backend.mEntry.mZone != mState.mSettings.mZone ||
+    if (backend.mEntry.mZone != mZone ||
         backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
         !backend.Holds(aWant.mModel, "")) {
       continue;
@@ -87,7 +87,7 @@
   Backend* best = nullptr;
   size_t bestCount = 0;
   for (auto& [id, backend] : mState.mServers.All()) {
-    if (backend.mEntry.mZone != mState.mSettings.mZone ||
+    if (backend.mEntry.mZone != mZone ||
         backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining ||
         !backend.Holds(aWant.mModel, "") || mJobs.count(id) ||
         !mAccounts.AtRest(id) ||
--- a/src/entry/OrderDeskClaims.cpp
+++ b/src/entry/OrderDeskClaims.cpp
@@ -13,23 +13,12 @@
     return;
   }
   Json::Value note;
-  note["zone"] = mState.mSettings.mZone;
+  note["zone"] = mZone;
   note["service"] = aWant.mService;
   note["model"] = aWant.mModel;
   note["begun"] = aBegun;
   note["expected_ms"] = Json::Int64(aExpected.count());
-  TellHolders(kClaim, note);
-}
-
-void
-OrderDesk::TellHolders(const char* aKind, const Json::Value& aNote)
-{
-  for (const std::string& zone : mState.mSettings.mZones) {
-    std::string holder = mPeers.HolderOf(ZoneLeaseName(zone));
-    if (zone != mState.mSettings.mZone && !holder.empty()) {
-      mPeers.SendNoteTo(holder, aKind, aNote);
-    }
-  }
+  mTell(kClaim, note);
 }
 
 // aLeft 0: it has ended.
@@ -39,7 +28,15 @@
   Json::Value note;
   note["server"] = aServer;
   note["left_ms"] = Json::Int64(aLeft.count());
-  TellHolders(kStoreLoad, note);
+  mTell(kStoreLoad, note);
+}
+
+void
+OrderDesk::OnStoreLoad(const Json::Value& aNote)
+{
+  mStoreLoads.OnOther(aNote["server"].asString(),
+                      Millis(aNote["left_ms"].asInt64()),
+                      mState.Now());
 }
 
 void
--- a/src/entry/OrderDeskDecide.cpp
+++ b/src/entry/OrderDeskDecide.cpp
@@ -115,7 +115,7 @@
   if (now - countedAt >= kFactsAge) {
     countedAt = now;
     facts.mService = aService;
-    facts.mZone = mState.mSettings.mZone;
+    facts.mZone = mZone;
     facts.mRates = mState.mDemand.Rates(now);
     facts.mReplicas = CountReplicas(mState.mServers);
   }
@@ -206,8 +206,7 @@
   size_t count = 0;
   for (const auto& [id, backend] : mState.mServers.All()) {
     count += backend.mEntry.mService == aService &&
-                 backend.mEntry.mZone == mState.mSettings.mZone &&
-                 !backend.mEntry.mDraining
+                 backend.mEntry.mZone == mZone && !backend.mEntry.mDraining
                ? 1
                : 0;
   }
@@ -245,8 +244,7 @@
   Millis least = model->second.mLoad;
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mService == aWant.mService &&
-        backend.mEntry.mZone == mState.mSettings.mZone &&
-        !backend.mEntry.mDraining) {
+        backend.mEntry.mZone == mZone && !backend.mEntry.mDraining) {
       least = std::min(
         least, LoadTime(model->second, SourceOf(backend, aWant.mModel)));
     }
@@ -262,7 +260,6 @@
   if (!mLease.MayAct() || !mState.mConfig) {
     return;
   }
-  const std::string& here = mState.mSettings.mZone;
   for (const auto& [name, service] : mState.mConfig->mServices) {
     if (!service.mEngine) {
       continue;
@@ -273,7 +270,7 @@
         continue;
       }
       ReplicaNeed need = NeedOfReplica(
-        name, model, mState.mServers, mState.mSettings.mZones, here, rate);
+        name, model, mState.mServers, mState.mSettings.mZones, mZone, rate);
       if (need != ReplicaNeed::None) {
         PlaceWant want{ name, model, "", kLowestPriority, Millis(0), true };
         want.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
--- a/src/entry/ServerAccounts.cpp
+++ b/src/entry/ServerAccounts.cpp
@@ -28,10 +28,12 @@
 ServerAccounts::ServerAccounts(EntryState& aState,
                                Peers& aPeers,
                                LeaseLoop& aLease,
+                               std::string aZone,
                                std::function<void()> aChanged)
   : mState(aState)
   , mPeers(aPeers)
   , mLease(aLease)
+  , mZone(std::move(aZone))
   , mChanged(std::move(aChanged))
 {
 }
@@ -39,13 +41,6 @@
 void
 ServerAccounts::Start()
 {
-  mPeers.OnNote("contents", [this](const Json::Value& aNote) {
-    for (const Json::Value& content : aNote) {
-      TakeContent(content);
-    }
-  });
-  mPeers.OnNote("content",
-                [this](const Json::Value& aNote) { TakeContent(aNote); });
   mState.mReactor.Every(kLearn, [this] { LearnUnknown(); });
   mState.mReactor.Every(kTellTick, [this] { TellAll(); });
 }
@@ -53,7 +48,7 @@
 bool
 ServerAccounts::Mine(const Backend& aBackend) const
 {
-  return aBackend.mEntry.mZone == mState.mSettings.mZone;
+  return aBackend.mEntry.mZone == mZone;
 }
 
 // Another holder may have ordered since the lease was held before.
--- a/src/entry/ServerAccounts.h
+++ b/src/entry/ServerAccounts.h
@@ -1,5 +1,5 @@
-// ServerAccounts.h: what the servers of this instance's zone hold, while it
-// holds the zone's lease, and what is told of that to the other instances.
+// ServerAccounts.h: what the servers of a zone hold, while this instance holds
+// the zone's lease, and what is told of that to the other instances.
 //
 // A holder begins with no account: counts and contents that others told may be
 // from the middle of an order. It asks each server for a report as soon as it
@@ -25,6 +25,7 @@
   ServerAccounts(EntryState& aState,
                  Peers& aPeers,
                  LeaseLoop& aLease,
+                 std::string aZone,
                  std::function<void()> aChanged);
 
   void Start();
@@ -47,6 +48,9 @@
   // Asks for a report of what is believed and perhaps isn't so, now and then.
   void Recheck(const std::string& aServer);
 
+  // What another instance tells of a server.
+  void TakeContent(const Json::Value& aNote);
+
 private:
   struct Entry
   {
@@ -59,12 +63,12 @@
   Entry& EntryOf(const std::string& aServer);
   void LearnUnknown();
   void TellAll();
-  void TakeContent(const Json::Value& aNote);
   bool Mine(const Backend& aBackend) const;
 
   EntryState& mState;
   Peers& mPeers;
   LeaseLoop& mLease;
+  std::string mZone;
   std::function<void()> mChanged;
   std::map<std::string, Entry> mEntries; // by server
   int64_t mToken = 0;                    // lease under which they are known
--- /dev/null
+++ b/src/entry/ZoneDesks.cpp
@@ -0,0 +1,303 @@
+#include "entry/ZoneDesks.h"
+
+#include <algorithm>
+
+#include "entry/OrderNotes.h"
+
+namespace caraway {
+
+namespace {
+
+// Those who wait ask again so often: the holder forgets what nobody asks for.
+constexpr Millis kAskAgain{ 400 };
+
+constexpr Millis kAskTime{ 400 };
+
+constexpr char kWant[] = "want";
+
+} // namespace
+
+ZoneDesks::ZoneDesks(EntryState& aState,
+                     StoreClient& aStore,
+                     Peers& aPeers,
+                     Membership& aMembers,
+                     LeaseLoop& aLease,
+                     std::function<void()> aChanged)
+  : mState(aState)
+  , mStore(aStore)
+  , mPeers(aPeers)
+  , mMembers(aMembers)
+  , mChanged(std::move(aChanged))
+{
+  Add(mState.mSettings.mZone, aLease);
+  for (const std::string& zone : mState.mSettings.mZones) {
+    if (zone != mState.mSettings.mZone) {
+      auto outside = std::make_unique<Outside>(mState, mStore, mPeers, zone);
+      Add(zone, outside->mLease);
+      mOutside[zone] = std::move(outside);
+    }
+  }
+}
+
+void
+ZoneDesks::Add(const std::string& aZone, LeaseLoop& aLease)
+{
+  mDesks[aZone] = std::make_unique<OrderDesk>(
+    mState,
+    mPeers,
+    aLease,
+    aZone,
+    [this, aZone](const char* aKind, const Json::Value& aNote) {
+      TellHolders(aZone, aKind, aNote);
+    },
+    [this] { mChanged(); });
+}
+
+void
+ZoneDesks::Start()
+{
+  mPeers.Add(
+    kWant, [this](const Json::Value& aParams) { return OnWantCall(aParams); });
+  for (const char* kind : { kClaim, kStoreLoad }) {
+    mPeers.OnNote(kind, [this, kind](const Json::Value& aNote) {
+      for (const auto& [zone, desk] : mDesks) {
+        TakeNote(*desk, kind, aNote);
+      }
+    });
+  }
+  mPeers.OnNote("contents", [this](const Json::Value& aNote) {
+    for (const Json::Value& content : aNote) {
+      TakeContent(content);
+    }
+  });
+  mPeers.OnNote("content",
+                [this](const Json::Value& aNote) { TakeContent(aNote); });
+  mPeers.OnFill([this](Json::Value& aPulse) {
+    aPulse["queued"] = static_cast<int>(Waiting());
+    if (mState.mLeaving) {
+      aPulse["leaving"] = true;
+    }
+  });
+  for (const auto& [zone, desk] : mDesks) {
+    desk->Start();
+  }
+  StartAdopting();
+}
+
+void
+ZoneDesks::OnChanged()
+{
+  for (const auto& [zone, desk] : mDesks) {
+    desk->OnChanged();
+  }
+}
+
+size_t
+ZoneDesks::Loads() const
+{
+  size_t loads = 0;
+  for (const auto& [zone, desk] : mDesks) {
+    loads += desk->Loads();
+  }
+  return loads;
+}
+
+size_t
+ZoneDesks::Waiting() const
+{
+  size_t waiting = 0;
+  for (const auto& [zone, desk] : mDesks) {
+    waiting += desk->Waiting();
+  }
+  return waiting;
+}
+
+size_t
+ZoneDesks::Led() const
+{
+  return static_cast<size_t>(
+    std::count_if(mDesks.begin(), mDesks.end(), [](const auto& aOne) {
+      return aOne.second->Holds();
+    }));
+}
+
+ZoneDesks::Key
+ZoneDesks::KeyOf(const PlaceWant& aWant)
+{
+  return { aWant.mService, aWant.mModel, aWant.mAdapter };
+}
+
+OrderDesk*
+ZoneDesks::Find(const std::string& aZone) const
+{
+  auto found = mDesks.find(aZone);
+  return found == mDesks.end() ? nullptr : found->second.get();
+}
+
+// ---- Asking
+
+// Who orders in aZone, and how many wants it has queued; nothing when nobody is
+// known to.
+std::optional<ZoneDesks::DeskFacts>
+ZoneDesks::FactsOf(const std::string& aZone) const
+{
+  const OrderDesk* desk = Find(aZone);
+  if (desk && desk->Holds()) {
+    return DeskFacts{ "", static_cast<int>(desk->Waiting()) };
+  }
+  std::string holder = mPeers.HolderOf(ZoneLeaseName(aZone));
+  auto peer = mPeers.All().find(holder);
+  if (peer == mPeers.All().end()) {
+    return std::nullopt;
+  }
+  return DeskFacts{ holder, peer->second.mQueued };
+}
+
+// Where it can be had soonest: the model itself for an adapter, else a copy
+// of its weights.
+std::string
+ZoneDesks::ZoneFor(const PlaceWant& aWant) const
+{
+  const EngineSpec* engine =
+    mState.mConfig ? mState.mConfig->EngineOf(aWant.mService) : nullptr;
+  if (!engine || !engine->mModels.count(aWant.mModel)) {
+    return "";
+  }
+  const ModelWeights& weights = engine->mModels.at(aWant.mModel);
+  std::map<std::string, ZoneOffer> offers;
+  for (const auto& [id, backend] : mState.mServers.All()) {
+    if (backend.mEntry.mService != aWant.mService || backend.mEntry.mDraining) {
+      continue;
+    }
+    Millis wait{ 0 };
+    if (!backend.Holds(aWant.mModel, "")) {
+      wait = LoadTime(weights, SourceOf(backend, aWant.mModel)) +
+             backend.LoadingFor(mState.Now());
+    }
+    ZoneOffer& offer = offers[backend.mEntry.mZone];
+    offer.mSoonest =
+      offer.mServers == 0 ? wait : std::min(offer.mSoonest, wait);
+    offer.mServers += 1;
+  }
+  std::vector<ZoneOffer> known;
+  for (auto& [zone, offer] : offers) {
+    if (auto desk = FactsOf(zone)) {
+      offer.mZone = zone;
+      offer.mQueued = desk->mQueued;
+      known.push_back(offer);
+    }
+  }
+  return ChooseZone(known, mState.mSettings.mZone);
+}
+
+void
+ZoneDesks::Want(const PlaceWant& aWant)
+{
+  TimePoint now = mState.Now();
+  Asked& asked = mAsked[KeyOf(aWant)];
+  bool lately = asked.mAt != TimePoint() && now - asked.mAt < kAskAgain;
+  if (asked.mUnderWay || lately) {
+    return;
+  }
+  asked.mAt = now;
+  std::string zone = ZoneFor(aWant);
+  if (zone.empty()) {
+    return;
+  }
+  asked.mUnderWay = true;
+  OrderDesk* desk = Find(zone);
+  if (desk && desk->Holds()) {
+    OnTold(aWant, true, desk->OnWanted(aWant));
+    return;
+  }
+  Json::Value params = WantJson(aWant);
+  params["zone"] = zone;
+  mPeers.Call(mPeers.HolderOf(ZoneLeaseName(zone)),
+              kWant,
+              params,
+              kAskTime,
+              [this, aWant](bool aGood, const Json::Value& aResult) {
+                OnTold(aWant, aGood, aResult);
+              });
+}
+
+// An instance that knows of no zones but its own names none.
+Json::Value
+ZoneDesks::OnWantCall(const Json::Value& aParams)
+{
+  std::string zone = aParams["zone"].asString();
+  OrderDesk* desk = Find(zone.empty() ? mState.mSettings.mZone : zone);
+  return desk ? desk->OnWanted(ReadWant(aParams))
+              : Json::Value(Json::objectValue);
+}
+
+void
+ZoneDesks::OnTold(const PlaceWant& aWant,
+                  bool aGood,
+                  const Json::Value& aResult)
+{
+  Asked& asked = mAsked[KeyOf(aWant)];
+  asked.mUnderWay = false;
+  asked.mExpected = TimePoint();
+  if (aGood && aResult["expected_ms"].isInt64()) {
+    asked.mExpected = mState.Now() + Millis(aResult["expected_ms"].asInt64());
+  }
+}
+
+std::optional<Millis>
+ZoneDesks::Expected(const PlaceWant& aWant)
+{
+  auto found = mAsked.find(KeyOf(aWant));
+  if (found == mAsked.end() || found->second.mExpected <= mState.Now()) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Millis>(found->second.mExpected -
+                                            mState.Now());
+}
+
+// ---- Notes
+
+void
+ZoneDesks::TakeContent(const Json::Value& aNote)
+{
+  const Backend* backend = mState.mServers.Find(aNote["id"].asString());
+  OrderDesk* desk = backend ? Find(backend->mEntry.mZone) : nullptr;
+  if (backend) {
+    (desk ? *desk : *Find(mState.mSettings.mZone)).TakeContent(aNote);
+  }
+}
+
+// To the holders of all zones but aFrom, each once, this instance included
+// where it leads several.
+void
+ZoneDesks::TellHolders(const std::string& aFrom,
+                       const char* aKind,
+                       const Json::Value& aNote)
+{
+  std::set<std::string> holders;
+  for (const auto& [zone, desk] : mDesks) {
+    if (zone != aFrom && desk->Holds()) {
+      TakeNote(*desk, aKind, aNote);
+    } else if (zone != aFrom) {
+      holders.insert(mPeers.HolderOf(ZoneLeaseName(zone)));
+    }
+  }
+  holders.erase("");
+  for (const std::string& holder : holders) {
+    mPeers.SendNoteTo(holder, aKind, aNote);
+  }
+}
+
+void
+ZoneDesks::TakeNote(OrderDesk& aDesk,
+                    const char* aKind,
+                    const Json::Value& aNote)
+{
+  if (aKind == kStoreLoad) {
+    aDesk.OnStoreLoad(aNote);
+  } else if (aNote["zone"].asString() != aDesk.Zone()) {
+    aDesk.OnClaim(aNote);
+  }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/entry/ZoneDesks.h
@@ -0,0 +1,112 @@
+// ZoneDesks.h: asks for models and adapters, wherever they are best brought.
+//
+// Each zone's servers are led by the holder of its lease, usually one of its
+// own instances. A zone that has none is led by an instance of another zone,
+// which hands it back when one of its own starts; see ZoneAdoption.
+#ifndef caraway_entry_ZoneDesks_h
+#define caraway_entry_ZoneDesks_h
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "decide/ZoneAdoption.h"
+#include "decide/ZoneChoice.h"
+#include "entry/Membership.h"
+#include "entry/OrderDesk.h"
+#include "entry/PlaceAsker.h"
+
+namespace caraway {
+
+class ZoneDesks : public PlaceAsker
+{
+public:
+  // aLease: of this instance's zone.
+  ZoneDesks(EntryState& aState,
+            StoreClient& aStore,
+            Peers& aPeers,
+            Membership& aMembers,
+            LeaseLoop& aLease,
+            std::function<void()> aChanged);
+
+  void Start();
+  // The list of servers or the configuration changed.
+  void OnChanged();
+
+  size_t Loads() const;
+  size_t Waiting() const;
+  // Zones whose orders this instance gives.
+  size_t Led() const;
+
+  void Want(const PlaceWant& aWant) override;
+  std::optional<Millis> Expected(const PlaceWant& aWant) override;
+
+private:
+  // Service, model, adapter.
+  using Key = std::tuple<std::string, std::string, std::string>;
+
+  // What this instance asked for, and what it was told.
+  struct Asked
+  {
+    TimePoint mAt{};
+    TimePoint mExpected{}; // none = not told
+    bool mUnderWay = false;
+  };
+  struct DeskFacts
+  {
+    std::string mHolder; // "" = this instance
+    int mQueued = 0;
+  };
+  // Another zone, which this instance may come to lead.
+  struct Outside
+  {
+    Outside(EntryState& aState,
+            StoreClient& aStore,
+            Peers& aPeers,
+            const std::string& aZone);
+
+    LeaseLoop mLease;
+    ZoneAdoption mAdoption;
+    bool mLed = false; // what the last log line said
+  };
+
+  static Key KeyOf(const PlaceWant& aWant);
+  void Add(const std::string& aZone, LeaseLoop& aLease);
+  OrderDesk* Find(const std::string& aZone) const;
+
+  // Asking.
+  std::optional<DeskFacts> FactsOf(const std::string& aZone) const;
+  std::string ZoneFor(const PlaceWant& aWant) const;
+  void OnTold(const PlaceWant& aWant, bool aGood, const Json::Value& aResult);
+  Json::Value OnWantCall(const Json::Value& aParams);
+  void TakeContent(const Json::Value& aNote);
+  void TellHolders(const std::string& aFrom,
+                   const char* aKind,
+                   const Json::Value& aNote);
+  void TakeNote(OrderDesk& aDesk, const char* aKind, const Json::Value& aNote);
+
+  // Leading zones that have no instance.
+  void StartAdopting();
+  void OnPulse(const Peer& aPeer, const Json::Value& aPulse);
+  void Look();
+  void LookAt(const std::string& aZone, Outside& aOutside);
+  int RankFor(const std::string& aZone) const;
+  void TellLed(const std::string& aZone, Outside& aOutside);
+
+  EntryState& mState;
+  StoreClient& mStore;
+  Peers& mPeers;
+  Membership& mMembers;
+  std::function<void()> mChanged;
+  std::map<Key, Asked> mAsked;
+  std::map<std::string, std::unique_ptr<Outside>> mOutside; // by zone
+  std::map<std::string, std::unique_ptr<OrderDesk>> mDesks; // by zone
+  std::set<std::string> mLeaving; // instances that say that they leave
+};
+
+} // namespace caraway
+
+#endif
--- /dev/null
+++ b/src/entry/ZoneDesksAdopt.cpp
@@ -0,0 +1,129 @@
+#include "entry/ZoneDesks.h"
+
+#include <algorithm>
+
+#include "decide/Rendezvous.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr Millis kLook{ 200 };
+
+} // namespace
+
+// Zones without an instance of their own: when this one leads them.
+
+ZoneDesks::Outside::Outside(EntryState& aState,
+                            StoreClient& aStore,
+                            Peers& aPeers,
+                            const std::string& aZone)
+  : mLease(aState,
+           aStore,
+           aPeers,
+           ZoneLeaseName(aZone),
+           aState.mSettings.mOrderSilence)
+  , mAdoption(aState.Now())
+{
+}
+
+void
+ZoneDesks::StartAdopting()
+{
+  mPeers.OnPulse([this](const Peer& aPeer, const Json::Value& aPulse) {
+    OnPulse(aPeer, aPulse);
+  });
+  mMembers.OnCensus(
+    [this](const std::map<std::string, int>& aByZone, TimePoint aAskedAt) {
+      for (auto& [zone, outside] : mOutside) {
+        auto found = aByZone.find(zone);
+        outside->mAdoption.OnListed(found == aByZone.end() ? 0 : found->second,
+                                    aAskedAt);
+      }
+    });
+  for (auto& [zone, outside] : mOutside) {
+    outside->mLease.SetWanted(false);
+    outside->mLease.Start();
+  }
+  mState.mReactor.Every(kLook, [this] { Look(); });
+}
+
+// One that leaves has given its lease up, and gives no orders any more.
+void
+ZoneDesks::OnPulse(const Peer& aPeer, const Json::Value& aPulse)
+{
+  if (aPulse["leaving"].asBool()) {
+    mLeaving.insert(aPeer.mName);
+    return;
+  }
+  mLeaving.erase(aPeer.mName);
+  auto found = mOutside.find(aPeer.mZone);
+  if (found != mOutside.end()) {
+    found->second->mAdoption.OnHeard(mState.Now());
+  }
+}
+
+void
+ZoneDesks::Look()
+{
+  for (auto& [zone, outside] : mOutside) {
+    LookAt(zone, *outside);
+  }
+}
+
+void
+ZoneDesks::LookAt(const std::string& aZone, Outside& aOutside)
+{
+  TimePoint now = mState.Now();
+  ZoneAdoption& adoption = aOutside.mAdoption;
+  adoption.SetPulseGap(mPeers.PulseGap());
+  adoption.OnLedHere(aOutside.mLease.Holds());
+  if (adoption.Silent(now)) {
+    adoption.SetRank(RankFor(aZone));
+    aOutside.mLease.SetRankYield(ZoneAdoption::kRankYield * adoption.Rank());
+    if (!mPeers.HolderOf(aOutside.mLease.Name()).empty()) {
+      adoption.OnLedByOther(now);
+    }
+  }
+  if (!mState.mLeaving && adoption.NeedsList(now)) {
+    mMembers.LookSoon();
+  }
+  aOutside.mLease.SetWanted(!mState.mLeaving && adoption.MayLead(now));
+  TellLed(aZone, aOutside);
+}
+
+// How many of the living outsiders come before this one.
+int
+ZoneDesks::RankFor(const std::string& aZone) const
+{
+  std::vector<std::string> outsiders{ mState.mSettings.mName };
+  for (const auto& [name, peer] : mPeers.All()) {
+    if (peer.mZone != aZone && mPeers.Alive(peer) && !mLeaving.count(name)) {
+      outsiders.push_back(name);
+    }
+  }
+  auto ranked = RendezvousFirst(outsiders, aZone, outsiders.size());
+  auto self = std::find(ranked.begin(), ranked.end(), mState.mSettings.mName);
+  return static_cast<int>(self - ranked.begin());
+}
+
+void
+ZoneDesks::TellLed(const std::string& aZone, Outside& aOutside)
+{
+  bool led = aOutside.mLease.Holds();
+  if (led == aOutside.mLed) {
+    return;
+  }
+  aOutside.mLed = led;
+  const ZoneAdoption& adoption = aOutside.mAdoption;
+  mState.mLog.Line(led ? "zone_adopted" : "zone_handed_back")
+    .Text("zone", aZone)
+    .Count("token", aOutside.mLease.Token())
+    .Count("entries", adoption.Entries())
+    .Ms("list_age_ms", mState.AgeOf(adoption.ListedAt()))
+    .Ms("heard_ms", mState.AgeOf(adoption.HeardAt()))
+    .Count("rank", adoption.Rank())
+    .Flag("leaving", mState.mLeaving);
+}
+
+} // namespace caraway
--- /dev/null
+++ b/tests/platform/EmptyZonesTest.cpp
@@ -0,0 +1,204 @@
+// A zone whose instances have all left: its servers are led by an instance of
+// another zone until one of its own starts.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "platform/WireNames.h"
+#include "support/EntryWorld.h"
+
+namespace caraway {
+
+namespace {
+
+// From the last leave of a zone's instances until its servers take orders.
+constexpr Millis kAdopted{ 14000 };
+
+// From the end of the last entry of a zone that was silent for long: its list
+// is read again, and a whole lease is waited.
+constexpr Millis kEntryGone{ 24000 };
+
+// From the start of an instance until it orders at its zone's servers.
+constexpr Millis kHandedBack{ 6000 };
+
+std::vector<HttpField>
+Model(const std::string& aName)
+{
+  return { { wire::kModel, aName }, { wire::kTokens, "100,50" } };
+}
+
+// One instance in each zone; all engines are in zone b.
+EntryPlan
+TwoZones()
+{
+  EntryPlan plan;
+  plan.mZones = { "a", "b" };
+  return plan;
+}
+
+struct TwoZoneWorld : EntryWorld
+{
+  explicit TwoZoneWorld(EntryPlan aPlan = TwoZones())
+    : EntryWorld(std::move(aPlan))
+  {
+    mStore->Remove(wire::kServersKind, mEngines[0]->Id());
+    EXPECT_TRUE(Until(
+      [this] {
+        for (auto& instance : mInstances) {
+          if (instance->State().mServers.Find(mEngines[0]->Id())) {
+            return false;
+          }
+        }
+        return true;
+      },
+      Seconds(4)));
+  }
+
+  // The engine of zone b.
+  StandInServer& Engine() { return *mEngines[1]; }
+
+  // Ends the instance as its operator does.
+  void Remove(size_t aInstance)
+  {
+    mInstances[aInstance]->Leave();
+    EXPECT_TRUE(
+      Until([&] { return mInstances[aInstance]->Gone(); }, Seconds(9)));
+    mInstances[aInstance].reset();
+  }
+
+  // A model that lies on no server's memory is asked for at an instance.
+  CallerPtr Ask(size_t aInstance, const std::string& aModel)
+  {
+    return Call(aInstance,
+                "/resume/stream",
+                "r" + std::to_string(++mAsked),
+                Model(aModel));
+  }
+
+  // Asks for models until one is served.
+  bool AskUntilServed(size_t aInstance,
+                      const std::string& aModel,
+                      Millis aWithin)
+  {
+    TimePoint end = mClock.Now() + aWithin;
+    while (mClock.Now() < end) {
+      if (Ask(aInstance, aModel)->mStatus == 200) {
+        return true;
+      }
+      For(Millis(100));
+    }
+    return false;
+  }
+
+  void ExpectOneHolderAToken()
+  {
+    const std::vector<int64_t>& tokens = Engine().mTokens;
+    EXPECT_TRUE(std::is_sorted(tokens.begin(), tokens.end()));
+    std::map<int64_t, std::set<std::string>> holders;
+    for (const auto& [token, holder] : Engine().mOrderedBy) {
+      holders[token].insert(holder);
+    }
+    for (const auto& [token, names] : holders) {
+      EXPECT_EQ(1u, names.size()) << "token " << token;
+    }
+    EXPECT_EQ(0, Engine().mOverfull);
+  }
+
+  int mAsked = 0;
+};
+
+} // namespace
+
+// Guards against servers that stand idle with nobody who may order there.
+TEST(EmptyZones, ServersOfAnEmptiedZoneTakeOrders)
+{
+  TwoZoneWorld world;
+  world.AwaitReady();
+  world.Remove(1);
+  EXPECT_TRUE(world.AskUntilServed(0, "m1", kAdopted));
+  EXPECT_EQ(std::set<std::string>{ "i0" }, world.Engine().mHolders);
+  world.ExpectOneHolderAToken();
+}
+
+// Guards against an adopter that keeps a zone whose own instance is back.
+TEST(EmptyZones, FirstInstanceOfTheZoneGetsItBack)
+{
+  TwoZoneWorld world;
+  world.AwaitReady();
+  world.Remove(1);
+  ASSERT_TRUE(world.AskUntilServed(0, "m1", kAdopted));
+  world.mInstances[1] = world.MakeInstance(1);
+  EXPECT_TRUE(world.Until([&] { return world.mInstances[1]->HoldsLease(); },
+                          kHandedBack));
+  EXPECT_TRUE(world.AskUntilServed(0, "m2", kHandedBack));
+  EXPECT_EQ((std::set<std::string>{ "i0", "i1" }), world.Engine().mHolders);
+  EXPECT_EQ("i1", world.Engine().mOrderedBy.back().second);
+  world.ExpectOneHolderAToken();
+}
+
+// Guards against a zone that is adopted a second time by whoever reads an old
+// list, or isn't adopted a second time at all.
+TEST(EmptyZones, ZoneIsAdoptedAgainWhenItEmptiesAgain)
+{
+  TwoZoneWorld world;
+  world.AwaitReady();
+  world.Remove(1);
+  ASSERT_TRUE(world.AskUntilServed(0, "m1", kAdopted));
+  world.mInstances[1] = world.MakeInstance(1);
+  ASSERT_TRUE(world.Until([&] { return world.mInstances[1]->HoldsLease(); },
+                          kHandedBack));
+  world.Remove(1);
+  EXPECT_TRUE(world.AskUntilServed(0, "m2", kAdopted));
+  EXPECT_EQ("i0", world.Engine().mOrderedBy.back().second);
+  world.ExpectOneHolderAToken();
+}
+
+// Guards against a zone that is taken because its instances are silent: their
+// entries stand, so they may live.
+TEST(EmptyZones, SilentZoneWithEntriesIsNotAdopted)
+{
+  TwoZoneWorld world;
+  world.AwaitReady();
+  world.mInstances[1].reset(); // without a word
+  EXPECT_FALSE(world.AskUntilServed(0, "m1", kAdopted));
+  EXPECT_TRUE(world.Engine().mHolders.empty());
+  world.mStore->Remove("caraway-instances", "i1");
+  EXPECT_TRUE(world.AskUntilServed(0, "m1", kEntryGone));
+}
+
+// Guards against two adopters of one zone.
+TEST(EmptyZones, OneOfSeveralAdopts)
+{
+  EntryPlan plan;
+  plan.mZones = { "a", "b", "c" };
+  TwoZoneWorld world(plan);
+  world.mStore->Remove(wire::kServersKind, world.mEngines[2]->Id());
+  world.AwaitReady();
+  world.Remove(1);
+  EXPECT_TRUE(world.AskUntilServed(0, "m1", kAdopted));
+  EXPECT_TRUE(world.AskUntilServed(2, "m2", kAdopted));
+  EXPECT_EQ(1u, world.Engine().mHolders.size());
+  world.ExpectOneHolderAToken();
+}
+
+// Guards against an adopter that leaves and keeps what it leads until its lease
+// ends.
+TEST(EmptyZones, AdopterThatLeavesHandsOn)
+{
+  EntryPlan plan;
+  plan.mZones = { "a", "b", "c" };
+  TwoZoneWorld world(plan);
+  world.mStore->Remove(wire::kServersKind, world.mEngines[2]->Id());
+  world.AwaitReady();
+  world.Remove(1);
+  ASSERT_TRUE(world.AskUntilServed(0, "m1", kAdopted));
+  ASSERT_EQ(1u, world.Engine().mHolders.size());
+  size_t adopter = world.Engine().mHolders.count("i0") > 0 ? 0 : 2;
+  world.Remove(adopter);
+  EXPECT_TRUE(world.AskUntilServed(2 - adopter, "m2", kAdopted));
+  EXPECT_EQ(2u, world.Engine().mHolders.size());
+  world.ExpectOneHolderAToken();
+}
+
+} // namespace caraway
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -327,6 +327,7 @@
   ++mOrdersSeen;
   mHolders.insert(aOrder["holder"].asString());
   mTokens.push_back(aOrder["fenceToken"].asInt64());
+  mOrderedBy.emplace_back(mTokens.back(), aOrder["holder"].asString());
   if (mSwallowsOrders) {
     mReactor.After(mOrderDelay, [this, aOrder] { CarryOut(aOrder); });
     aVisitor->mChannel->Close();
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -67,6 +67,7 @@
   int mOverfull = 0; // loads ordered beyond its memory or adapter places
   std::set<std::string> mHolders;
   std::vector<int64_t> mTokens; // fencing tokens, as they came
+  std::vector<std::pair<int64_t, std::string>> mOrderedBy; // token, holder
 
   std::multiset<std::string> mInUse; // MODEL/ADAPTER of streams under way
   std::set<std::string> mGoing;      // unloaded when their streams end
