Leases: a taking whose answer was lost no longer counts as a former life's lease

What could happen: a holder ordered within the silence that it owes the holder before it. Cause: a record that names this machine counted as its former life's, whose orders are its own, and was taken over at once. It may be a taking of a moment ago that was done and not answered, or one of a life that was killed before it had waited.

Why the fix works: the record now says whether its holder has waited out the silence; only then a next life acts at once. A record without the field counts as not settled.

Beside it: outsiders look at a silent zone sooner. A small fleet's second candidate waited two seconds more than its first, and a list that still showed a leaving instance wasn't read again for two to four seconds.

--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -31,6 +31,7 @@
   }
   if (mToken > 0) {
     mPending = true;
+    mSettled = aNow >= mActFrom;
     return LeaseAction::Write;
   }
   if (mHeard && aNow - mHeardAt < mTimes.mHeard) {
@@ -48,9 +49,20 @@
     return LeaseAction::None;
   }
   mPending = true;
+  mSettled = Fresh();
   return LeaseAction::Write;
 }
 
+// Whether nobody's orders can be under way but this machine's own: nobody ever
+// held the lease, or this machine's former life did and had waited out the
+// silence. A taking whose answer was lost, or whose process was killed, had
+// not.
+bool
+LeaseStep::Fresh() const
+{
+  return mSeen->mRevision == 0 || (Mine(*mSeen) && mSeen->mSettled);
+}
+
 LeaseAction
 LeaseStep::GiveUp(TimePoint aNow)
 {
@@ -84,6 +96,7 @@
   } else {
     record.mHolder = mSelf;
     record.mToken = mToken > 0 ? mToken : record.mToken + 1;
+    record.mSettled = mSettled;
   }
   return record;
 }
@@ -115,10 +128,7 @@
   }
   if (mToken == 0) {
     // Orders of another holder may have left just before its lease ended.
-    // The same machine's former life is the same holder, and a lease that
-    // nobody ever held has no former orders.
-    bool fresh = mSeen->mRevision == 0 || Mine(*mSeen);
-    mActFrom = fresh ? aNow : aNow + mTimes.mSilence;
+    mActFrom = Fresh() ? aNow : aNow + mTimes.mSilence;
   }
   LeaseRecord written = WantedRecord();
   written.mRevision = aRevision;
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -22,6 +22,8 @@
   std::string mHolder;   // "" = given up
   int64_t mToken = 0;    // rises with each taking
   int64_t mRevision = 0; // of the object; 0 = there is none
+  // mHolder has waited out the silence after the holder before it.
+  bool mSettled = false;
 };
 
 struct LeaseTimes
@@ -94,6 +96,7 @@
   TimePoint TakeFrom() const;
   void See(const LeaseRecord& aRecord, TimePoint aNow);
   bool Mine(const LeaseRecord& aRecord) const;
+  bool Fresh() const;
 
   std::string mSelf;
   LeaseTimes mTimes;
@@ -107,6 +110,7 @@
   bool mHeard = false;
   bool mPending = false;
   bool mWanted = true;
+  bool mSettled = false;  // as the write under way tells it
   bool mGivingUp = false; // the write under way does
   bool mLookAgain = false;
 };
--- a/src/decide/ZoneAdoption.cpp
+++ b/src/decide/ZoneAdoption.cpp
@@ -68,9 +68,9 @@
   if (mLedHere) {
     return aNow - mListedAt >= kListLeading;
   }
-  Millis turn = std::max(kListAgain, mGap) * (2 * mRank);
+  Millis turn = std::max(kTurn, mGap * kTurnPulses) * mRank;
   bool led = mByOtherAt != TimePoint() && aNow - mByOtherAt < mSilent + turn;
-  Millis wait = mEntries > 0 ? mListWait * (1 + mRank) : kListAgain;
+  Millis wait = mListWait < kListMost ? mListWait : kListMost * (1 + mRank);
   return Silent(aNow) && !led && aNow - mHeardAt >= mSilent + turn &&
          aNow - mListedAt >= wait;
 }
--- a/src/decide/ZoneAdoption.h
+++ b/src/decide/ZoneAdoption.h
@@ -28,7 +28,11 @@
   static constexpr Millis kListMost{ 10000 };
   // An older list proves nothing.
   static constexpr Millis kListLife{ 6000 };
-  // Each candidate leaves a free lease to those before it for so long apiece.
+  // Each candidate asks for lists later than those before it, by so many pulses
+  // of one instance apiece, or so long.
+  static constexpr int kTurnPulses = 2;
+  static constexpr Millis kTurn{ 500 };
+  // It leaves a free lease to them for so long apiece.
   static constexpr Millis kRankYield{ 300 };
 
   // aNow: this instance's start.
@@ -41,6 +45,8 @@
 
   // An instance of the zone that isn't leaving was heard.
   void OnHeard(TimePoint aNow);
+  // One was heard that leaves: its entry is about to go.
+  void OnLeaving() { mListWait = kListAgain; }
   // The store showed so many instances of the zone to a call of aAskedAt.
   void OnListed(int aEntries, TimePoint aAskedAt);
   // Another outsider leads the zone, or this one does.
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -42,6 +42,7 @@
   if (spec.isObject() && spec["holder"].isString() && spec["token"].isInt64()) {
     record.mHolder = spec["holder"].asString();
     record.mToken = spec["token"].asInt64();
+    record.mSettled = spec["settled"].isBool() && spec["settled"].asBool();
   }
   return record;
 }
@@ -170,6 +171,7 @@
   object.mRevision = wanted.mRevision;
   object.mSpec["holder"] = wanted.mHolder;
   object.mSpec["token"] = Json::Int64(wanted.mToken);
+  object.mSpec["settled"] = wanted.mSettled;
   // A renewal that changes nothing would keep its revision, and a successor
   // couldn't see it.
   object.mSpec["renewed"] = Json::Int64(
--- a/src/entry/ZoneDesksAdopt.cpp
+++ b/src/entry/ZoneDesksAdopt.cpp
@@ -52,13 +52,16 @@
 void
 ZoneDesks::OnPulse(const Peer& aPeer, const Json::Value& aPulse)
 {
-  if (aPulse["leaving"].asBool()) {
+  bool leaving = aPulse["leaving"].asBool();
+  if (leaving) {
     mLeaving.insert(aPeer.mName);
-    return;
+  } else {
+    mLeaving.erase(aPeer.mName);
   }
-  mLeaving.erase(aPeer.mName);
   auto found = mOutside.find(aPeer.mZone);
-  if (found != mOutside.end()) {
+  if (found != mOutside.end() && leaving) {
+    found->second->mAdoption.OnLeaving();
+  } else if (found != mOutside.end()) {
     found->second->mAdoption.OnHeard(mState.Now());
   }
 }
--- a/tests/property/EmptyZoneProperty.cpp
+++ b/tests/property/EmptyZoneProperty.cpp
@@ -223,7 +223,9 @@
       if (to->mAlive && to.get() != &aFrom && to->mSide == aFrom.mSide &&
           mNow >= to->mFrozenUntil && (mCalm || !Chance(5))) {
         to->mHeard[aFrom.mName] = { mNow, aFrom.mLease.Holds(mNow) };
-        if (aFrom.mInside && !aFrom.mLeaving) {
+        if (aFrom.mInside && aFrom.mLeaving) {
+          to->mAdoption.OnLeaving();
+        } else if (aFrom.mInside) {
           to->mAdoption.OnHeard(mNow);
         }
       }
--- a/tests/property/LeaseStepProperty.cpp
+++ b/tests/property/LeaseStepProperty.cpp
@@ -176,6 +176,32 @@
   EXPECT_TRUE(second.MayAct(now + LeaseTimes().mSilence));
 }
 
+// Guards against a taking whose answer was lost, and which is then taken for a
+// former life's lease: orders of the holder before may still be under way.
+TEST(LeaseStep, TakingWithoutAnswerKeepsTheSilence)
+{
+  LeaseObject object;
+  LeaseStep first("a", LeaseTimes());
+  LeaseStep second("b", LeaseTimes());
+  TimePoint now{ Seconds(1000) };
+  Serve(first, object, now);
+  Serve(first, object, now);
+  ASSERT_TRUE(first.MayAct(now));
+  first.Release(now);
+  Serve(first, object, now);
+  Serve(second, object, now);
+  ASSERT_EQ(LeaseAction::Write, second.Due(now));
+  ASSERT_TRUE(object.Write(second.WantedRecord()));
+  second.OnFailed(now);
+  now += Seconds(1);
+  Serve(second, object, now);
+  Serve(second, object, now);
+  Serve(second, object, now + Millis(300));
+  ASSERT_TRUE(second.Holds(now + Millis(300)));
+  EXPECT_FALSE(second.MayAct(now + Millis(300)));
+  EXPECT_TRUE(second.MayAct(now + Millis(300) + LeaseTimes().mSilence));
+}
+
 // A machine's next life takes its own lease back at once, under a new token.
 TEST(LeaseStep, OwnLeaseIsTakenBackAtOnce)
 {
