--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -19,18 +19,11 @@
 LeaseAction
 LeaseStep::Due(TimePoint aNow)
 {
-  if (mPending || mReleased || aNow < mNext) {
+  if (mPending || aNow < mNext) {
     return LeaseAction::None;
   }
-  if (mReleasing && (mToken == 0 || aNow >= mUntil)) {
-    mReleased = true;
-    mToken = 0;
-    return LeaseAction::None;
-  }
-  if (mReleasing) {
-    mReleaseSent = true;
-    mPending = true;
-    return LeaseAction::Write;
+  if (!mWanted) {
+    return GiveUp(aNow);
   }
   if (mToken > 0 && aNow >= mUntil) {
     mToken = 0; // ended unrenewed: only taking it anew counts
@@ -38,6 +31,7 @@
   }
   if (mToken > 0) {
     mPending = true;
+    mSettled = aNow >= mActFrom;
     return LeaseAction::Write;
   }
   if (mHeard && aNow - mHeardAt < mTimes.mHeard) {
@@ -45,7 +39,8 @@
     mNext = aNow + mTimes.mRetry;
     return LeaseAction::None;
   }
-  if (!mSeen) {
+  if (!mSeen || mLookAgain) {
+    mLookAgain = false;
     mPending = true;
     return LeaseAction::Read;
   }
@@ -54,6 +49,30 @@
     return LeaseAction::None;
   }
   mPending = true;
+  mSettled = Fresh();
+  return LeaseAction::Write;
+}
+
+// Whether nobody's orders can be under way but this machine's own: nobody ever
+// held the lease, or this machine's former life did and had waited out the
+// silence. A taking whose answer was lost, or whose process was killed, had
+// not.
+bool
+LeaseStep::Fresh() const
+{
+  return mSeen->mRevision == 0 || (Mine(*mSeen) && mSeen->mSettled);
+}
+
+LeaseAction
+LeaseStep::GiveUp(TimePoint aNow)
+{
+  if (mToken == 0 || aNow >= mUntil) {
+    mToken = 0;
+    mSeen.reset();
+    return LeaseAction::None;
+  }
+  mGivingUp = true;
+  mPending = true;
   return LeaseAction::Write;
 }
 
@@ -72,11 +91,12 @@
 LeaseStep::WantedRecord() const
 {
   LeaseRecord record = mSeen.value_or(LeaseRecord());
-  if (mReleaseSent) {
+  if (mGivingUp) {
     record.mHolder.clear();
   } else {
     record.mHolder = mSelf;
     record.mToken = mToken > 0 ? mToken : record.mToken + 1;
+    record.mSettled = mSettled;
   }
   return record;
 }
@@ -102,17 +122,13 @@
 LeaseStep::OnWritten(int64_t aRevision, TimePoint aAskedAt, TimePoint aNow)
 {
   mPending = false;
-  if (mReleaseSent) {
-    mReleased = true;
-    mToken = 0;
+  if (mGivingUp) {
+    OnGaveUp(aNow);
     return;
   }
   if (mToken == 0) {
     // Orders of another holder may have left just before its lease ended.
-    // The same machine's former life is the same holder, and a lease that
-    // nobody ever held has no former orders.
-    bool fresh = mSeen->mRevision == 0 || Mine(*mSeen);
-    mActFrom = fresh ? aNow : aNow + mTimes.mSilence;
+    mActFrom = Fresh() ? aNow : aNow + mTimes.mSilence;
   }
   LeaseRecord written = WantedRecord();
   written.mRevision = aRevision;
@@ -120,16 +136,15 @@
   mSeen = written;
   mSeenAt = aNow;
   mUntil = aAskedAt + mTimes.mLength;
-  mNext = mReleasing ? aNow : aAskedAt + mTimes.mRenew;
+  mNext = aAskedAt + mTimes.mRenew;
 }
 
 void
 LeaseStep::OnConflict(const std::optional<LeaseRecord>& aRecord, TimePoint aNow)
 {
   mPending = false;
-  if (mReleaseSent) {
-    mReleased = true;
-    mToken = 0;
+  if (mGivingUp) {
+    OnGaveUp(aNow);
     return;
   }
   // A write of this process's own whose answer was lost shows as a conflict
@@ -152,10 +167,7 @@
 {
   mPending = false;
   mNext = aNow + mTimes.mRetry;
-  if (mReleaseSent) {
-    mReleased = true; // it ends by itself
-    mToken = 0;
-  }
+  mGivingUp = false; // tried again until it ends by itself
 }
 
 void
@@ -178,12 +190,30 @@
 }
 
 void
-LeaseStep::Release(TimePoint aNow)
+LeaseStep::LookAgain(TimePoint aNow)
 {
-  // What is on its way comes first: it may still take or renew the lease.
-  mReleasing = true;
-  mReleased = !mPending && !Holds(aNow);
+  if (mToken == 0 && !mPending) {
+    mLookAgain = true;
+    mNext = aNow;
+  }
+}
+
+void
+LeaseStep::OnGaveUp(TimePoint aNow)
+{
+  mGivingUp = false;
+  mToken = 0;
+  mSeen.reset();
   mNext = aNow;
 }
 
+void
+LeaseStep::SetWanted(bool aWanted, TimePoint aNow)
+{
+  if (aWanted != mWanted) {
+    mWanted = aWanted;
+    mNext = aNow;
+  }
+}
+
 } // namespace caraway
