--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -136,7 +136,7 @@
   mSeen = written;
   mSeenAt = aNow;
   mUntil = aAskedAt + mTimes.mLength;
-  mNext = aAskedAt + mTimes.mRenew;
+  mNext = mWanted ? aAskedAt + mTimes.mRenew : aNow;
 }
 
 void
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -85,7 +85,7 @@
   });
   mPeers.OnNote(kNews, [this](const Json::Value& aNews) { OnTold(aNews); });
   mPeers.OnNote(kReadNews, [this](const Json::Value&) {
-    if (mFeed.Paused() && !mState.mLeaving) {
+    if (mFeed.Paused() && !mState.mLeave.Leaving()) {
       ReadAgain("asked to");
     }
   });
@@ -123,7 +123,7 @@
 void
 FeedRelay::Tell()
 {
-  if (mFeed.Paused() || !mFeed.Fresh() || mState.mLeaving) {
+  if (mFeed.Paused() || !mFeed.Fresh() || mState.mLeave.Leaving()) {
     return;
   }
   mMarks.push_back({ mState.Now(), mFeed.ServersWhole() });
@@ -331,7 +331,7 @@
   }
   mStep.Forget();
   mReadAt = mState.Now();
-  if (mState.mLeaving || First()) {
+  if (mState.mLeave.Leaving() || First()) {
     mReadAt += kFirstTells;
   }
   Check();
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -162,7 +162,7 @@
   pulse["address"] = mState.mSettings.mPeers;
   pulse["life"] = Json::Int64(mLife);
   pulse["stamp"] = Json::Int64(Stamp());
-  pulse["leaving"] = mState.mLeaving;
+  pulse["leaving"] = mState.mLeave.Leaving();
   pulse["left"] = mLeft;
   for (const auto& fill : mFills) {
     fill(pulse);
--- a/src/entry/PeersLeave.cpp
+++ b/src/entry/PeersLeave.cpp
@@ -62,7 +62,7 @@
 void
 Peers::LookLeaving()
 {
-  if (mState.mLeaving && !mToldLeaving) {
+  if (mState.mLeave.Leaving() && !mToldLeaving) {
     mToldLeaving = true;
     SendNote(kLeaving, Self());
   }
--- a/src/entry/ZoneDesks.cpp
+++ b/src/entry/ZoneDesks.cpp
@@ -74,7 +74,7 @@
                 [this](const Json::Value& aNote) { TakeContent(aNote); });
   mPeers.OnFill([this](Json::Value& aPulse) {
     aPulse["queued"] = static_cast<int>(Waiting());
-    if (mState.mLeaving) {
+    if (mState.mLeave.Leaving()) {
       aPulse["leaving"] = true;
     }
   });
--- a/src/entry/ZoneDesksAdopt.cpp
+++ b/src/entry/ZoneDesksAdopt.cpp
@@ -88,10 +88,10 @@
       adoption.OnLedByOther(now);
     }
   }
-  if (!mState.mLeaving && adoption.NeedsList(now)) {
+  if (!mState.mLeave.Leaving() && adoption.NeedsList(now)) {
     mMembers.LookSoon();
   }
-  aOutside.mLease.SetWanted(!mState.mLeaving && adoption.MayLead(now));
+  aOutside.mLease.SetWanted(!mState.mLeave.Leaving() && adoption.MayLead(now));
   TellLed(aZone, aOutside);
 }
 
@@ -126,7 +126,7 @@
     .Ms("list_age_ms", mState.AgeOf(adoption.ListedAt()))
     .Ms("heard_ms", mState.AgeOf(adoption.HeardAt()))
     .Count("rank", adoption.Rank())
-    .Flag("leaving", mState.mLeaving);
+    .Flag("leaving", mState.mLeave.Leaving());
 }
 
 } // namespace caraway
