FeedRelay: when a reader leaves, the first by rank reads in its place

Cause: all followers read at once when their reader said that it leaves, and an instance that said goodbye was told nothing more and read the store until its last streams ended. Now the first by rank of those that stay reads at once; the others wait 0.3 s for its news, unless what they know is old by then. Who has left less than four seconds ago is still told.

--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -14,6 +14,10 @@
 
 constexpr char kReadNews[] = "read_news";
 
+// When a reader leaves, the first by rank reads at once; the others give it so
+// long to tell.
+constexpr Millis kFirstTells{ 300 };
+
 // Who is asked to read does so in milliseconds, or can't.
 constexpr Millis kHandOver{ 5000 };
 
@@ -141,18 +145,24 @@
       now < mHandOverNext) {
     return;
   }
-  const Peer* best = nullptr;
+  if (const Peer* first = First()) {
+    mHandOverNext = now + kHandOver;
+    mPeers.SendNoteTo(first->mName, kReadNews, Json::Value());
+  }
+}
+
+const Peer*
+FeedRelay::First() const
+{
+  const Peer* first = nullptr;
   for (const auto& [name, peer] : mPeers.All()) {
     bool may = peer.mZone == mState.mSettings.mZone && !peer.mRank.empty() &&
                !peer.mLeaving && mPeers.Alive(peer);
-    if (may && peer.mRank < (best ? best->mRank : Rank())) {
-      best = &peer;
+    if (may && peer.mRank < (first ? first->mRank : Rank())) {
+      first = &peer;
     }
   }
-  if (best) {
-    mHandOverNext = now + kHandOver;
-    mPeers.SendNoteTo(best->mName, kReadNews, Json::Value());
-  }
+  return first;
 }
 
 void
@@ -248,6 +258,7 @@
     mMarks.clear();
   }
   mTeller = from;
+  mReadAt = TimePoint::max();
   TakeNews(aNews, *onTheWay);
 }
 
@@ -282,7 +293,13 @@
   if (!mFeed.Paused()) {
     return;
   }
-  if (!mStep.Follows(mState.Now())) {
+  TimePoint now = mState.Now();
+  bool old = now - mFeed.ListNews() >= WatchStep::kFollow;
+  if (mReadAt != TimePoint::max()) {
+    if (old || now >= mReadAt) {
+      ReadAgain("it leaves");
+    }
+  } else if (!mStep.Follows(now)) {
     ReadAgain("nothing fresh");
   } else if (mState.AgeOf(mFeed.ConfigNews()) >= kConfigFollow) {
     ReadAgain("old configuration");
@@ -297,6 +314,7 @@
     .Text("why", aWhy)
     .Ms("age_ms", mState.AgeOf(mFeed.ListNews()))
     .Ms("config_age_ms", mState.AgeOf(mFeed.ConfigNews()));
+  mReadAt = TimePoint::max();
   mStep.Forget();
   mFeed.Resume();
 }
@@ -304,9 +322,15 @@
 void
 FeedRelay::OnLeaving(const std::string& aPeer)
 {
-  if (mFeed.Paused() && aPeer == mTeller) {
-    ReadAgain("it leaves");
+  if (!mFeed.Paused() || aPeer != mTeller) {
+    return;
+  }
+  mStep.Forget();
+  mReadAt = mState.Now();
+  if (mState.mLeaving || First()) {
+    mReadAt += kFirstTells;
   }
+  Check();
 }
 
 // ---- By pulses
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -46,6 +46,8 @@
   std::string Rank() const;
   // To one that isn't burdened with the zone's orders.
   void HandOver();
+  // Of those of the zone that stay, the first by rank; nobody: this instance.
+  const Peer* First() const;
   void OnNews();
   void OnTaken(const StoreChange& aChange);
   void Tell();
@@ -73,14 +75,15 @@
   std::deque<Mark> mMarks;
   bool mTellDue = false;
   TimePoint mHandOverNext{};
-  std::string mTeller;       // followed, or last followed
-  int64_t mConfigWanted = 0; // a newer one that another has
-  std::string mConfigAt;     // that other
-  bool mStoreConfig = false; // it is being asked of the store
-  bool mRelayConfig = false; // it is being asked of another instance
-  bool mConfigTurn = false;  // the next try is another instance's
-  TimePoint mConfigHeard{};  // that it is there
-  TimePoint mConfigNext{};   // when it may be asked for
+  TimePoint mReadAt = TimePoint::max(); // unless somebody tells by then
+  std::string mTeller;                  // followed, or last followed
+  int64_t mConfigWanted = 0;            // a newer one that another has
+  std::string mConfigAt;                // that other
+  bool mStoreConfig = false;            // it is being asked of the store
+  bool mRelayConfig = false;            // it is being asked of another instance
+  bool mConfigTurn = false;             // the next try is another instance's
+  TimePoint mConfigHeard{};             // that it is there
+  TimePoint mConfigNext{};              // when it may be asked for
   TimePoint mServersNext{};
 };
 
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -223,6 +223,11 @@
       SendTo(peer, text);
     }
   }
+  for (const auto& [name, departed] : mDeparted) {
+    if (EndsHere(departed)) {
+      SendTo(departed.mPeer, text);
+    }
+  }
 }
 
 void
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -66,7 +66,7 @@
   void SendNoteTo(const std::string& aPeer,
                   const std::string& aKind,
                   const Json::Value& aNote);
-  // To the instances of this zone only.
+  // To the instances of this zone only, those included that have just left.
   void SendNoteInZone(const std::string& aKind, const Json::Value& aNote);
 
   void Add(const std::string& aName, Method aMethod);
@@ -120,6 +120,8 @@
   void Pulse();
   void ForgetSilent();
   void ForgetDeparted();
+  // In this zone, and it may still have requests under way.
+  bool EndsHere(const Departed& aDeparted) const;
   void StartLeaving();
   void LookLeaving();
   int64_t Stamp() const; // this machine's clock
--- a/src/entry/PeersLeave.cpp
+++ b/src/entry/PeersLeave.cpp
@@ -19,6 +19,9 @@
 // their leaving.
 constexpr Millis kDeparted{ 15000 };
 
+// What an instance still has under way after its goodbye mostly ends by then.
+constexpr Millis kEnding{ 4000 };
+
 constexpr char kLeaving[] = "leaving";
 
 constexpr char kGoodbye[] = "goodbye";
@@ -132,6 +135,14 @@
   return found != mDeparted.end() && found->second.mPeer.mLife == aLife;
 }
 
+bool
+Peers::EndsHere(const Departed& aDeparted) const
+{
+  return aDeparted.mPeer.mZone == mState.mSettings.mZone &&
+         !aDeparted.mPeer.mAddress.empty() &&
+         mState.Now() - aDeparted.mAt < kEnding;
+}
+
 void
 Peers::ForgetDeparted()
 {
@@ -151,10 +162,19 @@
 Peers::Echoes() const
 {
   Json::Value echoes(Json::objectValue);
+  auto echo = [this, &echoes](const Peer& aPeer) {
+    if (aPeer.mZone == mState.mSettings.mZone && aPeer.mStamp > 0) {
+      echoes[aPeer.mName].append(Json::Int64(aPeer.mStamp));
+      echoes[aPeer.mName].append(
+        Json::Int64(mState.AgeOf(aPeer.mHeardAt).count()));
+    }
+  };
   for (const auto& [name, peer] : mPeers) {
-    if (peer.mZone == mState.mSettings.mZone && peer.mStamp > 0) {
-      echoes[name].append(Json::Int64(peer.mStamp));
-      echoes[name].append(Json::Int64(mState.AgeOf(peer.mHeardAt).count()));
+    echo(peer);
+  }
+  for (const auto& [name, departed] : mDeparted) {
+    if (EndsHere(departed)) {
+      echo(departed.mPeer);
     }
   }
   return echoes;
