FeedRelay: news are followed before it is known how long they were on the way

What callers saw: nothing yet. Cause: an instance that had no answer to its own pulse yet followed nobody. That the news of all filled the links, so that pulses were lost, is inferred from the record, not measured. Now such news count as half a second on the way.

--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -14,6 +14,10 @@
 
 constexpr char kReadNews[] = "read_news";
 
+// News count as so long on the way until that is known: where all start at once
+// and nobody follows, the news of all fill their links.
+constexpr Millis kUnknownWay{ 500 };
+
 // When a reader leaves, the first by rank reads at once; the others give it so
 // long to tell.
 constexpr Millis kFirstTells{ 300 };
@@ -229,13 +233,13 @@
 FeedRelay::OnTold(const Json::Value& aNews)
 {
   std::string from = aNews["from"].asString();
-  std::optional<Millis> onTheWay = mPeers.OnTheWay(aNews["echoes"]);
-  if (!onTheWay || !mPeers.Stays(from)) {
+  if (!mPeers.Stays(from)) {
     return;
   }
+  Millis onTheWay = mPeers.OnTheWay(aNews["echoes"]).value_or(kUnknownWay);
   TimePoint now = mState.Now();
-  TimePoint newsAt = now - *onTheWay - Millis(aNews["age_ms"].asInt64());
-  Millis configAge = *onTheWay + Millis(aNews["config_age_ms"].asInt64());
+  TimePoint newsAt = now - onTheWay - Millis(aNews["age_ms"].asInt64());
+  Millis configAge = onTheWay + Millis(aNews["config_age_ms"].asInt64());
   int64_t known = mFeed.ServersWhole();
   mStep.SetSelf(Rank());
   // News that begin behind what is known here have a gap before them.
@@ -252,14 +256,14 @@
     mState.mLog.Line("list_followed")
       .Text("peer", from)
       .Ms("age_ms", mState.AgeOf(newsAt))
-      .Ms("on_the_way_ms", *onTheWay);
+      .Ms("on_the_way_ms", onTheWay);
     mFeed.Pause();
     mLately.clear();
     mMarks.clear();
   }
   mTeller = from;
   mReadAt = TimePoint::max();
-  TakeNews(aNews, *onTheWay);
+  TakeNews(aNews, onTheWay);
 }
 
 void
