--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -167,8 +167,8 @@
   }
   tcp_info info = {};
   socklen_t size = sizeof info;
-  int failed = getsockopt(
-    mSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  int failed =
+    getsockopt(mSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size);
   if (failed == 0 && info.tcpi_state == TCP_CLOSE_WAIT) {
     End(ChannelEnd::Closed);
   }
