ShareClient: holders that are silent for a moment are waited for

Cause: one request to a holder may last 40 ms; after that its holder isn't asked for a second, and a request whose holders are all silent was refused at once.

Mend: such a request waits, for at most half of the time to its first token, and the holders are probed by a call that takes nothing: requests for tokens would pile up at one that is stopped, and it would debit them all when it continues. All waiting requests together probe one holder every 60 ms.

--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -124,7 +124,9 @@
 {
   const RequestContext& context = aCall.mContext;
   const Tenant& tenant = context.mConfig->mTenants.at(context.mCaller.mTenant);
-  BOOST_LEAF_AUTO(ticket, mShares.Take(tenant, ModelCallCost(aCall)));
+  BOOST_LEAF_AUTO(
+    ticket,
+    mShares.Take(tenant, ModelCallCost(aCall), AdmissionDeadline(context)));
   ModelAnswer soFar;
   soFar.mPromptTokens = PromptTokens(aCall);
   auto answer = Outcome([&] { return Generate(aCall, aOnToken, soFar); });
--- a/src/serve/RequestContext.h
+++ b/src/serve/RequestContext.h
@@ -2,6 +2,7 @@
 #ifndef caraway_serve_RequestContext_h
 #define caraway_serve_RequestContext_h
 
+#include <algorithm>
 #include <string>
 
 #include "caraway/ConfigSnapshot.h"
@@ -18,6 +19,17 @@
   TimePoint mArrived{};
 };
 
+// Until when a request may wait to be admitted. The other half of the time to
+// its first token is for serving it.
+inline TimePoint
+AdmissionDeadline(const RequestContext& aContext)
+{
+  constexpr int kAdmissionDivisor = 2;
+  const Profile& profile = aContext.mProfile;
+  return aContext.mArrived +
+         std::min(profile.mFirstToken, profile.mAnswer) / kAdmissionDivisor;
+}
+
 } // namespace caraway
 
 #endif
--- a/src/serve/ServiceCalls.cpp
+++ b/src/serve/ServiceCalls.cpp
@@ -209,7 +209,8 @@
   TimePoint deadline = context.mArrived + profile.mAnswer;
   auto taken = Outcome([&]() -> Result<ShareTicket> {
     BOOST_LEAF_CHECK(mLeave.MayStart(deadline));
-    return mShares.Take(tenant, kTokensPerServiceCall);
+    return mShares.Take(
+      tenant, kTokensPerServiceCall, AdmissionDeadline(context));
   });
   if (auto* refused = std::get_if<Failure>(&taken)) {
     return profile.mRepeatable ? Result<OrderAnswer>(Fail(*refused))
--- a/src/share/ShareClient.cpp
+++ b/src/share/ShareClient.cpp
@@ -1,8 +1,10 @@
 #include "share/ShareClient.h"
 
 #include <algorithm>
+#include <thread>
 
 #include "base/Incarnation.h"
+#include "base/Log.h"
 #include "share/ShareCodec.h"
 
 namespace caraway {
@@ -12,6 +14,10 @@
 // A holder that didn't reply isn't asked again for this time. Otherwise every
 // request short of tokens would wait for it.
 constexpr Millis kUnresponsiveFor{ 1000 };
+// Pause of a request whose tenant's holders are all silent, and interval of the
+// probes that all such requests together send to one holder.
+constexpr Millis kSilentPause{ 20 };
+constexpr Millis kProbeInterval{ 60 };
 constexpr Millis kTableRereadInterval{ 2000 };
 constexpr Millis kTableTimeout{ 200 };
 constexpr Millis kMinRetry{ 50 };
@@ -200,10 +206,80 @@
   return slotRefs;
 }
 
+// A busy machine or a holder that is stopped for a moment answers later than
+// one request to it may last. Refusing at once would lose callers that have
+// seconds left.
 Result<ShareTicket>
-ShareClient::Take(const Tenant& aTenant, double aTokens)
+ShareClient::Take(const Tenant& aTenant, double aTokens, TimePoint aUntil)
 {
   ++mCounts.mTakes;
+  for (;;) {
+    auto taken = Outcome([&] { return TakeOnce(aTenant, aTokens); });
+    auto* failure = std::get_if<Failure>(&taken);
+    if (!failure) {
+      return std::get<ShareTicket>(std::move(taken));
+    }
+    bool silent = failure->mKind == ErrorKind::RateUnavailable;
+    if (!silent || !AwaitHolder(aTenant.mName, aUntil)) {
+      return Fail(*failure);
+    }
+  }
+}
+
+// Returns whether a holder of the tenant's share answers before aUntil.
+bool
+ShareClient::AwaitHolder(const std::string& aTenant, TimePoint aUntil)
+{
+  while (mClock.Now() + kSilentPause < aUntil) {
+    std::this_thread::sleep_for(kSilentPause);
+    for (const SlotRef& slotRef : SlotsToAsk(aTenant)) {
+      std::string holder = HolderIn(slotRef.mZone, slotRef.mSlot);
+      if (!holder.empty() && Responds(slotRef.mZone, holder)) {
+        return true;
+      }
+    }
+  }
+  LogInfo("share_holders_silent", { { "tenant", aTenant } });
+  return false;
+}
+
+// A silent holder is probed by a call that takes nothing. Requests for tokens
+// would pile up at one that is stopped, and it would debit each of them when it
+// continues, long after those who sent them have given up.
+bool
+ShareClient::Responds(const std::string& aZone, const std::string& aHolder)
+{
+  if (!IsUnresponsive(aHolder)) {
+    return true;
+  }
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    TimePoint& probedAt = mProbedAt[aHolder];
+    if (mClock.Now() - probedAt < kProbeInterval) {
+      return false;
+    }
+    probedAt = mClock.Now();
+  }
+  auto reply = Outcome([&] {
+    return mPeers.Call(IncarnationAddress(aHolder),
+                       "share.table",
+                       Json::Value(Json::objectValue),
+                       mSettings.mGrantLifetime);
+  });
+  auto* json = std::get_if<Json::Value>(&reply);
+  if (!json) {
+    return false;
+  }
+  UpdateTable(aZone, *json);
+  std::lock_guard<std::mutex> lock(mLock);
+  mUnresponsiveUntil.erase(aHolder);
+  mProbedAt.erase(aHolder);
+  return true;
+}
+
+Result<ShareTicket>
+ShareClient::TakeOnce(const Tenant& aTenant, double aTokens)
+{
   double maxTokens =
     ShareSlotBurst(aTenant, mSettings) * mSettings.mZones * kShareHalves;
   if (aTokens > maxTokens) {
--- a/src/share/ShareClient.h
+++ b/src/share/ShareClient.h
@@ -38,8 +38,10 @@
               const Clock& aClock);
 
   // Fails with RateExceeded and a retry-after time, CostAboveBurst or
-  // RateUnavailable.
-  Result<ShareTicket> Take(const Tenant& aTenant, double aTokens);
+  // RateUnavailable. While no holder answers, waits until aUntil.
+  Result<ShareTicket> Take(const Tenant& aTenant,
+                           double aTokens,
+                           TimePoint aUntil);
   // Refunds all but aUsed tokens to the holders they came from.
   void Settle(const ShareTicket& aTicket, double aUsed);
 
@@ -64,6 +66,9 @@
     int mSlot;
   };
 
+  Result<ShareTicket> TakeOnce(const Tenant& aTenant, double aTokens);
+  bool AwaitHolder(const std::string& aTenant, TimePoint aUntil);
+  bool Responds(const std::string& aZone, const std::string& aHolder);
   std::vector<SlotRef> SlotsToAsk(const std::string& aTenant);
   TakeReply TakeFromSlot(const std::string& aZone,
                          const std::string& aTenant,
@@ -94,6 +99,7 @@
   std::map<std::string, KnownTable> mTables; // of the other zones
   std::map<std::string, TimePoint> mReadAt;
   std::map<std::string, TimePoint> mUnresponsiveUntil; // by incarnation
+  std::map<std::string, TimePoint> mProbedAt;          // by incarnation
 };
 
 } // namespace caraway
--- a/tests/process/ShareTest.cpp
+++ b/tests/process/ShareTest.cpp
@@ -80,6 +80,42 @@
 
 } // namespace
 
+// All holders of a tenant's share are stopped for a third of a second, as on a
+// busy machine. Guards against refusing a caller whose request could still be
+// served in time.
+TEST(Share, HoldersThatAreSilentForAMomentAreWaitedFor)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 3 };
+  Fleet fleet(plan);
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(0, key, "chat-m0", 1).Ok());
+  // The share's two halves have two holders at most, so that one instance has
+  // to ask others.
+  size_t asker = 0;
+  for (size_t i = 0; i < 3; ++i) {
+    double before = fleet.Metric(i, "caraway_share_asks_total");
+    ASSERT_TRUE(fleet.Chat(i, key, "chat-m0", 1).Ok());
+    asker = fleet.Metric(i, "caraway_share_asks_total") > before ? i : asker;
+  }
+  auto signalOthers = [&](void (Child::*aSignal)()) {
+    for (size_t i = 0; i < 3; ++i) {
+      if (i != asker) {
+        ((*fleet.mInstances[i]).*aSignal)();
+      }
+    }
+  };
+  signalOthers(&Child::Stop);
+  std::thread wake([&] {
+    std::this_thread::sleep_for(Millis(300));
+    signalOthers(&Child::Continue);
+  });
+  HttpReply reply = fleet.Chat(asker, key, "chat-m0", 1);
+  wake.join();
+  EXPECT_TRUE(reply.Ok()) << reply.mStatus << reply.mError << reply.mBody;
+}
+
 // One tenant sends several times its rate to all instances while a zone is
 // partitioned, the platform fails, one instance is frozen and resumed and one
 // is killed. Over the whole time no more than burst + rate x time may be
