Loader: a load outlasts a short outage of the platform

What callers saw: all who waited for a cold model were refused with 503 although nearly 30 s of their time were left, when the platform refused calls for a fraction of a second or was silent for more than three.

Cause: one failed read of the placement records, that is three attempts, ended the load.

Mend: a required load tries again for five seconds after the last good read, the time after which refused callers are told to return. Optional loads end as before.

--- a/src/own/Loader.cpp
+++ b/src/own/Loader.cpp
@@ -14,6 +14,12 @@
 // Pause between attempts while no engine has memory for the model.
 constexpr Millis kNoMemoryRetry{ 100 };
 
+// A load goes on for this long while the platform gives no answer, which covers
+// a restart of the platform or a short loss of the link. Those who wait for the
+// load of a longer outage are refused and told when to return.
+constexpr Millis kPlatformPatience{ 5000 };
+constexpr Millis kPlatformRetry{ 200 };
+
 const PlacedReplica*
 FindByDecision(const PlacementRecord& aRecord, const std::string& aDecision)
 {
@@ -93,8 +99,20 @@
   }
   std::vector<EndpointSpec> engines = EnginesOf(aConfig, mSettings.mZone);
   LoadPermit permit(mGate, aUrgency);
+  TimePoint lastRead = mClock.Now();
   while (mClock.Now() < aUntil) {
-    BOOST_LEAF_AUTO(stored, mStore.ReadZone(engines));
+    auto read = Outcome([&] { return mStore.ReadZone(engines); });
+    if (auto* failure = std::get_if<Failure>(&read)) {
+      if (optional || mClock.Now() - lastRead > kPlatformPatience) {
+        return Fail(*failure);
+      }
+      LogInfo("load_waits_for_platform",
+              { { "model", aModel.mName }, { "reason", failure->mDetail } });
+      std::this_thread::sleep_for(kPlatformRetry);
+      continue;
+    }
+    lastRead = mClock.Now();
+    auto& stored = std::get<std::vector<StoredPlacement>>(read);
     std::vector<LoadCandidate> candidates = Candidates(engines, stored);
     if (!AnyReachable(candidates)) {
       return Fail(ErrorKind::NoEndpoint, "no engine in this zone answers");
--- a/tests/process/PlacementTest.cpp
+++ b/tests/process/PlacementTest.cpp
@@ -174,6 +174,27 @@
   EXPECT_EQ(fleet.EngineAudit("loads"), 1);
 }
 
+// The platform refuses all calls for a second, as during a restart, while a
+// load is decided. Guards against refusing the callers that wait for the load
+// although most of their time is left.
+TEST(Placement, LoadOutlastsAShortOutageOfThePlatform)
+{
+  FleetPlan plan;
+  plan.mZones = { "mendoza-a" };
+  plan.mInstances = { 2 };
+  plan.mEngines = 1;
+  Fleet fleet(plan);
+  fleet.PlatformFault("outage", "refuse");
+  auto call = std::async(std::launch::async, [&] {
+    return fleet.Chat(0, fleet.mKeys["acme"], "chat-m0", 4);
+  });
+  std::this_thread::sleep_for(Seconds(1));
+  fleet.PlatformFault("outage", "");
+  HttpReply reply = call.get();
+  EXPECT_TRUE(reply.Ok()) << reply.mStatus << reply.mError << reply.mBody;
+  EXPECT_EQ(fleet.EngineAudit("loads"), 1);
+}
+
 // The owner is frozen after it decided a load, and the others take over and
 // load models. When it resumes, it must find its decision outdated and order
 // nothing. The engine's memory must never be overcommitted.
