A leave counts from SIGTERM, also when the process was stopped as it came

Which side is right: the platform sends SIGKILL graceS after SIGTERM (PROTOCOL.md), whether the process runs or not. So the soak counts as the platform does, and the instance doesn't.

Cause: the leave's times were counted from when the signal is noticed. By class: a time of another process's is counted from the own clock's moment of hearing of it. carawayd had the same (its supervisor's kill).

Mend: both programs remember the last time at which no signal had come, and what has passed since is taken off the grace period (LeaveTimes::mNoticedAfter). The balancer's lag still counts from the notice, as the instance answered ready until then. An instance that notices it at the very end gives its last answers one more pass. `leaving` has `noticed_after_ms`.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -370,13 +370,17 @@
 }
 
 int
-Instance::Shutdown()
+Instance::Shutdown(TimePoint aSignalledAt)
 {
-  LogInfo("leaving", {});
   TimePoint begun = mClock.Now();
   LeaveTimes times;
   times.mBalancerLag = mSettings.mShutdownLag;
   times.mGrace = mSettings.mShutdownLag + mSettings.mShutdownLimit;
+  times.mNoticedAfter =
+    std::chrono::duration_cast<Millis>(begun - aSignalledAt);
+  LogInfo(
+    "leaving",
+    { { "noticed_after_ms", std::to_string(times.mNoticedAfter.count()) } });
   mLeave.Begin(times);
   mCallers->Leave();
   mMembers->MarkSelfLeaving();
@@ -385,7 +389,8 @@
   std::thread([this] { mHeartbeat->AnnounceLeaving(); }).detach();
   // The balancer keeps sending until it has seen that this instance isn't
   // ready.
-  std::this_thread::sleep_until(begun + mSettings.mShutdownLag);
+  std::this_thread::sleep_until(
+    std::min(begun + mSettings.mShutdownLag, mLeave.End()));
   mCallers->Drain();
   LogInfo("draining",
           { { "in_flight", std::to_string(mCallers->InFlight()) },
--- a/src/daemon/Instance.h
+++ b/src/daemon/Instance.h
@@ -37,8 +37,10 @@
   Json::Value Addresses() const;
   // Reports not ready, keeps serving for the balancer's lag, finishes requests
   // in flight and hands over its leases. Returns how many requests were cut
-  // off; each of them got a last answer.
-  int Shutdown();
+  // off; each of them got a last answer. aSignalledAt: earliest time at which
+  // the signal may have been sent.
+  int Shutdown(TimePoint aSignalledAt);
+  const Clock& SourceClock() const { return mClock; }
 
 private:
   void AddPeerMethods();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -21,11 +21,30 @@
 constexpr int kExitRefused = 3;
 constexpr int kExitUnreachable = 4;
 
+// Waits until the process is told to stop. Returns the last time at which no
+// signal had come: a process that is stopped by SIGSTOP gets its signals only
+// when it continues, and its supervisor counts from when it sent them.
+caraway::TimePoint
+AwaitStop(const sigset_t& aSignals, const caraway::Clock& aClock)
+{
+  constexpr timespec kCheckInterval{ 0, 100 * 1000 * 1000 }; // 100 ms
+  caraway::TimePoint lastChecked = aClock.Now();
+  for (;;) {
+    caraway::TimePoint checked = aClock.Now();
+    int signal = sigtimedwait(&aSignals, nullptr, &kCheckInterval);
+    // SIGHUP is ignored: settings are read only at the start.
+    if (signal == SIGTERM || signal == SIGINT) {
+      return lastChecked;
+    }
+    lastChecked = checked;
+  }
+}
+
 int
 Serve(caraway::Settings aSettings)
 {
   caraway::LogStart(aSettings.mId);
-  // Blocked before any thread starts, so that only sigwait receives them.
+  // Blocked before any thread starts, so that only AwaitStop receives them.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -43,11 +62,8 @@
   }
   std::printf("%s\n", caraway::JsonWrite(instance.Addresses()).c_str());
   std::fflush(stdout);
-  int signal = 0;
-  do {
-    sigwait(&signals, &signal);
-  } while (signal == SIGHUP); // ignored: settings are read only at the start
-  int code = instance.Shutdown() == 0 ? kExitOk : kExitCut;
+  caraway::TimePoint signalledAt = AwaitStop(signals, instance.SourceClock());
+  int code = instance.Shutdown(signalledAt) == 0 ? kExitOk : kExitCut;
   std::fflush(nullptr);
   // All requests are answered and leases handed over. The remaining threads are
   // in long calls (a watch lasts up to 10 s) whose results aren't needed.
--- a/src/decide/LeavePlan.cpp
+++ b/src/decide/LeavePlan.cpp
@@ -19,10 +19,11 @@
   if (!mLeaving) {
     return;
   }
-  // With a short grace period, most of it is for requests in flight.
+  Millis left = std::max(aGrace - mTimes.mNoticedAfter, Millis(0));
+  // When little time is left, most of it is for requests in flight.
   constexpr int kCallersDivisor = 3;
-  Millis callers = std::min(mTimes.mBalancerLag, aGrace / kCallersDivisor);
-  Millis work = std::max(aGrace - mTimes.mEndMargin, Millis(0));
+  Millis callers = std::min(mTimes.mBalancerLag, left / kCallersDivisor);
+  Millis work = std::max(left - mTimes.mEndMargin, Millis(0));
   mCallersUntil = std::min(mCallersUntil, mBegan + callers);
   mEnd = std::min(mEnd, mBegan + work);
 }
--- a/src/decide/LeavePlan.h
+++ b/src/decide/LeavePlan.h
@@ -14,6 +14,10 @@
   Millis mBalancerLag{ 2500 };
   // Kept at the end of the grace period for sending last answers.
   Millis mEndMargin{ 500 };
+  // Time since the signal may have been sent. A process that is stopped notices
+  // its signal only when it continues, but is killed a grace period after it
+  // was sent.
+  Millis mNoticedAfter{ 0 };
 };
 
 // Every send of a request is checked by MayStart(): first sends, retries,
@@ -23,7 +27,8 @@
 {
 public:
   void Begin(TimePoint aNow, const LeaveTimes& aTimes);
-  // Sets the grace period to aGrace. The end may only move earlier.
+  // Sets the grace period, counted from the signal, to aGrace. The end may only
+  // move earlier.
   void Shorten(Millis aGrace);
   bool Leaving() const { return mLeaving; }
 
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -179,7 +179,7 @@
 }
 
 void
-EntryDaemon::Leave()
+EntryDaemon::Leave(TimePoint aSignalledAt)
 {
   if (mState.mLeave.Leaving()) {
     return;
@@ -187,9 +187,11 @@
   mLeavingSince = mState.Now();
   LeaveTimes times;
   times.mGrace = mState.mSettings.mGrace;
+  times.mNoticedAfter = mState.AgeOf(aSignalledAt);
   mState.mLeave.Begin(mLeavingSince, times);
-  mState.mLog.Line("leaving").Count(
-    "under_way", static_cast<int64_t>(mDispatcher.RequestsInFlight()));
+  mState.mLog.Line("leaving")
+    .Count("under_way", static_cast<int64_t>(mDispatcher.RequestsInFlight()))
+    .Ms("noticed_after_ms", times.mNoticedAfter);
   mZoneLease.Release();
   CheckLeaving();
 }
@@ -217,6 +219,10 @@
     mCallers->CloseIdle(ConnectionCloseReason::Leaving, kNextRequestTime);
     LeaveZone();
   }
+  // An instance that was stopped may notice the signal near the end. Its last
+  // answers still get a pass to be sent, and requests that arrived meanwhile
+  // one to be read.
+  bool finishedBefore = mFinishedAll;
   if (now >= mState.mLeave.End() && !mFinishedAll) {
     mFinishedAll = true;
     mState.mLog.Line("last_answers")
@@ -226,7 +232,8 @@
   }
   bool done = closed && mDispatcher.RequestsInFlight() == 0 &&
               mCallers->AllClosed() && !mMembers.RemovingEntry();
-  if (done || now >= mState.mLeave.End() + kLastAnswersTime) {
+  bool over = finishedBefore && now >= mState.mLeave.End() + kLastAnswersTime;
+  if (done || over) {
     mCallers->EndAll();
     mState.mLog.Line("left").Ms("after_ms", mState.AgeOf(mLeavingSince));
     mGone = true;
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -31,8 +31,10 @@
   // Gone().
   void RunPass(Millis aMaxWait);
   // Starts the shutdown: the instance is no longer ready, and exits when no
-  // request is in flight, within the platform's grace time.
-  void Leave();
+  // request is in flight, within the platform's grace time. aSignalledAt:
+  // earliest time at which the platform may have sent the signal.
+  void Leave(TimePoint aSignalledAt);
+  void Leave() { Leave(mState.Now()); }
   bool Gone() const { return mGone; }
   bool Ready() const;
   // The lease of this zone has a known holder.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -101,15 +101,20 @@
     caraway::EntryDaemon daemon(clock, reading.mSettings, STDOUT_FILENO);
     caraway::SettingsWatch settings(daemon.State(), path, ReloadSettings);
     settings.Start();
+    // A process that is stopped gets its signals only when it continues. When
+    // they were sent isn't known, only the last time at which none had come.
+    caraway::TimePoint lastChecked = clock.Now();
     while (!daemon.Gone()) {
       daemon.RunPass(kMaxWait);
+      caraway::TimePoint checked = clock.Now();
       if (sReloadRequested.exchange(false)) {
         settings.Reload("signal");
       }
       if (sStopRequested.exchange(false)) {
         settings.ReloadIfChanged(); // the grace time may have changed
-        daemon.Leave();
+        daemon.Leave(lastChecked);
       }
+      lastChecked = checked;
     }
   } catch (const Poco::Exception& error) {
     std::fprintf(stderr, "cannot start: %s\n", error.displayText().c_str());
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -426,6 +426,30 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
 }
 
+// Guards against a time limit that is counted from when a stopped process
+// continues: its supervisor counts from SIGTERM, and its kill would cut off the
+// last answers.
+TEST(Leaving, SigtermWhileStoppedLeavesWithinTheLimit)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 200", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
+  HttpReply reply;
+  std::thread caller([&] { reply = fleet.Chat(1, key, "chat-m0", 150); });
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
+  fleet.mInstances[1]->Stop();
+  auto begun = std::chrono::steady_clock::now();
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(1200));
+  fleet.mInstances[1]->Continue();
+  caller.join();
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, Millis(2200));
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 1);
+  EXPECT_EQ(reply.mStatus, 503) << reply.mError;
+  EXPECT_EQ(RunOf(reply), "may_have_run");
+}
+
 // Guards against dropping an operator's request in flight at shutdown.
 TEST(Leaving, InFlightAdminRequestIsAnswered)
 {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -5,9 +5,9 @@
 
 #include <filesystem>
 
-#include "soak/EntryProcess.h"
 #include "soak/SoakCaller.h"
 #include "soak/SoakChecks.h"
+#include "support/EntryProcess.h"
 
 namespace caraway {
 
--- a/tests/support/EntryProcess.cpp
+++ b/tests/support/EntryProcess.cpp
@@ -1,4 +1,4 @@
-#include "soak/EntryProcess.h"
+#include "support/EntryProcess.h"
 
 #include <csignal>
 #include <fcntl.h>
--- a/tests/support/EntryProcess.h
+++ b/tests/support/EntryProcess.h
@@ -1,7 +1,7 @@
 // EntryProcess.h: runs one carawayd-entry as a child process, controlled by its
 // process id.
-#ifndef caraway_soak_EntryProcess_h
-#define caraway_soak_EntryProcess_h
+#ifndef caraway_tests_EntryProcess_h
+#define caraway_tests_EntryProcess_h
 
 #include <string>
 #include <sys/types.h>
--- a/tests/unit/LeavePlanTest.cpp
+++ b/tests/unit/LeavePlanTest.cpp
@@ -121,4 +121,22 @@
   EXPECT_TRUE(plan.ExpectsCallers(kNow));
 }
 
+// Guards against a plan that outlasts the platform's kill: the process was
+// stopped when its signal was sent, and the grace period has run since.
+TEST(LeavePlan, TimeBeforeTheSignalIsNoticedIsTakenOffTheGrace)
+{
+  LeaveTimes times;
+  times.mGrace = Seconds(8);
+  times.mNoticedAfter = Seconds(5);
+  LeavePlan plan;
+  plan.Begin(kNow, times);
+  EXPECT_EQ(kNow + Millis(2500), plan.End());
+  EXPECT_TRUE(plan.ExpectsCallers(kNow + Millis(999)));
+  EXPECT_FALSE(plan.ExpectsCallers(kNow + Millis(1000)));
+  plan.Shorten(Seconds(6));
+  EXPECT_EQ(kNow + Millis(500), plan.End());
+  plan.Shorten(Seconds(4));
+  EXPECT_EQ(kNow, plan.End());
+}
+
 } // namespace caraway
