SettingsWatch: a rewrite that looks like the file before is read

What disturbs the test: both runs write one file; the message "8-byte object <40-1F ...>" is 8000 ms, the value of the other run's file or the default, not 40 s. The test's files now lie in a folder of their own; its steps and checks are as before.

A file that is gone or half written for a moment changes nothing and is read again, as before. Two cases were missed for good: a rewrite of the same length within the same tick of the file system's clock as the last read, and a change between the first read, before the instance starts, and the first check. The new grace time or budget was never in force.

Mend: what was written just before a read is read once more; the first check always reads; the inode counts too, for files that are replaced.

Red before, green after: SettingsWatch.RewriteWithinOneTickIsApplied, SettingsWatch.ChangeDuringTheStartIsApplied.

--- a/src/entry/SettingsWatch.cpp
+++ b/src/entry/SettingsWatch.cpp
@@ -10,7 +10,8 @@
 // requests for as long after its shutdown has started.
 constexpr Millis kFileCheckInterval{ 1000 };
 
-constexpr int64_t kNanosPerSecond = 1000000000;
+// Longer than a tick of the clock by which file systems stamp changes.
+constexpr Millis kStampTick{ 100 };
 
 } // namespace
 
@@ -33,8 +34,10 @@
 void
 SettingsWatch::ReloadIfChanged()
 {
-  if (FileStamp() != mLastStamp) {
+  if (!(FileStamp() == mLastStamp)) {
     Reload("file changed");
+  } else if (mMayHaveChanged) {
+    Reload("file may have changed");
   }
 }
 
@@ -43,16 +46,27 @@
 {
   struct stat file = {};
   if (stat(mPath.c_str(), &file) != 0) {
-    return { 0, 0 };
+    return Stamp();
   }
-  return { file.st_mtim.tv_sec * kNanosPerSecond + file.st_mtim.tv_nsec,
-           file.st_size };
+  return { Seconds(file.st_mtim.tv_sec) +
+             std::chrono::nanoseconds(file.st_mtim.tv_nsec),
+           file.st_size,
+           file.st_ino };
+}
+
+bool
+SettingsWatch::ModifiedJustNow(const Stamp& aStamp) const
+{
+  auto now = mState.mReactor.SourceClock().WallNow().time_since_epoch();
+  return std::chrono::abs(now - aStamp.mModified) < kStampTick;
 }
 
 void
 SettingsWatch::Reload(const char* aWhy)
 {
+  // Before the read, so that a change during it has another stamp.
   mLastStamp = FileStamp();
+  mMayHaveChanged = ModifiedJustNow(mLastStamp);
   std::string error;
   auto settings = mReader(mPath, error);
   mState.mLog.Line("settings_reloaded")
--- a/tests/unit/SettingsWatchTest.cpp
+++ b/tests/unit/SettingsWatchTest.cpp
@@ -3,10 +3,13 @@
 #include <gtest/gtest.h>
 
 #include <cstdio>
+#include <fcntl.h>
 #include <fstream>
+#include <sys/stat.h>
 
 #include "caraway/BootClock.h"
 #include "entry/SettingsWatch.h"
+#include "support/ScratchFolder.h"
 
 namespace caraway {
 
@@ -39,7 +42,8 @@
 // takes effect within about a second, and the invalid file changes nothing.
 TEST(SettingsWatch, ChangeWithoutSignalIsAppliedAndInvalidFileIsNot)
 {
-  std::string path = testing::TempDir() + "settings-watch.txt";
+  ScratchFolder folder;
+  std::string path = folder.File("settings-watch.txt");
   Write(path, "8");
   BootClock clock;
   EntryState state(clock, EntrySettings(), -1);
@@ -65,7 +69,8 @@
 // killed before its last answers are sent.
 TEST(SettingsWatch, ChangeIsAppliedAtOnceByReloadIfChanged)
 {
-  std::string path = testing::TempDir() + "settings-watch-now.txt";
+  ScratchFolder folder;
+  std::string path = folder.File("settings-watch-now.txt");
   Write(path, "12");
   BootClock clock;
   EntryState state(clock, EntrySettings(), -1);
@@ -76,4 +81,40 @@
   EXPECT_EQ(Seconds(4), state.mSettings.mGrace);
 }
 
+// Guards against a change that is never read: the file is rewritten in place
+// within the same tick of the file system's clock as the last read, so that its
+// time and size stay the same.
+TEST(SettingsWatch, RewriteWithinOneTickIsApplied)
+{
+  ScratchFolder folder;
+  std::string path = folder.File("settings-watch-tick.txt");
+  Write(path, "12");
+  BootClock clock;
+  EntryState state(clock, EntrySettings(), -1);
+  SettingsWatch watch(state, path, ReadGrace);
+  watch.Reload("signal");
+  ASSERT_EQ(Seconds(12), state.mSettings.mGrace);
+  struct stat file = {};
+  ASSERT_EQ(0, stat(path.c_str(), &file));
+  Write(path, "14");
+  timespec times[] = { file.st_atim, file.st_mtim };
+  ASSERT_EQ(0, utimensat(AT_FDCWD, path.c_str(), times, 0));
+  watch.ReloadIfChanged();
+  EXPECT_EQ(Seconds(14), state.mSettings.mGrace);
+}
+
+// Guards against a change between the first read of the file, before the
+// instance starts, and the first check.
+TEST(SettingsWatch, ChangeDuringTheStartIsApplied)
+{
+  ScratchFolder folder;
+  std::string path = folder.File("settings-watch-start.txt");
+  Write(path, "12"); // the instance has read another value
+  BootClock clock;
+  EntryState state(clock, EntrySettings(), -1);
+  SettingsWatch watch(state, path, ReadGrace);
+  watch.ReloadIfChanged();
+  EXPECT_EQ(Seconds(12), state.mSettings.mGrace);
+}
+
 } // namespace caraway
