Reactor: a timeout fires only after what has arrived is read

What callers saw: refusals and late answers at instances with a small share of a core.

Cause: timers ran at the end of a pass by the time after its handlers. An answer that arrived while a handler took long lay in the socket, and its timeout fired before the socket was polled again. Each call then failed though it was answered, and was made again, which makes the next pass longer. By class: a deadline is judged before the events that came first.

Mend: a pass runs the timers that were due when its wait ended. What became due since waits for the next pass, which reads the sockets first. Tasks without a delay still run at the end of their pass, repeated ones in the next.

Evidence: ReactorTimers.AnswerThatArrivedDuringALongPassIsReadBeforeItsTimeout, red before, green after. Which share of the failed calls it explains isn't measured by this commit.

--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -62,7 +62,9 @@
 Reactor::TimerId
 Reactor::After(Millis aDelay, Task aTask)
 {
-  TimerId id(Now() + aDelay, ++mNextTimer);
+  // Without a delay it is due at the end of this pass.
+  TimePoint at = aDelay > Millis(0) ? Now() + aDelay : mPolledAt;
+  TimerId id(at, ++mNextTimer);
   if (mDropped) {
     return id;
   }
@@ -102,7 +104,9 @@
 Reactor::RunPass(Millis aMaxWait)
 {
   Poco::Timespan wait(Micros(PollTimeout(aMaxWait)).count());
-  for (const auto& [socket, mode] : mPollSet.poll(wait)) {
+  PollSet::SocketModeMap ready = mPollSet.poll(wait);
+  mPolledAt = Now();
+  for (const auto& [socket, mode] : ready) {
     // A handler may remove others or itself, so each one is looked up again.
     auto found = mHandlers.find(socket.impl());
     if (found == mHandlers.end()) {
@@ -117,14 +121,20 @@
       handler->OnReadable();
     }
   }
-  RunTimers();
+  RunTimers(mPolledAt);
 }
 
+// Timers that become due during a pass wait for the next one. A handler may
+// have taken long, and the answer whose timeout has passed meanwhile may lie in
+// a socket that is read first then.
 void
-Reactor::RunTimers()
+Reactor::RunTimers(TimePoint aDue)
 {
-  TimePoint now = Now();
-  while (!mTimers.empty() && mTimers.begin()->first.first <= now) {
+  // Those that are added here run in the next pass, so that a task that is
+  // repeated without a delay doesn't keep the sockets waiting.
+  uint64_t last = mNextTimer;
+  while (!mTimers.empty() && mTimers.begin()->first.first <= aDue &&
+         mTimers.begin()->first.second <= last) {
     Task task = std::move(mTimers.begin()->second);
     mTimers.erase(mTimers.begin());
     task();
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -61,7 +61,7 @@
   size_t Sockets() const { return mHandlers.size(); }
 
 private:
-  void RunTimers();
+  void RunTimers(TimePoint aDue);
   Millis PollTimeout(Millis aMaxWait) const;
 
   const Clock& mClock;
@@ -69,6 +69,7 @@
   std::unordered_map<void*, std::shared_ptr<SocketHandler>> mHandlers;
   std::map<TimerId, Task> mTimers;
   uint64_t mNextTimer = 0;
+  TimePoint mPolledAt{}; // when the wait of this pass ended
   bool mDropped = false;
 };
 
