Waiting requests: one look through the servers for all of a model

Cause, by reading: every 25 ms, and on every heartbeat, each waiting request was weighed against each server: with the callers of 57 instances at 15, hundreds of requests times a hundred servers, some ninety times a second.

Mend: a pass over the waiting requests remembers the models for which it found no server. Those that follow in the pass, and exclude no server themselves, take that result; servers only fill up during a pass.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -249,7 +249,8 @@
 void
 Exchange::Dispatch()
 {
-  if (!mFinished && !FindServer() && !mFinished && !mWaiting) {
+  ModelsWithoutServer without;
+  if (!mFinished && !FindServer(without) && !mFinished && !mWaiting) {
     mWaiting = true;
     mState.mLog.Line("request_waits")
       .Text("id", mFacts.mId)
@@ -262,12 +263,12 @@
 }
 
 bool
-Exchange::TryDispatch()
+Exchange::TryDispatch(ModelsWithoutServer& aWithout)
 {
   if (mFinished || !mWaiting) {
     return true;
   }
-  if (!FindServer()) {
+  if (!FindServer(aWithout)) {
     return mFinished;
   }
   mWaiting = false;
@@ -305,15 +306,17 @@
 }
 
 bool
-Exchange::FindServer()
+Exchange::OnEngine() const
 {
-  if (!MayStart(mState.Now())) {
-    RefuseShuttingDown();
-    return true;
-  }
   auto service = mConfig->mServices.find(mService);
-  bool engine =
-    service != mConfig->mServices.end() && service->second.mEngine.has_value();
+  return service != mConfig->mServices.end() &&
+         service->second.mEngine.has_value();
+}
+
+ServerChoice
+Exchange::ChooseServer(ModelsWithoutServer& aWithout)
+{
+  bool engine = OnEngine();
   ServerRequirements requirements;
   requirements.mService = mService;
   requirements.mModel = engine ? mFacts.mModel : "";
@@ -325,14 +328,37 @@
   if (static_cast<int>(mTriedServers.size()) >= mRoute->mMaxServers) {
     requirements.mOnly = mTriedServers;
   }
+  bool anyServer = requirements.mExcluded.empty() && requirements.mOnly.empty();
+  std::string key;
+  if (anyServer) {
+    key = mService + " " + requirements.mModel + " " + requirements.mAdapter;
+    auto known = aWithout.find(key);
+    if (known != aWithout.end()) {
+      return known->second;
+    }
+  }
   ServerChoice choice =
     mState.mServers.Choose(requirements, mState.Now(), mState.mRandom);
+  if (anyServer && !choice.mBackend) {
+    aWithout.emplace(std::move(key), choice);
+  }
+  return choice;
+}
+
+bool
+Exchange::FindServer(ModelsWithoutServer& aWithout)
+{
+  if (!MayStart(mState.Now())) {
+    RefuseShuttingDown();
+    return true;
+  }
+  ServerChoice choice = ChooseServer(aWithout);
   if (choice.mBackend) {
     mWaiting = false;
     Send(*choice.mBackend);
     return true;
   }
-  if (engine && !choice.mHeld && !mFacts.mModel.empty()) {
+  if (OnEngine() && !choice.mHeld && !mFacts.mModel.empty()) {
     mColdStart = true;
     mLoadRequester.RequestLoad(ToLoadRequest());
   }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 #include "caraway/ErrorKind.h"
 #include "decide/RequestFacts.h"
@@ -18,6 +19,12 @@
 
 class Exchange;
 
+// Models for which a pass over the waiting requests found no server that can
+// take a request now, and what it found. The requests that follow in the pass
+// don't look again: with many of them, looking through all servers for each one
+// takes more time than there is.
+using ModelsWithoutServer = std::unordered_map<std::string, ServerChoice>;
+
 // Keeps the requests that wait for a server; implemented by RequestDispatcher.
 class ExchangeOwner
 {
@@ -39,7 +46,7 @@
 
   void Begin();
   // Looks for a server again; returns true when the request no longer waits.
-  bool TryDispatch();
+  bool TryDispatch(ModelsWithoutServer& aWithout);
   void OnCallerDisconnected();
   // Called before the process exits. Sends the final answer, "outcome unknown"
   // if the request may have run, or aborts a stream.
@@ -59,7 +66,9 @@
   void OnTokens(const TokenAnswer& aAnswer);
   // Choice of a server.
   void Dispatch();
-  bool FindServer();
+  bool FindServer(ModelsWithoutServer& aWithout);
+  ServerChoice ChooseServer(ModelsWithoutServer& aWithout);
+  bool OnEngine() const; // the service is one of model engines
   // The request has been sent to as many servers as its route allows, and none
   // of them is left.
   bool TriedServersGone(const ServerChoice& aChoice) const;
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -146,8 +146,9 @@
       return std::make_tuple(aOne->Priority(), aOne->Arrived()) <
              std::make_tuple(aOther->Priority(), aOther->Arrived());
     });
+  ModelsWithoutServer without;
   for (std::shared_ptr<Exchange>& exchange : waiting) {
-    if (!exchange->TryDispatch()) {
+    if (!exchange->TryDispatch(without)) {
       mWaiting.push_back(std::move(exchange));
     }
   }
