After a standstill: news first, and no request is sent for a caller who left

What callers saw: the same standing instances. A request is answered by an older configuration while the newer one lies unread in a socket (CONFIG); one reaches a server half a second after its caller's deadline or disconnect (GONE).

Cause: the loop handles what piled up in the order of its sockets. By class: what is known is taken for what is so, after a time in which nothing was read.

Mend: - sockets that bring news, heartbeats and the store's answers are handled before callers' sockets in each pass; - the loop knows its lag (Reactor::Lag). With 50 ms or more of it, a request's time counts from when its last bytes arrived (TCP_INFO, at most the lag), and before a send the caller's connection is read and the deadline looked at again; - what is too late is refused at once, with the time to return.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -78,7 +78,7 @@
   , mLoadRequester(aLoadRequester)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
-  , mArrived(aState.Now())
+  , mArrived(aState.Now() - mRequest.mWaited)
 {
 }
 
@@ -109,7 +109,7 @@
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
   SetDeadlines();
   CountDemand();
-  if (!ExpectsCallers() || !MayStart(mArrived)) {
+  if (!ExpectsCallers() || !MayStart(mState.Now())) {
     RefuseShuttingDown();
     return;
   }
@@ -134,7 +134,8 @@
     mFirstByteBy = std::min(mFinalAnswerBy, mArrived + timeout);
   }
   std::weak_ptr<Exchange> weak = weak_from_this();
-  mTimer = mState.mReactor.After(timeLimit, [weak] {
+  Millis left = std::max(timeLimit - mState.AgeOf(mArrived), Millis(0));
+  mTimer = mState.mReactor.After(left, [weak] {
     if (auto exchange = weak.lock()) {
       exchange->OnDeadline();
     }
@@ -144,12 +145,13 @@
 void
 Exchange::CountDemand()
 {
-  mState.mRetryBudget.OnRequest(mService, mArrived);
+  TimePoint now = mState.Now();
+  mState.mRetryBudget.OnRequest(mService, now);
   if (!mFacts.mModel.empty()) {
-    mState.CountDemand(mFacts.mModel, mArrived);
+    mState.CountDemand(mFacts.mModel, now);
   }
   if (!mFacts.mAdapter.empty()) {
-    mState.CountDemand(FullName(), mArrived);
+    mState.CountDemand(FullName(), now);
   }
 }
 
@@ -305,6 +307,24 @@
     ErrorKind::ShuttingDown, kRetryAfterElsewhere, "instance is shutting down");
 }
 
+// After the loop was held up, the caller may have left or given up in events
+// that aren't handled yet. Its request would run for nobody.
+bool
+Exchange::CallerStillWaits()
+{
+  if (mState.mReactor.Lag() < kMaxLag) {
+    return true;
+  }
+  mCaller->ReadArrived(); // may finish this exchange
+  TimePoint answerBy = mStreaming ? mFinalAnswerBy : mFirstByteBy;
+  if (!mFinished && mState.Now() >= answerBy) {
+    Refuse(ErrorKind::DeadlineUnmeetable,
+           kRetryAfterDefault,
+           "deadline passed while the instance was held up");
+  }
+  return !mFinished;
+}
+
 bool
 Exchange::OnEngine() const
 {
@@ -348,10 +368,14 @@
 bool
 Exchange::FindServer(ModelsWithoutServer& aWithout)
 {
+  auto self = shared_from_this(); // CallerStillWaits may finish it
   if (!MayStart(mState.Now())) {
     RefuseShuttingDown();
     return true;
   }
+  if (!CallerStillWaits()) {
+    return true;
+  }
   ServerChoice choice = ChooseServer(aWithout);
   if (choice.mBackend) {
     mWaiting = false;
--- a/src/entry/InboundConnection.cpp
+++ b/src/entry/InboundConnection.cpp
@@ -115,6 +115,11 @@
     return;
   }
   mReader.reset();
+  // While the loop is held up, requests wait in their sockets, and their
+  // callers' deadlines run.
+  Millis lag = mReactor.Lag();
+  mRequest.mWaited =
+    lag < kMaxLag ? Millis(0) : std::min(mChannel->SinceLastArrival(), lag);
   mReadTime =
     std::chrono::duration_cast<Millis>(mReactor.Now() - mReadStartedAt);
   mReadStartedAt = TimePoint();
@@ -345,6 +350,16 @@
   }
 }
 
+void
+InboundConnection::ReadArrived()
+{
+  auto self = shared_from_this();
+  if (Open() && !mClosing) {
+    mChannel->ReadAvailable();
+    mChannel->CloseIfPeerClosed();
+  }
+}
+
 void
 InboundConnection::EnforceTimeouts(TimePoint aNow)
 {
--- a/src/entry/InboundConnection.h
+++ b/src/entry/InboundConnection.h
@@ -20,6 +20,7 @@
 {
   HttpHead mHead;
   std::string mBody;
+  Millis mWaited{ 0 }; // between its arrival and its reading
 };
 
 // Handles the requests and connection events of a listening port.
@@ -86,6 +87,8 @@
   bool Busy() const { return mBusy; }
   bool Idle() const;
   TimePoint LastAnswerAt() const { return mLastAnswerAt; }
+  // Reads what has arrived, and reports a caller that has disconnected.
+  void ReadArrived();
   // Closes the connection if its caller is too slow or idle; called
   // periodically.
   void EnforceTimeouts(TimePoint aNow);
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -114,6 +114,7 @@
   int TicksPerRound() const;
 
   void OnReadable() override;
+  bool IsControl() const override { return true; }
 
 private:
   // An instance that sent its goodbye; it may still have requests in flight.
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -46,6 +46,17 @@
   aSocket.setOption(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
 }
 
+// All zero if the system doesn't say.
+tcp_info
+TcpInfo(const Poco::Net::StreamSocket& aSocket)
+{
+  tcp_info info = {};
+  socklen_t size = sizeof info;
+  int failed =
+    getsockopt(aSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return failed == 0 ? info : tcp_info{};
+}
+
 } // namespace
 
 Channel::Channel(Reactor& aReactor, const Poco::Net::StreamSocket& aSocket)
@@ -168,15 +179,17 @@
   if (!mOpen || mReading || mFinishing) {
     return;
   }
-  tcp_info info = {};
-  socklen_t size = sizeof info;
-  int failed =
-    getsockopt(mSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size);
-  if (failed == 0 && info.tcpi_state == TCP_CLOSE_WAIT) {
+  if (TcpInfo(mSocket).tcpi_state == TCP_CLOSE_WAIT) {
     End(ChannelCloseReason::Closed);
   }
 }
 
+Millis
+Channel::SinceLastArrival() const
+{
+  return mOpen ? Millis(TcpInfo(mSocket).tcpi_last_data_recv) : Millis(0);
+}
+
 void
 Channel::ShutdownSend()
 {
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -65,6 +65,10 @@
   // for it and reports it.
   void CloseIfPeerClosed();
 
+  // Time since the system received the last bytes, read or not; zero if it
+  // doesn't say.
+  Millis SinceLastArrival() const;
+
   std::string& Input() { return mInput; }
   size_t QueuedBytes() const { return mOutput.size(); }
   bool Open() const { return mOpen; }
@@ -75,6 +79,8 @@
 
   void OnReadable() override;
   void OnWritable() override;
+  bool IsControl() const override { return mControl; }
+  void SetControl(bool aControl) { mControl = aControl; }
 
 private:
   Channel(Reactor& aReactor, const Poco::Net::StreamSocket& aSocket);
@@ -97,6 +103,7 @@
   bool mWatchingWrite = false;
   bool mReading = true;
   bool mSent = false;
+  bool mControl = false; // see SocketHandler
   bool mFinishing = false;
   bool mReadingStopped = false; // by FinishWithoutReading()
   size_t mDropped = 0;          // bytes discarded since Finish()
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -30,6 +30,7 @@
   Millis mConnectLimit{ 700 }; // connect timeout
   double mIdleShare = 0.6;     // aMaxShare of ChannelPool::Take
   bool mNewConnection = false; // never use a pooled connection
+  bool mControl = false;       // see SocketHandler::IsControl
 };
 
 class OutboundCall : public std::enable_shared_from_this<OutboundCall>
--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -101,15 +101,12 @@
 }
 
 void
-Reactor::RunPass(Millis aMaxWait)
+Reactor::Handle(const PollSet::SocketModeMap& aReady, bool aControl)
 {
-  Poco::Timespan wait(Micros(PollTimeout(aMaxWait)).count());
-  PollSet::SocketModeMap ready = mPollSet.poll(wait);
-  mPolledAt = Now();
-  for (const auto& [socket, mode] : ready) {
+  for (const auto& [socket, mode] : aReady) {
     // A handler may remove others or itself, so each one is looked up again.
     auto found = mHandlers.find(socket.impl());
-    if (found == mHandlers.end()) {
+    if (found == mHandlers.end() || found->second->IsControl() != aControl) {
       continue;
     }
     std::shared_ptr<SocketHandler> handler = found->second;
@@ -121,7 +118,25 @@
       handler->OnReadable();
     }
   }
+}
+
+void
+Reactor::RunPass(Millis aMaxWait)
+{
+  Poco::Timespan wait(Micros(PollTimeout(aMaxWait)).count());
+  PollSet::SocketModeMap ready = mPollSet.poll(wait);
+  mPolledAt = Now();
+  Handle(ready, true);
+  Handle(ready, false);
   RunTimers(mPolledAt);
+  mLastPass = std::chrono::duration_cast<Millis>(Now() - mPolledAt);
+}
+
+Millis
+Reactor::Lag() const
+{
+  return std::max(mLastPass,
+                  std::chrono::duration_cast<Millis>(Now() - mPolledAt));
 }
 
 // Timers that become due during a pass wait for the next one. A handler may
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -24,8 +24,15 @@
   virtual ~SocketHandler() = default;
   virtual void OnReadable() = 0;
   virtual void OnWritable() {}
+  // Brings configuration, servers or leases. It is handled before the callers'
+  // sockets, so that what piled up while the loop was held up isn't served by
+  // outdated state.
+  virtual bool IsControl() const { return false; }
 };
 
+// With less lag than this, events count as fresh.
+inline constexpr Millis kMaxLag{ 50 };
+
 class Reactor
 {
 public:
@@ -55,12 +62,16 @@
   // One pass of the event loop: waits for at most aMaxWait and handles the
   // events.
   void RunPass(Millis aMaxWait);
+  // How outdated the events of this pass may be: the time since its wait ended,
+  // or the length of the pass before, in which events queued up.
+  Millis Lag() const;
 
   TimePoint Now() const { return mClock.Now(); }
   const Clock& SourceClock() const { return mClock; }
   size_t Sockets() const { return mHandlers.size(); }
 
 private:
+  void Handle(const Poco::Net::PollSet::SocketModeMap& aReady, bool aControl);
   void RunTimers(TimePoint aDue);
   Millis PollTimeout(Millis aMaxWait) const;
 
@@ -70,6 +81,7 @@
   std::map<TimerId, Task> mTimers;
   uint64_t mNextTimer = 0;
   TimePoint mPolledAt{}; // when the wait of this pass ended
+  Millis mLastPass{ 0 }; // length of the pass before, without its wait
   bool mDropped = false;
 };
 
