A request that reached no server is reported as not run

Cause: at the deadline and at the instance's exit a call under way counted as sent. By class: "sent" was asked of the connection, not of this request; on a connection used before it was always yes.

What remains: a request that was written to a connection that the server had already left can't be told from one that ran; it stays 502.

Red before (first half: 504 instead of 503), green after: Answers.OrderThatReachedNoServerIsReportedAsNotRun.

--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -219,8 +219,15 @@
     });
     return;
   }
+  bool sent = mCall->Sent();
   mCall->Cancel();
   ReleaseCall();
+  if (!sent && !mMayHaveRun) {
+    Refuse(ErrorKind::DeadlineUnmeetable,
+           kRetryAfterDefault,
+           "deadline passed before a server was reached");
+    return;
+  }
   mGrant.reset();
   if (mStreaming) {
     mCaller->Abort();
@@ -253,10 +260,12 @@
   }
   constexpr const char* kWhy = "instance exits";
   if (mCall) {
+    mMayHaveRun = mMayHaveRun || mCall->Sent();
     mCall->Cancel();
     ReleaseCall();
-    mGrant.reset();
-    mMayHaveRun = true;
+  }
+  if (mMayHaveRun) {
+    mGrant.reset(); // its tokens may be spent
   }
   if (mStreaming) {
     mCaller->Abort(ConnectionCloseReason::InstanceExit);
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -73,9 +73,10 @@
   size_t QueuedBytes() const { return mOutput.size(); }
   bool Open() const { return mOpen; }
   bool Ready() const { return mOpen && !mConnecting; }
-  // Whether bytes were handed to the network. A request of which none were
-  // can't have run.
+  // Whether bytes were handed to the network since ClearSent(), called before
+  // each request. A request of which none were can't have run.
   bool Sent() const { return mSent; }
+  void ClearSent() { mSent = false; }
 
   void OnReadable() override;
   void OnWritable() override;
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -70,6 +70,7 @@
       Channel::Connect(mReactor, mRequest.mAddress, mRequest.mConnectLimit);
   }
   Attach();
+  mChannel->ClearSent();
   mChannel->SetControl(mRequest.mControl);
   mChannel->Write(mRequest.mHead + mRequest.mBody);
 }
--- a/tests/platform/AnswersTest.cpp
+++ b/tests/platform/AnswersTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <Poco/Net/ServerSocket.h>
+
+#include "net/StopNewHandshakes.h"
 #include "platform/WireNames.h"
 #include "support/EntryTestFleet.h"
 
@@ -192,4 +195,54 @@
     Millis(500)));
 }
 
+namespace {
+
+// A server's address where connections are never established, as behind a
+// partition.
+class UnreachableServer
+{
+public:
+  UnreachableServer(EntryTestFleet& aFleet, const std::string& aId)
+  {
+    mSocket.bind(Poco::Net::SocketAddress("127.0.0.1:0"), false);
+    mSocket.listen(1);
+    StopNewHandshakes(mSocket);
+    Json::Value entry = aFleet.mEngines[0]->Entry("plain", "a", "ready");
+    entry["address"] = mSocket.address().toString();
+    aFleet.mStore->Put(wire::kServersKind, aId, entry);
+  }
+
+private:
+  Poco::Net::ServerSocket mSocket;
+};
+
+EntryFleetOptions
+WithoutPlainServers()
+{
+  EntryFleetOptions options;
+  options.mPlain = 0;
+  return options;
+}
+
+} // namespace
+
+// Guards against "may have run" for an order that reached no server: its caller
+// would not dare to send it again.
+TEST(Answers, OrderThatReachedNoServerIsReportedAsNotRun)
+{
+  EntryTestFleet fleet(WithoutPlainServers());
+  UnreachableServer one(fleet, "one");
+  UnreachableServer two(fleet, "two");
+  fleet.mConfig["routes"][1]["timeoutMs"] = 1000;
+  fleet.Configure();
+  fleet.AwaitReady();
+  fleet.RunFor(Seconds(1));
+  EXPECT_EQ(503, fleet.Call(0, "/order/x", "r1")->mStatus);
+  TestCallPtr atExit = fleet.Send(0, "/order/x", "r2");
+  fleet.RunFor(Millis(100));
+  fleet.mInstances[0]->Leave(fleet.mClock.Now() - Millis(7400));
+  fleet.RunUntil([&] { return atExit->mComplete; }, Millis(600));
+  EXPECT_EQ(503, atExit->mStatus);
+}
+
 } // namespace caraway
