--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -3,6 +3,8 @@
 #include <Poco/Exception.h>
 #include <algorithm>
 
+#include "net/StopNewHandshakes.h"
+
 namespace caraway {
 
 namespace {
@@ -81,21 +83,37 @@
 void
 ListenPort::Close()
 {
-  if (mOpen) {
-    mOpen = false;
-    while (AcceptBatch()) {
+  if (mState != State::Open) {
+    return;
+  }
+  mState = State::Closing;
+  StopNewHandshakes(mSocket);
+  std::weak_ptr<ListenPort> weak = weak_from_this();
+  mReactor.After(kHandshakeTime, [weak] {
+    if (auto port = weak.lock()) {
+      port->AcceptLast();
     }
-    mReactor.Unwatch(mSocket);
-    mSocket.close();
+  });
+}
+
+// Those who have connected may have sent a request already.
+void
+ListenPort::AcceptLast()
+{
+  while (AcceptBatch()) {
   }
+  mReactor.Unwatch(mSocket);
+  mSocket.close();
+  mState = State::Closed;
 }
 
 bool
 ListenPort::AllClosed() const
 {
-  return std::none_of(mConns.begin(), mConns.end(), [](const auto& aConn) {
-    return aConn->Open();
-  });
+  return mState == State::Closed &&
+         std::none_of(mConns.begin(), mConns.end(), [](const auto& aConn) {
+           return aConn->Open();
+         });
 }
 
 void
--- a/src/entry/ListenPort.h
+++ b/src/entry/ListenPort.h
@@ -25,7 +25,8 @@
   std::string Address() const;
   size_t Connections() const { return mConns.size(); }
   bool AllClosed() const;
-  // Accepts the connections that are established, then closes the socket.
+  // Accepts the connections that are established, and closes the socket after
+  // kHandshakeTime.
   void Close();
   // Closes connections that have been idle for at least aIdleTime.
   void CloseIdle(ConnectionCloseReason aReason, Millis aIdleTime);
@@ -39,7 +40,15 @@
   void OnReadable() override;
 
 private:
+  enum class State
+  {
+    Open,
+    Closing, // takes those who have connected, see StopNewHandshakes()
+    Closed,
+  };
+
   bool AcceptBatch();
+  void AcceptLast();
   ListenPort(Reactor& aReactor, InboundHandler& aHandler, size_t aMaxOpen);
 
   Reactor& mReactor;
@@ -47,7 +56,7 @@
   size_t mMaxOpen;
   Poco::Net::ServerSocket mSocket;
   std::vector<std::shared_ptr<InboundConnection>> mConns;
-  bool mOpen = true;
+  State mState = State::Open;
 };
 
 } // namespace caraway
--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -146,6 +146,7 @@
   // Connections established by now are still served. Later ones are refused by
   // the system, so that their callers know that nothing was sent.
   StopNewHandshakes(mSocket);
+  std::this_thread::sleep_for(kHandshakeTime);
   while (mState->mShutdown.WaitForInput(mSocket, Millis(0)) && AcceptOne()) {
   }
   mSocket.close();
--- a/src/net/StopNewHandshakes.cpp
+++ b/src/net/StopNewHandshakes.cpp
@@ -2,19 +2,9 @@
 
 #include <linux/filter.h>
 #include <sys/socket.h>
-#include <thread>
-
-#include "caraway/Time.h"
 
 namespace caraway {
 
-namespace {
-
-// A handshake in progress completes within this time, also between zones.
-constexpr Millis kHandshake{ 20 };
-
-} // namespace
-
 void
 StopNewHandshakes(const Poco::Net::ServerSocket& aSocket)
 {
@@ -36,7 +26,6 @@
              SO_ATTACH_FILTER,
              &program,
              sizeof program);
-  std::this_thread::sleep_for(kHandshake);
 }
 
 } // namespace caraway
--- a/src/net/StopNewHandshakes.h
+++ b/src/net/StopNewHandshakes.h
@@ -4,12 +4,17 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include "caraway/Time.h"
+
 namespace caraway {
 
-// Drops new connection attempts and lets handshakes in progress complete. The
-// caller then accepts until no connections are left, and closes the socket.
-// Closing it at once would reset connections that the system has accepted and
-// whose callers may have sent a request already.
+// A handshake in progress completes within this time, also between zones.
+inline constexpr Millis kHandshakeTime{ 20 };
+
+// Drops new connection attempts. After kHandshakeTime the caller accepts until
+// no connections are left, and closes the socket. Closing it at once would
+// reset connections that the system has accepted and whose callers may have
+// sent a request already.
 void
 StopNewHandshakes(const Poco::Net::ServerSocket& aSocket);
 
