Lease: a holder that the store turns away announces the end of its lease

Cause: a released lease is cleared in the store; one that can't be released looks like one that may still be renewed.

Mend: a heartbeat tells the last token under which its sender let the lease expire. It is told only when no renewal is on its way, as that could still extend the lease, and the sender never acts under that token again; so the neighbours needn't wait. The silence before a successor's first order stays.

Red before (by its expectation; the call is new), green after: LeaseStep.LeaseOfAHolderTurnedAwayIsAcquiredAtItsEnd; LeaseStep.PendingRenewalIsNotAnnouncedAsExpired holds the other side.

--- a/src/decide/LeaseStep.cpp
+++ b/src/decide/LeaseStep.cpp
@@ -26,8 +26,7 @@
     return BeginRelease(aNow);
   }
   if (mToken > 0 && aNow >= mExpiresAt) {
-    mToken = 0; // expired: only a new acquisition counts
-    mSeen.reset();
+    DropExpired();
   }
   if (mToken > 0) {
     mCallPending = true;
@@ -53,6 +52,24 @@
   return LeaseAction::Write;
 }
 
+// No call is pending, so that nothing can extend the lease under this token any
+// more: only a new acquisition counts.
+void
+LeaseStep::DropExpired()
+{
+  mExpiredToken = mToken;
+  mToken = 0;
+  mSeen.reset();
+}
+
+// Whether the holder of the lease last read has announced its end.
+bool
+LeaseStep::SeenHasExpired() const
+{
+  return mExpiredHolderToken > 0 && mSeen->mHolder == mExpiredHolder &&
+         mSeen->mToken == mExpiredHolderToken;
+}
+
 // Whether no other holder's orders can be in progress: the lease was never
 // held, or it was last held by this machine's earlier process, which had waited
 // out the silence. An acquisition whose answer was lost, or whose process was
@@ -66,8 +83,10 @@
 LeaseAction
 LeaseStep::BeginRelease(TimePoint aNow)
 {
-  if (mToken == 0 || aNow >= mExpiresAt) {
-    mToken = 0;
+  if (mToken > 0 && aNow >= mExpiresAt) {
+    DropExpired();
+  }
+  if (mToken == 0) {
     mSeen.reset();
     return LeaseAction::None;
   }
@@ -83,7 +102,8 @@
   if (IsOwn(*mSeen)) {
     return mSeenAt;
   }
-  Millis remaining = mSeen->mHolder.empty() ? Millis(0) : mTimes.mLength;
+  bool free = mSeen->mHolder.empty() || SeenHasExpired();
+  Millis remaining = free ? Millis(0) : mTimes.mLength;
   return mSeenAt + remaining + mTimes.mYield;
 }
 
@@ -189,6 +209,21 @@
   }
 }
 
+void
+LeaseStep::OnHolderExpired(const std::string& aHolder,
+                           int64_t aToken,
+                           TimePoint aNow)
+{
+  if (aHolder == mExpiredHolder && aToken == mExpiredHolderToken) {
+    return;
+  }
+  mExpiredHolder = aHolder;
+  mExpiredHolderToken = aToken;
+  if (mToken == 0 && !mCallPending && mSeen && SeenHasExpired()) {
+    mNextActionAt = aNow;
+  }
+}
+
 void
 LeaseStep::RequestReread(TimePoint aNow)
 {
--- a/src/decide/LeaseStep.h
+++ b/src/decide/LeaseStep.h
@@ -4,7 +4,9 @@
 // lease expires by its own clock, counted from when the renewal was sent. A
 // successor reads the object, waits for a whole lease length, and replaces that
 // very revision: if this succeeds, nobody renewed the lease in between, so the
-// earlier lease has expired wherever its holder is.
+// earlier lease has expired wherever its holder is. A holder that the store
+// turns away can't release its lease; it announces that it let it expire, and
+// then no wait is needed.
 #ifndef caraway_decide_LeaseStep_h
 #define caraway_decide_LeaseStep_h
 
@@ -69,6 +71,11 @@
   // outdated.
   void OnHolderReleased(TimePoint aNow);
 
+  // Another instance announces that its lease under aToken has expired.
+  void OnHolderExpired(const std::string& aHolder,
+                       int64_t aToken,
+                       TimePoint aNow);
+
   // The record may have changed and is read again. The time since which its
   // holder was seen is kept.
   void RequestReread(TimePoint aNow);
@@ -89,12 +96,17 @@
   // Holds the lease, and the silence after the previous holder is over.
   bool MayAct(TimePoint aNow) const { return Holds(aNow) && aNow >= mActFrom; }
   int64_t Token() const { return mToken; }
+  // The last token under which this process let its lease expire; it never acts
+  // under that token again. 0 = none.
+  int64_t ExpiredToken() const { return mExpiredToken; }
   // Not wanted, and nothing is left to release.
   bool Released() const { return !mWanted && !mCallPending && mToken == 0; }
   // Holder of the lease as last read; "" = none.
   std::string SeenHolder() const { return mSeen ? mSeen->mHolder : ""; }
 
 private:
+  void DropExpired();
+  bool SeenHasExpired() const;
   LeaseAction BeginRelease(TimePoint aNow);
   void FinishRelease(TimePoint aNow);
   TimePoint AcquirableFrom() const;
@@ -107,6 +119,10 @@
   std::optional<LeaseRecord> mSeen; // as last read
   TimePoint mSeenAt{};              // when that revision was first read
   int64_t mToken = 0;               // 0 = not held by this process
+  int64_t mExpiredToken = 0;
+  // As last announced by another instance.
+  std::string mExpiredHolder;
+  int64_t mExpiredHolderToken = 0;
   TimePoint mExpiresAt{};
   TimePoint mActFrom{};
   TimePoint mNextActionAt{};
--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -83,6 +83,15 @@
     if (Holds()) {
       aHeartbeat["leases"].append(mName);
     }
+    if (mStep.ExpiredToken() > 0) {
+      aHeartbeat["expired_leases"][mName] = Json::Int64(mStep.ExpiredToken());
+    }
+  });
+  mPeers.OnHeartbeat([this](const Peer& aPeer, const Json::Value& aHeartbeat) {
+    int64_t token = aHeartbeat["expired_leases"][mName].asInt64();
+    if (token > 0) {
+      mStep.OnHolderExpired(aPeer.mName, token, mState.Now());
+    }
   });
   std::uniform_int_distribution<int64_t> startDelay(0, kMaxStartDelay.count());
   mState.mReactor.After(Millis(startDelay(mState.mRandom)), [this] {
--- a/tests/property/LeaseStepProperty.cpp
+++ b/tests/property/LeaseStepProperty.cpp
@@ -53,6 +53,7 @@
   std::string mName;
   LeaseStep mStep;
   TimePoint mPausedUntil{};
+  TimePoint mTurnedAwayUntil{}; // the store refuses its calls
 };
 
 struct LateWrite
@@ -61,6 +62,15 @@
   LeaseRecord mRecord;
 };
 
+// An announcement that a lease has expired, on its way to one candidate.
+struct Announcement
+{
+  TimePoint mAt;
+  size_t mTo = 0;
+  std::string mHolder;
+  int64_t mToken = 0;
+};
+
 } // namespace
 
 // Guards against two holders that act at once, or under the same token, when
@@ -73,6 +83,7 @@
     candidates.emplace_back(name);
   }
   std::vector<LateWrite> late;
+  std::vector<Announcement> announced;
   TimePoint now{ Seconds(1000) };
   std::string lastActor;
   TimePoint lastActed{};
@@ -87,11 +98,25 @@
         ++at;
       }
     }
+    for (auto at = announced.begin(); at != announced.end();) {
+      Candidate& to = candidates[at->mTo];
+      if (at->mAt <= now && now >= to.mPausedUntil) {
+        if (to.mName != at->mHolder) {
+          to.mStep.OnHolderExpired(at->mHolder, at->mToken, now);
+        }
+        at = announced.erase(at);
+      } else {
+        ++at;
+      }
+    }
     size_t pick = *rc::gen::inRange<size_t>(0, candidates.size());
     Candidate& unlucky = candidates[pick];
     if (chance(150)) {
       unlucky.mPausedUntil = now + Millis(*rc::gen::inRange(100, 9000));
     }
+    if (chance(100)) {
+      unlucky.mTurnedAwayUntil = now + Millis(*rc::gen::inRange(100, 12000));
+    }
     if (chance(250)) { // killed, and restarted under the same name
       unlucky = Candidate(unlucky.mName);
     }
@@ -110,16 +135,25 @@
         lastActed = now;
         lastToken = step.Token();
       }
+      for (size_t to = 0; to < candidates.size(); ++to) {
+        if (step.ExpiredToken() > 0 && chance(4)) {
+          Millis delay(*rc::gen::inRange(0, 3000));
+          announced.push_back(
+            { now + delay, to, candidate.mName, step.ExpiredToken() });
+        }
+      }
       LeaseAction action = step.Due(now);
       if (action == LeaseAction::Read) {
-        if (chance(8)) {
+        if (chance(8) || now < candidate.mTurnedAwayUntil) {
           step.OnFailed(now);
         } else {
           step.OnRead(object.mRecord, now);
         }
       } else if (action == LeaseAction::Write) {
         LeaseRecord wanted = step.WantedRecord();
-        if (chance(8)) { // carried out now or later, and not answered
+        if (now < candidate.mTurnedAwayUntil) {
+          step.OnFailed(now);
+        } else if (chance(8)) { // carried out now or later, and not answered
           late.push_back({ now + Millis(*rc::gen::inRange(0, 8000)), wanted });
           step.OnFailed(now);
         } else if (auto revision = object.Write(wanted)) {
@@ -179,6 +213,62 @@
   EXPECT_TRUE(second.MayAct(now + LeaseTimes().mSilence));
 }
 
+// The store turns the holder away, so that it can't release its lease. Guards
+// against a zone without a holder for a second lease length: the others hear
+// from the holder itself that its lease has expired.
+TEST(LeaseStep, LeaseOfAHolderTurnedAwayIsAcquiredAtItsEnd)
+{
+  LeaseObject object;
+  LeaseStep first("a", LeaseTimes());
+  LeaseStep second("b", LeaseTimes());
+  TimePoint now{ Seconds(1000) };
+  CarryOutDue(first, object, now);
+  CarryOutDue(first, object, now);
+  ASSERT_TRUE(first.Holds(now));
+  TimePoint end = now + LeaseTimes().mLength;
+  for (; now < end; now += Millis(100)) {
+    if (first.Due(now) != LeaseAction::None) {
+      first.OnFailed(now);
+    }
+    second.OnHolderAnnounced("a", now);
+    CarryOutDue(second, object, now);
+  }
+  EXPECT_FALSE(first.Holds(now));
+  for (int i = 0; i < 5; ++i, now += Millis(100)) {
+    if (first.Due(now) != LeaseAction::None) {
+      first.OnFailed(now);
+    }
+    second.OnHolderReleased(now);
+    second.OnHolderExpired("a", first.ExpiredToken(), now);
+    CarryOutDue(second, object, now);
+    CarryOutDue(second, object, now);
+  }
+  EXPECT_TRUE(second.Holds(now));
+  EXPECT_TRUE(second.MayAct(now + LeaseTimes().mSilence));
+}
+
+// Guards against two holders: the holder's last renewal is still on its way
+// when its lease ends, and may extend it. Until the answer is known, it must
+// not announce the end.
+TEST(LeaseStep, PendingRenewalIsNotAnnouncedAsExpired)
+{
+  LeaseObject object;
+  LeaseStep step("a", LeaseTimes());
+  TimePoint now{ Seconds(1000) };
+  CarryOutDue(step, object, now);
+  CarryOutDue(step, object, now);
+  TimePoint sentAt = now + LeaseTimes().mRenew;
+  ASSERT_EQ(LeaseAction::Write, step.Due(sentAt));
+  LeaseRecord renewal = step.WantedRecord();
+  now += LeaseTimes().mLength;
+  EXPECT_EQ(LeaseAction::None, step.Due(now));
+  EXPECT_FALSE(step.Holds(now));
+  EXPECT_EQ(0, step.ExpiredToken());
+  step.OnWritten(*object.Write(renewal), sentAt, now);
+  EXPECT_TRUE(step.Holds(now));
+  EXPECT_EQ(0, step.ExpiredToken());
+}
+
 // Guards against an acquisition whose answer was lost and which is then taken
 // for an earlier process's lease: orders of the previous holder may still be in
 // progress.
