Leaving.NewRequestsAreRefusedWhileDraining waits for its slow caller's request

The test was at fault: only a sleep of 100 ms put the slow caller's request before SIGTERM. If its thread starts later than the lag of 200 ms, the instance has nothing to drain and ends, and the caller finds no port.

Replaced by one as strict: SIGTERM is sent once the engine works on the slow request, as in the suite's other tests; every check is as it was.

--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -254,7 +254,8 @@
   ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok());
   HttpReply slow;
   std::thread caller([&] { slow = fleet.Chat(1, key, "chat-m0", 100); });
-  std::this_thread::sleep_for(Millis(100));
+  EXPECT_TRUE(Eventually(
+    Seconds(5), [&] { return fleet.EngineState(0)["active"].asInt() == 1; }));
   fleet.mInstances[1]->Terminate();
   HttpReply reply;
   do {
