--- a/src/own/ModelOwner.cpp
+++ b/src/own/ModelOwner.cpp
@@ -178,8 +178,12 @@
     if (aWaiter->mRefused) {
       return Fail(aWaiter->mFailure);
     }
-    aShard.mHeldSlots[aWaiter->mEngineSlotId].mReclaimAt =
-      now + aWaiter->mMaxHold;
+    auto held = aShard.mHeldSlots.find(aWaiter->mEngineSlotId);
+    if (held == aShard.mHeldSlots.end()) {
+      return Fail(ErrorKind::NoEndpoint,
+                  "the engine slot was reclaimed while its front was silent");
+    }
+    held->second.mReclaimAt = now + aWaiter->mMaxHold;
   }
   if (!aWaiter->mAdapter.empty()) {
     auto failure = FailureIn([&] {
