--- a/src/serve/BriefingStore.cpp
+++ b/src/serve/BriefingStore.cpp
@@ -121,8 +121,13 @@
     }
     return Fail(*failure);
   }
-  for (const std::string& id :
-       std::get<PlatformObject>(read).mValue.getMemberNames()) {
+  const Json::Value& list = std::get<PlatformObject>(read).mValue;
+  if (!list.isObject()) {
+    return Fail(ErrorKind::Internal,
+                "list " + std::to_string(aList) +
+                  " of open briefings is no object; its briefings wait");
+  }
+  for (const std::string& id : list.getMemberNames()) {
     open.insert(id);
   }
   return open;
