--- a/src/serve/ClaimDriver.cpp
+++ b/src/serve/ClaimDriver.cpp
@@ -105,7 +105,9 @@
       status.mStatus =
         offered ? ClaimAttemptStatus::Lost : ClaimAttemptStatus::GaveUp;
       mRegistry.End(attempt.mState.mNonce, status);
-      Failure failure = FailureOf(action.mError, "order " + aOrder.mKey);
+      // Without the caller's idempotency key, since details are logged.
+      Failure failure =
+        FailureOf(action.mError, "order of claim " + attempt.mName);
       failure.mRun = action.mRun;
       return Fail(failure);
     }
