--- a/tests/process/EndToEndTest.cpp
+++ b/tests/process/EndToEndTest.cpp
@@ -15,6 +15,10 @@
   HttpReply seen =
     fleet.Call(fleet.mServices[0]->Address(), "GET", "/executions");
   EXPECT_FALSE(JsonParseOrEmpty(seen.mBody)["saw_key"].asBool());
+  EXPECT_TRUE(fleet.Chat(0, key, "chat-m0", 1).Ok());
+  for (size_t i = 0; i < fleet.mEngines.size(); ++i) {
+    EXPECT_FALSE(fleet.EngineState(i)["audit"]["saw_key"].asBool());
+  }
   fleet.Configure([](Json::Value& aConfig) {
     for (Json::Value& profile : aConfig["profiles"]) {
       if (profile["name"] == "notice") {
--- a/tests/standin/Engine.cpp
+++ b/tests/standin/Engine.cpp
@@ -47,6 +47,7 @@
     if (path == "/orders") {
       Order(StandInBody(aIn), aOut);
     } else if (path == "/generate") {
+      NoteKey(aIn);
       Generate(StandInBody(aIn), aOut);
     } else if (path == "/control") {
       Json::Value body = StandInBody(aIn);
@@ -173,6 +174,12 @@
     return state;
   }
 
+  void NoteKey(const StandInRequest& aIn)
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    mReceivedKey = mReceivedKey || aIn.has("Authorization");
+  }
+
   // Waits for a slot in the batch, by priority and then by arrival.
   void EnterBatch(int aPriority)
   {
