WaitQueue: tenants that stopped sending take no part of the estimate

What callers saw: waits estimated wrongly, and so refusals or admissions that don't hold, at an owner that has been up for long: each tenant that ever sent counted in the fair rate. Cause: arrivals were never pruned.

Red before, green after: WaitQueue.TenantsOfLongAgoDoNotChangeTheEstimate (1276 and 1223 ms where both are the same queue).

--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -93,6 +93,18 @@
   return mRate * std::exp(-std::max(0.0, seconds) / kArrivalWindowSeconds);
 }
 
+// Each tenant listed takes a part of the fair rate, so those that no longer
+// send must go.
+void
+WaitQueue::PruneArrivals(ClassQueue& aClass, TimePoint aNow)
+{
+  constexpr double kNegligibleRate = 0.01; // tokens/s
+  for (auto at = aClass.mArrivals.begin(); at != aClass.mArrivals.end();) {
+    bool gone = at->second.At(aNow) < kNegligibleRate;
+    at = gone ? aClass.mArrivals.erase(at) : std::next(at);
+  }
+}
+
 // Service rate that remains for aItem. More urgent requests keep arriving while
 // it waits, and other tenants of its class keep being served. Without this a
 // briefing would be queued for a minute for a slot that later chat requests
@@ -212,6 +224,7 @@
   TimePoint until = reserved ? aNow : aItem.mStartBy;
   double returnProbability =
     reserved ? 0 : classQueue.mRetrySchedule.ReturnProbability(aItem.mTenant);
+  PruneArrivals(classQueue, aNow);
   auto budget = std::chrono::duration_cast<Millis>(aItem.mStartBy - aNow);
   // A new request queues behind the expected retries, which arrive with their
   // whole waiting time left. The likelier they are, the less it may wait.
--- a/src/decide/WaitQueue.h
+++ b/src/decide/WaitQueue.h
@@ -100,6 +100,7 @@
     std::multimap<TimePoint, QueuedRequest>::iterator aItem);
   double ServedTokens(ClassQueue& aClass, const std::string& aTenant) const;
   void PruneServedTokens(ClassQueue& aClass);
+  static void PruneArrivals(ClassQueue& aClass, TimePoint aNow);
   WaitRefusal Refuse(const QueuedRequest& aItem,
                      ErrorKind aKind,
                      double aRate,
--- a/tests/property/WaitQueueProperty.cpp
+++ b/tests/property/WaitQueueProperty.cpp
@@ -196,4 +196,29 @@
   EXPECT_GE(busyQueue.mQueue.Size(), 5u);
 }
 
+// Guards against estimates that count tenants which stopped sending long ago:
+// each would take a part of the fair rate.
+TEST(WaitQueue, TenantsOfLongAgoDoNotChangeTheEstimate)
+{
+  BusyQueue fresh;
+  BusyQueue aged;
+  for (uint64_t i = 0; i < 50; ++i) {
+    aged.Offer("former" + std::to_string(i), i);
+    aged.Serve(Millis(200));
+  }
+  aged.Serve(Seconds(600));
+  auto expectedWait = [](BusyQueue& aQueue) {
+    for (uint64_t i = 1000; i < 1003; ++i) {
+      aQueue.Offer("globex", i);
+      aQueue.Offer("acme", 100 + i);
+    }
+    QueuedRequest item;
+    item.mTenant = "acme";
+    item.mTokens = 200;
+    item.mStartBy = aQueue.mNow + Seconds(10);
+    return aQueue.mQueue.PredictWait(item, 1000, aQueue.mNow, item.mStartBy);
+  };
+  EXPECT_EQ(expectedWait(fresh), expectedWait(aged));
+}
+
 } // namespace caraway
