--- /dev/null
+++ b/src/entry/ExchangeChoose.cpp
@@ -0,0 +1,221 @@
+// ExchangeChoose.cpp: the choice of a server for a request, or its refusal.
+#include "entry/Exchange.h"
+
+#include <algorithm>
+
+#include "entry/ExchangeTimes.h"
+
+namespace caraway {
+
+namespace {
+
+// Limits of requests in flight per slot of a server. An engine admits as many
+// as it has slots; requests to a plain service are short, so a few can queue
+// there and still be answered in time.
+constexpr double kEngineRequestsPerSlot = 1.1;
+
+constexpr double kServiceRequestsPerSlot = 3.0;
+
+} // namespace
+
+LoadRequest
+Exchange::ToLoadRequest() const
+{
+  Millis left = mRoute->mTarget - kServiceTime - mState.AgeOf(mArrived);
+  return { mService, mFacts.mModel, mFacts.mAdapter, mPriority, left };
+}
+
+void
+Exchange::Dispatch()
+{
+  ModelsWithoutServer without;
+  if (!mFinished && !FindServer(without) && !mFinished && !mWaiting) {
+    mWaiting = true;
+    mState.mLog.Line("request_waits")
+      .Text("id", mFacts.mId)
+      .Text("service", mService)
+      .Text("model", mFacts.mModel)
+      .Text("adapter", mFacts.mAdapter)
+      .Ms("since_ms", mState.AgeOf(mArrived));
+    mOwner.WaitForServer(shared_from_this());
+  }
+}
+
+bool
+Exchange::TryDispatch(ModelsWithoutServer& aWithout)
+{
+  if (mFinished || !mWaiting) {
+    return true;
+  }
+  if (!FindServer(aWithout)) {
+    return mFinished;
+  }
+  mWaiting = false;
+  return true;
+}
+
+// Once a leaving instance expects no more callers, its parts of the tenants'
+// rate limits have been handed to its zone peers.
+bool
+Exchange::ExpectsCallers() const
+{
+  return mState.mLeave.ExpectsCallers(mState.Now());
+}
+
+bool
+Exchange::MayStart(TimePoint aStart) const
+{
+  if (!mState.mLeave.Leaving()) {
+    return true;
+  }
+  if (mStreaming) {
+    return mState.mLeave.MayContinue(aStart);
+  }
+  return mState.mLeave.MayStart(aStart,
+                                mFinalAnswerBy + kLateAnswerMargin,
+                                mState.mRunTimes.UsualTime(mRoute->mName));
+}
+
+// Another instance can serve the request, so the retry-after time is short.
+void
+Exchange::RefuseShuttingDown()
+{
+  Refuse(
+    ErrorKind::ShuttingDown, kRetryAfterElsewhere, "instance is shutting down");
+}
+
+// After the loop was held up, the caller may have left or given up in events
+// that aren't handled yet. Its request would run for nobody.
+bool
+Exchange::CallerStillWaits()
+{
+  if (mState.mReactor.Lag() < kMaxLag) {
+    return true;
+  }
+  mCaller->ReadArrived(); // may finish this exchange
+  TimePoint answerBy = mStreaming ? mFinalAnswerBy : mFirstByteBy;
+  if (!mFinished && mState.Now() >= answerBy) {
+    Refuse(ErrorKind::DeadlineUnmeetable,
+           kRetryAfterDefault,
+           "deadline passed while the instance was held up");
+  }
+  return !mFinished;
+}
+
+bool
+Exchange::OnEngine() const
+{
+  auto service = mConfig->mServices.find(mService);
+  return service != mConfig->mServices.end() &&
+         service->second.mEngine.has_value();
+}
+
+ServerChoice
+Exchange::ChooseServer(ModelsWithoutServer& aWithout)
+{
+  bool engine = OnEngine();
+  ServerRequirements requirements;
+  requirements.mService = mService;
+  requirements.mModel = engine ? mFacts.mModel : "";
+  requirements.mAdapter = engine ? mFacts.mAdapter : "";
+  requirements.mZone = mState.mSettings.mZone;
+  requirements.mExcluded = mBadServers;
+  requirements.mMaxPerSlot =
+    engine ? kEngineRequestsPerSlot : kServiceRequestsPerSlot;
+  if (static_cast<int>(mTriedServers.size()) >= mRoute->mMaxServers) {
+    requirements.mOnly = mTriedServers;
+  }
+  bool anyServer = requirements.mExcluded.empty() && requirements.mOnly.empty();
+  std::string key;
+  if (anyServer) {
+    key = mService + " " + requirements.mModel + " " + requirements.mAdapter;
+    auto known = aWithout.find(key);
+    if (known != aWithout.end()) {
+      return known->second;
+    }
+  }
+  ServerChoice choice =
+    mState.mServers.Choose(requirements, mState.Now(), mState.mRandom);
+  if (anyServer && !choice.mBackend) {
+    aWithout.emplace(std::move(key), choice);
+  }
+  return choice;
+}
+
+bool
+Exchange::FindServer(ModelsWithoutServer& aWithout)
+{
+  auto self = shared_from_this(); // CallerStillWaits may finish it
+  if (!MayStart(mState.Now())) {
+    RefuseShuttingDown();
+    return true;
+  }
+  if (!CallerStillWaits()) {
+    return true;
+  }
+  ServerChoice choice = ChooseServer(aWithout);
+  if (choice.mBackend) {
+    mWaiting = false;
+    Send(*choice.mBackend);
+    return true;
+  }
+  if (OnEngine() && !choice.mHeld && !mFacts.mModel.empty()) {
+    mColdStart = true;
+    mLoadRequester.RequestLoad(ToLoadRequest());
+  }
+  return RefuseIfUnmeetable(choice);
+}
+
+bool
+Exchange::TriedServersGone(const ServerChoice& aChoice) const
+{
+  return !mWaiting && !mTriedServers.empty() && !aChoice.mHeld &&
+         static_cast<int>(mTriedServers.size()) >= mRoute->mMaxServers;
+}
+
+// A request that can't be served in time is refused at once, with the time
+// after which a retry can succeed.
+bool
+Exchange::RefuseIfUnmeetable(const ServerChoice& aChoice)
+{
+  if (TriedServersGone(aChoice)) {
+    Refuse(
+      ErrorKind::NoEndpoint, kRetryAfterDefault, "all servers tried are gone");
+    return true;
+  }
+  Millis wait{ 0 };
+  if (!aChoice.mHeld) {
+    wait = mLoadRequester.Expected(ToLoadRequest()).value_or(Millis(0));
+  }
+  TimePoint begin = mState.Now() + wait;
+  // The time until a server slot comes free isn't known; the default
+  // retry-after time stands in for it.
+  if (!MayStart(std::max(begin, mState.Now() + kRetryAfterDefault))) {
+    RefuseShuttingDown();
+    return true;
+  }
+  if (begin + kServiceTime <= mFirstByteBy) {
+    return false;
+  }
+  RefuseUnmeetable(wait, aChoice.mHeld);
+  return true;
+}
+
+void
+Exchange::RefuseUnmeetable(Millis aWait, bool aHeld)
+{
+  // Retries of callers that wait for the same load are spread over a fifth of
+  // the wait.
+  std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
+  Millis after =
+    std::max(aWait, kRetryAfterDefault) + Millis(spread(mState.mRandom));
+  if (aHeld) {
+    Refuse(ErrorKind::NoCapacity, after, "all servers are at capacity");
+  } else {
+    Refuse(ErrorKind::DeadlineUnmeetable,
+           after,
+           "model load would miss the deadline");
+  }
+}
+
+} // namespace caraway
