ShareClient: attempts at silent holders grow rarer, own expired slots aren't asked

Read in the diff before the landing: an instance whose own lease is over would have asked itself fifty times a second for each waiting request. Its own slots count only under a lease in force now, and the pause doubles after each attempt.

--- a/src/share/ShareClient.cpp
+++ b/src/share/ShareClient.cpp
@@ -14,8 +14,9 @@
 // A holder that didn't reply isn't asked again for this time. Otherwise every
 // request short of tokens would wait for it.
 constexpr Millis kUnresponsiveFor{ 1000 };
-// Pause of a request whose tenant's holders are all silent, and interval of the
-// probes that all such requests together send to one holder.
+// Pause of a request whose tenant's holders are all silent, doubled after each
+// attempt, and interval of the probes that all such requests together send to
+// one holder.
 constexpr Millis kSilentPause{ 20 };
 constexpr Millis kProbeInterval{ 60 };
 constexpr Millis kTableRereadInterval{ 2000 };
@@ -213,28 +214,37 @@
 ShareClient::Take(const Tenant& aTenant, double aTokens, TimePoint aUntil)
 {
   ++mCounts.mTakes;
-  for (;;) {
+  for (Millis pause = kSilentPause;; pause *= 2) {
     auto taken = Outcome([&] { return TakeOnce(aTenant, aTokens); });
     auto* failure = std::get_if<Failure>(&taken);
     if (!failure) {
       return std::get<ShareTicket>(std::move(taken));
     }
     bool silent = failure->mKind == ErrorKind::RateUnavailable;
-    if (!silent || !AwaitHolder(aTenant.mName, aUntil)) {
+    if (!silent || !AwaitHolder(aTenant.mName, pause, aUntil)) {
       return Fail(*failure);
     }
   }
 }
 
-// Returns whether a holder of the tenant's share answers before aUntil.
+// Waits for aPause and then for a holder of the tenant's share that answers.
+// Returns false if there is none before aUntil.
 bool
-ShareClient::AwaitHolder(const std::string& aTenant, TimePoint aUntil)
+ShareClient::AwaitHolder(const std::string& aTenant,
+                         Millis aPause,
+                         TimePoint aUntil)
 {
-  while (mClock.Now() + kSilentPause < aUntil) {
-    std::this_thread::sleep_for(kSilentPause);
+  for (Millis pause = aPause; mClock.Now() + pause < aUntil;
+       pause = kSilentPause) {
+    std::this_thread::sleep_for(pause);
     for (const SlotRef& slotRef : SlotsToAsk(aTenant)) {
       std::string holder = HolderIn(slotRef.mZone, slotRef.mSlot);
-      if (!holder.empty() && Responds(slotRef.mZone, holder)) {
+      bool ownZone = slotRef.mZone == mSettings.mZone;
+      if (ownZone && mManager.Holds(slotRef.mSlot)) {
+        if (mManager.MaySpend(slotRef.mSlot)) {
+          return true;
+        }
+      } else if (!holder.empty() && Responds(slotRef.mZone, holder)) {
         return true;
       }
     }
--- a/src/share/ShareClient.h
+++ b/src/share/ShareClient.h
@@ -67,7 +67,7 @@
   };
 
   Result<ShareTicket> TakeOnce(const Tenant& aTenant, double aTokens);
-  bool AwaitHolder(const std::string& aTenant, TimePoint aUntil);
+  bool AwaitHolder(const std::string& aTenant, Millis aPause, TimePoint aUntil);
   bool Responds(const std::string& aZone, const std::string& aHolder);
   std::vector<SlotRef> SlotsToAsk(const std::string& aTenant);
   TakeReply TakeFromSlot(const std::string& aZone,
--- a/src/share/ShareManager.cpp
+++ b/src/share/ShareManager.cpp
@@ -93,6 +93,13 @@
   return mLease.mTable.mSlots[aSlot].mHolder;
 }
 
+bool
+ShareManager::MaySpend(int aSlot) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return ShareLeaseMaySpend(mLease, aSlot, mClock.Now());
+}
+
 ShareTable
 ShareManager::Table() const
 {
--- a/src/share/ShareManager.h
+++ b/src/share/ShareManager.h
@@ -57,6 +57,8 @@
     mOnSlotsReceived = std::move(aCallback);
   }
   bool Holds(int aSlot) const { return HolderOf(aSlot) == mSelf; }
+  // Whether this instance holds the slot under a lease that is in force.
+  bool MaySpend(int aSlot) const;
   ShareTable Table() const;
   int SlotsHeld() const;
   // Whether all slots held here are at their target member.
