TokenHolders: holders of tokens are ranked when something changed

Cause: ten times a second, and with each confirmation of a zone peer, every instance ranked the instances of all zones by rendezvous hash for each of 40 tenants, copying and sorting their names, whether anything had changed or not.

Change: a tenant's holders in a zone are kept until the zone's members or the limit change; lenders are looked up when a request needs them; parts are set when members, configuration or the right to spend change. RendezvousFirst sorts positions and copies only the names it returns.

Tests: TokenHolders.UnchangedFleetIsNotRankedAgain and NewcomerIsRankedInItsZoneOnly, red with the ranking kept from being reused (20,200 rankings for 200), green with it.

--- a/src/decide/RateSplit.cpp
+++ b/src/decide/RateSplit.cpp
@@ -42,20 +42,6 @@
   return RendezvousFirst(aMembers, aLimit.mName, parts);
 }
 
-double
-PartOf(const TenantLimit& aLimit,
-       size_t aZones,
-       const std::vector<std::string>& aMembers,
-       const std::string& aSelf)
-{
-  auto holders = HoldersOf(aLimit, aZones, aMembers);
-  if (std::count(holders.begin(), holders.end(), aSelf) == 0) {
-    return 0;
-  }
-  return 1.0 /
-         static_cast<double>(std::max<size_t>(aZones, 1) * holders.size());
-}
-
 double
 ReserveFor(int aPriority, int aLeastUrgent)
 {
--- a/src/decide/RateSplit.h
+++ b/src/decide/RateSplit.h
@@ -29,13 +29,6 @@
           size_t aZones,
           const std::vector<std::string>& aMembers);
 
-// aSelf's part of the limit, 0 to 1. aMembers: instances of its own zone.
-double
-PartOf(const TenantLimit& aLimit,
-       size_t aZones,
-       const std::vector<std::string>& aMembers,
-       const std::string& aSelf);
-
 // Share of the burst that routes of aPriority leave for more urgent ones of the
 // tenant. A tenant in overload would otherwise spend its limit in order of
 // arrival, mostly on the least urgent requests; with the reserve, its urgent
--- a/src/decide/Rendezvous.cpp
+++ b/src/decide/Rendezvous.cpp
@@ -53,15 +53,28 @@
                 const std::string& aKey,
                 size_t aCount)
 {
-  std::vector<std::pair<uint64_t, std::string>> ranked;
+  struct Ranked
+  {
+    uint64_t mWeight;
+    const std::string* mMember;
+  };
+  std::vector<Ranked> ranked;
+  ranked.reserve(aMembers.size());
   for (const std::string& member : aMembers) {
-    ranked.emplace_back(~Weight(member, aKey), member);
+    ranked.push_back({ Weight(member, aKey), &member });
   }
-  std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min(aCount, ranked.size()));
+  size_t count = std::min(aCount, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(),
+                    [](const Ranked& aOne, const Ranked& aOther) {
+                      return aOne.mWeight != aOther.mWeight
+                               ? aOne.mWeight > aOther.mWeight
+                               : *aOne.mMember < *aOther.mMember;
+                    });
   std::vector<std::string> first;
-  for (auto& [rank, member] : ranked) {
-    first.push_back(std::move(member));
+  for (size_t i = 0; i < count; ++i) {
+    first.push_back(*ranked[i].mMember);
   }
   return first;
 }
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -137,10 +137,13 @@
     return;
   }
   Peer& peer = mPeers[aName];
+  bool listed = peer.mName == aName && peer.mZone == aZone;
   peer.mName = aName;
   peer.mZone = aZone;
   peer.mAddress = aAddress;
-  mState.mInstances = static_cast<int>(mPeers.size()) + 1;
+  if (!listed) {
+    OnListChanged();
+  }
 }
 
 void
@@ -148,6 +151,13 @@
 {
   mState.mServers.ForgetPeer(aName);
   mPeers.erase(aName);
+  OnListChanged();
+}
+
+void
+Peers::OnListChanged()
+{
+  ++mListVersion;
   mState.mInstances = static_cast<int>(mPeers.size()) + 1;
 }
 
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -90,6 +90,9 @@
   // The live instance that claims to hold aLease; "" = none.
   std::string HolderOf(const std::string& aLease) const;
   const std::map<std::string, Peer>& All() const { return mPeers; }
+  // Grows whenever an instance is added to All(), moved to another zone or
+  // removed.
+  uint64_t ListVersion() const { return mListVersion; }
   bool Alive(const Peer& aPeer) const;
   bool Alive(const std::string& aName) const;
   // This instance's last heartbeat claimed aLease.
@@ -124,6 +127,7 @@
     TimePoint mAt{};
   };
 
+  void OnListChanged();
   void SendHeartbeats();
   void ForgetSilent();
   void ForgetDeparted();
@@ -147,6 +151,7 @@
   ImmediateHandler mCallHandler;
   std::shared_ptr<ListenPort> mPort;
   std::map<std::string, Peer> mPeers; // by name, not this instance
+  uint64_t mListVersion = 0;
   std::map<std::string, Method> mMethods;
   std::vector<std::function<void(Json::Value&)>> mHeartbeatFillers;
   std::vector<std::function<void(const Peer&, const Json::Value&)>>
--- a/src/entry/PeersLeave.cpp
+++ b/src/entry/PeersLeave.cpp
@@ -132,7 +132,7 @@
   mState.mLog.Line("instance_left").Text("peer", name);
   mDeparted[name] = std::move(departed);
   mPeers.erase(name);
-  mState.mInstances = static_cast<int>(mPeers.size()) + 1;
+  OnListChanged();
 }
 
 bool
--- a/src/entry/TenantRateLimiter.cpp
+++ b/src/entry/TenantRateLimiter.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// Buckets follow changes of limits and of live instances at this interval, and
-// changes of the members at once.
+// Buckets follow changes of limits at this interval, and changes of the members
+// at once.
 constexpr Millis kRefreshInterval{ 100 };
 
 constexpr Millis kMinTimer{ 1 };
@@ -23,6 +23,18 @@
 // Retry-after time while there is no configuration.
 constexpr Millis kNotConfiguredRetry{ 700 };
 
+// All zones, aSettings' own first.
+std::vector<std::string>
+OwnZoneFirst(const EntrySettings& aSettings)
+{
+  std::vector<std::string> zones = aSettings.mZones;
+  auto own = std::find(zones.begin(), zones.end(), aSettings.mZone);
+  if (own != zones.end()) {
+    std::rotate(zones.begin(), own, zones.end());
+  }
+  return zones;
+}
+
 } // namespace
 
 TenantRateLimiter::TenantRateLimiter(EntryState& aState,
@@ -31,6 +43,7 @@
   : mState(aState)
   , mPeers(aPeers)
   , mMembers(aMembers)
+  , mHolders(aState.mSettings.mName, OwnZoneFirst(aState.mSettings))
 {
 }
 
@@ -60,57 +73,41 @@
   if (!mState.mConfig) {
     return;
   }
-  TimePoint now = mState.Now();
-  std::vector<std::string> members = mMembers.CountedMembers();
   bool maySpend = mMembers.MaySpend();
-  size_t zones = mState.mSettings.mZones.size();
+  bool moved =
+    mHolders.SetMembers(mState.mSettings.mZone, mMembers.CountedMembers());
+  if (!moved && maySpend == mSplitMaySpend && mState.mConfig == mSplitConfig) {
+    return;
+  }
+  mSplitMaySpend = maySpend;
+  mSplitConfig = mState.mConfig;
+  TimePoint now = mState.Now();
   for (const auto& [name, limit] : mState.mConfig->mTenants) {
-    if (limit.mRate <= 0) {
-      continue;
+    if (limit.mRate > 0) {
+      double part = maySpend ? mHolders.OwnPart(limit) : 0;
+      mTenants[name].mTokenBucket.SetPart(limit, part, now);
     }
-    TenantTokenBucket& bucket = mTenants[name].mTokenBucket;
-    double part =
-      maySpend ? PartOf(limit, zones, members, mState.mSettings.mName) : 0;
-    bucket.SetPart(limit, part, now);
-    bucket.SetHolders(LendersOf(limit));
   }
 }
 
-// Returns the live holders of the tenant's tokens: those of this zone first,
-// then those of the other zones. Within a zone each instance starts with a
-// different one, so that not all request loans of the same lender.
-std::vector<std::string>
-TenantRateLimiter::LendersOf(const TenantLimit& aLimit) const
+// The members of the own zone are those that the limits are divided among, see
+// Refresh(); those of the others are the instances known there.
+void
+TenantRateLimiter::UpdateHolders()
 {
-  const std::string& self = mState.mSettings.mName;
-  std::vector<std::string> zones = mState.mSettings.mZones;
-  auto own = std::find(zones.begin(), zones.end(), mState.mSettings.mZone);
-  if (own != zones.end()) {
-    std::rotate(zones.begin(), own, zones.end());
+  if (mPeerListVersion == mPeers.ListVersion()) {
+    return;
   }
-  std::vector<std::string> lenders;
-  for (const std::string& zone : zones) {
-    std::vector<std::string> members;
-    for (const auto& [name, peer] : mPeers.All()) {
-      if (peer.mZone == zone) {
-        members.push_back(name);
-      }
-    }
-    if (zone == mState.mSettings.mZone) {
-      members = mMembers.CountedMembers();
-    }
-    std::vector<std::string> alive;
-    for (const std::string& holder : HoldersOf(aLimit, zones.size(), members)) {
-      if (holder != self && mPeers.Alive(holder)) {
-        alive.push_back(holder);
-      }
+  mPeerListVersion = mPeers.ListVersion();
+  std::map<std::string, std::vector<std::string>> zones;
+  for (const auto& [name, peer] : mPeers.All()) {
+    zones[peer.mZone].push_back(name);
+  }
+  for (const std::string& zone : mState.mSettings.mZones) {
+    if (zone != mState.mSettings.mZone) {
+      mHolders.SetMembers(zone, std::move(zones[zone]));
     }
-    std::sort(alive.begin(), alive.end());
-    auto next = std::upper_bound(alive.begin(), alive.end(), self);
-    std::rotate(alive.begin(), next, alive.end());
-    lenders.insert(lenders.end(), alive.begin(), alive.end());
   }
-  return lenders;
 }
 
 void
@@ -142,7 +139,16 @@
 void
 TenantRateLimiter::Step(const std::string& aTenant)
 {
-  TenantBucketStep step = mTenants[aTenant].mTokenBucket.Step(mState.Now());
+  TenantTokenBucket& bucket = mTenants[aTenant].mTokenBucket;
+  const TenantLimit* limit = mState.mConfig->Tenant(aTenant);
+  if (limit && bucket.Waiting()) {
+    UpdateHolders();
+    bucket.SetHolders(
+      mHolders.Lenders(*limit, [this](const std::string& aPeer) {
+        return mPeers.Alive(aPeer);
+      }));
+  }
+  TenantBucketStep step = bucket.Step(mState.Now());
   if (step.mCall) {
     Call(aTenant, *step.mCall);
   }
--- a/src/entry/TenantRateLimiter.h
+++ b/src/entry/TenantRateLimiter.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "decide/TenantTokenBucket.h"
+#include "decide/TokenHolders.h"
 #include "entry/Membership.h"
 #include "entry/Peers.h"
 #include "entry/RateLimiter.h"
@@ -39,7 +40,7 @@
     TimePoint mTimerAt{}; // of the pending timer
   };
   void Refresh();
-  std::vector<std::string> LendersOf(const TenantLimit& aLimit) const;
+  void UpdateHolders();
   void Step(const std::string& aTenant);
   void ArmTimer(const std::string& aTenant, TimePoint aAt);
   void Call(const std::string& aTenant, const TokenLoanCall& aCall);
@@ -52,7 +53,11 @@
   EntryState& mState;
   Peers& mPeers;
   Membership& mMembers;
+  TokenHolders mHolders;
   std::map<std::string, Tenant> mTenants;
+  ServingConfigPtr mSplitConfig; // that the parts are computed from
+  bool mSplitMaySpend = false;
+  uint64_t mPeerListVersion = 0; // that mHolders knows
   std::map<uint64_t, Waiter> mWaiters;
   uint64_t mNextId = 0;
 };
