ZoneMembers: an entry that was just seen needs no other list

Cause: an instance asked for a fresh list each second until it had heard from a majority of its zone within half the silence timeout. Among 295 instances one peer's heartbeat comes each 9.2 s, so that for seconds after a start nobody had, although the list just read allows to spend for 27 s.

Change: the list is needed when the last sight of the own entry is older than half the timeout too. The right to spend is decided as before. The membership model listed by the answer at the time of its last list; it now asks at each pass, as Membership does.

--- a/src/decide/ZoneMembers.cpp
+++ b/src/decide/ZoneMembers.cpp
@@ -214,8 +214,10 @@
     });
   // Checked at half the timeout, so that the list has arrived when it is
   // needed.
-  bool noMajority = !mCounted || !Majority(aNow, mSilenceTimeout / 2);
-  return mJoined && !mLeft && (noMajority || removing);
+  Millis soon = mSilenceTimeout / 2;
+  bool mayExpire =
+    !mCounted || (aNow - mSeenAt > soon && !Majority(aNow, soon));
+  return mJoined && !mLeft && (mayExpire || removing);
 }
 
 // Whether a majority no longer hears from the peer; with two instances, whether
--- a/tests/property/ZoneTokensProperty.cpp
+++ b/tests/property/ZoneTokensProperty.cpp
@@ -43,7 +43,8 @@
   int mPartition = 0; // nodes of different partitions can't reach each other
   int mRevision = 0;
   bool mRecordedCounted = false;
-  TimePoint mListNext{};
+  TimePoint mListedAt{};
+  bool mListDue = true;
   TimePoint mTryNext{};
   std::map<std::string, int> mSeen; // revisions, as listed
 };
@@ -218,10 +219,11 @@
       aNode.mRevision = ++mRevision;
       mEntries[aNode.mName] = { aNode.mRevision, counted, false };
       aNode.mRecordedCounted = counted;
-      aNode.mListNext = mNow;
+      aNode.mListDue = true;
       zone.OnJoined(counted, mNow);
     }
-    if (mNow >= aNode.mListNext) {
+    Millis wait = zone.NeedsStore(mNow) ? Seconds(1) : Seconds(10);
+    if (aNode.mListDue || mNow - aNode.mListedAt >= wait) {
       List(aNode);
     }
     auto own = mEntries.find(aNode.mName);
@@ -247,7 +249,7 @@
       if (mark || zone.MayRemove(peer, mNow)) {
         Millis late = Chance(3) ? Millis(mRandom() % 3000) : Millis(0);
         mLate.push_back({ mNow + late, peer, aNode.mSeen[peer], mark });
-        aNode.mListNext = std::min(aNode.mListNext, mNow + Millis(200));
+        aNode.mListDue = true;
         aNode.mTryNext = mNow + Millis(500);
       }
     }
@@ -262,8 +264,8 @@
       aNode.mSeen[name] = entry.mRevision;
     }
     aNode.mZone.OnListed(entries, mNow, mNow);
-    bool needed = aNode.mZone.NeedsStore(mNow);
-    aNode.mListNext = mNow + (needed ? Seconds(1) : Seconds(10));
+    aNode.mListedAt = mNow;
+    aNode.mListDue = false;
   }
 
   void RunLateWrites()
