ListSchedule: reads of the list of instances don't grow with the fleet

Cause: each instance read the list after 0.3, 0.6, 1.2 s and so on to each 10 s: with n instances the store sends n entries to each of n at a fixed interval. It also read the list before and after it joined, and read an entry that as a rule isn't there before it wrote its own.

Change: the interval is 100 ms per known instance or more; the first list follows the join; the entry is created first, and read only on a conflict. Instances that a list lacks make themselves known by their heartbeats, and in the own zone by asking to be counted.

--- /dev/null
+++ b/src/decide/ListSchedule.cpp
@@ -0,0 +1,26 @@
+#include "decide/ListSchedule.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+Millis
+ListSchedule::Wait(bool aNeeded) const
+{
+  return aNeeded ? std::min(mInterval, kNeededInterval) : mInterval;
+}
+
+void
+ListSchedule::OnRead(bool aGood, int aInstances)
+{
+  if (!aGood) {
+    mInterval = kRetryInterval;
+    return;
+  }
+  Millis ofFleet = kIntervalPerInstance * aInstances;
+  Millis least = std::max(kMinInterval, ofFleet);
+  Millis most = std::max(kMaxInterval, ofFleet);
+  mInterval = std::clamp(mInterval * 2, least, most);
+}
+
+} // namespace caraway
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -14,15 +14,6 @@
 // Message that an entry was marked or removed; its receivers read a fresh list.
 constexpr char kListChangedMessage[] = "list_news";
 
-// Interval between two reads of the list. It starts short and doubles up to the
-// maximum: instances that start together may each read the list before the
-// others are on it.
-constexpr Millis kMinListInterval{ 300 };
-constexpr Millis kMaxListInterval{ 10000 };
-
-// Longest interval while ZoneMembers::NeedsStore().
-constexpr Millis kNeededListInterval{ 1000 };
-
 constexpr Millis kRetryInterval{ 300 };
 
 constexpr Millis kCheckInterval{ 200 };
@@ -43,7 +34,6 @@
   , mStore(aStore)
   , mPeers(aPeers)
   , mZoneMembers(aState.mSettings.mName)
-  , mListInterval(kMinListInterval)
 {
 }
 
@@ -67,8 +57,10 @@
       ReadHeartbeat(aPeer.mName, aHeartbeat);
     }
   });
-  Join();
-  List();
+  mListedAt = mState.Now(); // the first list is read once joined
+  // As a rule there is no entry yet, which then needs no read.
+  mJoining = true;
+  Write(0, false);
   mState.mReactor.Every(kCheckInterval, [this] { Check(); });
 }
 
@@ -84,9 +76,7 @@
   RequestConfirmations();
   ForgetSilentPeer();
   LogChange();
-  bool needed = mZoneMembers.NeedsStore(now);
-  Millis wait =
-    needed ? std::min(mListInterval, kNeededListInterval) : mListInterval;
+  Millis wait = mListSchedule.Wait(mZoneMembers.NeedsStore(now));
   if (!mListing && (mFreshListDue || mState.AgeOf(mListedAt) >= wait)) {
     List();
   }
@@ -139,6 +129,7 @@
   return self;
 }
 
+// Writes the entry anew, over the one that is there.
 void
 Membership::Join()
 {
@@ -169,9 +160,13 @@
   mStore.Call("join",
               aRevision > 0 ? wire::ReplaceCall(kKind, self)
                             : wire::CreateCall(kKind, self),
-              [this, aCounted, requestedAt](StoreOutcome aOutcome,
-                                            const std::string& aBody) {
+              [this, aRevision, aCounted, requestedAt](
+                StoreOutcome aOutcome, const std::string& aBody) {
                 auto object = wire::ReadObjectAnswer(aBody);
+                if (aOutcome == StoreOutcome::Conflict && aRevision == 0) {
+                  Join(); // there is an entry of an earlier process
+                  return;
+                }
                 if (aOutcome != StoreOutcome::Done || !object) {
                   mState.mReactor.After(kRetryInterval, [this] { Join(); });
                   return;
@@ -258,9 +253,7 @@
                   return;
                 }
                 mListedAt = mState.Now();
-                mListInterval =
-                  page ? std::min(mListInterval * 2, kMaxListInterval)
-                       : kRetryInterval;
+                mListSchedule.OnRead(page.has_value(), mState.mInstances);
                 mListing = false;
               });
 }
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/ListSchedule.h"
 #include "decide/ZoneMembers.h"
 #include "entry/EntryState.h"
 #include "entry/Peers.h"
@@ -71,7 +72,7 @@
   ZoneMembers mZoneMembers;
   std::function<void()> mOnChange = [] {};
   ZoneCounts mOnZoneCounts = [](const auto&, TimePoint) {};
-  Millis mListInterval;
+  ListSchedule mListSchedule;
   uint64_t mListRound = 0;
   bool mListing = false;
   bool mFreshListDue = false;
