Peers: a lease that was taken is announced

Cause: who holds a lease was told by heartbeats only, which reach an instance of 295 each 9.2 s.

The first check of a lease is delayed by the instance's yield in place of the first acquisition, so that weaker instances hear of the holder before they call the store. A new process of an instance no longer inherits the claims of the one before.

--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -94,7 +94,11 @@
     }
   });
   std::uniform_int_distribution<int64_t> startDelay(0, kMaxStartDelay.count());
-  mState.mReactor.After(Millis(startDelay(mState.mRandom)), [this] {
+  // The first check is delayed by the yield instead of the acquisition. Of the
+  // instances that start together, those that yield longer then hear that the
+  // lease is held before they make a call for it.
+  mStep.SetYield(Millis(0));
+  mState.mReactor.After(mYield + Millis(startDelay(mState.mRandom)), [this] {
     Tick();
     mState.mReactor.Every(kCheckInterval, [this] { Tick(); });
   });
@@ -142,6 +146,7 @@
   std::string claimant = mPeers.HolderOf(mName);
   if (!claimant.empty()) {
     mStep.OnHolderAnnounced(claimant, aNow);
+    mStep.SetYield(mYield);
     mLastClaimant = claimant;
   } else if (mPeers.Alive(mLastClaimant)) {
     mStep.OnHolderReleased(aNow); // alive, but no longer claims it
@@ -219,6 +224,10 @@
     mState.mLog.Line(holds ? "lease_taken" : "lease_ended")
       .Text("lease", mName)
       .Count("token", mStep.Token());
+    if (holds) {
+      mStep.SetYield(mYield);
+      mPeers.AnnounceLease(mName);
+    }
   }
 }
 
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -59,6 +59,7 @@
     mState.mReactor, mState.mSettings.mPeers, mCallHandler, kMaxConnections);
   mIncarnation = ClockMillis();
   mState.mReactor.Every(kHeartbeatTick, [this] { SendHeartbeats(); });
+  WatchLeases();
   WatchLeaving();
 }
 
@@ -115,18 +116,6 @@
   return found != mPeers.end() && Alive(found->second);
 }
 
-std::string
-Peers::HolderOf(const std::string& aLease) const
-{
-  for (const auto& [name, peer] : mPeers) {
-    if (Alive(peer) &&
-        std::count(peer.mLeases.begin(), peer.mLeases.end(), aLease) > 0) {
-      return name;
-    }
-  }
-  return "";
-}
-
 void
 Peers::AddPeer(const std::string& aName,
                const std::string& aZone,
@@ -166,12 +155,7 @@
 void
 Peers::SendHeartbeats()
 {
-  Json::Value heartbeat;
-  heartbeat["name"] = mState.mSettings.mName;
-  heartbeat["zone"] = mState.mSettings.mZone;
-  heartbeat["address"] = mState.mSettings.mPeers;
-  heartbeat["life"] = Json::Int64(mIncarnation);
-  heartbeat["stamp"] = Json::Int64(ClockMillis());
+  Json::Value heartbeat = StampedSelf();
   heartbeat["leaving"] = mState.mLeave.Leaving();
   heartbeat["left"] = mLeft;
   for (const auto& fill : mHeartbeatFillers) {
@@ -304,16 +288,39 @@
   if (name.empty() || name == mState.mSettings.mName) {
     return;
   }
-  int64_t incarnation = aHeartbeat["life"].asInt64();
   if (aHeartbeat["left"].asBool()) {
     OnGoodbye(aHeartbeat); // the goodbye message itself may be lost
   }
+  Peer& peer = *ReadSender(aHeartbeat);
+  peer.mLeases.clear();
+  for (const Json::Value& lease : aHeartbeat["leases"]) {
+    peer.mLeases.push_back(lease.asString());
+  }
+  peer.mQueued = aHeartbeat["queued"].asInt();
+  peer.mRank = aHeartbeat["rank"].asString();
+  if (aHeartbeat["leaving"].asBool()) {
+    OnLeavingMessage(aHeartbeat);
+  }
+  for (const auto& read : mHeartbeatReaders) {
+    read(peer, aHeartbeat);
+  }
+}
+
+// Records that the sender of a StampedSelf() was heard. Returns null if that is
+// no other instance.
+Peer*
+Peers::ReadSender(const Json::Value& aMessage)
+{
+  std::string name = aMessage["name"].asString();
+  if (name.empty() || name == mState.mSettings.mName) {
+    return nullptr;
+  }
+  int64_t incarnation = aMessage["life"].asInt64();
   bool departed = IsDeparted(name, incarnation);
   if (!departed) {
     bool alive = Alive(name);
     mDeparted.erase(name); // it has restarted
-    AddPeer(
-      name, aHeartbeat["zone"].asString(), aHeartbeat["address"].asString());
+    AddPeer(name, aMessage["zone"].asString(), aMessage["address"].asString());
     if (!alive) {
       mState.mLog.Line("instance_heard").Text("peer", name);
     }
@@ -322,21 +329,11 @@
   if (peer.mIncarnation != incarnation) {
     peer.mIncarnation = incarnation;
     peer.mLeaving = false;
+    peer.mLeases.clear(); // its earlier process claimed them
   }
   peer.mLastHeardAt = mState.Now();
-  peer.mSenderTime = aHeartbeat["stamp"].asInt64();
-  peer.mLeases.clear();
-  for (const Json::Value& lease : aHeartbeat["leases"]) {
-    peer.mLeases.push_back(lease.asString());
-  }
-  peer.mQueued = aHeartbeat["queued"].asInt();
-  peer.mRank = aHeartbeat["rank"].asString();
-  if (aHeartbeat["leaving"].asBool()) {
-    OnLeavingMessage(aHeartbeat);
-  }
-  for (const auto& read : mHeartbeatReaders) {
-    read(peer, aHeartbeat);
-  }
+  peer.mSenderTime = aMessage["stamp"].asInt64();
+  return &peer;
 }
 
 } // namespace caraway
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -100,6 +100,9 @@
   {
     return mClaims.count(aLease) > 0;
   }
+  // Tells all instances that this one holds aLease, ahead of its heartbeats,
+  // which take a round over all instances to arrive.
+  void AnnounceLease(const std::string& aLease);
   // The instance is known and is not shutting down.
   bool IsStaying(const std::string& aName) const;
 
@@ -134,9 +137,13 @@
   // The instance is of this zone and may still have requests in flight.
   bool DrainsInZone(const Departed& aDeparted) const;
   void WatchLeaving();
+  void WatchLeases();
   void AnnounceOwnLeaving();
   int64_t ClockMillis() const; // ms since this machine started
   Json::Value Self() const;
+  Json::Value StampedSelf() const;
+  Peer* ReadSender(const Json::Value& aMessage);
+  void OnLeaseMessage(const Json::Value& aMessage);
   void OnLeavingMessage(const Json::Value& aMessage);
   void OnGoodbye(const Json::Value& aMessage);
   void ClearLeases(const Peer& aPeer);
--- a/src/entry/PeersLeave.cpp
+++ b/src/entry/PeersLeave.cpp
@@ -64,6 +64,16 @@
   return self;
 }
 
+Json::Value
+Peers::StampedSelf() const
+{
+  Json::Value self = Self();
+  self["zone"] = mState.mSettings.mZone;
+  self["address"] = mState.mSettings.mPeers;
+  self["stamp"] = Json::Int64(ClockMillis());
+  return self;
+}
+
 void
 Peers::AnnounceOwnLeaving()
 {
