FeedRelay: starting instances follow a reader at once, and keep to it

Cause: a follower that doesn't know the transit time of its reader's updates assumes 500 ms, and learnt it with its next heartbeat to the reader, seconds later in a large fleet. Each started two watches right after its first lists, before any reader could be followed, and read the configuration twice.

Change: a follower asks its reader for an echo with a message of its own; the watch after a list waits for the batch interval like any other; the first list of the configuration is given 500 ms before it is read once more.

--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -62,6 +62,7 @@
 void
 FeedRelay::Start()
 {
+  mStartedAt = mState.Now();
   mPeers.AddMethod("config", [this](const Json::Value&) {
     return Json::Value(mFeed.ConfigText());
   });
@@ -230,8 +231,11 @@
   if (!mPeers.IsStaying(from)) {
     return;
   }
-  Millis transit =
-    mPeers.RoundTripTime(aUpdate["echoes"]).value_or(kUnknownTransitTime);
+  std::optional<Millis> roundTrip = mPeers.RoundTripTime(aUpdate["echoes"]);
+  if (!roundTrip) {
+    mPeers.RequestEcho(from);
+  }
+  Millis transit = roundTrip.value_or(kUnknownTransitTime);
   TimePoint now = mState.Now();
   TimePoint updateAt = now - transit - Millis(aUpdate["age_ms"].asInt64());
   Millis configAge = transit + Millis(aUpdate["config_age_ms"].asInt64());
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -88,6 +88,7 @@
   bool mFetchFromPeerNext = false;
   TimePoint mConfigReportedAt{}; // when a peer last reported it
   TimePoint mNextConfigFetchAt{};
+  TimePoint mStartedAt{};
   TimePoint mNextServersFetchAt{};
 };
 
--- a/src/entry/FeedRelayFetch.cpp
+++ b/src/entry/FeedRelayFetch.cpp
@@ -16,6 +16,10 @@
 // other one, store or peer, is asked as well.
 constexpr Millis kConfigSourceInterval{ 500 };
 
+// A starting instance reads the configuration by a list, which has answered
+// within this time if the store serves.
+constexpr Millis kFirstListTime{ 500 };
+
 // A version that no peer has reported for this long isn't fetched.
 constexpr Millis kReportMaxAge{ 3000 };
 
@@ -80,6 +84,10 @@
       now - mConfigReportedAt >= kReportMaxAge) {
     return;
   }
+  if (!mState.mConfig && mStore.Reachable() &&
+      now - mStartedAt < kFirstListTime) {
+    return; // the feed's own list is on its way
+  }
   mNextConfigFetchAt = now + kConfigSourceInterval;
   if (mFetchFromPeerNext && !mPeerFetchPending) {
     FetchConfigFromPeer(mConfigPeer);
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -59,6 +59,7 @@
     mState.mReactor, mState.mSettings.mPeers, mCallHandler, kMaxConnections);
   mIncarnation = ClockMillis();
   mState.mReactor.Every(kHeartbeatTick, [this] { SendHeartbeats(); });
+  WatchEchoRequests();
   WatchLeases();
   WatchLeaving();
 }
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -114,6 +114,8 @@
   // aEchoes: from the received datagram. Returns nothing if its sender has
   // received no heartbeat of this instance yet.
   std::optional<Millis> RoundTripTime(const Json::Value& aEchoes) const;
+  // Sends aPeer a time stamp to echo, ahead of the next heartbeat.
+  void RequestEcho(const std::string& aPeer);
   // Interval of the heartbeats to one instance.
   Millis HeartbeatInterval() const;
   // Number of ticks in which each instance is sent one heartbeat.
@@ -138,6 +140,7 @@
   bool DrainsInZone(const Departed& aDeparted) const;
   void WatchLeaving();
   void WatchLeases();
+  void WatchEchoRequests();
   void AnnounceOwnLeaving();
   int64_t ClockMillis() const; // ms since this machine started
   Json::Value Self() const;
--- a/src/entry/PeersLeave.cpp
+++ b/src/entry/PeersLeave.cpp
@@ -24,6 +24,7 @@
 // Most of the requests in flight at an instance's goodbye end within this time.
 constexpr Millis kDrainTime{ 4000 };
 
+constexpr char kStampMessage[] = "stamp";
 constexpr char kLeavingMessage[] = "leaving";
 constexpr char kGoodbyeMessage[] = "goodbye";
 
@@ -212,4 +213,17 @@
   return roundTrip;
 }
 
+void
+Peers::WatchEchoRequests()
+{
+  OnMessage(kStampMessage,
+            [this](const Json::Value& aMessage) { ReadSender(aMessage); });
+}
+
+void
+Peers::RequestEcho(const std::string& aPeer)
+{
+  SendMessageTo(aPeer, kStampMessage, StampedSelf());
+}
+
 } // namespace caraway
--- a/src/store/StoreFeed.cpp
+++ b/src/store/StoreFeed.cpp
@@ -115,7 +115,7 @@
                 mPages.clear();
                 mEvents.mSnapshot(all);
                 mEvents.mAnswered();
-                Watch(mWatchTime);
+                WatchAfterBatch();
               });
 }
 
@@ -151,12 +151,21 @@
         Watch(mWatchTime);
         return;
       }
-      mReactor.After(kBatchInterval, [this, generation] {
-        if (generation == mGeneration) {
-          Watch(mWatchTime - kBatchInterval);
-        }
-      });
+      WatchAfterBatch();
     });
 }
 
+// After a list too, the watch waits: an instance that follows another by then
+// makes none.
+void
+StoreFeed::WatchAfterBatch()
+{
+  uint64_t generation = mGeneration;
+  mReactor.After(kBatchInterval, [this, generation] {
+    if (generation == mGeneration) {
+      Watch(mWatchTime - kBatchInterval);
+    }
+  });
+}
+
 } // namespace caraway
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -45,6 +45,7 @@
 private:
   void List(const std::string& aAfter);
   void Watch(Millis aWait);
+  void WatchAfterBatch();
   void RetryLater(bool aList);
 
   Reactor& mReactor;
