JsonText: readers and writers are kept; datagrams are read into one buffer

Cause: each text read or written built a reader or writer from a settings object first, which takes as long as a short message; each wake for datagrams allocated and cleared 64 KB.

--- a/src/base/JsonText.cpp
+++ b/src/base/JsonText.cpp
@@ -1,22 +1,45 @@
 #include "base/JsonText.h"
 
 #include <memory>
+#include <sstream>
 
 namespace caraway {
 
 namespace {
 
+// Readers and writers are kept per thread: building one takes longer than a
+// short message takes to read.
+Json::CharReader&
+Reader()
+{
+  thread_local std::unique_ptr<Json::CharReader> sReader = [] {
+    Json::CharReaderBuilder builder;
+    builder["failIfExtra"] = true;
+    builder["rejectDupKeys"] = true;
+    builder["stackLimit"] = 64; // limits recursion on deeply nested input
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+  }();
+  return *sReader;
+}
+
+Json::StreamWriter&
+Writer()
+{
+  thread_local std::unique_ptr<Json::StreamWriter> sWriter = [] {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
+  }();
+  return *sWriter;
+}
+
 bool
 ParseInto(const std::string& aText, Json::Value& aOut, std::string& aErrors)
 {
-  Json::CharReaderBuilder builder;
-  builder["failIfExtra"] = true;
-  builder["rejectDupKeys"] = true;
-  builder["stackLimit"] = 64; // limits recursion on deeply nested input
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   const char* begin = aText.data();
   try {
-    return reader->parse(begin, begin + aText.size(), &aOut, &aErrors);
+    return Reader().parse(begin, begin + aText.size(), &aOut, &aErrors);
   } catch (const std::exception& error) {
     aErrors = error.what();
     return false;
@@ -50,10 +73,9 @@
 std::string
 JsonWrite(const Json::Value& aValue)
 {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  builder["emitUTF8"] = true;
-  return Json::writeString(builder, aValue);
+  std::ostringstream text;
+  Writer().write(aValue, &text);
+  return text.str();
 }
 
 } // namespace caraway
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -249,15 +249,14 @@
 Peers::OnReadable()
 {
   constexpr int kMaxDatagramsPerPass = 64;
-  std::string bytes(65536, '\0');
   try {
     for (int i = 0; i < kMaxDatagramsPerPass; ++i) {
-      int count =
-        mSocket.receiveBytes(bytes.data(), static_cast<int>(bytes.size()));
+      int count = mSocket.receiveBytes(mReceived.data(),
+                                       static_cast<int>(mReceived.size()));
       if (count <= 0) {
         return;
       }
-      ReadDatagram(bytes.substr(0, static_cast<size_t>(count)));
+      ReadDatagram(std::string(mReceived.data(), static_cast<size_t>(count)));
     }
   } catch (const Poco::Exception&) {
     // The error of an earlier datagram that was refused; nothing to do.
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -156,8 +156,11 @@
   void ReadHeartbeat(const Json::Value& aHeartbeat);
   ImmediateReply Answer(const InboundRequest& aRequest);
 
+  static constexpr size_t kMaxReceivedBytes = 65536; // of a datagram
+
   EntryState& mState;
   Poco::Net::DatagramSocket mSocket;
+  std::vector<char> mReceived = std::vector<char>(kMaxReceivedBytes);
   ImmediateHandler mCallHandler;
   std::shared_ptr<ListenPort> mPort;
   std::map<std::string, Peer> mPeers; // by name, not this instance
