ServerInventories: contents are repeated within four heartbeat rounds

Cause, by reading: the interval between two repeats of what a zone's servers hold was the heartbeat interval times the ticks of a round, which the interval contains already: 1 s in a small fleet, 81 s among 72 instances, 23 minutes among 295.

Change: four heartbeat rounds, as the comment says (9 s among 72, 37 s among 295), spread over them: sent at once, 32 contents to 294 instances fill a link of 20 Mbit/s for most of a second.

--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -19,10 +19,10 @@
 
 constexpr Millis kSendTick{ 1000 };
 
-// Interval at which all contents are sent, in heartbeat rounds: a second in a
-// small fleet, and in a large one long enough for a lease holder to stay within
-// its share of a narrow link.
-constexpr int kSendAllRounds = 4;
+// All contents are sent once in this many heartbeat rounds: a second in a small
+// fleet, and in a large one long enough for a lease holder to stay within its
+// share of a narrow link.
+constexpr int kRepeatRounds = 4;
 
 } // namespace
 
@@ -44,7 +44,7 @@
 {
   mState.mReactor.Every(kReportCheckInterval,
                         [this] { RequestMissingReports(); });
-  mState.mReactor.Every(kSendTick, [this] { SendAllContents(); });
+  mState.mReactor.Every(kSendTick, [this] { RepeatContents(); });
 }
 
 bool
@@ -222,28 +222,27 @@
 // Makes up for lost content messages, and refreshes mReportedAt so that
 // outdated entries of the list of servers have no effect.
 void
-ServerInventories::SendAllContents()
+ServerInventories::RepeatContents()
 {
   if (!mLease.MayAct()) {
     return;
   }
   TimePoint now = mState.Now();
-  Millis interval =
-    mPeers.HeartbeatInterval() * mPeers.TicksPerRound() * kSendAllRounds;
-  bool due = now - mSentAllAt >= interval;
-  Json::Value all(Json::arrayValue);
+  std::vector<std::string> known;
   for (auto& [id, backend] : mState.mServers.All()) {
-    if (!InZone(backend) || !Known(id)) {
-      continue;
-    }
-    backend.mReportedAt = now;
-    if (due) {
-      all.append(ContentJson(backend, backend.LoadingFor(now)));
+    if (InZone(backend) && Known(id)) {
+      backend.mReportedAt = now;
+      known.push_back(id);
     }
   }
-  if (due && !all.empty()) {
-    mSentAllAt = now;
-    mPeers.SendMessage("contents", all);
+  Json::Value contents(Json::arrayValue);
+  Millis round = mPeers.HeartbeatInterval() * kRepeatRounds;
+  for (const std::string& id : mRepeats.Due(known, round, now)) {
+    const Backend& backend = *mState.mServers.Find(id);
+    contents.append(ContentJson(backend, backend.LoadingFor(now)));
+  }
+  if (!contents.empty()) {
+    mPeers.SendMessage("contents", contents);
   }
 }
 
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 
+#include "decide/RepeatRotation.h"
 #include "decide/ServerInventory.h"
 #include "entry/LeaseLoop.h"
 #include "entry/Peers.h"
@@ -67,7 +68,7 @@
   };
   Entry& EntryOf(const std::string& aServer);
   void RequestMissingReports();
-  void SendAllContents();
+  void RepeatContents();
   bool InZone(const Backend& aBackend) const;
 
   EntryState& mState;
@@ -77,7 +78,7 @@
   std::function<void()> mChanged;
   std::map<std::string, Entry> mEntries; // by server
   int64_t mToken = 0;                    // token of the lease they belong to
-  TimePoint mSentAllAt{};
+  RepeatRotation mRepeats;
 };
 
 } // namespace caraway
