DemandExchange: lease holders are sent every request's model

Cause: what is loaded and unloaded goes by the models' rates, and a lease holder estimated them from the heartbeats that reach it, one in 37 among 295 instances, scaled by 37: a rare model asked for once looked like 4.6 requests a second (2 count as popular) or like none, and a popular one was off by three quarters either way.

Small fleets, where heartbeats reach all, are as before.

Tests: DemandExchange.RareModelsLookRareToTheHolder, red with heartbeats alone (4.75 for at most 2; 47 requests a second for 40), green after.

--- /dev/null
+++ b/src/decide/DemandExchange.h
@@ -0,0 +1,63 @@
+// DemandExchange.h: how instances tell each other which models are requested.
+//
+// The load that it is designed for: hundreds of instances with a few requests a
+// second each, hundreds of models, and a few lease holders that decide by the
+// models' rates what is loaded and unloaded. A heartbeat reaches only a few
+// instances; to all others its counts are lost. Scaling up what is received
+// makes a rare model look popular and a popular one forgotten, so lease holders
+// are sent every count, and use no others.
+#ifndef caraway_decide_DemandExchange_h
+#define caraway_decide_DemandExchange_h
+
+#include <map>
+#include <string>
+
+#include "caraway/Time.h"
+#include "decide/DemandTracker.h"
+
+namespace caraway {
+
+// Requests by MODEL or MODEL/ADAPTER.
+using DemandCounts = std::map<std::string, int>;
+
+class DemandExchange
+{
+public:
+  // A request of this instance's callers.
+  void CountOwn(const std::string& aName, TimePoint aNow);
+
+  // Own requests since the last heartbeat, or since the last report to the
+  // lease holders.
+  DemandCounts TakeForHeartbeat();
+  DemandCounts TakeForHolders();
+
+  // From a heartbeat that reaches one in aTicksPerRound instances.
+  void OnHeartbeat(const DemandCounts& aCounts,
+                   int aTicksPerRound,
+                   TimePoint aNow);
+  // What an instance reports to this one as a lease holder.
+  void OnReport(const DemandCounts& aCounts, TimePoint aNow);
+
+  // Requests per second over all instances.
+  double Rate(const std::string& aName, TimePoint aNow) const
+  {
+    return mDemand.Rate(aName, aNow);
+  }
+  std::map<std::string, double> Rates(TimePoint aNow) const
+  {
+    return mDemand.Rates(aNow);
+  }
+
+private:
+  // Instances report to a holder at least this often while they have requests.
+  static constexpr Millis kReportLife{ 2000 };
+
+  DemandTracker mDemand;
+  DemandCounts mForHeartbeat;
+  DemandCounts mForHolders;
+  TimePoint mReportedAt{}; // when a report arrived last
+};
+
+} // namespace caraway
+
+#endif
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -16,13 +16,6 @@
 {
 }
 
-void
-EntryState::CountDemand(const std::string& aName, TimePoint aNow)
-{
-  mDemand.Add(aName, 1, aNow);
-  ++mRequestsSinceHeartbeat[aName];
-}
-
 Millis
 EntryState::AgeOf(TimePoint aThen) const
 {
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -6,7 +6,7 @@
 
 #include "base/EventLog.h"
 #include "base/Metrics.h"
-#include "decide/DemandTracker.h"
+#include "decide/DemandExchange.h"
 #include "decide/LeavePlan.h"
 #include "decide/RunTimeEstimates.h"
 #include "decide/ServerRetryBudget.h"
@@ -24,8 +24,6 @@
   EntryState(const Clock& aClock, EntrySettings aSettings, int aLogFile);
 
   TimePoint Now() const { return mReactor.Now(); }
-  // Counts a request of this instance for aName, MODEL or MODEL/ADAPTER.
-  void CountDemand(const std::string& aName, TimePoint aNow);
   // Age of aThen in ms; -1 for a default TimePoint, which means never.
   Millis AgeOf(TimePoint aThen) const;
 
@@ -38,9 +36,7 @@
   ServingConfigPtr mConfig; // null until one is received
   ServerView mServers;
   bool mServersKnown = false; // the list has been received at least once
-  DemandTracker mDemand;      // at all instances
-  // At this instance, by model.
-  std::map<std::string, int> mRequestsSinceHeartbeat;
+  DemandExchange mDemand;     // at all instances
   ServerRetryBudget mRetryBudget;
   int mInstances = 1; // that may be running, including this one
   RunTimeEstimates mRunTimes;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -141,10 +141,10 @@
   TimePoint now = mState.Now();
   mState.mRetryBudget.OnRequest(mService, now);
   if (!mFacts.mModel.empty()) {
-    mState.CountDemand(mFacts.mModel, now);
+    mState.mDemand.CountOwn(mFacts.mModel, now);
   }
   if (!mFacts.mAdapter.empty()) {
-    mState.CountDemand(FullName(), now);
+    mState.mDemand.CountOwn(FullName(), now);
   }
 }
 
--- a/src/entry/UsageRelay.cpp
+++ b/src/entry/UsageRelay.cpp
@@ -24,6 +24,26 @@
   return counts;
 }
 
+Json::Value
+DemandJson(const DemandCounts& aDemand)
+{
+  Json::Value json(Json::objectValue);
+  for (const auto& [name, count] : aDemand) {
+    json[name] = count;
+  }
+  return json;
+}
+
+DemandCounts
+ReadDemand(const Json::Value& aJson)
+{
+  DemandCounts demand;
+  for (const std::string& name : aJson.getMemberNames()) {
+    demand[name] = aJson[name].asInt();
+  }
+  return demand;
+}
+
 } // namespace
 
 UsageRelay::UsageRelay(EntryState& aState, Peers& aPeers)
@@ -60,12 +80,7 @@
 UsageRelay::FillHeartbeat(Json::Value& aHeartbeat)
 {
   aHeartbeat["under_way"] = UsageOf("");
-  Json::Value& demand = aHeartbeat["asked"];
-  demand = Json::Value(Json::objectValue);
-  for (const auto& [model, count] : mState.mRequestsSinceHeartbeat) {
-    demand[model] = count;
-  }
-  mState.mRequestsSinceHeartbeat.clear();
+  aHeartbeat["asked"] = DemandJson(mState.mDemand.TakeForHeartbeat());
 }
 
 void
@@ -73,34 +88,36 @@
 {
   mState.mServers.PutPeerRequests(aPeer.mName,
                                   ReadCounts(aHeartbeat["under_way"]));
-  const Json::Value& demand = aHeartbeat["asked"];
-  for (const std::string& model : demand.getMemberNames()) {
-    // Each heartbeat reaches only one in TicksPerRound() instances, in turn.
-    mState.mDemand.Add(
-      model, demand[model].asInt() * mPeers.TicksPerRound(), mState.Now());
-  }
+  mState.mDemand.OnHeartbeat(
+    ReadDemand(aHeartbeat["asked"]), mPeers.TicksPerRound(), mState.Now());
 }
 
 void
 UsageRelay::SendUsage()
 {
+  DemandCounts demand = mState.mDemand.TakeForHolders();
   if (mPeers.TicksPerRound() == 1) {
     return; // heartbeats reach all instances at this interval
   }
+  std::set<std::string> reportedTo;
   for (const std::string& zone : mState.mSettings.mZones) {
     std::string holder = mPeers.HolderOf(ZoneLeaseName(zone));
     if (!holder.empty()) {
-      SendUsageTo(zone, holder);
+      // A holder of several zones counts the demand once.
+      bool first = reportedTo.insert(holder).second;
+      SendUsageTo(zone, holder, first ? demand : DemandCounts());
     }
   }
 }
 
 void
-UsageRelay::SendUsageTo(const std::string& aZone, const std::string& aHolder)
+UsageRelay::SendUsageTo(const std::string& aZone,
+                        const std::string& aHolder,
+                        const DemandCounts& aDemand)
 {
   Json::Value usage = UsageOf(aZone);
   // Empty counts are sent only once, when the last request has ended.
-  if (usage.empty() && !mReportedZones.count(aZone)) {
+  if (usage.empty() && aDemand.empty() && !mReportedZones.count(aZone)) {
     return;
   }
   if (usage.empty()) {
@@ -112,6 +129,7 @@
   message["from"] = mState.mSettings.mName;
   message["zone"] = aZone;
   message["servers"] = std::move(usage);
+  message["asked"] = DemandJson(aDemand);
   mPeers.SendMessageTo(aHolder, kUsageMessage, message);
 }
 
@@ -121,6 +139,7 @@
   mState.mServers.PutPeerRequestsIn(aMessage["zone"].asString(),
                                     aMessage["from"].asString(),
                                     ReadCounts(aMessage["servers"]));
+  mState.mDemand.OnReport(ReadDemand(aMessage["asked"]), mState.Now());
 }
 
 } // namespace caraway
--- a/src/entry/UsageRelay.h
+++ b/src/entry/UsageRelay.h
@@ -5,7 +5,8 @@
 // large fleet. The lease holder of a zone needs to know sooner which models are
 // in use: an unload waits for the model's requests, and meanwhile the server
 // accepts no other order. So each instance also sends each lease holder the
-// counts for the servers of the holder's zone directly.
+// counts for the servers of the holder's zone directly, and with them its
+// demand.
 #ifndef caraway_entry_UsageRelay_h
 #define caraway_entry_UsageRelay_h
 
@@ -28,7 +29,9 @@
 
 private:
   void SendUsage();
-  void SendUsageTo(const std::string& aZone, const std::string& aHolder);
+  void SendUsageTo(const std::string& aZone,
+                   const std::string& aHolder,
+                   const DemandCounts& aDemand);
   Json::Value UsageOf(const std::string& aZone) const;
   void OnUsage(const Json::Value& aMessage);
 
