--- a/src/decide/DemandExchange.h
+++ b/src/decide/DemandExchange.h
@@ -49,7 +49,8 @@
   }
 
 private:
-  // Instances report to a holder at least this often while they have requests.
+  // A holder that got no report for this long is no longer taken for one: it
+  // counts by heartbeats again.
   static constexpr Millis kReportLife{ 2000 };
 
   DemandTracker mDemand;
--- a/tests/platform/LostHolderTest.cpp
+++ b/tests/platform/LostHolderTest.cpp
@@ -11,16 +11,6 @@
 
 namespace {
 
-EntryFleetOptions
-TwoLargeZones()
-{
-  EntryFleetOptions options;
-  options.mZones = { "a", "b" };
-  options.mInstances = 18;
-  options.mStep = Millis(5);
-  return options;
-}
-
 // The running instance of aZone that holds the zone's lease, or none.
 std::optional<size_t>
 HolderIn(EntryTestFleet& aFleet, const std::string& aZone)
@@ -44,7 +34,7 @@
   constexpr Millis kLeaseLength{ 6000 };
   constexpr Millis kNoticeTime{ 1500 };
   constexpr Millis kAcquireTime{ 1000 };
-  EntryTestFleet fleet(TwoLargeZones());
+  EntryTestFleet fleet(TwoLargeZones(Millis(5)));
   fleet.AwaitReady();
   fleet.RunFor(Millis(2000));
   std::optional<size_t> holder = HolderIn(fleet, "a");
--- a/tests/platform/StoreCallsTest.cpp
+++ b/tests/platform/StoreCallsTest.cpp
@@ -11,18 +11,6 @@
 
 namespace {
 
-// Instances of one zone share its reader and its lease holder; with this many,
-// a heartbeat reaches only a part of them.
-EntryFleetOptions
-TwoLargeZones()
-{
-  EntryFleetOptions options;
-  options.mZones = { "a", "b" };
-  options.mInstances = 18;
-  options.mStep = Millis(1);
-  return options;
-}
-
 // Calls by kind and outcome, over all instances, as text.
 std::string
 CallsByKind(EntryTestFleet& aFleet)
@@ -54,7 +42,7 @@
 {
   constexpr int kMostPerInstance = 6;
   constexpr int kMostPerZone = 20; // of the reader and the lease holder
-  EntryTestFleet fleet(TwoLargeZones());
+  EntryTestFleet fleet(TwoLargeZones(Millis(1)));
   fleet.AwaitReady();
   fleet.RunFor(Millis(3000));
   int most = kMostPerInstance * static_cast<int>(fleet.Instances()) +
--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -41,6 +41,16 @@
   return sBase + sNext;
 }
 
+EntryFleetOptions
+TwoLargeZones(Millis aStep)
+{
+  EntryFleetOptions options;
+  options.mZones = { "a", "b" };
+  options.mInstances = 18;
+  options.mStep = aStep;
+  return options;
+}
+
 EntryTestFleet::EntryTestFleet(EntryFleetOptions aOptions)
   : mClock(aOptions.mStep)
   , mReactor(mClock)
--- a/tests/support/EntryTestFleet.h
+++ b/tests/support/EntryTestFleet.h
@@ -52,6 +52,10 @@
   Millis mStep{ 0 };
 };
 
+// Two zones of so many instances that a heartbeat reaches only a part of them.
+EntryFleetOptions
+TwoLargeZones(Millis aStep);
+
 class EntryTestFleet
 {
 public:
