LeaseLoop: a lease that was read as free is acquired at once

Cause: between the read of a free lease and its acquisition an instance waited for its next check, 100 ms, and up to ten others of its zone read the lease meanwhile.

Change: the check runs right after the read. Waits and yields are decided as before.

--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -176,6 +176,7 @@
                 } else {
                   mStep.OnFailed(now);
                 }
+                Tick(); // a free lease is acquired before others read it too
               });
 }
 
