request_sent tells the expected length and how long the connection is open

Streams cut at the end of a leave can't be explained by what the log has: tokens (prompt and most output) says nothing on how long a stream takes, and no line says whether a request came on a connection from before SIGTERM.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -21,8 +21,10 @@
   std::string mAdapter; // of mModel; "" = none
   std::optional<double> mPromptTokens;
   std::optional<double> mOutputTokens; // at most
-  std::optional<Millis> mDeadline;     // how long the caller waits
-  std::string mLastEvent;              // a resumed stream continues after it
+  // The caller's estimate of the output tokens; may be far off.
+  std::optional<double> mExpectedTokens;
+  std::optional<Millis> mDeadline; // how long the caller waits
+  std::string mLastEvent;          // a resumed stream continues after it
 };
 
 // Facts about a server's answer, apart from its body.
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -85,10 +85,13 @@
     .Text("server", mServer)
     .Text("model", mFacts.mModel)
     .Text("adapter", mFacts.mAdapter)
+    .Number("expected_tokens", mFacts.mExpectedTokens.value_or(0))
+    .Flag("resumes", !mFacts.mLastEvent.empty() || !mLastEvent.empty())
     .Count("send", mSends)
     .Count("under_way", aBackend.RequestsInFlight())
     .Number("failing", aBackend.mFailureShare)
     .Count("config", mConfig->mVersion)
+    .Ms("connection_ms", mState.AgeOf(mCaller->AcceptedAt()))
     .Ms("waited_ms", mState.AgeOf(mArrived));
   OutboundRequest request;
   request.mAddress = aBackend.mEntry.mAddress;
--- a/src/entry/InboundConnection.h
+++ b/src/entry/InboundConnection.h
@@ -87,6 +87,8 @@
   bool Busy() const { return mBusy; }
   bool Idle() const;
   TimePoint LastAnswerAt() const { return mLastAnswerAt; }
+  TimePoint AcceptedAt() const { return mAccepted; }
+  int Requests() const { return mRequests; } // read on the connection
   // Reads what has arrived, and reports a caller that has disconnected.
   void ReadArrived();
   // Closes the connection if its caller is too slow or idle; called
