ListenPort: idle connections are closed as a leave begins, not 2.5 s later

What callers saw: streams cut as their instance exits after a leave.

Cause: the load balancer stops opening connections to an unready instance, but those that its callers keep stayed open until callers are no longer expected. Their requests came here all that time, the later the less time was left.

Change: from SIGTERM on a connection that has carried a request and has been idle for 300 ms is closed, as it was from 2.5 s on. Nothing is refused: the next request opens a connection elsewhere. One without a request yet stays.

Test: LeavingEntry.IdleConnectionIsClosedWhileCallersAreExpected, red on the former code (still open), green now. ConnectionInUseIsNotClosedAsTheLeaveBegins passed before too, it guards this change.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -218,6 +218,10 @@
     mCallers->Close();
     mCallers->CloseIdle(ConnectionCloseReason::Leaving, kNextRequestTime);
     LeaveZone();
+  } else {
+    // The load balancer takes new connections elsewhere; requests on these ones
+    // would come here, and long streams among them be cut by the exit.
+    mCallers->CloseUsedIdle(ConnectionCloseReason::Leaving, kNextRequestTime);
   }
   // An instance that was stopped may notice the signal near the end. Its last
   // answers still get a pass to be sent, and requests that arrived meanwhile
--- a/src/entry/ListenPort.cpp
+++ b/src/entry/ListenPort.cpp
@@ -127,6 +127,17 @@
   }
 }
 
+void
+ListenPort::CloseUsedIdle(ConnectionCloseReason aReason, Millis aIdleTime)
+{
+  TimePoint now = mReactor.Now();
+  for (const auto& conn : mConns) {
+    if (conn->Requests() > 0 && now - conn->LastAnswerAt() >= aIdleTime) {
+      conn->CloseIfIdle(aReason);
+    }
+  }
+}
+
 void
 ListenPort::RejectPartialRequests()
 {
--- a/src/entry/ListenPort.h
+++ b/src/entry/ListenPort.h
@@ -30,6 +30,9 @@
   void Close();
   // Closes connections that have been idle for at least aIdleTime.
   void CloseIdle(ConnectionCloseReason aReason, Millis aIdleTime);
+  // The same for connections that have carried a request. On others the first
+  // request may be on its way.
+  void CloseUsedIdle(ConnectionCloseReason aReason, Millis aIdleTime);
   // Refuses the requests that have not been received completely.
   void RejectPartialRequests();
   // Aborts all connections because the process exits.
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -212,6 +212,39 @@
   EXPECT_TRUE(call->mComplete);
 }
 
+// Guards against callers who keep their connections and go on sending to an
+// instance that leaves, where long streams are cut by the exit: the load
+// balancer takes only new connections elsewhere.
+TEST(LeavingEntry, IdleConnectionIsClosedWhileCallersAreExpected)
+{
+  EntryTestFleet fleet(SteppedClock());
+  fleet.AwaitReady();
+  TestCallPtr kept = fleet.Call(0, "/order/x", "r1");
+  ASSERT_EQ(200, kept->mStatus);
+  ASSERT_FALSE(kept->mClosed);
+  fleet.RunFor(Millis(500));
+  fleet.mInstances[0]->Leave();
+  fleet.RunFor(Millis(300));
+  EXPECT_TRUE(kept->mClosed);
+  EXPECT_EQ(200, fleet.Call(0, "/order/x", "r2")->mStatus);
+}
+
+// Guards against closing the connection of a caller whose next request follows
+// its last answer at once: the request would get no answer.
+TEST(LeavingEntry, ConnectionInUseIsNotClosedAsTheLeaveBegins)
+{
+  EntryTestFleet fleet(SteppedClock());
+  fleet.AwaitReady();
+  TestCallPtr kept = fleet.Call(0, "/order/x", "r1");
+  ASSERT_TRUE(kept->mComplete);
+  fleet.mInstances[0]->Leave();
+  fleet.RunFor(Millis(100));
+  kept->mChannel->Write(fleet.RequestText("/order/x", "r2"));
+  fleet.RunFor(Millis(300));
+  EXPECT_EQ(200, SecondAnswerStatus(*kept));
+  EXPECT_EQ(1, fleet.RunsOf("r2"));
+}
+
 // Guards against a pipelined request that is started late in the shutdown and
 // interrupted by the exit.
 TEST(LeavingEntry, PipelinedRequestIsNotStartedTooLate)
