LeavePlan: streams go on until the process exits

What callers saw: streams cut half a second before the platform's kill, those that were sent before SIGTERM too, which no rule for starts reaches.

Cause: streams were cut with the last answers, and the half second is kept for those to be sent. A cut stream has no last answer.

Change: at the end requests without an answer get theirs, as before; streams are cut as the process exits, 0.2 s before the kill (0.3 s later than until now). A short grace exits no earlier than before.

--- a/src/decide/LeavePlan.cpp
+++ b/src/decide/LeavePlan.cpp
@@ -4,6 +4,13 @@
 
 namespace caraway {
 
+namespace {
+
+// Time after the last answers are sent for them to reach their callers.
+constexpr Millis kLastAnswersTime{ 200 };
+
+} // namespace
+
 void
 LeavePlan::Begin(TimePoint aNow, const LeaveTimes& aTimes)
 {
@@ -26,6 +33,9 @@
   Millis work = std::max(left - mTimes.mEndMargin, Millis(0));
   mCallersUntil = std::min(mCallersUntil, mBegan + callers);
   mEnd = std::min(mEnd, mBegan + work);
+  // The last answers get their time even if the grace period has passed.
+  Millis exit = std::max(left - mTimes.mExitMargin, work + kLastAnswersTime);
+  mExit = std::min(mExit, mBegan + exit);
 }
 
 bool
--- a/src/decide/LeavePlan.h
+++ b/src/decide/LeavePlan.h
@@ -14,6 +14,8 @@
   Millis mBalancerLag{ 2500 };
   // Kept at the end of the grace period for sending last answers.
   Millis mEndMargin{ 500 };
+  // Kept at its very end for the process to exit by itself.
+  Millis mExitMargin{ 200 };
   // Time since the signal may have been sent. A process that is stopped notices
   // its signal only when it continues, but is killed a grace period after it
   // was sent.
@@ -45,6 +47,9 @@
   // Time by which all requests in flight get their final answer; max() when not
   // leaving.
   TimePoint End() const { return mEnd; }
+  // Time by which the process exits. Streams go on until then: one that is cut
+  // needs no last answer. max() when not leaving.
+  TimePoint Exit() const { return mExit; }
 
 private:
   bool mLeaving = false;
@@ -52,6 +57,7 @@
   LeaveTimes mTimes;
   TimePoint mCallersUntil = TimePoint::max();
   TimePoint mEnd = TimePoint::max();
+  TimePoint mExit = TimePoint::max();
 };
 
 } // namespace caraway
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -14,9 +14,6 @@
 constexpr size_t kMaxCallers = 3400;
 constexpr size_t kMaxOtherConnections = 64;
 
-// Time after the last answers are sent for them to reach their callers.
-constexpr Millis kLastAnswersTime{ 200 };
-
 // A caller that was told to keep its connection usually sends its next request
 // within this time. The request is still answered, and the connection is
 // closed.
@@ -231,13 +228,14 @@
     mFinishedAll = true;
     mState.mLog.Line("last_answers")
       .Count("under_way", static_cast<int64_t>(mDispatcher.RequestsInFlight()));
-    mDispatcher.FinishAll();
+    mDispatcher.AnswerAll();
     mCallers->RejectPartialRequests();
   }
   bool done = closed && mDispatcher.RequestsInFlight() == 0 &&
               mCallers->AllClosed() && !mMembers.RemovingEntry();
-  bool over = finishedBefore && now >= mState.mLeave.End() + kLastAnswersTime;
+  bool over = finishedBefore && now >= mState.mLeave.Exit();
   if (done || over) {
+    mDispatcher.AbortStreams();
     mCallers->EndAll();
     mState.mLog.Line("left").Ms("after_ms", mState.AgeOf(mLeavingSince));
     mGone = true;
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -54,6 +54,7 @@
 
   const std::string& Id() const { return mFacts.mId; }
   int Priority() const { return mPriority; }
+  bool Streaming() const { return mStreaming; } // to the caller
   TimePoint Arrived() const { return mArrived; }
   const InboundConnection* Caller() const { return mCaller.get(); }
 
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -115,9 +115,20 @@
 }
 
 void
-RequestDispatcher::FinishAll()
+RequestDispatcher::AnswerAll()
 {
   auto exchanges = mExchanges; // each one removes itself from the map
+  for (auto& entry : exchanges) {
+    if (!entry.second->Streaming()) {
+      entry.second->OnInstanceExit();
+    }
+  }
+}
+
+void
+RequestDispatcher::AbortStreams()
+{
+  auto exchanges = mExchanges;
   for (auto& entry : exchanges) {
     entry.second->OnInstanceExit();
   }
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -23,9 +23,11 @@
   // waiting requests, the most urgent first, after the current event.
   void OnServersChanged();
 
-  // Called before the process exits. Sends a final answer to every request that
-  // has none.
-  void FinishAll();
+  // Called shortly before the process exits. Sends a final answer to every
+  // request that has none; streams go on.
+  void AnswerAll();
+  // Called as the process exits. Cuts the streams that haven't ended.
+  void AbortStreams();
 
   size_t RequestsInFlight() const { return mExchanges.size(); }
   size_t Waiting() const { return mWaiting.size(); }
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -245,6 +245,22 @@
   EXPECT_EQ(1, fleet.RunsOf("r2"));
 }
 
+// Guards against a stream that is cut half a second before its process exits,
+// though only last answers need that time.
+TEST(LeavingEntry, StreamGoesOnWhileLastAnswersAreSent)
+{
+  EntryTestFleet fleet(SteppedClock());
+  SetLongRouteTimeouts(fleet);
+  fleet.AwaitReady();
+  fleet.mEngines[0]->mEventGap = Millis(1540); // 7.7 s in all
+  TestCallPtr call = fleet.Send(0, "/stream/stream", "r1", kLong);
+  ASSERT_TRUE(fleet.RunUntil([&] { return call->mStatus == 200; }, Seconds(1)));
+  fleet.mInstances[0]->Leave();
+  EXPECT_TRUE(AwaitExit(fleet));
+  fleet.RunUntil([&] { return call->mClosed; }, Seconds(1));
+  EXPECT_TRUE(call->mComplete);
+}
+
 // Guards against a pipelined request that is started late in the shutdown and
 // interrupted by the exit.
 TEST(LeavingEntry, PipelinedRequestIsNotStartedTooLate)
--- a/tests/unit/LeavePlanTest.cpp
+++ b/tests/unit/LeavePlanTest.cpp
@@ -70,6 +70,19 @@
   EXPECT_FALSE(plan.MayStart(last + Millis(1), never, Millis(0)));
 }
 
+// Guards against a process that is killed at the end of its grace period
+// instead of exiting, and against one that exits before its last answers are
+// sent.
+TEST(LeavePlan, ExitLiesBetweenTheLastAnswersAndTheKill)
+{
+  for (Millis grace : { Millis(0), Millis(300), Millis(700), Millis(8000) }) {
+    LeavePlan plan = LeavingPlan(grace);
+    EXPECT_LE(plan.End() + Millis(200), plan.Exit()) << grace.count();
+  }
+  EXPECT_EQ(kNow + Millis(7800), LeavingPlan(Seconds(8)).Exit());
+  EXPECT_EQ(TimePoint::max(), LeavePlan().Exit());
+}
+
 // Guards against spending a short grace period on new callers alone.
 TEST(LeavePlan, ShortGraceIsMostlyForRequestsInFlight)
 {
