HttpPort: the limit of send times holds for later connections too

What callers saw: nothing known. A caller who connects after the limit was set and doesn't read its answer holds the answer's lock for the usual time, and with it the last answers of all others (CallerPort::AnswerShuttingDown sends them one after the other).

Cause: LimitSendTime walked the connections that were open at that moment.

Change: the limit is kept and set on each connection as it is accepted.

Tests: HttpPort.SendTimeLimitAppliesToLaterConnections, red on the former code (still sending after 2 s, with a limit of 50 ms), green now.

--- a/src/net/HttpPort.h
+++ b/src/net/HttpPort.h
@@ -47,7 +47,8 @@
 
   // Goes on serving, but every answer closes its connection.
   void Leave();
-  // Limits the time of a send; the rest of a longer one is lost.
+  // Limits the time of a send, on later connections too; the rest of a longer
+  // one is lost.
   void LimitSendTime(Millis aTime);
   // Refuses new connections and answers the requests of the open ones.
   // Connections without an answer after aWithin are shut down.
--- a/src/net/HttpShutdown.cpp
+++ b/src/net/HttpShutdown.cpp
@@ -10,6 +10,20 @@
 
 namespace caraway {
 
+namespace {
+
+void
+SetSendTime(Poco::Net::StreamSocket aSocket, Millis aTime)
+{
+  try {
+    aSocket.setSendTimeout(Poco::Timespan(Micros(aTime).count()));
+  } catch (const Poco::Exception&) {
+    // The caller has closed the connection.
+  }
+}
+
+} // namespace
+
 HttpShutdown::HttpShutdown()
   : mWake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
@@ -50,6 +64,9 @@
 {
   std::lock_guard<std::mutex> lock(mLock);
   mOpen.insert(aSocket);
+  if (mSendTime) {
+    SetSendTime(aSocket, *mSendTime);
+  }
 }
 
 void
@@ -70,12 +87,9 @@
 HttpShutdown::LimitSendTime(Millis aTime)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  for (Poco::Net::StreamSocket socket : mOpen) {
-    try {
-      socket.setSendTimeout(Poco::Timespan(Micros(aTime).count()));
-    } catch (const Poco::Exception&) {
-      // The caller has closed the connection.
-    }
+  mSendTime = aTime;
+  for (const Poco::Net::StreamSocket& socket : mOpen) {
+    SetSendTime(socket, aTime);
   }
 }
 
--- a/src/net/HttpShutdown.h
+++ b/src/net/HttpShutdown.h
@@ -5,6 +5,7 @@
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <set>
 
 #include "caraway/Time.h"
@@ -42,6 +43,7 @@
   void Add(const Poco::Net::StreamSocket& aSocket);
   void Remove(const Poco::Net::StreamSocket& aSocket);
   size_t Open() const;
+  // For the open connections and all later ones.
   void LimitSendTime(Millis aTime);
   // Shuts down all open connections. What was sent still arrives; nothing more
   // is read or sent.
@@ -54,6 +56,7 @@
   std::atomic<int> mBusy{ 0 };
   mutable std::mutex mLock;
   std::set<Poco::Net::StreamSocket> mOpen;
+  std::optional<Millis> mSendTime; // if limited
 };
 
 } // namespace caraway
--- a/tests/unit/HttpPortTest.cpp
+++ b/tests/unit/HttpPortTest.cpp
@@ -7,6 +7,7 @@
 
 #include "net/HttpCall.h"
 #include "net/HttpPort.h"
+#include "support/Fleet.h"
 
 namespace caraway {
 
@@ -67,6 +68,17 @@
   aOut.sendBuffer("ok", 2);
 }
 
+// More than both ends of a connection buffer.
+void
+AnswerTooMuchToBuffer(Poco::Net::HTTPServerRequest&,
+                      Poco::Net::HTTPServerResponse& aOut)
+{
+  constexpr size_t kBytes = 64 * 1024 * 1024;
+  std::string body(kBytes, 'x');
+  aOut.setKeepAlive(false);
+  aOut.sendBuffer(body.data(), body.size());
+}
+
 // Time until a connection is in the port's queue.
 constexpr Millis kAcceptTime{ 150 };
 
@@ -142,6 +154,60 @@
   EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
 }
 
+// Guards against a caller who connects after the limit was set and doesn't read
+// its answer: the thread that sends it would be held past the port's end.
+TEST(HttpPort, SendTimeLimitAppliesToLaterConnections)
+{
+  constexpr Millis kUsualTime{ 4000 };
+  constexpr Millis kLimit{ 50 };
+  HttpPortLimits limits = Limits(8);
+  limits.mTransfer = kUsualTime;
+  HttpPort port("127.0.0.1:0", limits, AnswerTooMuchToBuffer);
+  port.LimitSendTime(kLimit);
+  RawCaller caller(port);
+  caller.SendRequest();
+  EXPECT_TRUE(Eventually(Millis(1000), [&] { return port.Busy() > 0; }));
+  EXPECT_TRUE(Eventually(kUsualTime / 2, [&] { return port.Busy() == 0; }));
+}
+
+// Guards against the same for a connection that waits in the port's queue as
+// the limit is set, and gets its thread and that thread's times afterwards.
+TEST(HttpPort, SendTimeLimitAppliesToQueuedConnections)
+{
+  constexpr Millis kUsualTime{ 4000 };
+  constexpr Millis kLimit{ 50 };
+  HttpPortLimits limits = Limits(8);
+  limits.mTransfer = kUsualTime;
+  std::atomic<bool> limited{ false };
+  std::atomic<int> slow{ 0 };
+  HttpPort port("127.0.0.1:0", limits, [&](auto& aIn, auto& aOut) {
+    if (aIn.getURI() == "/slow") {
+      ++slow;
+      while (!limited) {
+        std::this_thread::sleep_for(Millis(5));
+      }
+      AnswerOk(aIn, aOut);
+    } else {
+      AnswerTooMuchToBuffer(aIn, aOut);
+    }
+  });
+  RawCaller first(port);
+  RawCaller second(port);
+  for (RawCaller* caller : { &first, &second }) {
+    caller->Send("GET /slow HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  }
+  EXPECT_TRUE(Eventually(Millis(1000), [&] { return slow == 2; }));
+  RawCaller queued(port);
+  queued.SendRequest();
+  std::this_thread::sleep_for(kAcceptTime);
+  port.LimitSendTime(kLimit);
+  limited = true;
+  EXPECT_NE(first.Read().find("200 OK"), std::string::npos);
+  EXPECT_NE(second.Read().find("200 OK"), std::string::npos);
+  EXPECT_NE(queued.Read().find("200 OK"), std::string::npos); // its beginning
+  EXPECT_TRUE(Eventually(kUsualTime / 2, [&] { return port.Busy() == 0; }));
+}
+
 // Guards against a refusal that is lost in a reset, because its caller is still
 // sending.
 TEST(HttpPort, RefusalArrivesBeforeTheBodyIsRead)
