HttpPort: idle connections give their threads to newcomers

What callers saw: nothing known. With all threads of carawayd's caller port held by kept connections that are idle, or that never sent anything, a newcomer waits for up to the idle time (15 s), if only for its refusal; one caller with enough kept connections can hold all threads.

Cause: a connection holds its thread from the accept to its end, and nothing but its own idle time ended it. The port refuses beyond its queue only.

Change: while connections wait for a thread the acceptor releases as many idle ones, those that have waited longest first; one whose last answer is less than half a second old is left alone, as its next request would cross the close. Answers given meanwhile say that their connection ends, which loses nothing. Nobody is refused who was served before.

ConnectionBeyondTheQueueIsRefused is unchanged: its idle connections are less than half a second old.

--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -14,6 +14,14 @@
 // ends: the request is in transit.
 constexpr Millis kFinalRequestWait{ 100 };
 
+// A connection keeps its thread for this long after an answer although others
+// wait for one: a request that follows at once would cross the close, and get
+// no answer.
+constexpr Millis kNextRequestTime{ 500 };
+
+// The same after it was accepted, for its first request.
+constexpr Millis kFirstRequestTime{ 1000 };
+
 // Discards what the handler has not read of the body, which would be taken for
 // the next request. Returns false if more is left than is worth reading.
 bool
@@ -50,6 +58,14 @@
   bool Buffered() const { return buffered() > 0; }
 };
 
+size_t
+HttpPortState::WithoutThread() const
+{
+  size_t threads = static_cast<size_t>(mLimits.mThreads);
+  size_t open = mShutdown.Open();
+  return open > threads ? open - threads : 0;
+}
+
 HttpConnection::HttpConnection(const Poco::Net::StreamSocket& aSocket,
                                HttpPortState& aState)
   : TCPServerConnection(aSocket)
@@ -67,8 +83,8 @@
 {
   Session session(socket(), mState.mParams);
   Disposition disposition = Disposition::Keep;
-  for (bool first = true;
-       disposition == Disposition::Keep && AwaitRequest(session, first);
+  for (bool first = true; disposition == Disposition::Keep &&
+                          AwaitRequest(session, first, disposition);
        first = false) {
     disposition = Serve(session);
   }
@@ -79,14 +95,24 @@
 }
 
 bool
-HttpConnection::AwaitRequest(const Session& aSession, bool aFirst)
+HttpConnection::AwaitRequest(const Session& aSession,
+                             bool aFirst,
+                             Disposition& aEnd)
 {
   if (aSession.Buffered()) {
     return true;
   }
   HttpShutdown& shutdown = mState.mShutdown;
-  bool readable = shutdown.WaitForInput(
-    socket(), aFirst ? mState.mLimits.mTransfer : mState.mLimits.mIdle);
+  mState.mIdle.Begin(mWaker, aFirst ? kFirstRequestTime : kNextRequestTime);
+  bool readable = shutdown.WaitForInput(socket(),
+                                        aFirst ? mState.mLimits.mTransfer
+                                               : mState.mLimits.mIdle,
+                                        mWaker.Descriptor());
+  if (mState.mIdle.End(mWaker) && !readable) {
+    LogInfo("idle_connection_released", { { "first", aFirst ? "yes" : "no" } });
+    aEnd = Disposition::Close;
+    return false;
+  }
   if (!readable && shutdown.Ended()) {
     readable = shutdown.WaitForInput(socket(), kFinalRequestWait);
   }
@@ -104,8 +130,10 @@
       response, aSession, mState.mParams.get());
     response.setDate(Poco::Timestamp());
     response.setVersion(request.getVersion());
+    // Told to its caller, the close loses no request.
     response.setKeepAlive(request.getKeepAlive() &&
-                          !mState.mShutdown.Leaving());
+                          !mState.mShutdown.Leaving() &&
+                          mState.WithoutThread() == 0);
     if (request.getExpectContinue()) {
       response.sendContinue();
     }
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -8,6 +8,7 @@
 
 #include "net/HttpPort.h"
 #include "net/HttpShutdown.h"
+#include "net/IdleConnections.h"
 #include "net/LingeringCloser.h"
 
 namespace caraway {
@@ -19,11 +20,16 @@
   HttpHandler mHandler;
   Poco::Net::HTTPServerParams::Ptr mParams;
   HttpShutdown mShutdown;
+  IdleConnections mIdle;
   LingeringCloser mLinger;
+
+  // Connections that wait for a thread.
+  size_t WithoutThread() const;
 };
 
 // A connection ends only after an answer that said so, when its caller closes
-// it, after its idle time, or at the port's end if no request has begun.
+// it, after its idle time, or if no request has begun: at the port's end, or
+// when another connection needs its thread.
 class HttpConnection : public Poco::Net::TCPServerConnection
 {
 public:
@@ -42,12 +48,13 @@
     Disconnected, // the caller has closed the connection
   };
 
-  bool AwaitRequest(const Session& aSession, bool aFirst);
+  bool AwaitRequest(const Session& aSession, bool aFirst, Disposition& aEnd);
   Disposition Serve(Session& aSession);
   void Handle(Poco::Net::HTTPServerRequest& aRequest,
               Poco::Net::HTTPServerResponse& aResponse);
 
   HttpPortState& mState;
+  IdleConnections::Waker mWaker;
 };
 
 } // namespace caraway
--- a/src/net/HttpPort.cpp
+++ b/src/net/HttpPort.cpp
@@ -137,9 +137,15 @@
 HttpPort::Accept()
 {
   constexpr Millis kPollTimeout{ 10000 };
+  constexpr Millis kReleaseInterval{ 50 }; // while connections need a thread
   constexpr Millis kAcceptRetryDelay{ 20 };
   while (!mState->mShutdown.Ended()) {
-    if (mState->mShutdown.WaitForInput(mSocket, kPollTimeout) && !AcceptOne()) {
+    // Idle connections would hold all threads for their idle time, and
+    // newcomers wait that long even for a refusal.
+    size_t waiting = mState->WithoutThread();
+    mState->mIdle.Release(waiting);
+    Millis within = waiting > 0 ? kReleaseInterval : kPollTimeout;
+    if (mState->mShutdown.WaitForInput(mSocket, within) && !AcceptOne()) {
       std::this_thread::sleep_for(kAcceptRetryDelay);
     }
   }
--- a/src/net/HttpShutdown.cpp
+++ b/src/net/HttpShutdown.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpShutdown.h"
 
 #include <cerrno>
+#include <iterator>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/eventfd.h>
@@ -47,14 +48,16 @@
 
 bool
 HttpShutdown::WaitForInput(const Poco::Net::Socket& aSocket,
-                           Millis aWithin) const
+                           Millis aWithin,
+                           int aWake) const
 {
+  // poll() ignores negative descriptors.
   pollfd fds[] = { { aSocket.impl()->sockfd(), POLLIN, 0 },
-                   { mWake, POLLIN, 0 } };
-  nfds_t count = mEnded ? 1 : 2;
+                   { mEnded ? -1 : mWake, POLLIN, 0 },
+                   { aWake, POLLIN, 0 } };
   int ready = 0;
   do {
-    ready = poll(fds, count, static_cast<int>(aWithin.count()));
+    ready = poll(fds, std::size(fds), static_cast<int>(aWithin.count()));
   } while (ready < 0 && errno == EINTR);
   return ready > 0 && fds[0].revents != 0;
 }
--- a/src/net/HttpShutdown.h
+++ b/src/net/HttpShutdown.h
@@ -29,9 +29,12 @@
   void End();
   bool Ended() const { return mEnded; }
 
-  // Waits until aSocket is readable (bytes, a new connection or a close), or
-  // for End(). Returns whether it is readable.
-  bool WaitForInput(const Poco::Net::Socket& aSocket, Millis aWithin) const;
+  // Waits until aSocket is readable (bytes, a new connection or a close), for
+  // End(), or until the event descriptor aWake is readable; -1 = none. Returns
+  // whether aSocket is readable.
+  bool WaitForInput(const Poco::Net::Socket& aSocket,
+                    Millis aWithin,
+                    int aWake = -1) const;
 
   // Called at a request's first byte and after its answer's last one.
   void BeginRequest() { ++mBusy; }
--- a/tests/unit/HttpPortTest.cpp
+++ b/tests/unit/HttpPortTest.cpp
@@ -154,6 +154,63 @@
   EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
 }
 
+// Guards against a newcomer who waits for a thread, if only for a refusal,
+// while all of them are held by idle connections.
+TEST(HttpPort, IdleConnectionsGiveWayToNewcomers)
+{
+  HttpPort port("127.0.0.1:0", Limits(8), AnswerOk);
+  RawCaller first(port);
+  RawCaller second(port);
+  first.SendAndKeepOpen();
+  second.SendAndKeepOpen();
+  std::vector<std::unique_ptr<RawCaller>> newcomers;
+  for (int i = 0; i < 5; ++i) {
+    newcomers.push_back(std::make_unique<RawCaller>(port));
+    newcomers.back()->SendRequest();
+  }
+  for (auto& newcomer : newcomers) {
+    EXPECT_NE(newcomer->Read().find("200 OK"), std::string::npos);
+  }
+}
+
+// Guards against callers who connect, send nothing and hold all threads.
+TEST(HttpPort, SilentConnectionsGiveWayToNewcomers)
+{
+  HttpPort port("127.0.0.1:0", Limits(8), AnswerOk);
+  RawCaller first(port);
+  RawCaller second(port);
+  std::this_thread::sleep_for(kAcceptTime);
+  RawCaller newcomer(port);
+  newcomer.SendRequest();
+  EXPECT_NE(newcomer.Read().find("200 OK"), std::string::npos);
+}
+
+// Guards against closing connections that nobody needs the thread of, and those
+// whose request is under way.
+TEST(HttpPort, OnlyIdleConnectionsGiveWay)
+{
+  std::atomic<bool> mayAnswer{ false };
+  HttpPort port("127.0.0.1:0", Limits(8), [&](auto& aIn, auto& aOut) {
+    while (aIn.getURI() == "/slow" && !mayAnswer) {
+      std::this_thread::sleep_for(Millis(5));
+    }
+    AnswerOk(aIn, aOut);
+  });
+  RawCaller kept(port);
+  kept.SendAndKeepOpen();
+  RawCaller busy(port);
+  busy.Send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::this_thread::sleep_for(Millis(700));
+  kept.SendAndKeepOpen();
+  std::this_thread::sleep_for(Millis(700));
+  RawCaller newcomer(port);
+  newcomer.SendRequest();
+  EXPECT_NE(newcomer.Read().find("200 OK"), std::string::npos);
+  EXPECT_EQ(kept.Read(), ""); // gave way
+  mayAnswer = true;
+  EXPECT_NE(busy.Read().find("200 OK"), std::string::npos);
+}
+
 // Guards against a caller who connects after the limit was set and doesn't read
 // its answer: the thread that sends it would be held past the port's end.
 TEST(HttpPort, SendTimeLimitAppliesToLaterConnections)
