RetrySchedule: return rates of tenants of long ago are dropped

What callers saw: nothing known.

Cause: UpdateReturnRate makes an entry, nothing removed one. mTenants beside it isn't of that kind: an entry goes with its last reservation, which expires.

Change: a rate that wasn't observed for an hour is dropped.

ReturnRateOutlastsACalmTime passed before too.

--- a/src/decide/RetrySchedule.cpp
+++ b/src/decide/RetrySchedule.cpp
@@ -11,6 +11,8 @@
 constexpr size_t kMaxRetriesPerTenant = 2000; // to bound memory
 constexpr double kInitialReturnRate = 0.5;    // until observed
 constexpr double kReturnRateWeight = 0.1;     // of one return in the average
+// A return rate outlasts a calm time of its tenant, but not the tenant.
+constexpr Seconds kReturnRateLife{ 3600 };
 
 } // namespace
 
@@ -42,9 +44,11 @@
 }
 
 void
-RetrySchedule::Consume(const std::string& aTenant, uint64_t aRequestDigest)
+RetrySchedule::Consume(const std::string& aTenant,
+                       uint64_t aRequestDigest,
+                       TimePoint aNow)
 {
-  UpdateReturnRate(aTenant, true);
+  UpdateReturnRate(aTenant, true, aNow);
   TenantRetries& tenant = mTenants[aTenant];
   auto range =
     tenant.mDue.equal_range(*tenant.mDueByDigest[aRequestDigest].begin());
@@ -71,11 +75,14 @@
 }
 
 void
-RetrySchedule::UpdateReturnRate(const std::string& aTenant, bool aReturned)
+RetrySchedule::UpdateReturnRate(const std::string& aTenant,
+                                bool aReturned,
+                                TimePoint aNow)
 {
-  double& rate =
-    mReturnRates.emplace(aTenant, kInitialReturnRate).first->second;
-  rate += kReturnRateWeight * ((aReturned ? 1.0 : 0.0) - rate);
+  ReturnRate initial{ kInitialReturnRate };
+  ReturnRate& rate = mReturnRates.emplace(aTenant, initial).first->second;
+  rate.mRate += kReturnRateWeight * ((aReturned ? 1.0 : 0.0) - rate.mRate);
+  rate.mObservedAt = aNow;
 }
 
 double
@@ -85,7 +92,7 @@
     return 0;
   }
   auto rate = mReturnRates.find(aTenant);
-  return rate == mReturnRates.end() ? kInitialReturnRate : rate->second;
+  return rate == mReturnRates.end() ? kInitialReturnRate : rate->second.mRate;
 }
 
 double
@@ -130,12 +137,16 @@
   for (auto tenant = mTenants.begin(); tenant != mTenants.end();) {
     auto& due = tenant->second.mDue;
     while (!due.empty() && due.begin()->first < aNow - kLateTolerance) {
-      UpdateReturnRate(tenant->first, false);
+      UpdateReturnRate(tenant->first, false, aNow);
       tenant->second.EraseFirst(due.begin()->second.first);
       due.erase(due.begin());
     }
     tenant = due.empty() ? mTenants.erase(tenant) : std::next(tenant);
   }
+  for (auto rate = mReturnRates.begin(); rate != mReturnRates.end();) {
+    bool longAgo = aNow - rate->second.mObservedAt > kReturnRateLife;
+    rate = longAgo ? mReturnRates.erase(rate) : std::next(rate);
+  }
 }
 
 } // namespace caraway
--- a/src/decide/RetrySchedule.h
+++ b/src/decide/RetrySchedule.h
@@ -32,7 +32,9 @@
   std::optional<TimePoint> FirstDue(const std::string& aTenant,
                                     uint64_t aRequestDigest) const;
   // Removes the earliest reservation with this digest; its caller has returned.
-  void Consume(const std::string& aTenant, uint64_t aRequestDigest);
+  void Consume(const std::string& aTenant,
+               uint64_t aRequestDigest,
+               TimePoint aNow);
   // Observed probability that the tenant's callers return at their retry time;
   // 0 without reservations. Only this fraction of the reserved tokens counts,
   // since callers that never return must not leave the engines idle.
@@ -43,7 +45,8 @@
   double OthersTokens(const std::string& aTenant,
                       TimePoint aUntil,
                       double aMaxPerTenant) const;
-  // Drops the reservations of callers that didn't return in time.
+  // Drops the reservations of callers that didn't return in time, and what was
+  // observed of tenants long ago.
   void Expire(TimePoint aNow);
 
 private:
@@ -57,10 +60,18 @@
   double Sum(const std::string& aTenant,
              const TenantRetries& aRetries,
              TimePoint aUntil) const;
-  void UpdateReturnRate(const std::string& aTenant, bool aReturned);
+  // Observed share of a tenant's callers that return.
+  struct ReturnRate
+  {
+    double mRate;
+    TimePoint mObservedAt{};
+  };
+  void UpdateReturnRate(const std::string& aTenant,
+                        bool aReturned,
+                        TimePoint aNow);
 
-  std::map<std::string, TenantRetries> mTenants; // by tenant
-  std::map<std::string, double> mReturnRates;    // observed, by tenant
+  std::map<std::string, TenantRetries> mTenants;  // by tenant
+  std::map<std::string, ReturnRate> mReturnRates; // by tenant
 };
 
 } // namespace caraway
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -218,7 +218,8 @@
     classQueue.mRetrySchedule.FirstDue(aItem.mTenant, aItem.mRequestDigest);
   bool isRetry = due && *due <= aNow + kEarlyTolerance;
   if (isRetry) {
-    classQueue.mRetrySchedule.Consume(aItem.mTenant, aItem.mRequestDigest);
+    classQueue.mRetrySchedule.Consume(
+      aItem.mTenant, aItem.mRequestDigest, aNow);
   }
   bool reserved = isRetry || aItem.mClass == RequestClass::Urgent;
   TimePoint until = reserved ? aNow : aItem.mStartBy;
