ShareManager: a renewal's result is kept with its batch, not by member

What callers saw: nothing known. A zone's renewer kept an entry for each instance (incarnation) that ever asked it, and the look-up in OnRenew made one too, where a missing one read as 'not renewed'.

Cause: results were kept by member in the manager; nothing removed them.

Change: the members that one write renews share a batch with its result; it is freed when the last of them has its answer.

Tests: Renewals.MembersOfLongAgoAreForgotten and MembersThatAskTogetherShare OneWrite, red on the former code with the new accessor added (50 and 8 kept for 0), green now. EachMemberGetsTheResultOfItsOwnWrite passed before too. The fixture's batch wait is 20 ms instead of 400, which none of its other tests use.

--- a/src/share/ShareManager.cpp
+++ b/src/share/ShareManager.cpp
@@ -155,26 +155,39 @@
   SyncBuckets();
 }
 
+size_t
+ShareManager::RenewalsKept() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mNextBatch->mMembers.size();
+}
+
 // Renews this instance and all members that requested it meanwhile.
 bool
 ShareManager::RenewBatch()
 {
   std::lock_guard<std::mutex> write(mWriteLock);
-  std::map<std::string, int64_t> others;
-  {
-    std::lock_guard<std::mutex> lock(mLock);
-    others.swap(mPendingRenewals);
-  }
-  return RenewAndRecord(others);
+  return WriteNextBatch();
+}
+
+ShareManager::RenewalBatchPtr
+ShareManager::JoinBatch(const std::string& aMember, int64_t aKnows)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  mNextBatch->mMembers[aMember] = aKnows;
+  return mNextBatch;
 }
 
 bool
-ShareManager::RenewAndRecord(const std::map<std::string, int64_t>& aOthers)
+ShareManager::WriteNextBatch()
 {
-  bool renewed = RenewByWrite(aOthers);
-  for (const auto& member : aOthers) {
-    mBatchRenewed[member.first] = renewed;
+  auto batch = std::make_shared<RenewalBatch>();
+  {
+    std::lock_guard<std::mutex> lock(mLock);
+    batch.swap(mNextBatch);
   }
+  bool renewed = RenewByWrite(batch->mMembers);
+  batch->mRenewed = renewed;
   return renewed;
 }
 
--- a/src/share/ShareManager.h
+++ b/src/share/ShareManager.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -63,6 +64,8 @@
   int SlotsHeld() const;
   // Whether all slots held here are at their target member.
   bool Balanced() const;
+  // Members whose renewal, done or not, is still kept here.
+  size_t RenewalsKept() const;
 
   // Renews the lease, through the zone's renewer or by writing itself.
   void RenewAndBalance();
@@ -72,8 +75,19 @@
   void AddMethods(const std::function<void(const char*, PeerMethod)>& aAdd);
 
 private:
+  // Members that one write renews, and its result once it is written. Freed
+  // when the last of the members has its answer.
+  struct RenewalBatch
+  {
+    std::map<std::string, int64_t> mMembers; // with the serial that each knows
+    std::optional<bool> mRenewed;            // guarded by mWriteLock
+  };
+  using RenewalBatchPtr = std::shared_ptr<RenewalBatch>;
+
   bool RenewBatch();
-  bool RenewAndRecord(const std::map<std::string, int64_t>& aOthers);
+  RenewalBatchPtr JoinBatch(const std::string& aMember, int64_t aKnows);
+  // Writes the batch that members join now; later ones join the next.
+  bool WriteNextBatch();
   bool RenewByWrite(const std::map<std::string, int64_t>& aOthers);
   bool RenewByPeer(const InstanceInfo& aRenewer);
   void CollectPromises();
@@ -101,10 +115,7 @@
 
   std::function<void()> mOnSlotsReceived;
   std::mutex mWriteLock; // one conditional write at a time
-  std::map<std::string, int64_t> mPendingRenewals; // for the next write
-  // Result of the write that included each member. The success of a later write
-  // says nothing about that member's renewal.
-  std::map<std::string, bool> mBatchRenewed;
+  RenewalBatchPtr mNextBatch = std::make_shared<RenewalBatch>();
 };
 
 } // namespace caraway
--- a/src/share/ShareManagerPeers.cpp
+++ b/src/share/ShareManagerPeers.cpp
@@ -36,34 +36,22 @@
   }
 }
 
-// The first request waits mRenewBatchWait for others; these then find that the
-// same write has renewed them.
+// The first request of a batch waits mRenewBatchWait for others; these then
+// find that the same write has renewed them. The success of another batch's
+// write says nothing about their renewal.
 Json::Value
 ShareManager::OnRenew(const Json::Value& aParams)
 {
-  std::string member = aParams["member"].asString();
-  {
-    std::lock_guard<std::mutex> lock(mLock);
-    mPendingRenewals[member] = aParams["knows"].asInt64();
-  }
+  RenewalBatchPtr batch =
+    JoinBatch(aParams["member"].asString(), aParams["knows"].asInt64());
   Json::Value reply;
   {
     std::lock_guard<std::mutex> write(mWriteLock);
-    std::map<std::string, int64_t> others;
-    bool waiting = false;
-    {
-      std::lock_guard<std::mutex> lock(mLock);
-      waiting = mPendingRenewals.count(member) != 0;
-    }
-    if (waiting) {
+    if (!batch->mRenewed) {
       std::this_thread::sleep_for(mSettings.mRenewBatchWait);
-      std::lock_guard<std::mutex> lock(mLock);
-      others.swap(mPendingRenewals);
-    }
-    if (waiting) {
-      RenewAndRecord(others);
+      WriteNextBatch();
     }
-    reply["renewed"] = mBatchRenewed[member];
+    reply["renewed"] = *batch->mRenewed;
   }
   std::lock_guard<std::mutex> lock(mLock);
   reply["version"] = Json::Int64(mLease.mVersion);
--- a/tests/unit/ShareManagerTest.cpp
+++ b/tests/unit/ShareManagerTest.cpp
@@ -1,4 +1,8 @@
+#include <atomic>
 #include <gtest/gtest.h>
+#include <map>
+#include <thread>
+#include <vector>
 
 #include "caraway/PausedClock.h"
 #include "share/ShareCodec.h"
@@ -28,6 +32,7 @@
   {
     ShareSettings settings;
     settings.mZone = "a";
+    settings.mRenewBatchWait = Millis(20);
     return settings;
   }
 
@@ -127,4 +132,74 @@
   EXPECT_EQ(mManager.SlotsHeld(), 8);
 }
 
+namespace {
+
+// A manager that renews the members of its zone. Each call is a member's.
+class Renewals : public SlotHandOver
+{
+protected:
+  Renewals()
+  {
+    mManager.AddMethods([this](const char* aName, PeerMethod aMethod) {
+      mMethods[aName] = std::move(aMethod);
+    });
+  }
+  bool Renew(const std::string& aMember)
+  {
+    Json::Value params;
+    params["member"] = aMember;
+    return mMethods["share.renew"](params)["renewed"].asBool();
+  }
+
+  std::map<std::string, PeerMethod> mMethods;
+};
+
+} // namespace
+
+// Guards against memory that grows with each instance that ever renewed here.
+TEST_F(Renewals, MembersOfLongAgoAreForgotten)
+{
+  for (int i = 0; i < 50; ++i) {
+    EXPECT_TRUE(Renew("i2.000" + std::to_string(i) + "@127.0.0.1:3"));
+  }
+  EXPECT_EQ(0u, mManager.RenewalsKept());
+}
+
+// Guards against a member that takes the success of another write for its own
+// renewal, and spends tokens under a lease that has expired.
+TEST_F(Renewals, EachMemberGetsTheResultOfItsOwnWrite)
+{
+  const std::string& member = mNewMember.mSelf;
+  EXPECT_TRUE(Renew(member));
+  FaultAtWrite(1, [] { return MemoryFault::Refused; });
+  EXPECT_FALSE(Renew(member));
+  EXPECT_TRUE(Renew("i3.0000@127.0.0.1:3"));
+  FaultAtWrite(1, [] { return MemoryFault::Refused; });
+  EXPECT_FALSE(Renew(member));
+}
+
+// Guards against a renewal that waits alone: members that ask while a write is
+// prepared are renewed by it.
+TEST_F(Renewals, MembersThatAskTogetherShareOneWrite)
+{
+  std::atomic<int> writes{ 0 };
+  mPlatform.mOnWrite = [&](const PlatformWrite&) {
+    ++writes;
+    return MemoryFault::None;
+  };
+  std::atomic<int> renewed{ 0 };
+  std::vector<std::thread> members;
+  for (int i = 0; i < 8; ++i) {
+    members.emplace_back([this, i, &renewed] {
+      renewed += Renew("i4.000" + std::to_string(i) + "@127.0.0.1:3") ? 1 : 0;
+    });
+  }
+  for (std::thread& member : members) {
+    member.join();
+  }
+  EXPECT_EQ(8, renewed);
+  EXPECT_GT(8, writes);
+  EXPECT_EQ(0u, mManager.RenewalsKept());
+}
+
 } // namespace caraway
