ShareClient: silent holders are remembered while they aren't asked, no longer

The same class as renewals: an entry for each holder (incarnation) that ever didn't answer, removed only if it answered later, which one that has ended never does. Two maps of which one makes no sense without the other are one now.

Test: SlotHandOver.HoldersThatEndedAreForgotten, red on the former code with the accessor added (20 for 1), green now. EraseIf (base) takes the place of the loops that prune maps in RetrySchedule and WaitQueue; no change of behaviour there.

--- a/src/decide/RetrySchedule.cpp
+++ b/src/decide/RetrySchedule.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -143,10 +145,9 @@
     }
     tenant = due.empty() ? mTenants.erase(tenant) : std::next(tenant);
   }
-  for (auto rate = mReturnRates.begin(); rate != mReturnRates.end();) {
-    bool longAgo = aNow - rate->second.mObservedAt > kReturnRateLife;
-    rate = longAgo ? mReturnRates.erase(rate) : std::next(rate);
-  }
+  EraseIf(mReturnRates, [aNow](const auto& aRate) {
+    return aNow - aRate.second.mObservedAt > kReturnRateLife;
+  });
 }
 
 } // namespace caraway
--- a/src/decide/WaitQueue.cpp
+++ b/src/decide/WaitQueue.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr Millis kMaxRetry{ 120000 };
 constexpr Millis kEarlyTolerance{ 200 };     // callers' timers may run fast
 constexpr double kArrivalWindowSeconds = 10; // decay time constant
+constexpr double kNegligibleRate = 0.01;     // tokens/s
 constexpr double kUnlimited = std::numeric_limits<double>::max();
 
 Millis
@@ -98,11 +101,9 @@
 void
 WaitQueue::PruneArrivals(ClassQueue& aClass, TimePoint aNow)
 {
-  constexpr double kNegligibleRate = 0.01; // tokens/s
-  for (auto at = aClass.mArrivals.begin(); at != aClass.mArrivals.end();) {
-    bool gone = at->second.At(aNow) < kNegligibleRate;
-    at = gone ? aClass.mArrivals.erase(at) : std::next(at);
-  }
+  EraseIf(aClass.mArrivals, [aNow](const auto& aArrivals) {
+    return aArrivals.second.At(aNow) < kNegligibleRate;
+  });
 }
 
 // Service rate that remains for aItem. More urgent requests keep arriving while
@@ -170,12 +171,10 @@
 void
 WaitQueue::PruneServedTokens(ClassQueue& aClass)
 {
-  for (auto served = aClass.mServedTokens.begin();
-       served != aClass.mServedTokens.end();) {
-    bool notAhead = served->second <= aClass.mVirtualTime &&
-                    aClass.mTenantQueues.count(served->first) == 0;
-    served = notAhead ? aClass.mServedTokens.erase(served) : std::next(served);
-  }
+  EraseIf(aClass.mServedTokens, [&aClass](const auto& aServed) {
+    return aServed.second <= aClass.mVirtualTime &&
+           aClass.mTenantQueues.count(aServed.first) == 0;
+  });
 }
 
 // Reserves a retry for when everything queued or reserved ahead of aItem will
--- a/src/share/ShareClient.cpp
+++ b/src/share/ShareClient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <thread>
 
+#include "base/EraseIf.h"
 #include "base/Incarnation.h"
 #include "base/Log.h"
 #include "share/ShareCodec.h"
@@ -50,15 +51,26 @@
 ShareClient::IsUnresponsive(const std::string& aIncarnation)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  auto found = mUnresponsiveUntil.find(aIncarnation);
-  return found != mUnresponsiveUntil.end() && mClock.Now() < found->second;
+  auto found = mSilentHolders.find(aIncarnation);
+  return found != mSilentHolders.end() && mClock.Now() < found->second.mUntil;
+}
+
+size_t
+ShareClient::SilentHolders() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mSilentHolders.size();
 }
 
 void
 ShareClient::MarkUnresponsive(const std::string& aIncarnation)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  mUnresponsiveUntil[aIncarnation] = mClock.Now() + kUnresponsiveFor;
+  TimePoint now = mClock.Now();
+  // Holders that have ended never answer again.
+  EraseIf(mSilentHolders,
+          [now](const auto& aHolder) { return now >= aHolder.second.mUntil; });
+  mSilentHolders[aIncarnation].mUntil = now + kUnresponsiveFor;
 }
 
 // Reads another zone's table from any of its instances. A stale table only
@@ -259,16 +271,17 @@
 bool
 ShareClient::Responds(const std::string& aZone, const std::string& aHolder)
 {
-  if (!IsUnresponsive(aHolder)) {
-    return true;
-  }
   {
     std::lock_guard<std::mutex> lock(mLock);
-    TimePoint& probedAt = mProbedAt[aHolder];
-    if (mClock.Now() - probedAt < kProbeInterval) {
+    TimePoint now = mClock.Now();
+    auto found = mSilentHolders.find(aHolder);
+    if (found == mSilentHolders.end() || now >= found->second.mUntil) {
+      return true;
+    }
+    if (now - found->second.mProbedAt < kProbeInterval) {
       return false;
     }
-    probedAt = mClock.Now();
+    found->second.mProbedAt = now;
   }
   auto reply = Outcome([&] {
     return mPeers.Call(IncarnationAddress(aHolder),
@@ -282,8 +295,7 @@
   }
   UpdateTable(aZone, *json);
   std::lock_guard<std::mutex> lock(mLock);
-  mUnresponsiveUntil.erase(aHolder);
-  mProbedAt.erase(aHolder);
+  mSilentHolders.erase(aHolder);
   return true;
 }
 
--- a/src/share/ShareClient.h
+++ b/src/share/ShareClient.h
@@ -46,6 +46,8 @@
   void Settle(const ShareTicket& aTicket, double aUsed);
 
   const ShareClientCounts& Counts() const { return mCounts; }
+  // Holders of which it is remembered that they didn't answer.
+  size_t SilentHolders() const;
 
 private:
   struct KnownTable
@@ -60,6 +62,13 @@
     Millis mRetryAfter{ 0 };
   };
 
+  // A holder that didn't answer.
+  struct Silence
+  {
+    TimePoint mUntil{}; // it isn't asked for tokens before
+    TimePoint mProbedAt{};
+  };
+
   struct SlotRef
   {
     std::string mZone;
@@ -95,11 +104,10 @@
   ShareClientCounts mCounts;
 
   std::atomic<unsigned> mNextHalf{ 0 };
-  std::mutex mLock;
+  mutable std::mutex mLock;
   std::map<std::string, KnownTable> mTables; // of the other zones
   std::map<std::string, TimePoint> mReadAt;
-  std::map<std::string, TimePoint> mUnresponsiveUntil; // by incarnation
-  std::map<std::string, TimePoint> mProbedAt;          // by incarnation
+  std::map<std::string, Silence> mSilentHolders; // by incarnation
 };
 
 } // namespace caraway
--- a/tests/unit/ShareManagerTest.cpp
+++ b/tests/unit/ShareManagerTest.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "caraway/PausedClock.h"
+#include "share/ShareClient.h"
 #include "share/ShareCodec.h"
 #include "share/ShareManager.h"
 #include "support/MemoryPlatform.h"
@@ -202,4 +203,22 @@
   EXPECT_EQ(0u, mManager.RenewalsKept());
 }
 
+// Guards against memory that grows with each holder that ever ended without a
+// word, in a zone whose instances are replaced every day.
+TEST_F(SlotHandOver, HoldersThatEndedAreForgotten)
+{
+  ShareClient client(Settings(), { "a" }, mManager, mPeers, mMembers, mClock);
+  Tenant tenant = mConfig.Current()->mTenants.at("acme");
+  for (int i = 0; i < 20; ++i) {
+    ShareTable table = StoredTable();
+    for (ShareSlot& slot : table.mSlots) {
+      slot.mHolder = "i5.000" + std::to_string(i) + "@127.0.0.1:2";
+    }
+    mManager.UpdateTable(ShareTableJson(table), 1000 + i);
+    mClock.Advance(Seconds(5));
+    Outcome([&] { return client.Take(tenant, 1, mClock.Now()); });
+  }
+  EXPECT_EQ(1u, client.SilentHolders());
+}
+
 } // namespace caraway
