EndpointReconciler: the times of orders go with their decisions

What callers saw: nothing known. An owner of an engine kept two entries for each replica, decision, state and fencing token that its record ever had, for as long as it owned the engine.

Cause: mFirstSeen and mLastSent were added to, never pruned.

Change: one entry for both times, dropped once the record asks for that order no more. A standing order keeps its times.

Tests: OneEngine.OrdersOfOldDecisionsAreForgotten, red on the former code with the accessor added (20 for at most 1), green now. StandingOrderIsSentAgainAtIts Interval passed before too.

--- a/src/own/EndpointReconciler.cpp
+++ b/src/own/EndpointReconciler.cpp
@@ -2,6 +2,7 @@
 
 #include <set>
 
+#include "base/EraseIf.h"
 #include "base/Log.h"
 #include "decide/PlacementStep.h"
 
@@ -83,14 +84,39 @@
       Resend(aEndpoint, aState, now);
     }
   }
+  ForgetOldOrders(aState);
 }
 
-TimePoint
-EndpointReconciler::FirstSeen(EngineState& aState,
-                              const PlacedReplica& aReplica,
-                              TimePoint aNow)
+EndpointReconciler::OrderTimes&
+EndpointReconciler::TimesOf(EngineState& aState,
+                            const PlacedReplica& aReplica,
+                            TimePoint aNow)
 {
-  return aState.mFirstSeen.emplace(OrderStateKey(aReplica), aNow).first->second;
+  OrderTimes seenNow{ aNow };
+  return aState.mOrders.emplace(OrderStateKey(aReplica), seenNow).first->second;
+}
+
+// Each decision, state and fencing token has a key of its own.
+void
+EndpointReconciler::ForgetOldOrders(EngineState& aState)
+{
+  std::set<std::string> current;
+  for (const PlacedReplica& replica : aState.mStored.mRecord.mReplicas) {
+    current.insert(OrderStateKey(replica));
+  }
+  EraseIf(aState.mOrders, [&current](const auto& aOrder) {
+    return current.count(aOrder.first) == 0;
+  });
+}
+
+size_t
+EndpointReconciler::OrdersRemembered() const
+{
+  size_t orders = 0;
+  for (const auto& [name, state] : mEngineStates) {
+    orders += state.mOrders.size();
+  }
+  return orders;
 }
 
 // False when another instance has changed the record since it was read.
@@ -104,7 +130,8 @@
   std::set<std::string> expired;
   for (const PlacedReplica& replica : next.mReplicas) {
     if (replica.mState == ReplicaState::Unloading &&
-        aNow - FirstSeen(aState, replica, aNow) > mSettings.mMaxOrderDelay) {
+        aNow - TimesOf(aState, replica, aNow).mFirstSeen >
+          mSettings.mMaxOrderDelay) {
       expired.insert(replica.mDecision);
     }
   }
@@ -143,14 +170,15 @@
     Millis grace = replica.mState == ReplicaState::Loading
                      ? mSettings.mResendInterval
                      : Millis(0);
-    if (aNow - FirstSeen(aState, replica, aNow) < grace) {
+    OrderTimes& times = TimesOf(aState, replica, aNow);
+    if (aNow - times.mFirstSeen < grace) {
       continue;
     }
-    TimePoint& sent = aState.mLastSent[OrderStateKey(replica)];
-    if (sent != TimePoint{} && aNow - sent < mSettings.mResendInterval) {
+    if (times.mLastSent != TimePoint{} &&
+        aNow - times.mLastSent < mSettings.mResendInterval) {
       continue;
     }
-    sent = aNow;
+    times.mLastSent = aNow;
     if (replica.mState == ReplicaState::Unloading) {
       mEngines.Unload(aEndpoint.mAddress, replica);
     } else {
--- a/src/own/EndpointReconciler.h
+++ b/src/own/EndpointReconciler.h
@@ -43,14 +43,21 @@
 
   // Reconciles every engine that this instance owns.
   void ReconcileAll();
+  // Orders, of all engines, whose times are kept.
+  size_t OrdersRemembered() const;
 
 private:
+  struct OrderTimes
+  {
+    TimePoint mFirstSeen{};
+    TimePoint mLastSent{}; // by this instance; TimePoint{} = never
+  };
   struct EngineState
   {
     StoredPlacement mStored;
     TimePoint mReadAt{};
-    std::map<std::string, TimePoint> mFirstSeen; // by OrderStateKey
-    std::map<std::string, TimePoint> mLastSent;
+    // Of the orders that the record asks for, by OrderStateKey.
+    std::map<std::string, OrderTimes> mOrders;
   };
 
   void Reconcile(const EndpointSpec& aEndpoint, EngineState& aState);
@@ -61,9 +68,10 @@
   void Resend(const EndpointSpec& aEndpoint,
               EngineState& aState,
               TimePoint aNow);
-  TimePoint FirstSeen(EngineState& aState,
-                      const PlacedReplica& aReplica,
-                      TimePoint aNow);
+  static OrderTimes& TimesOf(EngineState& aState,
+                             const PlacedReplica& aReplica,
+                             TimePoint aNow);
+  static void ForgetOldOrders(EngineState& aState);
 
   EndpointReconcilerSettings mSettings;
   ConfigHolder& mConfig;
