BriefingRunner: a round that a leave overtakes starts no briefing

What callers saw: nothing known. A briefing that an instance starts as it leaves holds the exit up or is cut by it; it runs once more at its next owner, and its tenant's tokens are spent twice.

Cause: the leave was asked about at the start of a round only.

Change: asked before each list, before each briefing, and when one that waited for a worker gets it. The briefing stays on its list for its next owner.

--- a/src/daemon/Instance.cpp
+++ b/src/daemon/Instance.cpp
@@ -185,7 +185,7 @@
                                           mMetrics,
                                           mClock);
   mBriefingRunner = std::make_unique<BriefingRunner>(
-    mBriefings, *mModels, *mMembers, mConfig, mBriefingWorkers, mClock);
+    mBriefings, *mModels, *mMembers, mConfig, mBriefingWorkers, mLeave, mClock);
   mCallers->Open();
   mAdmin = std::make_unique<AdminPort>(
     mSettings.mAdminListen, AdminUsers(mSettings), AdminDependencies());
--- a/src/serve/BriefingRunner.cpp
+++ b/src/serve/BriefingRunner.cpp
@@ -27,6 +27,7 @@
                                Members& aMembers,
                                ConfigHolder& aConfig,
                                WorkerPool& aWorkers,
+                               const LeaveGate& aLeave,
                                const Clock& aClock)
   : mStore(aStore)
   , mSteps(aStore, aClock)
@@ -34,6 +35,7 @@
   , mMembers(aMembers)
   , mConfig(aConfig)
   , mWorkers(aWorkers)
+  , mLeave(aLeave)
   , mClock(aClock)
 {
 }
@@ -42,7 +44,7 @@
 BriefingRunner::Round()
 {
   const std::string& self = mMembers.Self().mId;
-  for (int i = 0; i < BriefingStore::kLists; ++i) {
+  for (int i = 0; i < BriefingStore::kLists && !mLeave.Leaving(); ++i) {
     std::string key = "briefings/" + std::to_string(i);
     if (mMembers.FleetOwner(key).mId != self) {
       continue;
@@ -53,24 +55,37 @@
       continue;
     }
     for (const std::string& id : *ids) {
-      std::lock_guard<std::mutex> lock(mLock);
-      auto notBefore = mNotBefore.find(id);
-      bool notDue =
-        notBefore != mNotBefore.end() && mClock.Now() < notBefore->second;
-      if (notDue || mRunning.size() >= kMaxConcurrent ||
-          !mRunning.insert(id).second) {
-        continue;
-      }
-      mWorkers.Submit([this, id] { Run(id); });
+      StartDue(id);
     }
   }
 }
 
+void
+BriefingRunner::StartDue(const std::string& aId)
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  // A leave may have begun while the list was read.
+  if (mLeave.Leaving()) {
+    return;
+  }
+  auto notBefore = mNotBefore.find(aId);
+  bool notDue =
+    notBefore != mNotBefore.end() && mClock.Now() < notBefore->second;
+  if (notDue || mRunning.size() >= kMaxConcurrent ||
+      !mRunning.insert(aId).second) {
+    return;
+  }
+  mWorkers.Submit([this, aId] { Run(aId); });
+}
+
 void
 BriefingRunner::Run(const std::string& aId)
 {
-  bool ended = mSteps.Process(
-    aId, [this](const Briefing& aBriefing) { return TryRun(aBriefing); });
+  // Not if it waited for a worker until a leave began.
+  bool ended =
+    !mLeave.Leaving() && mSteps.Process(aId, [this](const Briefing& aBriefing) {
+      return TryRun(aBriefing);
+    });
   std::lock_guard<std::mutex> lock(mLock);
   mRunning.erase(aId);
   mNotBefore[aId] = mClock.Now() + kRetryInterval;
--- a/src/serve/BriefingRunner.h
+++ b/src/serve/BriefingRunner.h
@@ -13,6 +13,7 @@
 #include "peer/Members.h"
 #include "platform/ConfigHolder.h"
 #include "serve/BriefingSteps.h"
+#include "serve/LeaveGate.h"
 #include "serve/ModelCalls.h"
 
 namespace caraway {
@@ -30,13 +31,15 @@
                  Members& aMembers,
                  ConfigHolder& aConfig,
                  WorkerPool& aWorkers,
+                 const LeaveGate& aLeave,
                  const Clock& aClock);
 
   // Reads the lists that this instance owns and starts briefings that aren't
-  // running yet.
+  // running yet. An instance that leaves starts none: their next owner does.
   void Round();
 
 private:
+  void StartDue(const std::string& aId);
   void Run(const std::string& aId);
   // Returns the finished briefing, or nothing if it can't run now and stays
   // open.
@@ -48,6 +51,7 @@
   Members& mMembers;
   ConfigHolder& mConfig;
   WorkerPool& mWorkers;
+  const LeaveGate& mLeave;
   const Clock& mClock;
   std::mutex mLock;
   std::set<std::string> mRunning;
