Briefings: what is kept of those that ended elsewhere is dropped

What callers saw: nothing known. Change: a delay goes when it is over; a first sight when it is twice the grace old, as one still listed is looked at every few seconds.

--- a/src/serve/BriefingRunner.cpp
+++ b/src/serve/BriefingRunner.cpp
@@ -1,5 +1,6 @@
 #include "serve/BriefingRunner.h"
 
+#include "base/EraseIf.h"
 #include "base/Log.h"
 #include "serve/ChatReply.h"
 #include "serve/Problem.h"
@@ -40,9 +41,17 @@
 {
 }
 
+size_t
+BriefingRunner::Postponed() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mNotBefore.size();
+}
+
 void
 BriefingRunner::Round()
 {
+  ForgetPastDelays();
   const std::string& self = mMembers.Self().mId;
   for (int i = 0; i < BriefingStore::kLists && !mLeave.Leaving(); ++i) {
     std::string key = "briefings/" + std::to_string(i);
@@ -60,6 +69,16 @@
   }
 }
 
+// Those of briefings that ended elsewhere would stay.
+void
+BriefingRunner::ForgetPastDelays()
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  TimePoint now = mClock.Now();
+  EraseIf(mNotBefore,
+          [now](const auto& aDelay) { return now >= aDelay.second; });
+}
+
 void
 BriefingRunner::StartDue(const std::string& aId)
 {
@@ -68,10 +87,7 @@
   if (mLeave.Leaving()) {
     return;
   }
-  auto notBefore = mNotBefore.find(aId);
-  bool notDue =
-    notBefore != mNotBefore.end() && mClock.Now() < notBefore->second;
-  if (notDue || mRunning.size() >= kMaxConcurrent ||
+  if (mNotBefore.count(aId) != 0 || mRunning.size() >= kMaxConcurrent ||
       !mRunning.insert(aId).second) {
     return;
   }
--- a/src/serve/BriefingRunner.h
+++ b/src/serve/BriefingRunner.h
@@ -37,8 +37,11 @@
   // Reads the lists that this instance owns and starts briefings that aren't
   // running yet. An instance that leaves starts none: their next owner does.
   void Round();
+  // Briefings that couldn't run and aren't tried again for a while.
+  size_t Postponed() const;
 
 private:
+  void ForgetPastDelays();
   void StartDue(const std::string& aId);
   void Run(const std::string& aId);
   // Returns the finished briefing, or nothing if it can't run now and stays
@@ -53,7 +56,7 @@
   WorkerPool& mWorkers;
   const LeaveGate& mLeave;
   const Clock& mClock;
-  std::mutex mLock;
+  mutable std::mutex mLock;
   std::set<std::string> mRunning;
   std::map<std::string, TimePoint> mNotBefore;
 };
--- a/src/serve/BriefingSteps.cpp
+++ b/src/serve/BriefingSteps.cpp
@@ -1,5 +1,7 @@
 #include "serve/BriefingSteps.h"
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -45,11 +47,23 @@
   return !FailureIn([&] { return mStore.StoreResult(aStored, *finished); });
 }
 
+size_t
+BriefingSteps::Missing() const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mMissing.size();
+}
+
 bool
 BriefingSteps::MissingForTooLong(const std::string& aId)
 {
   std::lock_guard<std::mutex> lock(mLock);
   TimePoint now = mClock.Now();
+  // One that is still listed is looked at every few seconds. The others were
+  // stored late, or dropped from the list by another instance.
+  EraseIf(mMissing, [now](const auto& aMissing) {
+    return now - aMissing.second > 2 * kMissingGrace;
+  });
   bool over = now - mMissing.emplace(aId, now).first->second > kMissingGrace;
   if (over) {
     mMissing.erase(aId);
--- a/src/serve/BriefingSteps.h
+++ b/src/serve/BriefingSteps.h
@@ -27,6 +27,8 @@
   // True if the briefing has finished, here or elsewhere; it is off the list,
   // or will be after a retry. False if it is still open.
   bool Process(const std::string& aId, const Attempt& aAttempt);
+  // Listed briefings that were found without an object and may be again.
+  size_t Missing() const;
 
 private:
   bool RunIfOpen(StoredBriefing& aStored, const Attempt& aAttempt);
@@ -37,7 +39,7 @@
 
   BriefingStore& mStore;
   const Clock& mClock;
-  std::mutex mLock;
+  mutable std::mutex mLock;
   std::map<std::string, TimePoint> mMissing; // first seen missing, by id
 };
 
--- a/tests/unit/BriefingRunnerTest.cpp
+++ b/tests/unit/BriefingRunnerTest.cpp
@@ -117,4 +117,26 @@
   EXPECT_EQ(0, Ended());
 }
 
+// Guards against memory that grows with each briefing that was tried here and
+// ended at another instance.
+TEST_F(OneRunner, BriefingsThatEndedElsewhereAreForgotten)
+{
+  {
+    std::lock_guard<std::mutex> roundIsOver(mRound);
+    mWorkers.Submit([this] { std::lock_guard<std::mutex> wait(mRound); });
+    mRunner.Round();
+    mPlatform.mOnRead = [] { return -1; }; // an outage
+  }
+  EXPECT_TRUE(Eventually(Seconds(3), [this] { return mWorkers.Idle(); }));
+  EXPECT_EQ(static_cast<size_t>(kBriefings), mRunner.Postponed());
+  mPlatform.mOnRead = nullptr;
+  for (int i = 0; i < kBriefings; ++i) {
+    std::string id = "briefing-" + std::to_string(i);
+    EXPECT_FALSE(FailureIn([&] { return mStore.RemoveFromList(id); }));
+  }
+  mClock.Advance(Seconds(10));
+  Round();
+  EXPECT_EQ(0u, mRunner.Postponed());
+}
+
 } // namespace caraway
