StoreLoadTracker: other zones' loads are reported again, and count to their end

What callers saw: nothing known; a load from the weight store that waits too long makes its requests wait or be refused.

Cause: a load of another zone was told once as it starts and once as it ends, and counted for twice the time it had left in case its end is late. When the end's message was lost, or its sender had died, it stood in the way of other zones' loads, and in the learned capacity, for six seconds too long (a load of six). A load that the store slowed to more than twice its time wasn't counted at all. An entry whose end wasn't told stayed for good.

Change: loads in progress are reported each second with what is left, at least a second; each counts for 2.5 s more than was reported last, so that two reports in a row may be lost. Those that are over are dropped. Cost: one datagram a second for each load under way from the weight store, to each other zone's holder.

--- a/src/decide/StoreLoadTracker.cpp
+++ b/src/decide/StoreLoadTracker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -20,9 +22,10 @@
 // Weight of one slowed load in the estimate.
 constexpr double kSampleWeight = 0.5;
 
-// A load of another zone whose end isn't reported is assumed to have ended
-// after this multiple of its remaining time.
-constexpr int kOverdueFactor = 2;
+// A load of another zone counts for this long after the end that was reported
+// last: two reports in a row may be lost.
+constexpr Millis kReportLossAllowance =
+  StoreLoadTracker::kReportInterval * 5 / 2;
 
 // Servers of a zone per concurrent load from the store. Such a load blocks all
 // other orders to the server for as long as six loads from disk take, so few
@@ -143,10 +146,13 @@
                                   Millis aLeft,
                                   TimePoint aNow)
 {
+  // Nobody reports the end of a load whose zone's lease holder has died.
+  EraseIf(mOtherZoneLoads,
+          [aNow](const auto& aLoad) { return aNow >= aLoad.second; });
   if (aLeft <= Millis(0)) {
     mOtherZoneLoads.erase(aServer);
   } else {
-    mOtherZoneLoads[aServer] = aNow + aLeft * kOverdueFactor;
+    mOtherZoneLoads[aServer] = aNow + aLeft + kReportLossAllowance;
   }
 }
 
--- a/src/decide/StoreLoadTracker.h
+++ b/src/decide/StoreLoadTracker.h
@@ -21,6 +21,10 @@
 class StoreLoadTracker
 {
 public:
+  // Interval at which a zone reports its loads in progress again. The store may
+  // slow a load, so its end isn't known when it starts.
+  static constexpr Millis kReportInterval{ 1000 };
+
   StoreLoadTracker();
 
   // aPerSecond: loads per second over all zones. aServers: number of servers in
@@ -33,13 +37,16 @@
   void Began(const std::string& aServer, Millis aUsualTime, TimePoint aNow);
   // aLoaded: the load succeeded; else it was abandoned.
   void Ended(const std::string& aServer, bool aLoaded, TimePoint aNow);
-  // A load of another zone; aLeft: its remaining time, 0 = it has ended.
+  // A load of another zone; aLeft: its remaining time, 0 = it has ended. A load
+  // that isn't reported again counts for little longer than aLeft.
   void OnOtherZoneLoad(const std::string& aServer,
                        Millis aLeft,
                        TimePoint aNow);
 
   // Estimated number of concurrent loads that the store serves at full speed.
   double EstimatedCapacity() const { return mEstimatedCapacity; }
+  // Loads of other zones that are remembered.
+  size_t OtherZoneLoads() const { return mOtherZoneLoads.size(); }
 
 private:
   struct Load
--- a/src/entry/LoadScheduler.cpp
+++ b/src/entry/LoadScheduler.cpp
@@ -31,6 +31,8 @@
 {
   mState.mReactor.Every(kScheduleInterval, [this] { ScheduleQueued(); });
   mState.mReactor.Every(kReplicaCheckInterval, [this] { AddReplicas(); });
+  mState.mReactor.Every(StoreLoadTracker::kReportInterval,
+                        [this] { RepeatStoreLoads(); });
   mInventories.Start();
 }
 
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -119,6 +119,7 @@
   // Announces to the other zones a load of a model that no server holds.
   void SendClaim(const LoadRequest& aRequest, bool aBegun, Millis aExpected);
   void SendStoreLoad(const std::string& aServer, Millis aLeft);
+  void RepeatStoreLoads();
 
   // Orders of the jobs.
   Job* Find(const std::string& aServer, uint64_t aId);
--- a/src/entry/LoadSchedulerClaims.cpp
+++ b/src/entry/LoadSchedulerClaims.cpp
@@ -1,5 +1,7 @@
 #include "entry/LoadScheduler.h"
 
+#include <algorithm>
+
 #include "entry/LoadMessages.h"
 
 namespace caraway {
@@ -34,9 +36,24 @@
   mNotify(kStoreLoadMessage, message);
 }
 
+// A lost message, and loads from before another zone's holder took its lease,
+// are made up for.
+void
+LoadScheduler::RepeatStoreLoads()
+{
+  for (const auto& [server, job] : mJobs) {
+    if (job.mSource == WeightSource::Store) {
+      auto left =
+        std::chrono::duration_cast<Millis>(job.mExpected - mState.Now());
+      SendStoreLoad(server, std::max(left, StoreLoadTracker::kReportInterval));
+    }
+  }
+}
+
 void
 LoadScheduler::OnStoreLoad(const Json::Value& aMessage)
 {
+  mState.mMetrics.Count("caraway_store_load_reports_total", "");
   mStoreLoads.OnOtherZoneLoad(aMessage["server"].asString(),
                               Millis(aMessage["left_ms"].asInt64()),
                               mState.Now());
--- a/tests/platform/OrdersTest.cpp
+++ b/tests/platform/OrdersTest.cpp
@@ -3,6 +3,7 @@
 // if an order is lost or late.
 
 #include <gtest/gtest.h>
+#include <sstream>
 
 #include "platform/WireNames.h"
 #include "support/EntryTestFleet.h"
@@ -310,4 +311,46 @@
   EXPECT_EQ(6, engine.mOrderCount);
 }
 
+// Guards against a zone that misses the one message about another zone's load,
+// and starts more loads than the weight store carries at full speed.
+TEST(Orders, LoadInProgressIsReportedToOtherZonesAgain)
+{
+  EntryFleetOptions options;
+  options.mZones = { "a", "b" };
+  options.mStep = Millis(5);
+  EntryTestFleet fleet(options);
+  for (auto& engine : fleet.mEngines) {
+    engine->mLoadTime = Millis(4500);
+  }
+  for (Json::Value& route : fleet.mConfig["routes"]) {
+    route["timeoutMs"] = 25000;
+    route["targetLatencyMs"] = 8000;
+  }
+  fleet.Configure();
+  fleet.AwaitReady();
+  TestCallPtr call = fleet.Call(0,
+                                "/stream/stream",
+                                "r1",
+                                { { wire::kModel, "m5" },
+                                  { wire::kTokens, "1,1" },
+                                  { wire::kDeadline, "25000" } });
+  EXPECT_EQ(200, call->mStatus);
+  constexpr int kReportsPerLoad = 6; // its start, each second, its end
+  int heard = 0;
+  for (auto& instance : fleet.mInstances) {
+    std::istringstream lines(instance->State().mMetrics.Text());
+    for (std::string line; std::getline(lines, line);) {
+      if (line.rfind("caraway_store_load_reports_total", 0) == 0) {
+        heard += std::stoi(line.substr(line.rfind(' ')));
+      }
+    }
+  }
+  int loads = 0;
+  for (auto& engine : fleet.mEngines) {
+    loads += engine->mOrdersSeen;
+  }
+  EXPECT_LT(0, loads);
+  EXPECT_LE(loads * kReportsPerLoad, heard);
+}
+
 } // namespace caraway
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -152,6 +152,45 @@
   EXPECT_EQ(Millis(0), loads.Wait(now));
 }
 
+// Guards against loads that wait for those of a zone whose lease holder has
+// died: nobody reports their end, and they counted for twice their time.
+TEST(StoreLoadTracker, LoadsOfADeadReporterEndAtTheirTime)
+{
+  StoreLoadTracker loads;
+  loads.SetLimits(100, 2, 60);
+  constexpr Seconds kLoad{ 6 };
+  for (const char* server : { "w", "x", "y", "z" }) {
+    loads.OnOtherZoneLoad(server, kLoad, kStart);
+  }
+  EXPECT_LT(Millis(0), loads.Wait(kStart + kLoad - Millis(1)));
+  EXPECT_EQ(Millis(0), loads.Wait(kStart + kLoad + Seconds(3)));
+  loads.OnOtherZoneLoad("v", kLoad, kStart + kLoad + Seconds(3));
+  EXPECT_EQ(1u, loads.OtherZoneLoads());
+}
+
+// Guards against a load that the store has slowed, and that another zone takes
+// for ended while it is still reported; of three reports two may be lost.
+TEST(StoreLoadTracker, ReportedLoadCountsUntilItsEnd)
+{
+  StoreLoadTracker loads;
+  loads.SetLimits(100, 2, 60);
+  constexpr Millis kReported = StoreLoadTracker::kReportInterval;
+  for (Millis at{ 0 }; at < Seconds(9); at += kReported) {
+    bool lost = (at / kReported) % 3 != 0;
+    Millis left = std::max(Millis(6000) - at, kReported);
+    for (const char* server : { "w", "x", "y", "z" }) {
+      if (!lost) {
+        loads.OnOtherZoneLoad(server, left, kStart + at);
+      }
+    }
+    EXPECT_LT(Millis(0), loads.Wait(kStart + at)) << at.count();
+  }
+  for (const char* server : { "w", "x", "y", "z" }) {
+    loads.OnOtherZoneLoad(server, Millis(0), kStart + Seconds(9));
+  }
+  EXPECT_EQ(Millis(0), loads.Wait(kStart + Seconds(9)));
+}
+
 // A rare model is loaded where its copy is, unless that server is busy for
 // longer than the difference; the model with the least demand is evicted.
 TEST(PlacementPlan, ModelIsLoadedWhereItsCopyIs)
