ModelCalls: a generation that usually outlasts the leave isn't started

A caller of a long generation got half an answer, or 503 'may have run' at the limit.

Change: the run times of whole generations by profile and asked tokens, as in the entry program; what usually doesn't fit is refused at once, not run.

Test: Leaving.GenerationThatUsuallyTakesTooLongIsNotStarted, red with the estimate left out (may_have_run; one was cut, exit code 1), green now.

--- a/src/serve/LeaveGate.cpp
+++ b/src/serve/LeaveGate.cpp
@@ -43,11 +43,10 @@
 }
 
 Result<void>
-LeaveGate::MayStart(TimePoint aAnswerBy, RunState aRun) const
+LeaveGate::MayStart(TimePoint aAnswerBy, RunState aRun, Millis aUsual) const
 {
   std::lock_guard<std::mutex> lock(mLock);
-  constexpr Millis kUnknownDuration{ 0 }; // no estimate of the run time
-  if (!mPlan.MayStart(mClock.Now(), aAnswerBy, kUnknownDuration)) {
+  if (!mPlan.MayStart(mClock.Now(), aAnswerBy, aUsual)) {
     return Refuse(aRun);
   }
   return {};
--- a/src/serve/LeaveGate.h
+++ b/src/serve/LeaveGate.h
@@ -22,9 +22,11 @@
   TimePoint End() const;
 
   // ShuttingDown if shutdown would cut off work that is answered by aAnswerBy
-  // at the latest. aRun: run state of earlier attempts.
+  // at the latest. aRun: run state of earlier attempts. aUsual: usual duration
+  // of such work; 0 = unknown.
   Result<void> MayStart(TimePoint aAnswerBy,
-                        RunState aRun = RunState::NotRun) const;
+                        RunState aRun = RunState::NotRun,
+                        Millis aUsual = Millis(0)) const;
   // The same for a stream whose first tokens were sent.
   Result<void> MayContinue() const;
 
--- a/src/serve/ModelCalls.cpp
+++ b/src/serve/ModelCalls.cpp
@@ -152,7 +152,26 @@
   }
   return mLeave.MayStart(aCall.mContext.mArrived +
                            aCall.mContext.mProfile.mAnswer,
-                         aSent ? RunState::MayHaveRun : RunState::NotRun);
+                         aSent ? RunState::MayHaveRun : RunState::NotRun,
+                         UsualTime(aCall));
+}
+
+Millis
+ModelCalls::UsualTime(const ModelCall& aCall) const
+{
+  std::lock_guard<std::mutex> lock(mLock);
+  return mRunTimes.UsualTime(aCall.mContext.mProfile.mName,
+                             { static_cast<double>(aCall.mMaxTokens), 0 });
+}
+
+void
+ModelCalls::RecordTime(const ModelCall& aCall, TimePoint aSince)
+{
+  auto took = std::chrono::duration_cast<Millis>(mClock.Now() - aSince);
+  std::lock_guard<std::mutex> lock(mLock);
+  mRunTimes.Record(aCall.mContext.mProfile.mName,
+                   took,
+                   { static_cast<double>(aCall.mMaxTokens), 0 });
 }
 
 ModelCalls::Attempt
@@ -242,10 +261,14 @@
                      context.mCaller.mTenant,
                      profile.mClass,
                      Micros(grant.mWaited));
+    TimePoint begun = mClock.Now();
     Attempt attempt = GenerateAttempt(aCall, grant, aOnToken, aSoFar);
     mSlotFinder.ReleaseSlot(owner, ReleaseOf(grant, attempt.mResult, aSoFar));
     if (attempt.mResult.mOutcome == GenerateOutcome::Complete) {
       aSoFar.mFinish = attempt.mResult.mReason;
+      if (!offered) {
+        RecordTime(aCall, begun); // of the whole answer, not of its rest
+      }
       mMetrics.Observe("whole",
                        context.mCaller.mTenant,
                        profile.mClass,
--- a/src/serve/ModelCalls.h
+++ b/src/serve/ModelCalls.h
@@ -3,12 +3,14 @@
 #define caraway_serve_ModelCalls_h
 
 #include <functional>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/Metrics.h"
 #include "caraway/Clock.h"
+#include "decide/RunTimeEstimates.h"
 #include "serve/Authenticator.h"
 #include "serve/EngineSlotFinder.h"
 #include "serve/EngineStream.h"
@@ -74,6 +76,9 @@
     const ModelCall& aCall,
     const std::function<bool(const std::string&)>& aOnToken,
     ModelAnswer& aSoFar);
+  Millis UsualTime(const ModelCall& aCall) const;
+  void RecordTime(const ModelCall& aCall, TimePoint aSince);
+
   EngineSlotFinder& mSlotFinder;
   ShareClient& mShares;
   Authenticator& mKeys;
@@ -81,6 +86,8 @@
   Metrics& mMetrics;
   const Clock& mClock;
   RetryBudget mRetries;
+  mutable std::mutex mLock;
+  RunTimeEstimates mRunTimes; // of generations, by profile
 };
 
 // Upper bound of a request's cost in tokens: its prompt, estimated from its
--- a/tests/process/LeavingTest.cpp
+++ b/tests/process/LeavingTest.cpp
@@ -403,6 +403,28 @@
   EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
 }
 
+// Guards against a long generation that is started while callers are still
+// expected and cut off by the time limit, instead of being refused at once.
+TEST(Leaving, GenerationThatUsuallyTakesTooLongIsNotStarted)
+{
+  Fleet fleet(SlowPlan({ "[shutdown]", "lag_ms = 2000", "limit_s = 2" }));
+  std::string key = fleet.mKeys["acme"];
+  ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", 1).Ok()); // loads the model
+  for (int tokens : { 110, 5, 110, 5, 5 }) {
+    ASSERT_TRUE(fleet.Chat(1, key, "chat-m0", tokens).Ok());
+  }
+  int before = fleet.EngineState(0)["audit"]["generated"].asInt();
+  fleet.mInstances[1]->Terminate();
+  std::this_thread::sleep_for(Millis(500));
+  HttpReply quick = fleet.Chat(1, key, "chat-m0", 5);
+  EXPECT_TRUE(quick.Ok()) << quick.mStatus << quick.mError;
+  HttpReply slow = fleet.Chat(1, key, "chat-m0", 110);
+  EXPECT_EQ(slow.mStatus, 503) << slow.mError;
+  EXPECT_EQ(RunOf(slow), "not_run");
+  EXPECT_EQ(fleet.EngineState(0)["audit"]["generated"].asInt(), before + 1);
+  EXPECT_EQ(fleet.mInstances[1]->Wait(), 0);
+}
+
 // Guards against unresponsive peers that delay the final answers of a shutdown.
 TEST(Leaving, FrozenPeersDontDelayShutdown)
 {
