DemandTracker: names that nobody asks for any more are dropped

The same class in the entry program: a count for each name of a model that callers ever wrote, also of models that don't exist, copied with each look at all rates.

What callers saw: nothing known. Test: DemandTracker.NamesOfLongAgoAreForgotten, red on the former code (101 names for 1 after five minutes), green now.

--- a/src/decide/DemandTracker.cpp
+++ b/src/decide/DemandTracker.cpp
@@ -2,8 +2,17 @@
 
 #include <cmath>
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
+namespace {
+
+// One request a minute ago counts for more.
+constexpr double kNegligibleCount = 1e-4;
+
+} // namespace
+
 double
 DemandTracker::Decayed(const Count& aCount, TimePoint aNow)
 {
@@ -15,11 +24,24 @@
 void
 DemandTracker::Add(const std::string& aModel, double aCount, TimePoint aNow)
 {
+  if (aNow - mForgotAt > kMemory) {
+    mForgotAt = aNow;
+    ForgetDecayed(aNow);
+  }
   Count& count = mCounts[aModel];
   count.mValue = Decayed(count, aNow) + aCount;
   count.mAt = aNow;
 }
 
+// Callers may ask for any name, also for models that don't exist.
+void
+DemandTracker::ForgetDecayed(TimePoint aNow)
+{
+  EraseIf(mCounts, [aNow](const auto& aCount) {
+    return Decayed(aCount.second, aNow) < kNegligibleCount;
+  });
+}
+
 double
 DemandTracker::Rate(const std::string& aModel, TimePoint aNow) const
 {
--- a/src/decide/DemandTracker.h
+++ b/src/decide/DemandTracker.h
@@ -29,8 +29,10 @@
     TimePoint mAt{};
   };
   static double Decayed(const Count& aCount, TimePoint aNow);
+  void ForgetDecayed(TimePoint aNow);
 
   std::map<std::string, Count> mCounts;
+  TimePoint mForgotAt{};
 };
 
 } // namespace caraway
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -474,6 +474,18 @@
   EXPECT_FALSE(servers.PutContent("s1", 0, 8, { { "m1", {} } }, kStart));
 }
 
+// Guards against memory that grows with each name that callers ever asked for.
+TEST(DemandTracker, NamesOfLongAgoAreForgotten)
+{
+  DemandTracker demand;
+  for (int i = 0; i < 100; ++i) {
+    demand.Add("no-such-model-" + std::to_string(i), 1, kStart);
+  }
+  TimePoint later = kStart + Seconds(300);
+  demand.Add("m1", 1, later);
+  EXPECT_EQ(1u, demand.Rates(later).size());
+}
+
 // Guards against keeping models that are no longer requested: demand moves to
 // other models within seconds.
 TEST(DemandTracker, OldDemandDecaysWithinSeconds)
