--- a/src/net/HttpConnection.cpp
+++ b/src/net/HttpConnection.cpp
@@ -103,12 +103,12 @@
     return true;
   }
   HttpShutdown& shutdown = mState.mShutdown;
-  mState.mIdle.Begin(mWaker, aFirst ? kFirstRequestTime : kNextRequestTime);
+  mState.mIdle.Begin(mWake, aFirst ? kFirstRequestTime : kNextRequestTime);
   bool readable = shutdown.WaitForInput(socket(),
                                         aFirst ? mState.mLimits.mTransfer
                                                : mState.mLimits.mIdle,
-                                        mWaker.Descriptor());
-  if (mState.mIdle.End(mWaker) && !readable) {
+                                        mWake.Descriptor());
+  if (mState.mIdle.End(mWake) && !readable) {
     LogInfo("idle_connection_released", { { "first", aFirst ? "yes" : "no" } });
     aEnd = Disposition::Close;
     return false;
--- a/src/net/HttpConnection.h
+++ b/src/net/HttpConnection.h
@@ -54,7 +54,7 @@
               Poco::Net::HTTPServerResponse& aResponse);
 
   HttpPortState& mState;
-  IdleConnections::Waker mWaker;
+  WakeEvent mWake; // by IdleConnections::Release()
 };
 
 } // namespace caraway
--- a/src/net/HttpShutdown.cpp
+++ b/src/net/HttpShutdown.cpp
@@ -3,9 +3,6 @@
 #include <cerrno>
 #include <iterator>
 #include <poll.h>
-#include <stdexcept>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include <Poco/Exception.h>
 
@@ -25,25 +22,12 @@
 
 } // namespace
 
-HttpShutdown::HttpShutdown()
-  : mWake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
-{
-  if (mWake < 0) {
-    throw std::runtime_error("eventfd failed");
-  }
-}
-
-HttpShutdown::~HttpShutdown()
-{
-  close(mWake);
-}
-
 void
 HttpShutdown::End()
 {
   mLeaving = true;
   mEnded = true;
-  eventfd_write(mWake, 1);
+  mWake.Signal();
 }
 
 bool
@@ -53,7 +37,7 @@
 {
   // poll() ignores negative descriptors.
   pollfd fds[] = { { aSocket.impl()->sockfd(), POLLIN, 0 },
-                   { mEnded ? -1 : mWake, POLLIN, 0 },
+                   { mEnded ? -1 : mWake.Descriptor(), POLLIN, 0 },
                    { aWake, POLLIN, 0 } };
   int ready = 0;
   do {
--- a/src/net/HttpShutdown.h
+++ b/src/net/HttpShutdown.h
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "caraway/Time.h"
+#include "net/WakeEvent.h"
 
 namespace caraway {
 
@@ -16,11 +17,6 @@
 class HttpShutdown
 {
 public:
-  HttpShutdown();
-  ~HttpShutdown();
-  HttpShutdown(const HttpShutdown&) = delete;
-  HttpShutdown& operator=(const HttpShutdown&) = delete;
-
   // From now on every answer carries "Connection: close".
   void Leave() { mLeaving = true; }
   bool Leaving() const { return mLeaving; }
@@ -53,7 +49,7 @@
   void CutConnections();
 
 private:
-  int mWake; // event descriptor, readable after End()
+  WakeEvent mWake; // signalled by End()
   std::atomic<bool> mLeaving{ false };
   std::atomic<bool> mEnded{ false };
   std::atomic<int> mBusy{ 0 };
--- a/src/net/IdleConnections.cpp
+++ b/src/net/IdleConnections.cpp
@@ -1,55 +1,26 @@
 #include "net/IdleConnections.h"
 
 #include <algorithm>
-#include <stdexcept>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include <vector>
 
 namespace caraway {
 
-IdleConnections::Waker::Waker()
-  : mDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
-{
-  if (mDescriptor < 0) {
-    throw std::runtime_error("eventfd failed");
-  }
-}
-
-IdleConnections::Waker::~Waker()
-{
-  close(mDescriptor);
-}
-
-void
-IdleConnections::Waker::Wake() const
-{
-  eventfd_write(mDescriptor, 1);
-}
-
-void
-IdleConnections::Waker::Clear() const
-{
-  eventfd_t count = 0;
-  eventfd_read(mDescriptor, &count);
-}
-
 void
-IdleConnections::Begin(const Waker& aWaker, Millis aAtLeast)
+IdleConnections::Begin(const WakeEvent& aWake, Millis aAtLeast)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  mWaiting[&aWaker] = { std::chrono::steady_clock::now(), aAtLeast };
+  mWaiting[&aWake] = { std::chrono::steady_clock::now(), aAtLeast };
 }
 
 bool
-IdleConnections::End(const Waker& aWaker)
+IdleConnections::End(const WakeEvent& aWake)
 {
   std::lock_guard<std::mutex> lock(mLock);
-  auto found = mWaiting.find(&aWaker);
+  auto found = mWaiting.find(&aWake);
   bool released = found->second.mReleased;
   mWaiting.erase(found);
   if (released) {
-    aWaker.Clear(); // a request may have come first, and others follow
+    aWake.Clear(); // a request may have come first, and others follow
   }
   return released;
 }
@@ -77,7 +48,7 @@
        at != candidates.end() && released < aCount;
        ++at, ++released) {
     (*at)->second.mReleased = true;
-    (*at)->first->Wake();
+    (*at)->first->Signal();
   }
 }
 
--- a/src/net/IdleConnections.h
+++ b/src/net/IdleConnections.h
@@ -8,34 +8,19 @@
 #include <mutex>
 
 #include "caraway/Time.h"
+#include "net/WakeEvent.h"
 
 namespace caraway {
 
-// A connection's thread waits in Wait(); the port's acceptor calls Release()
-// when connections without a thread need one.
+// The port's acceptor calls Release() while connections have no thread.
 class IdleConnections
 {
 public:
-  // An event descriptor of one connection, by which its thread is woken.
-  class Waker
-  {
-  public:
-    Waker();
-    ~Waker();
-    Waker(const Waker&) = delete;
-    Waker& operator=(const Waker&) = delete;
-    void Wake() const;
-    void Clear() const; // after Wake()
-    int Descriptor() const { return mDescriptor; }
-
-  private:
-    int mDescriptor;
-  };
-
-  // aWaker's thread begins to wait. Release() leaves it alone for aAtLeast.
-  void Begin(const Waker& aWaker, Millis aAtLeast);
+  // A connection's thread begins to wait for a request, or for aWake. Release()
+  // leaves it alone for aAtLeast.
+  void Begin(const WakeEvent& aWake, Millis aAtLeast);
   // It has stopped to wait. Returns whether it was released.
-  bool End(const Waker& aWaker);
+  bool End(const WakeEvent& aWake);
   // Wakes those that have waited longest, so that aCount threads become free,
   // counting those that were woken and haven't ended yet.
   void Release(size_t aCount);
@@ -49,7 +34,7 @@
   };
 
   std::mutex mLock;
-  std::map<const Waker*, Waiting> mWaiting;
+  std::map<const WakeEvent*, Waiting> mWaiting;
 };
 
 } // namespace caraway
--- a/src/net/LingeringCloser.cpp
+++ b/src/net/LingeringCloser.cpp
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <poll.h>
-#include <stdexcept>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include <Poco/Exception.h>
 
@@ -35,11 +32,7 @@
 } // namespace
 
 LingeringCloser::LingeringCloser()
-  : mWake(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
-  if (mWake < 0) {
-    throw std::runtime_error("eventfd failed");
-  }
   mThread = std::thread([this] { Run(); });
 }
 
@@ -49,9 +42,8 @@
     std::lock_guard<std::mutex> lock(mLock);
     mStopping = true;
   }
-  eventfd_write(mWake, 1);
+  mWake.Signal();
   mThread.join();
-  close(mWake);
 }
 
 void
@@ -71,7 +63,7 @@
     ++mOpenCount;
     mTaken.push_back(closing);
   }
-  eventfd_write(mWake, 1);
+  mWake.Signal();
 }
 
 bool
@@ -85,7 +77,7 @@
 LingeringCloser::DiscardInput(std::vector<ClosingSocket>& aClosing) const
 {
   std::vector<pollfd> fds;
-  fds.push_back({ mWake, POLLIN, 0 });
+  fds.push_back({ mWake.Descriptor(), POLLIN, 0 });
   for (const ClosingSocket& closing : aClosing) {
     fds.push_back({ closing.mSocket.impl()->sockfd(), POLLIN, 0 });
   }
@@ -108,8 +100,7 @@
   std::vector<ClosingSocket> closing;
   for (;;) {
     if (DiscardInput(closing)) {
-      eventfd_t count = 0;
-      eventfd_read(mWake, &count);
+      mWake.Clear();
     }
     std::lock_guard<std::mutex> lock(mLock);
     closing.insert(closing.end(), mTaken.begin(), mTaken.end());
--- a/src/net/LingeringCloser.h
+++ b/src/net/LingeringCloser.h
@@ -8,6 +8,8 @@
 #include <thread>
 #include <vector>
 
+#include "net/WakeEvent.h"
+
 namespace caraway {
 
 // Closing a connection with unread input resets it, and the reset can overtake
@@ -35,7 +37,7 @@
   // Returns whether the wake descriptor was signalled.
   bool DiscardInput(std::vector<ClosingSocket>& aClosing) const;
 
-  int mWake; // event descriptor: a socket was taken, or stop
+  WakeEvent mWake; // a socket was taken, or stop
   mutable std::mutex mLock;
   std::vector<ClosingSocket> mTaken;
   size_t mOpenCount = 0; // sockets taken and not yet closed
