--- a/src/decide/RetrySchedule.h
+++ b/src/decide/RetrySchedule.h
@@ -57,15 +57,15 @@
     std::map<uint64_t, std::set<TimePoint>> mDueByDigest; // due times by digest
     void EraseFirst(uint64_t aRequestDigest);
   };
-  double Sum(const std::string& aTenant,
-             const TenantRetries& aRetries,
-             TimePoint aUntil) const;
   // Observed share of a tenant's callers that return.
   struct ReturnRate
   {
     double mRate;
     TimePoint mObservedAt{};
   };
+  double Sum(const std::string& aTenant,
+             const TenantRetries& aRetries,
+             TimePoint aUntil) const;
   void UpdateReturnRate(const std::string& aTenant,
                         bool aReturned,
                         TimePoint aNow);
--- a/src/decide/RunTimeEstimates.cpp
+++ b/src/decide/RunTimeEstimates.cpp
@@ -18,15 +18,17 @@
 // Deviation assumed after a single run: most take between 60% and 160% of it.
 constexpr double kFirstDeviation = 0.5;
 
-// Points that a trend remembers.
+// Points that a trend remembers; older ones fade.
 constexpr double kTrendPoints = 64;
 
-// A stream takes less than twice as long when its caller expects twice as many
-// tokens: estimates are far off, and the prompt takes its time too.
+// Guesses until a route has enough runs, see Trend. A stream takes less than
+// twice as long when its caller expects twice as many tokens: estimates are far
+// off, and the prompt takes its time too.
 constexpr double kGuessedLengthSlope = 0.5;
 constexpr double kLengthGuessWeight = 4;
 
-// Runs on a server whose slots are all in use, compared with an idle one.
+// Logarithm of how much longer a run takes on a server whose slots are all in
+// use than on an idle one.
 constexpr double kGuessedLoadSlope = 0.5;
 constexpr double kLoadGuessWeight = 1;
 
--- a/src/decide/RunTimeEstimates.h
+++ b/src/decide/RunTimeEstimates.h
@@ -12,8 +12,8 @@
 // What is known of a run before it starts.
 struct RunFacts
 {
-  double mExpectedTokens =
-    0;                    // of output, by the caller's estimate; 0 = unknown
+  // Of output, by the caller's estimate; 0 = unknown.
+  double mExpectedTokens = 0;
   double mServerLoad = 0; // requests in flight per slot of its server
 };
 
@@ -22,8 +22,8 @@
 class Trend
 {
 public:
-  // aGuessWeight: the points' sum of squared distances from their mean x that
-  // counts as much as the guess.
+  // aGuessWeight: sum of the points' squared distances from their mean x at
+  // which they count as much as the guess.
   Trend(double aGuessedSlope, double aGuessWeight);
 
   // Returns the line's rise from the mean x before to the one with this point.
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -69,8 +69,9 @@
 {
   RunFacts facts{ mFacts.mExpectedTokens.value_or(0), aServerLoad };
   const RunTimeEstimates& times = mState.mRunTimes;
-  return mRoute->mResumable ? times.TypicalTime(mRoute->mName, facts)
-                            : times.UsualTime(mRoute->mName, facts);
+  bool resumable = mRoute->mKind == RouteKind::Stream && mRoute->mResumable;
+  return resumable ? times.TypicalTime(mRoute->mName, facts)
+                   : times.UsualTime(mRoute->mName, facts);
 }
 
 bool
