Logs: how an answer was framed, and whether a stream ended inside an event

What callers saw: a stream that looks complete and isn't (ORDER). Cause of this change: request_done said 'served' of it and nothing else, so that an answer without a length, a framing read wrongly and a reset read as a close could not be told apart. Change: request_done and server_broke have 'framing' and 'inside_event'. EventStreamReader follows a stream's events; nothing is decided by it yet. No change of behaviour.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -13,6 +13,7 @@
 #include "entry/InboundConnection.h"
 #include "entry/LoadRequester.h"
 #include "entry/RateLimiter.h"
+#include "net/EventStreamReader.h"
 #include "net/OutboundCall.h"
 
 namespace caraway {
@@ -106,6 +107,7 @@
   void RecordPause();
   void Refuse(ErrorKind aKind, Millis aAfter, const char* aWhy);
   void OnDeadline();
+  const char* AnswerFraming() const; // "" = no answer from a server
   void End(int aStatus, const char* aWhy);
 
   RequestClass Class() const;
@@ -142,10 +144,11 @@
   HttpHead mAnswer;         // of mCall
   AnswerFacts mAnswerFacts;
   bool mHasAnswerHead = false;
-  std::string mBody;       // of an answer that is not streamed
-  std::string mEvents;     // of a stream: bytes of incomplete events
-  std::string mLastEvent;  // id of the last event forwarded
-  bool mStreaming = false; // the head of a stream was sent to the caller
+  std::string mBody;              // of an answer that is not streamed
+  std::string mEvents;            // of a stream: bytes of incomplete events
+  EventStreamReader mEventReader; // of a stream: all bytes from mServer
+  std::string mLastEvent;         // id of the last event forwarded
+  bool mStreaming = false;        // the head of a stream was sent to the caller
   bool mWaiting = false;
   bool mColdStart = false;  // waited for a model or adapter to be loaded
   TimePoint mLastChunkAt{}; // of a stream
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -138,6 +138,8 @@
     .Text("how", aOutcome == CallOutcome::Malformed ? "garbled" : "cut")
     .Flag("kept_connection", kept)
     .Flag("streaming", mStreaming)
+    .Text("framing", AnswerFraming())
+    .Flag("inside_event", mStreaming && mEventReader.InsideEvent())
     .Ms("after_ms", mState.AgeOf(mSentAt));
   if (MayRetry()) {
     Dispatch();
@@ -275,6 +277,12 @@
   Refuse(ErrorKind::ShuttingDown, kRetryAfterElsewhere, kWhy);
 }
 
+const char*
+Exchange::AnswerFraming() const
+{
+  return mHasAnswerHead ? FramingName(mAnswer.mFraming) : "";
+}
+
 void
 Exchange::End(int aStatus, const char* aWhy)
 {
@@ -295,6 +303,8 @@
     .Count("status", aStatus)
     .Text("why", aWhy)
     .Count("sends", mSends)
+    .Text("framing", AnswerFraming())
+    .Flag("inside_event", mStreaming && mEventReader.InsideEvent())
     .Ms("first_ms", first)
     .Ms("whole_ms", mState.AgeOf(mArrived));
   mState.mMetrics.Count("caraway_requests_total",
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -78,6 +78,7 @@
   mRunFacts = { mFacts.mExpectedTokens.value_or(0), aBackend.Load() };
   mHasAnswerHead = false;
   mBody.clear();
+  mEventReader = EventStreamReader();
   mState.mLog.Line("request_sent")
     .Text("id", mFacts.mId)
     .Text("route", mRoute->mName)
@@ -171,6 +172,7 @@
     return;
   }
   RecordPause();
+  mEventReader.Take(aBytes);
   if (!mRoute->mResumable) {
     mCaller->StreamChunk(aBytes);
     aBytes.clear();
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -204,6 +204,22 @@
                     [](char aA, char aB) { return Lower(aA) == Lower(aB); });
 }
 
+const char*
+FramingName(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::None:
+      return "none";
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunked:
+      return "chunked";
+    case BodyFraming::UntilClose:
+      break;
+  }
+  return "until_close";
+}
+
 const std::string*
 HttpHead::Find(std::string_view aName) const
 {
--- a/src/net/HttpHead.h
+++ b/src/net/HttpHead.h
@@ -26,6 +26,10 @@
   UntilClose, // answers only
 };
 
+// "none", "length", "chunked" or "until_close", as in logs.
+const char*
+FramingName(BodyFraming aFraming);
+
 struct HttpHead
 {
   std::string mMethod; // requests
