--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -11,6 +11,7 @@
 struct StandInServer::ClientConnection
 {
   std::shared_ptr<Channel> mChannel;
+  Poco::Net::StreamSocket mSocket; // of mChannel
   bool mWorking = false;
   bool mClosed = false;
 };
@@ -124,6 +125,7 @@
 {
   auto client = std::make_shared<ClientConnection>();
   client->mChannel = Channel::Accepted(mReactor, aSocket);
+  client->mSocket = aSocket;
   Channel::Events events;
   events.mData = [this, client] { OnData(client); };
   events.mEnd = [this, client](ChannelCloseReason) {
@@ -156,10 +158,38 @@
                      const std::string& aBody)
 {
   aClient->mWorking = false;
-  aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
+  if (!mUnframed) {
+    aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
+  }
   aClient->mChannel->Write(
     WriteHead("HTTP/1.1 " + std::to_string(aStatus) + " Status", aFields) +
     aBody);
+  if (mUnframed) {
+    aClient->mChannel->Finish();
+  }
+}
+
+void
+StandInServer::WritePiece(ClientConnection& aClient, const std::string& aText)
+{
+  aClient.mChannel->Write(mUnframed ? aText : Chunk(aText));
+}
+
+// Ends the connection in the middle of an answer.
+void
+StandInServer::BreakOff(ClientConnection& aClient)
+{
+  aClient.mWorking = false;
+  if (mEndsBrokenStreams && !mUnframed) {
+    aClient.mChannel->Write("0\r\n\r\n");
+    return;
+  }
+  if (!mResets) {
+    aClient.mChannel->Finish();
+    return;
+  }
+  aClient.mSocket.setLinger(true, 0);
+  aClient.mChannel->Close();
 }
 
 void
@@ -228,7 +258,9 @@
        // Accepted before the server began to refuse.
        mBehaviour == ServerBehaviour::Refuses)) {
     own.push_back({ "Content-Type", "text/event-stream" });
-    own.push_back({ "Transfer-Encoding", "chunked" });
+    if (!mUnframed) {
+      own.push_back({ "Transfer-Encoding", "chunked" });
+    }
     channel.Write(WriteHead("HTTP/1.1 200 OK", own));
     std::string last = ValueOf(aHead, wire::kLastEvent);
     std::string model = ValueOf(aHead, wire::kModel);
@@ -247,10 +279,11 @@
       channel.Close();
       break;
     case ServerBehaviour::Truncates:
-      own.push_back({ "Content-Length", std::to_string(answer.size()) });
+      if (!mUnframed) {
+        own.push_back({ "Content-Length", std::to_string(answer.size()) });
+      }
       channel.Write(WriteHead("HTTP/1.1 200 OK", own) + answer.substr(0, 5));
-      aClient->mWorking = false;
-      channel.Finish();
+      BreakOff(*aClient);
       break;
     case ServerBehaviour::Unsealed:
       Reply(aClient, 200, { own.front() }, answer);
@@ -293,19 +326,22 @@
   }
   Channel& channel = *aClient->mChannel;
   if (aNext > mEvents) {
-    channel.Write("0\r\n\r\n");
     aClient->mWorking = false;
+    if (mUnframed) {
+      channel.Finish();
+    } else {
+      channel.Write("0\r\n\r\n");
+    }
     EndUse(aModel);
     return;
   }
   if (mBehaviour == ServerBehaviour::StopsMidway && aNext == 3) {
-    channel.Write(Chunk(EventText(aNext).substr(0, 8)));
-    aClient->mWorking = false;
-    channel.Finish();
+    WritePiece(*aClient, EventText(aNext).substr(0, 8));
+    BreakOff(*aClient);
     EndUse(aModel);
     return;
   }
-  channel.Write(Chunk(EventText(aNext)));
+  WritePiece(*aClient, EventText(aNext));
   mReactor.After(mEventGap, [this, aClient, aModel, aNext] {
     Stream(aClient, aModel, aNext + 1);
   });
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -90,6 +90,12 @@
   bool mDropsOrderAnswers = false; // carries orders out without an answer
   int mEvents = 5;                 // of each stream
   Millis mEventGap{ 10 };
+  // Answers have neither a length nor chunks; the end of the connection ends
+  // them.
+  bool mUnframed = false;
+  // An answer that breaks off is framed as complete: its last chunk is sent.
+  bool mEndsBrokenStreams = false;
+  bool mResets = false; // breaks answers off by resets, not by orderly closes
 
 private:
   class Listener;
@@ -110,6 +116,8 @@
   void EndUse(const std::string& aModel);
   int CarryOut(const Json::Value& aOrder);
   void Report(const std::shared_ptr<ClientConnection>& aClient);
+  void WritePiece(ClientConnection& aClient, const std::string& aText);
+  void BreakOff(ClientConnection& aClient);
   void Reply(const std::shared_ptr<ClientConnection>& aClient,
              int aStatus,
              std::vector<HttpField> aFields,
