Exchange: a stream that ends inside an event is broken, whatever ended it

Cause: how a connection or a framing ends was taken as proof of a whole answer. A body without a length ends with its connection, and a server's process that ends closes its connections in order; BodyReader::Close() calls that whole. The rest of an event was then passed on and the caller's stream ended properly. Change: the events themselves are followed (EventStreamReader); inside one, the end counts as an answer that broke off: resumed elsewhere where that is allowed, cut for the caller where it isn't. It also takes the place of the search for event ends, which knew two of the three line ends.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -91,6 +91,7 @@
   void OnHead(const HttpHead& aHead);
   void OnBody(std::string& aBytes);
   void OnCallDone(CallOutcome aOutcome);
+  bool StreamEndedInsideEvent() const;
   void OnCompleteAnswer();
   void OnNotRun();
   void OnNotSent();
@@ -103,7 +104,7 @@
   void DispatchLater(Millis aDelay);
   // Answers.
   void StartStream(const HttpHead& aHead);
-  void ForwardEvents();
+  void ForwardEvents(size_t aBytes);
   void RecordPause();
   void Refuse(ErrorKind aKind, Millis aAfter, const char* aWhy);
   void OnDeadline();
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -139,7 +139,7 @@
     .Flag("kept_connection", kept)
     .Flag("streaming", mStreaming)
     .Text("framing", AnswerFraming())
-    .Flag("inside_event", mStreaming && mEventReader.InsideEvent())
+    .Flag("inside_event", StreamEndedInsideEvent())
     .Ms("after_ms", mState.AgeOf(mSentAt));
   if (MayRetry()) {
     Dispatch();
@@ -304,7 +304,7 @@
     .Text("why", aWhy)
     .Count("sends", mSends)
     .Text("framing", AnswerFraming())
-    .Flag("inside_event", mStreaming && mEventReader.InsideEvent())
+    .Flag("inside_event", StreamEndedInsideEvent())
     .Ms("first_ms", first)
     .Ms("whole_ms", mState.AgeOf(mArrived));
   mState.mMetrics.Count("caraway_requests_total",
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -35,19 +35,6 @@
   return std::string(id);
 }
 
-// Returns the number of bytes up to the end of the last complete event.
-size_t
-CompleteEventBytes(std::string_view aBytes)
-{
-  size_t plain = aBytes.rfind("\n\n");
-  size_t crlf = aBytes.rfind("\r\n\r\n");
-  size_t end = plain == std::string_view::npos ? 0 : plain + 2;
-  if (crlf != std::string_view::npos) {
-    end = std::max(end, crlf + 4);
-  }
-  return end;
-}
-
 } // namespace
 
 // ---- One send to a server, and the forwarding of its answer
@@ -172,15 +159,18 @@
     return;
   }
   RecordPause();
-  mEventReader.Take(aBytes);
+  size_t complete = mEventReader.Take(aBytes);
   if (!mRoute->mResumable) {
     mCaller->StreamChunk(aBytes);
     aBytes.clear();
     return;
   }
+  size_t before = mEvents.size();
   mEvents += aBytes;
   aBytes.clear();
-  ForwardEvents();
+  if (complete > 0) {
+    ForwardEvents(before + complete);
+  }
 }
 
 // Observes the time between two chunks of a stream as they arrive from servers.
@@ -198,18 +188,14 @@
 // Forwards complete events only: when a server stops in the middle of one,
 // another server resumes after the last event that the caller has completely.
 void
-Exchange::ForwardEvents()
+Exchange::ForwardEvents(size_t aBytes)
 {
-  size_t bytes = CompleteEventBytes(mEvents);
-  if (bytes == 0) {
-    return;
-  }
-  std::string id = LastEventId(std::string_view(mEvents).substr(0, bytes));
+  std::string id = LastEventId(std::string_view(mEvents).substr(0, aBytes));
   if (!id.empty()) {
     mLastEvent = id;
   }
-  mCaller->StreamChunk(std::string_view(mEvents).substr(0, bytes));
-  mEvents.erase(0, bytes);
+  mCaller->StreamChunk(std::string_view(mEvents).substr(0, aBytes));
+  mEvents.erase(0, aBytes);
 }
 
 void
@@ -236,11 +222,24 @@
     OnNotRun();
   } else if (aOutcome != CallOutcome::Complete) {
     OnAnswerLost(aOutcome);
+  } else if (StreamEndedInsideEvent()) {
+    OnAnswerLost(CallOutcome::Interrupted);
   } else {
     OnCompleteAnswer();
   }
 }
 
+// The end of an answer proves nothing of its content: when a server's process
+// ends, its connections are closed in order, as after an answer that has
+// neither a length nor chunks.
+bool
+Exchange::StreamEndedInsideEvent() const
+{
+  const std::string* type = mAnswer.Find("Content-Type");
+  bool events = !type || type->rfind("text/event-stream", 0) == 0;
+  return mStreaming && events && mEventReader.InsideEvent();
+}
+
 void
 Exchange::OnCompleteAnswer()
 {
