Logs: an instance that reaches no server says so

Cause of this change: the logs have each failed connection, but nothing tells an instance that reaches none from one that meets broken servers. Nothing is decided by it yet.

--- /dev/null
+++ b/src/decide/ServerReach.h
@@ -0,0 +1,36 @@
+// ServerReach.h: whether this instance reaches any server at all.
+#ifndef caraway_decide_ServerReach_h
+#define caraway_decide_ServerReach_h
+
+#include <map>
+#include <string>
+
+#include "caraway/Time.h"
+
+namespace caraway {
+
+// Behind a partition each server looks broken, one by one. Several different
+// ones in a row, and none that could be reached between them, tell it from
+// servers that fail.
+class ServerReach
+{
+public:
+  // A new connection to a server was established. Answers on older connections
+  // don't count: a partition may leave these alone.
+  void OnReached();
+  // A connection to aServer couldn't be established, or a kept one ended
+  // without an answer.
+  void OnUnreached(const std::string& aServer, TimePoint aNow);
+  // From the last of several such failures until a server is reached.
+  bool CutOff() const { return mCutOff; }
+  // Servers that weren't reached, since the last that was.
+  size_t Unreached() const { return mUnreached.size(); }
+
+private:
+  std::map<std::string, TimePoint> mUnreached; // last failure of each
+  bool mCutOff = false;
+};
+
+} // namespace caraway
+
+#endif
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -50,6 +50,7 @@
                 mZoneLease,
                 [this] { OnStateChanged(); })
   , mDispatcher(mState, mRateLimiter, mSchedulers)
+  , mServerProbe(mState)
   , mReadinessHandler([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
     return ImmediateReply{ !asked ? 404 : Ready() ? 200 : 503, "", "" };
@@ -92,6 +93,7 @@
   mZoneLease.Start();
   mRateLimiter.Start();
   mSchedulers.Start();
+  mServerProbe.Start();
   reactor.Every(kSweepInterval, [this] {
     mCallers->Sweep();
     mReadiness->Sweep();
@@ -149,6 +151,7 @@
   gauge("caraway_config_version",
         mState.mConfig ? mState.mConfig->mVersion : 0);
   gauge("caraway_servers", static_cast<int64_t>(mState.mServers.All().size()));
+  gauge("caraway_cut_off_from_servers", mState.mServerReach.CutOff() ? 1 : 0);
   gauge("caraway_instances", mState.mInstances);
   gauge("caraway_requests_under_way",
         static_cast<int64_t>(mDispatcher.RequestsInFlight()));
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -12,6 +12,7 @@
 #include "entry/Membership.h"
 #include "entry/Peers.h"
 #include "entry/RequestDispatcher.h"
+#include "entry/ServerProbe.h"
 #include "entry/TenantRateLimiter.h"
 #include "entry/UsageRelay.h"
 #include "entry/ZoneSchedulers.h"
@@ -64,6 +65,7 @@
   TenantRateLimiter mRateLimiter;
   ZoneSchedulers mSchedulers;
   RequestDispatcher mDispatcher;
+  ServerProbe mServerProbe;
   ImmediateHandler mReadinessHandler;
   ImmediateHandler mMetricsHandler;
   std::shared_ptr<ListenPort> mCallers;
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -10,6 +10,7 @@
 #include "decide/LeavePlan.h"
 #include "decide/RunTimeEstimates.h"
 #include "decide/ServerRetryBudget.h"
+#include "decide/ServerReach.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
 #include "entry/EntrySettings.h"
@@ -35,6 +36,7 @@
   ChannelPool mPeerPool;    // to other instances
   ServingConfigPtr mConfig; // null until one is received
   ServerView mServers;
+  ServerReach mServerReach;
   bool mServersKnown = false; // the list has been received at least once
   DemandExchange mDemand;     // at all instances
   ServerRetryBudget mRetryBudget;
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -63,6 +63,7 @@
 {
   std::string server = mServer;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
+  mState.mServerReach.OnUnreached(server, mState.Now());
   mTriedServers.erase(server); // it has not received the request
   mBadServers.insert(server);
   ReleaseCall();
@@ -129,6 +130,9 @@
   mGrant.reset();
   ++mPossibleRuns;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
+  if (kept && !mHasAnswerHead) {
+    mState.mServerReach.OnUnreached(server, mState.Now());
+  }
   mBadServers.insert(server);
   ReleaseCall();
   mEvents.clear();
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -121,6 +121,9 @@
   mAnswer = aHead;
   mAnswerFacts = wire::ReadAnswerFacts(aHead);
   mHasAnswerHead = true;
+  if (!mCall->Reused()) {
+    mState.mServerReach.OnReached();
+  }
   bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
   if (mAnswerFacts.mNotRun) {
     return;
