CutOffFromServers: failing tests of instances that reach no server

Evidence: all three fail on the code as it is: where connections hang, where they are refused, and where a whole zone is cut off, no request of four kinds is served, though the peers serve the same at once.

--- /dev/null
+++ b/tests/platform/CutOffFromServersTest.cpp
@@ -0,0 +1,168 @@
+// Instances that are partitioned from all servers, while callers, the store and
+// the other instances still reach them.
+
+#include <gtest/gtest.h>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include "net/StopNewHandshakes.h"
+#include "platform/WireNames.h"
+#include "support/EntryTestFleet.h"
+
+namespace caraway {
+
+namespace {
+
+const std::vector<HttpField> kModel = { { wire::kModel, "m0" },
+                                        { wire::kTokens, "100,50" } };
+
+// After this time an instance has noticed that it reaches no server.
+constexpr Millis kNoticed{ 3000 };
+
+enum class Cut
+{
+  Hangs,   // new connections aren't answered
+  Refuses, // they are refused
+};
+
+class CutOffFromServers : public testing::Test
+{
+protected:
+  explicit CutOffFromServers(Cut aCut = Cut::Hangs,
+                             EntryFleetOptions aOptions = ThreeInstances())
+    : mFleet(std::move(aOptions))
+  {
+    mDeadPort.bind(Poco::Net::SocketAddress("127.0.0.1:0"), false);
+    if (aCut == Cut::Hangs) {
+      mDeadPort.listen(1);
+      StopNewHandshakes(mDeadPort);
+    }
+    mFleet.AwaitReady();
+  }
+  static EntryFleetOptions ThreeInstances()
+  {
+    EntryFleetOptions options;
+    options.mInstances = 3;
+    options.mEngines = 2;
+    options.mPlain = 3;
+    return options;
+  }
+
+  std::map<std::string, Backend>& Servers(size_t aInstance)
+  {
+    return mFleet.mInstances[aInstance]->State().mServers.All();
+  }
+  void CutOff(size_t aInstance)
+  {
+    for (auto& [id, server] : Servers(aInstance)) {
+      mAddresses[id] = server.mEntry.mAddress;
+      server.mEntry.mAddress = mDeadPort.address().toString();
+    }
+  }
+  void Heal(size_t aInstance)
+  {
+    for (auto& [id, server] : Servers(aInstance)) {
+      server.mEntry.mAddress = mAddresses[id];
+    }
+  }
+  // Requests whose failures the instance notices the partition by.
+  void LetItNotice(size_t aInstance)
+  {
+    for (int i = 0; i < 3; ++i) {
+      Send(aInstance, "/safe/x");
+      Send(aInstance, "/stream/stream");
+    }
+    mFleet.RunFor(kNoticed);
+  }
+  TestCallPtr Send(size_t aInstance, const std::string& aPath)
+  {
+    mLastId = "r" + std::to_string(++mSent);
+    bool stream = aPath.find("/stream") != std::string::npos;
+    return mFleet.Send(
+      aInstance, aPath, mLastId, stream ? kModel : std::vector<HttpField>{});
+  }
+  TestCallPtr Call(size_t aInstance, const std::string& aPath)
+  {
+    TestCallPtr call = Send(aInstance, aPath);
+    mFleet.RunUntil([&] { return call->mComplete || call->mClosed; },
+                    Seconds(5));
+    return call;
+  }
+  // Each is served by its first try, whole, by one run, and soon.
+  void ExpectServed(size_t aInstance)
+  {
+    for (const char* path :
+         { "/safe/x", "/order/x", "/stream/stream", "/resume/stream" }) {
+      TestCallPtr call = Call(aInstance, path);
+      EXPECT_EQ(200, call->mStatus) << path;
+      EXPECT_TRUE(call->mComplete) << path;
+      EXPECT_NE("", call->Field(wire::kSeal)) << path;
+      EXPECT_EQ(1, mFleet.RunsOf(mLastId)) << path;
+      EXPECT_LT(call->mHeadAt - call->mSentAt, Millis(300)) << path;
+    }
+  }
+
+  EntryTestFleet mFleet;
+  Poco::Net::ServerSocket mDeadPort;
+  std::map<std::string, std::string> mAddresses;
+  std::string mLastId;
+  int mSent = 0;
+};
+
+class RefusedByServers : public CutOffFromServers
+{
+protected:
+  RefusedByServers()
+    : CutOffFromServers(Cut::Refuses)
+  {
+  }
+};
+
+class CutOffZone : public CutOffFromServers
+{
+protected:
+  CutOffZone()
+    : CutOffFromServers(Cut::Hangs, TwoZones())
+  {
+  }
+  static EntryFleetOptions TwoZones()
+  {
+    EntryFleetOptions options = ThreeInstances();
+    options.mZones = { "a", "b" };
+    options.mInstances = 2;
+    return options;
+  }
+};
+
+} // namespace
+
+// Guards against callers who are refused by an instance that reaches no server
+// while its peers do.
+TEST_F(CutOffFromServers, RequestsAreServedThroughPeers)
+{
+  CutOff(0);
+  LetItNotice(0);
+  ExpectServed(0);
+  ExpectServed(1);
+}
+
+// Guards against the same where connections are refused at once.
+TEST_F(RefusedByServers, RequestsAreServedThroughPeers)
+{
+  CutOff(0);
+  LetItNotice(0);
+  ExpectServed(0);
+}
+
+// Guards against the same in a zone of which no instance reaches a server.
+TEST_F(CutOffZone, RequestsAreServedThroughOtherZones)
+{
+  CutOff(0);
+  CutOff(1);
+  LetItNotice(0);
+  LetItNotice(1);
+  ExpectServed(0);
+  ExpectServed(1);
+}
+
+} // namespace caraway
