Exchange: an instance that reaches no server hands its requests to its peers

Cause: reachability was judged server by server. A send that isn't connected marks that server and tries the next, 700 ms each; nothing tells "none answers me" from "this one is broken", and no path leads a request to a server through an instance that reaches it. Leaving the rotation can't help: most of a zone may be cut, and callers keep their connections. Change: while ServerReach says that none is reached, and for a request that couldn't be brought to two servers, the request goes to a peer that reaches servers (its heartbeat says so), in the same zone if half of that zone can, over the port of calls between instances. The peer serves it as its own caller's, but charges no tokens, counts no demand, sends it to no more servers than are left and never forwards it. Its answer is passed on; a rejection that concerns the peer alone leads to the next one. One whose answer is lost may have run, as at a server. Without any peer one server is tried, then the request is refused.

--- a/src/ctl/LossReport.cpp
+++ b/src/ctl/LossReport.cpp
@@ -66,13 +66,13 @@
     if (NumberOf(json, "send") == 1) {
       usage.mAdmittedTokens[second] += NumberOf(json, "tokens");
     }
-  } else if (event == "request_refused") {
+  } else if (event == "request_refused" || event == "request_forwarded") {
     mRouteOf[id] = TextOf(json, "route");
     mTenantOf[id] = TextOf(json, "tenant");
   } else if (event == "tokens_refused") {
     usage.mRefusedTokens[second] += NumberOf(json, "tokens");
     usage.mRate = NumberOf(json, "rate");
-  } else if (event == "request_done") {
+  } else if (event == "request_done" && !json["forwarded"].asBool()) {
     double status = NumberOf(json, "status");
     if (status == 0 || status >= kMinFailureStatus) {
       int64_t window = at - at % kWindow.count();
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -49,7 +49,8 @@
                 mMembers,
                 mZoneLease,
                 [this] { OnStateChanged(); })
-  , mDispatcher(mState, mRateLimiter, mSchedulers)
+  , mForwarding(mState, mPeers)
+  , mDispatcher(mState, mRateLimiter, mSchedulers, mForwarding)
   , mServerProbe(mState)
   , mReadinessHandler([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -85,6 +86,7 @@
   mPeers.OnHeartbeat([this](const Peer& aPeer, const Json::Value& aHeartbeat) {
     ReadHeartbeat(aPeer, aHeartbeat);
   });
+  mPeers.OnForwarded(mDispatcher);
   mPeers.Start();
   mMembers.Start();
   mFeedRelay.Start();
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -10,6 +10,7 @@
 #include "entry/ImmediateHandler.h"
 #include "entry/ListenPort.h"
 #include "entry/Membership.h"
+#include "entry/PeerForwarding.h"
 #include "entry/Peers.h"
 #include "entry/RequestDispatcher.h"
 #include "entry/ServerProbe.h"
@@ -64,6 +65,7 @@
   LeaseLoop mZoneLease;
   TenantRateLimiter mRateLimiter;
   ZoneSchedulers mSchedulers;
+  PeerForwarding mForwarding;
   RequestDispatcher mDispatcher;
   ServerProbe mServerProbe;
   ImmediateHandler mReadinessHandler;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -63,12 +63,14 @@
                    ExchangeOwner& aOwner,
                    RateLimiter& aRateLimiter,
                    LoadRequester& aLoadRequester,
+                   ForwardPeers& aForwardPeers,
                    std::shared_ptr<InboundConnection> aCaller,
                    InboundRequest aRequest)
   : mState(aState)
   , mOwner(aOwner)
   , mRateLimiter(aRateLimiter)
   , mLoadRequester(aLoadRequester)
+  , mForwardPeers(aForwardPeers)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
   , mArrived(aState.Now() - mRequest.mWaited)
@@ -107,7 +109,8 @@
     return;
   }
   const TenantLimit* tenant = mConfig->Tenant(mTenant);
-  if (!tenant || tenant->mRate <= 0) {
+  // The instance that forwards a request has charged its tokens.
+  if (!tenant || tenant->mRate <= 0 || mRequest.Forwarded()) {
     Dispatch();
   } else {
     AskForTokens(*tenant);
@@ -135,9 +138,13 @@
   });
 }
 
+// The instance that forwards a request has counted it.
 void
 Exchange::CountDemand()
 {
+  if (mRequest.Forwarded()) {
+    return;
+  }
   TimePoint now = mState.Now();
   mState.mRetryBudget.OnRequest(mService, now);
   if (!mFacts.mModel.empty()) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -10,6 +10,7 @@
 #include "caraway/ErrorKind.h"
 #include "decide/RequestFacts.h"
 #include "entry/EntryState.h"
+#include "entry/ForwardPeers.h"
 #include "entry/InboundConnection.h"
 #include "entry/LoadRequester.h"
 #include "entry/RateLimiter.h"
@@ -42,6 +43,7 @@
            ExchangeOwner& aOwner,
            RateLimiter& aRateLimiter,
            LoadRequester& aLoadRequester,
+           ForwardPeers& aForwardPeers,
            std::shared_ptr<InboundConnection> aCaller,
            InboundRequest aRequest);
 
@@ -85,8 +87,18 @@
   Millis ExpectedRunTime(double aServerLoad) const;
   void RefuseShuttingDown();
   LoadRequest ToLoadRequest() const;
+  int MaxServers() const;  // that the request may be sent to
+  Millis TimeLeft() const; // until the final answer is due
+  // Forwarding to another instance.
+  int ServersLeft() const;
+  bool HandOver();
+  bool RefuseUnreachable();
+  void Forward(const ForwardTarget& aPeer);
+  void OnPeerUnreached();
+  void OnPeerRejected();
   // One send to a server.
   void Send(Backend& aBackend);
+  void StartCall(ChannelPool& aPool, OutboundRequest aRequest);
   std::string ServerRequestHead(const Backend& aBackend) const;
   void OnHead(const HttpHead& aHead);
   void OnBody(std::string& aBytes);
@@ -118,6 +130,7 @@
   ExchangeOwner& mOwner;
   RateLimiter& mRateLimiter;
   LoadRequester& mLoadRequester;
+  ForwardPeers& mForwardPeers;
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
@@ -138,7 +151,10 @@
   int mPossibleRuns = 0; // ended sends without proof that it did not run
   bool mMayHaveRun = false;
   std::shared_ptr<OutboundCall> mCall;
-  std::string mServer; // of mCall
+  std::string mServer;      // of mCall; the peer's name while forwarding
+  bool mForwarding = false; // mCall goes to another instance
+  int mForwards = 0;
+  int mUnreached = 0; // servers to which no connection was established
   TimePoint mSentAt{};
   RunFacts mRunFacts;       // of mCall
   TimePoint mFirstByteAt{}; // of an answer to the caller
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -133,7 +133,7 @@
   requirements.mExcluded = mBadServers;
   requirements.mMaxPerSlot =
     engine ? kEngineRequestsPerSlot : kServiceRequestsPerSlot;
-  if (static_cast<int>(mTriedServers.size()) >= mRoute->mMaxServers) {
+  if (ServersLeft() <= 0) {
     requirements.mOnly = mTriedServers;
   }
   bool anyServer = requirements.mExcluded.empty() && requirements.mOnly.empty();
@@ -161,7 +161,7 @@
     RefuseShuttingDown();
     return true;
   }
-  if (!CallerStillWaits()) {
+  if (!CallerStillWaits() || HandOver()) {
     return true;
   }
   ServerChoice choice = ChooseServer(aWithout);
@@ -186,7 +186,7 @@
 Exchange::TriedServersGone(const ServerChoice& aChoice) const
 {
   return !mWaiting && !mTriedServers.empty() && !aChoice.mHeld &&
-         static_cast<int>(mTriedServers.size()) >= mRoute->mMaxServers;
+         ServersLeft() <= 0;
 }
 
 // A request that can't be served in time is refused at once, with the time
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -1,5 +1,7 @@
 #include "entry/Exchange.h"
 
+#include <algorithm>
+
 #include "entry/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
@@ -15,6 +17,14 @@
 // send, about the time that an adapter needs to finish loading.
 constexpr Millis kNotRunRetryDelay{ 15 };
 
+// Whether the reason of a refusal lies in this instance alone.
+bool
+ServableByPeers(ErrorKind aKind)
+{
+  return aKind == ErrorKind::ShuttingDown || aKind == ErrorKind::NoEndpoint ||
+         aKind == ErrorKind::NotReady;
+}
+
 } // namespace
 
 // ---- Retries
@@ -26,7 +36,14 @@
 {
   bool repeatable = mRoute->mKind == RouteKind::Idempotent ||
                     (mRoute->mKind == RouteKind::Stream && mRoute->mResumable);
-  return repeatable && mPossibleRuns < mRoute->mMaxServers;
+  return repeatable && mPossibleRuns < MaxServers();
+}
+
+int
+Exchange::MaxServers() const
+{
+  int most = mRoute->mMaxServers;
+  return std::min(most, mRequest.mServersLeft.value_or(most));
 }
 
 // Takes one retry from the service's budget. The retry goes to another server
@@ -64,6 +81,7 @@
   std::string server = mServer;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
   mState.mServerReach.OnUnreached(server, mState.Now());
+  ++mUnreached;
   mTriedServers.erase(server); // it has not received the request
   mBadServers.insert(server);
   ReleaseCall();
@@ -130,7 +148,7 @@
   mGrant.reset();
   ++mPossibleRuns;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
-  if (kept && !mHasAnswerHead) {
+  if (kept && !mHasAnswerHead && !mForwarding) {
     mState.mServerReach.OnUnreached(server, mState.Now());
   }
   mBadServers.insert(server);
@@ -185,6 +203,9 @@
   if (aAfter > Millis(0)) {
     fields.push_back(wire::RetryAfterField(aAfter));
   }
+  if (mRequest.Forwarded() && ServableByPeers(aKind)) {
+    fields.push_back(wire::ElsewhereField());
+  }
   mState.mLog.Line("request_refused")
     .Text("id", mFacts.mId)
     .Text("kind", answer.mName)
@@ -307,6 +328,8 @@
     .Count("status", aStatus)
     .Text("why", aWhy)
     .Count("sends", mSends)
+    .Count("forwards", mForwards)
+    .Flag("forwarded", mRequest.Forwarded())
     .Text("framing", AnswerFraming())
     .Flag("inside_event", StreamEndedInsideEvent())
     .Ms("first_ms", first)
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -48,24 +48,28 @@
   send.mPriority = mPriority;
   send.mBodyBytes = mRequest.mBody.size();
   send.mLastEvent = mLastEvent;
-  // Rounded down, so that the server doesn't work past the caller's deadline.
-  auto left = std::chrono::duration_cast<Millis>(mFinalAnswerBy - mState.Now());
-  send.mLeft = std::max(left, Millis(1));
+  send.mLeft = TimeLeft();
   return wire::WriteServerRequest(mRequest.mHead, send);
 }
 
+// Rounded down, so that nobody works past the caller's deadline.
+Millis
+Exchange::TimeLeft() const
+{
+  auto left = std::chrono::duration_cast<Millis>(mFinalAnswerBy - mState.Now());
+  return std::max(left, Millis(1));
+}
+
 void
 Exchange::Send(Backend& aBackend)
 {
   bool again = MayRerun();
+  mForwarding = false;
   mServer = aBackend.mEntry.mId;
   mTriedServers.insert(mServer);
   ++mSends;
   mSentAt = mState.Now();
   mRunFacts = { mFacts.mExpectedTokens.value_or(0), aBackend.Load() };
-  mHasAnswerHead = false;
-  mBody.clear();
-  mEventReader = EventStreamReader();
   mState.mLog.Line("request_sent")
     .Text("id", mFacts.mId)
     .Text("route", mRoute->mName)
@@ -76,6 +80,7 @@
     .Text("adapter", mFacts.mAdapter)
     .Number("expected_tokens", mFacts.mExpectedTokens.value_or(0))
     .Flag("resumes", !mFacts.mLastEvent.empty() || !mLastEvent.empty())
+    .Flag("forwarded", mRequest.Forwarded())
     .Count("send", mSends)
     .Count("under_way", aBackend.RequestsInFlight())
     .Number("failing", aBackend.mFailureShare)
@@ -89,6 +94,15 @@
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
   mState.mServers.OnRequestBegan(mServer, FullName());
+  StartCall(mState.mServerPool, std::move(request));
+}
+
+void
+Exchange::StartCall(ChannelPool& aPool, OutboundRequest aRequest)
+{
+  mHasAnswerHead = false;
+  mBody.clear();
+  mEventReader = EventStreamReader();
   std::weak_ptr<Exchange> weak = weak_from_this();
   OutboundCall::Events events;
   events.mMatchesRequest = [weak](const HttpHead& aHead) {
@@ -112,7 +126,7 @@
     }
   };
   mCall = OutboundCall::Start(
-    mState.mReactor, mState.mServerPool, std::move(request), std::move(events));
+    mState.mReactor, aPool, std::move(aRequest), std::move(events));
 }
 
 void
@@ -121,7 +135,9 @@
   mAnswer = aHead;
   mAnswerFacts = wire::ReadAnswerFacts(aHead);
   mHasAnswerHead = true;
-  if (!mCall->Reused()) {
+  if (mForwarding) {
+    mAnswerFacts.mNotRun = wire::IsInstanceRejection(aHead);
+  } else if (!mCall->Reused()) {
     mState.mServerReach.OnReached();
   }
   bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
@@ -220,9 +236,9 @@
     return;
   }
   if (aOutcome == CallOutcome::NotSent) {
-    OnNotSent();
+    mForwarding ? OnPeerUnreached() : OnNotSent();
   } else if (mHasAnswerHead && mAnswerFacts.mNotRun) {
-    OnNotRun();
+    mForwarding ? OnPeerRejected() : OnNotRun();
   } else if (aOutcome != CallOutcome::Complete) {
     OnAnswerLost(aOutcome);
   } else if (StreamEndedInsideEvent()) {
@@ -251,7 +267,7 @@
                                 failed ? ServerOutcome::Failed
                                        : ServerOutcome::Good,
                                 mState.Now());
-  if (!failed && mSends == 1) {
+  if (!failed && mSends == 1 && !mForwarding) {
     mState.mRunTimes.Record(mRoute->mName, mState.AgeOf(mSentAt), mRunFacts);
   }
   ReleaseCall();
@@ -263,7 +279,8 @@
   }
   mPossibleRuns += failed ? 1 : 0;
   mMayHaveRun = mMayHaveRun || failed;
-  if (failed && MayRetry()) {
+  // A peer has made what retries there are.
+  if (failed && !mForwarding && MayRetry()) {
     mState.mLog.Line("request_again")
       .Text("id", mFacts.mId)
       .Text("why", "server failed")
--- /dev/null
+++ b/src/entry/ForwardPeers.h
@@ -0,0 +1,29 @@
+// ForwardPeers.h: the instances that can serve a request in place of this one.
+#ifndef caraway_entry_ForwardPeers_h
+#define caraway_entry_ForwardPeers_h
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace caraway {
+
+struct ForwardTarget
+{
+  std::string mName;
+  std::string mAddress;
+};
+
+class ForwardPeers
+{
+public:
+  virtual ~ForwardPeers() = default;
+  // Chooses a peer that reaches servers and isn't shutting down, as far as is
+  // known, and whose name isn't in aExcluded; nothing if there is none.
+  virtual std::optional<ForwardTarget> Choose(
+    const std::set<std::string>& aExcluded) = 0;
+};
+
+} // namespace caraway
+
+#endif
--- a/src/entry/InboundConnection.h
+++ b/src/entry/InboundConnection.h
@@ -21,6 +21,11 @@
   HttpHead mHead;
   std::string mBody;
   Millis mWaited{ 0 }; // between its arrival and its reading
+  // Set if another instance forwarded it: the number of servers to which it may
+  // still be sent.
+  std::optional<int> mServersLeft;
+
+  bool Forwarded() const { return mServersLeft.has_value(); }
 };
 
 // Handles the requests and connection events of a listening port.
--- a/src/entry/Peers.cpp
+++ b/src/entry/Peers.cpp
@@ -42,6 +42,7 @@
   : mState(aState)
   , mCallHandler(
       [this](const InboundRequest& aRequest) { return Answer(aRequest); })
+  , mPortHandler(mCallHandler)
 {
 }
 
@@ -56,7 +57,7 @@
     mSocket, std::shared_ptr<SocketHandler>(std::shared_ptr<void>(), this));
   constexpr size_t kMaxConnections = 512;
   mPort = ListenPort::Open(
-    mState.mReactor, mState.mSettings.mPeers, mCallHandler, kMaxConnections);
+    mState.mReactor, mState.mSettings.mPeers, mPortHandler, kMaxConnections);
   mIncarnation = ClockMillis();
   mState.mReactor.Every(kHeartbeatTick, [this] { SendHeartbeats(); });
   WatchEchoRequests();
@@ -159,6 +160,7 @@
   Json::Value heartbeat = StampedSelf();
   heartbeat["leaving"] = mState.mLeave.Leaving();
   heartbeat["left"] = mLeft;
+  heartbeat["cut_off"] = mState.mServerReach.CutOff();
   for (const auto& fill : mHeartbeatFillers) {
     fill(heartbeat);
   }
@@ -301,6 +303,7 @@
   }
   peer.mQueued = aHeartbeat["queued"].asInt();
   peer.mRank = aHeartbeat["rank"].asString();
+  peer.mCutOff = aHeartbeat["cut_off"].asBool();
   if (aHeartbeat["leaving"].asBool()) {
     OnLeavingMessage(aHeartbeat);
   }
--- a/src/entry/Peers.h
+++ b/src/entry/Peers.h
@@ -24,6 +24,7 @@
 #include "entry/EntryState.h"
 #include "entry/ImmediateHandler.h"
 #include "entry/ListenPort.h"
+#include "entry/PeerPortHandler.h"
 #include "net/OutboundCall.h"
 
 namespace caraway {
@@ -39,6 +40,7 @@
   int64_t mSenderTime = 0;  // its clock in its last heartbeat, ms
   std::string mRank;        // as a reader of the store, see WatchStep
   bool mLeaving = false;    // it is shutting down
+  bool mCutOff = false;     // it reaches no server
 };
 
 class Peers : public SocketHandler
@@ -50,6 +52,11 @@
 
   explicit Peers(EntryState& aState);
 
+  // Registers the handler of requests that other instances forward.
+  void OnForwarded(InboundHandler& aHandler)
+  {
+    mPortHandler.SetForwarded(aHandler);
+  }
   // Throws Poco::Exception if the address cannot be bound.
   void Start();
   // Register callbacks that add to each heartbeat sent, and that read each
@@ -165,6 +172,7 @@
   Poco::Net::DatagramSocket mSocket;
   std::vector<char> mReceived = std::vector<char>(kMaxReceivedBytes);
   ImmediateHandler mCallHandler;
+  PeerPortHandler mPortHandler;
   std::shared_ptr<ListenPort> mPort;
   std::map<std::string, Peer> mPeers; // by name, not this instance
   uint64_t mListVersion = 0;
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -15,10 +15,12 @@
 
 RequestDispatcher::RequestDispatcher(EntryState& aState,
                                      RateLimiter& aRateLimiter,
-                                     LoadRequester& aLoadRequester)
+                                     LoadRequester& aLoadRequester,
+                                     ForwardPeers& aForwardPeers)
   : mState(aState)
   , mRateLimiter(aRateLimiter)
   , mLoadRequester(aLoadRequester)
+  , mForwardPeers(aForwardPeers)
 {
 }
 
@@ -26,8 +28,13 @@
 RequestDispatcher::OnRequest(const std::shared_ptr<InboundConnection>& aConn,
                              InboundRequest& aRequest)
 {
-  auto exchange = std::make_shared<Exchange>(
-    mState, *this, mRateLimiter, mLoadRequester, aConn, std::move(aRequest));
+  auto exchange = std::make_shared<Exchange>(mState,
+                                             *this,
+                                             mRateLimiter,
+                                             mLoadRequester,
+                                             mForwardPeers,
+                                             aConn,
+                                             std::move(aRequest));
   mExchanges[aConn.get()] = exchange;
   exchange->Begin();
 }
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -17,7 +17,8 @@
 public:
   RequestDispatcher(EntryState& aState,
                     RateLimiter& aRateLimiter,
-                    LoadRequester& aLoadRequester);
+                    LoadRequester& aLoadRequester,
+                    ForwardPeers& aForwardPeers);
 
   // Called when servers hold other models or have free slots. Retries the
   // waiting requests, the most urgent first, after the current event.
@@ -53,6 +54,7 @@
   EntryState& mState;
   RateLimiter& mRateLimiter;
   LoadRequester& mLoadRequester;
+  ForwardPeers& mForwardPeers;
   std::map<const InboundConnection*, std::shared_ptr<Exchange>> mExchanges;
   std::vector<std::shared_ptr<Exchange>> mWaiting;
   bool mRetryScheduled = false;
--- a/tests/platform/CutOffFromServersTest.cpp
+++ b/tests/platform/CutOffFromServersTest.cpp
@@ -165,4 +165,112 @@
   ExpectServed(1);
 }
 
+// Guards against a second run of an order whose answer is lost behind the peer.
+TEST_F(CutOffFromServers, ForwardedOrderRunsOnce)
+{
+  CutOff(0);
+  LetItNotice(0);
+  for (auto& server : mFleet.mPlain) {
+    server->mBehaviour = ServerBehaviour::RunsThenCloses;
+  }
+  TestCallPtr call = Call(0, "/order/x");
+  EXPECT_EQ(502, call->mStatus);
+  EXPECT_EQ(1, mFleet.RunsOf(mLastId));
+}
+
+// Guards against tokens that are charged by the peer too, and demand that is
+// counted twice.
+TEST_F(CutOffFromServers, ForwardedRequestIsChargedOnce)
+{
+  CutOff(0);
+  LetItNotice(0);
+  Call(0, "/stream/stream");
+  std::string id = "\"id\":\"" + mLastId + "\"";
+  int charged = 0;
+  for (size_t i = 0; i < 3; ++i) {
+    const std::string& log = mFleet.mInstances[i]->State().mLog.BufferedText();
+    for (size_t at = log.find(id); at != std::string::npos;
+         at = log.find(id, at + 1)) {
+      std::string line = log.substr(at, log.find('\n', at) - at);
+      charged += line.find("\"tokens\":150") != std::string::npos ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(1, charged);
+}
+
+// Guards against a server that works on for a caller who has left.
+TEST_F(CutOffFromServers, CallerThatLeavesStopsTheServerBehindThePeer)
+{
+  CutOff(0);
+  LetItNotice(0);
+  for (auto& engine : mFleet.mEngines) {
+    engine->mEventGap = Millis(300);
+  }
+  TestCallPtr call = Send(0, "/stream/stream");
+  ASSERT_TRUE(
+    mFleet.RunUntil([&] { return !call->mBody.empty(); }, Seconds(2)));
+  call->mChannel->Close();
+  auto stopped = [&] {
+    return mFleet.mEngines[0]->mLeft + mFleet.mEngines[1]->mLeft == 1;
+  };
+  EXPECT_TRUE(mFleet.RunUntil(stopped, Millis(500)));
+}
+
+// Guards against a request that two instances, neither of which reaches a
+// server, send to and fro until its deadline.
+TEST_F(CutOffFromServers, RequestThatNobodyCanServeIsRefusedSoon)
+{
+  for (size_t i = 0; i < 3; ++i) {
+    CutOff(i);
+  }
+  for (size_t i = 0; i < 3; ++i) {
+    LetItNotice(i);
+  }
+  TestCallPtr call = Call(0, "/order/x");
+  EXPECT_EQ(503, call->mStatus);
+  EXPECT_NE("", call->Field(wire::kRetryAfter));
+  EXPECT_LT(call->mHeadAt - call->mSentAt, Seconds(1));
+  EXPECT_EQ(0, mFleet.RunsOf(mLastId));
+}
+
+// Guards against requests that go through peers for ever.
+TEST_F(CutOffFromServers, RequestsGoToServersAgainAfterwards)
+{
+  CutOff(0);
+  LetItNotice(0);
+  Heal(0);
+  mFleet.RunFor(Seconds(2));
+  int forwarded = mFleet.LogLines(0, "request_forwarded");
+  EXPECT_GT(forwarded, 0);
+  ExpectServed(0);
+  EXPECT_EQ(forwarded, mFleet.LogLines(0, "request_forwarded"));
+}
+
+// Guards against requests lost at a peer that shuts down.
+TEST_F(CutOffFromServers, PeerThatLeavesIsPassedOver)
+{
+  CutOff(0);
+  LetItNotice(0);
+  mFleet.mInstances[1]->Leave();
+  ExpectServed(0);
+  mFleet.RunFor(Seconds(3));
+  ExpectServed(0);
+}
+
+// Guards against a caller who passes for another instance, and so evades the
+// check of its rate or reaches more servers.
+TEST_F(CutOffFromServers, CallersCannotForward)
+{
+  TestCallPtr call = mFleet.Call(
+    0,
+    "/order/x",
+    "r1",
+    { { wire::kForwarded, "5" }, { wire::kAuthorization, "Bearer none" } });
+  EXPECT_EQ(401, call->mStatus);
+  EXPECT_EQ(
+    200,
+    mFleet.Call(0, "/order/x", "r2", { { wire::kForwarded, "5" } })->mStatus);
+  EXPECT_EQ(0, mFleet.LogLines(0, "\"forwarded\":true"));
+}
+
 } // namespace caraway
