EntryDaemon: an instance that reaches no server gives its zone's lease up

The lease asks for the store only. Change: cut off for a second, it doesn't want the lease; its peers take it as after a leave, with the same silence between the orders of two holders. Test: CutOffFromServers.LeaseGoesToAnInstanceThatReachesServers, red before (503, the holder holds), green now.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -95,6 +95,10 @@
   mZoneLease.Start();
   mRateLimiter.Start();
   mSchedulers.Start();
+  // An instance that reaches no server can't order its zone's loads.
+  mServerProbe.OnLastingChange([this](bool aCutOff) {
+    mZoneLease.SetWanted(!aCutOff && !mState.mLeave.Leaving());
+  });
   mServerProbe.Start();
   reactor.Every(kSweepInterval, [this] {
     mCallers->Sweep();
--- a/src/entry/ServerProbe.cpp
+++ b/src/entry/ServerProbe.cpp
@@ -12,6 +12,9 @@
 
 constexpr Millis kConnectTimeout{ 700 };
 
+// Shorter interruptions aren't worth handing a lease over.
+constexpr Millis kLastingTime{ 1000 };
+
 // A server keeps a connection for longer that hasn't carried a request yet.
 constexpr Millis kIdleTimeout{ 1000 };
 
@@ -34,11 +37,22 @@
   if (mState.mServerReach.CutOff() != mCutOff) {
     LogChange();
   }
+  TellIfLasting();
   if (mCutOff && !mProbe && mState.Now() >= mNextProbeAt) {
     Probe();
   }
 }
 
+void
+ServerProbe::TellIfLasting()
+{
+  bool lasting = mCutOff && mState.AgeOf(mCutOffAt) >= kLastingTime;
+  if (lasting != mLasting) {
+    mLasting = lasting;
+    mOnLastingChange(lasting);
+  }
+}
+
 // The one after the last, in the order of ids.
 const Backend*
 ServerProbe::NextServer() const
--- a/src/entry/ServerProbe.h
+++ b/src/entry/ServerProbe.h
@@ -3,6 +3,7 @@
 #ifndef caraway_entry_ServerProbe_h
 #define caraway_entry_ServerProbe_h
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -16,10 +17,17 @@
   explicit ServerProbe(EntryState& aState);
 
   void Start();
+  // Called with true when the instance has reached no server for a second, and
+  // with false when it reaches one again.
+  void OnLastingChange(std::function<void(bool)> aChange)
+  {
+    mOnLastingChange = std::move(aChange);
+  }
 
 private:
   void Tick();
   void LogChange();
+  void TellIfLasting();
   void Probe();
   const Backend* NextServer() const;
   void KeepProbe();
@@ -29,6 +37,8 @@
   std::string mServer;             // of mProbe
   std::string mAddress;            // of mServer
   TimePoint mNextProbeAt{};
+  bool mLasting = false; // as last told
+  std::function<void(bool)> mOnLastingChange = [](bool) {};
   bool mCutOff = false; // as last logged
   TimePoint mCutOffAt{};
 };
--- a/tests/platform/CutOffFromServersTest.cpp
+++ b/tests/platform/CutOffFromServersTest.cpp
@@ -273,4 +273,36 @@
   EXPECT_EQ(0, mFleet.LogLines(0, "\"forwarded\":true"));
 }
 
+// Guards against models that nobody loads because the instance that orders the
+// zone's loads reaches no server.
+TEST_F(CutOffFromServers, LeaseGoesToAnInstanceThatReachesServers)
+{
+  size_t holder = 0;
+  while (holder < 2 && !mFleet.mInstances[holder]->HoldsLease()) {
+    ++holder;
+  }
+  ASSERT_TRUE(mFleet.mInstances[holder]->HoldsLease());
+  CutOff(holder);
+  LetItNotice(holder);
+  mFleet.RunFor(Seconds(2));
+  size_t other = holder == 0 ? 1 : 0;
+  TestCallPtr call =
+    mFleet.Call(other,
+                "/stream/stream",
+                "cold",
+                { { wire::kModel, "m1" }, { wire::kTokens, "100,50" } });
+  EXPECT_EQ(200, call->mStatus);
+  EXPECT_FALSE(mFleet.mInstances[holder]->HoldsLease());
+  // It may hold the lease again once it reaches servers.
+  Heal(holder);
+  mFleet.RunFor(Seconds(5));
+  for (size_t i = 0; i < 3; ++i) {
+    if (i != holder) {
+      mFleet.mInstances[i]->Leave();
+    }
+  }
+  EXPECT_TRUE(mFleet.RunUntil(
+    [&] { return mFleet.mInstances[holder]->HoldsLease(); }, Seconds(5)));
+}
+
 } // namespace caraway
