ServerView: servers that say how many rejections they bear get no more

Cause: a rejection was answered by the next send 15 ms later, to the same server if the choice fell on it, and each instance sees the others' requests with a delay. Change: such a server gets from one instance no more than its part of the slots, and after a rejection none for a second, or longer where the instances are more than N. The first answer that doesn't say so ends it. Other servers are treated as before.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -36,6 +36,8 @@
   std::string mId;          // id of the request it answers
   // The server that refused the request, if it identified itself.
   std::string mServer;
+  // The server fails if it has to reject more requests in a second.
+  std::optional<double> mRejectionLimit;
 };
 
 } // namespace caraway
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -123,6 +123,21 @@
   return static_cast<double>(RequestsInFlight()) / std::max(1, mEntry.mSlots);
 }
 
+// Other instances' requests are seen with a delay. Where a rejection may bring
+// the server down, no instance takes more than its part of the slots, so that a
+// burst at all of them still finds room.
+bool
+Backend::HasRoom(double aMaxPerSlot, int aInstances, TimePoint aNow) const
+{
+  int slots = std::max(1, mEntry.mSlots);
+  if (!mRejectionLimit) {
+    return RequestsInFlight() < aMaxPerSlot * slots;
+  }
+  int part = std::max(1, slots / std::max(1, aInstances));
+  return aNow >= mFullUntil && Total(mOwnRequests) < part &&
+         RequestsInFlight() < slots;
+}
+
 int
 Backend::RequestsInFlight(const std::string& aName) const
 {
@@ -181,6 +196,8 @@
     backend.mConsecutiveFailures = 0;
     backend.mAvoidUntil = TimePoint();
     backend.mAddressReusedUntil = TimePoint();
+    backend.mRejectionLimit.reset();
+    backend.mFullUntil = TimePoint();
     return true;
   }
   bool reported = backend.mReportedAt != TimePoint() &&
@@ -246,8 +263,8 @@
       continue;
     }
     choice.mHeld = true;
-    if (backend.RequestsInFlight() >=
-        aRequirements.mMaxPerSlot * std::max(1, backend.mEntry.mSlots)) {
+    if (!backend.HasRoom(
+          aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       continue;
     }
     double cost = CostOf(backend, aRequirements.mZone) + noise(aRandom);
@@ -304,6 +321,27 @@
   backend->mAvoidUntil = aNow + kFirstAvoidTime * (1 << doublings);
 }
 
+void
+ServerView::SetRejectionLimit(const std::string& aId,
+                              std::optional<double> aLimit)
+{
+  if (Backend* backend = Find(aId)) {
+    backend->mRejectionLimit = aLimit;
+  }
+}
+
+void
+ServerView::OnRejected(const std::string& aId, int aInstances, TimePoint aNow)
+{
+  Backend* backend = Find(aId);
+  if (!backend || !backend->mRejectionLimit) {
+    return;
+  }
+  double seconds = std::max(1.0, aInstances / *backend->mRejectionLimit);
+  backend->mFullUntil =
+    aNow + Millis(static_cast<int64_t>(seconds * Millis(Seconds(1)).count()));
+}
+
 void
 ServerView::OnAddressReused(const std::string& aId, Millis aFor, TimePoint aNow)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -4,6 +4,7 @@
 #define caraway_decide_ServerView_h
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,11 +33,16 @@
   TimePoint mAddressReusedUntil{}; // another server answers at its address
   // It accepts no order before this time, as the lease holder reported.
   TimePoint mLoadingUntil{};
+  // It fails if it has to reject more requests in a second, from all instances.
+  std::optional<double> mRejectionLimit;
+  TimePoint mFullUntil{}; // it gets no request before
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
   int RequestsInFlight() const;
   double Load() const; // requests in flight per slot
+  // Whether it takes one more request of this instance, one of aInstances.
+  bool HasRoom(double aMaxPerSlot, int aInstances, TimePoint aNow) const;
   // For a model with all its adapters, or for one MODEL/ADAPTER.
   int RequestsInFlight(const std::string& aName) const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
@@ -54,6 +60,7 @@
   std::set<std::string> mExcluded; // servers that must not get it
   std::set<std::string> mOnly;     // unless empty, only these
   double mMaxPerSlot = 1;          // limit on requests in flight per slot
+  int mInstances = 1;              // that send to the servers
 };
 
 struct ServerChoice
@@ -109,6 +116,12 @@
   void RecordOutcome(const std::string& aId,
                      ServerOutcome aOutcome,
                      TimePoint aNow);
+  // As the server said with its last answer; see Backend.
+  void SetRejectionLimit(const std::string& aId, std::optional<double> aLimit);
+  // The server rejected a request for want of room. One with a limit of
+  // rejections gets none from this instance for a while: the aInstances share
+  // the limit.
+  void OnRejected(const std::string& aId, int aInstances, TimePoint aNow);
   // Another server answered at its address: an address is assigned again after
   // its server ends. The server gets no requests for aFor, within which its
   // entry is removed; each request sent there would be refused and need a
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -131,6 +131,7 @@
   requirements.mAdapter = engine ? mFacts.mAdapter : "";
   requirements.mZone = mState.mSettings.mZone;
   requirements.mExcluded = mBadServers;
+  requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
     engine ? kEngineRequestsPerSlot : kServiceRequestsPerSlot;
   if (ServersLeft() <= 0) {
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -121,6 +121,8 @@
       .Text("answered", answered);
     mBadServers.insert(server);
     mTriedServers.erase(server); // the address now belongs to another server
+  } else if (status == 503) {
+    mState.mServers.OnRejected(server, mState.mInstances, mState.Now());
   } else if (status == 421 && !mFacts.mModel.empty()) {
     mState.mServers.MarkMissing(
       server, mFacts.mModel, mFacts.mAdapter, mState.Now());
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -140,6 +140,7 @@
   } else if (!mCall->Reused()) {
     mState.mServerReach.OnReached();
   }
+  mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
   bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
   if (mAnswerFacts.mNotRun) {
     return;
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -158,6 +158,9 @@
                      const std::string& aBody)
 {
   aClient->mWorking = false;
+  if (mRejectionLimit > 0) {
+    aFields.push_back({ wire::kBrittle, std::to_string(mRejectionLimit) });
+  }
   if (!mUnframed) {
     aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
   }
@@ -258,6 +261,9 @@
        // Accepted before the server began to refuse.
        mBehaviour == ServerBehaviour::Refuses)) {
     own.push_back({ "Content-Type", "text/event-stream" });
+    if (mRejectionLimit > 0) {
+      own.push_back({ wire::kBrittle, std::to_string(mRejectionLimit) });
+    }
     if (!mUnframed) {
       own.push_back({ "Transfer-Encoding", "chunked" });
     }
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -95,6 +95,7 @@
   bool mUnframed = false;
   // An answer that breaks off is framed as complete: its last chunk is sent.
   bool mEndsBrokenStreams = false;
+  int mRejectionLimit = 0; // told in each answer; 0 = none
   bool mResets = false; // breaks answers off by resets, not by orderly closes
 
 private:
