Channel: a host that is silent for a second keeps its connections

Cause: probes came 1 s and 2 s after the last bytes, and the user timeout of 2 s ended them with the second. A silence in which the first is lost, such as from 0.5 s to 1.5 s, ended a connection on which an answer was waited for. Change: 3.5 s, so that probes 1, 2 and 3 s after the last bytes may be answered. Test: Channel.ShortSilenceLeavesTimeForAnotherProbe, red before, green now; it reads the options, no host falls silent in it.

--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -12,12 +12,13 @@
 
 // A host without power or behind a network partition sends no answer at all.
 // Without these options a connection to it, and the request on it, would hang
-// for minutes. Two seconds is longer than a short loss of the link and shorter
-// than most deadlines.
-constexpr int kUserTimeoutMs = 2000;
+// for minutes. A sound host may be silent for a second or two: the first probe
+// is lost then, and another must be answered before the user timeout, which
+// also ends the probes, whatever their number.
+constexpr int kUserTimeoutMs = 3500;
 constexpr int kProbeIdleSeconds = 1;
 constexpr int kProbeIntervalSeconds = 1;
-constexpr int kProbes = 2;
+constexpr int kProbes = 4;
 
 // Bytes read from a connection per pass of the event loop.
 constexpr size_t kReadBufferBytes = 16384;
--- a/tests/unit/ChannelTest.cpp
+++ b/tests/unit/ChannelTest.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <netinet/tcp.h>
 
 #include "caraway/BootClock.h"
 #include "net/Channel.h"
@@ -85,4 +86,33 @@
   EXPECT_FALSE(writer->Open());
 }
 
+// Guards against a connection that is given up because its host was silent for
+// a second: of the probes that are sent before the user timeout, which ends
+// them, the last must come that much after the first, and be answered.
+TEST(Channel, ShortSilenceLeavesTimeForAnotherProbe)
+{
+  BootClock clock;
+  Reactor reactor(clock);
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  Poco::Net::StreamSocket peer(listener.address());
+  Poco::Net::StreamSocket socket = listener.acceptConnection();
+  auto channel = Channel::Accepted(reactor, socket);
+  auto option = [&socket](int aName) {
+    int value = 0;
+    socket.getOption(IPPROTO_TCP, aName, value);
+    return value;
+  };
+  Millis first = Seconds(option(TCP_KEEPIDLE));
+  Millis interval = Seconds(option(TCP_KEEPINTVL));
+  Millis timeout(option(TCP_USER_TIMEOUT));
+  int probes = 0;
+  while (first + interval * probes < timeout) {
+    ++probes;
+  }
+  constexpr Millis kSilence{ 1500 };
+  EXPECT_GE(interval * (probes - 1), kSilence);
+  EXPECT_GE(option(TCP_KEEPCNT), probes);
+  channel->Close();
+}
+
 } // namespace caraway
