--- a/tests/unit/LossReportTest.cpp
+++ b/tests/unit/LossReportTest.cpp
@@ -57,6 +57,26 @@
     report.Text().find("acme: 1 s, admitted 0.50 of the rate, requested 2.00"));
 }
 
+// Guards against a loss that counts twice, at the instance that forwards the
+// request and at its peer, or without its route.
+TEST(LossReport, ForwardedRequestCountsOnce)
+{
+  LossReport report;
+  report.Read(
+    Line(100,
+         "request_forwarded",
+         R"(,"id":"r1","route":"chat","tenant":"acme","tokens":500)") +
+    Line(200,
+         "request_done",
+         R"(,"id":"r1","status":503,"why":"full","forwarded":true)") +
+    Line(210,
+         "request_done",
+         R"(,"id":"r1","status":503,"why":"peer","forwarded":false)"));
+  std::string csv = report.Csv();
+  EXPECT_NE(std::string::npos, csv.find("\"peer\",chat,acme,1\n"));
+  EXPECT_EQ(std::string::npos, csv.find("full"));
+}
+
 // Guards against a report that stops at an incomplete or foreign line.
 TEST(LossReport, UnreadableLinesAreCountedAndSkipped)
 {
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -277,4 +277,51 @@
   EXPECT_EQ("0.250", RetryAfterField(Millis(250)).mValue);
 }
 
+// Guards against a caller's key that is lost between instances, and against
+// fields that only the system sets.
+TEST(WireMessages, ForwardedRequestKeepsTheKey)
+{
+  std::string text = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nAuthorization: "
+                     "Bearer k\r\nHold: 7\r\nDeadline-Remaining: 900\r\n"
+                     "Caraway-Forwarded: 9\r\nContent-Length: 4\r\n\r\n";
+  HttpHead caller;
+  size_t used = 0;
+  ASSERT_EQ(HeadState::Complete, ReadRequestHead(text, caller, used));
+  ForwardedFields extra;
+  extra.mServersLeft = 2;
+  extra.mLeft = Millis(700);
+  extra.mBodyBytes = 4;
+  HttpHead forwarded;
+  ASSERT_EQ(
+    HeadState::Complete,
+    ReadRequestHead(WriteForwardedRequest(caller, extra), forwarded, used));
+  EXPECT_EQ("/a/b?c=1", forwarded.mTarget);
+  EXPECT_EQ("Bearer k", *forwarded.Find(kAuthorization));
+  EXPECT_EQ("700", *forwarded.Find(kDeadline));
+  EXPECT_EQ(nullptr, forwarded.Find(kHold));
+  EXPECT_EQ(2, ReadForwardedServers(forwarded));
+  EXPECT_EQ(4u, forwarded.mLength);
+}
+
+// Guards against a server's own failure that is taken for an instance's
+// rejection, and so run again.
+TEST(WireMessages, OnlyAnInstancesOwnRejectionProvesThatNothingRan)
+{
+  auto answer = [](int aStatus, bool aSealed) {
+    HttpHead head;
+    head.mStatus = aStatus;
+    if (aSealed) {
+      head.Add(kSeal, "s");
+    }
+    return head;
+  };
+  EXPECT_TRUE(IsInstanceRejection(answer(503, false)));
+  EXPECT_TRUE(IsInstanceRejection(answer(404, false)));
+  EXPECT_FALSE(IsInstanceRejection(answer(503, true)));
+  EXPECT_FALSE(IsInstanceRejection(answer(404, true)));
+  EXPECT_FALSE(IsInstanceRejection(answer(502, false)));
+  EXPECT_FALSE(IsInstanceRejection(answer(504, false)));
+  EXPECT_FALSE(IsInstanceRejection(answer(200, false)));
+}
+
 } // namespace caraway::wire
