--- a/src/ctl/LossReport.cpp
+++ b/src/ctl/LossReport.cpp
@@ -66,7 +66,13 @@
     if (NumberOf(json, "send") == 1) {
       usage.mAdmittedTokens[second] += NumberOf(json, "tokens");
     }
-  } else if (event == "request_refused" || event == "request_forwarded") {
+  } else if (event == "request_forwarded") {
+    mRouteOf[id] = TextOf(json, "route");
+    mTenantOf[id] = TextOf(json, "tenant");
+    if (NumberOf(json, "forward") == 1 && NumberOf(json, "sends") == 0) {
+      usage.mAdmittedTokens[second] += NumberOf(json, "tokens");
+    }
+  } else if (event == "request_refused") {
     mRouteOf[id] = TextOf(json, "route");
     mTenantOf[id] = TextOf(json, "tenant");
   } else if (event == "tokens_refused") {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -101,6 +101,7 @@
   void StartCall(ChannelPool& aPool, OutboundRequest aRequest);
   std::string ServerRequestHead(const Backend& aBackend) const;
   void OnHead(const HttpHead& aHead);
+  void RecordServerFacts();
   void OnBody(std::string& aBytes);
   void OnCallDone(CallOutcome aOutcome);
   bool StreamEndedInsideEvent() const;
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -137,10 +137,9 @@
   mHasAnswerHead = true;
   if (mForwarding) {
     mAnswerFacts.mNotRun = wire::IsInstanceRejection(aHead);
-  } else if (!mCall->Reused()) {
-    mState.mServerReach.OnReached();
+  } else {
+    RecordServerFacts();
   }
-  mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
   bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
   if (mAnswerFacts.mNotRun) {
     return;
@@ -162,6 +161,15 @@
   }
 }
 
+void
+Exchange::RecordServerFacts()
+{
+  if (!mCall->Reused()) {
+    mState.mServerReach.OnReached();
+  }
+  mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
+}
+
 void
 Exchange::StartStream(const HttpHead& aHead)
 {
--- a/src/entry/ServerProbe.cpp
+++ b/src/entry/ServerProbe.cpp
@@ -99,11 +99,11 @@
 ServerProbe::LogChange()
 {
   mCutOff = mState.mServerReach.CutOff();
-  mState.mMetrics.Count("caraway_cut_off_total", "", mCutOff ? 1 : 0);
   if (!mCutOff) {
     mState.mLog.Line("servers_reached").Ms("after_ms", mState.AgeOf(mCutOffAt));
     return;
   }
+  mState.mMetrics.Count("caraway_cut_off_total", "");
   mCutOffAt = mState.Now();
   mNextProbeAt = mCutOffAt;
   mState.mLog.Line("servers_unreachable")
