Exchange: a lost answer is no sign of a partition

Cause: kept connections that ended without an answer counted like connections that couldn't be established. A reset comes from a server that can be reached. Change: only failures to connect count. Test: CutOffFromServers.LostAnswersAreNoPartition, red before, green now.

--- a/src/decide/ServerReach.h
+++ b/src/decide/ServerReach.h
@@ -18,8 +18,8 @@
   // A new connection to a server was established. Answers on older connections
   // don't count: a partition may leave these alone.
   void OnReached();
-  // A connection to aServer couldn't be established, or a kept one ended
-  // without an answer.
+  // A connection to aServer couldn't be established. A kept one that ends
+  // without an answer doesn't count: servers reset those too.
   void OnUnreached(const std::string& aServer, TimePoint aNow);
   // From the last of several such failures until a server is reached.
   bool CutOff() const { return mCutOff; }
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -150,9 +150,6 @@
   mGrant.reset();
   ++mPossibleRuns;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
-  if (kept && !mHasAnswerHead && !mForwarding) {
-    mState.mServerReach.OnUnreached(server, mState.Now());
-  }
   mBadServers.insert(server);
   ReleaseCall();
   mEvents.clear();
--- a/tests/platform/CutOffFromServersTest.cpp
+++ b/tests/platform/CutOffFromServersTest.cpp
@@ -305,4 +305,23 @@
     [&] { return mFleet.mInstances[holder]->HoldsLease(); }, Seconds(5)));
 }
 
+// Guards against answers that are lost on connections from before, and taken
+// for a partition: the instance would hand its requests over, or refuse them.
+TEST_F(CutOffFromServers, LostAnswersAreNoPartition)
+{
+  for (int i = 0; i < 20; ++i) {
+    Send(0, "/safe/x");
+  }
+  mFleet.RunFor(Millis(300));
+  for (auto& server : mFleet.mPlain) {
+    server->mBehaviour = ServerBehaviour::RunsThenCloses;
+  }
+  for (int i = 0; i < 8; ++i) {
+    Send(0, "/order/x");
+  }
+  mFleet.RunFor(Millis(300));
+  EXPECT_EQ(0, mFleet.LogLines(0, "servers_unreachable"));
+  EXPECT_EQ(0, mFleet.LogLines(0, "request_forwarded"));
+}
+
 } // namespace caraway
