ServerReach: an answer on a kept connection ends a partition

Cause: only new connections counted as reaching a server. Change: every answer does. A partition that leaves kept connections alone is covered by the two failures after which a single request is handed over. Test: CutOffFromServers.AnswersOnKeptConnectionsAreNoPartition, new; it passed before the change too and guards it only.

--- a/src/decide/ServerReach.h
+++ b/src/decide/ServerReach.h
@@ -15,8 +15,8 @@
 class ServerReach
 {
 public:
-  // A new connection to a server was established. Answers on older connections
-  // don't count: a partition may leave these alone.
+  // A server answered, on whatever connection, or a probe was connected. Full
+  // servers refuse connections and answer on those that they have.
   void OnReached();
   // A connection to aServer couldn't be established. A kept one that ends
   // without an answer doesn't count: servers reset those too.
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -164,9 +164,7 @@
 void
 Exchange::RecordServerFacts()
 {
-  if (!mCall->Reused()) {
-    mState.mServerReach.OnReached();
-  }
+  mState.mServerReach.OnReached();
   mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
 }
 
--- a/tests/platform/CutOffFromServersTest.cpp
+++ b/tests/platform/CutOffFromServersTest.cpp
@@ -324,4 +324,24 @@
   EXPECT_EQ(0, mFleet.LogLines(0, "request_forwarded"));
 }
 
+// Guards against full servers, which refuse connections and answer on those
+// that they have, and are taken for a partition.
+TEST_F(CutOffFromServers, AnswersOnKeptConnectionsAreNoPartition)
+{
+  for (int i = 0; i < 6; ++i) {
+    Send(0, "/safe/x");
+  }
+  mFleet.RunFor(Millis(300));
+  for (auto& server : mFleet.mPlain) {
+    server->RefuseConnections();
+  }
+  for (int i = 0; i < 12; ++i) {
+    Send(0, "/safe/x");
+  }
+  mFleet.RunFor(Millis(100));
+  EXPECT_GT(mFleet.LogLines(0, "\"not connected\""), 0);
+  EXPECT_EQ(200, Call(0, "/safe/x")->mStatus);
+  EXPECT_FALSE(mFleet.mInstances[0]->State().mServerReach.CutOff());
+}
+
 } // namespace caraway
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -83,6 +83,13 @@
   mReactor.Unwatch(mListener->mSocket);
 }
 
+void
+StandInServer::RefuseConnections()
+{
+  mReactor.Unwatch(mListener->mSocket);
+  mListener->mSocket.close();
+}
+
 std::string
 StandInServer::Address() const
 {
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -54,6 +54,9 @@
   StandInServer(Reactor& aReactor, std::string aId);
   ~StandInServer();
 
+  // Refuses new connections; those that are open go on.
+  void RefuseConnections();
+
   const std::string& Id() const { return mId; }
   std::string Address() const;
   // The server's entry in the list of servers.
