ServerReach: a zone cut off from the others isn't cut off from all servers

Cause: three far servers in a row were enough. Change: one of them must be near. A peer's rejections alone refuse nothing: one server is tried from here first.

--- a/src/decide/ServerReach.cpp
+++ b/src/decide/ServerReach.cpp
@@ -1,5 +1,7 @@
 #include "decide/ServerReach.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -20,14 +22,18 @@
 }
 
 void
-ServerReach::OnUnreached(const std::string& aServer, TimePoint aNow)
+ServerReach::OnUnreached(const std::string& aServer, bool aNear, TimePoint aNow)
 {
   for (auto at = mUnreached.begin(); at != mUnreached.end();) {
-    bool old = aNow - at->second > kFailureMemory;
+    bool old = aNow - at->second.mAt > kFailureMemory;
     at = old ? mUnreached.erase(at) : std::next(at);
   }
-  mUnreached[aServer] = aNow;
-  mCutOff = mCutOff || mUnreached.size() >= kMinUnreached;
+  mUnreached[aServer] = { aNow, aNear };
+  bool anyNear =
+    std::any_of(mUnreached.begin(), mUnreached.end(), [](const auto& aEntry) {
+      return aEntry.second.mNear;
+    });
+  mCutOff = mCutOff || (anyNear && mUnreached.size() >= kMinUnreached);
 }
 
 } // namespace caraway
--- a/src/decide/ServerReach.h
+++ b/src/decide/ServerReach.h
@@ -19,15 +19,23 @@
   // servers refuse connections and answer on those that they have.
   void OnReached();
   // A connection to aServer couldn't be established. A kept one that ends
-  // without an answer doesn't count: servers reset those too.
-  void OnUnreached(const std::string& aServer, TimePoint aNow);
+  // without an answer doesn't count: servers reset those too. aNear: it is in
+  // this instance's zone, or none is. Far servers alone are a partition of the
+  // zone, which goes on with its own.
+  void OnUnreached(const std::string& aServer, bool aNear, TimePoint aNow);
   // From the last of several such failures until a server is reached.
   bool CutOff() const { return mCutOff; }
   // Servers that weren't reached, since the last that was.
   size_t Unreached() const { return mUnreached.size(); }
 
 private:
-  std::map<std::string, TimePoint> mUnreached; // last failure of each
+  struct Failure
+  {
+    TimePoint mAt{};
+    bool mNear = false;
+  };
+
+  std::map<std::string, Failure> mUnreached; // last failure of each server
   bool mCutOff = false;
 };
 
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -240,6 +240,19 @@
   return found == mBackends.end() ? nullptr : &found->second;
 }
 
+bool
+ServerView::IsNear(const std::string& aId, const std::string& aZone) const
+{
+  auto found = mBackends.find(aId);
+  if (found != mBackends.end() && found->second.mEntry.mZone == aZone) {
+    return true;
+  }
+  return std::none_of(
+    mBackends.begin(), mBackends.end(), [&aZone](const auto& aEntry) {
+      return aEntry.second.mEntry.mZone == aZone;
+    });
+}
+
 ServerChoice
 ServerView::Choose(const ServerRequirements& aRequirements,
                    TimePoint aNow,
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -103,6 +103,8 @@
                    TimePoint aNow);
 
   Backend* Find(const std::string& aId);
+  // Whether the server is in aZone, or no server is.
+  bool IsNear(const std::string& aId, const std::string& aZone) const;
   std::map<std::string, Backend>& All() { return mBackends; }
   const std::map<std::string, Backend>& All() const { return mBackends; }
 
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -80,7 +80,10 @@
 {
   std::string server = mServer;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
-  mState.mServerReach.OnUnreached(server, mState.Now());
+  mState.mServerReach.OnUnreached(
+    server,
+    mState.mServers.IsNear(server, mState.mSettings.mZone),
+    mState.Now());
   ++mUnreached;
   mTriedServers.erase(server); // it has not received the request
   mBadServers.insert(server);
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -54,8 +54,7 @@
       return true;
     }
   }
-  bool tried = mUnreached > 0 || mForwards > 0;
-  return cutOff && tried && RefuseUnreachable();
+  return cutOff && mUnreached > 0 && RefuseUnreachable();
 }
 
 bool
