Exchange: far servers that aren't reached hand no request over

Cause: the two failures after which a request is handed over counted far servers. Change: near ones only, as for the instance. Far ones are passed over as before. Tests: CutOffFromServers, RefusedByServers, CutOffZone, green; plays follow.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -155,7 +155,7 @@
   std::string mServer;      // of mCall; the peer's name while forwarding
   bool mForwarding = false; // mCall goes to another instance
   int mForwards = 0;
-  int mUnreached = 0; // servers to which no connection was established
+  int mUnreached = 0; // near servers to which no connection was established
   TimePoint mSentAt{};
   RunFacts mRunFacts;       // of mCall
   TimePoint mFirstByteAt{}; // of an answer to the caller
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -80,11 +80,9 @@
 {
   std::string server = mServer;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
-  mState.mServerReach.OnUnreached(
-    server,
-    mState.mServers.IsNear(server, mState.mSettings.mZone),
-    mState.Now());
-  ++mUnreached;
+  bool near = mState.mServers.IsNear(server, mState.mSettings.mZone);
+  mState.mServerReach.OnUnreached(server, near, mState.Now());
+  mUnreached += near ? 1 : 0;
   mTriedServers.erase(server); // it has not received the request
   mBadServers.insert(server);
   ReleaseCall();
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// A request that couldn't be brought to this many servers is forwarded, also
-// when others reach some: a partition may leave kept connections alone.
+// A request that couldn't be brought to this many near servers is forwarded,
+// also when others reach some: a partition may leave kept connections alone.
 constexpr int kMaxUnreached = 2;
 
 // Limit of instances that one request is forwarded to.
