ServerRoom: what fits on a server, out of PlacementPlan

Room is reckoned for plans and, before each load, for the inventory; it had grown into the middle of the choice of a server.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "decide/ServerRoom.h"
+
 namespace caraway {
 
 namespace {
@@ -51,19 +53,6 @@
   }
 };
 
-double
-MbOf(const EngineSpec& aEngine,
-     const std::string& aModel,
-     const std::set<std::string>& aAdapters)
-{
-  auto found = aEngine.mModels.find(aModel);
-  if (found == aEngine.mModels.end()) {
-    return 0;
-  }
-  return found->second.mMb +
-         found->second.mAdapterMb * static_cast<double>(aAdapters.size());
-}
-
 double
 ValueOf(const EngineSpec& aEngine,
         const std::string& aModel,
@@ -107,16 +96,6 @@
   return candidates;
 }
 
-double
-FreeMb(const EngineSpec& aEngine, const HeldModels& aHeld)
-{
-  double free = aEngine.mMemoryMb;
-  for (const auto& [model, adapters] : aHeld) {
-    free -= MbOf(aEngine, model, adapters);
-  }
-  return free;
-}
-
 // Cost in seconds of placing aModel on aBackend; nullopt if it can't fit. Fills
 // in aChoice.
 std::optional<double>
@@ -195,28 +174,6 @@
   return aModel.mLoad;
 }
 
-bool
-FitsBeside(const EngineSpec& aEngine,
-           const HeldModels& aHeld,
-           const std::string& aModel,
-           const std::string& aAdapter)
-{
-  auto model = aEngine.mModels.find(aModel);
-  if (model == aEngine.mModels.end()) {
-    return false;
-  }
-  double free = FreeMb(aEngine, aHeld);
-  if (aAdapter.empty()) {
-    return free >= model->second.mMb;
-  }
-  size_t adapters = 0;
-  for (const auto& [name, held] : aHeld) {
-    adapters += held.size();
-  }
-  return free >= model->second.mAdapterMb &&
-         static_cast<int>(adapters) < aEngine.mAdapterSlots;
-}
-
 ReplicaNeed
 EvaluateReplicaNeed(const std::string& aService,
                     const std::string& aModel,
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -70,13 +70,6 @@
 Millis
 LoadTime(const ModelWeights& aModel, WeightSource aSource);
 
-// Whether aModel, or aAdapter of it, fits in memory beside aHeld.
-bool
-FitsBeside(const EngineSpec& aEngine,
-           const HeldModels& aHeld,
-           const std::string& aModel,
-           const std::string& aAdapter);
-
 enum class ReplicaNeed
 {
   None,
--- a/src/decide/ServerInventory.cpp
+++ b/src/decide/ServerInventory.cpp
@@ -1,6 +1,6 @@
 #include "decide/ServerInventory.h"
 
-#include "decide/PlacementPlan.h"
+#include "decide/ServerRoom.h"
 
 namespace caraway {
 
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -9,6 +9,7 @@
 #include "decide/LoadPriority.h"
 #include "decide/PlacementPlan.h"
 #include "decide/ServerRetryBudget.h"
+#include "decide/ServerRoom.h"
 #include "decide/ServerView.h"
 #include "decide/StoreLoadTracker.h"
 #include "decide/ZoneChoice.h"
--- a/tests/property/ServerInventoryProperty.cpp
+++ b/tests/property/ServerInventoryProperty.cpp
@@ -8,7 +8,6 @@
 #include <deque>
 #include <random>
 
-#include "decide/PlacementPlan.h"
 #include "decide/ServerInventory.h"
 
 namespace caraway {
