Logs and metrics that tell what a server was believed to hold

It says now what the server is believed to hold at most, in MB and slots, against its room; by a report of what age and how many own orders since; orders that may still come from before its start; the start; the configuration's version.

A report of the same start and count that shows more than was believed is what this class of fault looks like from inside: content_underestimated and its metric, of which anything but 0 is a fault. An answer to an order whose job has ended gets a line too; it was dropped without one.

--- a/src/decide/ServerInventory.cpp
+++ b/src/decide/ServerInventory.cpp
@@ -1,5 +1,7 @@
 #include "decide/ServerInventory.h"
 
+#include <algorithm>
+
 #include "decide/ServerRoom.h"
 
 namespace caraway {
@@ -70,11 +72,44 @@
          FitsBeside(aEngine, UpperBound(aNow), aLoad.mModel, aLoad.mAdapter);
 }
 
+int
+ServerInventory::LateOrders(TimePoint aNow) const
+{
+  return static_cast<int>(std::count_if(
+    mLateOrders.begin(), mLateOrders.end(), [aNow](const LateOrder& aLate) {
+      return aNow < aLate.mUntil;
+    }));
+}
+
+bool
+ServerInventory::SameStart(const ServerReport& aReport) const
+{
+  return !aReport.mStartTime || *aReport.mStartTime == mStartTime;
+}
+
+bool
+ServerInventory::Underestimates(const ServerReport& aReport) const
+{
+  if (!Known() || !SameStart(aReport) || aReport.mBusy ||
+      aReport.mOrderCount != mOrderCount) {
+    return false;
+  }
+  for (const auto& [model, adapters] : aReport.mModels) {
+    auto held = mHeld.find(model);
+    if (held == mHeld.end() || !std::includes(held->second.begin(),
+                                              held->second.end(),
+                                              adapters.begin(),
+                                              adapters.end())) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 ServerInventory::OnReport(const ServerReport& aReport)
 {
-  bool sameStart = !aReport.mStartTime || *aReport.mStartTime == mStartTime;
-  if (!sameStart || aReport.mBusy || aReport.mOrderCount < 0 ||
+  if (!SameStart(aReport) || aReport.mBusy || aReport.mOrderCount < 0 ||
       aReport.mOrderCount < mOrderCount) {
     return false;
   }
@@ -82,6 +117,7 @@
     mLastLoad = {};
   }
   mOrderCount = aReport.mOrderCount;
+  mOrdersSinceReport = 0;
   mHeld = aReport.mModels;
   mPendingLoads.clear();
   mPendingUnloads.clear();
@@ -95,6 +131,7 @@
     return; // a report that includes the order arrived first
   }
   ++mOrderCount;
+  ++mOrdersSinceReport;
   std::pair<std::string, std::string> name{ aOrder.mModel, aOrder.mAdapter };
   if (aOrder.mLoad) {
     std::set<std::string>& adapters = mHeld[aOrder.mModel];
@@ -133,9 +170,8 @@
 bool
 ServerInventory::OnLoadStillPending(const ServerReport& aReport)
 {
-  bool sameStart = !aReport.mStartTime || *aReport.mStartTime == mStartTime;
   bool model = !mLastLoad.first.empty() && mLastLoad.second.empty();
-  if (!sameStart || !model || !aReport.mBusy ||
+  if (!SameStart(aReport) || !model || !aReport.mBusy ||
       aReport.mOrderCount != mOrderCount) {
     return false;
   }
--- a/src/decide/ServerInventory.h
+++ b/src/decide/ServerInventory.h
@@ -51,6 +51,15 @@
             const ModelOrder& aLoad,
             TimePoint aNow) const;
 
+  // Own orders accepted since the report that established the content.
+  int OrdersSinceReport() const { return mOrdersSinceReport; }
+  // Orders from before a restart that may still be carried out.
+  int LateOrders(TimePoint aNow) const;
+  // Whether a report of an idle server, of the same start and count, shows
+  // something that isn't within the content known here: an order decided by
+  // that content may exceed the server's room.
+  bool Underestimates(const ServerReport& aReport) const;
+
   // Returns true if the report establishes the content: it has the same start
   // time, comes from an idle server, and isn't older than an accepted order.
   bool OnReport(const ServerReport& aReport);
@@ -66,6 +75,8 @@
   bool Loading() const { return !mPendingLoads.empty(); }
 
 private:
+  bool SameStart(const ServerReport& aReport) const;
+
   struct LateOrder
   {
     ModelOrder mOrder;
@@ -74,6 +85,7 @@
 
   int64_t mStartTime = 0;
   int64_t mOrderCount = -1;
+  int mOrdersSinceReport = 0;
   HeldModels mHeld; // including pending loads and unloads
   // Subsets of mHeld.
   std::set<std::pair<std::string, std::string>> mPendingLoads;
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -66,16 +66,18 @@
     SendStoreLoad(aJob.mServer, aJob.mUnload + aJob.mLoad);
   }
   const ModelOrder& first = aJob.mSteps.front();
-  mState.mLog.Line("place_decided")
-    .Text("server", aJob.mServer)
+  EventLine line = mState.mLog.Line("place_decided");
+  line.Text("server", aJob.mServer)
     .Text("model", aJob.mRequest.mModel)
     .Text("adapter", aJob.mRequest.mAdapter)
     .Text("evict", first.mLoad ? "" : first.mModel + "/" + first.mAdapter)
     .Count("source", static_cast<int>(aJob.mSource))
-    .Count("orders", mInventories.Of(aJob.mServer).OrderCount())
     .Number("rate", mState.mDemand.Rate(aJob.mRequest.mModel, now))
     .Count("priority", aJob.mRequest.mPriority)
     .Ms("expected_ms", aJob.mUnload + aJob.mLoad);
+  if (const EngineSpec* engine = EngineOf(aJob.mRequest.mService)) {
+    mInventories.LogContent(line, aJob.mServer, *engine);
+  }
   std::string server = aJob.mServer;
   uint64_t id = aJob.mId;
   // Other instances are notified of the load now. If an unload comes first,
@@ -160,6 +162,9 @@
 {
   Job* job = Find(aServer, aId);
   if (!job) {
+    mState.mLog.Line("order_answered_after_job")
+      .Text("server", aServer)
+      .Count("answer", static_cast<int>(aAnswer));
     return;
   }
   mState.mMetrics.Count("caraway_orders_total",
@@ -195,6 +200,7 @@
       mState.mLog.Line("order_unanswered")
         .Text("server", aServer)
         .Text("model", step.mModel)
+        .Count("orders", step.mOrderCount)
         .Count("try", job->mAttempts);
       job->mOnlyOwnOrders = false;
       inventory.OnUnanswered(step, mState.Now());
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "decide/ServerRoom.h"
 #include "entry/LoadMessages.h"
 #include "entry/OrderLimits.h"
 #include "platform/OrderMessage.h"
@@ -24,6 +25,18 @@
 // share of a narrow link.
 constexpr int kRepeatRounds = 4;
 
+// For logs: each model with the number of its adapters.
+std::string
+TextOf(const HeldModels& aHeld)
+{
+  std::string text;
+  for (const auto& [model, adapters] : aHeld) {
+    text += (text.empty() ? "" : " ") + model + "+" +
+            std::to_string(adapters.size());
+  }
+  return text;
+}
+
 } // namespace
 
 ServerInventories::ServerInventories(EntryState& aState,
@@ -158,11 +171,15 @@
       Entry& current = EntryOf(aServer);
       auto report = wire::ReadReport(aAnswer.mBody);
       HeldModels before = known->mModels;
+      if (report) {
+        CheckReport(aServer, *report);
+      }
       bool confirmed = report && current.mInventory.OnReport(*report);
       bool loadPending =
         report && !confirmed && current.mInventory.OnLoadStillPending(*report);
       current.mLoadPending =
         !confirmed && (current.mLoadPending || loadPending);
+      current.mConfirmedAt = confirmed ? mState.Now() : current.mConfirmedAt;
       if (confirmed || loadPending) {
         ApplyAndSend(aServer);
       }
@@ -177,6 +194,47 @@
     });
 }
 
+// A content that was believed too small: what was ordered by it may have
+// exceeded the server's room. The cause is in the orders before this line.
+void
+ServerInventories::CheckReport(const std::string& aServer,
+                               const ServerReport& aReport)
+{
+  const ServerInventory& inventory = Of(aServer);
+  if (!inventory.Underestimates(aReport)) {
+    return;
+  }
+  mState.mMetrics.Count("caraway_content_underestimated_total", "");
+  mState.mLog.Line("content_underestimated")
+    .Text("server", aServer)
+    .Count("orders", aReport.mOrderCount)
+    .Text("believed", TextOf(inventory.UpperBound(mState.Now())))
+    .Text("reported", TextOf(aReport.mModels))
+    .Count("own_orders", inventory.OrdersSinceReport());
+}
+
+void
+ServerInventories::LogContent(EventLine& aLine,
+                              const std::string& aServer,
+                              const EngineSpec& aEngine)
+{
+  const Entry& entry = EntryOf(aServer);
+  const ServerInventory& inventory = entry.mInventory;
+  HeldModels bound = inventory.UpperBound(mState.Now());
+  RoomUse use = RoomUsedBy(aEngine, bound);
+  aLine.Text("held", TextOf(bound))
+    .Number("held_mb", use.mMb)
+    .Number("room_mb", aEngine.mMemoryMb)
+    .Count("adapters", use.mAdapters)
+    .Count("slots", aEngine.mAdapterSlots)
+    .Count("orders", inventory.OrderCount())
+    .Count("own_orders", inventory.OrdersSinceReport())
+    .Count("late_orders", inventory.LateOrders(mState.Now()))
+    .Ms("report_age_ms", mState.AgeOf(entry.mConfirmedAt))
+    .Count("born", inventory.StartTime())
+    .Count("config", mState.mConfig ? mState.mConfig->mVersion : 0);
+}
+
 void
 ServerInventories::Recheck(const std::string& aServer)
 {
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -43,6 +43,11 @@
   // confirmed the inventory.
   void RequestReport(const std::string& aServer,
                      std::function<void(bool aConfirmed)> aThen);
+  // Adds to aLine what this instance believes the server to hold, in memory and
+  // slots, by what and since when.
+  void LogContent(EventLine& aLine,
+                  const std::string& aServer,
+                  const EngineSpec& aEngine);
   // Copies the inventory to the server view, by which this instance routes
   // requests.
   void Apply(const std::string& aServer);
@@ -65,9 +70,11 @@
     bool mLoadPending = false; // a load assumed to be done is still in progress
     TimePoint mNextReportAt{};
     TimePoint mRecheckedAt{};
+    TimePoint mConfirmedAt{}; // by the last report that established the content
   };
   Entry& EntryOf(const std::string& aServer);
   void RequestMissingReports();
+  void CheckReport(const std::string& aServer, const ServerReport& aReport);
   void RepeatContents();
   bool InZone(const Backend& aBackend) const;
 
