--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -256,13 +256,45 @@
 TEST(WireOrder, ReportIncludesAdaptersBeingLoaded)
 {
   auto report = ReadReport(R"({"models":[{"name":"m","adapters":["a1"]}],
-    "busy":false,"sequence":2,"coming":["m/a2@3"]})");
+    "busy":false,"sequence":2,"born":7,"coming":["m/a2@3"]})");
   ASSERT_TRUE(report);
   EXPECT_EQ(2u, report->mModels.at("m").size());
-  EXPECT_FALSE(ReadReport(R"({"models":[],"busy":false})"));
+  EXPECT_FALSE(ReadReport(R"({"models":[],"busy":false,"born":7})"));
   EXPECT_FALSE(ReadReport("noise"));
 }
 
+// Guards against orders by a report that leaves open which life of a server it
+// is of, or what the server holds: its content would be taken for smaller.
+TEST(WireOrder, ReportThatLeavesTheContentOpenIsUnreadable)
+{
+  auto report = [](const std::string& aModels, const std::string& aRest) {
+    return ReadReport("{\"busy\":false,\"sequence\":2,\"models\":" + aModels +
+                      aRest + "}");
+  };
+  std::string born = ",\"born\":7";
+  std::string model = R"([{"name":"m","adapters":["a1"]}])";
+  EXPECT_TRUE(report(model, born));
+  EXPECT_TRUE(report(model, born + R"(,"coming":[])"));
+  EXPECT_TRUE(report(R"([{"name":"m"}])", born));
+  EXPECT_FALSE(report(model, ""));
+  EXPECT_FALSE(report(model, R"(,"born":"7")"));
+  EXPECT_FALSE(report(R"([{"name":"m","adapters":"a1"}])", born));
+  EXPECT_FALSE(report(R"([{"name":"m","adapters":[1]}])", born));
+  EXPECT_FALSE(report("null", born));
+  EXPECT_FALSE(report(model, born + R"(,"coming":1)"));
+  EXPECT_FALSE(report(model, born + R"(,"coming":["a2"])"));
+  EXPECT_FALSE(report(model, born + R"(,"coming":[{"name":"m/a2"}])"));
+}
+
+// Guards against a second version of an adapter on its way that takes no slot.
+TEST(WireOrder, EachVersionOfAnAdapterTakesASlot)
+{
+  auto report = ReadReport(R"({"models":[{"name":"m","adapters":["a1"]}],
+    "busy":false,"sequence":2,"born":7,"coming":["m/a1@2"]})");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(2u, report->mModels.at("m").size());
+}
+
 TEST(WireRequest, ReadsRequestFacts)
 {
   auto facts = ReadRequestFacts(
