LateOrders: an order is remembered from when it is sent until it is answered

What callers saw: a server fails as a whole, and all its streams break, seconds after it started again under its id.

Cause: an unanswered order may be carried out seconds later, also by the next life of its server, as soon as the new life's count meets the order's. Such orders were remembered with the server's entry in the list, which goes after three silent heartbeats, and only once their answer had timed out while their job was still there. A job ends with "server gone" at the very restart that makes its order dangerous.

Change: each order is recorded as it is sent and forgotten when the server answers it, whatever became of the job; an inventory outlives its server's entry by as long as an order may be late. Room is kept where it is needed and no longer: for orders of former lives only, one for each count, and only for counts that can be reached without an order of this holder, which checks again. Before, all of them were added up for 20 s: a server with a few unanswered orders behind it could take nothing. Plans know that room too, so that a model is evicted in place of a job that ends again and again.

--- a/src/base/EraseIf.h
+++ b/src/base/EraseIf.h
@@ -1,4 +1,4 @@
-// EraseIf.h: removal of a map's entries by a condition.
+// EraseIf.h: removal of a container's entries by a condition.
 #ifndef caraway_base_EraseIf_h
 #define caraway_base_EraseIf_h
 
@@ -6,13 +6,14 @@
 
 namespace caraway {
 
-// Removes the entries of aMap for which aCondition(entry) is true.
-template<typename Map, typename Condition>
+// Removes the entries of aContainer, a map or vector, for which
+// aCondition(entry) is true.
+template<typename Container, typename Condition>
 void
-EraseIf(Map& aMap, Condition aCondition)
+EraseIf(Container& aContainer, Condition aCondition)
 {
-  for (auto at = aMap.begin(); at != aMap.end();) {
-    at = aCondition(*at) ? aMap.erase(at) : std::next(at);
+  for (auto at = aContainer.begin(); at != aContainer.end();) {
+    at = aCondition(*at) ? aContainer.erase(at) : std::next(at);
   }
 }
 
--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "decide/ServerRoom.h"
-
 namespace caraway {
 
 namespace {
@@ -96,6 +94,19 @@
   return candidates;
 }
 
+// Memory that must stay free for late orders once aOrders more orders have been
+// accepted, in MB.
+double
+LateMb(const PlacementFacts& aFacts, const Backend& aBackend, size_t aOrders)
+{
+  auto late = aFacts.mLateOrders.find(aBackend.mEntry.mId);
+  if (late == aFacts.mLateOrders.end() || late->second.empty()) {
+    return 0;
+  }
+  size_t last = late->second.size() - 1;
+  return late->second[std::min(aOrders - 1, last)].mMb;
+}
+
 // Cost in seconds of placing aModel on aBackend; nullopt if it can't fit. Fills
 // in aChoice.
 std::optional<double>
@@ -108,16 +119,22 @@
   const ModelWeights& weights = aEngine.mModels.at(aModel);
   double free = FreeMb(aEngine, aBackend.mModels);
   double lost = 0;
+  auto needed = [&] {
+    return weights.mMb + LateMb(aFacts, aBackend, aChoice.mEvict.size() + 1);
+  };
   for (const EvictionCandidate& candidate :
        EvictionCandidatesOf(aEngine, aBackend, aFacts)) {
-    if (free >= weights.mMb) {
+    if (free >= needed()) {
       break;
     }
     free += candidate.mMb;
     lost += candidate.mValue;
     aChoice.mEvict.push_back(candidate.mModel);
+    if (free < LateMb(aFacts, aBackend, aChoice.mEvict.size())) {
+      return std::nullopt; // no room for what may come after this unload
+    }
   }
-  if (free < weights.mMb) {
+  if (free < needed()) {
     return std::nullopt;
   }
   aChoice.mServer = aBackend.mEntry.mId;
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "decide/ServerRoom.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
 
@@ -38,6 +39,9 @@
   // Remaining time, by server with an order in progress.
   std::map<std::string, Millis> mBusy;
   std::set<std::string> mAvoid; // servers that are failing
+  // Room that late orders may take, by server and by the number of further
+  // orders, from one on; see LateOrders. Only servers to which they may come.
+  std::map<std::string, std::vector<RoomUse>> mLateOrders;
   // Server and model of loads that have just finished: the requests waiting for
   // them are still being notified. Evicting such a model would waste its load.
   std::set<std::pair<std::string, std::string>> mRecentlyLoaded;
--- a/src/decide/ServerInventory.cpp
+++ b/src/decide/ServerInventory.cpp
@@ -6,11 +6,31 @@
 
 namespace caraway {
 
+namespace {
+
+// Changes aHeld to what it is once aOrder has been carried out.
+void
+Apply(const ModelOrder& aOrder, HeldModels& aHeld)
+{
+  if (!aOrder.mLoad && aOrder.mAdapter.empty()) {
+    aHeld.erase(aOrder.mModel);
+  } else if (!aOrder.mLoad) {
+    auto model = aHeld.find(aOrder.mModel);
+    if (model != aHeld.end()) {
+      model->second.erase(aOrder.mAdapter);
+    }
+  } else if (aOrder.mAdapter.empty()) {
+    aHeld[aOrder.mModel];
+  } else {
+    aHeld[aOrder.mModel].insert(aOrder.mAdapter);
+  }
+}
+
+} // namespace
+
 void
 ServerInventory::Restart(int64_t aStartTime)
 {
-  mLateOrders.insert(mLateOrders.end(), mUnanswered.begin(), mUnanswered.end());
-  mUnanswered.clear();
   mStartTime = aStartTime;
   mHeld.clear();
   mPendingLoads.clear();
@@ -43,42 +63,41 @@
          (aAdapter.empty() || model->second.count(aAdapter) > 0);
 }
 
-// The server refuses a late order whose count of orders has passed, so such an
-// order is left out.
-HeldModels
-ServerInventory::UpperBound(TimePoint aNow) const
+RoomUse
+ServerInventory::RoomForLateOrders(const EngineSpec& aEngine,
+                                   int aOrders,
+                                   TimePoint aNow) const
 {
-  HeldModels bound = mHeld;
-  for (const LateOrder& late : mLateOrders) {
-    const ModelOrder& order = late.mOrder;
-    if (!order.mLoad || aNow >= late.mUntil ||
-        order.mOrderCount < mOrderCount) {
-      continue;
-    }
-    std::set<std::string>& adapters = bound[order.mModel];
-    if (!order.mAdapter.empty()) {
-      adapters.insert(order.mAdapter);
-    }
-  }
-  return bound;
+  return mLate.RoomAt(aEngine, mHeld, mStartTime, mOrderCount + aOrders, aNow);
 }
 
+// A late order at the same count as aOrder needs no room: only one of the two
+// is accepted.
 bool
 ServerInventory::Fits(const EngineSpec& aEngine,
-                      const ModelOrder& aLoad,
+                      const ModelOrder& aOrder,
                       TimePoint aNow) const
 {
-  return Known() &&
-         FitsBeside(aEngine, UpperBound(aNow), aLoad.mModel, aLoad.mAdapter);
-}
-
-int
-ServerInventory::LateOrders(TimePoint aNow) const
-{
-  return static_cast<int>(std::count_if(
-    mLateOrders.begin(), mLateOrders.end(), [aNow](const LateOrder& aLate) {
-      return aNow < aLate.mUntil;
-    }));
+  if (!Known()) {
+    return false;
+  }
+  if (aOrder.mLoad &&
+      !FitsBeside(aEngine, mHeld, aOrder.mModel, aOrder.mAdapter)) {
+    return false;
+  }
+  HeldModels after = mHeld;
+  bool inUse = !aOrder.mLoad && !aOrder.mAdapter.empty(); // perhaps
+  if (!inUse) {
+    Apply(aOrder, after);
+  }
+  RoomUse late =
+    mLate.RoomAt(aEngine, after, mStartTime, mOrderCount + 1, aNow);
+  if (late.mMb == 0 && late.mAdapters == 0) {
+    return true;
+  }
+  RoomUse use = RoomUsedBy(aEngine, after);
+  return use.mMb + late.mMb <= aEngine.mMemoryMb &&
+         use.mAdapters + late.mAdapters <= aEngine.mAdapterSlots;
 }
 
 bool
@@ -134,31 +153,33 @@
   ++mOrdersSinceReport;
   std::pair<std::string, std::string> name{ aOrder.mModel, aOrder.mAdapter };
   if (aOrder.mLoad) {
-    std::set<std::string>& adapters = mHeld[aOrder.mModel];
-    if (!aOrder.mAdapter.empty()) {
-      adapters.insert(aOrder.mAdapter);
-    }
+    Apply(aOrder, mHeld);
     mPendingLoads.insert(name);
     mLastLoad = name;
     return;
   }
   mLastLoad = {};
   mPendingLoads.erase(name);
-  if (aOrder.mAdapter.empty()) {
-    // The server accepts no order until the unload of a model has ended, so its
-    // memory may be counted as free.
-    mHeld.erase(aOrder.mModel);
-  } else if (aDone && mHeld.count(aOrder.mModel)) {
-    mHeld[aOrder.mModel].erase(aOrder.mAdapter);
-  } else if (!aDone) {
+  // The server accepts no order until the unload of a model has ended, so its
+  // memory may be counted as free. An adapter in use is unloaded later.
+  if (aOrder.mAdapter.empty() || aDone) {
+    Apply(aOrder, mHeld);
+  } else {
     mPendingUnloads.insert(name);
   }
 }
 
 void
-ServerInventory::OnUnanswered(const ModelOrder& aOrder, TimePoint aNow)
+ServerInventory::OnSent(const ModelOrder& aOrder, TimePoint aNow)
+{
+  mLate.Forget(aNow);
+  mLate.OnSent(aOrder, mStartTime, aNow);
+}
+
+void
+ServerInventory::OnAnswered(const ModelOrder& aOrder, int64_t aStartTime)
 {
-  mUnanswered.push_back({ aOrder, aNow + kMaxOrderDelay });
+  mLate.OnAnswered(aOrder, aStartTime);
 }
 
 void
--- a/src/decide/ServerInventory.h
+++ b/src/decide/ServerInventory.h
@@ -7,7 +7,8 @@
 // known. Invariant: while Known(), the server's content after OrderCount()
 // accepted orders is within UpperBound(), whoever sent the orders and however
 // late they are carried out. Only a report of an idle server, and own orders
-// accepted after it, establish that content.
+// accepted after it, establish that content. Room is kept for orders from
+// before a restart; see LateOrders.
 #ifndef caraway_decide_ServerInventory_h
 #define caraway_decide_ServerInventory_h
 
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "caraway/Time.h"
+#include "decide/LateOrders.h"
 #include "decide/ModelOrder.h"
 #include "decide/ServingConfig.h"
 
@@ -24,9 +26,6 @@
 class ServerInventory
 {
 public:
-  // An unanswered order may still be carried out within this time.
-  static constexpr Millis kMaxOrderDelay{ 20000 };
-
   explicit ServerInventory(int64_t aStartTime = 0)
     : mStartTime(aStartTime)
   {
@@ -45,16 +44,26 @@
   // Content that requests may use: without pending loads and unloads.
   HeldModels Usable() const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
-  // All that may take memory, including late orders from before a restart.
-  HeldModels UpperBound(TimePoint aNow) const;
+  // All that may take memory by the orders accepted so far.
+  const HeldModels& UpperBound() const { return mHeld; }
+  // Whether the server, once it has accepted aOrder as its next one, holds no
+  // more than there is room for, also if late orders follow.
   bool Fits(const EngineSpec& aEngine,
-            const ModelOrder& aLoad,
+            const ModelOrder& aOrder,
             TimePoint aNow) const;
+  // Whether orders from before a restart may still be carried out.
+  bool MayGetLateOrders(TimePoint aNow) const
+  {
+    return mLate.CountOfOtherLives(mStartTime, aNow) > 0;
+  }
+  // Room that late orders may take once aOrders more have been accepted.
+  RoomUse RoomForLateOrders(const EngineSpec& aEngine,
+                            int aOrders,
+                            TimePoint aNow) const;
+  const LateOrders& Late() const { return mLate; }
 
   // Own orders accepted since the report that established the content.
   int OrdersSinceReport() const { return mOrdersSinceReport; }
-  // Orders from before a restart that may still be carried out.
-  int LateOrders(TimePoint aNow) const;
   // Whether a report of an idle server, of the same start and count, shows
   // something that isn't within the content known here: an order decided by
   // that content may exceed the server's room.
@@ -66,7 +75,12 @@
   // The server accepted aOrder under the count OrderCount(). aDone: it has been
   // carried out already.
   void OnAccepted(const ModelOrder& aOrder, bool aDone);
-  void OnUnanswered(const ModelOrder& aOrder, TimePoint aNow);
+  // Each order is recorded as it is sent, and until the server has answered it:
+  // whatever becomes of its sender meanwhile, it may be carried out.
+  void OnSent(const ModelOrder& aOrder, TimePoint aNow);
+  // aStartTime: of the server that the order was sent to.
+  void OnAnswered(const ModelOrder& aOrder, int64_t aStartTime);
+  void ForgetOldOrders(TimePoint aNow) { mLate.Forget(aNow); }
   // The last accepted load has finished.
   void OnLoadFinished();
   // A report shows that a load assumed to be finished is still in progress.
@@ -77,12 +91,6 @@
 private:
   bool SameStart(const ServerReport& aReport) const;
 
-  struct LateOrder
-  {
-    ModelOrder mOrder;
-    TimePoint mUntil{}; // may be carried out until then
-  };
-
   int64_t mStartTime = 0;
   int64_t mOrderCount = -1;
   int mOrdersSinceReport = 0;
@@ -93,8 +101,7 @@
   // Model and adapter of the last accepted order if that was a load; empty if
   // it was an unload or isn't known.
   std::pair<std::string, std::string> mLastLoad;
-  std::vector<LateOrder> mUnanswered; // since the server's start
-  std::vector<LateOrder> mLateOrders; // from before a restart
+  LateOrders mLate; // of all lives of the server
 };
 
 } // namespace caraway
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -137,7 +137,9 @@
                 : 0;
   job.mLoad =
     kAdapterBaseTime + Millis(static_cast<int64_t>(mb / kAdapterMbPerMs));
-  if (static_cast<int>(bestCount) >= engine->mAdapterSlots) {
+  RoomUse late =
+    mInventories.Of(job.mServer).RoomForLateOrders(*engine, 1, now);
+  if (static_cast<int>(bestCount) + late.mAdapters >= engine->mAdapterSlots) {
     auto eviction = LeastDemandedAdapter(*best);
     if (!eviction) {
       return false;
@@ -148,6 +150,9 @@
   load.mModel = aRequest.mModel;
   load.mAdapter = aRequest.mAdapter;
   job.mSteps.push_back(load);
+  if (!mInventories.Of(job.mServer).Fits(*engine, job.mSteps.front(), now)) {
+    return false; // until no order from before a restart can come any more
+  }
   StartJob(std::move(job));
   return true;
 }
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -125,6 +125,7 @@
     facts.mZone = mZone;
     facts.mRates = mState.mDemand.Rates(now);
     facts.mReplicas = CountReplicas(mState.mServers);
+    facts.mLateOrders = mInventories.RoomForLateOrders(aService);
   }
   facts.mBusy.clear();
   facts.mAvoid.clear();
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -130,14 +130,13 @@
     return;
   }
   const EngineSpec* engine = EngineOf(job->mRequest.mService);
-  if (order.mLoad &&
-      (!engine || !inventory.Fits(*engine, order, mState.Now()))) {
-    EndJob(aServer, "model or adapter no longer fits on the server");
-    return;
-  }
   order.mOrderCount = inventory.OrderCount();
   order.mHolder = mState.mSettings.mName;
   order.mToken = mLease.Token();
+  if (!engine || !inventory.Fits(*engine, order, mState.Now())) {
+    EndJob(aServer, "no room on the server after this order");
+    return;
+  }
   wire::OrderCall call =
     wire::WriteOrder(order, backend->mEntry.mAddress, aServer);
   OutboundRequest request;
@@ -145,14 +144,18 @@
   request.mPeer = aServer;
   request.mHead = std::move(call.mHead);
   request.mBody = std::move(call.mBody);
-  StartBufferedCall(mState.mReactor,
-                    mState.mServerPool,
-                    std::move(request),
-                    kOrderTimeout,
-                    [this, aServer, aId](BufferedAnswer& aAnswer) {
-                      OnAnswer(
-                        aServer, aId, wire::ReadOrderAnswer(aAnswer.mStatus));
-                    });
+  inventory.OnSent(order, mState.Now());
+  StartBufferedCall(
+    mState.mReactor,
+    mState.mServerPool,
+    std::move(request),
+    kOrderTimeout,
+    [this, aServer, aId, order, startTime = job->mStartTime](
+      BufferedAnswer& aAnswer) {
+      OrderAnswer answer = wire::ReadOrderAnswer(aAnswer.mStatus);
+      mInventories.OnOrderAnswered(aServer, order, startTime, answer);
+      OnAnswer(aServer, aId, answer);
+    });
 }
 
 void
@@ -203,7 +206,6 @@
         .Count("orders", step.mOrderCount)
         .Count("try", job->mAttempts);
       job->mOnlyOwnOrders = false;
-      inventory.OnUnanswered(step, mState.Now());
       mState.mServers.RecordOutcome(
         aServer, ServerOutcome::Broken, mState.Now());
       if (++job->mUnanswered >= kMaxUnanswered) {
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/EraseIf.h"
 #include "decide/ServerRoom.h"
 #include "entry/LoadMessages.h"
 #include "entry/OrderLimits.h"
@@ -20,6 +21,9 @@
 
 constexpr Millis kSendTick{ 1000 };
 
+// Unloads and the load.
+constexpr int kMaxOrdersPerPlacement = 4;
+
 // All contents are sent once in this many heartbeat rounds: a second in a small
 // fleet, and in a large one long enough for a lease holder to stay within its
 // share of a narrow link.
@@ -31,8 +35,8 @@
 {
   std::string text;
   for (const auto& [model, adapters] : aHeld) {
-    text += (text.empty() ? "" : " ") + model + "+" +
-            std::to_string(adapters.size());
+    text +=
+      (text.empty() ? "" : " ") + model + "+" + std::to_string(adapters.size());
   }
   return text;
 }
@@ -57,6 +61,7 @@
 {
   mState.mReactor.Every(kReportCheckInterval,
                         [this] { RequestMissingReports(); });
+  mState.mReactor.Every(kSendTick, [this] { ForgetUnlisted(); });
   mState.mReactor.Every(kSendTick, [this] { RepeatContents(); });
 }
 
@@ -78,6 +83,7 @@
     }
   }
   Entry& entry = mEntries[aServer];
+  entry.mListedAt = mState.Now();
   const Backend* backend = mState.mServers.Find(aServer);
   if (backend && backend->mEntry.mStartTime != entry.mInventory.StartTime()) {
     entry.mInventory.Restart(backend->mEntry.mStartTime);
@@ -130,9 +136,24 @@
   for (const std::string& id : missing) {
     RequestReport(id, [](bool) {});
   }
-  for (auto at = mEntries.begin(); at != mEntries.end();) {
-    at = mState.mServers.Find(at->first) ? std::next(at) : mEntries.erase(at);
-  }
+}
+
+// A server may come back under its id, and orders that were sent before may
+// reach it then. So its inventory outlives its entry in the list.
+void
+ServerInventories::ForgetUnlisted()
+{
+  TimePoint now = mState.Now();
+  EraseIf(mEntries, [this, now](auto& aEntry) {
+    Entry& entry = aEntry.second;
+    if (mState.mServers.Find(aEntry.first)) {
+      entry.mListedAt = now;
+    } else {
+      entry.mInventory.MarkUnknown();
+    }
+    entry.mInventory.ForgetOldOrders(now);
+    return now - entry.mListedAt > LateOrders::kMaxOrderDelay;
+  });
 }
 
 void
@@ -208,11 +229,31 @@
   mState.mLog.Line("content_underestimated")
     .Text("server", aServer)
     .Count("orders", aReport.mOrderCount)
-    .Text("believed", TextOf(inventory.UpperBound(mState.Now())))
+    .Text("believed", TextOf(inventory.UpperBound()))
     .Text("reported", TextOf(aReport.mModels))
     .Count("own_orders", inventory.OrdersSinceReport());
 }
 
+std::map<std::string, std::vector<RoomUse>>
+ServerInventories::RoomForLateOrders(const std::string& aService)
+{
+  std::map<std::string, std::vector<RoomUse>> room;
+  const EngineSpec* engine =
+    mState.mConfig ? mState.mConfig->EngineOf(aService) : nullptr;
+  for (auto& [id, entry] : mEntries) {
+    const ServerInventory& inventory = entry.mInventory;
+    if (!engine || !inventory.Known() ||
+        !inventory.MayGetLateOrders(mState.Now())) {
+      continue;
+    }
+    for (int orders = 1; orders <= kMaxOrdersPerPlacement; ++orders) {
+      room[id].push_back(
+        inventory.RoomForLateOrders(*engine, orders, mState.Now()));
+    }
+  }
+  return room;
+}
+
 void
 ServerInventories::LogContent(EventLine& aLine,
                               const std::string& aServer,
@@ -220,16 +261,17 @@
 {
   const Entry& entry = EntryOf(aServer);
   const ServerInventory& inventory = entry.mInventory;
-  HeldModels bound = inventory.UpperBound(mState.Now());
-  RoomUse use = RoomUsedBy(aEngine, bound);
-  aLine.Text("held", TextOf(bound))
+  RoomUse use = RoomUsedBy(aEngine, inventory.UpperBound());
+  aLine.Text("held", TextOf(inventory.UpperBound()))
     .Number("held_mb", use.mMb)
     .Number("room_mb", aEngine.mMemoryMb)
     .Count("adapters", use.mAdapters)
     .Count("slots", aEngine.mAdapterSlots)
     .Count("orders", inventory.OrderCount())
     .Count("own_orders", inventory.OrdersSinceReport())
-    .Count("late_orders", inventory.LateOrders(mState.Now()))
+    .Count(
+      "late_orders",
+      inventory.Late().CountOfOtherLives(inventory.StartTime(), mState.Now()))
     .Ms("report_age_ms", mState.AgeOf(entry.mConfirmedAt))
     .Count("born", inventory.StartTime())
     .Count("config", mState.mConfig ? mState.mConfig->mVersion : 0);
@@ -246,6 +288,18 @@
   }
 }
 
+void
+ServerInventories::OnOrderAnswered(const std::string& aServer,
+                                   const ModelOrder& aOrder,
+                                   int64_t aStartTime,
+                                   OrderAnswer aAnswer)
+{
+  auto found = mEntries.find(aServer);
+  if (found != mEntries.end() && aAnswer != OrderAnswer::Unknown) {
+    found->second.mInventory.OnAnswered(aOrder, aStartTime);
+  }
+}
+
 // ---- Sending
 
 void
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -43,6 +43,9 @@
   // confirmed the inventory.
   void RequestReport(const std::string& aServer,
                      std::function<void(bool aConfirmed)> aThen);
+  // See PlacementFacts::mLateOrders.
+  std::map<std::string, std::vector<RoomUse>> RoomForLateOrders(
+    const std::string& aService);
   // Adds to aLine what this instance believes the server to hold, in memory and
   // slots, by what and since when.
   void LogContent(EventLine& aLine,
@@ -59,6 +62,14 @@
   // be wrong.
   void Recheck(const std::string& aServer);
 
+  // An order to the server was answered, or its answer is no longer awaited;
+  // aStartTime: of the server that it was sent to. The sender may have lost
+  // interest, and the server may not be listed any more.
+  void OnOrderAnswered(const std::string& aServer,
+                       const ModelOrder& aOrder,
+                       int64_t aStartTime,
+                       OrderAnswer aAnswer);
+
   // The content of a server as sent by another instance.
   void OnContent(const Json::Value& aMessage);
 
@@ -71,9 +82,11 @@
     TimePoint mNextReportAt{};
     TimePoint mRecheckedAt{};
     TimePoint mConfirmedAt{}; // by the last report that established the content
+    TimePoint mListedAt{};    // when the server was last seen in the list
   };
   Entry& EntryOf(const std::string& aServer);
   void RequestMissingReports();
+  void ForgetUnlisted();
   void CheckReport(const std::string& aServer, const ServerReport& aReport);
   void RepeatContents();
   bool InZone(const Backend& aBackend) const;
--- a/tests/property/ServerInventoryProperty.cpp
+++ b/tests/property/ServerInventoryProperty.cpp
@@ -18,6 +18,9 @@
 constexpr size_t kAdapterCapacity = 3;
 constexpr Millis kStep{ 50 };
 
+// Orders without an answer are carried out up to this much later.
+constexpr Millis kMaxDelay{ 12000 };
+
 // The safeguard that the lease holder leaves out.
 enum class OmittedSafeguard
 {
@@ -100,11 +103,14 @@
       }
       at = ended ? mPendingUnloads.erase(at) : std::next(at);
     }
-    while (!mDelayed.empty() && mNow >= mDelayed.front().mAt) {
-      CarryOut(mDelayed.front().mOrder);
-      mDelayed.pop_front();
+    for (auto at = mDelayed.begin(); at != mDelayed.end();) {
+      bool arrives = mNow >= at->mAt;
+      if (arrives) {
+        CarryOut(at->mOrder);
+      }
+      at = arrives ? mDelayed.erase(at) : std::next(at);
     }
-    if (Chance(400)) {
+    if (Chance(100)) {
       Restart();
     }
   }
@@ -129,12 +135,23 @@
     mInventory.Restart(mStartTime);
   }
 
+  bool Holds(const ModelOrder& aOrder) const
+  {
+    auto model = mHeld.find(aOrder.mModel);
+    return model != mHeld.end() &&
+           (aOrder.mAdapter.empty() || model->second.count(aOrder.mAdapter));
+  }
+
   // Returns whether the order is accepted, and whether it is finished at once.
   std::pair<bool, bool> CarryOut(const ModelOrder& aOrder)
   {
     if (mBusy || aOrder.mOrderCount != mOrderCount) {
       return { false, false };
     }
+    bool absent = !aOrder.mAdapter.empty() && !mHeld.count(aOrder.mModel);
+    if (absent || Holds(aOrder) == aOrder.mLoad) {
+      return { false, false }; // nothing to do, and not counted
+    }
     ++mOrderCount;
     if (aOrder.mLoad) {
       size_t models = mHeld.size();
@@ -208,7 +225,7 @@
     if (!mReports.empty() && other.OnReport(mReports.back())) {
       ModelOrder order{ true, AnyModel(), "", other.OrderCount(), "", 0 };
       if (!mHeld.count(order.mModel) && other.Fits(Engine(), order, mNow)) {
-        mDelayed.push_back({ mNow + Millis(mRandom() % 2000), order, true });
+        Delay(order, true);
       }
     }
     mInventory.MarkUnknown();
@@ -236,22 +253,28 @@
     } else {
       order.mLoad = !held;
     }
-    bool pending = order.mLoad &&
-                   mInventory.UpperBound(mNow).count(order.mModel) &&
+    bool pending = order.mLoad && mInventory.UpperBound().count(order.mModel) &&
                    order.mAdapter.empty();
     return pending ? ModelOrder{ true, "", "", 0, "", 0 } : order;
   }
 
+  void Delay(const ModelOrder& aOrder, bool aFromLostHolder)
+  {
+    TimePoint at = mNow + Millis(mRandom() % kMaxDelay.count());
+    mDelayed.push_back({ at, aOrder, aFromLostHolder });
+  }
+
   void Send(const ModelOrder& aOrder)
   {
+    mInventory.OnSent(aOrder, mNow);
     if (Chance(8)) { // the answer is lost; the order arrives late or never
-      mInventory.OnUnanswered(aOrder, mNow);
       if (Chance(2)) {
-        mDelayed.push_back({ mNow + Millis(mRandom() % 4000), aOrder, false });
+        Delay(aOrder, false);
       }
       return;
     }
     auto [accepted, done] = CarryOut(aOrder);
+    mInventory.OnAnswered(aOrder, mStartTime);
     if (!accepted) {
       mInventory.MarkUnknown();
       return;
@@ -297,7 +320,7 @@
 // run there.
 TEST(ServerInventoryRandom, LoadsNeverExceedTheCapacity)
 {
-  EXPECT_EQ(0, CountOverCapacityLoads(OmittedSafeguard::None, 2000));
+  EXPECT_EQ(0, CountOverCapacityLoads(OmittedSafeguard::None, 8000));
 }
 
 // Guards against a model test that can't detect anything: without a safeguard
@@ -319,7 +342,7 @@
   ASSERT_TRUE(inventory.OnReport(report));
   inventory.OnAccepted({ true, "m1", "", 4, "", 0 }, false);
   EXPECT_FALSE(inventory.OnReport(report));
-  EXPECT_EQ(2u, inventory.UpperBound(TimePoint()).size());
+  EXPECT_EQ(2u, inventory.UpperBound().size());
   EXPECT_EQ(1u, inventory.Usable().size());
   report.mStartTime = 2;
   report.mOrderCount = 9;
@@ -335,7 +358,7 @@
   report.mStartTime = 1;
   report.mOrderCount = 1;
   ASSERT_TRUE(inventory.OnReport(report));
-  inventory.OnUnanswered({ true, "m7", "", 1, "", 0 }, TimePoint());
+  inventory.OnSent({ true, "m7", "", 1, "", 0 }, TimePoint());
   inventory.Restart(2);
   report.mStartTime = 2;
   report.mOrderCount = 0;
@@ -343,10 +366,8 @@
   ASSERT_TRUE(inventory.OnReport(report));
   ModelOrder third{ true, "m2", "", 0, "", 0 };
   EXPECT_FALSE(inventory.Fits(Engine(), third, TimePoint() + Seconds(5)));
-  EXPECT_TRUE(
-    inventory.Fits(Engine(),
-                   third,
-                   TimePoint() + ServerInventory::kMaxOrderDelay + Seconds(1)));
+  EXPECT_TRUE(inventory.Fits(
+    Engine(), third, TimePoint() + LateOrders::kMaxOrderDelay + Seconds(1)));
 }
 
 // Guards against requests sent for seconds to a model that a server is still
