ServerLives: room for the order of a holder that was lost

What callers saw: a server fails as a whole, seconds after it started again under its id while another instance took its zone's lease over.

Cause: a holder that is killed, stopped or loses its lease takes its memory of unanswered orders with it. Its successor fills the restarted server, and the order of the former life comes when the count meets its own.

Change: a holder tells the others, with each server's content, which orders it knows to be unanswered; that is all but the one in flight as it is lost. Each instance follows the list, so it knows which servers had a former life within the time that orders may be late; there, and only there, room is kept for one more order, from the lowest count that it may have on, until it can't come any more: counted from the end of the former life or the beginning of the own lease, whichever came first. A holder that had the lease long before the restart keeps none, nor is any kept at servers that are new under their ids. A process that has just started can't tell a new server from one that started again; it assumes the latter for lives younger than orders may be late by the servers' own clock, unless an instance that knows tells it, or the whole fleet starts for the first time (bootstrap).

--- a/src/decide/LateOrders.cpp
+++ b/src/decide/LateOrders.cpp
@@ -41,6 +41,18 @@
   return { both - model, 1 };
 }
 
+// The load of any model, or of any adapter.
+RoomUse
+LargestLoad(const EngineSpec& aEngine)
+{
+  RoomUse largest;
+  for (const auto& [name, model] : aEngine.mModels) {
+    largest.mMb = std::max({ largest.mMb, model.mMb, model.mAdapterMb });
+  }
+  largest.mAdapters = 1;
+  return largest;
+}
+
 } // namespace
 
 void
@@ -63,6 +75,28 @@
   }
 }
 
+void
+LateOrders::OnTold(SentOrder aSent)
+{
+  auto known =
+    std::find_if(mSent.begin(), mSent.end(), [&aSent](const SentOrder& aKnown) {
+      return aKnown.mStartTime == aSent.mStartTime &&
+             IsSame(aKnown.mOrder, aSent.mOrder);
+    });
+  if (known == mSent.end()) {
+    mSent.push_back(std::move(aSent));
+  } else {
+    known->mUntil = std::max(known->mUntil, aSent.mUntil);
+  }
+}
+
+void
+LateOrders::SetUnknown(TimePoint aUntil, int64_t aLowestCount)
+{
+  mUnknownUntil = aUntil;
+  mUnknownFrom = aLowestCount;
+}
+
 void
 LateOrders::Forget(TimePoint aNow)
 {
@@ -73,10 +107,14 @@
 int
 LateOrders::CountOfOtherLives(int64_t aStartTime, TimePoint aNow) const
 {
-  return static_cast<int>(std::count_if(
-    mSent.begin(), mSent.end(), [aStartTime, aNow](const SentOrder& aSent) {
-      return aSent.mStartTime != aStartTime && aNow < aSent.mUntil;
-    }));
+  int unknown = aNow < mUnknownUntil ? 1 : 0;
+  return unknown + static_cast<int>(
+                     std::count_if(mSent.begin(),
+                                   mSent.end(),
+                                   [aStartTime, aNow](const SentOrder& aSent) {
+                                     return aSent.mStartTime != aStartTime &&
+                                            aNow < aSent.mUntil;
+                                   }));
 }
 
 std::optional<RoomUse>
@@ -108,13 +146,19 @@
                    TimePoint aNow) const
 {
   RoomUse room;
-  int64_t count = aCount;
-  while (auto use = LargestAt(aEngine, aHeld, aStartTime, count, aNow)) {
+  bool unknown = aNow < mUnknownUntil;
+  for (int64_t count = aCount;; ++count) {
+    auto use = LargestAt(aEngine, aHeld, aStartTime, count, aNow);
+    if (!use && unknown && count >= mUnknownFrom) {
+      use = LargestLoad(aEngine);
+      unknown = false;
+    }
+    if (!use) {
+      return room;
+    }
     room.mMb += use->mMb;
     room.mAdapters += use->mAdapters;
-    ++count;
   }
-  return room;
 }
 
 } // namespace caraway
--- a/src/decide/LateOrders.h
+++ b/src/decide/LateOrders.h
@@ -37,8 +37,15 @@
   void OnAnswered(const ModelOrder& aOrder, int64_t aStartTime);
   void Forget(TimePoint aNow);
 
+  // An order that another instance sent and that wasn't answered.
+  void OnTold(SentOrder aSent);
+  // One more order, of which only its sender knew, may be carried out until
+  // aUntil, under aLowestCount or a higher count. Replaces what was set before.
+  void SetUnknown(TimePoint aUntil, int64_t aLowestCount);
+
   const std::vector<SentOrder>& Sent() const { return mSent; }
-  // Number of orders sent in other lives of the server than aStartTime.
+  // Number of orders sent in other lives of the server than aStartTime, the
+  // unknown one included.
   int CountOfOtherLives(int64_t aStartTime, TimePoint aNow) const;
   // Room that orders of other lives may take before the next order of this
   // life: those at aCount, then those at the next count, and so on. aHeld: the
@@ -59,6 +66,8 @@
                                    TimePoint aNow) const;
 
   std::vector<SentOrder> mSent;
+  TimePoint mUnknownUntil{};
+  int64_t mUnknownFrom = 0; // lowest count
 };
 
 } // namespace caraway
--- a/src/decide/ServerInventory.h
+++ b/src/decide/ServerInventory.h
@@ -80,6 +80,12 @@
   void OnSent(const ModelOrder& aOrder, TimePoint aNow);
   // aStartTime: of the server that the order was sent to.
   void OnAnswered(const ModelOrder& aOrder, int64_t aStartTime);
+  // Orders of other holders; see LateOrders.
+  void OnToldOfOrder(SentOrder aSent) { mLate.OnTold(std::move(aSent)); }
+  void SetUnknownOrders(TimePoint aUntil, int64_t aLowestCount)
+  {
+    mLate.SetUnknown(aUntil, aLowestCount);
+  }
   void ForgetOldOrders(TimePoint aNow) { mLate.Forget(aNow); }
   // The last accepted load has finished.
   void OnLoadFinished();
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -185,6 +185,7 @@
   Backend& backend = at->second;
   BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
+  mLives.OnListed(aEntry.mId, aEntry.mStartTime, aNow);
   if (added || before.mService != aEntry.mService ||
       before.mVersion != aEntry.mVersion) {
     if (!added) {
@@ -228,6 +229,7 @@
   auto found = mBackends.find(aId);
   if (found != mBackends.end()) {
     mVersions.OnUnlisted(found->second.mEntry, aNow);
+    mLives.OnUnlisted(aId, aNow);
     mBackends.erase(found);
   }
 }
@@ -244,6 +246,7 @@
       aOrderCount < backend->mOrderCount) {
     return false;
   }
+  mLives.OnOrderCount(aId, aOrderCount, aNow);
   bool changed = aModels != backend->mModels;
   backend->mOrderCount = aOrderCount;
   backend->mModels = aModels;
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "decide/BackendEntry.h"
+#include "decide/ServerLives.h"
 #include "decide/ServiceVersions.h"
 
 namespace caraway {
@@ -110,6 +111,7 @@
 
   // Software versions of the services' servers, draining ones included.
   const ServiceVersions& Versions() const { return mVersions; }
+  ServerLives& Lives() { return mLives; }
   // Whether some server of the service has this software version and isn't
   // draining.
   bool HasVersion(const std::string& aService,
@@ -156,6 +158,7 @@
   std::map<std::string, Backend> mBackends;
   std::map<std::string, InFlightCounts> mPeerCounts;
   ServiceVersions mVersions;
+  ServerLives mLives;
 };
 
 } // namespace caraway
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -20,6 +20,7 @@
   std::string mMetrics;            // ip:port for metrics; "" = none
   std::string mStore;              // ip:port of the object store
   double mCpuShare = 1;            // of a core
+  bool mFirstStart = false;        // of the whole fleet
   Millis mGrace{ 8000 };           // from SIGTERM to SIGKILL
   // Between the orders of two lease holders to a server.
   Millis mOrderSilence{ 3000 };
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -14,6 +14,9 @@
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow })
   , mRandom(std::random_device{}())
 {
+  if (mSettings.mFirstStart) {
+    mServers.Lives().OnFirstStart();
+  }
 }
 
 Millis
--- a/src/entry/LoadMessages.cpp
+++ b/src/entry/LoadMessages.cpp
@@ -43,6 +43,33 @@
   return content;
 }
 
+Json::Value
+SentOrderJson(const SentOrder& aSent, TimePoint aNow)
+{
+  auto left = std::chrono::duration_cast<Millis>(aSent.mUntil - aNow);
+  Json::Value sent;
+  sent["load"] = aSent.mOrder.mLoad;
+  sent["model"] = aSent.mOrder.mModel;
+  sent["adapter"] = aSent.mOrder.mAdapter;
+  sent["orders"] = Json::Int64(aSent.mOrder.mOrderCount);
+  sent["holder"] = aSent.mOrder.mHolder;
+  sent["token"] = Json::Int64(aSent.mOrder.mToken);
+  sent["born"] = Json::Int64(aSent.mStartTime);
+  sent["left_ms"] = Json::Int64(left.count());
+  return sent;
+}
+
+SentOrder
+ReadSentOrder(const Json::Value& aSent, TimePoint aNow)
+{
+  ModelOrder order{ aSent["load"].asBool(),      aSent["model"].asString(),
+                    aSent["adapter"].asString(), aSent["orders"].asInt64(),
+                    aSent["holder"].asString(),  aSent["token"].asInt64() };
+  return { order,
+           aSent["born"].asInt64(),
+           aNow + Millis(aSent["left_ms"].asInt64()) };
+}
+
 HeldModels
 ReadModels(const Json::Value& aModels)
 {
--- a/src/entry/LoadMessages.h
+++ b/src/entry/LoadMessages.h
@@ -5,6 +5,7 @@
 
 #include <json/json.h>
 
+#include "decide/LateOrders.h"
 #include "decide/ServerView.h"
 #include "entry/LoadRequester.h"
 
@@ -27,6 +28,11 @@
 // content, and the time for which it accepts no other order.
 Json::Value
 ContentJson(const Backend& aBackend, Millis aLoading);
+// An order without an answer, and for how much longer it may be carried out.
+Json::Value
+SentOrderJson(const SentOrder& aSent, TimePoint aNow);
+SentOrder
+ReadSentOrder(const Json::Value& aSent, TimePoint aNow);
 HeldModels
 ReadModels(const Json::Value& aModels);
 
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -66,17 +66,18 @@
     SendStoreLoad(aJob.mServer, aJob.mUnload + aJob.mLoad);
   }
   const ModelOrder& first = aJob.mSteps.front();
-  EventLine line = mState.mLog.Line("place_decided");
-  line.Text("server", aJob.mServer)
+  mState.mLog.Line("place_decided")
+    .Text("server", aJob.mServer)
     .Text("model", aJob.mRequest.mModel)
     .Text("adapter", aJob.mRequest.mAdapter)
     .Text("evict", first.mLoad ? "" : first.mModel + "/" + first.mAdapter)
     .Count("source", static_cast<int>(aJob.mSource))
+    .Count("orders", mInventories.Of(aJob.mServer).OrderCount())
     .Number("rate", mState.mDemand.Rate(aJob.mRequest.mModel, now))
     .Count("priority", aJob.mRequest.mPriority)
     .Ms("expected_ms", aJob.mUnload + aJob.mLoad);
   if (const EngineSpec* engine = EngineOf(aJob.mRequest.mService)) {
-    mInventories.LogContent(line, aJob.mServer, *engine);
+    mInventories.LogContent(aJob.mServer, *engine);
   }
   std::string server = aJob.mServer;
   uint64_t id = aJob.mId;
@@ -85,10 +86,10 @@
   bool announce = first.mLoad && first.mAdapter.empty();
   backend->mLoadingUntil = aJob.mExpected;
   mJobs[server] = std::move(aJob);
+  SendStep(server, id);
   if (announce) {
     mInventories.SendContent(server);
   }
-  SendStep(server, id);
 }
 
 void
@@ -206,6 +207,7 @@
         .Count("orders", step.mOrderCount)
         .Count("try", job->mAttempts);
       job->mOnlyOwnOrders = false;
+      mInventories.SendContent(aServer); // with the order, for a successor
       mState.mServers.RecordOutcome(
         aServer, ServerOutcome::Broken, mState.Now());
       if (++job->mUnanswered >= kMaxUnanswered) {
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -78,6 +78,7 @@
 {
   if (mToken != mLease.Token()) {
     mToken = mLease.Token();
+    mLeaseSince = mState.Now();
     for (auto& [server, entry] : mEntries) {
       entry.mInventory.MarkUnknown();
     }
@@ -89,9 +90,29 @@
     entry.mInventory.Restart(backend->mEntry.mStartTime);
     entry.mNextReportAt = TimePoint();
   }
+  KeepRoomForOthersOrders(aServer, entry);
   return entry;
 }
 
+// The former holders' orders were sent before this one had the lease, and those
+// to a server's former life before that life had ended. Of each of them one may
+// be unknown here, sent as its holder was lost. Those that its holder knew to
+// be unanswered came with the server's content.
+void
+ServerInventories::KeepRoomForOthersOrders(const std::string& aServer,
+                                           Entry& aEntry)
+{
+  auto former = mState.mServers.Lives().Former(
+    aServer, mState.Now(), mState.mReactor.SourceClock().WallNow());
+  if (former) {
+    aEntry.mInventory.SetUnknownOrders(std::min(former->mEndedAt, mLeaseSince) +
+                                         LateOrders::kMaxOrderDelay,
+                                       former->mLowestCount);
+  } else {
+    aEntry.mInventory.SetUnknownOrders(TimePoint(), 0);
+  }
+}
+
 ServerInventory&
 ServerInventories::Of(const std::string& aServer)
 {
@@ -255,14 +276,15 @@
 }
 
 void
-ServerInventories::LogContent(EventLine& aLine,
-                              const std::string& aServer,
+ServerInventories::LogContent(const std::string& aServer,
                               const EngineSpec& aEngine)
 {
   const Entry& entry = EntryOf(aServer);
   const ServerInventory& inventory = entry.mInventory;
   RoomUse use = RoomUsedBy(aEngine, inventory.UpperBound());
-  aLine.Text("held", TextOf(inventory.UpperBound()))
+  mState.mLog.Line("place_content")
+    .Text("server", aServer)
+    .Text("held", TextOf(inventory.UpperBound()))
     .Number("held_mb", use.mMb)
     .Number("room_mb", aEngine.mMemoryMb)
     .Count("adapters", use.mAdapters)
@@ -326,8 +348,7 @@
 ServerInventories::SendContent(const std::string& aServer)
 {
   if (const Backend* backend = mState.mServers.Find(aServer)) {
-    mPeers.SendMessage(
-      "content", ContentJson(*backend, backend->LoadingFor(mState.Now())));
+    mPeers.SendMessage("content", ContentOf(*backend));
   }
 }
 
@@ -351,18 +372,73 @@
   Millis round = mPeers.HeartbeatInterval() * kRepeatRounds;
   for (const std::string& id : mRepeats.Due(known, round, now)) {
     const Backend& backend = *mState.mServers.Find(id);
-    contents.append(ContentJson(backend, backend.LoadingFor(now)));
+    contents.append(ContentOf(backend));
   }
   if (!contents.empty()) {
     mPeers.SendMessage("contents", contents);
   }
 }
 
+// With what the next holder must know of orders that may come late.
+Json::Value
+ServerInventories::ContentOf(const Backend& aBackend)
+{
+  TimePoint now = mState.Now();
+  const std::string& server = aBackend.mEntry.mId;
+  Json::Value content = ContentJson(aBackend, aBackend.LoadingFor(now));
+  auto entry = mEntries.find(server);
+  if (entry != mEntries.end()) {
+    for (const SentOrder& sent : entry->second.mInventory.Late().Sent()) {
+      content["late"].append(SentOrderJson(sent, now));
+    }
+  }
+  ServerLives& lives = mState.mServers.Lives();
+  if (!lives.Known(server)) {
+    return content;
+  }
+  auto former =
+    lives.Former(server, now, mState.mReactor.SourceClock().WallNow());
+  Json::Value& life = content["former"];
+  life = Json::Value(Json::objectValue);
+  if (former) {
+    auto ended = std::chrono::duration_cast<Millis>(now - former->mEndedAt);
+    life["ended_ms"] = Json::Int64(ended.count());
+    life["orders"] = Json::Int64(former->mLowestCount);
+  }
+  return content;
+}
+
+void
+ServerInventories::OnOthersOrders(const Json::Value& aMessage,
+                                  const Backend& aBackend)
+{
+  TimePoint now = mState.Now();
+  const std::string& server = aBackend.mEntry.mId;
+  for (const Json::Value& sent : aMessage["late"]) {
+    Entry& entry = mEntries[server];
+    entry.mListedAt = now;
+    entry.mInventory.OnToldOfOrder(ReadSentOrder(sent, now));
+  }
+  const Json::Value& life = aMessage["former"];
+  if (!life.isObject()) {
+    return;
+  }
+  std::optional<FormerLife> former;
+  if (life.isMember("ended_ms")) {
+    former = FormerLife{ now - Millis(life["ended_ms"].asInt64()),
+                         life["orders"].asInt64() };
+  }
+  mState.mServers.Lives().OnTold(server, aMessage["born"].asInt64(), former);
+}
+
 void
 ServerInventories::OnContent(const Json::Value& aMessage)
 {
   std::string server = aMessage["id"].asString();
   Backend* backend = mState.mServers.Find(server);
+  if (backend) {
+    OnOthersOrders(aMessage, *backend);
+  }
   if (!backend || (mLease.Holds() && InZone(*backend))) {
     return; // the lease holder's own inventory takes precedence
   }
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -46,11 +46,9 @@
   // See PlacementFacts::mLateOrders.
   std::map<std::string, std::vector<RoomUse>> RoomForLateOrders(
     const std::string& aService);
-  // Adds to aLine what this instance believes the server to hold, in memory and
-  // slots, by what and since when.
-  void LogContent(EventLine& aLine,
-                  const std::string& aServer,
-                  const EngineSpec& aEngine);
+  // Logs what this instance believes the server to hold, in memory and slots,
+  // by what and since when.
+  void LogContent(const std::string& aServer, const EngineSpec& aEngine);
   // Copies the inventory to the server view, by which this instance routes
   // requests.
   void Apply(const std::string& aServer);
@@ -90,6 +88,9 @@
   void CheckReport(const std::string& aServer, const ServerReport& aReport);
   void RepeatContents();
   bool InZone(const Backend& aBackend) const;
+  void KeepRoomForOthersOrders(const std::string& aServer, Entry& aEntry);
+  Json::Value ContentOf(const Backend& aBackend);
+  void OnOthersOrders(const Json::Value& aMessage, const Backend& aBackend);
 
   EntryState& mState;
   Peers& mPeers;
@@ -98,6 +99,7 @@
   std::function<void()> mChanged;
   std::map<std::string, Entry> mEntries; // by server
   int64_t mToken = 0;                    // token of the lease they belong to
+  TimePoint mLeaseSince{};               // when that token was first seen
   RepeatRotation mRepeats;
 };
 
