ServerRoom: held models keep the size of the configuration that they came with

What callers saw: a server fails as a whole after a change of configuration.

Cause: room was reckoned by the newest configuration alone. A model that it no longer names counted as 0 MB, one that it made smaller as smaller, though the server held them as before; the next load had no room. An instance whose configuration is behind its neighbours' reckoned theirs as nothing too.

Change: a configuration that replaces another keeps the larger sizes; a model that none named counts as the largest one.

--- a/src/decide/ServerRoom.cpp
+++ b/src/decide/ServerRoom.cpp
@@ -7,12 +7,8 @@
      const std::string& aModel,
      const std::set<std::string>& aAdapters)
 {
-  auto found = aEngine.mModels.find(aModel);
-  if (found == aEngine.mModels.end()) {
-    return 0;
-  }
-  return found->second.mMb +
-         found->second.mAdapterMb * static_cast<double>(aAdapters.size());
+  ModelSize size = aEngine.SizeOf(aModel);
+  return size.mMb + size.mAdapterMb * static_cast<double>(aAdapters.size());
 }
 
 RoomUse
--- a/src/decide/ServerRoom.h
+++ b/src/decide/ServerRoom.h
@@ -16,7 +16,7 @@
   int mAdapters = 0; // slots
 };
 
-// Memory of a model with these adapters, in MB.
+// Memory of a model that a server holds with these adapters, in MB.
 double
 MbOf(const EngineSpec& aEngine,
      const std::string& aModel,
--- a/src/decide/ServingConfig.cpp
+++ b/src/decide/ServingConfig.cpp
@@ -53,4 +53,67 @@
   return least;
 }
 
+void
+ServingConfig::KeepSizes(const ServingConfig& aFormer)
+{
+  for (auto& [name, service] : mServices) {
+    const EngineSpec* former = aFormer.EngineOf(name);
+    if (service.mEngine && former) {
+      service.mEngine->KeepSizes(*former);
+    }
+  }
+}
+
+namespace {
+
+ModelSize
+Larger(const ModelSize& aOne, const ModelSize& aOther)
+{
+  return { std::max(aOne.mMb, aOther.mMb),
+           std::max(aOne.mAdapterMb, aOther.mAdapterMb) };
+}
+
+} // namespace
+
+void
+EngineSpec::KeepSizes(const EngineSpec& aFormer)
+{
+  std::map<std::string, ModelSize> sizes = aFormer.mFormerSizes;
+  for (const auto& [name, model] : aFormer.mModels) {
+    sizes[name] = Larger(sizes[name], { model.mMb, model.mAdapterMb });
+  }
+  for (const auto& [name, size] : sizes) {
+    auto model = mModels.find(name);
+    bool covered = model != mModels.end() && model->second.mMb >= size.mMb &&
+                   model->second.mAdapterMb >= size.mAdapterMb;
+    if (!covered) {
+      mFormerSizes[name] = Larger(mFormerSizes[name], size);
+    }
+  }
+}
+
+ModelSize
+EngineSpec::SizeOf(const std::string& aModel) const
+{
+  auto model = mModels.find(aModel);
+  auto former = mFormerSizes.find(aModel);
+  ModelSize size;
+  if (model != mModels.end()) {
+    size = { model->second.mMb, model->second.mAdapterMb };
+  }
+  if (former != mFormerSizes.end()) {
+    return Larger(size, former->second);
+  }
+  if (model != mModels.end()) {
+    return size;
+  }
+  for (const auto& [name, other] : mModels) {
+    size = Larger(size, { other.mMb, other.mAdapterMb });
+  }
+  for (const auto& [name, other] : mFormerSizes) {
+    size = Larger(size, other);
+  }
+  return size;
+}
+
 } // namespace caraway
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -51,9 +51,23 @@
   double mAdapterMb = 0; // of each adapter
 };
 
+struct ModelSize
+{
+  double mMb = 0; // accelerator memory
+  double mAdapterMb = 0;
+};
+
 struct EngineSpec
 {
+  // Keeps the sizes that aFormer, replaced by this one, gave its models:
+  // servers may hold them still.
+  void KeepSizes(const EngineSpec& aFormer);
+  // Size to reckon with for a model that a server holds. It is the largest that
+  // a configuration gave it, or that of the largest model if none named it.
+  ModelSize SizeOf(const std::string& aModel) const;
+
   std::map<std::string, ModelWeights> mModels;
+  std::map<std::string, ModelSize> mFormerSizes; // by model; see KeepSizes()
   double mMemoryMb = 0;       // for models and adapters on one server
   int mAdapterSlots = 0;      // adapters per server, pending loads included
   double mLoadsPerSecond = 1; // from the weight store, over all servers
@@ -105,6 +119,8 @@
   const TenantLimit* Tenant(const std::string& aName) const;
   // Null if there is no such service, or it is a plain one.
   const EngineSpec* EngineOf(const std::string& aService) const;
+  // To be called before this configuration takes the place of aFormer.
+  void KeepSizes(const ServingConfig& aFormer);
   // The largest priority of all routes, which is the least urgent.
   int LeastUrgent() const;
 };
--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -167,6 +167,9 @@
   if (mState.mConfig && config->mVersion <= before) {
     return;
   }
+  if (mState.mConfig) {
+    config->KeepSizes(*mState.mConfig);
+  }
   mState.mLog.Line("config_in_force")
     .Count("version", config->mVersion)
     .Count("before", before)
