LoadScheduler: an unload that was done at once may have found nothing

What callers saw: 503 for a model's adapter after three seconds, on a server with room for it; with bad luck, a server that fails as a whole by a ninth adapter.

Cause: a server answers 200 for the unload of an idle adapter, which it counts, and for one of an adapter that is gone, which it doesn't. Both were counted. The load that followed was refused for its count until its attempts were used up, as a job that has only own orders out took each 409 for "busy"; and where another holder's late order made the count right, the load was accepted with a content that wasn't the one it was decided by.

Change: where another order may still make the count right (within the time that orders may be late after the lease changed hands, or with an own order without an answer at that count), a report is asked for in place of the assumption; elsewhere the count is assumed as before, and a refusal after it is taken as news. So an ordinary eviction of an adapter costs nothing more.

--- a/src/decide/LateOrders.cpp
+++ b/src/decide/LateOrders.cpp
@@ -117,6 +117,16 @@
                                    }));
 }
 
+bool
+LateOrders::HasAt(int64_t aStartTime, int64_t aCount) const
+{
+  return std::any_of(
+    mSent.begin(), mSent.end(), [aStartTime, aCount](const SentOrder& aSent) {
+      return aSent.mStartTime == aStartTime &&
+             aSent.mOrder.mOrderCount == aCount;
+    });
+}
+
 std::optional<RoomUse>
 LateOrders::LargestAt(const EngineSpec& aEngine,
                       const HeldModels& aHeld,
--- a/src/decide/LateOrders.h
+++ b/src/decide/LateOrders.h
@@ -47,6 +47,9 @@
   // Number of orders sent in other lives of the server than aStartTime, the
   // unknown one included.
   int CountOfOtherLives(int64_t aStartTime, TimePoint aNow) const;
+  // Whether an order sent at this count in the life that began at aStartTime is
+  // without an answer.
+  bool HasAt(int64_t aStartTime, int64_t aCount) const;
   // Room that orders of other lives may take before the next order of this
   // life: those at aCount, then those at the next count, and so on. aHeld: the
   // server's content at aCount.
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -182,8 +182,11 @@
       break;
     case OrderAnswer::AlreadyDone:
       // The unload of an idle adapter is done at once, and the server counts it
-      // as an order. An order that found nothing to do is not counted.
-      if (!step.mLoad && !step.mAdapter.empty()) {
+      // as an order. An order that found nothing to do has the same answer, and
+      // is not counted: where another order may make that count right, with
+      // another content, only a report can tell.
+      if (!step.mLoad && !step.mAdapter.empty() &&
+          !mInventories.OthersMayOrder(aServer)) {
         OnAccepted(*job, true);
       } else {
         inventory.MarkUnknown();
@@ -232,7 +235,8 @@
   ModelOrder step = aJob.mSteps.front();
   aJob.mSteps.pop_front();
   aJob.mAttempts = 0;
-  aJob.mOnlyOwnOrders = true;
+  // Of what is done at once the count isn't certain.
+  aJob.mOnlyOwnOrders = !aDone;
   mInventories.Of(server).OnAccepted(step, aDone);
   if (step.mLoad) {
     mInventories.Apply(server);
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -21,6 +21,9 @@
 
 constexpr Millis kSendTick{ 1000 };
 
+// The token of a lease that nobody has held before.
+constexpr int64_t kFirstToken = 1;
+
 // Unloads and the load.
 constexpr int kMaxOrdersPerPlacement = 4;
 
@@ -322,6 +325,15 @@
   }
 }
 
+bool
+ServerInventories::OthersMayOrder(const std::string& aServer)
+{
+  const ServerInventory& inventory = EntryOf(aServer).mInventory;
+  bool leaseIsNew = mState.Now() - mLeaseSince < LateOrders::kMaxOrderDelay;
+  return (mToken > kFirstToken && leaseIsNew) ||
+         inventory.Late().HasAt(inventory.StartTime(), inventory.OrderCount());
+}
+
 // ---- Sending
 
 void
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -68,6 +68,11 @@
                        int64_t aStartTime,
                        OrderAnswer aAnswer);
 
+  // Whether an order that this instance doesn't wait for may be carried out
+  // under the present count: one of an earlier lease, or one of its own without
+  // an answer.
+  bool OthersMayOrder(const std::string& aServer);
+
   // The content of a server as sent by another instance.
   void OnContent(const Json::Value& aMessage);
 
--- a/tests/platform/ServerContentTest.cpp
+++ b/tests/platform/ServerContentTest.cpp
@@ -278,6 +278,9 @@
 TEST(ServerContent, UnloadThatFoundNothingIsNotCounted)
 {
   ServerWithAdapters server;
+  server.mFleet.mInstances[0].reset(); // the other holder
+  server.mFleet.mInstances[0] = server.mFleet.MakeInstance(0);
+  server.mFleet.AwaitReady();
   server.FinishUnload(server.NextEvicted());
   int64_t count = server.mEngine.mOrderCount;
   server.Send("b0");
