--- a/src/decide/ModelOrder.h
+++ b/src/decide/ModelOrder.h
@@ -4,7 +4,6 @@
 #define caraway_decide_ModelOrder_h
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 #include "decide/BackendEntry.h"
@@ -38,8 +37,7 @@
   HeldModels mModels;
   bool mBusy = false; // an order is in progress
   int64_t mOrderCount = 0;
-  // The server's start time, Unix ms, if reported.
-  std::optional<int64_t> mStartTime;
+  int64_t mStartTime = 0; // of the server, Unix ms
 };
 
 } // namespace caraway
--- a/src/decide/ServerInventory.cpp
+++ b/src/decide/ServerInventory.cpp
@@ -103,7 +103,7 @@
 bool
 ServerInventory::SameStart(const ServerReport& aReport) const
 {
-  return !aReport.mStartTime || *aReport.mStartTime == mStartTime;
+  return aReport.mStartTime == mStartTime;
 }
 
 bool
