--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -114,7 +114,7 @@
   aCall.mKind = static_cast<SoakKind>(
     std::uniform_int_distribution<int>(0, 3)(mContext.Random()));
   if (aCall.mKind == SoakKind::Stream || aCall.mKind == SoakKind::Resume) {
-    std::uniform_int_distribution<int> model(0, 3);
+    std::uniform_int_distribution<int> model(0, 5);
     aCall.mModel = "m" + std::to_string(model(mContext.Random()));
   }
 }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -260,7 +260,8 @@
     SoakFaultKind::Freeze,    SoakFaultKind::Store,
     SoakFaultKind::Servers,   SoakFaultKind::Drain,
     SoakFaultKind::Version,   SoakFaultKind::Version,
-    SoakFaultKind::KillAll,
+    SoakFaultKind::KillAll,   SoakFaultKind::Orders,
+    SoakFaultKind::Orders,
   };
   Inject(kKinds[static_cast<size_t>(Draw(0, std::size(kKinds) - 1))]);
   mTestFleet->mReactor.After(Millis(Draw(50, 2200)),
@@ -307,6 +308,9 @@
     case SoakFaultKind::Version:
       RestartEngine();
       break;
+    case SoakFaultKind::Orders:
+      DelayOrders(duration);
+      break;
   }
 }
 
@@ -395,6 +399,21 @@
   mTestFleet->List(engine, "engine", first ? "a" : "b");
 }
 
+// The engine may start again, under its id, before the orders arrive.
+void
+SoakRun::DelayOrders(Millis aFor)
+{
+  RecordFault(SoakFaultKind::Orders, 0, aFor);
+  auto& engines = mTestFleet->mEngines;
+  StandInServer* engine =
+    engines[static_cast<size_t>(Draw(0, static_cast<int>(engines.size()) - 1))]
+      .get();
+  engine->mOrderDelay = Millis(Draw(2000, 12000));
+  engine->mDropsOrderAnswers = true;
+  mTestFleet->mReactor.After(aFor,
+                             [engine] { engine->mDropsOrderAnswers = false; });
+}
+
 // ---- The run
 
 std::vector<std::string>
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -61,6 +61,7 @@
   void InjectServerFault(Millis aFor);
   void DrainServer(Millis aFor);
   void RestartEngine();
+  void DelayOrders(Millis aFor);
   size_t RecordFault(SoakFaultKind aKind, size_t aInstance, Millis aFor);
   int Draw(int aFrom, int aTo);
   TimePoint Now() const { return mTestFleet->mClock.Now(); }
