Failing test: an engine's restart clears the fence that kept a late order out (carawayd)

The same class in the other program: the record of an engine that checks fencing drops a replica once the engine has seen a higher token, and an engine that starts again has seen none.

--- a/tests/property/PlacementProperty.cpp
+++ b/tests/property/PlacementProperty.cpp
@@ -118,6 +118,13 @@
     }
   }
 
+  // The engine comes back empty and has seen no fencing token.
+  void Restart()
+  {
+    mEngine.clear();
+    mHighestFencingToken = 0;
+  }
+
   void Deliver(size_t aIndex, bool aAnswered, TimePoint aNow)
   {
     SentOrder order = mOrdersInFlight[aIndex];
@@ -178,12 +185,14 @@
     }
   }
 
-  void Check() const
+  // aRestarts: an order from before a restart may bring a replica back that has
+  // left the record; it must find room.
+  void Check(bool aRestarts) const
   {
     int64_t bytes = 0;
     for (const auto& held : mEngine) {
       bytes += held.second;
-      RC_ASSERT(PlacementFind(mRecord, held.first, "") != nullptr);
+      RC_ASSERT(aRestarts || PlacementFind(mRecord, held.first, "") != nullptr);
     }
     RC_ASSERT(bytes <= kMemory);
     RC_ASSERT(PlacementCharged(mRecord) <= kMemory);
@@ -191,7 +200,7 @@
 };
 
 void
-RunModel(bool aChecksFencing)
+RunModel(bool aChecksFencing, bool aRestarts)
 {
   RandomChoices choices = RandomChoices::OfLength(500);
   PlacementModel model;
@@ -201,6 +210,9 @@
   while (!choices.Ended()) {
     now += Millis(choices.Below(4) == 0 ? choices.Below(200) * 400 : 0);
     Decider& decider = model.mDeciders[static_cast<size_t>(choices.Below(3))];
+    if (aRestarts && choices.Below(30) == 0) {
+      model.Restart();
+    }
     switch (choices.Below(9)) {
       case 0:
         model.Read(decider, now);
@@ -232,7 +244,7 @@
         }
         break;
     }
-    model.Check();
+    model.Check(aRestarts);
   }
 }
 
@@ -244,14 +256,28 @@
 // order or never, and their answers are lost.
 RC_GTEST_PROP(Placement, EngineHoldsOnlyDecidedReplicas, ())
 {
-  RunModel(true);
+  RunModel(true, false);
 }
 
 // The same for an engine that accepts every order, however old its fencing
 // token.
 RC_GTEST_PROP(Placement, EngineIgnoringFencingHoldsOnlyDecidedReplicas, ())
 {
-  RunModel(false);
+  RunModel(false, false);
+}
+
+// Guards against memory overcommitted by an order from before an engine's
+// restart, which clears the fencing tokens that it has seen.
+RC_GTEST_PROP(Placement, EngineThatRestartsIsNotOvercommitted, ())
+{
+  RunModel(true, true);
+}
+
+RC_GTEST_PROP(Placement,
+              EngineIgnoringFencingThatRestartsIsNotOvercommitted,
+              ())
+{
+  RunModel(false, true);
 }
 
 } // namespace caraway
