ServerLives: room for an unknown order up to the former life's last count only

Room for an unknown order was kept for 20 s, though the new life had had more orders than the former one long before. An order was sent under a count that its life had reached: from beyond the last count that is known of that life, with the few orders of one placement added, no room is kept.

--- a/src/decide/LateOrders.cpp
+++ b/src/decide/LateOrders.cpp
@@ -91,10 +91,13 @@
 }
 
 void
-LateOrders::SetUnknown(TimePoint aUntil, int64_t aLowestCount)
+LateOrders::SetUnknown(TimePoint aUntil,
+                       int64_t aLowestCount,
+                       int64_t aHighestCount)
 {
   mUnknownUntil = aUntil;
   mUnknownFrom = aLowestCount;
+  mUnknownTo = aHighestCount;
 }
 
 void
@@ -159,7 +162,7 @@
   bool unknown = aNow < mUnknownUntil;
   for (int64_t count = aCount;; ++count) {
     auto use = LargestAt(aEngine, aHeld, aStartTime, count, aNow);
-    if (!use && unknown && count >= mUnknownFrom) {
+    if (!use && unknown && count >= mUnknownFrom && count <= mUnknownTo) {
       use = LargestLoad(aEngine);
       unknown = false;
     }
--- a/src/decide/LateOrders.h
+++ b/src/decide/LateOrders.h
@@ -40,8 +40,11 @@
   // An order that another instance sent and that wasn't answered.
   void OnTold(SentOrder aSent);
   // One more order, of which only its sender knew, may be carried out until
-  // aUntil, under aLowestCount or a higher count. Replaces what was set before.
-  void SetUnknown(TimePoint aUntil, int64_t aLowestCount);
+  // aUntil, under a count from aLowestCount to aHighestCount. Replaces what was
+  // set before.
+  void SetUnknown(TimePoint aUntil,
+                  int64_t aLowestCount,
+                  int64_t aHighestCount);
 
   const std::vector<SentOrder>& Sent() const { return mSent; }
   // Number of orders sent in other lives of the server than aStartTime, the
@@ -70,7 +73,9 @@
 
   std::vector<SentOrder> mSent;
   TimePoint mUnknownUntil{};
-  int64_t mUnknownFrom = 0; // lowest count
+  // Counts.
+  int64_t mUnknownFrom = 0;
+  int64_t mUnknownTo = 0;
 };
 
 } // namespace caraway
--- a/src/decide/ServerInventory.h
+++ b/src/decide/ServerInventory.h
@@ -82,9 +82,11 @@
   void OnAnswered(const ModelOrder& aOrder, int64_t aStartTime);
   // Orders of other holders; see LateOrders.
   void OnToldOfOrder(SentOrder aSent) { mLate.OnTold(std::move(aSent)); }
-  void SetUnknownOrders(TimePoint aUntil, int64_t aLowestCount)
+  void SetUnknownOrders(TimePoint aUntil,
+                        int64_t aLowestCount,
+                        int64_t aHighestCount)
   {
-    mLate.SetUnknown(aUntil, aLowestCount);
+    mLate.SetUnknown(aUntil, aLowestCount, aHighestCount);
   }
   void ForgetOldOrders(TimePoint aNow) { mLate.Forget(aNow); }
   // The last accepted load has finished.
--- a/src/decide/ServerLives.cpp
+++ b/src/decide/ServerLives.cpp
@@ -1,6 +1,7 @@
 #include "decide/ServerLives.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "base/EraseIf.h"
 #include "decide/LateOrders.h"
@@ -17,6 +18,12 @@
 // By this much the clocks of a server and an instance may differ.
 constexpr Millis kClockError{ 5000 };
 
+// Orders that a server accepted in one placement, before its content was sent
+// to the other instances again.
+constexpr int64_t kUntoldOrders = 4;
+
+constexpr int64_t kAnyCount = std::numeric_limits<int64_t>::max();
+
 } // namespace
 
 void
@@ -48,11 +55,15 @@
   if (life.mStartTime == aStartTime) {
     return;
   }
-  FormerLife former{ aNow, LowestLateCount(life, aNow) };
+  FormerLife former{ aNow,
+                     LowestLateCount(life, aNow),
+                     HighestLateCount(life) };
   // Orders of the life before that one may come too.
   if (aNow - life.mListedAt < kMemory) {
-    int64_t before = life.mFormer ? life.mFormer->mLowestCount : 0;
-    former.mLowestCount = std::min(former.mLowestCount, before);
+    FormerLife before = life.mFormer.value_or(
+      FormerLife{ aNow, 0, life.mFormerKnown ? 0 : kAnyCount });
+    former.mLowestCount = std::min(former.mLowestCount, before.mLowestCount);
+    former.mHighestCount = std::max(former.mHighestCount, before.mHighestCount);
   }
   life = Life();
   life.mStartTime = aStartTime;
@@ -77,10 +88,14 @@
                           TimePoint aNow)
 {
   auto found = mLives.find(aServer);
-  if (found == mLives.end() || aNow - found->second.mCountAt < kMemory) {
+  if (found == mLives.end()) {
     return;
   }
   Life& life = found->second;
+  life.mLastCount = std::max(life.mLastCount, aCount);
+  if (aNow - life.mCountAt < kMemory) {
+    return;
+  }
   life.mCountBefore = life.mCount;
   life.mCount = aCount;
   life.mCountAt = aNow;
@@ -94,6 +109,13 @@
   return aNow - aLife.mCountAt >= kMemory ? aLife.mCount : aLife.mCountBefore;
 }
 
+// A late order was sent under a count that its life had reached.
+int64_t
+ServerLives::HighestLateCount(const Life& aLife)
+{
+  return aLife.mLastCount < 0 ? kAnyCount : aLife.mLastCount + kUntoldOrders;
+}
+
 void
 ServerLives::OnTold(const std::string& aServer,
                     int64_t aStartTime,
@@ -129,7 +151,7 @@
     auto unixNow =
       std::chrono::duration_cast<Millis>(aWallNow.time_since_epoch());
     Millis age = unixNow - Millis(life.mStartTime) - kClockError;
-    former = FormerLife{ aNow - std::max(age, Millis(0)), 0 };
+    former = FormerLife{ aNow - std::max(age, Millis(0)), 0, kAnyCount };
   }
   bool recent = former && aNow - former->mEndedAt < kMemory;
   return recent ? former : std::nullopt;
--- a/src/decide/ServerLives.h
+++ b/src/decide/ServerLives.h
@@ -4,8 +4,8 @@
 // remembers its own, and is told of those that others know to be unanswered;
 // of an order whose sender was lost with it nobody knows. Each instance follows
 // the list of servers, so that a new holder knows where to keep room for such
-// an order: at servers that had a former life, from the lowest count that its
-// late orders may have. At other servers there is nothing to fear.
+// an order: at servers that had a former life, at the counts that its late
+// orders may have. At other servers there is nothing to fear.
 #ifndef caraway_decide_ServerLives_h
 #define caraway_decide_ServerLives_h
 
@@ -20,12 +20,14 @@
 struct FormerLife
 {
   TimePoint mEndedAt{}; // when the next life was noticed
-  // Lowest count that its late orders may have.
+  // Counts that its late orders may have.
   int64_t mLowestCount = 0;
+  int64_t mHighestCount = 0;
 
   bool operator==(const FormerLife& aOther) const
   {
-    return mEndedAt == aOther.mEndedAt && mLowestCount == aOther.mLowestCount;
+    return mEndedAt == aOther.mEndedAt && mLowestCount == aOther.mLowestCount &&
+           mHighestCount == aOther.mHighestCount;
   }
 };
 
@@ -60,13 +62,15 @@
     TimePoint mListedAt{};
     bool mFormerKnown = false;
     std::optional<FormerLife> mFormer;
-    // The count of its orders, noted at intervals.
+    int64_t mLastCount = -1; // of its orders; negative = never known
+    // The count as noted at intervals.
     int64_t mCount = 0;
     TimePoint mCountAt{};
     int64_t mCountBefore = 0; // the note before that
     TimePoint mUnlistedAt{};  // zero = listed
   };
   static int64_t LowestLateCount(const Life& aLife, TimePoint aNow);
+  static int64_t HighestLateCount(const Life& aLife);
   void Forget(TimePoint aNow);
 
   std::map<std::string, Life> mLives; // by server
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -110,9 +110,10 @@
   if (former) {
     aEntry.mInventory.SetUnknownOrders(std::min(former->mEndedAt, mLeaseSince) +
                                          LateOrders::kMaxOrderDelay,
-                                       former->mLowestCount);
+                                       former->mLowestCount,
+                                       former->mHighestCount);
   } else {
-    aEntry.mInventory.SetUnknownOrders(TimePoint(), 0);
+    aEntry.mInventory.SetUnknownOrders(TimePoint(), 0, 0);
   }
 }
 
@@ -415,7 +416,8 @@
   if (former) {
     auto ended = std::chrono::duration_cast<Millis>(now - former->mEndedAt);
     life["ended_ms"] = Json::Int64(ended.count());
-    life["orders"] = Json::Int64(former->mLowestCount);
+    life["orders_from"] = Json::Int64(former->mLowestCount);
+    life["orders_to"] = Json::Int64(former->mHighestCount);
   }
   return content;
 }
@@ -438,7 +440,8 @@
   std::optional<FormerLife> former;
   if (life.isMember("ended_ms")) {
     former = FormerLife{ now - Millis(life["ended_ms"].asInt64()),
-                         life["orders"].asInt64() };
+                         life["orders_from"].asInt64(),
+                         life["orders_to"].asInt64() };
   }
   mState.mServers.Lives().OnTold(server, aMessage["born"].asInt64(), former);
 }
--- a/tests/property/ServerInventoryProperty.cpp
+++ b/tests/property/ServerInventoryProperty.cpp
@@ -122,6 +122,8 @@
   void Restart()
   {
     ++mStartTime;
+    mCountBeforeThat = std::max(mFormerCount, mCountBeforeThat);
+    mFormerCount = mOrderCount;
     mRestartedAt = mNow;
     mOrderCount = 0;
     mHeld.clear();
@@ -203,8 +205,10 @@
     }
     bool holdersAreLost = mOmitted != OmittedSafeguard::SentOrders;
     if (holdersAreLost && mOmitted != OmittedSafeguard::UnknownOrders) {
-      mInventory.SetUnknownOrders(
-        std::min(mRestartedAt, mHolderSince) + LateOrders::kMaxOrderDelay, 0);
+      mInventory.SetUnknownOrders(std::min(mRestartedAt, mHolderSince) +
+                                    LateOrders::kMaxOrderDelay,
+                                  0,
+                                  std::max(mFormerCount, mCountBeforeThat));
     }
     if (Chance(60)) {
       mInventory.MarkUnknown(); // a new lease of the same holder
@@ -310,6 +314,8 @@
   bool mBusy = false;
   TimePoint mBusyUntil{};
   TimePoint mRestartedAt{};
+  int64_t mFormerCount = 0; // of the life before the restart
+  int64_t mCountBeforeThat = 0;
   TimePoint mHolderSince{};
   std::deque<DelayedOrder> mDelayed;
   std::deque<ServerReport> mReports;
--- a/tests/unit/ServerLivesTest.cpp
+++ b/tests/unit/ServerLivesTest.cpp
@@ -92,7 +92,7 @@
   EXPECT_TRUE(Former("s1"));
   mLives.OnTold("s1", born, std::nullopt);
   EXPECT_FALSE(Former("s1"));
-  mLives.OnTold("s2", born, FormerLife{ kStart, 7 });
+  mLives.OnTold("s2", born, FormerLife{ kStart, 7, 9 });
   EXPECT_EQ(7, Former("s2")->mLowestCount);
 }
 
@@ -114,9 +114,21 @@
   mAfter += Seconds(1);
   List("s1", Seconds(-30));
   EXPECT_EQ(40, Former("s1")->mLowestCount);
+  EXPECT_LE(60, Former("s1")->mHighestCount);
+  EXPECT_GE(70, Former("s1")->mHighestCount);
   mAfter += Seconds(1); // and again: those of both lives may come
   List("s1", Seconds(-31));
   EXPECT_EQ(0, Former("s1")->mLowestCount);
+  EXPECT_LE(60, Former("s1")->mHighestCount);
+}
+
+// Guards against a limit taken from a count that was never known here.
+TEST_F(ServerLivesTest, CountOfALifeThatNobodyToldIsNotLimited)
+{
+  List("s1", Seconds(600));
+  mAfter = kLong;
+  List("s1", Seconds(-30));
+  EXPECT_LE(1000000, Former("s1")->mHighestCount);
 }
 
 } // namespace caraway
