LoadScheduler: content is told before the order of its load, not after

Told after it, each content named the order that had just been sent, which is answered within milliseconds; the others kept room for it for 20 s, until it couldn't come any more. Those without an answer are told as they time out. Found by reading the diff; ServerContent.* and Orders.* pass as before.

--- a/src/decide/ServerInventory.cpp
+++ b/src/decide/ServerInventory.cpp
@@ -85,9 +85,9 @@
       !FitsBeside(aEngine, mHeld, aOrder.mModel, aOrder.mAdapter)) {
     return false;
   }
+  // An adapter in use is unloaded later, so no unload of one counts yet.
   HeldModels after = mHeld;
-  bool inUse = !aOrder.mLoad && !aOrder.mAdapter.empty(); // perhaps
-  if (!inUse) {
+  if (aOrder.mLoad || aOrder.mAdapter.empty()) {
     Apply(aOrder, after);
   }
   RoomUse late =
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -86,10 +86,10 @@
   bool announce = first.mLoad && first.mAdapter.empty();
   backend->mLoadingUntil = aJob.mExpected;
   mJobs[server] = std::move(aJob);
-  SendStep(server, id);
   if (announce) {
     mInventories.SendContent(server);
   }
+  SendStep(server, id);
 }
 
 void
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -24,7 +24,7 @@
 // The token of a lease that nobody has held before.
 constexpr int64_t kFirstToken = 1;
 
-// Unloads and the load.
+// Orders of a placement that the plan looks ahead: unloads, then the load.
 constexpr int kMaxOrdersPerPlacement = 4;
 
 // All contents are sent once in this many heartbeat rounds: a second in a small
