Streams: the end of a former process's connection is awaited for a moment

What callers saw: a resumable stream that went on with events of another software version. Cause: a server that started again under its id with another version is known by its old entry for a moment, so what comes after the new entry counts as the new process's; an instance that stood still reads the former one's last events after that entry too, and corrected a right record.

Change: the first events after such an entry wait 10 ms. The former process's connection has ended by then, its end arrives with the last events; the run counts as broken off then, at its own version. A connection that lives on is the new process's, as before.

A machine that goes dark sends no end: what remains.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -106,6 +106,8 @@
   void RecordOrigin();
   void OnPeerVersion(const HttpHead& aHead);
   bool HoldEvents(size_t aBytes);
+  bool ServerChangedVersion() const;
+  bool AwaitFormerEnd(size_t aBytes);
   bool CheckRestart();
   void PinVersion();
   bool RefuseWithoutVersion();
@@ -116,6 +118,7 @@
   void OnHead(const HttpHead& aHead);
   void RecordServerFacts();
   void OnBody(std::string& aBytes);
+  void OnEvents(size_t aBytes);
   void OnCallDone(CallOutcome aOutcome);
   bool StreamEndedInsideEvent() const;
   void OnCompleteAnswer();
@@ -186,6 +189,7 @@
   std::string mBody;              // of an answer that is not streamed
   std::string mEvents;            // of a stream: bytes not yet forwarded
   size_t mHeldEvents = 0;         // bytes of mEvents that are complete events
+  size_t mUnsureEvents = 0;       // the same; see AwaitFormerEnd()
   EventStreamReader mEventReader; // of a stream: all bytes from mServer
   std::string mLastEvent;         // id of the last event forwarded
   bool mStreaming = false;        // the head of a stream was sent to the caller
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -154,6 +154,7 @@
   ReleaseCall();
   mEvents.clear();
   mHeldEvents = 0;
+  mUnsureEvents = 0;
   mState.mLog.Line("server_broke")
     .Text("id", mFacts.mId)
     .Text("server", server)
--- a/src/entry/ExchangeResume.cpp
+++ b/src/entry/ExchangeResume.cpp
@@ -3,6 +3,8 @@
 // and servers don't check which one began a stream.
 #include "entry/Exchange.h"
 
+#include <utility>
+
 #include "entry/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
@@ -96,6 +98,43 @@
   }
 }
 
+// The server has started again with another version since the run was sent, by
+// its entry.
+bool
+Exchange::ServerChangedVersion() const
+{
+  auto backend = mState.mServers.All().find(mServer);
+  return !mForwarding && backend != mState.mServers.All().end() &&
+         backend->second.mEntry.mStartTime != mRunStartTime &&
+         backend->second.mEntry.mVersion != mRunVersion;
+}
+
+// An instance that stood still reads the last events of a server's former
+// process after the entry of the next one, and the end of the connection with
+// them. So the first complete events after that entry, aBytes of mEvents, wait
+// for that end for a moment. Returns whether they do.
+bool
+Exchange::AwaitFormerEnd(size_t aBytes)
+{
+  if (mUnsureEvents == 0 && !ServerChangedVersion()) {
+    return false;
+  }
+  bool waiting = mUnsureEvents > 0;
+  mUnsureEvents = aBytes;
+  if (waiting) {
+    return true;
+  }
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  mState.mReactor.After(kFormerEndTime, [weak, send = mSends] {
+    auto exchange = weak.lock();
+    if (exchange && !exchange->mFinished && exchange->mSends == send &&
+        exchange->mUnsureEvents > 0) {
+      exchange->OnEvents(std::exchange(exchange->mUnsureEvents, 0));
+    }
+  });
+  return true;
+}
+
 // A server that starts again under its id with another version is known by its
 // old entry for a moment. What it still sends once the entry has changed is the
 // new one's, whose connections are the only ones left. Returns false if its
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -205,8 +205,17 @@
   size_t before = mEvents.size();
   mEvents += aBytes;
   aBytes.clear();
-  if (complete > 0 && CheckRestart() && !HoldEvents(before + complete)) {
-    ForwardEvents(before + complete);
+  if (complete > 0 && !AwaitFormerEnd(before + complete)) {
+    OnEvents(before + complete);
+  }
+}
+
+// The first aBytes of mEvents are complete events.
+void
+Exchange::OnEvents(size_t aBytes)
+{
+  if (CheckRestart() && !HoldEvents(aBytes)) {
+    ForwardEvents(aBytes);
   }
 }
 
@@ -235,6 +244,7 @@
   mCaller->StreamChunk(std::string_view(mEvents).substr(0, aBytes));
   mEvents.erase(0, aBytes);
   mHeldEvents = 0;
+  mUnsureEvents -= std::min(mUnsureEvents, aBytes);
 }
 
 void
--- a/src/entry/ExchangeTimes.h
+++ b/src/entry/ExchangeTimes.h
@@ -16,6 +16,10 @@
 // Retry-after time when another instance can take the request at once.
 inline constexpr Millis kRetryAfterElsewhere{ 20 };
 
+// Within this time the end of a connection follows the last bytes on it, when
+// its process has ended before they are read: both have arrived by then.
+inline constexpr Millis kFormerEndTime{ 10 };
+
 // The server's own final answer is waited for this long past the deadline.
 inline constexpr Millis kLateAnswerMargin{ 40 };
 
