FeedRelay: the successor of a reader that leaves watches the store at once

What callers saw: for 0.8 s after a reader of the zone announced its shutdown, no instance of the zone learnt of a drained server or a withdrawn key.

Cause: the watch after a list waits for the batch interval, so that starting instances, which follow another by then, make none. The successor of a leaving reader took the same way: its list came at once, its first watch 800 ms later. A change between the two was known 800 to 850 ms after the leave; the test's limit is 850 ms after it.

Ruled out: followers that still wait for the reader (list_read_again comes within 50 ms of the leave in all of them).

Change: a feed resumed because the followed reader leaves makes its first watch at once. Starts and "no recent update" keep the wait.

--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -96,10 +96,11 @@
 }
 
 void
-ConfigFeed::Resume()
+ConfigFeed::Resume(StoreFeed::FirstWatch aFirst)
 {
   mPaused = false;
-  Start();
+  mConfigObjects.Start(aFirst);
+  mServerObjects.Start(aFirst);
 }
 
 bool
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -24,7 +24,7 @@
   // While paused, changes come from another instance and no calls to the store
   // are made.
   void Pause();
-  void Resume();
+  void Resume(StoreFeed::FirstWatch aFirst);
   bool Paused() const { return mPaused; }
   // aOnUpdate is called after each answer of the store and for each new
   // configuration. aOnApplied is called for each applied change to the list
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -300,7 +300,9 @@
   bool stale = now - mFeed.ListConfirmedAt() >= WatchStep::kMaxUpdateAge;
   if (mResumeReadingAt != TimePoint::max()) {
     if (stale || now >= mResumeReadingAt) {
-      ResumeReading("followed instance is leaving");
+      // The others learn of changes from here on by this instance's watch.
+      ResumeReading("followed instance is leaving",
+                    StoreFeed::FirstWatch::AtOnce);
     }
   } else if (!mStep.Follows(now)) {
     ResumeReading("no recent update");
@@ -310,7 +312,7 @@
 }
 
 void
-FeedRelay::ResumeReading(const char* aWhy)
+FeedRelay::ResumeReading(const char* aWhy, StoreFeed::FirstWatch aFirst)
 {
   mState.mLog.Line("list_read_again")
     .Text("peer", mFollowedPeer)
@@ -319,7 +321,7 @@
     .Ms("config_age_ms", mState.AgeOf(mFeed.ConfigConfirmedAt()));
   mResumeReadingAt = TimePoint::max();
   mStep.Forget();
-  mFeed.Resume();
+  mFeed.Resume(aFirst);
 }
 
 void
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -61,7 +61,9 @@
   void OnPeerUpdate(const Json::Value& aUpdate);
   void ApplyUpdate(const Json::Value& aUpdate, Millis aTransit);
   void Check();
-  void ResumeReading(const char* aWhy);
+  void ResumeReading(
+    const char* aWhy,
+    StoreFeed::FirstWatch aFirst = StoreFeed::FirstWatch::AfterBatch);
   void OnLeaving(const std::string& aPeer);
   void RequestConfig(int64_t aVersion, const std::string& aPeer);
   void FetchConfig();
--- a/src/store/StoreFeed.cpp
+++ b/src/store/StoreFeed.cpp
@@ -33,7 +33,14 @@
 }
 
 void
-StoreFeed::Start()
+StoreFeed::Start(FirstWatch aFirst)
+{
+  mFirstWatch = aFirst;
+  ListAll();
+}
+
+void
+StoreFeed::ListAll()
 {
   ++mGeneration;
   mListing = true;
@@ -67,7 +74,7 @@
       return;
     }
     if (aList) {
-      Start();
+      ListAll();
     } else {
       Watch(mWatchTime);
     }
@@ -115,7 +122,11 @@
                 mPages.clear();
                 mEvents.mSnapshot(all);
                 mEvents.mAnswered();
-                WatchAfterBatch();
+                if (mFirstWatch == FirstWatch::AtOnce) {
+                  Watch(mWatchTime);
+                } else {
+                  WatchAfterBatch();
+                }
               });
 }
 
@@ -155,8 +166,6 @@
     });
 }
 
-// After a list too, the watch waits: an instance that follows another by then
-// makes none.
 void
 StoreFeed::WatchAfterBatch()
 {
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -21,6 +21,15 @@
     std::function<void()> mAnswered; // after each answer, even an empty one
   };
 
+  // When the first watch after a list begins. AfterBatch makes no watch for an
+  // instance that follows another by then; AtOnce is for the one that others
+  // are about to follow.
+  enum class FirstWatch
+  {
+    AfterBatch,
+    AtOnce,
+  };
+
   // aWatchTime is how long a watch waits for a change. It must be longer than
   // the batch interval, which is deducted from the next watch. A watch whose
   // connection died silently is detected after this time and the client's
@@ -32,7 +41,7 @@
             Millis aWatchTime,
             Events aEvents);
 
-  void Start();
+  void Start(FirstWatch aFirst = FirstWatch::AfterBatch);
   // Makes no calls until Start(); pending answers are ignored.
   void Stop();
   // Reads the complete list again, unless it is being read.
@@ -43,6 +52,7 @@
   TimePoint ConfirmedAt() const { return mConfirmedAt; }
 
 private:
+  void ListAll();
   void List(const std::string& aAfter);
   void Watch(Millis aWait);
   void WatchAfterBatch();
@@ -54,6 +64,7 @@
   std::string mKind;
   Millis mWatchTime;
   Events mEvents;
+  FirstWatch mFirstWatch = FirstWatch::AfterBatch;
   std::vector<StoreChange> mPages;
   int64_t mAsOf = 0;
   int64_t mListAsOf = 0;    // of the first page; later pages may be newer
