Placement: load orders from before an engine's restart find room

What callers would see: an engine of carawayd that checks fencing numbers gets more than its memory holds and may go down with all that it serves.

A restart clears that token. The load order, unanswered and still on its way, then arrives beside what was decided since.

Ruled out: raising the fence before the first load of a new life by itself. Orders from before the restart can make up the whole of the excess.

Change: a replica with an order perhaps on its way moves to the record's mDeparted, until it is older than any order. A load is decided only if all that may arrive fits by itself, beside the former check of what is charged. A report that shows a lower token than a departed replica's, or the replica, charges it again; its unload order raises the fence. Acknowledged replicas that a report lacks are free at once; a load ordered twice counts as answered after the longest delay. No eviction is planned for a load that departed replicas keep from being decided.

The model's deciders keep their times by state as well, as the reconciler does: a ready replica's time begins when it is ready.

Process tests of placement, engines and loads (18): green.

--- a/src/decide/LoadPlan.cpp
+++ b/src/decide/LoadPlan.cpp
@@ -80,6 +80,10 @@
       return aLeft.first > aRight.first;
     });
   Eviction eviction;
+  if (PlacementArriving(aCandidate.mRecord) + aBytes >
+      aCandidate.mRecord.mMemory) {
+    return eviction; // no eviction makes room for this load
+  }
   int64_t free = PlacementFree(aCandidate.mRecord);
   for (const auto& entry : idle) {
     if (free >= aBytes) {
--- a/src/decide/PlacementRecord.h
+++ b/src/decide/PlacementRecord.h
@@ -22,10 +22,12 @@
   std::string mBase; // "" for a model
   int64_t mBytes = 0;
   ReplicaState mState = ReplicaState::Loading;
-  int64_t mFencingToken = 0;  // token of its latest order
-  std::string mDecision;      // random id of the decision
-  int mLoadOrdersSent = 1;    // upper bound
-  bool mAcknowledged = false; // the only load order sent was answered
+  int64_t mFencingToken = 0; // token of its latest order
+  std::string mDecision;     // random id of the decision
+  int mLoadOrdersSent = 1;   // upper bound
+  // No load order is on its way any more: the only one sent was answered, or
+  // all are older than any order can be.
+  bool mAcknowledged = false;
 };
 
 // One record per engine, always replaced as a whole by conditional update. The
@@ -38,6 +40,9 @@
   bool mChecksFencing = false;
   int64_t mFencingToken = 0; // highest token issued
   std::vector<PlacedReplica> mReplicas;
+  // Gone, with a load order perhaps still on its way. The engine's fence
+  // refuses that order, until the engine restarts and has seen no token.
+  std::vector<PlacedReplica> mDeparted;
 };
 
 } // namespace caraway
--- a/src/decide/PlacementStep.cpp
+++ b/src/decide/PlacementStep.cpp
@@ -31,28 +31,36 @@
   return nullptr;
 }
 
+// Whether no load order of the replica can arrive any more, in any life of the
+// engine: the single copy ever sent was answered, or the longest time that an
+// order can take has passed.
+bool
+NothingOnItsWay(const PlacedReplica& aReplica,
+                const std::set<std::string>& aExpired)
+{
+  return aReplica.mAcknowledged || aExpired.count(aReplica.mDecision) != 0;
+}
+
 // Whether no load order can bring the replica back. An engine that checks
-// fencing refuses every order below the highest token it has accepted. One that
-// ignores fencing accepts any copy that still arrives; there the replica is
-// gone for good only if the single copy ever sent was answered, or after the
-// longest time an order can take. Until then it stays charged, so that one that
-// does come back is in the record.
+// fencing refuses every order below the highest token it has accepted, until it
+// restarts. One that ignores fencing accepts any copy that still arrives; there
+// the replica stays charged, so that one that does come back is in the record.
 bool
 ProvablyGone(const PlacementRecord& aRecord,
              const PlacedReplica& aReplica,
              const EngineReport& aReport,
              const std::set<std::string>& aExpired)
 {
-  if (aRecord.mChecksFencing) {
-    return aReport.mHighestFencingToken >= aReplica.mFencingToken;
-  }
-  return aReplica.mAcknowledged || aExpired.count(aReplica.mDecision) != 0;
+  bool refused = aRecord.mChecksFencing &&
+                 aReport.mHighestFencingToken >= aReplica.mFencingToken;
+  return refused || NothingOnItsWay(aReplica, aExpired);
 }
 
 bool
 ObserveReplica(PlacementRecord& aRecord,
                PlacedReplica& aReplica,
-               const EngineReport& aReport)
+               const EngineReport& aReport,
+               const std::set<std::string>& aExpired)
 {
   const EngineReplica* seen = FindReported(aReport, aReplica);
   if (aReplica.mState == ReplicaState::Loading) {
@@ -70,6 +78,11 @@
     aReplica.mFencingToken = ++aRecord.mFencingToken;
     return true;
   }
+  if (aReplica.mState == ReplicaState::Ready && !aReplica.mAcknowledged &&
+      aExpired.count(aReplica.mDecision)) {
+    aReplica.mAcknowledged = true;
+    return true;
+  }
   return false;
 }
 
@@ -78,16 +91,49 @@
             const EngineReport& aReport,
             const std::set<std::string>& aExpired)
 {
-  size_t before = aRecord.mReplicas.size();
-  auto gone = [&](const PlacedReplica& aReplica) {
-    return aReplica.mState == ReplicaState::Unloading &&
-           !FindReported(aReport, aReplica) &&
-           ProvablyGone(aRecord, aReplica, aReport, aExpired);
-  };
-  aRecord.mReplicas.erase(
-    std::remove_if(aRecord.mReplicas.begin(), aRecord.mReplicas.end(), gone),
-    aRecord.mReplicas.end());
-  return aRecord.mReplicas.size() != before;
+  std::vector<PlacedReplica> kept;
+  for (const PlacedReplica& replica : aRecord.mReplicas) {
+    bool gone = replica.mState == ReplicaState::Unloading &&
+                !FindReported(aReport, replica) &&
+                ProvablyGone(aRecord, replica, aReport, aExpired);
+    if (!gone) {
+      kept.push_back(replica);
+    } else if (!NothingOnItsWay(replica, aExpired)) {
+      aRecord.mDeparted.push_back(replica);
+    }
+  }
+  bool changed = kept.size() != aRecord.mReplicas.size();
+  aRecord.mReplicas = std::move(kept);
+  return changed;
+}
+
+// Charges departed replicas again that the engine holds or, since it restarted,
+// would accept. Their unload orders, with tokens of their own, raise its fence
+// again.
+bool
+ObserveDeparted(PlacementRecord& aRecord,
+                const EngineReport& aReport,
+                const std::set<std::string>& aExpired)
+{
+  bool changed = false;
+  std::vector<PlacedReplica> kept;
+  for (PlacedReplica& replica : aRecord.mDeparted) {
+    bool accepted = FindReported(aReport, replica) ||
+                    aReport.mHighestFencingToken < replica.mFencingToken;
+    bool placed =
+      PlacementFind(aRecord, replica.mName, replica.mVersion) != nullptr;
+    if (NothingOnItsWay(replica, aExpired)) {
+      changed = true;
+    } else if (accepted && !placed) {
+      replica.mFencingToken = ++aRecord.mFencingToken;
+      aRecord.mReplicas.push_back(replica);
+      changed = true;
+    } else {
+      kept.push_back(replica);
+    }
+  }
+  aRecord.mDeparted = std::move(kept);
+  return changed;
 }
 
 // Charges replicas that the engine reports and the record doesn't have, since
@@ -131,6 +177,23 @@
   return aRecord.mMemory - PlacementCharged(aRecord);
 }
 
+int64_t
+PlacementArriving(const PlacementRecord& aRecord)
+{
+  int64_t bytes = 0;
+  for (const PlacedReplica& replica : aRecord.mReplicas) {
+    // A replica that is acknowledged and not reported yet may have arrived
+    // since a restart that no report has shown.
+    bool arrived =
+      replica.mState == ReplicaState::Ready && replica.mAcknowledged;
+    bytes += arrived ? 0 : replica.mBytes;
+  }
+  for (const PlacedReplica& replica : aRecord.mDeparted) {
+    bytes += replica.mBytes;
+  }
+  return bytes;
+}
+
 const PlacedReplica*
 PlacementFind(const PlacementRecord& aRecord,
               const std::string& aName,
@@ -143,7 +206,8 @@
 PlacementDecideLoad(PlacementRecord& aRecord, const PlacementLoad& aLoad)
 {
   if (PlacementFind(aRecord, aLoad.mName, aLoad.mVersion) ||
-      PlacementFree(aRecord) < aLoad.mBytes) {
+      PlacementFree(aRecord) < aLoad.mBytes ||
+      PlacementArriving(aRecord) + aLoad.mBytes > aRecord.mMemory) {
     return false;
   }
   PlacedReplica replica;
@@ -206,9 +270,10 @@
 {
   bool changed = false;
   for (PlacedReplica& replica : aRecord.mReplicas) {
-    changed = ObserveReplica(aRecord, replica, aReport) || changed;
+    changed = ObserveReplica(aRecord, replica, aReport, aExpired) || changed;
   }
   changed = ObserveGone(aRecord, aReport, aExpired) || changed;
+  changed = ObserveDeparted(aRecord, aReport, aExpired) || changed;
   return ChargeUnexpected(aRecord, aReport) || changed;
 }
 
--- a/src/decide/PlacementStep.h
+++ b/src/decide/PlacementStep.h
@@ -5,6 +5,12 @@
 // from the decision to load until the engine reports the replica gone and no
 // order can bring it back. So the engine never holds more than the record
 // charges, and the record never charges more than the engine's memory.
+//
+// An engine that checks fencing forgets the highest token when it restarts, and
+// accepts load orders from before. What may still come is bounded apart, see
+// PlacementArriving(); replicas that have left the record are kept for it, and
+// return to the record when a report shows that the engine would accept their
+// orders.
 #ifndef caraway_decide_PlacementStep_h
 #define caraway_decide_PlacementStep_h
 
@@ -29,14 +35,19 @@
 PlacementCharged(const PlacementRecord& aRecord);
 int64_t
 PlacementFree(const PlacementRecord& aRecord);
+// Bytes that load orders on their way bring to an engine that restarts now, at
+// most. An unload makes none of them free.
+int64_t
+PlacementArriving(const PlacementRecord& aRecord);
 const PlacedReplica*
 PlacementFind(const PlacementRecord& aRecord,
               const std::string& aName,
               const std::string& aVersion);
 
 // Adds the replica in state Loading. False, and nothing changed, when it
-// doesn't fit or is in the record already, in any state. No order may be sent
-// before the changed record is stored.
+// doesn't fit, beside what is charged or beside what may arrive, or is in the
+// record already, in any state. No order may be sent before the changed record
+// is stored.
 bool
 PlacementDecideLoad(PlacementRecord& aRecord, const PlacementLoad& aLoad);
 
@@ -58,11 +69,11 @@
 bool
 PlacementAcknowledge(PlacementRecord& aRecord, const std::string& aDecision);
 
-// Applies an engine report: replicas that became ready, are gone or were never
-// decided. The report must be younger than the record. aExpired: decisions
-// whose replica has been unloading for longer than any order can take to
-// arrive, by the caller's own clock. True when the record changed and should
-// be stored.
+// Applies an engine report: replicas that became ready, are gone, may come back
+// after a restart or were never decided. The report must be younger than the
+// record. aExpired: decisions whose replica, departed or not, has been in a
+// state other than Loading for longer than any order can take to arrive, by the
+// caller's own clock. True when the record changed and should be stored.
 bool
 PlacementObserve(PlacementRecord& aRecord,
                  const EngineReport& aReport,
--- a/src/own/EndpointReconciler.cpp
+++ b/src/own/EndpointReconciler.cpp
@@ -1,7 +1,5 @@
 #include "own/EndpointReconciler.h"
 
-#include <set>
-
 #include "base/EraseIf.h"
 #include "base/Log.h"
 #include "decide/PlacementStep.h"
@@ -101,8 +99,11 @@
 EndpointReconciler::ForgetOldOrders(EngineState& aState)
 {
   std::set<std::string> current;
-  for (const PlacedReplica& replica : aState.mStored.mRecord.mReplicas) {
-    current.insert(OrderStateKey(replica));
+  const PlacementRecord& record = aState.mStored.mRecord;
+  for (const auto* replicas : { &record.mReplicas, &record.mDeparted }) {
+    for (const PlacedReplica& replica : *replicas) {
+      current.insert(OrderStateKey(replica));
+    }
   }
   EraseIf(aState.mOrders, [&current](const auto& aOrder) {
     return current.count(aOrder.first) == 0;
@@ -119,6 +120,25 @@
   return orders;
 }
 
+// Decisions whose replica was first seen in its present state, other than
+// Loading, longer ago than any of its load orders can be on its way.
+std::set<std::string>
+EndpointReconciler::Expired(EngineState& aState, TimePoint aNow) const
+{
+  std::set<std::string> expired;
+  const PlacementRecord& record = aState.mStored.mRecord;
+  for (const auto* replicas : { &record.mReplicas, &record.mDeparted }) {
+    for (const PlacedReplica& replica : *replicas) {
+      if (replica.mState != ReplicaState::Loading &&
+          aNow - TimesOf(aState, replica, aNow).mFirstSeen >
+            mSettings.mMaxOrderDelay) {
+        expired.insert(replica.mDecision);
+      }
+    }
+  }
+  return expired;
+}
+
 // False when another instance has changed the record since it was read.
 bool
 EndpointReconciler::ApplyReport(const EndpointSpec& aEndpoint,
@@ -127,15 +147,7 @@
                                 TimePoint aNow)
 {
   PlacementRecord next = aState.mStored.mRecord;
-  std::set<std::string> expired;
-  for (const PlacedReplica& replica : next.mReplicas) {
-    if (replica.mState == ReplicaState::Unloading &&
-        aNow - TimesOf(aState, replica, aNow).mFirstSeen >
-          mSettings.mMaxOrderDelay) {
-      expired.insert(replica.mDecision);
-    }
-  }
-  bool changed = PlacementObserve(next, aReport, expired);
+  bool changed = PlacementObserve(next, aReport, Expired(aState, aNow));
   for (const EngineReplica& seen : aReport.mReplicas) {
     Millis limit = LoadPlanIdleLimit(
       aReport, seen.mName, mSettings.mIdleLimit, mSettings.mParameters);
--- a/src/own/EndpointReconciler.h
+++ b/src/own/EndpointReconciler.h
@@ -4,6 +4,7 @@
 #define caraway_own_EndpointReconciler_h
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "caraway/Clock.h"
@@ -65,6 +66,7 @@
                    EngineState& aState,
                    const EngineReport& aReport,
                    TimePoint aNow);
+  std::set<std::string> Expired(EngineState& aState, TimePoint aNow) const;
   void Resend(const EndpointSpec& aEndpoint,
               EngineState& aState,
               TimePoint aNow);
--- a/src/own/PlacementCodec.cpp
+++ b/src/own/PlacementCodec.cpp
@@ -18,6 +18,46 @@
   return ReplicaState::Unloading;
 }
 
+std::vector<PlacedReplica>
+ReplicasOf(const Json::Value& aJson)
+{
+  std::vector<PlacedReplica> replicas;
+  for (const Json::Value& entry : aJson) {
+    PlacedReplica replica;
+    replica.mName = entry["name"].asString();
+    replica.mVersion = entry["version"].asString();
+    replica.mBase = entry["base"].asString();
+    replica.mBytes = entry["bytes"].asInt64();
+    replica.mState = StateOf(entry["state"].asString());
+    replica.mFencingToken = entry["fence"].asInt64();
+    replica.mDecision = entry["decision"].asString();
+    replica.mLoadOrdersSent = entry["copies"].asInt();
+    replica.mAcknowledged = entry["settled"].asBool();
+    replicas.push_back(replica);
+  }
+  return replicas;
+}
+
+Json::Value
+ReplicasJson(const std::vector<PlacedReplica>& aReplicas)
+{
+  Json::Value json(Json::arrayValue);
+  for (const PlacedReplica& replica : aReplicas) {
+    Json::Value entry;
+    entry["name"] = replica.mName;
+    entry["version"] = replica.mVersion;
+    entry["base"] = replica.mBase;
+    entry["bytes"] = Json::Int64(replica.mBytes);
+    entry["state"] = kStateNames[static_cast<int>(replica.mState)];
+    entry["fence"] = Json::Int64(replica.mFencingToken);
+    entry["decision"] = replica.mDecision;
+    entry["copies"] = replica.mLoadOrdersSent;
+    entry["settled"] = replica.mAcknowledged;
+    json.append(entry);
+  }
+  return json;
+}
+
 std::vector<std::string>
 Strings(const Json::Value& aJson)
 {
@@ -38,19 +78,8 @@
   record.mMemory = aJson["memory"].asInt64();
   record.mChecksFencing = aJson["checks_fencing"].asBool();
   record.mFencingToken = aJson["fence"].asInt64();
-  for (const Json::Value& entry : aJson["replicas"]) {
-    PlacedReplica replica;
-    replica.mName = entry["name"].asString();
-    replica.mVersion = entry["version"].asString();
-    replica.mBase = entry["base"].asString();
-    replica.mBytes = entry["bytes"].asInt64();
-    replica.mState = StateOf(entry["state"].asString());
-    replica.mFencingToken = entry["fence"].asInt64();
-    replica.mDecision = entry["decision"].asString();
-    replica.mLoadOrdersSent = entry["copies"].asInt();
-    replica.mAcknowledged = entry["settled"].asBool();
-    record.mReplicas.push_back(replica);
-  }
+  record.mReplicas = ReplicasOf(aJson["replicas"]);
+  record.mDeparted = ReplicasOf(aJson["departed"]);
   return record;
 }
 
@@ -62,20 +91,8 @@
   json["memory"] = Json::Int64(aRecord.mMemory);
   json["checks_fencing"] = aRecord.mChecksFencing;
   json["fence"] = Json::Int64(aRecord.mFencingToken);
-  json["replicas"] = Json::Value(Json::arrayValue);
-  for (const PlacedReplica& replica : aRecord.mReplicas) {
-    Json::Value entry;
-    entry["name"] = replica.mName;
-    entry["version"] = replica.mVersion;
-    entry["base"] = replica.mBase;
-    entry["bytes"] = Json::Int64(replica.mBytes);
-    entry["state"] = kStateNames[static_cast<int>(replica.mState)];
-    entry["fence"] = Json::Int64(replica.mFencingToken);
-    entry["decision"] = replica.mDecision;
-    entry["copies"] = replica.mLoadOrdersSent;
-    entry["settled"] = replica.mAcknowledged;
-    json["replicas"].append(entry);
-  }
+  json["replicas"] = ReplicasJson(aRecord.mReplicas);
+  json["departed"] = ReplicasJson(aRecord.mDeparted);
   return json;
 }
 
--- a/tests/property/PlacementProperty.cpp
+++ b/tests/property/PlacementProperty.cpp
@@ -22,6 +22,21 @@
   TimePoint mSent;
 };
 
+std::string
+StateKey(const PlacedReplica& aReplica)
+{
+  return aReplica.mDecision + "|" + std::to_string(aReplica.mFencingToken) +
+         "|" + std::to_string(static_cast<int>(aReplica.mState));
+}
+
+std::vector<PlacedReplica>
+AllReplicas(const PlacementRecord& aRecord)
+{
+  std::vector<PlacedReplica> all = aRecord.mReplicas;
+  all.insert(all.end(), aRecord.mDeparted.begin(), aRecord.mDeparted.end());
+  return all;
+}
+
 // An instance that decides, sends orders and observes; it may be paused between
 // any two of these steps.
 struct Decider
@@ -49,9 +64,8 @@
     aDecider.mRecord = mRecord;
     aDecider.mVersion = mVersion;
     aDecider.mAsOf = aNow;
-    for (const PlacedReplica& replica : mRecord.mReplicas) {
-      aDecider.mFirstSeen.emplace(
-        replica.mDecision + std::to_string(replica.mFencingToken), aNow);
+    for (const PlacedReplica& replica : AllReplicas(mRecord)) {
+      aDecider.mFirstSeen.emplace(StateKey(replica), aNow);
     }
   }
 
@@ -170,10 +184,9 @@
       report.mReplicas.push_back(replica);
     }
     std::set<std::string> expired;
-    for (const PlacedReplica& replica : aDecider.mRecord.mReplicas) {
-      auto since = aDecider.mFirstSeen.find(
-        replica.mDecision + std::to_string(replica.mFencingToken));
-      if (replica.mState == ReplicaState::Unloading &&
+    for (const PlacedReplica& replica : AllReplicas(aDecider.mRecord)) {
+      auto since = aDecider.mFirstSeen.find(StateKey(replica));
+      if (replica.mState != ReplicaState::Loading &&
           since != aDecider.mFirstSeen.end() &&
           aNow - since->second > kMaxOrderDelay) {
         expired.insert(replica.mDecision);
