--- a/tests/platform/ServerContentTest.cpp
+++ b/tests/platform/ServerContentTest.cpp
@@ -170,6 +170,26 @@
   server.mFleet.RunFor(kLateBy);
 }
 
+// Guards against two orders of that kind, at counts in a row: the first takes
+// the room that is kept for one.
+TEST(ServerContent, LateOrdersInARowFromBeforeAllInstancesWereKilled)
+{
+  RestartingServer server(1, kOrdersToFill - 1);
+  server.OrderThatComesLate("m1");
+  server.mEngine.mDropsOrderAnswers = false;
+  EXPECT_EQ(200, server.Call("m1")->mStatus);
+  server.OrderThatComesLate("m2");
+  server.mFleet.RunFor(Millis(50));
+  server.mFleet.mInstances[0].reset();
+  server.Restart();
+  server.List();
+  server.mFleet.mInstances[0] = server.mFleet.MakeInstance(0);
+  server.mFleet.AwaitReady();
+  server.Call("m3");
+  server.Call("m4");
+  server.mFleet.RunFor(kLateBy);
+}
+
 // Guards against orders that the former holder knew to be unanswered, at two
 // counts in a row, and that its successor doesn't know: the first fills the
 // room that is kept for one, the second exceeds it.
