--- a/src/entry/LeaseLoop.cpp
+++ b/src/entry/LeaseLoop.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr char kKind[] = "caraway-leases";
+
+// Key of what is handed over with the lease; see LeaseLoop::Handover.
 constexpr char kLateOrdersKey[] = "late";
 
 // Interval of the lease checks; a lease lasts for seconds.
--- a/tests/platform/ServerContentTest.cpp
+++ b/tests/platform/ServerContentTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <optional>
 
 #include "entry/OrderLimits.h"
 #include "platform/WireNames.h"
@@ -195,8 +196,9 @@
 // one before it has no answer: it may be down.
 TEST(ServerContent, OrderAfterAnUnansweredOneGoesOnWithoutTheStore)
 {
-  // The unanswered order's timeout, as long for the store, and for the load.
-  constexpr Millis kLimit = kOrderTimeout * 3;
+  // The store holds an order up for less than another unanswered one would.
+  constexpr Millis kLimit = kOrderTimeout;
+  std::optional<TimePoint::duration> whileTheStoreServes;
   for (auto mode : { StandInStore::FaultMode::Serves,
                      StandInStore::FaultMode::Silent,
                      StandInStore::FaultMode::Busy }) {
@@ -206,7 +208,9 @@
     server.mFleet.mStore->SetFaultModeOfAll(mode);
     TestCallPtr call = server.Call("m2");
     EXPECT_EQ(200, call->mStatus);
-    EXPECT_LT(call->mHeadAt - call->mSentAt, kLimit);
+    TimePoint::duration took = call->mHeadAt - call->mSentAt;
+    whileTheStoreServes = whileTheStoreServes.value_or(took);
+    EXPECT_LT(took - *whileTheStoreServes, kLimit);
   }
 }
 
