Logs: the parts of a broken request's prompt, and how far its answer had come

The logs of the incident can't tell whether runs that were cut together share a part, nor which of them had just begun. server_broke has both now, and a metric counts broken answers by whether their body had begun. No logic changes. Test: WireRequest.SharedPartsAreAllButTheLast.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -126,6 +126,7 @@
   void OnNotSent();
   void OnAnswerLost(CallOutcome aOutcome);
   void ReleaseCall();
+  std::string SharedPartsText() const;
   // Retries.
   bool MayRerun() const;
   bool SpendRetry();
@@ -181,9 +182,10 @@
   int mForwards = 0;
   int mUnreached = 0; // near servers to which no connection was established
   TimePoint mSentAt{};
-  RunFacts mRunFacts;       // of mCall
-  TimePoint mFirstByteAt{}; // of an answer to the caller
-  HttpHead mAnswer;         // of mCall
+  TimePoint mAnswerBeganAt{}; // first bytes of the body of mCall's answer
+  RunFacts mRunFacts;         // of mCall
+  TimePoint mFirstByteAt{};   // of an answer to the caller
+  HttpHead mAnswer;           // of mCall
   AnswerFacts mAnswerFacts;
   bool mHasAnswerHead = false;
   std::string mBody;              // of an answer that is not streamed
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -29,6 +29,17 @@
 
 // ---- Retries
 
+// The ids of the prompt's parts that other requests may share, for logs.
+std::string
+Exchange::SharedPartsText() const
+{
+  std::string text;
+  for (const std::string& part : wire::ReadSharedParts(mRequest.mHead)) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  return text;
+}
+
 // A request runs at most on as many servers as its route allows: one that fails
 // wherever it runs would otherwise use up the retry budget of all requests.
 bool
@@ -163,7 +174,13 @@
     .Flag("streaming", mStreaming)
     .Text("framing", AnswerFraming())
     .Flag("inside_event", StreamEndedInsideEvent())
+    .Text("parts", SharedPartsText())
+    .Ms("answering_ms", mState.AgeOf(mAnswerBeganAt))
     .Ms("after_ms", mState.AgeOf(mSentAt));
+  mState.mMetrics.Count("caraway_server_broke_total",
+                        std::string("answering=\"") +
+                          (mAnswerBeganAt == TimePoint() ? "no" : "yes") +
+                          "\"");
   if (MayRetry()) {
     Dispatch();
     return;
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -107,6 +107,7 @@
 Exchange::StartCall(ChannelPool& aPool, OutboundRequest aRequest)
 {
   mHasAnswerHead = false;
+  mAnswerBeganAt = TimePoint();
   mBody.clear();
   mEventReader = EventStreamReader();
   std::weak_ptr<Exchange> weak = weak_from_this();
@@ -190,6 +191,9 @@
 void
 Exchange::OnBody(std::string& aBytes)
 {
+  if (mAnswerBeganAt == TimePoint()) {
+    mAnswerBeganAt = mState.Now();
+  }
   if (!mStreaming || mAnswerFacts.mNotRun) {
     mBody += aBytes;
     aBytes.clear();
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -317,6 +317,27 @@
   }
 }
 
+TEST(WireRequest, SharedPartsAreAllButTheLast)
+{
+  auto parts = [](const std::string& aText) {
+    return ReadSharedParts(
+      Head("POST /a/b HTTP/1.1\r\nPrompt-Prefix: " + aText + "\r\n\r\n"));
+  };
+  using Parts = std::vector<std::string>;
+  EXPECT_EQ((Parts{ "5c1e07a2", "91bd3f06" }),
+            parts("5C1E07a2:800, 91bd3f06:410,e4402b7d:250"));
+  EXPECT_EQ(Parts(), parts("e4402b7d:250"));
+  EXPECT_EQ((Parts{ "a1" }), parts("a1,b2")); // no token counts
+  EXPECT_EQ((Parts{ "a" }), parts(",a:1,:2,b:3"));
+  EXPECT_EQ(Parts(), parts(std::string(1000, ',') + "a:1"));
+  std::string many;
+  for (int i = 0; i < 500; ++i) {
+    many += "p" + std::to_string(i) + ":1,";
+  }
+  EXPECT_EQ(64u, parts(many + "own:1").size());
+  EXPECT_EQ(32u, parts(std::string(400, 'a') + ":1,own:1").front().size());
+}
+
 TEST(WireRequest, ServerRequestHasOnlyPermittedFields)
 {
   HttpHead caller = Head("POST /p HTTP/1.1\r\nHost: h\r\nAttempt-Id: r1\r\n"
