--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -1,9 +1,11 @@
 #include "support/StandInServer.h"
 
 #include <Poco/Exception.h>
+#include <algorithm>
 
 #include "base/JsonText.h"
 #include "net/BodyReader.h"
+#include "platform/RequestHead.h"
 #include "platform/WireNames.h"
 
 namespace caraway {
@@ -114,6 +116,45 @@
   mBusy = false;
 }
 
+void
+StandInServer::Crash()
+{
+  HeldModels models = mModels;
+  Restart();
+  mDown = true;
+  mReactor.After(mDownTime, [this, models] {
+    mDown = false;
+    mModels = models;
+    if (mOnBack) {
+      mOnBack(*this);
+    }
+  });
+}
+
+bool
+StandInServer::CrashesOn(const HttpHead& aHead) const
+{
+  std::vector<std::string> parts = wire::ReadSharedParts(aHead);
+  return std::find(parts.begin(), parts.end(), mCrashPart) != parts.end();
+}
+
+// The beginning of an event, and the end of the process soon after.
+void
+StandInServer::BeginCrash(const std::shared_ptr<ClientConnection>& aClient,
+                          const HttpHead& aHead)
+{
+  std::string id = ValueOf(aHead, wire::kRequestId);
+  TimePoint received;
+  for (const ServerRun& run : mRuns) {
+    received = run.mId == id ? run.mAt : received;
+  }
+  WritePiece(*aClient, "id: 1\nda");
+  AfterUnlessRestarted(mCrashDelay, [this, id, received] {
+    mCrashes.push_back({ id, received, mReactor.Now() });
+    Crash();
+  });
+}
+
 // What was ordered ends with the process.
 void
 StandInServer::AfterUnlessRestarted(Millis aDelay, std::function<void()> aDo)
@@ -169,6 +210,10 @@
   auto client = std::make_shared<ClientConnection>();
   client->mChannel = Channel::Accepted(mReactor, aSocket);
   client->mSocket = aSocket;
+  if (mDown) {
+    client->mChannel->Close();
+    return;
+  }
   mClients.push_back(client);
   Channel::Events events;
   events.mData = [this, client] { OnData(client); };
@@ -313,6 +358,10 @@
       own.push_back({ "Transfer-Encoding", "chunked" });
     }
     channel.Write(WriteHead("HTTP/1.1 200 OK", own));
+    if (!mCrashPart.empty() && CrashesOn(aHead)) {
+      BeginCrash(aClient, aHead);
+      return;
+    }
     std::string last = ValueOf(aHead, wire::kLastEvent);
     std::string model = ValueOf(aHead, wire::kModel);
     mInUse.insert(model);
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -50,6 +50,14 @@
   TimePoint mAt{};
 };
 
+// One crash under a request with mCrashPart.
+struct ServerCrashRecord
+{
+  std::string mId; // of the request
+  TimePoint mReceivedAt{};
+  TimePoint mAt{};
+};
+
 class StandInServer
 {
 public:
@@ -63,6 +71,9 @@
   // that are still on their way reach the new process.
   void Restart(std::string aVersion);
   void Restart() { Restart(mVersion); }
+  // Ends as its process does when it crashes, and is back after mDownTime under
+  // its id and address, with the models that it held.
+  void Crash();
   // An order as it arrives from anyone; returns the status of the answer.
   int CarryOut(const Json::Value& aOrder);
 
@@ -119,6 +130,14 @@
   bool mEndsBrokenStreams = false;
   int mRejectionLimit = 0; // told in each answer; 0 = none
   bool mResets = false; // breaks answers off by resets, not by orderly closes
+  // It crashes mCrashDelay after it begins to answer a request with this part
+  // of a prompt, unless that is the last part; "" = none.
+  std::string mCrashPart;
+  Millis mCrashDelay{ 50 };
+  Millis mDownTime{ 0 };
+  std::vector<ServerCrashRecord> mCrashes;
+  // Called when it is back after a crash.
+  std::function<void(StandInServer&)> mOnBack;
 
 private:
   class Listener;
@@ -144,6 +163,9 @@
   void CheckRoom(const Json::Value& aOrder);
   void AfterUnlessRestarted(Millis aDelay, std::function<void()> aDo);
   void Report(const std::shared_ptr<ClientConnection>& aClient);
+  bool CrashesOn(const HttpHead& aHead) const;
+  void BeginCrash(const std::shared_ptr<ClientConnection>& aClient,
+                  const HttpHead& aHead);
   void WritePiece(ClientConnection& aClient, const std::string& aText);
   void BreakOff(ClientConnection& aClient);
   void Reply(const std::shared_ptr<ClientConnection>& aClient,
@@ -155,6 +177,7 @@
   std::string mId;
   std::shared_ptr<Listener> mListener;
   std::vector<std::weak_ptr<ClientConnection>> mClients;
+  bool mDown = false;                                   // accepts no connection
   std::vector<std::shared_ptr<ClientConnection>> mKept; // see mKeepsDropped
 };
 
