--- a/include/caraway/ErrorKind.h
+++ b/include/caraway/ErrorKind.h
@@ -37,6 +37,7 @@
   ConfigInvalid,
   NotReady,
   ShuttingDown,
+  PromptBlocked,
   NotFound,
   Forbidden,
   Internal,
--- /dev/null
+++ b/src/decide/BrokenServers.cpp
@@ -0,0 +1,159 @@
+#include "decide/BrokenServers.h"
+
+#include "base/EraseIf.h"
+
+namespace caraway {
+
+namespace {
+
+// All connections to a server that ends are noticed within this time.
+constexpr Millis kGatherTime{ 30 };
+
+// A server that sends something later than kSettleTime after one of its
+// connections ended has not ended. What it sends later than kBackTime after
+// may be its next process's.
+constexpr Millis kSettleTime{ 100 };
+constexpr Millis kBackTime{ 400 };
+
+// Two instances notice the end of a server this far apart at most.
+constexpr Millis kSameEnd{ 200 };
+
+// The end of a server is in the list, or told by another instance, within this
+// time.
+constexpr Millis kUnsureTime{ 5000 };
+
+// Limit of servers remembered at a time.
+constexpr size_t kMaxEnds = 256;
+
+} // namespace
+
+BrokenServers::End&
+BrokenServers::Add(const ServerLife& aLife, TimePoint aNow)
+{
+  Forget(aNow);
+  End& end = mEnds[aLife.Name()];
+  if (end.mAt == TimePoint()) {
+    end.mLife = aLife;
+    end.mAt = aNow;
+  }
+  return end;
+}
+
+void
+BrokenServers::OnBroken(const ServerLife& aLife,
+                        const std::vector<std::string>& aParts,
+                        TimePoint aNow)
+{
+  if (mEnds.size() >= kMaxEnds && !mEnds.count(aLife.Name())) {
+    return;
+  }
+  End& end = Add(aLife, aNow);
+  if (!end.mSure) {
+    SetSure(end, aNow);
+  }
+  end.mReported = end.mReported && aParts.empty();
+  end.mParts.insert(aParts.begin(), aParts.end());
+}
+
+void
+BrokenServers::OnUnsureEnd(const ServerLife& aLife,
+                           const std::vector<std::string>& aParts,
+                           TimePoint aNow)
+{
+  if (aParts.empty() ||
+      (mEnds.size() >= kMaxEnds && !mEnds.count(aLife.Name()))) {
+    return;
+  }
+  End& end = Add(aLife, aNow);
+  // A server that has ended ends no answer later.
+  if (!end.mSure && aNow - end.mAt > kGatherTime) {
+    end.mParts.clear();
+    end.mAt = aNow;
+  }
+  end.mReported = false;
+  end.mParts.insert(aParts.begin(), aParts.end());
+}
+
+// What ended unsurely at another time ended for a reason of its own.
+void
+BrokenServers::SetSure(End& aEnd, TimePoint aAt)
+{
+  auto apart = aAt > aEnd.mAt ? aAt - aEnd.mAt : aEnd.mAt - aAt;
+  if (apart > kSameEnd) {
+    aEnd.mParts.clear();
+  }
+  aEnd.mSure = true;
+  aEnd.mAt = aAt;
+}
+
+void
+BrokenServers::OnEnded(const std::string& aLife,
+                       std::optional<TimePoint> aAt,
+                       TimePoint aNow)
+{
+  Forget(aNow);
+  auto found = mEnds.find(aLife);
+  if (found != mEnds.end() && !found->second.mSure) {
+    SetSure(found->second, aAt.value_or(found->second.mAt));
+  }
+}
+
+bool
+BrokenServers::OnBytes(const ServerLife& aLife,
+                       TimePoint aSentAt,
+                       TimePoint aNow)
+{
+  auto found = mEnds.find(aLife.Name());
+  if (found == mEnds.end()) {
+    return false;
+  }
+  TimePoint brokeAt = found->second.mAt;
+  bool later = aSentAt > brokeAt || aNow >= brokeAt + kSettleTime;
+  if (!later || aNow > brokeAt + kBackTime) {
+    return false;
+  }
+  bool sure = found->second.mSure;
+  mEnds.erase(found);
+  return sure;
+}
+
+std::vector<CrashReport>
+BrokenServers::TakeReports(TimePoint aNow)
+{
+  std::vector<CrashReport> reports;
+  for (auto& [name, end] : mEnds) {
+    if (!end.mSure || end.mReported || aNow < end.mAt + kGatherTime) {
+      continue;
+    }
+    end.mReported = true;
+    if (!end.mParts.empty()) {
+      reports.push_back({ { name, end.mAt }, end.mParts });
+    }
+  }
+  Forget(aNow);
+  return reports;
+}
+
+void
+BrokenServers::Forget(TimePoint aNow)
+{
+  EraseIf(mEnds, [aNow](const auto& aEntry) {
+    const End& end = aEntry.second;
+    bool pending = end.mSure && !end.mReported;
+    return !pending && aNow - end.mAt > kUnsureTime;
+  });
+}
+
+std::vector<ServerLife>
+BrokenServers::Unsure() const
+{
+  std::vector<ServerLife> lives;
+  for (const auto& [name, end] : mEnds) {
+    if (!end.mSure) {
+      lives.push_back(end.mLife);
+    }
+  }
+  return lives;
+}
+
+} // namespace caraway
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -51,7 +51,13 @@
                 [this] { OnStateChanged(); })
   , mForwarding(mState, mPeers)
   , mStreams(mState, mStore, mPeers)
-  , mDispatcher(mState, mRateLimiter, mSchedulers, mForwarding, mStreams)
+  , mCrashReports(mState, mStore, mPeers, mMembers)
+  , mDispatcher(mState,
+                mRateLimiter,
+                mSchedulers,
+                mForwarding,
+                mStreams,
+                mCrashReports)
   , mServerProbe(mState)
   , mReadinessHandler([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -88,6 +94,7 @@
     ReadHeartbeat(aPeer, aHeartbeat);
   });
   mPeers.OnForwarded(mDispatcher);
+  mCrashReports.Start();
   mPeers.Start();
   mMembers.Start();
   mFeedRelay.Start();
@@ -117,6 +124,7 @@
 EntryDaemon::OnStateChanged()
 {
   mStreams.OnServersChanged();
+  mCrashReports.OnServersChanged();
   mSchedulers.OnChanged();
   mDispatcher.OnServersChanged();
 }
@@ -140,6 +148,7 @@
 {
   mFeedRelay.FillHeartbeat(aHeartbeat);
   mUsageRelay.FillHeartbeat(aHeartbeat);
+  mCrashReports.FillHeartbeat(aHeartbeat);
 }
 
 void
@@ -147,6 +156,7 @@
 {
   mUsageRelay.ReadHeartbeat(aPeer, aHeartbeat);
   mFeedRelay.ReadHeartbeat(aPeer, aHeartbeat);
+  mCrashReports.ReadHeartbeat(aHeartbeat);
   mDispatcher.OnServersChanged();
 }
 
@@ -167,6 +177,9 @@
   gauge("caraway_requests_waiting",
         static_cast<int64_t>(mDispatcher.Waiting()));
   gauge("caraway_stream_records", static_cast<int64_t>(mStreams.Size()));
+  gauge("caraway_parts_blocked", static_cast<int64_t>(mCrashReports.Blocked()));
+  gauge("caraway_parts_suspected",
+        static_cast<int64_t>(mCrashReports.Suspects()));
   gauge("caraway_sockets", static_cast<int64_t>(mState.mReactor.Sockets()));
   gauge("caraway_log_lines_left_out", mState.mLog.DroppedLines());
   gauge("caraway_list_age_ms", mState.AgeOf(mFeed.ListConfirmedAt()).count());
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "entry/ConfigFeed.h"
+#include "entry/CrashReports.h"
 #include "entry/EntryState.h"
 #include "entry/FeedRelay.h"
 #include "entry/ImmediateHandler.h"
@@ -45,6 +46,9 @@
   // This instance holds the lease of its zone.
   bool HoldsLease() const { return mZoneLease.Holds(); }
 
+  // Parts of prompts for which this instance refuses requests.
+  size_t PartsBlocked() const { return mCrashReports.Blocked(); }
+
   EntryState& State() { return mState; }
 
 private:
@@ -68,6 +72,7 @@
   ZoneSchedulers mSchedulers;
   PeerForwarding mForwarding;
   StreamRecords mStreams;
+  CrashReports mCrashReports;
   RequestDispatcher mDispatcher;
   ServerProbe mServerProbe;
   ImmediateHandler mReadinessHandler;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -65,6 +65,7 @@
                    LoadRequester& aLoadRequester,
                    ForwardPeers& aForwardPeers,
                    StreamOrigins& aOrigins,
+                   CrashWatch& aCrashWatch,
                    std::shared_ptr<InboundConnection> aCaller,
                    InboundRequest aRequest)
   : mState(aState)
@@ -73,6 +74,7 @@
   , mLoadRequester(aLoadRequester)
   , mForwardPeers(aForwardPeers)
   , mOrigins(aOrigins)
+  , mCrashWatch(aCrashWatch)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
   , mArrived(aState.Now() - mRequest.mWaited)
@@ -105,6 +107,14 @@
   mService = PickService(*mRoute, StreamId());
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
   SetDeadlines();
+  if (!AwaitProbe()) {
+    Admit();
+  }
+}
+
+void
+Exchange::Admit()
+{
   CountDemand();
   if (!ExpectsCallers() || !MayStart(mState.Now())) {
     RefuseShuttingDown();
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -9,6 +9,7 @@
 
 #include "caraway/ErrorKind.h"
 #include "decide/RequestFacts.h"
+#include "entry/CrashWatch.h"
 #include "entry/EntryState.h"
 #include "entry/ForwardPeers.h"
 #include "entry/InboundConnection.h"
@@ -46,6 +47,7 @@
            LoadRequester& aLoadRequester,
            ForwardPeers& aForwardPeers,
            StreamOrigins& aOrigins,
+           CrashWatch& aCrashWatch,
            std::shared_ptr<InboundConnection> aCaller,
            InboundRequest aRequest);
 
@@ -66,6 +68,7 @@
 private:
   // Admission.
   bool Identify();
+  void Admit();
   void SetDeadlines();
   void CountDemand();
   void AskForTokens(const TenantLimit& aTenant);
@@ -111,6 +114,18 @@
   bool CheckRestart();
   void PinVersion();
   bool RefuseWithoutVersion();
+  // Requests that crash servers; see CrashWatch.
+  const PromptParts& SharedParts();
+  std::string SharedPartsText();
+  bool RefuseIfBlocked();
+  bool AwaitProbe();
+  void OnProbeAnswer(bool aGranted);
+  void RefuseBlocked(const CrashWatch::Block& aBlock);
+  ServerLife RunLife() const { return { mServer, mRunStartTime }; }
+  bool AnswerIsYoung() const;
+  void WatchBytes();
+  void WatchBroken(CallOutcome aOutcome);
+  void WatchComplete();
   // One send to a server.
   void Send(Backend& aBackend);
   void StartCall(ChannelPool& aPool, OutboundRequest aRequest);
@@ -126,7 +141,6 @@
   void OnNotSent();
   void OnAnswerLost(CallOutcome aOutcome);
   void ReleaseCall();
-  std::string SharedPartsText() const;
   // Retries.
   bool MayRerun() const;
   bool SpendRetry();
@@ -150,6 +164,7 @@
   LoadRequester& mLoadRequester;
   ForwardPeers& mForwardPeers;
   StreamOrigins& mOrigins;
+  CrashWatch& mCrashWatch;
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
@@ -195,6 +210,9 @@
   EventStreamReader mEventReader; // of a stream: all bytes from mServer
   std::string mLastEvent;         // id of the last event forwarded
   bool mStreaming = false;        // the head of a stream was sent to the caller
+  std::optional<PromptParts> mSharedParts; // see SharedParts()
+  bool mProbing = false;   // may be sent though its part is blocked
+  TimePoint mToldGoodAt{}; // when mCall's answer was last told to be good
   bool mWaiting = false;
   bool mColdStart = false;  // waited for a model or adapter to be loaded
   TimePoint mLastChunkAt{}; // of a stream
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -167,6 +167,9 @@
     RefuseShuttingDown();
     return true;
   }
+  if (RefuseIfBlocked()) {
+    return true;
+  }
   if (!CallerStillWaits() || HandOver() || RefuseWithoutVersion()) {
     return true;
   }
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -29,24 +29,13 @@
 
 // ---- Retries
 
-// The ids of the prompt's parts that other requests may share, for logs.
-std::string
-Exchange::SharedPartsText() const
-{
-  std::string text;
-  for (const std::string& part : wire::ReadSharedParts(mRequest.mHead)) {
-    text += (text.empty() ? "" : ",") + part;
-  }
-  return text;
-}
-
 // A request runs at most on as many servers as its route allows: one that fails
 // wherever it runs would otherwise use up the retry budget of all requests.
 bool
 Exchange::MayRerun() const
 {
   bool repeatable = mRoute->mKind == RouteKind::Idempotent || Resumable();
-  return repeatable && mPossibleRuns < MaxServers();
+  return repeatable && mPossibleRuns < MaxServers() && !mProbing;
 }
 
 int
@@ -70,7 +59,9 @@
 bool
 Exchange::MayRetry()
 {
-  return MayRerun() && MayStart(mState.Now()) && SpendRetry();
+  // A request that may have crashed its server would crash the next one.
+  bool harmful = !mCrashWatch.Idle() && mCrashWatch.Suspected(SharedParts());
+  return MayRerun() && !harmful && MayStart(mState.Now()) && SpendRetry();
 }
 
 void
@@ -162,6 +153,7 @@
   ++mPossibleRuns;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
   mBadServers.insert(server);
+  WatchBroken(aOutcome);
   ReleaseCall();
   mEvents.clear();
   mHeldEvents = 0;
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -108,6 +108,7 @@
 {
   mHasAnswerHead = false;
   mAnswerBeganAt = TimePoint();
+  mToldGoodAt = TimePoint();
   mBody.clear();
   mEventReader = EventStreamReader();
   std::weak_ptr<Exchange> weak = weak_from_this();
@@ -194,6 +195,7 @@
   if (mAnswerBeganAt == TimePoint()) {
     mAnswerBeganAt = mState.Now();
   }
+  WatchBytes();
   if (!mStreaming || mAnswerFacts.mNotRun) {
     mBody += aBytes;
     aBytes.clear();
@@ -297,6 +299,7 @@
 Exchange::OnCompleteAnswer()
 {
   bool failed = mAnswer.mStatus >= 500;
+  WatchComplete();
   mState.mServers.RecordOutcome(mServer,
                                 failed ? ServerOutcome::Failed
                                        : ServerOutcome::Good,
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -126,6 +126,7 @@
   self.mSpec["zone"] = mState.mSettings.mZone;
   self.mSpec["address"] = mState.mSettings.mPeers;
   self.mSpec["counted"] = aCounted;
+  mFillEntry(self.mSpec);
   return self;
 }
 
@@ -139,6 +140,7 @@
               [this](StoreOutcome aOutcome, const std::string& aBody) {
                 auto object = wire::ReadObjectAnswer(aBody);
                 if (aOutcome == StoreOutcome::Done && object) {
+                  mReadEntry(object->mName, object->mSpec);
                   Write(object->mRevision, IsSet(object->mSpec, "counted"));
                 } else if (aOutcome == StoreOutcome::Missing) {
                   Write(0, false);
@@ -180,29 +182,40 @@
 }
 
 // Records in the entry that this instance is counted, so that after a restart
-// it needs no confirmation.
+// it needs no confirmation, and what RewriteEntry() asked for.
 void
-Membership::RecordCounted()
+Membership::UpdateEntry()
 {
-  if (mRecordedCounted || mJoining || mState.mLeave.Leaving() || !MaySpend()) {
-    return;
+  bool counted = !mRecordedCounted && MaySpend();
+  bool outdated = mEntryOutdated && mStore.Reachable() && mRevision > 0;
+  if ((counted || outdated) && !mJoining && !mState.mLeave.Leaving()) {
+    Rewrite(mRecordedCounted || counted);
   }
+}
+
+void
+Membership::Rewrite(bool aCounted)
+{
   mJoining = true;
-  StoreObject self = Entry(true);
+  mEntryOutdated = false;
+  StoreObject self = Entry(aCounted);
   self.mRevision = mRevision;
-  mStore.Call("join_counted",
-              wire::ReplaceCall(kKind, self),
-              [this](StoreOutcome aOutcome, const std::string& aBody) {
-                mJoining = false;
-                auto object = wire::ReadObjectAnswer(aBody);
-                if (aOutcome == StoreOutcome::Done && object) {
-                  mRevision = object->mRevision;
-                  mRecordedCounted = true;
-                } else if (aOutcome == StoreOutcome::Conflict ||
-                           aOutcome == StoreOutcome::Missing) {
-                  Join();
-                }
-              });
+  mStore.Call(
+    "join_counted",
+    wire::ReplaceCall(kKind, self),
+    [this, aCounted](StoreOutcome aOutcome, const std::string& aBody) {
+      mJoining = false;
+      auto object = wire::ReadObjectAnswer(aBody);
+      if (aOutcome == StoreOutcome::Done && object) {
+        mRevision = object->mRevision;
+        mRecordedCounted = aCounted;
+      } else if (aOutcome == StoreOutcome::Conflict ||
+                 aOutcome == StoreOutcome::Missing) {
+        Join();
+      } else {
+        mEntryOutdated = true;
+      }
+    });
 }
 
 // The zone is notified only after the entry has been removed: an instance that
@@ -277,6 +290,9 @@
     mPeers.AddPeer(
       object.mName, spec["zone"].asString(), spec["address"].asString());
     listed.insert(object.mName);
+    if (object.mName != mState.mSettings.mName) {
+      mReadEntry(object.mName, spec);
+    }
     if (spec["zone"].asString() == mState.mSettings.mZone) {
       zone.push_back({ object.mName,
                        object.mRevision,
@@ -374,7 +390,7 @@
 void
 Membership::LogChange()
 {
-  RecordCounted();
+  UpdateEntry();
   bool spends = MaySpend();
   if (spends != mReportedMaySpend) {
     mReportedMaySpend = spends;
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -40,6 +40,19 @@
   {
     mOnZoneCounts = std::move(aOnZoneCounts);
   }
+  // Registers callbacks that add to this instance's entry, and that read each
+  // instance's entry whenever it is listed, the own one of a former process
+  // included.
+  using EntryFill = std::function<void(Json::Value& aSpec)>;
+  using EntryRead =
+    std::function<void(const std::string& aName, const Json::Value& aSpec)>;
+  void OnEntry(EntryFill aFill, EntryRead aRead)
+  {
+    mFillEntry = std::move(aFill);
+    mReadEntry = std::move(aRead);
+  }
+  // What the callback adds has changed: the entry is written again soon.
+  void RewriteEntry() { mEntryOutdated = true; }
   // Makes the next list of entries a fresh one, and reads it soon.
   void RequestFreshList() { mFreshListDue = true; }
 
@@ -53,7 +66,8 @@
   StoreObject Entry(bool aCounted) const;
   void Join();
   void Write(int64_t aRevision, bool aCounted);
-  void RecordCounted();
+  void UpdateEntry();
+  void Rewrite(bool aCounted);
   void List();
   void OnList(const StorePage& aPage, bool aFresh, TimePoint aRequestedAt);
   void DropSilentPeers(const std::set<std::string>& aListed);
@@ -72,6 +86,8 @@
   ZoneMembers mZoneMembers;
   std::function<void()> mOnChange = [] {};
   ZoneCounts mOnZoneCounts = [](const auto&, TimePoint) {};
+  EntryFill mFillEntry = [](Json::Value&) {};
+  EntryRead mReadEntry = [](const std::string&, const Json::Value&) {};
   ListSchedule mListSchedule;
   uint64_t mListRound = 0;
   bool mListing = false;
@@ -83,6 +99,7 @@
   bool mJoining = false;             // a write of the entry is in progress
   bool mRemovingEntry = false;
   bool mRecordedCounted = false; // the entry says that this one is counted
+  bool mEntryOutdated = false;   // see RewriteEntry()
   bool mForgetting = false;
   bool mReportedMaySpend = false; // as last logged
 };
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -17,12 +17,14 @@
                                      RateLimiter& aRateLimiter,
                                      LoadRequester& aLoadRequester,
                                      ForwardPeers& aForwardPeers,
-                                     StreamOrigins& aOrigins)
+                                     StreamOrigins& aOrigins,
+                                     CrashWatch& aCrashWatch)
   : mState(aState)
   , mRateLimiter(aRateLimiter)
   , mLoadRequester(aLoadRequester)
   , mForwardPeers(aForwardPeers)
   , mOrigins(aOrigins)
+  , mCrashWatch(aCrashWatch)
 {
 }
 
@@ -36,6 +38,7 @@
                                              mLoadRequester,
                                              mForwardPeers,
                                              mOrigins,
+                                             mCrashWatch,
                                              aConn,
                                              std::move(aRequest));
   mExchanges[aConn.get()] = exchange;
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -19,7 +19,8 @@
                     RateLimiter& aRateLimiter,
                     LoadRequester& aLoadRequester,
                     ForwardPeers& aForwardPeers,
-                    StreamOrigins& aOrigins);
+                    StreamOrigins& aOrigins,
+                    CrashWatch& aCrashWatch);
 
   // Called when servers hold other models or have free slots. Retries the
   // waiting requests, the most urgent first, after the current event.
@@ -57,6 +58,7 @@
   LoadRequester& mLoadRequester;
   ForwardPeers& mForwardPeers;
   StreamOrigins& mOrigins;
+  CrashWatch& mCrashWatch;
   std::map<const InboundConnection*, std::shared_ptr<Exchange>> mExchanges;
   std::vector<std::shared_ptr<Exchange>> mWaiting;
   bool mRetryScheduled = false;
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -148,7 +148,7 @@
   for (const ServerRun& run : mRuns) {
     received = run.mId == id ? run.mAt : received;
   }
-  WritePiece(*aClient, "id: 1\nda");
+  WritePiece(*aClient, mCrashesBetweenEvents ? EventText(1) : "id: 1\nda");
   AfterUnlessRestarted(mCrashDelay, [this, id, received] {
     mCrashes.push_back({ id, received, mReactor.Now() });
     Crash();
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -134,6 +134,7 @@
   // of a prompt, unless that is the last part; "" = none.
   std::string mCrashPart;
   Millis mCrashDelay{ 50 };
+  bool mCrashesBetweenEvents = false; // not in the middle of one
   Millis mDownTime{ 0 };
   std::vector<ServerCrashRecord> mCrashes;
   // Called when it is back after a crash.
