CrashSuspects: innocent parts beside several guilty ones, and among many crashes

A model of random fleets found innocent parts refused for 15 s: a rare part that was in crashes of several guilty ones counted them all, and where half of the servers end every 2.5 s six crashes happen to a rare part by chance. Crashes that another blocked part explains don't count any more, seven are needed while many servers end without the part, and a probe is only sent while the crashes so far leave room for one. Eviction drops a quarter at a time: one by one it took 0.2 ms each.

--- a/src/decide/CrashSuspects.cpp
+++ b/src/decide/CrashSuspects.cpp
@@ -16,7 +16,7 @@
 
 // The same while many servers end that had no request with the part: then it
 // is likely to be there by chance.
-constexpr int kMomentsAmongMany = 6;
+constexpr int kMomentsAmongMany = 7;
 
 // A part explains the crashes around it if it was in one of so many.
 constexpr int kUnexplainedShare = 4;
@@ -33,6 +33,12 @@
 // and far between: if the part is guilty, each costs a server.
 constexpr Millis kProbeDelays[] = { Seconds(15), Seconds(300) };
 
+// No probe is sent once so many servers ended later than kLateAfter after crash
+// kCrashesBeforeLate.
+constexpr int kMostLateCrashes = 3;
+constexpr size_t kCrashesBeforeLate = 5;
+constexpr Millis kLateAfter{ 3000 };
+
 // Limits of memory, as callers choose the parts.
 constexpr size_t kMaxSuspects = 1024;
 constexpr size_t kMaxCrashesOfPart = 12;
@@ -68,26 +74,27 @@
     return found->second;
   }
   if (mSuspects.size() >= kMaxSuspects) {
-    EvictOne();
+    EvictSome();
   }
   return mSuspects[aPart];
 }
 
-// The one with the least against it, and of those the oldest.
+// Those with the least against them, and of those the oldest. Several at a
+// time, as finding them takes a look at all.
 void
-CrashSuspects::EvictOne()
+CrashSuspects::EvictSome()
 {
-  auto rank = [this](const auto& aEntry) {
-    return std::make_tuple(
-      Blocks(aEntry.first), Moments(aEntry.second), LastCrash(aEntry.second));
-  };
-  auto least = std::min_element(mSuspects.begin(),
-                                mSuspects.end(),
-                                [&rank](const auto& aOne, const auto& aOther) {
-                                  return rank(aOne) < rank(aOther);
-                                });
-  SetBlocked(least->first, false);
-  mSuspects.erase(least);
+  std::vector<std::tuple<bool, int, TimePoint, std::string>> order;
+  for (const auto& [part, suspect] : mSuspects) {
+    order.emplace_back(
+      Blocks(part), Moments(suspect), LastCrash(suspect), part);
+  }
+  std::sort(order.begin(), order.end());
+  order.resize(kMaxSuspects / 4);
+  for (const auto& entry : order) {
+    SetBlocked(std::get<3>(entry), false);
+    mSuspects.erase(std::get<3>(entry));
+  }
 }
 
 void
@@ -206,18 +213,12 @@
 // ---- Verdicts
 
 int
-CrashSuspects::Moments(const Suspect& aSuspect, TimePoint aLearnedBy)
+CrashSuspects::MomentsOf(std::vector<TimePoint> aTimes)
 {
-  std::vector<TimePoint> times;
-  for (const auto& [crash, sighting] : aSuspect.mCrashes) {
-    if (!sighting.mCleared && sighting.mLearnedAt <= aLearnedBy) {
-      times.push_back(sighting.mAt);
-    }
-  }
-  std::sort(times.begin(), times.end());
+  std::sort(aTimes.begin(), aTimes.end());
   int moments = 0;
   TimePoint last{};
-  for (TimePoint at : times) {
+  for (TimePoint at : aTimes) {
     if (moments == 0 || at - last >= kMomentGap) {
       ++moments;
       last = at;
@@ -229,7 +230,44 @@
 int
 CrashSuspects::Moments(const Suspect& aSuspect)
 {
-  return Moments(aSuspect, TimePoint::max());
+  std::vector<TimePoint> times;
+  for (const auto& [crash, sighting] : aSuspect.mCrashes) {
+    if (!sighting.mCleared) {
+      times.push_back(sighting.mAt);
+    }
+  }
+  return MomentsOf(std::move(times));
+}
+
+bool
+CrashSuspects::Explained(const std::string& aCrash,
+                         const std::string& aPart,
+                         const std::vector<std::string>& aExcept) const
+{
+  return std::any_of(
+    mBlocked.begin(), mBlocked.end(), [&](const std::string& aOther) {
+      const auto& crashes = mSuspects.at(aOther).mCrashes;
+      auto found = crashes.find(aCrash);
+      return aOther != aPart && found != crashes.end() &&
+             !found->second.mCleared &&
+             std::find(aExcept.begin(), aExcept.end(), aOther) == aExcept.end();
+    });
+}
+
+int
+CrashSuspects::UnexplainedMoments(const std::string& aPart,
+                                  const Suspect& aSuspect,
+                                  TimePoint aLearnedBy,
+                                  const std::vector<std::string>& aExcept) const
+{
+  std::vector<TimePoint> times;
+  for (const auto& [crash, sighting] : aSuspect.mCrashes) {
+    if (!sighting.mCleared && sighting.mLearnedAt <= aLearnedBy &&
+        !Explained(crash, aPart, aExcept)) {
+      times.push_back(sighting.mAt);
+    }
+  }
+  return MomentsOf(std::move(times));
 }
 
 TimePoint
@@ -275,13 +313,17 @@
 {
   ForgetOld(aNow);
   std::vector<std::string> blocked;
-  for (auto& [part, suspect] : mSuspects) {
+  for (const auto& [part, suspect] : mSuspects) {
     if (suspect.mCrashes.size() >= kMomentsToBlock && !Blocks(part) &&
-        Moments(suspect, aNow - kHearing) >= MomentsToBlock(suspect)) {
-      SetBlocked(part, true);
+        UnexplainedMoments(part, suspect, aNow - kHearing, {}) >=
+          MomentsToBlock(suspect)) {
       blocked.push_back(part);
     }
   }
+  // Together: parts of the same crashes don't explain each other away.
+  for (const std::string& part : blocked) {
+    SetBlocked(part, true);
+  }
   return blocked;
 }
 
@@ -311,36 +353,17 @@
   return mBlocked.count(aPart) > 0;
 }
 
-bool
-CrashSuspects::Explains(const Suspect& aOther, const Suspect& aSuspect)
-{
-  return std::all_of(aSuspect.mCrashes.begin(),
-                     aSuspect.mCrashes.end(),
-                     [&aOther](const auto& aCrash) {
-                       auto found = aOther.mCrashes.find(aCrash.first);
-                       return aCrash.second.mCleared ||
-                              (found != aOther.mCrashes.end() &&
-                               !found->second.mCleared);
-                     });
-}
-
 std::vector<std::string>
 CrashSuspects::Guilty(const std::vector<std::string>& aParts) const
 {
   std::vector<std::string> guilty;
-  auto has = [&aParts](const std::string& aPart) {
-    return std::find(aParts.begin(), aParts.end(), aPart) != aParts.end();
-  };
   for (const std::string& part : aParts) {
     if (!Blocks(part)) {
       continue;
     }
-    const Suspect& suspect = mSuspects.at(part);
-    bool explained =
-      std::any_of(mBlocked.begin(), mBlocked.end(), [&](const auto& aOther) {
-        return !has(aOther) && Explains(mSuspects.at(aOther), suspect);
-      });
-    if (!explained) {
+    int unexplained =
+      UnexplainedMoments(part, mSuspects.at(part), TimePoint::max(), aParts);
+    if (unexplained > 0) {
       guilty.push_back(part);
     }
   }
@@ -354,6 +377,24 @@
   return found != mSuspects.end() && Moments(found->second) >= kSeveral;
 }
 
+int
+CrashSuspects::LateCrashes(const Suspect& aSuspect)
+{
+  std::vector<TimePoint> times;
+  for (const auto& [crash, sighting] : aSuspect.mCrashes) {
+    if (!sighting.mCleared) {
+      times.push_back(sighting.mAt);
+    }
+  }
+  if (times.size() <= kCrashesBeforeLate) {
+    return 0;
+  }
+  std::sort(times.begin(), times.end());
+  TimePoint late = times[kCrashesBeforeLate - 1] + kLateAfter;
+  return static_cast<int>(times.end() -
+                          std::upper_bound(times.begin(), times.end(), late));
+}
+
 std::optional<CrashSuspects::NextProbe>
 CrashSuspects::ProbeOf(const std::string& aPart) const
 {
@@ -363,6 +404,9 @@
     return std::nullopt;
   }
   const Suspect& suspect = found->second;
+  if (LateCrashes(suspect) >= kMostLateCrashes) {
+    return std::nullopt;
+  }
   std::string firstCrash;
   TimePoint firstAt = TimePoint::max();
   for (const auto& [crash, sighting] : suspect.mCrashes) {
--- a/src/decide/CrashSuspects.h
+++ b/src/decide/CrashSuspects.h
@@ -72,8 +72,9 @@
   size_t Blocked() const { return mBlocked.size(); }
   bool Blocks(const std::string& aPart) const;
   // The parts for which a request with aParts must not reach a server. Where
-  // two blocked parts were in the same crashes either may be the guilty one, so
-  // a request with one of them only is let through: its outcome tells.
+  // each crash of a blocked part also had another blocked one, either may be
+  // the guilty one, so a request with the former only is let through: its
+  // outcome tells.
   std::vector<std::string> Guilty(const std::vector<std::string>& aParts) const;
   // The part was in several crashes, so that one more request with it may well
   // cost one more server.
@@ -105,17 +106,25 @@
     int mProbes = 0;
   };
 
-  // The crashes of aSuspect are among those of aOther.
-  static bool Explains(const Suspect& aOther, const Suspect& aSuspect);
+  // Another blocked part than aPart, and none of aExcept, was in the crash.
+  bool Explained(const std::string& aCrash,
+                 const std::string& aPart,
+                 const std::vector<std::string>& aExcept) const;
   Suspect& Add(const std::string& aPart);
   void AddCrash(Suspect& aSuspect, const CrashSighting& aCrash, TimePoint aNow);
-  void EvictOne();
+  void EvictSome();
   static void DropOne(Suspect& aSuspect);
   void SetBlocked(const std::string& aPart, bool aBlocked);
-  // Number of separate moments at which the part was in a crash that counts
-  // and that was learned of by aLearnedBy.
-  static int Moments(const Suspect& aSuspect, TimePoint aLearnedBy);
+  // Number of separate moments at which the part was in a crash that counts.
   static int Moments(const Suspect& aSuspect);
+  static int MomentsOf(std::vector<TimePoint> aTimes);
+  // The same for crashes that no blocked part explains, and that were learned
+  // of by aLearnedBy.
+  int UnexplainedMoments(const std::string& aPart,
+                         const Suspect& aSuspect,
+                         TimePoint aLearnedBy,
+                         const std::vector<std::string>& aExcept) const;
+  static int LateCrashes(const Suspect& aSuspect);
   static TimePoint LastCrash(const Suspect& aSuspect);
   PartEvidence EvidenceOf(const std::string& aPart,
                           const Suspect& aSuspect) const;
