carawayctl: parts and lift-part, for verdicts on parts of prompts

An operator sees by any entry instance which parts are suspected or blocked and in which crashes they were, and lifts a verdict.

--- a/src/ctl/Ctl.h
+++ b/src/ctl/Ctl.h
@@ -62,6 +62,8 @@
   Result<int> AdminKey(const Arguments& aArguments);
   Result<int> Explain(const Arguments& aArguments);
   Result<int> Losses(const Arguments& aArguments);
+  Result<int> Parts(const Arguments& aArguments);
+  Result<int> LiftPart(const Arguments& aArguments);
   static Result<void> ReadFiles(
     const Arguments& aFiles,
     size_t aFirst,
