Answers without end: interim answers, trailers, bodies and events are bounded

What callers saw: a server that sends bytes without end was read from until the deadline, 35 MB in 3 s as the users tried it, and all of a body or of an event was kept in the instance's memory; then 504. Change: 16 interim answers, 8 KB of trailers, 1 MB of answers to other requests, 4 MB of a body or event that is kept. Beyond, the answer is given up as garbled (502, or another server), and the connection closed. A head without end was bounded before. Calls to servers, peers and the store share OutboundCall and its limits; heads of interim answers are read in a loop, not recursively.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -134,6 +134,7 @@
   void RecordServerFacts();
   void OnBody(std::string& aBytes);
   void OnEvents(size_t aBytes);
+  void EndIfEndless(const std::string& aKept);
   void OnCallDone(CallOutcome aOutcome);
   bool StreamEndedInsideEvent() const;
   void OnCompleteAnswer();
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -199,6 +199,7 @@
   if (!mStreaming || mAnswerFacts.mNotRun) {
     mBody += aBytes;
     aBytes.clear();
+    EndIfEndless(mBody);
     return;
   }
   RecordPause();
@@ -213,9 +214,26 @@
   aBytes.clear();
   if (complete > 0 && !AwaitFormerEnd(before + complete)) {
     OnEvents(before + complete);
+  } else {
+    EndIfEndless(mEvents);
   }
 }
 
+// Gives the answer up if what is kept of it, aKept, grows without end.
+void
+Exchange::EndIfEndless(const std::string& aKept)
+{
+  if (aKept.size() <= kMaxBufferedBody) {
+    return;
+  }
+  mState.mLog.Line("answer_endless")
+    .Text("id", mFacts.mId)
+    .Text("server", mServer)
+    .Count("bytes", static_cast<int64_t>(aKept.size()));
+  mCall->Cancel();
+  OnCallDone(CallOutcome::Malformed);
+}
+
 // The first aBytes of mEvents are complete events.
 void
 Exchange::OnEvents(size_t aBytes)
--- a/src/net/BodyReader.cpp
+++ b/src/net/BodyReader.cpp
@@ -12,6 +12,9 @@
 constexpr size_t kMaxLineBytes = 256;
 constexpr size_t kMaxChunkBytes = 1u << 30;
 
+// Limit of all trailer lines together.
+constexpr size_t kMaxTrailerBytes = 8192;
+
 } // namespace
 
 BodyReader::BodyReader(const HttpHead& aHead)
@@ -109,6 +112,8 @@
       valid = aIn.size() - at <= kMaxLineBytes;
     } else {
       mDone = line.empty();
+      mTrailerBytes += line.size();
+      valid = mTrailerBytes <= kMaxTrailerBytes;
     }
   }
   aIn.erase(0, at);
--- a/src/net/BodyReader.h
+++ b/src/net/BodyReader.h
@@ -34,7 +34,8 @@
   bool TakeLine(std::string_view aIn, size_t& aAt, std::string_view& aLine);
 
   BodyFraming mFraming;
-  size_t mLeft = 0; // bytes left of the body or of the chunk
+  size_t mLeft = 0;         // bytes left of the body or of the chunk
+  size_t mTrailerBytes = 0; // read
   Part mPart = Part::Size;
   bool mDone = false;
 };
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -13,10 +13,16 @@
 // Longer answer heads are rejected.
 constexpr size_t kMaxHeadBytes = 65536;
 
+// Limit of interim answers (1xx) before the answer.
+constexpr int kMaxInterimAnswers = 16;
+
 // Limit of late answers to other requests that precede the expected answer on a
 // connection.
 constexpr int kMaxForeignAnswers = 2;
 
+// Limit of the bytes of those answers.
+constexpr size_t kMaxForeignBytes = 1u << 20;
+
 Millis
 IdleTimeoutOf(const HttpHead& aHead)
 {
@@ -105,25 +111,38 @@
   }
 }
 
+// Returns false if more bytes are due, or the call is finished.
 bool
-OutboundCall::ReadHead()
+OutboundCall::ReadFinalHead(HttpHead& aHead)
 {
-  HttpHead head;
-  size_t used = 0;
   std::string& input = mChannel->Input();
-  HeadState state = ReadAnswerHead(input, head, used);
-  if (state == HeadState::Bad ||
-      (state == HeadState::Partial && input.size() > kMaxHeadBytes)) {
-    Finish(CallOutcome::Malformed);
-    return false;
+  while (true) {
+    size_t used = 0;
+    HeadState state = ReadAnswerHead(input, aHead, used);
+    bool endless = state == HeadState::Partial && input.size() > kMaxHeadBytes;
+    if (state == HeadState::Bad || endless ||
+        mInterimAnswers > kMaxInterimAnswers) {
+      Finish(CallOutcome::Malformed);
+      return false;
+    }
+    if (state == HeadState::Partial) {
+      return false;
+    }
+    input.erase(0, used);
+    if (aHead.mStatus >= 200) {
+      return true;
+    }
+    ++mInterimAnswers;
   }
-  if (state == HeadState::Partial) {
+}
+
+bool
+OutboundCall::ReadHead()
+{
+  HttpHead head;
+  if (!ReadFinalHead(head)) {
     return false;
   }
-  input.erase(0, used);
-  if (head.mStatus < 200) {
-    return ReadHead();
-  }
   mMatches = !mEvents.mMatchesRequest || mEvents.mMatchesRequest(head);
   if (!mMatches && (++mForeignAnswers > kMaxForeignAnswers ||
                     head.mFraming == BodyFraming::UntilClose)) {
@@ -143,6 +162,8 @@
 {
   bool good = mReader->Take(mChannel->Input(), mBody);
   if (!mMatches) {
+    mForeignBytes += mBody.size();
+    good = good && mForeignBytes <= kMaxForeignBytes;
     mBody.clear();
   } else if (!mBody.empty() && mEvents.mBody) {
     mEvents.mBody(mBody);
@@ -255,9 +276,13 @@
     pending->mAnswer.mStatus = aHead.mStatus;
     pending->mAnswer.mHead = aHead;
   };
-  events.mBody = [pending](std::string& aBytes) {
+  events.mBody = [pending, finish](std::string& aBytes) {
     pending->mAnswer.mBody += aBytes;
     aBytes.clear();
+    if (pending->mAnswer.mBody.size() > kMaxBufferedBody && pending->mCall) {
+      pending->mCall->Cancel();
+      finish(CallOutcome::Malformed);
+    }
   };
   events.mEnd = finish;
   pending->mCall = OutboundCall::Start(
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -63,6 +63,7 @@
   void Attach();
   void OnData();
   void OnEnd(ChannelCloseReason aReason);
+  bool ReadFinalHead(HttpHead& aHead);
   bool ReadHead();
   void ReadBody();
   void Finish(CallOutcome aOutcome);
@@ -77,11 +78,18 @@
   std::optional<BodyReader> mReader;
   std::string mBody;
   bool mMatches = true;
+  int mInterimAnswers = 0;
   int mForeignAnswers = 0;
+  size_t mForeignBytes = 0; // of their bodies
   bool mReused = false;
   bool mFinished = false;
 };
 
+// Limit of the body of an answer that is kept whole before it is used. A server
+// in trouble may send bytes without end, and all calls share the instance's
+// memory.
+inline constexpr size_t kMaxBufferedBody = 4u << 20;
+
 // A complete answer; status 0 if there is none.
 struct BufferedAnswer
 {
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -412,7 +412,72 @@
       break;
     case ServerBehaviour::Hangs:
       break;
+    case ServerBehaviour::EndlessInterim:
+    case ServerBehaviour::EndlessHead:
+    case ServerBehaviour::EndlessTrailer:
+    case ServerBehaviour::EndlessBody:
+    case ServerBehaviour::EndlessEvent:
+    case ServerBehaviour::EndlessForeign:
+      BeginEndless(aClient, own);
+      break;
+  }
+}
+
+void
+StandInServer::BeginEndless(const std::shared_ptr<ClientConnection>& aClient,
+                            std::vector<HttpField> aFields)
+{
+  constexpr size_t kPieceBytes = 15000;
+  auto repeated = [](const std::string& aText) {
+    std::string piece;
+    while (piece.size() < kPieceBytes) {
+      piece += aText;
+    }
+    return piece;
+  };
+  const char* ok = "HTTP/1.1 200 OK";
+  HttpField chunked{ "Transfer-Encoding", "chunked" };
+  Channel& channel = *aClient->mChannel;
+  std::string piece = repeated("x");
+  switch (mBehaviour) {
+    case ServerBehaviour::EndlessInterim:
+      piece = repeated("HTTP/1.1 100 Continue\r\n\r\n");
+      break;
+    case ServerBehaviour::EndlessHead:
+      channel.Write(std::string(ok) + "\r\nX: ");
+      break;
+    case ServerBehaviour::EndlessTrailer:
+      aFields.push_back(chunked);
+      channel.Write(WriteHead(ok, aFields) + "3\r\nabc\r\n0\r\n");
+      piece = repeated("X-Trailer: some value\r\n");
+      break;
+    case ServerBehaviour::EndlessEvent:
+      aFields.push_back({ "Content-Type", "text/event-stream" });
+      channel.Write(WriteHead(ok, aFields) + "id: 1\ndata: ");
+      break;
+    case ServerBehaviour::EndlessForeign:
+      channel.Write(
+        WriteHead(ok, { { wire::kRequestId, "another" }, chunked }));
+      piece = Chunk(piece);
+      break;
+    default:
+      channel.Write(WriteHead(ok, aFields));
+      break;
+  }
+  WriteEndless(aClient, piece);
+}
+
+void
+StandInServer::WriteEndless(const std::shared_ptr<ClientConnection>& aClient,
+                            const std::string& aPiece)
+{
+  if (aClient->mClosed || !aClient->mChannel->Open()) {
+    return;
   }
+  mEndlessBytes += static_cast<long>(aPiece.size());
+  aClient->mChannel->Write(aPiece);
+  mReactor.After(Millis(1),
+                 [this, aClient, aPiece] { WriteEndless(aClient, aPiece); });
 }
 
 void
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -34,6 +34,12 @@
   Garbage,        // bytes that are not an HTTP answer
   Fails,          // its own 500
   Hangs,          // never answers
+  EndlessInterim, // interim answers without end
+  EndlessHead,    // a header line without end
+  EndlessTrailer, // trailer lines without end after the last chunk
+  EndlessBody,    // a body without length or end
+  EndlessEvent,   // a stream's event without end
+  EndlessForeign, // an answer without end to another request
   StopsMidway,    // a stream stops in the middle of its third event
 };
 
@@ -129,6 +135,7 @@
   // An answer that breaks off is framed as complete: its last chunk is sent.
   bool mEndsBrokenStreams = false;
   int mRejectionLimit = 0; // told in each answer; 0 = none
+  long mEndlessBytes = 0;  // sent, by the Endless behaviours
   bool mResets = false; // breaks answers off by resets, not by orderly closes
   // It crashes mCrashDelay after it begins to answer a request with this part
   // of a prompt, unless that is the last part; "" = none.
@@ -164,6 +171,11 @@
   void CheckRoom(const Json::Value& aOrder);
   void AfterUnlessRestarted(Millis aDelay, std::function<void()> aDo);
   void Report(const std::shared_ptr<ClientConnection>& aClient);
+  void BeginEndless(const std::shared_ptr<ClientConnection>& aClient,
+                    std::vector<HttpField> aFields);
+  // Sends aPiece again and again until the client closes.
+  void WriteEndless(const std::shared_ptr<ClientConnection>& aClient,
+                    const std::string& aPiece);
   bool CrashesOn(const HttpHead& aHead) const;
   void BeginCrash(const std::shared_ptr<ClientConnection>& aClient,
                   const HttpHead& aHead);
