Soak: engines crash on requests with a part of a prompt, in each run

A series of such requests each 0.3 s at the next instance, beside kills of all, and sound callers that share their key and first parts; judged by BUDGET (three later than 3 s after the fifth crash, by instances in touch) and LOST (one in 50 sound requests refused for a blocked part).

--- a/tests/soak/SoakCall.h
+++ b/tests/soak/SoakCall.h
@@ -25,7 +25,9 @@
   int mReceived = 0;
   SoakKind mKind = SoakKind::Order;
   std::string mTenant;
-  std::string mModel; // of a stream
+  std::string mModel;      // of a stream
+  std::string mCrashPart;  // crashes servers; "" = a sound request
+  Millis mRetryAfter{ 0 }; // of the answer
   size_t mInstance = 0;
   int mRequestsOnConnection = 0; // earlier requests on its connection
   TimePoint mSent{};
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -99,6 +99,9 @@
   if (!aCall.mModel.empty()) {
     fields.push_back({ wire::kModel, aCall.mModel });
     fields.push_back({ wire::kTokens, "20,30" });
+    // The first two are shared with the requests that crash servers.
+    fields.push_back({ wire::kPromptParts,
+                       "f1:5," + mTenant + ":5,own-" + aCall.mId + ":10" });
   }
   if (!aCall.mResumes.empty()) {
     fields.push_back({ wire::kResumes, aCall.mResumes });
@@ -185,6 +188,10 @@
     mReader.emplace(head);
     mHead = std::move(head);
     mCall->mStatus = mHead->mStatus;
+    if (const std::string* after = mHead->Find(wire::kRetryAfter)) {
+      mCall->mRetryAfter =
+        Millis(static_cast<int64_t>(std::stod(*after) * 1000));
+    }
   }
   if (mReader->Take(input, mCall->mBody) && mReader->Done()) {
     mCall->mComplete = true;
--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -32,6 +32,21 @@
 
 constexpr double kAllowedOverage = 1.1;
 
+// Requests with a part that crashes servers may reach servers until
+// kStableWindow after crash kCrashesToStop, and kMostLater of them afterwards.
+constexpr Millis kStableWindow{ 3000 };
+constexpr size_t kCrashesToStop = 5;
+constexpr int kMostLater = 3;
+
+// From the end of a process until it runs again.
+constexpr Millis kRestartTime{ 1600 };
+
+// A refusal that names a longer time to return is for a blocked part.
+constexpr Millis kBlockedRetryAfter{ 4000 };
+
+// Sound requests refused as guilty, at most one in so many.
+constexpr int kSoundShare = 50;
+
 // Minimum share of served requests among those sent after the last fault.
 constexpr double kMinServedShare = 0.75;
 
@@ -58,6 +73,8 @@
     CheckLimit();
     CheckRecovered();
     CheckResumptions();
+    CheckCrashes();
+    CheckSoundRequests();
     return mViolations;
   }
 
@@ -124,6 +141,7 @@
     }
     bool serverBroke = !Runs(aCall).empty() &&
                        (FaultDuring(aCall, SoakFaultKind::Servers, true) ||
+                        FaultDuring(aCall, SoakFaultKind::Crashes, true) ||
                         FaultDuring(aCall, SoakFaultKind::Version, true));
     bool explained = FaultDuring(aCall, SoakFaultKind::Kill, false) ||
                      FaultDuring(aCall, SoakFaultKind::Freeze, false) ||
@@ -261,6 +279,74 @@
     }
   }
 
+  // The instance has run, with the store, for the stable window before.
+  bool InTouch(size_t aInstance, TimePoint aAt) const
+  {
+    return std::none_of(
+      mRecord.mInjectedFaults.begin(),
+      mRecord.mInjectedFaults.end(),
+      [&](const SoakFault& aFault) {
+        bool own = aFault.mInstance == aInstance;
+        bool ended = own && (aFault.mKind == SoakFaultKind::Terminate ||
+                             aFault.mKind == SoakFaultKind::Kill);
+        bool concerns = ended ||
+                        (own && aFault.mKind == SoakFaultKind::Freeze) ||
+                        aFault.mKind == SoakFaultKind::Store;
+        Millis after = kStableWindow + (ended ? kRestartTime : Millis(0));
+        return concerns && aFault.mFrom <= aAt && aFault.mUntil + after >= aAt;
+      });
+  }
+  // Requests with one part crash servers: few may reach servers once it has
+  // crashed several.
+  void CheckCrashes()
+  {
+    std::map<std::string, const SoakCall*> calls;
+    for (const SoakCall& call : mRecord.mCalls) {
+      if (!call.mCrashPart.empty()) {
+        calls[call.mId] = &call;
+      }
+    }
+    std::map<std::string, std::vector<ServerCrashRecord>> parts;
+    for (const ServerCrashRecord& crash : mRecord.mCrashes) {
+      parts[calls.at(crash.mId)->mCrashPart].push_back(crash);
+    }
+    for (const auto& [part, crashes] : parts) {
+      if (crashes.size() < kCrashesToStop) {
+        continue;
+      }
+      TimePoint until = crashes[kCrashesToStop - 1].mAt + kStableWindow;
+      auto later = std::count_if(
+        crashes.begin(), crashes.end(), [&](const ServerCrashRecord& aCrash) {
+          return aCrash.mReceivedAt > until &&
+                 InTouch(calls.at(aCrash.mId)->mInstance, aCrash.mReceivedAt);
+        });
+      if (later > kMostLater) {
+        mViolations.push_back("servers crashed on: part " + part + ", " +
+                              std::to_string(later) + " later, " +
+                              std::to_string(crashes.size()) + " in all");
+      }
+    }
+  }
+  // Requests that share their key and their other parts with those that crash
+  // servers are served.
+  void CheckSoundRequests()
+  {
+    int sent = 0;
+    int refused = 0;
+    for (const SoakCall& call : mRecord.mCalls) {
+      if (!call.mModel.empty() && call.mCrashPart.empty()) {
+        ++sent;
+        refused +=
+          call.mStatus == 503 && call.mRetryAfter >= kBlockedRetryAfter ? 1 : 0;
+      }
+    }
+    if (refused * kSoundShare > sent) {
+      mViolations.push_back(
+        "sound requests refused as guilty: " + std::to_string(refused) +
+        " of " + std::to_string(sent));
+    }
+  }
+
   const SoakRecord& mRecord;
   std::vector<std::string> mViolations;
 };
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -16,6 +16,7 @@
 
 struct SoakRecord
 {
+  std::vector<ServerCrashRecord> mCrashes; // by guilty parts, in time
   std::deque<SoakCall> mCalls;
   std::vector<SoakFault> mInjectedFaults;
   std::map<std::string, std::vector<ServerRun>> mRuns; // by request id
--- a/tests/soak/SoakFault.h
+++ b/tests/soak/SoakFault.h
@@ -20,6 +20,7 @@
   Servers,   // a server cuts answers off, fails, or refuses
   Drain,     // a server is listed as draining for a time
   Version,   // an engine starts again under its id with another version
+  Crashes,   // engines crash on requests with a part of a prompt
   Orders,    // an engine leaves orders unanswered; they are carried out late
 };
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -28,6 +28,12 @@
 
 constexpr Millis kFaultFreePeriod{ 4000 };
 
+// Between two requests that crash servers.
+constexpr Millis kGuiltyInterval{ 300 };
+
+// From the last of them until its server is back.
+constexpr Millis kCrashAftermath{ 4000 };
+
 // Enough for two versions side by side in each zone.
 constexpr int kEnginesPerZone = 2;
 
@@ -75,6 +81,10 @@
   }
   config["limits"]["idleTimeoutMs"] = 10000;
   mTestFleet->Configure();
+  for (auto& engine : mTestFleet->mEngines) {
+    engine->mDownTime = Millis(Draw(300, 1500));
+    engine->mOnBack = [this](StandInServer& aEngine) { ListEngine(aEngine); };
+  }
   // Some answers take most of the grace period of a leaving instance.
   for (auto& engine : mTestFleet->mEngines) {
     engine->mEventGap = Millis(Draw(50, 1200));
@@ -261,7 +271,7 @@
     SoakFaultKind::Servers,   SoakFaultKind::Drain,
     SoakFaultKind::Version,   SoakFaultKind::Version,
     SoakFaultKind::KillAll,   SoakFaultKind::Orders,
-    SoakFaultKind::Orders,
+    SoakFaultKind::Orders,    SoakFaultKind::Crashes,
   };
   Inject(kKinds[static_cast<size_t>(Draw(0, std::size(kKinds) - 1))]);
   mTestFleet->mReactor.After(Millis(Draw(50, 2200)),
@@ -311,6 +321,9 @@
     case SoakFaultKind::Orders:
       DelayOrders(duration);
       break;
+    case SoakFaultKind::Crashes:
+      CrashEngines();
+      break;
   }
 }
 
@@ -395,8 +408,64 @@
     });
   // Streams of a version whose last server goes can't go on.
   engine.Restart(others > 0 ? version : engine.mVersion);
-  bool first = index < static_cast<size_t>(kEnginesPerZone);
-  mTestFleet->List(engine, "engine", first ? "a" : "b");
+  ListEngine(engine);
+}
+
+void
+SoakRun::ListEngine(StandInServer& aEngine)
+{
+  const auto& engines = mTestFleet->mEngines;
+  auto at = std::find_if(engines.begin(), engines.end(), [&](const auto& aOne) {
+    return aOne.get() == &aEngine;
+  });
+  bool first = at - engines.begin() < kEnginesPerZone;
+  mTestFleet->List(aEngine, "engine", first ? "a" : "b");
+}
+
+// Requests with one part in their prompts, each at the next instance, crash the
+// engines that answer them.
+void
+SoakRun::CrashEngines()
+{
+  if (mCrashing) {
+    return;
+  }
+  mCrashing = true;
+  std::string part = "bad" + std::to_string(++mCrashSeries);
+  for (auto& engine : mTestFleet->mEngines) {
+    engine->mCrashPart = part;
+  }
+  int count = Draw(40, 60);
+  RecordFault(
+    SoakFaultKind::Crashes, 0, kGuiltyInterval * count + kCrashAftermath);
+  SendGuilty(part, count);
+}
+
+void
+SoakRun::SendGuilty(const std::string& aPart, int aLeft)
+{
+  if (aLeft == 0 || mFaultsStopped) {
+    mCrashing = false;
+    return;
+  }
+  if (auto instance = Pick()) {
+    SoakCall& call = NewCall();
+    call.mKind = SoakKind::Stream;
+    call.mTenant = "acme";
+    call.mModel = "m" + std::to_string(Draw(0, 5));
+    call.mCrashPart = aPart;
+    call.mInstance = *instance;
+    call.mSent = Now();
+    mGuiltyCalls.push_back(mTestFleet->Send(
+      *instance,
+      "/stream/stream",
+      call.mId,
+      { { wire::kModel, call.mModel },
+        { wire::kTokens, "20,30" },
+        { wire::kPromptParts, "f1:5,acme:5," + aPart + ":5,o:10" } }));
+  }
+  mTestFleet->mReactor.After(
+    kGuiltyInterval, [this, aPart, aLeft] { SendGuilty(aPart, aLeft - 1); });
 }
 
 // The engine may start again, under its id, before the orders arrive.
@@ -428,6 +497,9 @@
     mCallers.back()->SendAfter(Millis(Draw(0, 1000)));
   }
   mTestFleet->mReactor.After(Seconds(2), [this] { InjectNextFault(); });
+  // Each run has a series of crashes.
+  mTestFleet->mReactor.After(Millis(Draw(3000, 9000)),
+                             [this] { CrashEngines(); });
   mTestFleet->RunFor(mPlan.mFaultDuration);
   mFaultsStopped = true;
   mTestFleet->RunFor(kRecovery);
@@ -443,6 +515,14 @@
       }
     }
   }
+  for (const auto& engine : mTestFleet->mEngines) {
+    mRecord.mCrashes.insert(
+      mRecord.mCrashes.end(), engine->mCrashes.begin(), engine->mCrashes.end());
+  }
+  std::sort(
+    mRecord.mCrashes.begin(),
+    mRecord.mCrashes.end(),
+    [](const auto& aOne, const auto& aOther) { return aOne.mAt < aOther.mAt; });
   std::vector<std::string> violations = SoakViolations(mRecord);
   violations.insert(violations.end(), mViolations.begin(), mViolations.end());
   for (const std::string& order : mTestFleet->OverCapacityOrders()) {
@@ -464,7 +544,8 @@
   std::string text = "seed " + std::to_string(mPlan.mSeed) + ": " +
                      std::to_string(mRecord.mCalls.size()) + " requests, " +
                      std::to_string(mRecord.mInjectedFaults.size()) +
-                     " faults;";
+                     " faults, " + std::to_string(mRecord.mCrashes.size()) +
+                     " crashes;";
   for (const auto& [name, count] : outcomes) {
     text += " " + name + " " + std::to_string(count);
   }
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -61,7 +61,10 @@
   void InjectServerFault(Millis aFor);
   void DrainServer(Millis aFor);
   void RestartEngine();
+  void ListEngine(StandInServer& aEngine);
   void DelayOrders(Millis aFor);
+  void CrashEngines();
+  void SendGuilty(const std::string& aPart, int aLeft);
   size_t RecordFault(SoakFaultKind aKind, size_t aInstance, Millis aFor);
   int Draw(int aFrom, int aTo);
   TimePoint Now() const { return mTestFleet->mClock.Now(); }
@@ -73,6 +76,9 @@
   std::vector<Instance> mInstances;
   std::vector<std::shared_ptr<SoakCaller>> mCallers;
   SoakRecord mRecord;
+  std::vector<TestCallPtr> mGuiltyCalls;
+  int mCrashSeries = 0;                 // begun so far
+  bool mCrashing = false;               // one is under way
   std::vector<std::string> mViolations; // found during the run
   bool mFaultsStopped = false;
   bool mEnding = false;
