--- a/src/entry/CrashReports.cpp
+++ b/src/entry/CrashReports.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// While something is suspected or expected. A crash is reported within one.
-constexpr Millis kTick{ 40 };
+// Between two looks at what is suspected. While a server is about to be
+// reported they are more frequent.
+constexpr Millis kTick{ 200 };
+constexpr Millis kReportTick{ 40 };
 
 constexpr char kReportMessage[] = "server_crashes";
 constexpr char kClearedMessage[] = "parts_cleared";
@@ -23,7 +25,7 @@
 constexpr double kJitterPerInstanceMs = 0.5;
 
 // Crashes whose reports this instance remembers to be its own.
-constexpr size_t kMaxReported = 64;
+constexpr size_t kMaxReported = 256;
 
 std::vector<std::string>
 NamesOf(const PartEvidence& aEvidence)
@@ -96,7 +98,8 @@
 {
   if (!mTicking && !Idle()) {
     mTicking = true;
-    mState.mReactor.After(kTick, [this] { Tick(); });
+    mState.mReactor.After(mBroken.Empty() ? kTick : kReportTick,
+                          [this] { Tick(); });
   }
 }
 
@@ -131,6 +134,7 @@
 {
   if (InUse(aLife)) {
     mBroken.OnBroken(aLife, aParts, mState.Now());
+    mState.mReactor.After(kReportTick, [this] { SendReports(); });
     TickSoon();
   }
 }
@@ -193,9 +197,10 @@
         ++parts;
       }
     }
-    if (mReported.size() < kMaxReported) {
-      mReported.insert(report.mCrash.mCrash);
+    if (mReported.size() >= kMaxReported) {
+      mReported.clear();
     }
+    mReported.insert(report.mCrash.mCrash);
     mState.mLog.Line("server_crashed")
       .Text("crash", report.mCrash.mCrash)
       .Text("parts", Joined({ report.mParts.begin(), report.mParts.end() }));
