--- a/tests/property/CrashSuspectsProperty.cpp
+++ b/tests/property/CrashSuspectsProperty.cpp
@@ -276,8 +276,9 @@
       }
     }
     server.mRuns.clear();
-    for (const auto& [instance, parts] : young) {
-      auto read = [this, parts, crash](CrashSuspects& aOther) {
+    for (const auto& entry : young) {
+      size_t instance = entry.first;
+      auto read = [this, parts = entry.second, crash](CrashSuspects& aOther) {
         for (const std::string& part : parts) {
           aOther.OnCrash(part, crash, mNow);
         }
