Crashing parts: a connection that ends without an answer is no proof that its server ended

All four engines were down, and connections that reached none of them counted as runs of the last crash, 0.8 s after it: an instance that had just started added the parts of all its requests to a crash that a kill had made the others forget in part. Test: BrokenServers.RequestsAfterTheEndAreNotPartOfIt.

--- a/src/decide/BrokenServers.cpp
+++ b/src/decide/BrokenServers.cpp
@@ -50,6 +50,8 @@
   End& end = Add(aLife, aNow);
   if (!end.mSure) {
     SetSure(end, aNow);
+  } else if (aNow - end.mAt > kSameEnd) {
+    return; // reached no server: it had ended
   }
   end.mReported = end.mReported && aParts.empty();
   end.mParts.insert(aParts.begin(), aParts.end());
@@ -65,6 +67,9 @@
     return;
   }
   End& end = Add(aLife, aNow);
+  if (end.mSure && aNow - end.mAt > kSameEnd) {
+    return;
+  }
   // A server that has ended ends no answer later.
   if (!end.mSure && aNow - end.mAt > kGatherTime) {
     end.mParts.clear();
--- a/src/decide/BrokenServers.h
+++ b/src/decide/BrokenServers.h
@@ -44,8 +44,8 @@
   void OnBroken(const ServerLife& aLife,
                 const std::vector<std::string>& aParts,
                 TimePoint aNow);
-  // An answer that has no length, and that the end of its connection completed
-  // soon: whole, or broken off between two events.
+  // A connection ended without an answer, or soon completed one that has no
+  // length: whole, or broken off between two events.
   void OnUnsureEnd(const ServerLife& aLife,
                    const std::vector<std::string>& aParts,
                    TimePoint aNow);
--- a/src/entry/ExchangeSuspects.cpp
+++ b/src/entry/ExchangeSuspects.cpp
@@ -126,6 +126,12 @@
   if (mForwarding || aOutcome != CallOutcome::Interrupted) {
     return;
   }
+  // A connection that ends before an answer was begun may be one too many for
+  // its server, or have reached none.
+  if (!mHasAnswerHead) {
+    mCrashWatch.OnUnsureEnd(RunLife(), SharedParts());
+    return;
+  }
   mCrashWatch.OnBroken(RunLife(),
                        AnswerIsYoung() ? SharedParts() : PromptParts());
 }
--- a/tests/unit/BrokenServersTest.cpp
+++ b/tests/unit/BrokenServersTest.cpp
@@ -59,6 +59,18 @@
   EXPECT_EQ(std::set<std::string>{ "a" }, reports[0].mParts);
 }
 
+// Guards against requests that reached no server, since it had ended, taken for
+// those that made it end.
+TEST(BrokenServers, RequestsAfterTheEndAreNotPartOfIt)
+{
+  BrokenServers servers;
+  servers.OnBroken(kLife, { "a" }, kStart);
+  ASSERT_EQ(1u, servers.TakeReports(kStart + Millis(40)).size());
+  servers.OnBroken(kLife, { "b" }, kStart + Millis(500));
+  servers.OnUnsureEnd(kLife, { "c" }, kStart + Millis(600));
+  EXPECT_TRUE(servers.TakeReports(kStart + Seconds(1)).empty());
+}
+
 TEST(BrokenServers, UnsureEndAtAnotherTimeIsNoCrash)
 {
   BrokenServers servers;
