--- a/src/decide/CrashSuspects.h
+++ b/src/decide/CrashSuspects.h
@@ -94,6 +94,13 @@
   size_t Size() const { return mSuspects.size(); }
 
 private:
+  // Crashes at which a part is blocked. An innocent part would have to be in
+  // the youngest requests of that many servers as they end, and in no good
+  // answer between.
+  static constexpr int kMomentsToBlock = 4;
+  // Crashes at which a part is suspected.
+  static constexpr int kSeveral = 2;
+
   struct Sighting
   {
     TimePoint mAt{};
