BrokenServers: every instance refutes the end of a server that answers it

Cause, by the logs: a server that broke a stream and went on was known to live only by bytes that the same instance got from it 0.1 to 0.4 s later, and a server that was refuted once was believed again at its next broken stream. The assertion that a late answer refutes nothing stands in a test of its own: its server is known to have gone on in the test it was in.

--- a/src/decide/BrokenServers.cpp
+++ b/src/decide/BrokenServers.cpp
@@ -22,8 +22,16 @@
 // time.
 constexpr Millis kUnsureTime{ 5000 };
 
-// Limit of servers remembered at a time.
+// How long a server that broke a connection and went on is remembered.
+constexpr Seconds kRefutedTime{ 60 };
+
+// Limits of servers remembered at a time.
 constexpr size_t kMaxEnds = 256;
+constexpr size_t kMaxRefuted = 256;
+
+// Follows the name of a life that ended after it had been refuted to have, so
+// that the news of that don't clear this crash.
+constexpr char kAfterRefuted[] = "+";
 
 } // namespace
 
@@ -44,6 +52,10 @@
                         const std::vector<std::string>& aParts,
                         TimePoint aNow)
 {
+  if (Refuted(aLife.Name())) {
+    OnUnsureEnd(aLife, aParts, aNow);
+    return;
+  }
   if (mEnds.size() >= kMaxEnds && !mEnds.count(aLife.Name())) {
     return;
   }
@@ -97,9 +109,17 @@
                        TimePoint aNow)
 {
   Forget(aNow);
+  if (aAt && Refuted(aLife)) {
+    return;
+  }
   auto found = mEnds.find(aLife);
   if (found != mEnds.end() && !found->second.mSure) {
     SetSure(found->second, aAt.value_or(found->second.mAt));
+  } else if (found == mEnds.end() && aAt && mEnds.size() < kMaxEnds) {
+    End& end = mEnds[aLife];
+    end.mAt = *aAt;
+    end.mSure = true;
+    end.mReported = true;
   }
 }
 
@@ -117,9 +137,23 @@
   if (!later || aNow > brokeAt + kBackTime) {
     return false;
   }
-  bool sure = found->second.mSure;
-  mEnds.erase(found);
-  return sure;
+  if (!found->second.mSure) {
+    mEnds.erase(found);
+    return false;
+  }
+  // Lost packets may come late: the list has the last word.
+  found->second.mSure = false;
+  found->second.mReported = false;
+  OnRefuted(aLife.Name(), aNow);
+  return true;
+}
+
+void
+BrokenServers::OnRefuted(const std::string& aLife, TimePoint aNow)
+{
+  if (mRefuted.size() < kMaxRefuted || Refuted(aLife)) {
+    mRefuted[aLife] = aNow;
+  }
 }
 
 std::vector<CrashReport>
@@ -132,7 +166,8 @@
     }
     end.mReported = true;
     if (!end.mParts.empty()) {
-      reports.push_back({ { name, end.mAt }, end.mParts });
+      std::string crash = name + (Refuted(name) ? kAfterRefuted : "");
+      reports.push_back({ { crash, end.mAt }, end.mParts });
     }
   }
   Forget(aNow);
@@ -147,6 +182,9 @@
     bool pending = end.mSure && !end.mReported;
     return !pending && aNow - end.mAt > kUnsureTime;
   });
+  EraseIf(mRefuted, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kRefutedTime;
+  });
 }
 
 std::vector<ServerLife>
--- a/src/decide/BrokenServers.h
+++ b/src/decide/BrokenServers.h
@@ -3,7 +3,8 @@
 //
 // A server that ends closes all its connections at once. A connection that ends
 // alone is no crash: a server that goes on shows that within a moment, by an
-// answer to a later request or by more of an older one.
+// answer to a later request or by more of an older one. Once it has shown that,
+// further connections that it ends prove nothing without the list of servers.
 #ifndef caraway_decide_BrokenServers_h
 #define caraway_decide_BrokenServers_h
 
@@ -50,13 +51,20 @@
                    const std::vector<std::string>& aParts,
                    TimePoint aNow);
   // The server has ended, by another instance, or, without a time, by the list
-  // of servers.
+  // of servers. The end that another instance tells of is remembered, as this
+  // instance may know better; see OnBytes().
   void OnEnded(const std::string& aLife,
                std::optional<TimePoint> aAt,
                TimePoint aNow);
   // The server sent bytes for a request that was sent to it at aSentAt. Returns
   // true if that shows that it has not ended, though it had been taken for it.
   bool OnBytes(const ServerLife& aLife, TimePoint aSentAt, TimePoint aNow);
+  // The server has shown that it goes on, here or to another instance.
+  void OnRefuted(const std::string& aLife, TimePoint aNow);
+  bool Refuted(const std::string& aLife) const
+  {
+    return mRefuted.count(aLife) > 0;
+  }
   // The reports that are due.
   std::vector<CrashReport> TakeReports(TimePoint aNow);
 
@@ -80,6 +88,8 @@
   void Forget(TimePoint aNow);
 
   std::map<std::string, End> mEnds; // by name of the life
+  // When lives were last refuted to have ended, by name.
+  std::map<std::string, TimePoint> mRefuted;
 };
 
 } // namespace caraway
--- a/src/entry/CrashReports.cpp
+++ b/src/entry/CrashReports.cpp
@@ -69,7 +69,9 @@
     OnClearedMessage(aMessage);
   });
   mPeers.OnMessage(kVoidMessage, [this](const Json::Value& aMessage) {
-    mSuspects.OnVoid(aMessage["crash"].asString());
+    std::string crash = aMessage["crash"].asString();
+    mBroken.OnRefuted(crash, mState.Now());
+    mSuspects.OnVoid(crash);
   });
   mPeers.OnMessage(kBlockedMessage, [this](const Json::Value& aMessage) {
     ReadEvidence(aMessage["parts"], Millis(0), aMessage["from"].asString());
@@ -163,7 +165,10 @@
 void
 CrashReports::OnBytes(const ServerLife& aLife, TimePoint aSentAt)
 {
-  if (!mBroken.OnBytes(aLife, aSentAt, mState.Now())) {
+  // While the loop is held up, bytes from before a server's end are read after
+  // it.
+  if (mState.mReactor.Lag() >= kMaxLag ||
+      !mBroken.OnBytes(aLife, aSentAt, mState.Now())) {
     return;
   }
   mState.mLog.Line("server_lives").Text("server", aLife.mServer);
@@ -221,6 +226,9 @@
   TimePoint now = mState.Now();
   for (const Json::Value& crash : aMessage["crashes"]) {
     std::string name = crash["crash"].asString();
+    if (mBroken.Refuted(name)) {
+      continue;
+    }
     TimePoint at = now - Millis(crash["age"].asInt64());
     mBroken.OnEnded(name, at, now);
     for (const Json::Value& part : crash["parts"]) {
--- a/tests/platform/CrashVerdictsTest.cpp
+++ b/tests/platform/CrashVerdictsTest.cpp
@@ -134,7 +134,7 @@
     }
     mFleet.mEngines[static_cast<size_t>(i) % 10]->Crash();
   }
-  EXPECT_EQ(0, LogLinesOfAll("part_blocked"));
+  EXPECT_EQ(0, LogLinesOfAll("part_blocked")) << Story();
   EXPECT_GT(LogLinesOfAll("server_crashed"), 0);
 }
 
@@ -153,7 +153,7 @@
       mFleet.mEngines[at]->Crash();
     }
   }
-  EXPECT_EQ(0, LogLinesOfAll("part_blocked"));
+  EXPECT_EQ(0, LogLinesOfAll("part_blocked")) << Story();
 }
 
 // Guards against streams that one server breaks off, though it goes on, taken
@@ -178,7 +178,7 @@
     ++mNumber;
     mFleet.RunFor(Millis(100));
   }
-  EXPECT_EQ(0, LogLinesOfAll("part_blocked"));
+  EXPECT_EQ(0, LogLinesOfAll("part_blocked")) << Story();
 }
 
 } // namespace caraway
--- a/tests/support/CrashingPartsFleet.cpp
+++ b/tests/support/CrashingPartsFleet.cpp
@@ -1,6 +1,7 @@
 #include "support/CrashingPartsFleet.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "base/JsonText.h"
 #include "platform/WireNames.h"
@@ -180,6 +181,23 @@
   return lines;
 }
 
+std::string
+CrashingPartsFleet::Story()
+{
+  std::string story;
+  for (auto& instance : mFleet.mInstances) {
+    std::istringstream lines(instance->State().mLog.BufferedText());
+    for (std::string line; std::getline(lines, line);) {
+      for (const char* event : { "server_crashed", "server_lives", "part_" }) {
+        bool told =
+          line.find(std::string("\"event\":\"") + event) != std::string::npos;
+        story += told ? line + "\n" : "";
+      }
+    }
+  }
+  return story;
+}
+
 Json::Value
 CrashingPartsFleet::Operate(size_t aInstance,
                             const std::string& aMethod,
--- a/tests/support/CrashingPartsFleet.h
+++ b/tests/support/CrashingPartsFleet.h
@@ -43,6 +43,8 @@
   static size_t Served(const std::vector<TestCallPtr>& aCalls);
   bool AllBlock() const;
   int LogLinesOfAll(const std::string& aText);
+  // What the instances logged of crashes and verdicts, for failed tests.
+  std::string Story();
   // A call between instances, as an operator makes it.
   Json::Value Operate(size_t aInstance,
                       const std::string& aMethod,
--- a/tests/unit/BrokenServersTest.cpp
+++ b/tests/unit/BrokenServersTest.cpp
@@ -39,11 +39,31 @@
   EXPECT_TRUE(
     servers.OnBytes(kLife, kStart - Seconds(1), kStart + Millis(150)));
   EXPECT_TRUE(servers.TakeReports(kStart + Millis(200)).empty());
-  // What comes late may be the next process's.
-  servers.OnBroken(kLife, { "a" }, kStart + Seconds(1));
+}
+
+TEST(BrokenServers, WhatComesLateMayBeTheNextProcess)
+{
+  BrokenServers servers;
+  servers.OnBroken(kLife, { "a" }, kStart);
   EXPECT_FALSE(
-    servers.OnBytes(kLife, kStart + Seconds(2), kStart + Seconds(3)));
-  EXPECT_EQ(1u, servers.TakeReports(kStart + Seconds(3)).size());
+    servers.OnBytes(kLife, kStart + Seconds(1), kStart + Seconds(2)));
+  EXPECT_EQ(1u, servers.TakeReports(kStart + Seconds(2)).size());
+}
+
+// Guards against a crash that isn't counted, as bytes from before it came late.
+TEST(BrokenServers, RefutedEndCountsOnceItIsListed)
+{
+  BrokenServers servers;
+  servers.OnBroken(kLife, { "a" }, kStart);
+  ASSERT_EQ(1u, servers.TakeReports(kStart + Millis(40)).size());
+  EXPECT_TRUE(
+    servers.OnBytes(kLife, kStart - Seconds(1), kStart + Millis(250)));
+  servers.OnEnded("s1@7", std::nullopt, kStart + Seconds(3));
+  auto reports = servers.TakeReports(kStart + Seconds(3));
+  ASSERT_EQ(1u, reports.size());
+  EXPECT_EQ("s1@7+", reports[0].mCrash.mCrash);
+  EXPECT_EQ(kStart, reports[0].mCrash.mAt);
+  EXPECT_EQ(std::set<std::string>{ "a" }, reports[0].mParts);
 }
 
 // Guards against crashes unnoticed, as answers without a length look whole.
@@ -71,6 +91,33 @@
   EXPECT_TRUE(servers.TakeReports(kStart + Seconds(1)).empty());
 }
 
+// Guards against the end of a server that one instance believes in, though it
+// goes on answering others.
+TEST(BrokenServers, EndThatAnotherInstanceTellsOfIsRefuted)
+{
+  BrokenServers servers;
+  servers.OnEnded("s1@7", kStart, kStart + Millis(50));
+  EXPECT_TRUE(
+    servers.OnBytes(kLife, kStart - Seconds(1), kStart + Millis(150)));
+  EXPECT_TRUE(servers.TakeReports(kStart + Seconds(1)).empty());
+}
+
+// Guards against a server that breaks stream after stream and goes on, believed
+// to have ended where nobody sees it answer for a moment.
+TEST(BrokenServers, ServerThatWentOnBeforeNeedsTheListToHaveEnded)
+{
+  BrokenServers servers;
+  servers.OnRefuted("s1@7", kStart);
+  servers.OnBroken(kLife, { "a" }, kStart + Seconds(1));
+  EXPECT_TRUE(servers.TakeReports(kStart + Seconds(2)).empty());
+  servers.OnEnded("s1@7", kStart + Seconds(1), kStart + Seconds(2)); // told
+  EXPECT_TRUE(servers.TakeReports(kStart + Seconds(2)).empty());
+  servers.OnEnded("s1@7", std::nullopt, kStart + Seconds(3)); // listed
+  auto reports = servers.TakeReports(kStart + Seconds(3));
+  ASSERT_EQ(1u, reports.size());
+  EXPECT_EQ("s1@7+", reports[0].mCrash.mCrash); // not the refuted one
+}
+
 TEST(BrokenServers, UnsureEndAtAnotherTimeIsNoCrash)
 {
   BrokenServers servers;
