carawayd: the heads of an answer, a stream's lines and the time of all reads are bounded

A server that sends interim answers, header lines or one line of a stream without end kept a thread of carawayd and filled its memory: POCO bounds each read's time and nothing else, and a line was measured once it had ended. Its sockets bound bytes and time of each answer, or of each next line, now. Test: EndlessBytes (18 cases, also for the calls of carawayd-entry to the store, peers and servers); without the bound HttpCallEnds had not ended after 100 s.

--- /dev/null
+++ b/src/net/BoundedSocket.h
@@ -0,0 +1,31 @@
+// BoundedSocket.h: a socket that reads a limited answer.
+//
+// POCO's sessions bound neither the heads of an answer nor the time of all its
+// reads together: a server that sends interim answers, or a line, without end
+// would keep the thread, and fill the memory.
+#ifndef caraway_net_BoundedSocket_h
+#define caraway_net_BoundedSocket_h
+
+#include <Poco/Net/StreamSocket.h>
+#include <chrono>
+
+namespace caraway {
+
+// Limit of the heads of an answer, interim ones included.
+inline constexpr size_t kMaxAnswerHeadBytes = 64 * 1024;
+
+// Not connected yet.
+Poco::Net::StreamSocket
+MakeBoundedSocket();
+
+// From here on reads throw Poco::Net::NetException once more than aBytes have
+// been read, and Poco::TimeoutException after aDeadline. Has no effect on other
+// sockets.
+void
+BoundAnswer(Poco::Net::StreamSocket& aSocket,
+            size_t aBytes,
+            std::chrono::steady_clock::time_point aDeadline);
+
+} // namespace caraway
+
+#endif
--- a/src/net/HttpExchange.cpp
+++ b/src/net/HttpExchange.cpp
@@ -5,12 +5,17 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/String.h>
 
+#include "net/BoundedSocket.h"
+
 namespace caraway {
 
 namespace {
 
 constexpr size_t kChunkBytes = 16 * 1024;
 
+// What chunks add to a body of the limit at most, as real senders make them.
+constexpr size_t kFramingBytes = 1024 * 1024;
+
 Poco::Timespan
 Span(Millis aTime)
 {
@@ -88,7 +93,7 @@
 HttpConnect(const HttpCall& aCall, std::string& aError)
 {
   try {
-    Poco::Net::StreamSocket socket;
+    Poco::Net::StreamSocket socket = MakeBoundedSocket();
     socket.connect(Poco::Net::SocketAddress(aCall.mAddress),
                    Span(std::min(aCall.mConnectTimeout, aCall.mTimeout)));
     socket.setNoDelay(true);
@@ -109,6 +114,9 @@
   auto deadline = std::chrono::steady_clock::now() + aCall.mTimeout;
   try {
     SetSocketTimeouts(aSession, deadline);
+    BoundAnswer(aSession.socket(),
+                aCall.mReplyLimit + kMaxAnswerHeadBytes + kFramingBytes,
+                deadline);
     SendRequest(aSession, aCall, aKeepAlive);
     SetSocketTimeouts(aSession, deadline);
     Poco::Net::HTTPResponse response;
--- a/src/serve/EngineStream.cpp
+++ b/src/serve/EngineStream.cpp
@@ -6,6 +6,7 @@
 #include <istream>
 
 #include "base/JsonText.h"
+#include "net/BoundedSocket.h"
 #include "net/HttpExchange.h"
 
 namespace caraway {
@@ -16,6 +17,9 @@
 constexpr int kModelNotLoaded = 404;
 constexpr size_t kLineLimit = 64 * 1024;
 
+// What is read ahead of a line, and the framing of its chunk.
+constexpr size_t kReadAhead = 16 * 1024;
+
 Poco::Timespan
 TimespanOf(Millis aTime)
 {
@@ -40,6 +44,15 @@
   return JsonWrite(body);
 }
 
+// The next bytes, one line or the head, come within aWithin.
+void
+BoundNext(Poco::Net::HTTPClientSession& aSession, Millis aWithin)
+{
+  BoundAnswer(aSession.socket(),
+              kLineLimit + kReadAhead,
+              std::chrono::steady_clock::now() + aWithin);
+}
+
 // Reads lines until the end marker. After anything other than the next token of
 // this request the rest of the stream can't be trusted either.
 GenerateResult
@@ -77,6 +90,7 @@
       return { GenerateOutcome::Stopped, "" };
     }
     aSession.socket().setReceiveTimeout(TimespanOf(aCall.mStall));
+    BoundNext(aSession, aCall.mStall);
   }
   return { GenerateOutcome::Broken,
            "engine stream ended without its end marker" };
@@ -110,7 +124,9 @@
     request.setContentLength(static_cast<std::streamsize>(body.size()));
     session.sendRequest(request) << body << std::flush;
     Poco::Net::HTTPResponse response;
+    BoundNext(session, aCall.mFirstToken);
     std::istream& in = session.receiveResponse(response);
+    BoundNext(session, aCall.mFirstToken);
     if (response.getStatus() == kModelNotLoaded) {
       return { GenerateOutcome::ModelMissing,
                "the engine has not loaded the model" };
