--- a/src/entry/CrashReportsKept.cpp
+++ b/src/entry/CrashReportsKept.cpp
@@ -19,6 +19,9 @@
 // A part that is cleared within this time needs no place in the store.
 constexpr Millis kEntryDelay{ 300 };
 
+// The store takes several hundred writes a second, from all instances.
+constexpr Millis kEntrySpreadPerInstance{ 5 };
+
 } // namespace
 
 // ---- Messages
@@ -130,7 +133,10 @@
   if (now == mWrittenEntry) {
     mEntryCheckAt = TimePoint();
   } else if (mEntryCheckAt == TimePoint()) {
-    mEntryCheckAt = mState.Now() + kEntryDelay + Jitter();
+    // Spread, as all instances write a verdict.
+    std::uniform_int_distribution<int64_t> spread(
+      0, mState.mInstances * kEntrySpreadPerInstance.count());
+    mEntryCheckAt = mState.Now() + kEntryDelay + Millis(spread(mState.mRandom));
   } else {
     mEntryCheckAt = TimePoint();
     mWrittenEntry = now;
