--- a/tests/support/EntryProcess.cpp
+++ b/tests/support/EntryProcess.cpp
@@ -1,6 +1,7 @@
 #include "support/EntryProcess.h"
 
 #include <csignal>
+#include <ctime>
 #include <fcntl.h>
 #include <spawn.h>
 #include <stdexcept>
@@ -65,4 +66,17 @@
   return mPid > 0;
 }
 
+Millis
+EntryProcess::ProcessorTime() const
+{
+  clockid_t clock = 0;
+  timespec used = {};
+  if (mPid <= 0 || clock_getcpuclockid(mPid, &clock) != 0 ||
+      clock_gettime(clock, &used) != 0) {
+    return Millis(0);
+  }
+  return std::chrono::duration_cast<Millis>(
+    Seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
+}
+
 } // namespace caraway
--- a/tests/support/EntryProcess.h
+++ b/tests/support/EntryProcess.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <sys/types.h>
 
+#include "caraway/Time.h"
+
 namespace caraway {
 
 class EntryProcess
@@ -21,6 +23,8 @@
   void Signal(int aSignal) const;
   // Polls whether the process still runs; never blocks.
   bool Running();
+  // Processor time that the running process has used.
+  Millis ProcessorTime() const;
   // The last exit code, or -signal if it was killed by a signal.
   int Code() const { return mCode; }
 
