Servers' load figures are read: running, waiting, slots, and the pace where it is told

Server-Load was read nowhere. Its figures are kept with the server's entry, with the time of their receipt; a service of which some server tells its pace is known (ServerView::ReportsPace). Nothing is decided by them yet. Also ServerRequirements::mExcludedZones, empty so far.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -30,6 +30,16 @@
   std::string mResumes;
 };
 
+// What a server says of its load.
+struct ServerLoadReport
+{
+  int mRunning = 0; // requests
+  int mWaiting = 0;
+  int mSlots = 1;
+  // Time that work takes now, as a multiple of the usual; nothing = not told.
+  std::optional<double> mPace;
+};
+
 // Facts about a server's answer, apart from its body.
 struct AnswerFacts
 {
@@ -41,6 +51,7 @@
   std::string mServer;
   // The server fails if it has to reject more requests in a second.
   std::optional<double> mRejectionLimit;
+  std::optional<ServerLoadReport> mLoad;
 };
 
 } // namespace caraway
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -213,6 +213,7 @@
     backend.mAddressReusedUntil = TimePoint();
     backend.mRejectionLimit.reset();
     backend.mFullUntil = TimePoint();
+    backend.mLoadReport.reset();
     return true;
   }
   bool reported = backend.mReportedAt != TimePoint() &&
@@ -299,6 +300,7 @@
     if (backend.mEntry.mService != aRequirements.mService ||
         backend.mEntry.mDraining || aNow < backend.mAddressReusedUntil ||
         aRequirements.mExcluded.count(id) ||
+        aRequirements.mExcludedZones.count(backend.mEntry.mZone) ||
         (aRequirements.mVersion &&
          *aRequirements.mVersion != backend.mEntry.mVersion) ||
         (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
@@ -393,6 +395,22 @@
     aNow + Millis(static_cast<int64_t>(seconds * Millis(Seconds(1)).count()));
 }
 
+void
+ServerView::OnLoadReport(const std::string& aId,
+                         const ServerLoadReport& aReport,
+                         TimePoint aNow)
+{
+  Backend* backend = Find(aId);
+  if (!backend) {
+    return;
+  }
+  backend->mLoadReport = aReport;
+  backend->mLoadReportAt = aNow;
+  if (aReport.mPace) {
+    mPacedServices.insert(backend->mEntry.mService);
+  }
+}
+
 void
 ServerView::OnAddressReused(const std::string& aId, Millis aFor, TimePoint aNow)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "decide/BackendEntry.h"
+#include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
 #include "decide/ServiceVersions.h"
 
@@ -39,6 +40,9 @@
   // It fails if it has to reject more requests in a second, from all instances.
   std::optional<double> mRejectionLimit;
   TimePoint mFullUntil{}; // it gets no request before
+  // What the server said last of its load, and when that was received.
+  std::optional<ServerLoadReport> mLoadReport;
+  TimePoint mLoadReportAt{};
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
@@ -59,9 +63,10 @@
   std::string mService;
   std::string mModel; // "" = a plain service
   std::string mAdapter;
-  std::string mZone;               // of this instance
-  std::set<std::string> mExcluded; // servers that must not get it
-  std::set<std::string> mOnly;     // unless empty, only these
+  std::string mZone;                    // of this instance
+  std::set<std::string> mExcluded;      // servers that must not get it
+  std::set<std::string> mOnly;          // unless empty, only these
+  std::set<std::string> mExcludedZones; // their servers must not get it
   // If set, only servers of this software version.
   std::optional<std::string> mVersion;
   double mMaxPerSlot = 1; // limit on requests in flight per slot
@@ -137,6 +142,14 @@
   // rejections gets none from this instance for a while: the aInstances share
   // the limit.
   void OnRejected(const std::string& aId, int aInstances, TimePoint aNow);
+  void OnLoadReport(const std::string& aId,
+                    const ServerLoadReport& aReport,
+                    TimePoint aNow);
+  // Some server of the service has told its pace.
+  bool ReportsPace(const std::string& aService) const
+  {
+    return mPacedServices.count(aService) > 0;
+  }
   // Another server answered at its address: an address is assigned again after
   // its server ends. The server gets no requests for aFor, within which its
   // entry is removed; each request sent there would be refused and need a
@@ -159,6 +172,7 @@
   std::map<std::string, InFlightCounts> mPeerCounts;
   ServiceVersions mVersions;
   ServerLives mLives;
+  std::set<std::string> mPacedServices; // see ReportsPace()
 };
 
 } // namespace caraway
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -175,6 +175,9 @@
 {
   mState.mServerReach.OnReached();
   mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
+  if (mAnswerFacts.mLoad) {
+    mState.mServers.OnLoadReport(mServer, *mAnswerFacts.mLoad, mState.Now());
+  }
 }
 
 void
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -405,4 +405,27 @@
   EXPECT_FALSE(IsInstanceRejection(answer(200, false)));
 }
 
+// Guards against a garbled or absurd load figure being taken for a fact.
+TEST(Answers, OnlyPlausibleLoadFiguresAreRead)
+{
+  auto usual = ReadServerLoad("3,1,8");
+  ASSERT_TRUE(usual);
+  EXPECT_EQ(3, usual->mRunning);
+  EXPECT_EQ(1, usual->mWaiting);
+  EXPECT_EQ(8, usual->mSlots);
+  EXPECT_FALSE(usual->mPace);
+  auto slow = ReadServerLoad("12,4,12,250");
+  ASSERT_TRUE(slow && slow->mPace);
+  EXPECT_DOUBLE_EQ(2.5, *slow->mPace);
+  for (const char* garbled :
+       { "", "3", "3,1", "3,1,0", "a,1,8", "3,1,8,x", "3,-1,8", "3,1,8," }) {
+    EXPECT_FALSE(ReadServerLoad(garbled)) << garbled;
+  }
+  for (const char* absurd : { "3,1,8,0", "3,1,8,99999" }) {
+    auto load = ReadServerLoad(absurd);
+    ASSERT_TRUE(load) << absurd;
+    EXPECT_FALSE(load->mPace) << absurd;
+  }
+}
+
 } // namespace caraway::wire
