Nothing is sent for a caller whose deadline passed while the instance stood still

Cause: a request in the accept queue of an instance that stood still was taken as new when it was read, as the lag of the event loop was the length of the pass before: a standstill inside or before the wait, or the accept of one pass followed by the read in the next, wasn't seen. A connection to a server that came up meanwhile was written to before the deadline's timer ran.

Change: the lag counts from the end of the pass before; a connection remembers the lag at its accept; the deadline is asked before each send and as a connection is established. loop_delayed and caraway_loop_delays_total tell of standstills.

HeldUp.*: 3 red with the new checks taken out, 3 green with them.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -19,6 +19,9 @@
 // closed.
 constexpr Millis kNextRequestTime{ 300 };
 
+// A pass of the event loop that holds the next one up for this long is logged.
+constexpr Millis kLoggedDelay{ 250 };
+
 // Interval of the checks whether the shutdown is complete.
 constexpr Millis kLeaveCheckInterval{ 50 };
 
@@ -198,9 +201,28 @@
 EntryDaemon::RunPass(Millis aMaxWait)
 {
   mState.mReactor.RunPass(aMaxWait);
+  LogDelay();
   mState.mLog.Flush();
 }
 
+// Tells an operator why requests were late and lists outdated for a moment.
+void
+EntryDaemon::LogDelay()
+{
+  Millis delay = mState.mReactor.LastDelay();
+  if (delay < kLoggedDelay) {
+    return;
+  }
+  mState.mMetrics.Count("caraway_loop_delays_total", "");
+  mState.mLog.Line("loop_delayed")
+    .Ms("delay_ms", delay)
+    .Count("under_way", static_cast<int64_t>(mDispatcher.RequestsInFlight()))
+    .Count("waiting", static_cast<int64_t>(mDispatcher.Waiting()))
+    .Count("sockets", static_cast<int64_t>(mState.mReactor.Sockets()))
+    .Ms("list_age_ms", mState.AgeOf(mFeed.ListConfirmedAt()))
+    .Ms("config_age_ms", mState.AgeOf(mFeed.ConfigConfirmedAt()));
+}
+
 void
 EntryDaemon::Leave(TimePoint aSignalledAt)
 {
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -53,6 +53,7 @@
 
 private:
   void StartUp();
+  void LogDelay();
   void CheckLeaving();
   void LeaveZone();
   void OnStateChanged();
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -78,6 +78,7 @@
   bool FindServer(ModelsWithoutServer& aWithout);
   ServerChoice ChooseServer(ModelsWithoutServer& aWithout);
   bool CallerStillWaits();
+  void RefuseTooLate();
   bool OnEngine() const; // the service is one of model engines
   // The request has been sent to as many servers as its route allows, and none
   // of them is left.
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -103,19 +103,25 @@
 bool
 Exchange::CallerStillWaits()
 {
-  if (mState.mReactor.Lag() < kMaxLag) {
-    return true;
+  bool heldUp = mState.mReactor.Lag() >= kMaxLag;
+  if (heldUp) {
+    mCaller->ReadArrived(); // may finish this exchange
   }
-  mCaller->ReadArrived(); // may finish this exchange
-  TimePoint answerBy = mStreaming ? mFinalAnswerBy : mFirstByteBy;
+  TimePoint answerBy = heldUp && !mStreaming ? mFirstByteBy : mFinalAnswerBy;
   if (!mFinished && mState.Now() >= answerBy) {
-    Refuse(ErrorKind::DeadlineUnmeetable,
-           kRetryAfterDefault,
-           "deadline passed while the instance was held up");
+    RefuseTooLate();
   }
   return !mFinished;
 }
 
+void
+Exchange::RefuseTooLate()
+{
+  Refuse(ErrorKind::DeadlineUnmeetable,
+         kRetryAfterDefault,
+         "deadline passed before the request was sent");
+}
+
 bool
 Exchange::OnEngine() const
 {
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -98,6 +98,7 @@
   request.mHead = ServerRequestHead(aBackend);
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
+  request.mSendBy = mFinalAnswerBy;
   mState.mServers.OnRequestBegan(mServer, FullName());
   RecordOrigin();
   StartCall(mState.mServerPool, std::move(request));
@@ -292,7 +293,10 @@
   if (mFinished || mServer.empty()) {
     return;
   }
-  if (aOutcome == CallOutcome::NotSent) {
+  if (aOutcome == CallOutcome::NotSent && mState.Now() >= mFinalAnswerBy) {
+    ReleaseCall();
+    RefuseTooLate();
+  } else if (aOutcome == CallOutcome::NotSent) {
     mForwarding ? OnPeerUnreached() : OnNotSent();
   } else if (mHasAnswerHead && mAnswerFacts.mNotRun) {
     mForwarding ? OnPeerRejected() : OnNotRun();
--- a/src/entry/InboundConnection.cpp
+++ b/src/entry/InboundConnection.cpp
@@ -51,6 +51,7 @@
   , mHandler(aHandler)
   , mLimits(aHandler.Limits())
   , mAccepted(aReactor.Now())
+  , mAcceptLag(aReactor.Lag())
   , mLastAnswerAt(mAccepted)
 {
 }
@@ -104,6 +105,19 @@
   }
 }
 
+// How long the last bytes may have waited to be read. A connection is read one
+// pass after it was accepted: its first request may have come before that.
+Millis
+InboundConnection::ArrivalLag() const
+{
+  Millis lag = mReactor.Lag();
+  if (mRequests > 0 || mAcceptLag < kMaxLag) {
+    return lag;
+  }
+  auto open = std::chrono::duration_cast<Millis>(mReactor.Now() - mAccepted);
+  return std::max(lag, mAcceptLag + open);
+}
+
 void
 InboundConnection::ReadNext()
 {
@@ -117,7 +131,7 @@
   mReader.reset();
   // While the loop is held up, requests wait in their sockets, and their
   // callers' deadlines run.
-  Millis lag = mReactor.Lag();
+  Millis lag = ArrivalLag();
   mRequest.mWaited =
     lag < kMaxLag ? Millis(0) : std::min(mChannel->SinceLastArrival(), lag);
   mReadTime =
--- a/src/entry/InboundConnection.h
+++ b/src/entry/InboundConnection.h
@@ -104,6 +104,7 @@
   InboundConnection(Reactor& aReactor, InboundHandler& aHandler);
   void OnData();
   void OnEnd();
+  Millis ArrivalLag() const;
   void ReadNext();
   bool ReadHead();
   bool ReadBody();
@@ -132,6 +133,7 @@
   // on any limits that were in force since then.
   CallerLimits mLimits;
   TimePoint mAccepted{};
+  Millis mAcceptLag{ 0 };     // of the loop, when the connection was accepted
   TimePoint mLastAnswerAt{};  // or the time it was accepted
   TimePoint mReadStartedAt{}; // first byte of the request being read
   Millis mReadTime{};         // from the last request's first to last byte
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -86,6 +86,12 @@
 {
   std::weak_ptr<OutboundCall> weak = weak_from_this();
   Channel::Events events;
+  events.mConnected = [weak] {
+    auto call = weak.lock();
+    if (call && call->mReactor.Now() >= call->mRequest.mSendBy) {
+      call->Finish(CallOutcome::NotSent);
+    }
+  };
   events.mData = [weak] {
     if (auto call = weak.lock()) {
       call->OnData();
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -28,6 +28,8 @@
   std::string mHead; // request line to blank line
   std::string mBody;
   Millis mConnectLimit{ 700 }; // connect timeout
+  // Nothing is sent on a connection that is established later.
+  TimePoint mSendBy = TimePoint::max();
   double mIdleShare = 0.6;     // aMaxShare of ChannelPool::Take
   bool mNewConnection = false; // never use a pooled connection
   bool mControl = false;       // see SocketHandler::IsControl
--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -100,6 +100,21 @@
   return std::clamp(wait, Millis(0), aMaxWait);
 }
 
+// When the wait of this pass should end at the latest. It counts from the end
+// of the pass before: the process may have stood still between the two.
+TimePoint
+Reactor::WakeBy(Millis aMaxWait) const
+{
+  if (mPassEndedAt == TimePoint()) {
+    return TimePoint::max();
+  }
+  TimePoint by = mPassEndedAt + aMaxWait;
+  if (!mTimers.empty()) {
+    by = std::min(by, mTimers.begin()->first.first);
+  }
+  return std::max(by, mPassEndedAt);
+}
+
 void
 Reactor::Handle(const PollSet::SocketModeMap& aReady, bool aControl)
 {
@@ -123,19 +138,23 @@
 void
 Reactor::RunPass(Millis aMaxWait)
 {
+  TimePoint wakeBy = WakeBy(aMaxWait);
   Poco::Timespan wait(Micros(PollTimeout(aMaxWait)).count());
   PollSet::SocketModeMap ready = mPollSet.poll(wait);
   mPolledAt = Now();
+  auto late = std::chrono::duration_cast<Millis>(mPolledAt - wakeBy);
+  mOverslept = std::max(late, Millis(0));
   Handle(ready, true);
   Handle(ready, false);
   RunTimers(mPolledAt);
-  mLastPass = std::chrono::duration_cast<Millis>(Now() - mPolledAt);
+  mPassEndedAt = Now();
+  mLastPass = std::chrono::duration_cast<Millis>(mPassEndedAt - mPolledAt);
 }
 
 Millis
 Reactor::Lag() const
 {
-  return std::max(mLastPass,
+  return std::max(LastDelay(),
                   std::chrono::duration_cast<Millis>(Now() - mPolledAt));
 }
 
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -8,6 +8,7 @@
 
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -63,8 +64,12 @@
   // events.
   void RunPass(Millis aMaxWait);
   // How outdated the events of this pass may be: the time since its wait ended,
+  // the time by which the wait was too long, as the process stood still in it,
   // or the length of the pass before, in which events queued up.
   Millis Lag() const;
+  // How long the last pass kept the events of the next one waiting: its own
+  // length, and the time by which its wait was too long.
+  Millis LastDelay() const { return std::max(mLastPass, mOverslept); }
 
   TimePoint Now() const { return mClock.Now(); }
   const Clock& SourceClock() const { return mClock; }
@@ -74,14 +79,17 @@
   void Handle(const Poco::Net::PollSet::SocketModeMap& aReady, bool aControl);
   void RunTimers(TimePoint aDue);
   Millis PollTimeout(Millis aMaxWait) const;
+  TimePoint WakeBy(Millis aMaxWait) const;
 
   const Clock& mClock;
   Poco::Net::PollSet mPollSet;
   std::unordered_map<void*, std::shared_ptr<SocketHandler>> mHandlers;
   std::map<TimerId, Task> mTimers;
   uint64_t mNextTimer = 0;
-  TimePoint mPolledAt{}; // when the wait of this pass ended
-  Millis mLastPass{ 0 }; // length of the pass before, without its wait
+  TimePoint mPolledAt{};    // when the wait of this pass ended
+  TimePoint mPassEndedAt{}; // of the pass before
+  Millis mLastPass{ 0 };    // length of the pass before, without its wait
+  Millis mOverslept{ 0 };   // time by which the wait of this pass was too long
   bool mDropped = false;
 };
 
