Servers that report their pace: the better of two drawn at random, and none that says it is full

The best server by counts up to 2.5 s old is the same one for all instances, so all send there. For services whose servers report a pace, two candidates are drawn and the one with the lower cost is taken: pace times requests in flight (the own one included), zone and failures as before. ServerPace estimates the pace from reports that age. A server's running and waiting requests count for a second, less the slots that own requests have left since; a rejection counts as full for 200 ms. All other services are served by the same code as before, with the same random numbers.

--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/PacedChoice.h"
+
 namespace caraway {
 
 namespace {
@@ -38,12 +40,12 @@
 // server about as costly as a full one; a single failure does not.
 constexpr double kSampleWeight = 0.2;
 
-double
-CostOf(const Backend& aBackend, const std::string& aZone)
-{
-  double zone = aBackend.mEntry.mZone == aZone ? 0 : kCrossZoneCost;
-  return aBackend.Load() + zone + kFailureCost * aBackend.mFailureShare;
-}
+// The requests that a server reports count for this time.
+constexpr Millis kReportedLoadLife{ 1000 };
+
+// A server that reports its pace and rejects a request for want of room counts
+// as full for this time, whatever it reports.
+constexpr Millis kRejectedTime{ 200 };
 
 int
 Total(const std::map<std::string, int>& aCounts)
@@ -55,6 +57,19 @@
   return total;
 }
 
+void
+RecordOwnChange(Backend* aBackend, int aChange, TimePoint aNow)
+{
+  if (!aBackend || !aBackend->mLoadReport) {
+    return;
+  }
+  auto& changes = aBackend->mOwnChanges;
+  while (!changes.empty() && aNow - changes.front().first > kReportedLoadLife) {
+    changes.pop_front();
+  }
+  changes.emplace_back(aNow, aChange);
+}
+
 // Applies the difference between aBefore and aAfter to aHeld.
 bool
 ApplyEntryChanges(const HeldModels& aBefore,
@@ -143,6 +158,37 @@
          RequestsInFlight() < slots;
 }
 
+// A slot that an own request has left since the report is free.
+int
+Backend::ReportedRequests(TimePoint aNow) const
+{
+  if (!mLoadReport || aNow - mLoadReportAt > kReportedLoadLife) {
+    return 0;
+  }
+  int requests = mLoadReport->mRunning + mLoadReport->mWaiting;
+  for (const auto& [at, change] : mOwnChanges) {
+    requests += at > mLoadReportAt ? change : 0;
+  }
+  return std::max(0, requests);
+}
+
+bool
+Backend::HasRoomAsReported(double aMaxPerSlot,
+                           int aInstances,
+                           TimePoint aNow) const
+{
+  return aNow >= mFullUntil &&
+         ReportedRequests(aNow) < std::max(1, mEntry.mSlots) &&
+         HasRoom(aMaxPerSlot, aInstances, aNow);
+}
+
+double
+Backend::Cost(double aLoad, const std::string& aZone) const
+{
+  double zone = mEntry.mZone == aZone ? 0 : kCrossZoneCost;
+  return aLoad + zone + kFailureCost * mFailureShare;
+}
+
 int
 Backend::RequestsInFlight(const std::string& aName) const
 {
@@ -214,6 +260,7 @@
     backend.mRejectionLimit.reset();
     backend.mFullUntil = TimePoint();
     backend.mLoadReport.reset();
+    backend.mPace = ServerPace();
     return true;
   }
   bool reported = backend.mReportedAt != TimePoint() &&
@@ -287,29 +334,47 @@
     });
 }
 
+bool
+ServerRequirements::Avoids(const Backend& aBackend, TimePoint aNow) const
+{
+  return aNow < aBackend.mAvoidUntil ||
+         (mVersion && aNow < aBackend.mVersionUnsureUntil);
+}
+
+bool
+ServerView::Usable(const Backend& aBackend,
+                   const ServerRequirements& aRequirements,
+                   TimePoint aNow) const
+{
+  const BackendEntry& entry = aBackend.mEntry;
+  if (entry.mService != aRequirements.mService || entry.mDraining ||
+      aNow < aBackend.mAddressReusedUntil ||
+      aRequirements.mExcluded.count(entry.mId) ||
+      aRequirements.mExcludedZones.count(entry.mZone) ||
+      (aRequirements.mVersion && *aRequirements.mVersion != entry.mVersion) ||
+      (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(entry.mId))) {
+    return false;
+  }
+  return aRequirements.mModel.empty() ||
+         (aBackend.Holds(aRequirements.mModel, aRequirements.mAdapter) &&
+          !aBackend.SuspectedMissing(
+            aRequirements.mModel, aRequirements.mAdapter, aNow));
+}
+
 ServerChoice
 ServerView::Choose(const ServerRequirements& aRequirements,
                    TimePoint aNow,
                    std::mt19937& aRandom)
 {
+  if (ReportsPace(aRequirements.mService)) {
+    return ChoosePaced(aRequirements, aNow, aRandom);
+  }
   ServerChoice choice;
   std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
   double best = 0;
   bool bestAvoided = true;
   for (auto& [id, backend] : mBackends) {
-    if (backend.mEntry.mService != aRequirements.mService ||
-        backend.mEntry.mDraining || aNow < backend.mAddressReusedUntil ||
-        aRequirements.mExcluded.count(id) ||
-        aRequirements.mExcludedZones.count(backend.mEntry.mZone) ||
-        (aRequirements.mVersion &&
-         *aRequirements.mVersion != backend.mEntry.mVersion) ||
-        (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
-      continue;
-    }
-    if (!aRequirements.mModel.empty() &&
-        (!backend.Holds(aRequirements.mModel, aRequirements.mAdapter) ||
-         backend.SuspectedMissing(
-           aRequirements.mModel, aRequirements.mAdapter, aNow))) {
+    if (!Usable(backend, aRequirements, aNow)) {
       continue;
     }
     choice.mHeld = true;
@@ -317,12 +382,9 @@
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       continue;
     }
-    double cost = CostOf(backend, aRequirements.mZone) + noise(aRandom);
-    // Avoided servers are used only if no other is left: suspicion alone must
-    // not empty a zone.
-    bool avoided =
-      aNow < backend.mAvoidUntil ||
-      (aRequirements.mVersion && aNow < backend.mVersionUnsureUntil);
+    double cost =
+      backend.Cost(backend.Load(), aRequirements.mZone) + noise(aRandom);
+    bool avoided = aRequirements.Avoids(backend, aNow);
     bool better = std::tie(avoided, cost) < std::tie(bestAvoided, best);
     if (!choice.mBackend || better) {
       choice.mBackend = &backend;
@@ -333,6 +395,27 @@
   return choice;
 }
 
+ServerChoice
+ServerView::ChoosePaced(const ServerRequirements& aRequirements,
+                        TimePoint aNow,
+                        std::mt19937& aRandom)
+{
+  ServerChoice choice;
+  std::vector<Backend*> candidates;
+  for (auto& [id, backend] : mBackends) {
+    if (!Usable(backend, aRequirements, aNow)) {
+      continue;
+    }
+    choice.mHeld = true;
+    if (backend.HasRoomAsReported(
+          aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
+      candidates.push_back(&backend);
+    }
+  }
+  choice.mBackend = ChooseByPace(candidates, aRequirements, aNow, aRandom);
+  return choice;
+}
+
 void
 ServerView::OnRequestBegan(const std::string& aId, const std::string& aName)
 {
@@ -354,6 +437,18 @@
   }
 }
 
+void
+ServerView::OnSlotTaken(const std::string& aId, TimePoint aNow)
+{
+  RecordOwnChange(Find(aId), 1, aNow);
+}
+
+void
+ServerView::OnSlotFreed(const std::string& aId, TimePoint aNow)
+{
+  RecordOwnChange(Find(aId), -1, aNow);
+}
+
 void
 ServerView::RecordOutcome(const std::string& aId,
                           ServerOutcome aOutcome,
@@ -387,7 +482,13 @@
 ServerView::OnRejected(const std::string& aId, int aInstances, TimePoint aNow)
 {
   Backend* backend = Find(aId);
-  if (!backend || !backend->mRejectionLimit) {
+  if (!backend) {
+    return;
+  }
+  if (!backend->mRejectionLimit) {
+    if (ReportsPace(backend->mEntry.mService)) {
+      backend->mFullUntil = aNow + kRejectedTime;
+    }
     return;
   }
   double seconds = std::max(1.0, aInstances / *backend->mRejectionLimit);
@@ -398,16 +499,17 @@
 void
 ServerView::OnLoadReport(const std::string& aId,
                          const ServerLoadReport& aReport,
-                         TimePoint aNow)
+                         TimePoint aAt)
 {
   Backend* backend = Find(aId);
-  if (!backend) {
+  if (!backend || (backend->mLoadReport && aAt < backend->mLoadReportAt)) {
     return;
   }
   backend->mLoadReport = aReport;
-  backend->mLoadReportAt = aNow;
+  backend->mLoadReportAt = aAt;
   if (aReport.mPace) {
     mPacedServices.insert(backend->mEntry.mService);
+    backend->mPace.Record(*aReport.mPace, aAt);
   }
 }
 
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -3,6 +3,7 @@
 #ifndef caraway_decide_ServerView_h
 #define caraway_decide_ServerView_h
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -12,6 +13,7 @@
 #include "decide/BackendEntry.h"
 #include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
+#include "decide/ServerPace.h"
 #include "decide/ServiceVersions.h"
 
 namespace caraway {
@@ -40,16 +42,29 @@
   // It fails if it has to reject more requests in a second, from all instances.
   std::optional<double> mRejectionLimit;
   TimePoint mFullUntil{}; // it gets no request before
-  // What the server said last of its load, and when that was received.
+  // What the server said last of its load, to this instance or another, and
+  // when.
   std::optional<ServerLoadReport> mLoadReport;
   TimePoint mLoadReportAt{};
+  ServerPace mPace;
+  // Slots that own requests took (1) or freed (-1) lately, with the times.
+  std::deque<std::pair<TimePoint, int>> mOwnChanges;
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
   int RequestsInFlight() const;
   double Load() const; // requests in flight per slot
+  // Requests there by the server's report and the own ones since; 0 = no recent
+  // report.
+  int ReportedRequests(TimePoint aNow) const;
+  // Cost of a choice; aLoad in requests per slot.
+  double Cost(double aLoad, const std::string& aZone) const;
   // Whether it takes one more request of this instance, one of aInstances.
   bool HasRoom(double aMaxPerSlot, int aInstances, TimePoint aNow) const;
+  // The same, and neither the server's report nor a rejection says otherwise.
+  bool HasRoomAsReported(double aMaxPerSlot,
+                         int aInstances,
+                         TimePoint aNow) const;
   // For a model with all its adapters, or for one MODEL/ADAPTER.
   int RequestsInFlight(const std::string& aName) const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
@@ -60,6 +75,10 @@
 
 struct ServerRequirements
 {
+  // Avoided servers are used only if no other is left: suspicion alone must not
+  // empty a zone.
+  bool Avoids(const Backend& aBackend, TimePoint aNow) const;
+
   std::string mService;
   std::string mModel; // "" = a plain service
   std::string mAdapter;
@@ -133,6 +152,10 @@
   // Begin and end of an own request; aName is MODEL or MODEL/ADAPTER.
   void OnRequestBegan(const std::string& aId, const std::string& aName);
   void OnRequestEnded(const std::string& aId, const std::string& aName);
+  // An own request began, or ended after it had run, since when the server's
+  // last report is no longer all that is known.
+  void OnSlotTaken(const std::string& aId, TimePoint aNow);
+  void OnSlotFreed(const std::string& aId, TimePoint aNow);
   void RecordOutcome(const std::string& aId,
                      ServerOutcome aOutcome,
                      TimePoint aNow);
@@ -140,11 +163,12 @@
   void SetRejectionLimit(const std::string& aId, std::optional<double> aLimit);
   // The server rejected a request for want of room. One with a limit of
   // rejections gets none from this instance for a while: the aInstances share
-  // the limit.
+  // the limit. One that reports its pace gets none for a moment.
   void OnRejected(const std::string& aId, int aInstances, TimePoint aNow);
+  // aAt: when the server said so; a report older than the last is ignored.
   void OnLoadReport(const std::string& aId,
                     const ServerLoadReport& aReport,
-                    TimePoint aNow);
+                    TimePoint aAt);
   // Some server of the service has told its pace.
   bool ReportsPace(const std::string& aService) const
   {
@@ -165,6 +189,13 @@
   void ForgetPeer(const std::string& aPeer);
 
 private:
+  // Whether requests with aRequirements may be sent there, apart from its load.
+  bool Usable(const Backend& aBackend,
+              const ServerRequirements& aRequirements,
+              TimePoint aNow) const;
+  ServerChoice ChoosePaced(const ServerRequirements& aRequirements,
+                           TimePoint aNow,
+                           std::mt19937& aRandom);
   // Adds a peer's counts to the servers (aSign 1), or subtracts them (-1).
   void AddPeerRequests(const InFlightCounts& aCounts, int aSign);
 
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -99,6 +99,7 @@
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
   mState.mServers.OnRequestBegan(mServer, FullName());
+  mState.mServers.OnSlotTaken(mServer, mState.Now());
   RecordOrigin();
   StartCall(mState.mServerPool, std::move(request));
 }
@@ -279,6 +280,9 @@
 {
   if (!mServer.empty()) {
     mState.mServers.OnRequestEnded(mServer, FullName());
+    if (mHasAnswerHead && !mAnswerFacts.mNotRun) {
+      mState.mServers.OnSlotFreed(mServer, mState.Now());
+    }
   }
   mServer.clear();
   // Destroyed later: the call may be running one of its callbacks.
