PacedChoice: a random term as large as what can't be seen

The better of two by figures that are half a second old still sends all instances to the same servers in turn: the differences that decide are smaller than what arrives meanwhile. A random term of up to 0.8 requests per slot, less for few instances, damps that.

--- a/src/decide/PacedChoice.cpp
+++ b/src/decide/PacedChoice.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+// Range of a random term for each cost, in requests per slot, when many
+// instances send. Others' requests of the time since the last reports can't be
+// seen; without the term small differences of old figures decide, and all
+// instances send to the same servers in turn.
+constexpr double kUnseenLoad = 0.8;
+
 // The request itself counts: a slow server without requests isn't free of cost.
 double
 CostOf(const Backend& aBackend,
@@ -33,17 +39,19 @@
             std::mt19937& aRandom)
 {
   size_t count = aCandidates.size();
-  size_t first = Draw(count, aRandom);
+  Backend* one = aCandidates[Draw(count, aRandom)];
   if (count == 1) {
-    return aCandidates[first];
+    return one;
+  }
+  Backend* other = aCandidates[Draw(count - 1, aRandom)];
+  if (other == one) {
+    other = aCandidates.back();
   }
-  size_t second = (first + 1 + Draw(count - 1, aRandom)) % count;
-  Backend* one = aCandidates[first];
-  Backend* other = aCandidates[second];
-  return CostOf(*one, aRequirements, aNow) <=
-             CostOf(*other, aRequirements, aNow)
-           ? one
-           : other;
+  double others = 1 - 1.0 / std::max(1, aRequirements.mInstances);
+  std::uniform_real_distribution<double> noise(0, kUnseenLoad * others);
+  double costOfOne = CostOf(*one, aRequirements, aNow) + noise(aRandom);
+  double costOfOther = CostOf(*other, aRequirements, aNow) + noise(aRandom);
+  return costOfOne <= costOfOther ? one : other;
 }
 
 // Leaves those for which aGood holds, unless there are none.
