Heartbeats carry the newest load reports that their sender knows

An instance sends about three requests a second and so hears from few servers. Each heartbeat now carries up to 32 reports of servers that report their pace, the newest ones, of other instances too: a report spreads in two or three ticks instead of a round of 2.5 s, and takes 1.5 KB at most. Reports that aren't plausible are left out and logged.

Test: LoadReports.*, absent before.

--- a/src/entry/UsageRelay.cpp
+++ b/src/entry/UsageRelay.cpp
@@ -1,6 +1,7 @@
 #include "entry/UsageRelay.h"
 
 #include "entry/LeaseLoop.h"
+#include "entry/LoadReports.h"
 
 namespace caraway {
 
@@ -81,6 +82,10 @@
 {
   aHeartbeat["under_way"] = UsageOf("");
   aHeartbeat["asked"] = DemandJson(mState.mDemand.TakeForHeartbeat());
+  Json::Value reports = LoadReportsJson(mState.mServers, mState.Now());
+  if (!reports.empty()) {
+    aHeartbeat["reports"] = std::move(reports);
+  }
 }
 
 void
@@ -90,6 +95,15 @@
                                   ReadCounts(aHeartbeat["under_way"]));
   mState.mDemand.OnHeartbeat(
     ReadDemand(aHeartbeat["asked"]), mPeers.TicksPerRound(), mState.Now());
+  int leftOut = ReadLoadReports(aHeartbeat["reports"],
+                                mState.mReactor.Lag(),
+                                mState.mServers,
+                                mState.Now());
+  if (leftOut > 0) {
+    mState.mLog.Line("load_reports_unreadable")
+      .Text("peer", aPeer.mName)
+      .Count("reports", leftOut);
+  }
 }
 
 void
--- a/src/entry/UsageRelay.h
+++ b/src/entry/UsageRelay.h
@@ -1,7 +1,7 @@
-// UsageRelay.h: exchanges the numbers of requests in flight and the demand for
-// models between instances.
+// UsageRelay.h: exchanges the numbers of requests in flight, the demand for
+// models and servers' load reports between instances.
 //
-// Heartbeats carry both to all instances in turn, which takes seconds in a
+// Heartbeats carry them to all instances in turn, which takes seconds in a
 // large fleet. The lease holder of a zone needs to know sooner which models are
 // in use: an unload waits for the model's requests, and meanwhile the server
 // accepts no other order. So each instance also sends each lease holder the
