--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -100,6 +100,7 @@
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
   request.mSendBy = mFinalAnswerBy;
   mState.mServers.OnRequestBegan(mServer, FullName());
+  mState.mServers.OnSlotTaken(mServer, mState.Now());
   RecordOrigin();
   StartCall(mState.mServerPool, std::move(request));
 }
@@ -280,6 +281,9 @@
 {
   if (!mServer.empty()) {
     mState.mServers.OnRequestEnded(mServer, FullName());
+    if (mHasAnswerHead && !mAnswerFacts.mNotRun) {
+      mState.mServers.OnSlotFreed(mServer, mState.Now());
+    }
   }
   mServer.clear();
   // Destroyed later: the call may be running one of its callbacks.
