Zone evacuations: operators take all servers of a zone out of service

There was no way to keep requests from a zone's servers but to drain each of them, which the servers themselves have to write. An object of kind "evacuations" in the store now does: the instances that read the store watch the kind, the set and its revision go to the others with updates and heartbeats, and the newer revision wins. The choice of a server, of a zone for a load, of replicas, the orders and the requests for reports heed it. A request without a permitted zone is refused at once. Only with the setting [bounds] evacuateMs; carawayctl evacuations lists what an instance applies.

--- a/src/ctl/Ctl.h
+++ b/src/ctl/Ctl.h
@@ -64,6 +64,7 @@
   Result<int> Losses(const Arguments& aArguments);
   Result<int> Parts(const Arguments& aArguments);
   Result<int> LiftPart(const Arguments& aArguments);
+  Result<int> Evacuations(const Arguments& aArguments);
   static Result<void> ReadFiles(
     const Arguments& aFiles,
     size_t aFirst,
--- a/src/decide/LoadClaims.cpp
+++ b/src/decide/LoadClaims.cpp
@@ -1,5 +1,7 @@
 #include "decide/LoadClaims.h"
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -27,7 +29,7 @@
   bool yields = aOwn == OwnProgress::None ||
                 (aOwn == OwnProgress::Queued && (aBegun || aZone < mZone));
   if (yields) {
-    mExpected[aModel] = aExpected;
+    mClaims[aModel] = { aZone, aExpected };
   }
   return yields && aOwn == OwnProgress::Queued;
 }
@@ -36,19 +38,27 @@
 LoadClaims::ExpectedFromOtherZone(const std::string& aModel,
                                   TimePoint aNow) const
 {
-  auto found = mExpected.find(aModel);
-  if (found == mExpected.end() || aNow > found->second + kOverdue) {
+  auto found = mClaims.find(aModel);
+  if (found == mClaims.end() || aNow > found->second.mExpected + kOverdue) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.mExpected;
+}
+
+void
+LoadClaims::ForgetZones(const std::set<std::string>& aZones)
+{
+  EraseIf(mClaims, [&aZones](const auto& aEntry) {
+    return aZones.count(aEntry.second.mZone) > 0;
+  });
 }
 
 void
 LoadClaims::Forget(TimePoint aNow)
 {
-  for (auto at = mExpected.begin(); at != mExpected.end();) {
-    at = aNow > at->second + kOverdue ? mExpected.erase(at) : std::next(at);
-  }
+  EraseIf(mClaims, [aNow](const auto& aEntry) {
+    return aNow > aEntry.second.mExpected + kOverdue;
+  });
 }
 
 } // namespace caraway
--- a/src/decide/LoadClaims.h
+++ b/src/decide/LoadClaims.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "caraway/Time.h"
@@ -41,12 +42,20 @@
   // Time at which another zone expects aModel to be loaded, if one does.
   std::optional<TimePoint> ExpectedFromOtherZone(const std::string& aModel,
                                                  TimePoint aNow) const;
+  // Drops the claims of aZones, which load nothing any more.
+  void ForgetZones(const std::set<std::string>& aZones);
   // Drops claims whose loads are overdue.
   void Forget(TimePoint aNow);
 
 private:
+  struct Claim
+  {
+    std::string mZone;
+    TimePoint mExpected{};
+  };
+
   std::string mZone;
-  std::map<std::string, TimePoint> mExpected; // by model
+  std::map<std::string, Claim> mClaims; // by model
 };
 
 } // namespace caraway
--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -153,12 +153,15 @@
 } // namespace
 
 std::map<std::string, int>
-CountReplicas(const ServerView& aServers)
+CountReplicas(const ServerView& aServers,
+              const std::set<std::string>& aExcludedZones)
 {
   std::map<std::string, int> counts;
   for (const auto& [id, backend] : aServers.All()) {
+    bool excluded = backend.mEntry.mDraining ||
+                    aExcludedZones.count(backend.mEntry.mZone) > 0;
     for (const auto& [model, adapters] : backend.mModels) {
-      counts[model] += backend.mEntry.mDraining ? 0 : 1;
+      counts[model] += excluded ? 0 : 1;
     }
   }
   return counts;
@@ -197,17 +200,21 @@
                     const ServerView& aServers,
                     const std::vector<std::string>& aZones,
                     const std::string& aOwnZone,
-                    double aRate)
+                    double aRate,
+                    const std::set<std::string>& aExcludedZones)
 {
   int ofModel = 0;
   int ofAll = 0;
   int slots = 0;
   std::map<std::string, ZoneReplicas> zones;
   for (const std::string& zone : aZones) {
-    zones[zone].mZone = zone;
+    if (!aExcludedZones.count(zone)) {
+      zones[zone].mZone = zone;
+    }
   }
   for (const auto& [id, backend] : aServers.All()) {
-    if (backend.mEntry.mService != aService || backend.mEntry.mDraining) {
+    if (backend.mEntry.mService != aService || backend.mEntry.mDraining ||
+        aExcludedZones.count(backend.mEntry.mZone)) {
       continue;
     }
     ZoneReplicas& zone = zones[backend.mEntry.mZone];
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -65,9 +65,11 @@
 // cost. With this delay a placement takes two orders instead of four.
 inline constexpr Millis kUnloadTime{ 50 };
 
-// Number of servers that hold each model, without draining ones.
+// Number of servers that hold each model, without draining ones and those of
+// aExcludedZones.
 std::map<std::string, int>
-CountReplicas(const ServerView& aServers);
+CountReplicas(const ServerView& aServers,
+              const std::set<std::string>& aExcludedZones = {});
 
 WeightSource
 SourceOf(const Backend& aBackend, const std::string& aModel);
@@ -83,14 +85,16 @@
 
 // Whether aOwnZone should load another replica of aModel, which is
 // requested aRate times per second: its replicas are overloaded, or a popular
-// model has no replica in this zone.
+// model has no replica in this zone. Servers of aExcludedZones don't count, and
+// no load is expected of these zones.
 ReplicaNeed
 EvaluateReplicaNeed(const std::string& aService,
                     const std::string& aModel,
                     const ServerView& aServers,
                     const std::vector<std::string>& aZones,
                     const std::string& aOwnZone,
-                    double aRate);
+                    double aRate,
+                    const std::set<std::string>& aExcludedZones = {});
 
 // Returns nullopt if no server of the zone can take aModel: it is too large, or
 // all models that could be evicted are in use. aVersion: software version of
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -264,13 +264,14 @@
 
 bool
 ServerView::HasVersion(const std::string& aService,
-                       const std::string& aVersion) const
+                       const std::string& aVersion,
+                       const std::set<std::string>& aExcludedZones) const
 {
   return std::any_of(
     mBackends.begin(), mBackends.end(), [&](const auto& aEntry) {
       const BackendEntry& entry = aEntry.second.mEntry;
       return entry.mService == aService && entry.mVersion == aVersion &&
-             !entry.mDraining;
+             !entry.mDraining && !aExcludedZones.count(entry.mZone);
     });
 }
 
@@ -296,14 +297,21 @@
   std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
   double best = 0;
   bool bestAvoided = true;
+  bool permitted = false;
   for (auto& [id, backend] : mBackends) {
     if (backend.mEntry.mService != aRequirements.mService ||
-        backend.mEntry.mDraining || aNow < backend.mAddressReusedUntil ||
+        (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
+      continue;
+    }
+    if (aRequirements.mExcludedZones.count(backend.mEntry.mZone)) {
+      choice.mZonesExcluded = true;
+      continue;
+    }
+    permitted = true;
+    if (backend.mEntry.mDraining || aNow < backend.mAddressReusedUntil ||
         aRequirements.mExcluded.count(id) ||
-        aRequirements.mExcludedZones.count(backend.mEntry.mZone) ||
         (aRequirements.mVersion &&
-         *aRequirements.mVersion != backend.mEntry.mVersion) ||
-        (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
+         *aRequirements.mVersion != backend.mEntry.mVersion)) {
       continue;
     }
     if (!aRequirements.mModel.empty() &&
@@ -330,6 +338,7 @@
       bestAvoided = avoided;
     }
   }
+  choice.mZonesExcluded = choice.mZonesExcluded && !permitted;
   return choice;
 }
 
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -77,6 +77,9 @@
 {
   Backend* mBackend = nullptr; // null = none can take it now
   bool mHeld = false;          // some usable server holds the model
+  // All servers of the service that the request might go to are in excluded
+  // zones.
+  bool mZonesExcluded = false;
 };
 
 enum class ServerOutcome
@@ -120,7 +123,8 @@
   // Whether some server of the service has this software version and isn't
   // draining.
   bool HasVersion(const std::string& aService,
-                  const std::string& aVersion) const;
+                  const std::string& aVersion,
+                  const std::set<std::string>& aExcludedZones = {}) const;
   // Whether the server is in aZone, or no server is.
   bool IsNear(const std::string& aId, const std::string& aZone) const;
   std::map<std::string, Backend>& All() { return mBackends; }
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -33,9 +33,10 @@
            mState.mMetrics,
            mState.mSettings.mStore)
   , mFeed(mState, mStore, [this] { OnStateChanged(); })
+  , mEvacuationFeed(mState, mStore, [this] { OnStateChanged(); })
   , mPeers(mState)
   , mMembers(mState, mStore, mPeers)
-  , mFeedRelay(mState, mStore, mPeers, mFeed)
+  , mFeedRelay(mState, mStore, mPeers, mFeed, mEvacuationFeed)
   , mUsageRelay(mState, mPeers)
   , mZoneLease(mState,
                mStore,
@@ -94,12 +95,16 @@
     ReadHeartbeat(aPeer, aHeartbeat);
   });
   mPeers.OnForwarded(mDispatcher);
+  mPeers.AddMethod("evacuations", [this](const Json::Value&) {
+    return mEvacuationFeed.ToJson();
+  });
   mCrashReports.Start();
   mPeers.Start();
   mMembers.Start();
   mFeedRelay.Start();
   mUsageRelay.Start();
   mFeed.Start();
+  mEvacuationFeed.Start();
   mZoneLease.Start();
   mRateLimiter.Start();
   mSchedulers.Start();
@@ -132,7 +137,8 @@
 bool
 EntryDaemon::Ready() const
 {
-  return !mState.mLeave.Leaving() && mState.mConfig && mState.mServersKnown;
+  return !mState.mLeave.Leaving() && mState.mConfig && mState.mServersKnown &&
+         !mState.mAwaitsEvacuations;
 }
 
 bool
@@ -170,6 +176,8 @@
   gauge("caraway_config_version",
         mState.mConfig ? mState.mConfig->mVersion : 0);
   gauge("caraway_servers", static_cast<int64_t>(mState.mServers.All().size()));
+  gauge("caraway_zones_evacuated",
+        static_cast<int64_t>(mState.mEvacuations.Zones().size()));
   gauge("caraway_cut_off_from_servers", mState.mServerReach.CutOff() ? 1 : 0);
   gauge("caraway_instances", mState.mInstances);
   gauge("caraway_requests_under_way",
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -63,6 +63,7 @@
   EntryState mState;
   StoreClient mStore;
   ConfigFeed mFeed;
+  EvacuationFeed mEvacuationFeed;
   Peers mPeers;
   Membership mMembers;
   FeedRelay mFeedRelay;
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -2,6 +2,7 @@
 #ifndef caraway_entry_EntrySettings_h
 #define caraway_entry_EntrySettings_h
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,9 @@
   Millis mOrderSilence{ 3000 };
   // Interval at which servers update their entries in the store.
   Millis mServerHeartbeatInterval{ 1200 };
+  // Within this time an evacuation must be in force at all instances that are
+  // in contact with the store; nothing = evacuations are not in use.
+  std::optional<Millis> mEvacuationLimit;
   double mRetryRatio = 0.2; // retries per request, over all instances
   double mRetrySlack = 0;   // additional retries in each window
   Millis mRetryWindow{ 10000 };
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -7,6 +7,7 @@
 #include "base/EventLog.h"
 #include "base/Metrics.h"
 #include "decide/DemandExchange.h"
+#include "decide/Evacuations.h"
 #include "decide/LeavePlan.h"
 #include "decide/RunTimeEstimates.h"
 #include "decide/ServerReach.h"
@@ -38,7 +39,11 @@
   ServerView mServers;
   ServerReach mServerReach;
   bool mServersKnown = false; // the list has been received at least once
-  DemandExchange mDemand;     // at all instances
+  Evacuations mEvacuations;
+  // The evacuated zones have not been read yet since the start of the process,
+  // so that no server can be chosen.
+  bool mAwaitsEvacuations = false;
+  DemandExchange mDemand; // at all instances
   ServerRetryBudget mRetryBudget;
   int mInstances = 1; // that may be running, including this one
   RunTimeEstimates mRunTimes;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -199,6 +199,11 @@
     Refuse(ErrorKind::NotReady, kRetryAfterDefault, "no configuration yet");
     return false;
   }
+  if (mState.mAwaitsEvacuations) {
+    Refuse(
+      ErrorKind::NotReady, kRetryAfterDefault, "evacuated zones not known yet");
+    return false;
+  }
   auto facts = wire::ReadRequestFacts(mRequest.mHead);
   if (!facts || facts->mId.empty()) {
     Refuse(ErrorKind::BadRequest,
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -134,6 +134,7 @@
   requirements.mAdapter = engine ? mFacts.mAdapter : "";
   requirements.mZone = mState.mSettings.mZone;
   requirements.mExcluded = mBadServers;
+  requirements.mExcludedZones = mState.mEvacuations.Zones();
   requirements.mVersion = mVersion;
   requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
@@ -184,6 +185,10 @@
     Send(*choice.mBackend);
     return true;
   }
+  if (choice.mZonesExcluded) {
+    RefuseWithoutZone();
+    return true;
+  }
   if (OnEngine() && !choice.mHeld && !mFacts.mModel.empty()) {
     mColdStart = true;
     mLoadRequester.RequestLoad(ToLoadRequest());
@@ -191,6 +196,15 @@
   return RefuseIfUnmeetable(choice);
 }
 
+void
+Exchange::RefuseWithoutZone()
+{
+  Refuse(ErrorKind::NoEndpoint,
+         kRetryAfterEvacuation,
+         ServersLeft() > 0 ? "all zones of the service are evacuated"
+                           : "all servers tried are in evacuated zones");
+}
+
 bool
 Exchange::TriedServersGone(const ServerChoice& aChoice) const
 {
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -81,7 +81,9 @@
 {
   std::string server = mServer;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
-  bool near = mState.mServers.IsNear(server, mState.mSettings.mZone);
+  const std::string& zone = mState.mSettings.mZone;
+  bool near =
+    mState.mEvacuations.Evacuated(zone) || mState.mServers.IsNear(server, zone);
   mState.mServerReach.OnUnreached(server, near, mState.Now());
   mUnreached += near ? 1 : 0;
   mTriedServers.erase(server); // it has not received the request
--- a/src/entry/ExchangeResume.cpp
+++ b/src/entry/ExchangeResume.cpp
@@ -207,7 +207,8 @@
 bool
 Exchange::RefuseWithoutVersion()
 {
-  if (!mVersion || mState.mServers.HasVersion(mService, *mVersion)) {
+  if (!mVersion || mState.mServers.HasVersion(
+                     mService, *mVersion, mState.mEvacuations.Zones())) {
     return false;
   }
   Refuse(ErrorKind::NoEndpoint,
--- a/src/entry/ExchangeTimes.h
+++ b/src/entry/ExchangeTimes.h
@@ -16,6 +16,9 @@
 // Retry-after time when another instance can take the request at once.
 inline constexpr Millis kRetryAfterElsewhere{ 20 };
 
+// Retry-after time of a request for which the operators left no server.
+inline constexpr Millis kRetryAfterEvacuation{ 5000 };
+
 // Within this time the end of a connection follows the last bytes on it, when
 // its process has ended before they are read: both have arrived by then.
 inline constexpr Millis kFormerEndTime{ 10 };
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -50,11 +50,13 @@
 FeedRelay::FeedRelay(EntryState& aState,
                      StoreClient& aStore,
                      Peers& aPeers,
-                     ConfigFeed& aFeed)
+                     ConfigFeed& aFeed,
+                     EvacuationFeed& aEvacuations)
   : mState(aState)
   , mStore(aStore)
   , mPeers(aPeers)
   , mFeed(aFeed)
+  , mEvacuations(aEvacuations)
   , mStep(Rank())
 {
 }
@@ -82,6 +84,7 @@
   });
   mPeers.OnLeaving([this](const std::string& aPeer) { OnLeaving(aPeer); });
   mFeed.OnUpdate([this] { OnFeedUpdate(); });
+  mEvacuations.OnUpdate([this] { OnFeedUpdate(); });
   mFeed.OnServerApplied(
     [this](const StoreChange& aChange) { OnServerApplied(aChange); });
   mState.mReactor.Every(kPublishInterval, [this] { PublishUpdate(); });
@@ -206,6 +209,7 @@
   update["config_age_ms"] =
     Json::Int64(mState.AgeOf(mFeed.ConfigConfirmedAt()).count());
   update["echoes"] = mPeers.Echoes();
+  mEvacuations.Fill(update);
   Json::Value& changes = update["changes"];
   changes = Json::Value(Json::arrayValue);
   for (const RelayedChange& recent : mRecentChanges) {
@@ -228,6 +232,7 @@
 FeedRelay::OnPeerUpdate(const Json::Value& aUpdate)
 {
   std::string from = aUpdate["from"].asString();
+  mEvacuations.Read(aUpdate, from);
   if (!mPeers.IsStaying(from)) {
     return;
   }
@@ -260,6 +265,9 @@
     mRecentChanges.clear();
     mCheckpoints.clear();
   }
+  // A reader that doesn't know the set, perhaps of an older version, can't be
+  // followed in this.
+  mEvacuations.SetPaused(EvacuationFeed::IsIn(aUpdate));
   mFollowedPeer = from;
   mResumeReadingAt = TimePoint::max();
   ApplyUpdate(aUpdate, transit);
@@ -322,6 +330,7 @@
   mResumeReadingAt = TimePoint::max();
   mStep.Forget();
   mFeed.Resume(aFirst);
+  mEvacuations.SetPaused(false, aFirst);
 }
 
 void
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -14,6 +14,7 @@
 
 #include "decide/WatchStep.h"
 #include "entry/ConfigFeed.h"
+#include "entry/EvacuationFeed.h"
 #include "entry/Peers.h"
 
 namespace caraway {
@@ -24,7 +25,8 @@
   FeedRelay(EntryState& aState,
             StoreClient& aStore,
             Peers& aPeers,
-            ConfigFeed& aFeed);
+            ConfigFeed& aFeed,
+            EvacuationFeed& aEvacuations);
 
   void Start();
   void FillHeartbeat(Json::Value& aHeartbeat) const;
@@ -75,6 +77,7 @@
   StoreClient& mStore;
   Peers& mPeers;
   ConfigFeed& mFeed;
+  EvacuationFeed& mEvacuations;
   WatchStep mStep;
   std::deque<RelayedChange> mRecentChanges;
   std::deque<Checkpoint> mCheckpoints;
--- a/src/entry/FeedRelayFetch.cpp
+++ b/src/entry/FeedRelayFetch.cpp
@@ -38,11 +38,14 @@
     Json::Int64(mState.mConfig ? mState.mConfig->mVersion : 0);
   aHeartbeat["servers"] = Json::Int64(mFeed.ServersRevision());
   aHeartbeat["rank"] = Rank();
+  mEvacuations.Fill(aHeartbeat);
 }
 
 void
 FeedRelay::ReadHeartbeat(const Peer& aPeer, const Json::Value& aHeartbeat)
 {
+  // First, so that servers that are fetched from the peer aren't used before.
+  mEvacuations.Read(aHeartbeat, aPeer.mName);
   RequestConfig(aHeartbeat["config"].asInt64(), aPeer.mName);
   int64_t servers = aHeartbeat["servers"].asInt64();
   if (servers <= mFeed.ServersRevision()) {
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -103,6 +103,9 @@
     uint64_t mId = 0;
   };
 
+  // Operators have taken the zone out of service; nothing is loaded there.
+  bool Evacuated() const { return mState.mEvacuations.Evacuated(mZone); }
+  void DropEvacuated();
   static Key KeyOf(const LoadRequest& aRequest);
   static std::string ClaimOf(const LoadRequest& aRequest);
   const EngineSpec* EngineOf(const std::string& aService) const;
--- a/src/entry/LoadSchedulerClaims.cpp
+++ b/src/entry/LoadSchedulerClaims.cpp
@@ -71,6 +71,9 @@
 void
 LoadScheduler::OnClaim(const Json::Value& aMessage)
 {
+  if (mState.mEvacuations.Evacuated(aMessage["zone"].asString())) {
+    return; // its sender doesn't know yet
+  }
   std::string service = aMessage["service"].asString();
   std::string model = aMessage["model"].asString();
   LoadRequest request;
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -45,6 +45,10 @@
     result["none"] = "not the holder";
     return result;
   }
+  if (Evacuated()) {
+    result["none"] = "zone evacuated";
+    return result;
+  }
   TimePoint now = mState.Now();
   if (auto left = ExpectedFromOtherZone(aRequest)) {
     result["expected_ms"] = Json::Int64(left->count());
@@ -124,7 +128,8 @@
     facts.mService = aService;
     facts.mZone = mZone;
     facts.mRates = mState.mDemand.Rates(now);
-    facts.mReplicas = CountReplicas(mState.mServers);
+    facts.mReplicas =
+      CountReplicas(mState.mServers, mState.mEvacuations.Zones());
     facts.mLateOrders = mInventories.RoomForLateOrders(aService);
   }
   facts.mBusy.clear();
@@ -269,7 +274,7 @@
 void
 LoadScheduler::AddReplicas()
 {
-  if (!mLease.MayAct() || !mState.mConfig) {
+  if (!mLease.MayAct() || !mState.mConfig || Evacuated()) {
     return;
   }
   for (const auto& [name, service] : mState.mConfig->mServices) {
@@ -281,8 +286,13 @@
       if (rate <= kMinReplicaRate) {
         continue;
       }
-      ReplicaNeed need = EvaluateReplicaNeed(
-        name, model, mState.mServers, mState.mSettings.mZones, mZone, rate);
+      ReplicaNeed need = EvaluateReplicaNeed(name,
+                                             model,
+                                             mState.mServers,
+                                             mState.mSettings.mZones,
+                                             mZone,
+                                             rate,
+                                             mState.mEvacuations.Zones());
       if (need != ReplicaNeed::None) {
         LoadRequest request{
           name, model, "", kLowestPriority, Millis(0), true
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -346,10 +346,26 @@
   mState.mReactor.After(aDelay, [this, server, id] { SendStep(server, id); });
 }
 
+// Ends what is planned for evacuated zones.
+void
+LoadScheduler::DropEvacuated()
+{
+  mClaims.ForgetZones(mState.mEvacuations.Zones());
+  if (!Evacuated()) {
+    return;
+  }
+  mQueue.clear();
+  while (!mJobs.empty()) {
+    std::string server = mJobs.begin()->first;
+    EndJob(server, "zone evacuated");
+  }
+}
+
 void
 LoadScheduler::OnChanged()
 {
   mScheduleDue = true;
+  DropEvacuated();
   std::vector<std::string> loaded;
   std::vector<std::string> lost;
   for (const auto& [server, job] : mJobs) {
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -138,7 +138,8 @@
 void
 ServerInventories::RequestMissingReports()
 {
-  if (!mLease.Holds()) {
+  // Servers of an evacuated zone get no calls.
+  if (!mLease.Holds() || mState.mEvacuations.Evacuated(mZone)) {
     return;
   }
   TimePoint now = mState.Now();
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -158,7 +158,8 @@
 }
 
 // Returns the zone that can load the model soonest, by the zone's nearest copy
-// of the weights; for an adapter, a zone that holds the model is preferred.
+// of the weights; for an adapter, a zone that holds the model is preferred. It
+// is never an evacuated zone.
 // Returns "" if there is none.
 std::string
 ZoneSchedulers::ZoneFor(const LoadRequest& aRequest) const
@@ -172,7 +173,8 @@
   std::map<std::string, ZoneOffer> offers;
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mService != aRequest.mService ||
-        backend.mEntry.mDraining || !aRequest.Fits(backend.mEntry.mVersion)) {
+        backend.mEntry.mDraining || !aRequest.Fits(backend.mEntry.mVersion) ||
+        mState.mEvacuations.Evacuated(backend.mEntry.mZone)) {
       continue;
     }
     Millis wait{ 0 };
@@ -203,11 +205,13 @@
   RequestState& request = mRequests[KeyOf(aRequest)];
   bool recent =
     request.mSentAt != TimePoint() && now - request.mSentAt < kRequestInterval;
-  if (request.mRequestPending || recent) {
+  bool evacuated = mState.mEvacuations.Evacuated(request.mZone);
+  if (request.mRequestPending || (recent && !evacuated)) {
     return;
   }
   request.mSentAt = now;
   std::string zone = ZoneFor(aRequest);
+  request.mZone = zone;
   if (zone.empty()) {
     return;
   }
@@ -255,7 +259,8 @@
 ZoneSchedulers::Expected(const LoadRequest& aRequest)
 {
   auto found = mRequests.find(KeyOf(aRequest));
-  if (found == mRequests.end() || found->second.mExpected <= mState.Now()) {
+  if (found == mRequests.end() || found->second.mExpected <= mState.Now() ||
+      mState.mEvacuations.Evacuated(found->second.mZone)) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Millis>(found->second.mExpected -
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -53,6 +53,7 @@
   struct RequestState
   {
     TimePoint mSentAt{};
+    std::string mZone;     // that was asked last
     TimePoint mExpected{}; // end of the load; zero = not known
     bool mRequestPending = false;
   };
--- a/tests/support/EntryTestFleet.h
+++ b/tests/support/EntryTestFleet.h
@@ -50,6 +50,7 @@
   // Time that passes with each pass of all event loops; zero = real time. With
   // steps a busy machine can't make messages late.
   Millis mStep{ 0 };
+  std::string mBounds; // more lines for [bounds] of the settings
 };
 
 // Two zones of so many instances that a heartbeat reaches only a part of them.
--- a/tests/support/StandInStore.cpp
+++ b/tests/support/StandInStore.cpp
@@ -212,7 +212,11 @@
   std::string query =
     question == std::string::npos ? "" : target.substr(question + 1);
   path = path.substr(std::string("/objects/").size());
-  ++mCallsByKind[path.substr(0, path.find('/'))];
+  std::string kind = path.substr(0, path.find('/'));
+  ++mCallsByKind[kind];
+  if (kind == mSilentKind) {
+    return;
+  }
   if (aRequest.mHead.mMethod == "GET") {
     OnGet(aPort, aConn, path, query);
   } else {
--- a/tests/support/StandInStore.h
+++ b/tests/support/StandInStore.h
@@ -46,6 +46,8 @@
   void MuteWatches(bool aMute);
   // Watches of aKind at aPort get no answer, as if their connection had died.
   void MuteWatchesOf(size_t aPort, const std::string& aKind);
+  // Calls about aKind get no answer, at any port; "" = all get one.
+  void SilenceKind(const std::string& aKind) { mSilentKind = aKind; }
   // Clients of aPort read aAddress in the entries of all servers, as if a
   // partition lay between them and the servers; "" = the servers' own.
   void ShowServersAt(size_t aPort, const std::string& aAddress);
@@ -112,6 +114,7 @@
   int64_t mRevision = 1;
   int64_t mHistoryStart = 0;
   bool mMuted = false;
+  std::string mSilentKind;
   int mCalls = 0;
   std::map<std::string, int> mCallsByKind;
 };
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -77,6 +77,16 @@
   EXPECT_EQ(2u, result.mSettings.mZones.size());
 }
 
+TEST(WireSettings, EvacuationsAreInUseOnlyIfTheirLimitIsSet)
+{
+  EXPECT_FALSE(ReadSettings(kSettings).mSettings.mEvacuationLimit);
+  std::string with =
+    Replaced(kSettings, "graceS = 8", "graceS = 8\nevacuateMs = 5000");
+  EXPECT_EQ(Millis(5000), ReadSettings(with).mSettings.mEvacuationLimit);
+  std::string invalid = Replaced(with, "5000", "\"soon\"");
+  EXPECT_EQ(1u, ReadSettings(invalid).mErrors.size());
+}
+
 TEST(WireSettings, ReportsAllErrorsWithLines)
 {
   std::string text = Without(kSettings, "nodeName");
