--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -311,13 +311,14 @@
 
 bool
 ServerView::HasVersion(const std::string& aService,
-                       const std::string& aVersion) const
+                       const std::string& aVersion,
+                       const std::set<std::string>& aExcludedZones) const
 {
   return std::any_of(
     mBackends.begin(), mBackends.end(), [&](const auto& aEntry) {
       const BackendEntry& entry = aEntry.second.mEntry;
       return entry.mService == aService && entry.mVersion == aVersion &&
-             !entry.mDraining;
+             !entry.mDraining && !aExcludedZones.count(entry.mZone);
     });
 }
 
@@ -361,6 +362,26 @@
             aRequirements.mModel, aRequirements.mAdapter, aNow));
 }
 
+bool
+ServerView::AllInExcludedZones(const ServerRequirements& aRequirements) const
+{
+  if (aRequirements.mExcludedZones.empty()) {
+    return false;
+  }
+  bool any = false;
+  for (const auto& [id, backend] : mBackends) {
+    if (backend.mEntry.mService != aRequirements.mService ||
+        (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
+      continue;
+    }
+    if (!aRequirements.mExcludedZones.count(backend.mEntry.mZone)) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
+}
+
 ServerChoice
 ServerView::Choose(const ServerRequirements& aRequirements,
                    TimePoint aNow,
@@ -392,6 +413,7 @@
       bestAvoided = avoided;
     }
   }
+  choice.mZonesExcluded = AllInExcludedZones(aRequirements);
   return choice;
 }
 
@@ -413,6 +435,7 @@
     }
   }
   choice.mBackend = ChooseByPace(candidates, aRequirements, aNow, aRandom);
+  choice.mZonesExcluded = AllInExcludedZones(aRequirements);
   return choice;
 }
 
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -96,6 +96,9 @@
 {
   Backend* mBackend = nullptr; // null = none can take it now
   bool mHeld = false;          // some usable server holds the model
+  // All servers of the service that the request might go to are in excluded
+  // zones.
+  bool mZonesExcluded = false;
 };
 
 enum class ServerOutcome
@@ -139,7 +142,8 @@
   // Whether some server of the service has this software version and isn't
   // draining.
   bool HasVersion(const std::string& aService,
-                  const std::string& aVersion) const;
+                  const std::string& aVersion,
+                  const std::set<std::string>& aExcludedZones = {}) const;
   // Whether the server is in aZone, or no server is.
   bool IsNear(const std::string& aId, const std::string& aZone) const;
   std::map<std::string, Backend>& All() { return mBackends; }
@@ -193,6 +197,9 @@
   bool Usable(const Backend& aBackend,
               const ServerRequirements& aRequirements,
               TimePoint aNow) const;
+  // Whether the service has servers that the request might go to, and all of
+  // them are in excluded zones.
+  bool AllInExcludedZones(const ServerRequirements& aRequirements) const;
   ServerChoice ChoosePaced(const ServerRequirements& aRequirements,
                            TimePoint aNow,
                            std::mt19937& aRandom);
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -64,6 +64,7 @@
   EntryState mState;
   StoreClient mStore;
   ConfigFeed mFeed;
+  EvacuationFeed mEvacuationFeed;
   Peers mPeers;
   Membership mMembers;
   FeedRelay mFeedRelay;
