Placement: a load for callers that can wait evicts nothing that urgent callers need

Cause: each request counted the same. A batch request with a target of two seconds could evict a model that callers with a target of half a second request each second, and was loaded before a model for which these wait.

Change, only for services whose servers report their pace: - Instances count apart the requests that are late if their model must be loaded (LoadPatience, DemandExchange, UrgentDemand), and send them as "asked_urgent" in heartbeats and usage messages. Load requests carry "purpose". - The value of keeping a model is the rate of these requests plus a tenth of the rate of the others, per replica of the zone or of the fleet. - Waiting that makes no caller late costs a tenth of waiting that does; a load from the weight store counts in full. A zone's last replica of a model with an urgent request each two seconds is not evicted for patient callers. - Loads are ranked by the urgent callers that wait, then by the latest time at which they must begin. For other services the former formulas are evaluated unchanged.

place_decided shows purpose and urgent rates; caraway_loads_by_purpose_total.

DemandExchange's tests pass the same counts in the new form.

--- a/src/decide/DemandExchange.cpp
+++ b/src/decide/DemandExchange.cpp
@@ -8,24 +8,35 @@
 DemandExchange::CountOwn(const std::string& aName, TimePoint aNow)
 {
   mDemand.Add(aName, 1, aNow);
-  ++mForHeartbeat[aName];
-  ++mForHolders[aName];
+  ++mForHeartbeat.mAll[aName];
+  ++mForHolders.mAll[aName];
 }
 
-DemandCounts
+void
+DemandExchange::CountOwnUrgent(const std::string& aModel,
+                               const std::string& aZone,
+                               TimePoint aNow)
+{
+  mUrgent.Add(aModel, aZone, 1, aNow);
+  ++mForHeartbeat.mUrgent[aModel];
+  ++mForHolders.mUrgent[aModel];
+}
+
+DemandReport
 DemandExchange::TakeForHeartbeat()
 {
   return std::exchange(mForHeartbeat, {});
 }
 
-DemandCounts
+DemandReport
 DemandExchange::TakeForHolders()
 {
   return std::exchange(mForHolders, {});
 }
 
 void
-DemandExchange::OnHeartbeat(const DemandCounts& aCounts,
+DemandExchange::OnHeartbeat(const DemandReport& aReport,
+                            const std::string& aZone,
                             int aTicksPerRound,
                             TimePoint aNow)
 {
@@ -34,17 +45,29 @@
   if (reported) {
     return; // the same requests are in a report
   }
-  for (const auto& [name, count] : aCounts) {
-    mDemand.Add(name, count * aTicksPerRound, aNow);
-  }
+  Add(aReport, aZone, aTicksPerRound, aNow);
 }
 
 void
-DemandExchange::OnReport(const DemandCounts& aCounts, TimePoint aNow)
+DemandExchange::OnReport(const DemandReport& aReport,
+                         const std::string& aZone,
+                         TimePoint aNow)
 {
   mReportedAt = aNow;
-  for (const auto& [name, count] : aCounts) {
-    mDemand.Add(name, count, aNow);
+  Add(aReport, aZone, 1, aNow);
+}
+
+void
+DemandExchange::Add(const DemandReport& aReport,
+                    const std::string& aZone,
+                    int aFactor,
+                    TimePoint aNow)
+{
+  for (const auto& [name, count] : aReport.mAll) {
+    mDemand.Add(name, count * aFactor, aNow);
+  }
+  for (const auto& [model, count] : aReport.mUrgent) {
+    mUrgent.Add(model, aZone, count * aFactor, aNow);
   }
 }
 
--- a/src/decide/DemandTracker.cpp
+++ b/src/decide/DemandTracker.cpp
@@ -14,17 +14,17 @@
 } // namespace
 
 double
-DemandTracker::Decayed(const Count& aCount, TimePoint aNow)
+DemandTracker::Decayed(const Count& aCount, TimePoint aNow) const
 {
   std::chrono::duration<double, std::milli> age = aNow - aCount.mAt;
   return aCount.mValue *
-         std::exp(-age.count() / static_cast<double>(kMemory.count()));
+         std::exp(-age.count() / static_cast<double>(mMemory.count()));
 }
 
 void
 DemandTracker::Add(const std::string& aModel, double aCount, TimePoint aNow)
 {
-  if (aNow - mForgotAt > kMemory) {
+  if (aNow - mForgotAt > mMemory) {
     mForgotAt = aNow;
     ForgetDecayed(aNow);
   }
@@ -37,7 +37,7 @@
 void
 DemandTracker::ForgetDecayed(TimePoint aNow)
 {
-  EraseIf(mCounts, [aNow](const auto& aCount) {
+  EraseIf(mCounts, [this, aNow](const auto& aCount) {
     return Decayed(aCount.second, aNow) < kNegligibleCount;
   });
 }
@@ -50,7 +50,7 @@
     return 0;
   }
   return Decayed(found->second, aNow) * 1000.0 /
-         static_cast<double>(kMemory.count());
+         static_cast<double>(mMemory.count());
 }
 
 std::map<std::string, double>
--- a/src/decide/DemandTracker.h
+++ b/src/decide/DemandTracker.h
@@ -9,14 +9,19 @@
 
 namespace caraway {
 
-// Exponentially decaying counts: a request weighs a third after kMemory. Demand
-// moves to other models within seconds, so a longer memory would keep models
-// that are no longer requested.
+// Exponentially decaying counts: a request weighs a third after the memory.
+// Demand moves to other models within seconds, so a memory longer than kMemory
+// would keep models that are no longer requested.
 class DemandTracker
 {
 public:
   static constexpr Millis kMemory{ 8000 };
 
+  explicit DemandTracker(Millis aMemory = kMemory)
+    : mMemory(aMemory)
+  {
+  }
+
   void Add(const std::string& aModel, double aCount, TimePoint aNow);
   // Requests per second.
   double Rate(const std::string& aModel, TimePoint aNow) const;
@@ -28,9 +33,10 @@
     double mValue = 0;
     TimePoint mAt{};
   };
-  static double Decayed(const Count& aCount, TimePoint aNow);
+  double Decayed(const Count& aCount, TimePoint aNow) const;
   void ForgetDecayed(TimePoint aNow);
 
+  Millis mMemory;
   std::map<std::string, Count> mCounts;
   TimePoint mForgotAt{};
 };
--- a/src/decide/LoadPriority.cpp
+++ b/src/decide/LoadPriority.cpp
@@ -1,11 +1,52 @@
 #include "decide/LoadPriority.h"
 
+#include <algorithm>
+
 namespace caraway {
 
+namespace {
+
+constexpr int kUrgentBand = 0;
+
+// Patient callers rank after the urgent ones whatever their priority.
+constexpr int kFirstPatientBand = 1;
+
+// The time of a load and of the one that goes first.
+constexpr int kLoadsUntilDue = 2;
+
+LoadPriorityKey
+RankPatient(const LoadPriorityFacts& aFacts, TimePoint aNow)
+{
+  bool late = aNow + aFacts.mLoad > aFacts.mNeedBy;
+  bool due = aNow + aFacts.mLoad * kLoadsUntilDue > aFacts.mNeedBy;
+  if (due && !late) {
+    return { true, kUrgentBand, false, aFacts.mSince };
+  }
+  return { true,
+           std::max(aFacts.mPriority, kFirstPatientBand),
+           late,
+           aFacts.mNeedBy - aFacts.mLoad };
+}
+
+} // namespace
+
 LoadPriorityKey
 RankLoad(const LoadPriorityFacts& aFacts, TimePoint aNow)
 {
-  bool popular = aFacts.mHasWaiters && aFacts.mRate >= kPopularRate;
+  if (aFacts.mPurpose == LoadPurpose::Patient) {
+    return RankPatient(aFacts, aNow);
+  }
+  if (aFacts.mPurpose == LoadPurpose::Impatient) {
+    // It is late whatever happens; only the number of late requests can change.
+    return {
+      aFacts.mUrgentRate < kPopularRate, kUrgentBand, false, aFacts.mSince
+    };
+  }
+  // A replica for a newly popular model is needed before DemandTracker shows it.
+  double rate = aFacts.mPurpose == LoadPurpose::Capacity
+                  ? std::max(aFacts.mRate, aFacts.mUrgentRate)
+                  : aFacts.mRate;
+  bool popular = aFacts.mHasWaiters && rate >= kPopularRate;
   bool late = aNow + aFacts.mLoad > aFacts.mNeedBy;
   return { !popular, aFacts.mPriority, late, aFacts.mSince };
 }
--- a/src/decide/LoadPriority.h
+++ b/src/decide/LoadPriority.h
@@ -8,12 +8,18 @@
 // weight store, wait until there is capacity to spare. A load of a popular
 // model goes before all of them, however late it is for its first request,
 // because it serves every request of the next seconds.
+//
+// Where callers' patience is known, the loads that impatient callers wait for
+// go first, and of the others the one that has to begin soonest. A patient
+// caller's load gives up its place until it can't let another load go first
+// without being late; from then on it ranks with the urgent ones.
 #ifndef caraway_decide_LoadPriority_h
 #define caraway_decide_LoadPriority_h
 
 #include <tuple>
 
 #include "caraway/Time.h"
+#include "decide/LoadPatience.h"
 
 namespace caraway {
 
@@ -26,6 +32,9 @@
   // The newest request's answer is late if it starts after this.
   TimePoint mNeedBy{};
   Millis mLoad{ 0 }; // usual load time
+  // With Unstated, the fields above alone decide.
+  LoadPurpose mPurpose = LoadPurpose::Unstated;
+  double mUrgentRate = 0; // requests per second that can't wait for a load
 };
 
 // Requests per second. A load occupies a server for about a second. From this
--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -28,6 +28,14 @@
 // that is cut off keeps serving it.
 constexpr double kEveryZoneRate = 6.0;
 
+// Value of a patient request, as a share of an urgent one's. Reloading the
+// model for it costs orders and a server's time, but makes nobody late.
+constexpr double kPatientShare = 0.1;
+
+// Cost of a server whose slots are all taken, in seconds of waiting. A replica
+// there adds no capacity.
+constexpr double kCrowdedCost = 0.5;
+
 struct EvictionCandidate
 {
   std::string mModel;
@@ -51,6 +59,50 @@
   }
 };
 
+int
+ReplicasOf(const std::map<std::string, int>& aReplicas,
+           const std::string& aModel)
+{
+  auto count = aReplicas.find(aModel);
+  return count == aReplicas.end() ? 1 : std::max(1, count->second);
+}
+
+// Cost of evicting one of the replicas, in seconds of waiting, for aRate
+// requests per second and a reload that takes aSeconds. Another replica serves
+// meanwhile, unless the demand needs both, so its presence halves the cost.
+double
+CostOfReload(double aRate, double aSeconds, int aReplicas)
+{
+  double others = aReplicas > 1 ? 0.5 : 1.0;
+  return aRate * aSeconds * others / aReplicas;
+}
+
+UrgentRates
+UrgentRatesOf(const PlacementFacts& aFacts, const std::string& aModel)
+{
+  auto found = aFacts.mUrgent.find(aModel);
+  return found == aFacts.mUrgent.end() ? UrgentRates() : found->second;
+}
+
+// Cost of evicting one replica where the urgent demand is known. aRate: of all
+// requests.
+double
+CostByUrgency(const PlacementFacts& aFacts,
+              const std::string& aModel,
+              double aRate,
+              double aSeconds)
+{
+  // The zone's own callers have only the zone's replicas once it is cut off.
+  UrgentRates urgent = UrgentRatesOf(aFacts, aModel);
+  double near = std::min(urgent.mZone, urgent.mFleet);
+  double patient = std::max(0.0, aRate - urgent.mFleet);
+  return CostOfReload(
+           near, aSeconds, ReplicasOf(aFacts.mZoneReplicas, aModel)) +
+         CostOfReload(urgent.mFleet - near + kPatientShare * patient,
+                      aSeconds,
+                      ReplicasOf(aFacts.mReplicas, aModel));
+}
+
 double
 ValueOf(const EngineSpec& aEngine,
         const std::string& aModel,
@@ -61,26 +113,42 @@
   if (rate == aFacts.mRates.end() || model == aEngine.mModels.end()) {
     return 0;
   }
-  auto count = aFacts.mReplicas.find(aModel);
-  int replicas =
-    count == aFacts.mReplicas.end() ? 1 : std::max(1, count->second);
-  // A reload comes from this server's disk, where a copy remains. Another
-  // replica serves meanwhile, unless the demand needs both, so its presence
-  // halves the cost.
+  // A reload comes from this server's disk, where a copy remains.
   double seconds = static_cast<double>(model->second.mDisk.count()) / 1000.0;
-  double others = replicas > 1 ? 0.5 : 1.0;
-  return rate->second * seconds * others / replicas;
+  if (aFacts.mKnowsUrgent) {
+    return CostByUrgency(aFacts, aModel, rate->second, seconds);
+  }
+  return CostOfReload(
+    rate->second, seconds, ReplicasOf(aFacts.mReplicas, aModel));
+}
+
+// Whether a load with aPatience may evict aModel at all.
+bool
+MayEvict(const PlacementFacts& aFacts,
+         const std::string& aModel,
+         const LoadPatience& aPatience)
+{
+  if (!aFacts.mKnowsUrgent) {
+    return true;
+  }
+  // The fleet's only replica serves the callers of all zones.
+  UrgentRates urgent = UrgentRatesOf(aFacts, aModel);
+  bool only = ReplicasOf(aFacts.mReplicas, aModel) <= 1;
+  return !aPatience.Spares(only ? urgent.mFleet : urgent.mZone,
+                           ReplicasOf(aFacts.mZoneReplicas, aModel));
 }
 
 std::vector<EvictionCandidate>
 EvictionCandidatesOf(const EngineSpec& aEngine,
                      const Backend& aBackend,
-                     const PlacementFacts& aFacts)
+                     const PlacementFacts& aFacts,
+                     const LoadPatience& aPatience)
 {
   std::vector<EvictionCandidate> candidates;
   for (const auto& [model, adapters] : aBackend.mModels) {
     if (aBackend.RequestsInFlight(model) == 0 &&
-        !aFacts.mRecentlyLoaded.count({ aBackend.mEntry.mId, model })) {
+        !aFacts.mRecentlyLoaded.count({ aBackend.mEntry.mId, model }) &&
+        MayEvict(aFacts, model, aPatience)) {
       candidates.push_back({ model,
                              ValueOf(aEngine, model, aFacts),
                              MbOf(aEngine, model, adapters) });
@@ -107,6 +175,27 @@
   return late->second[std::min(aOrders - 1, last)].mMb;
 }
 
+// Cost in seconds of the choice for the callers that the load is for.
+double
+CostOfWait(const PlacementChoice& aChoice,
+           const Backend& aBackend,
+           const PlacementFacts& aFacts,
+           const LoadPatience& aPatience)
+{
+  Millis total = aChoice.TotalTime();
+  if (!aFacts.mKnowsUrgent || aPatience.mPurpose == LoadPurpose::Unstated) {
+    return static_cast<double>(total.count()) / 1000.0;
+  }
+  // The weight store is shared, so a load from it is never without cost.
+  bool shared = aChoice.mSource == WeightSource::Store;
+  LoadPatience patience = aPatience;
+  patience.mCanWait = shared ? Millis(0) : aPatience.mCanWait;
+  double cost = patience.CostOfWait(total);
+  bool addsCapacity = aPatience.mPurpose == LoadPurpose::Impatient ||
+                      aPatience.mPurpose == LoadPurpose::Capacity;
+  return addsCapacity ? cost + kCrowdedCost * aBackend.Load() : cost;
+}
+
 // Cost in seconds of placing aModel on aBackend; nullopt if it can't fit. Fills
 // in aChoice.
 std::optional<double>
@@ -114,6 +203,7 @@
                 const std::string& aModel,
                 const Backend& aBackend,
                 const PlacementFacts& aFacts,
+                const LoadPatience& aPatience,
                 PlacementChoice& aChoice)
 {
   const ModelWeights& weights = aEngine.mModels.at(aModel);
@@ -123,7 +213,7 @@
     return weights.mMb + LateMb(aFacts, aBackend, aChoice.mEvict.size() + 1);
   };
   for (const EvictionCandidate& candidate :
-       EvictionCandidatesOf(aEngine, aBackend, aFacts)) {
+       EvictionCandidatesOf(aEngine, aBackend, aFacts, aPatience)) {
     if (free >= needed()) {
       break;
     }
@@ -146,17 +236,19 @@
   if (aChoice.mSource == WeightSource::Store) {
     aChoice.mWait = std::max(aChoice.mWait, aFacts.mStoreWait);
   }
-  return static_cast<double>(aChoice.TotalTime().count()) / 1000.0 +
-         kEvictWeight * lost;
+  return CostOfWait(aChoice, aBackend, aFacts, aPatience) + kEvictWeight * lost;
 }
 
 } // namespace
 
 std::map<std::string, int>
-CountReplicas(const ServerView& aServers)
+CountReplicas(const ServerView& aServers, const std::string& aZone)
 {
   std::map<std::string, int> counts;
   for (const auto& [id, backend] : aServers.All()) {
+    if (!aZone.empty() && backend.mEntry.mZone != aZone) {
+      continue;
+    }
     for (const auto& [model, adapters] : backend.mModels) {
       counts[model] += backend.mEntry.mDraining ? 0 : 1;
     }
@@ -242,7 +334,8 @@
                 const std::string& aModel,
                 const ServerView& aServers,
                 const PlacementFacts& aFacts,
-                const std::string& aVersion)
+                const std::string& aVersion,
+                const LoadPatience& aPatience)
 {
   std::optional<PlacementChoice> best;
   double bestCost = 0;
@@ -257,7 +350,8 @@
       continue;
     }
     PlacementChoice choice;
-    auto cost = CostOfPlacement(aEngine, aModel, backend, aFacts, choice);
+    auto cost =
+      CostOfPlacement(aEngine, aModel, backend, aFacts, aPatience, choice);
     if (cost && (!best || *cost < bestCost)) {
       best = std::move(choice);
       bestCost = *cost;
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -8,6 +8,10 @@
 // server's own disk takes about one second and shares nothing. So a model is
 // loaded where its copy is, unless that server is busy for longer than the
 // difference, and the models evicted are those that are cheapest to reload.
+//
+// Where servers report their pace, the requests that can't wait for a load are
+// counted apart. There a model is worth keeping for these above all, and a load
+// for callers that can wait costs little while they can.
 #ifndef caraway_decide_PlacementPlan_h
 #define caraway_decide_PlacementPlan_h
 
@@ -16,9 +20,11 @@
 #include <string>
 #include <vector>
 
+#include "decide/LoadPatience.h"
 #include "decide/ServerRoom.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
+#include "decide/UrgentDemand.h"
 
 namespace caraway {
 
@@ -36,6 +42,11 @@
   std::string mZone; // only servers of this zone are considered
   std::map<std::string, double> mRates; // requests per second, by model
   std::map<std::string, int> mReplicas; // by model, over all zones
+  // Whether the urgent demand is known, which only services have whose servers
+  // report their pace. The two maps below are used only then.
+  bool mKnowsUrgent = false;
+  std::map<std::string, UrgentRates> mUrgent;
+  std::map<std::string, int> mZoneReplicas; // by model, in mZone
   // Remaining time, by server with an order in progress.
   std::map<std::string, Millis> mBusy;
   std::set<std::string> mAvoid; // servers that are failing
@@ -65,9 +76,10 @@
 // cost. With this delay a placement takes two orders instead of four.
 inline constexpr Millis kUnloadTime{ 50 };
 
-// Number of servers that hold each model, without draining ones.
+// Number of servers that hold each model, without draining ones. aZone: only
+// those of this zone; "" = all.
 std::map<std::string, int>
-CountReplicas(const ServerView& aServers);
+CountReplicas(const ServerView& aServers, const std::string& aZone = "");
 
 WeightSource
 SourceOf(const Backend& aBackend, const std::string& aModel);
@@ -94,13 +106,15 @@
 
 // Returns nullopt if no server of the zone can take aModel: it is too large, or
 // all models that could be evicted are in use. aVersion: software version of
-// the servers considered; "" = any.
+// the servers considered; "" = any. aPatience: of the callers that the load is
+// for; used only if aFacts.mKnowsUrgent.
 std::optional<PlacementChoice>
 ChoosePlacement(const EngineSpec& aEngine,
                 const std::string& aModel,
                 const ServerView& aServers,
                 const PlacementFacts& aFacts,
-                const std::string& aVersion = "");
+                const std::string& aVersion = "",
+                const LoadPatience& aPatience = {});
 
 } // namespace caraway
 
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -162,6 +162,9 @@
   if (!mFacts.mModel.empty()) {
     mState.mDemand.CountOwn(mFacts.mModel, now);
   }
+  if (PurposeOfLoad() == LoadPurpose::Impatient) {
+    mState.mDemand.CountOwnUrgent(mFacts.mModel, mState.mSettings.mZone, now);
+  }
   if (!mFacts.mAdapter.empty()) {
     mState.mDemand.CountOwn(FullName(), now);
   }
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -92,6 +92,7 @@
   Millis ExpectedRunTime(double aServerLoad) const;
   void RefuseShuttingDown();
   LoadRequest ToLoadRequest() const;
+  LoadPurpose PurposeOfLoad() const;
   int MaxServers() const;  // that the request may be sent to
   Millis TimeLeft() const; // until the final answer is due
   // Forwarding to another instance.
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -26,9 +26,25 @@
     mService, mFacts.mModel, mFacts.mAdapter, mPriority, left
   };
   request.mVersion = mVersion.value_or("");
+  request.mPurpose = PurposeOfLoad();
   return request;
 }
 
+// Whether this request is late if its model must be loaded, for services whose
+// servers report their pace.
+LoadPurpose
+Exchange::PurposeOfLoad() const
+{
+  const EngineSpec* engine = mConfig->EngineOf(mService);
+  if (!engine || !mState.mServers.ReportsPace(mService)) {
+    return LoadPurpose::Unstated;
+  }
+  auto model = engine->mModels.find(mFacts.mModel);
+  return model == engine->mModels.end()
+           ? LoadPurpose::Unstated
+           : PurposeOf(mRoute->mTarget - kServiceTime, model->second);
+}
+
 void
 Exchange::Dispatch()
 {
--- a/src/entry/LoadMessages.cpp
+++ b/src/entry/LoadMessages.cpp
@@ -12,16 +12,23 @@
   request["priority"] = aRequest.mPriority;
   request["left_ms"] = Json::Int64(aRequest.mLeft.count());
   request["version"] = aRequest.mVersion;
+  if (aRequest.mPurpose != LoadPurpose::Unstated) {
+    request["purpose"] = LoadPurposeName(aRequest.mPurpose);
+  }
   return request;
 }
 
 LoadRequest
 ReadLoadRequest(const Json::Value& aRequest)
 {
-  return { aRequest["service"].asString(),        aRequest["model"].asString(),
-           aRequest["adapter"].asString(),        aRequest["priority"].asInt(),
-           Millis(aRequest["left_ms"].asInt64()), false,
-           aRequest["version"].asString() };
+  return { aRequest["service"].asString(),
+           aRequest["model"].asString(),
+           aRequest["adapter"].asString(),
+           aRequest["priority"].asInt(),
+           Millis(aRequest["left_ms"].asInt64()),
+           false,
+           aRequest["version"].asString(),
+           ReadLoadPurpose(aRequest["purpose"].asString()) };
 }
 
 Json::Value
--- a/src/entry/LoadRequester.h
+++ b/src/entry/LoadRequester.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "caraway/Time.h"
+#include "decide/LoadPatience.h"
 
 namespace caraway {
 
@@ -24,6 +25,7 @@
   bool mExtraReplica = false; // another replica beside an existing one
   // Software version of the server that must load it; "" = any.
   std::string mVersion{};
+  LoadPurpose mPurpose = LoadPurpose::Unstated;
 
   // Whether a server of aVersion may load it.
   bool Fits(const std::string& aServerVersion) const
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -77,6 +77,7 @@
     TimePoint mLastRequestedAt{};
     // Latest time at which an answer must start, over all requests.
     TimePoint mNeedBy{};
+    TimePoint mFirstNeedBy{}; // the earliest such time
   };
   // The orders that load one model or adapter on one server.
   struct Job
@@ -109,13 +110,17 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
   LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending) const;
   Millis ShortestLoadTime(const LoadRequest& aRequest) const;
   bool Serves(const Job& aJob, const LoadRequest& aRequest) const;
-  bool TryStartModel(const LoadRequest& aRequest, PlacementFacts& aFacts);
+  bool TryStartModel(const LoadRequest& aRequest,
+                     const LoadPatience& aPatience,
+                     PlacementFacts& aFacts);
   bool TryStartAdapter(const LoadRequest& aRequest);
   std::optional<ModelOrder> LeastDemandedAdapter(const Backend& aBackend) const;
   PlacementFacts& FactsFor(const std::string& aService);
+  void CountUrgent(const std::string& aService, PlacementFacts& aFacts) const;
   size_t ServersInZone(const std::string& aService) const;
   bool AnyServerFree(const PlacementFacts& aFacts) const;
   std::optional<Millis> Estimate(const LoadRequest& aRequest);
@@ -129,6 +134,7 @@
   // Orders of the jobs.
   Job* Find(const std::string& aServer, uint64_t aId);
   void StartJob(Job aJob);
+  void CountPurpose(const Job& aJob);
   bool AwaitsRecord(Job& aJob, const ModelOrder& aOrder);
   void SendStep(const std::string& aServer, uint64_t aId);
   void OnAnswer(const std::string& aServer, uint64_t aId, OrderAnswer aAnswer);
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -29,6 +29,7 @@
 // Returns true when the request need not stay queued.
 bool
 LoadScheduler::TryStartModel(const LoadRequest& aRequest,
+                             const LoadPatience& aPatience,
                              PlacementFacts& aFacts)
 {
   const EngineSpec* engine = EngineOf(aRequest.mService);
@@ -63,8 +64,12 @@
                         mState.mSettings.mZones.size(),
                         ServersInZone(aRequest.mService));
   aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
-  auto choice = ChoosePlacement(
-    *engine, aRequest.mModel, mState.mServers, aFacts, aRequest.mVersion);
+  auto choice = ChoosePlacement(*engine,
+                                aRequest.mModel,
+                                mState.mServers,
+                                aFacts,
+                                aRequest.mVersion,
+                                aPatience);
   if (!choice) {
     mState.mLog.Line("place_none")
       .Text("model", aRequest.mModel)
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -55,11 +55,15 @@
   if (added) {
     queued.mRequest = aRequest;
     queued.mSince = now;
+    queued.mFirstNeedBy = now + aRequest.mLeft;
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
+  queued.mRequest.mPurpose =
+    std::min(queued.mRequest.mPurpose, aRequest.mPurpose);
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
+  queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
   if (added) {
     mScheduleDue = true;
     ScheduleQueued();
@@ -107,7 +111,8 @@
                                 aRequest.mModel,
                                 mState.mServers,
                                 FactsFor(aRequest.mService),
-                                aRequest.mVersion);
+                                aRequest.mVersion,
+                                PatienceOf(aRequest.mPurpose, aRequest.mLeft));
   if (!choice) {
     return std::nullopt;
   }
@@ -125,6 +130,7 @@
     facts.mZone = mZone;
     facts.mRates = mState.mDemand.Rates(now);
     facts.mReplicas = CountReplicas(mState.mServers);
+    CountUrgent(aService, facts);
     facts.mLateOrders = mInventories.RoomForLateOrders(aService);
   }
   facts.mBusy.clear();
@@ -153,6 +159,19 @@
   return facts;
 }
 
+// Where no server reports its pace, the facts that no decision may use stay
+// empty.
+void
+LoadScheduler::CountUrgent(const std::string& aService,
+                           PlacementFacts& aFacts) const
+{
+  aFacts.mKnowsUrgent = mState.mServers.ReportsPace(aService);
+  if (aFacts.mKnowsUrgent) {
+    aFacts.mUrgent = mState.mDemand.Urgent().Rates(mZone, mState.Now());
+    aFacts.mZoneReplicas = CountReplicas(mState.mServers, mZone);
+  }
+}
+
 // Starts the queued requests that can start now, in order of priority.
 void
 LoadScheduler::ScheduleQueued()
@@ -186,7 +205,8 @@
   std::vector<Key> started;
   for (const auto& [rank, queued] : ranked) {
     PlacementFacts& facts = FactsFor(queued->mRequest.mService);
-    if (AnyServerFree(facts) && TryStartModel(queued->mRequest, facts)) {
+    if (AnyServerFree(facts) &&
+        TryStartModel(queued->mRequest, PatienceFor(*queued, now), facts)) {
       started.push_back(KeyOf(queued->mRequest));
     }
   }
@@ -195,6 +215,14 @@
   }
 }
 
+LoadPatience
+LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
+{
+  return PatienceOf(
+    aPending.mRequest.mPurpose,
+    std::chrono::duration_cast<Millis>(aPending.mFirstNeedBy - aNow));
+}
+
 LoadPriorityFacts
 LoadScheduler::PriorityFactsOf(const PendingLoad& aPending) const
 {
@@ -207,6 +235,10 @@
   facts.mSince = aPending.mSince;
   facts.mNeedBy = aPending.mNeedBy;
   facts.mLoad = ShortestLoadTime(aPending.mRequest);
+  facts.mPurpose = aPending.mRequest.mPurpose;
+  UrgentRates urgent = mState.mDemand.Urgent().RatesOf(
+    aPending.mRequest.mModel, mZone, mState.Now());
+  facts.mUrgentRate = std::max(urgent.mFleet, urgent.mRecent);
   return facts;
 }
 
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -70,6 +70,9 @@
     SendStoreLoad(aJob.mServer, aJob.mUnload + aJob.mLoad);
   }
   const ModelOrder& first = aJob.mSteps.front();
+  UrgentRates urgent =
+    mState.mDemand.Urgent().RatesOf(aJob.mRequest.mModel, mZone, now);
+  CountPurpose(aJob);
   mState.mLog.Line("place_decided")
     .Text("server", aJob.mServer)
     .Text("model", aJob.mRequest.mModel)
@@ -79,6 +82,9 @@
     .Count("orders", mInventories.Of(aJob.mServer).OrderCount())
     .Number("rate", mState.mDemand.Rate(aJob.mRequest.mModel, now))
     .Count("priority", aJob.mRequest.mPriority)
+    .Text("purpose", LoadPurposeName(aJob.mRequest.mPurpose))
+    .Number("urgent_rate", urgent.mFleet)
+    .Number("zone_urgent_rate", urgent.mZone)
     .Ms("expected_ms", aJob.mUnload + aJob.mLoad);
   if (const EngineSpec* engine = EngineOf(aJob.mRequest.mService)) {
     mInventories.LogContent(aJob.mServer, *engine);
@@ -96,6 +102,16 @@
   SendStep(server, id);
 }
 
+void
+LoadScheduler::CountPurpose(const Job& aJob)
+{
+  std::string purpose = LoadPurposeName(aJob.mRequest.mPurpose);
+  if (!purpose.empty()) {
+    mState.mMetrics.Count("caraway_loads_by_purpose_total",
+                          "purpose=\"" + purpose + "\"");
+  }
+}
+
 // Whether the order has to wait until the store knows of those sent to the
 // server before it that have no answer. Once the server has started again, they
 // may come in a row, and if this instance and those it told are lost, its
--- a/src/entry/UsageRelay.cpp
+++ b/src/entry/UsageRelay.cpp
@@ -44,6 +44,24 @@
   return demand;
 }
 
+constexpr char kAsked[] = "asked";
+constexpr char kAskedUrgent[] = "asked_urgent";
+
+void
+FillDemand(Json::Value& aMessage, const DemandReport& aReport)
+{
+  aMessage[kAsked] = DemandJson(aReport.mAll);
+  if (!aReport.mUrgent.empty()) {
+    aMessage[kAskedUrgent] = DemandJson(aReport.mUrgent);
+  }
+}
+
+DemandReport
+ReadDemandReport(const Json::Value& aMessage)
+{
+  return { ReadDemand(aMessage[kAsked]), ReadDemand(aMessage[kAskedUrgent]) };
+}
+
 } // namespace
 
 UsageRelay::UsageRelay(EntryState& aState, Peers& aPeers)
@@ -80,7 +98,7 @@
 UsageRelay::FillHeartbeat(Json::Value& aHeartbeat)
 {
   aHeartbeat["under_way"] = UsageOf("");
-  aHeartbeat["asked"] = DemandJson(mState.mDemand.TakeForHeartbeat());
+  FillDemand(aHeartbeat, mState.mDemand.TakeForHeartbeat());
 }
 
 void
@@ -88,14 +106,16 @@
 {
   mState.mServers.PutPeerRequests(aPeer.mName,
                                   ReadCounts(aHeartbeat["under_way"]));
-  mState.mDemand.OnHeartbeat(
-    ReadDemand(aHeartbeat["asked"]), mPeers.TicksPerRound(), mState.Now());
+  mState.mDemand.OnHeartbeat(ReadDemandReport(aHeartbeat),
+                             aPeer.mZone,
+                             mPeers.TicksPerRound(),
+                             mState.Now());
 }
 
 void
 UsageRelay::SendUsage()
 {
-  DemandCounts demand = mState.mDemand.TakeForHolders();
+  DemandReport demand = mState.mDemand.TakeForHolders();
   if (mPeers.TicksPerRound() == 1) {
     return; // heartbeats reach all instances at this interval
   }
@@ -105,7 +125,7 @@
     if (!holder.empty()) {
       // A holder of several zones counts the demand once.
       bool first = reportedTo.insert(holder).second;
-      SendUsageTo(zone, holder, first ? demand : DemandCounts());
+      SendUsageTo(zone, holder, first ? demand : DemandReport());
     }
   }
 }
@@ -113,11 +133,11 @@
 void
 UsageRelay::SendUsageTo(const std::string& aZone,
                         const std::string& aHolder,
-                        const DemandCounts& aDemand)
+                        const DemandReport& aDemand)
 {
   Json::Value usage = UsageOf(aZone);
   // Empty counts are sent only once, when the last request has ended.
-  if (usage.empty() && aDemand.empty() && !mReportedZones.count(aZone)) {
+  if (usage.empty() && aDemand.Empty() && !mReportedZones.count(aZone)) {
     return;
   }
   if (usage.empty()) {
@@ -129,17 +149,27 @@
   message["from"] = mState.mSettings.mName;
   message["zone"] = aZone;
   message["servers"] = std::move(usage);
-  message["asked"] = DemandJson(aDemand);
+  FillDemand(message, aDemand);
   mPeers.SendMessageTo(aHolder, kUsageMessage, message);
 }
 
+// "" if the instance isn't known yet.
+std::string
+UsageRelay::ZoneOf(const std::string& aInstance) const
+{
+  auto peer = mPeers.All().find(aInstance);
+  return peer == mPeers.All().end() ? "" : peer->second.mZone;
+}
+
 void
 UsageRelay::OnUsage(const Json::Value& aMessage)
 {
   mState.mServers.PutPeerRequestsIn(aMessage["zone"].asString(),
                                     aMessage["from"].asString(),
                                     ReadCounts(aMessage["servers"]));
-  mState.mDemand.OnReport(ReadDemand(aMessage["asked"]), mState.Now());
+  mState.mDemand.OnReport(ReadDemandReport(aMessage),
+                          ZoneOf(aMessage["from"].asString()),
+                          mState.Now());
 }
 
 } // namespace caraway
--- a/src/entry/UsageRelay.h
+++ b/src/entry/UsageRelay.h
@@ -31,7 +31,8 @@
   void SendUsage();
   void SendUsageTo(const std::string& aZone,
                    const std::string& aHolder,
-                   const DemandCounts& aDemand);
+                   const DemandReport& aDemand);
+  std::string ZoneOf(const std::string& aInstance) const;
   Json::Value UsageOf(const std::string& aZone) const;
   void OnUsage(const Json::Value& aMessage);
 
--- a/tests/unit/DemandExchangeTest.cpp
+++ b/tests/unit/DemandExchangeTest.cpp
@@ -66,11 +66,11 @@
   void SendAll()
   {
     for (size_t i = 1; i < kInstances; ++i) {
-      mExchanges[0].OnReport(mExchanges[i].TakeForHolders(), mNow);
-      DemandCounts counts = mExchanges[i].TakeForHeartbeat();
+      mExchanges[0].OnReport(mExchanges[i].TakeForHolders(), "a", mNow);
+      DemandReport report = mExchanges[i].TakeForHeartbeat();
       bool reaches = mRandom() % kInstances < kHeartbeatsPerTick;
       if (reaches) {
-        mExchanges[0].OnHeartbeat(counts, kTicksPerRound, mNow);
+        mExchanges[0].OnHeartbeat(report, "a", kTicksPerRound, mNow);
       }
     }
   }
@@ -99,14 +99,14 @@
 TEST(DemandExchange, WithoutReportsHeartbeatsCount)
 {
   DemandExchange exchange;
-  exchange.OnHeartbeat({ { "m1", 2 } }, 4, kStart);
+  exchange.OnHeartbeat({ { { "m1", 2 } }, {} }, "a", 4, kStart);
   EXPECT_NEAR(exchange.Rate("m1", kStart), 1.0, 1e-9);
-  exchange.OnReport({ { "m2", 8 } }, kStart);
-  exchange.OnHeartbeat({ { "m1", 2 } }, 4, kStart);
+  exchange.OnReport({ { { "m2", 8 } }, {} }, "a", kStart);
+  exchange.OnHeartbeat({ { { "m1", 2 } }, {} }, "a", 4, kStart);
   EXPECT_NEAR(exchange.Rate("m1", kStart), 1.0, 1e-9);
   EXPECT_NEAR(exchange.Rate("m2", kStart), 1.0, 1e-9);
   TimePoint later = kStart + Seconds(100);
-  exchange.OnHeartbeat({ { "m1", 2 } }, 4, later);
+  exchange.OnHeartbeat({ { { "m1", 2 } }, {} }, "a", 4, later);
   EXPECT_NEAR(exchange.Rate("m1", later), 1.0, 1e-3);
 }
 
