Replicas of models that urgent callers need, in each zone that requests them

Cause: a newly popular model had one replica. Its rate over eight seconds passed the thresholds for more only after one to six seconds, and checks took place twice a second. With eleven requests a second that take 1.5 s each, the server's twelve slots are taken after 1.1 s, and a load takes 0.65 s more. A zone held no replica of what its urgent callers got from other zones, so it had none once cut off.

Change, only for services whose servers report their pace: - EvaluateReplicaNeed counts the requests that arrive during a load as in flight while the last second's urgent rate exceeds the longer mean, and prefers zones with a copy on disk.

Tests: LoadPatience.NewlyPopularModelGetsReplicasBeforeItsCallersWait runs the load above: no request finds all slots taken, with the former rule some do; ZoneKeepsWhatItsUrgentCallersNeed, ZoneReplicaEvictsNothingUrgent, ReplicaForCapacityGoesToAnIdleServer, LoadRequestCarriesItsPurpose.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -28,6 +28,14 @@
 // that is cut off keeps serving it.
 constexpr double kEveryZoneRate = 6.0;
 
+// Urgent requests per second, from all zones and from one, from which a model
+// is kept in that zone: about three requests in the last seconds, one of them
+// from the zone. Beyond that, a model that only the weight store has there must
+// be popular.
+constexpr double kZoneReplicaRate = 0.3;
+
+constexpr double kAskingZoneRate = 0.1;
+
 // Value of a patient request, as a share of an urgent one's. Reloading the
 // model for it costs orders and a server's time, but makes nobody late.
 constexpr double kPatientShare = 0.1;
@@ -53,9 +61,12 @@
   // No server without a replica has a copy on its disk.
   bool mNoDiskCopy = true;
 
-  std::tuple<int, bool, std::string> Rank() const
+  // aUrgent: a load from the weight store would be too late.
+  std::tuple<int, int, std::string> Rank(bool aUrgent) const
   {
-    return { mReplicas, mNoDiskCopy, mZone };
+    int noCopy = mNoDiskCopy ? 1 : 0;
+    return aUrgent ? std::make_tuple(noCopy, mReplicas, mZone)
+                   : std::make_tuple(mReplicas, noCopy, mZone);
   }
 };
 
@@ -103,6 +114,23 @@
                       ReplicasOf(aFacts.mReplicas, aModel));
 }
 
+bool
+NeedsZoneReplica(const ZoneReplicas& aZone, const UrgentRates& aUrgent)
+{
+  double enough = aZone.mNoDiskCopy ? kPopularModelRate : kZoneReplicaRate;
+  return aZone.mReplicas == 0 && aUrgent.mZone >= kAskingZoneRate &&
+         aUrgent.mFleet >= enough;
+}
+
+// Urgent requests that will be in flight beyond the present ones by the time
+// that a replica can be loaded, while the demand grows.
+double
+GrowthWithin(Millis aLoad, const UrgentRates& aUrgent)
+{
+  double rise = std::max(0.0, aUrgent.mRecent - aUrgent.mFleet);
+  return rise * static_cast<double>(aLoad.count()) / 1000.0;
+}
+
 double
 ValueOf(const EngineSpec& aEngine,
         const std::string& aModel,
@@ -289,7 +317,9 @@
                     const ServerView& aServers,
                     const std::vector<std::string>& aZones,
                     const std::string& aOwnZone,
-                    double aRate)
+                    double aRate,
+                    const UrgentRates& aUrgent,
+                    Millis aLoad)
 {
   int ofModel = 0;
   int ofAll = 0;
@@ -313,17 +343,22 @@
     slots += backend.mEntry.mSlots;
     zone.mReplicas += 1;
   }
-  bool busy = ofModel >= kBusyShare * slots;
+  bool busy = ofModel + GrowthWithin(aLoad, aUrgent) >= kBusyShare * slots;
   bool full = ofAll >= kFullShare * slots;
-  bool popular = aRate >= kPopularModelRate;
+  bool popular = std::max(aRate, aUrgent.mRecent) >= kPopularModelRate;
+  const ZoneReplicas& own = zones[aOwnZone];
+  ReplicaNeed forZone =
+    NeedsZoneReplica(own, aUrgent) ? ReplicaNeed::Zone : ReplicaNeed::None;
   if (slots == 0 || !(busy || (popular && full))) {
-    bool missing = zones[aOwnZone].mReplicas == 0 && aRate > kEveryZoneRate;
-    return missing ? ReplicaNeed::Soon : ReplicaNeed::None;
+    bool missing = own.mReplicas == 0 && aRate > kEveryZoneRate;
+    return missing && forZone == ReplicaNeed::None ? ReplicaNeed::Soon
+                                                   : forZone;
   }
-  // Only the zone that ranks first adds a replica.
+  // Only the zone that ranks first adds a replica for more capacity.
+  bool urgent = aUrgent.mFleet > 0;
   for (const auto& [name, zone] : zones) {
-    if (zone.Rank() < zones[aOwnZone].Rank()) {
-      return ReplicaNeed::None;
+    if (zone.Rank(urgent) < own.Rank(urgent)) {
+      return forZone;
     }
   }
   return popular ? ReplicaNeed::Now : ReplicaNeed::Soon;
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -89,20 +89,25 @@
 enum class ReplicaNeed
 {
   None,
+  Zone, // urgent callers of the zone are served by other zones only
   Soon, // before requests have to wait
   Now,  // requests are already waiting
 };
 
 // Whether aOwnZone should load another replica of aModel, which is
 // requested aRate times per second: its replicas are overloaded, or a popular
-// model has no replica in this zone.
+// model has no replica in this zone. aUrgent: of these, the requests that can't
+// wait for a load; zero where that isn't known. aLoad: time until a replica
+// from a copy on a disk serves requests.
 ReplicaNeed
 EvaluateReplicaNeed(const std::string& aService,
                     const std::string& aModel,
                     const ServerView& aServers,
                     const std::vector<std::string>& aZones,
                     const std::string& aOwnZone,
-                    double aRate);
+                    double aRate,
+                    const UrgentRates& aUrgent = {},
+                    Millis aLoad = Millis(0));
 
 // Returns nullopt if no server of the zone can take aModel: it is too large, or
 // all models that could be evicted are in use. aVersion: software version of
--- a/src/decide/UrgentDemand.cpp
+++ b/src/decide/UrgentDemand.cpp
@@ -2,6 +2,24 @@
 
 namespace caraway {
 
+namespace {
+
+// Two requests within a second or so; one alone is no demand.
+constexpr double kMinRisingRate = 1.5;
+
+// At a steady rate of ten a second, the last second's rate deviates from the
+// mean by a fifth of it, so it hardly ever is twice the mean.
+constexpr double kRisingFactor = 2;
+
+} // namespace
+
+bool
+IsRising(const UrgentRates& aRates)
+{
+  return aRates.mRecent >= kMinRisingRate &&
+         aRates.mRecent >= kRisingFactor * aRates.mFleet;
+}
+
 void
 UrgentDemand::Add(const std::string& aModel,
                   const std::string& aZone,
--- a/src/decide/UrgentDemand.h
+++ b/src/decide/UrgentDemand.h
@@ -26,6 +26,11 @@
   double mRecent = 0; // from all zones, over UrgentDemand::kRecent
 };
 
+// Whether the model has become popular just now, so that the longer memory
+// doesn't show its demand yet.
+bool
+IsRising(const UrgentRates& aRates);
+
 class UrgentDemand
 {
 public:
--- a/src/entry/LoadScheduler.cpp
+++ b/src/entry/LoadScheduler.cpp
@@ -7,6 +7,9 @@
 constexpr Millis kScheduleInterval{ 25 };
 constexpr Millis kReplicaCheckInterval{ 500 };
 
+// A newly popular model fills a server within a second.
+constexpr Millis kRisingCheckInterval{ 100 };
+
 } // namespace
 
 LoadScheduler::LoadScheduler(EntryState& aState,
@@ -31,6 +34,7 @@
 {
   mState.mReactor.Every(kScheduleInterval, [this] { ScheduleQueued(); });
   mState.mReactor.Every(kReplicaCheckInterval, [this] { AddReplicas(); });
+  mState.mReactor.Every(kRisingCheckInterval, [this] { AddRisingReplicas(); });
   mState.mReactor.Every(StoreLoadTracker::kReportInterval,
                         [this] { RepeatStoreLoads(); });
   mInventories.Start();
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -126,6 +126,11 @@
   std::optional<Millis> Estimate(const LoadRequest& aRequest);
   std::optional<Millis> ExpectedFromOtherZone(const LoadRequest& aRequest);
   void AddReplicas();
+  void AddRisingReplicas();
+  bool IsLoading(const std::string& aService, const std::string& aModel) const;
+  void AddReplicaOf(const std::string& aService,
+                    const std::string& aModel,
+                    const ModelWeights& aWeights);
   // Announces to the other zones a load of a model that no server holds.
   void SendClaim(const LoadRequest& aRequest, bool aBegun, Millis aExpected);
   void SendStoreLoad(const std::string& aServer, Millis aLeft);
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -70,6 +70,9 @@
                                 aFacts,
                                 aRequest.mVersion,
                                 aPatience);
+  if (!choice && aPatience.mPurpose == LoadPurpose::Zone) {
+    return false; // nobody waits for it
+  }
   if (!choice) {
     mState.mLog.Line("place_none")
       .Text("model", aRequest.mModel)
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -32,6 +32,16 @@
 // because some conditions depend on time alone.
 constexpr Millis kMaxScheduleGap{ 100 };
 
+LoadPurpose
+PurposeOfReplica(ReplicaNeed aNeed, const UrgentRates& aUrgent)
+{
+  if (aNeed == ReplicaNeed::Zone) {
+    return LoadPurpose::Zone;
+  }
+  return aUrgent.mFleet >= kMinReplicaRate ? LoadPurpose::Capacity
+                                           : LoadPurpose::Patient;
+}
+
 } // namespace
 
 // Decisions of the lease holder: which load requests start, on which server,
@@ -309,21 +319,73 @@
       continue;
     }
     for (const auto& [model, weights] : service.mEngine->mModels) {
-      double rate = mState.mDemand.Rate(model, mState.Now());
-      if (rate <= kMinReplicaRate) {
-        continue;
-      }
-      ReplicaNeed need = EvaluateReplicaNeed(
-        name, model, mState.mServers, mState.mSettings.mZones, mZone, rate);
-      if (need != ReplicaNeed::None) {
-        LoadRequest request{
-          name, model, "", kLowestPriority, Millis(0), true
-        };
-        request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
-        OnLoadRequest(request);
+      AddReplicaOf(name, model, weights);
+    }
+  }
+}
+
+// Does the same sooner for models that have become popular just now.
+void
+LoadScheduler::AddRisingReplicas()
+{
+  if (!mLease.MayAct() || !mState.mConfig) {
+    return;
+  }
+  for (const auto& [name, service] : mState.mConfig->mServices) {
+    if (!service.mEngine || !mState.mServers.ReportsPace(name)) {
+      continue;
+    }
+    for (const auto& [model, urgent] :
+         mState.mDemand.Urgent().Rates(mZone, mState.Now())) {
+      auto weights = service.mEngine->mModels.find(model);
+      if (IsRising(urgent) && weights != service.mEngine->mModels.end() &&
+          !IsLoading(name, model)) {
+        AddReplicaOf(name, model, weights->second);
       }
     }
   }
 }
 
+bool
+LoadScheduler::IsLoading(const std::string& aService,
+                         const std::string& aModel) const
+{
+  return std::any_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+    const LoadRequest& request = aEntry.second.mRequest;
+    return request.mService == aService && request.mModel == aModel;
+  });
+}
+
+void
+LoadScheduler::AddReplicaOf(const std::string& aService,
+                            const std::string& aModel,
+                            const ModelWeights& aWeights)
+{
+  double rate = mState.mDemand.Rate(aModel, mState.Now());
+  if (rate <= kMinReplicaRate) {
+    return;
+  }
+  bool knowsUrgent = mState.mServers.ReportsPace(aService);
+  UrgentRates urgent =
+    knowsUrgent ? mState.mDemand.Urgent().RatesOf(aModel, mZone, mState.Now())
+                : UrgentRates();
+  ReplicaNeed need = EvaluateReplicaNeed(aService,
+                                         aModel,
+                                         mState.mServers,
+                                         mState.mSettings.mZones,
+                                         mZone,
+                                         rate,
+                                         urgent,
+                                         aWeights.mDisk + kUnloadTime);
+  if (need == ReplicaNeed::None) {
+    return;
+  }
+  LoadRequest request{ aService, aModel, "", kLowestPriority, Millis(0), true };
+  request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
+  if (knowsUrgent) {
+    request.mPurpose = PurposeOfReplica(need, urgent);
+  }
+  OnLoadRequest(request);
+}
+
 } // namespace caraway
--- a/tests/unit/LoadPatienceTest.cpp
+++ b/tests/unit/LoadPatienceTest.cpp
@@ -5,6 +5,7 @@
 #include "decide/DemandExchange.h"
 #include "decide/LoadPriority.h"
 #include "decide/PlacementPlan.h"
+#include "entry/LoadMessages.h"
 
 namespace caraway {
 
@@ -76,6 +77,103 @@
     Engine(), "new", aServers, aFacts, "", PatienceOf(aPurpose, aLeft));
 }
 
+// A model with one replica, in zone "a", becomes popular in three zones: eleven
+// requests a second, each of which takes 1.5 s. Lease holders learn of requests
+// four times a second; a load takes 0.65 s.
+class NewlyPopular
+{
+public:
+  NewlyPopular()
+  {
+    Put(mServers, "a", "a", { "new" });
+    Put(mServers, "b", "b", {}, { "new" });
+    Put(mServers, "c", "c", {}, { "new" });
+  }
+
+  // Returns the number of requests that found no free slot within four seconds.
+  int Run(bool aKnowsUrgent)
+  {
+    Millis check = aKnowsUrgent ? Millis(100) : Millis(500);
+    int late = 0;
+    for (Millis at{ 0 }; at < Seconds(4); at += Millis(10)) {
+      mNow = kStart + at;
+      late += at % Millis(90) == Millis(0) && !Begin() ? 1 : 0;
+      End();
+      if (at % Millis(250) == Millis(0)) {
+        Report();
+      }
+      if (at % check == Millis(0)) {
+        Decide(aKnowsUrgent);
+      }
+    }
+    return late;
+  }
+
+  int Replicas() const { return CountReplicas(mServers).at("new"); }
+
+private:
+  bool Begin()
+  {
+    ++mUnreported[mZones[mBegun++ % mZones.size()]];
+    for (const auto& [id, server] : mServers.All()) {
+      if (server.Holds("new", "") && server.Load() < 1) {
+        mEnds.emplace_back(mNow + Millis(1500), id);
+        mServers.OnRequestBegan(id, "new");
+        return true;
+      }
+    }
+    return false;
+  }
+  void End()
+  {
+    while (!mEnds.empty() && mEnds.front().first <= mNow) {
+      mServers.OnRequestEnded(mEnds.front().second, "new");
+      mEnds.erase(mEnds.begin());
+    }
+    for (const auto& [zone, loaded] : mLoaded) {
+      if (loaded <= mNow) {
+        mServers.PutContent(zone, 0, 1, { { "new", {} } }, mNow);
+      }
+    }
+  }
+  void Report()
+  {
+    for (auto& [zone, count] : mUnreported) {
+      mAll.Add("new", count, mNow);
+      mUrgent.Add("new", zone, count, mNow);
+      count = 0;
+    }
+  }
+  void Decide(bool aKnowsUrgent)
+  {
+    for (const std::string& zone : mZones) {
+      UrgentRates urgent = mUrgent.RatesOf("new", zone, mNow);
+      ReplicaNeed need =
+        EvaluateReplicaNeed("e",
+                            "new",
+                            mServers,
+                            mZones,
+                            zone,
+                            mAll.Rate("new", mNow),
+                            aKnowsUrgent ? urgent : UrgentRates(),
+                            kDisk + kUnloadTime);
+      if (need != ReplicaNeed::None) {
+        mLoaded.emplace(zone, mNow + kDisk + kUnloadTime);
+      }
+    }
+  }
+
+  ServerView mServers;
+  DemandTracker mAll;
+  UrgentDemand mUrgent;
+  std::vector<std::string> mZones{ "a", "b", "c" };
+  std::map<std::string, int> mUnreported; // by zone
+  std::vector<std::pair<TimePoint, std::string>> mEnds;
+  std::map<std::string, TimePoint> mLoaded; // by zone
+  size_t mBegun = 0;
+  TimePoint mNow = kStart;
+};
+
 } // namespace
 
 // Guards against callers counted as patient whose target a load from disk
@@ -192,6 +290,84 @@
   EXPECT_LT(RankLoad(popular, popular.mSince), RankLoad(rare, popular.mSince));
 }
 
+// Guards against a purpose that is lost on the way to the lease holder, and a
+// field that deployments without it would send.
+TEST(LoadPatience, LoadRequestCarriesItsPurpose)
+{
+  LoadRequest request{ "e", "u1", "", 5, Millis(380) };
+  EXPECT_FALSE(LoadRequestJson(request).isMember("purpose"));
+  EXPECT_EQ(LoadPurpose::Unstated,
+            ReadLoadRequest(LoadRequestJson(request)).mPurpose);
+  request.mPurpose = LoadPurpose::Impatient;
+  EXPECT_EQ(LoadPurpose::Impatient,
+            ReadLoadRequest(LoadRequestJson(request)).mPurpose);
+}
+
+// Guards against replicas that are loaded only when the slots of the first one
+// are taken, so that callers wait for the load.
+TEST(LoadPatience, NewlyPopularModelGetsReplicasBeforeItsCallersWait)
+{
+  NewlyPopular model;
+  EXPECT_EQ(0, model.Run(true));
+  EXPECT_EQ(3, model.Replicas());
+  EXPECT_GT(NewlyPopular().Run(false), 0); // the load is one that needs this
+}
+
+// Guards against a zone that has no replica of what its urgent callers need
+// when it is cut off, and against replicas in zones that don't request them.
+TEST(LoadPatience, ZoneKeepsWhatItsUrgentCallersNeed)
+{
+  ServerView servers;
+  Put(servers, "s1", "a", { "u1" });
+  Put(servers, "s2", "b", {}, { "u1" });
+  Put(servers, "s3", "c", {});
+  auto need = [&](const std::string& aZone, const UrgentRates& aUrgent) {
+    return EvaluateReplicaNeed("e",
+                               "u1",
+                               servers,
+                               { "a", "b", "c" },
+                               aZone,
+                               aUrgent.mFleet,
+                               aUrgent,
+                               kDisk);
+  };
+  EXPECT_EQ(ReplicaNeed::Zone, need("b", { 0.5, 0.2, 0 }));
+  EXPECT_EQ(ReplicaNeed::None, need("b", { 0.5, 0, 0 }));
+  EXPECT_EQ(ReplicaNeed::None, need("b", { 0.2, 0.2, 0 }));
+  EXPECT_EQ(ReplicaNeed::None, need("a", { 0.5, 0.2, 0 }));
+  // From the weight store only for a popular model.
+  EXPECT_EQ(ReplicaNeed::None, need("c", { 0.5, 0.2, 0 }));
+  EXPECT_EQ(ReplicaNeed::Zone, need("c", { 8, 3, 8 }));
+}
+
+// Guards against zones' replicas that evict each other in turn.
+TEST(LoadPatience, ZoneReplicaEvictsNothingUrgent)
+{
+  ServerView servers;
+  Put(servers, "s1", "a", { "u1", "u2", "u3" }, { "new" });
+  PlacementFacts facts = Facts(servers);
+  EXPECT_FALSE(Choose(servers, facts, LoadPurpose::Zone));
+  EXPECT_TRUE(Choose(servers, facts, LoadPurpose::Capacity));
+  Put(servers, "s2", "a", { "u1", "u2", "p1" });
+  facts = Facts(servers);
+  EXPECT_EQ(std::vector<std::string>{ "p1" },
+            Choose(servers, facts, LoadPurpose::Zone)->mEvict);
+}
+
+// Guards against a replica on a server whose slots other models' requests take,
+// where it adds no capacity.
+TEST(LoadPatience, ReplicaForCapacityGoesToAnIdleServer)
+{
+  ServerView servers;
+  Put(servers, "s1", "a", { "u1" }, { "new" });
+  Put(servers, "s2", "a", { "p1" }, { "new" });
+  for (int i = 0; i < 10; ++i) {
+    servers.OnRequestBegan("s1", "u1");
+  }
+  PlacementFacts facts = Facts(servers);
+  EXPECT_EQ("s2", Choose(servers, facts, LoadPurpose::Capacity)->mServer);
+}
+
 // Guards against a lease holder that learns of urgent callers late, in the
 // wrong zone, or from instances that report none.
 TEST(LoadPatience, UrgentRequestsAreCountedByZone)
