Urgent loads: known at once, from a copy that can be used, one for the zone

Cause: an instance repeats a load request after 0.4 s at the earliest, so an impatient caller that joined patient ones was taken for patient until then. The zone that ranks first for another replica could be one whose only copy is on the disk of a server with all models in use; its load came from the weight store, and no other zone loaded. A replica for a zone was loaded beside one that had come meanwhile.

Change: a load request with a more urgent purpose is sent at once and has the queue looked at; for urgent models, zones rank by copies on servers that can make room; a load for a zone ends if the zone holds the model. Services whose servers report no pace state no purpose and are not affected.

Tests: LoadPatience.CapacityComesFromAZoneWithAUsableCopy (with the former rank the other zone loads).

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -60,16 +60,28 @@
   int mReplicas = 0;
   // No server without a replica has a copy on its disk.
   bool mNoDiskCopy = true;
+  // Nor has one that could evict another model for it now.
+  bool mNoUsableCopy = true;
 
   // aUrgent: a load from the weight store would be too late.
   std::tuple<int, int, std::string> Rank(bool aUrgent) const
   {
-    int noCopy = mNoDiskCopy ? 1 : 0;
-    return aUrgent ? std::make_tuple(noCopy, mReplicas, mZone)
-                   : std::make_tuple(mReplicas, noCopy, mZone);
+    return aUrgent ? std::make_tuple(mNoUsableCopy ? 1 : 0, mReplicas, mZone)
+                   : std::make_tuple(mReplicas, mNoDiskCopy ? 1 : 0, mZone);
   }
 };
 
+bool
+HoldsOnlyModelsInUse(const Backend& aBackend)
+{
+  return !aBackend.mModels.empty() &&
+         std::all_of(aBackend.mModels.begin(),
+                     aBackend.mModels.end(),
+                     [&aBackend](const auto& aHeld) {
+                       return aBackend.RequestsInFlight(aHeld.first) > 0;
+                     });
+}
+
 int
 ReplicasOf(const std::map<std::string, int>& aReplicas,
            const std::string& aModel)
@@ -334,8 +346,10 @@
     }
     ZoneReplicas& zone = zones[backend.mEntry.mZone];
     if (!backend.Holds(aModel, "")) {
-      zone.mNoDiskCopy =
-        zone.mNoDiskCopy && !backend.mEntry.mOnDisk.count(aModel);
+      bool copy = backend.mEntry.mOnDisk.count(aModel) > 0;
+      zone.mNoDiskCopy = zone.mNoDiskCopy && !copy;
+      zone.mNoUsableCopy =
+        zone.mNoUsableCopy && !(copy && !HoldsOnlyModelsInUse(backend));
       continue;
     }
     ofModel += backend.RequestsInFlight(aModel);
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -53,6 +53,9 @@
     if (!aRequest.mAdapter.empty()) {
       return TryStartAdapter(aRequest);
     }
+    if (aPatience.mPurpose == LoadPurpose::Zone) {
+      return true; // the zone has a replica by now
+    }
     if (!aRequest.mExtraReplica) {
       // The requesting instance has not received the server's content yet, or
       // the server answered that it does not hold the model.
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -69,8 +69,10 @@
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
-  queued.mRequest.mPurpose =
-    std::min(queued.mRequest.mPurpose, aRequest.mPurpose);
+  if (aRequest.mPurpose < queued.mRequest.mPurpose) {
+    queued.mRequest.mPurpose = aRequest.mPurpose;
+    mScheduleDue = true;
+  }
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
   queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -201,12 +201,15 @@
 {
   TimePoint now = mState.Now();
   RequestState& request = mRequests[KeyOf(aRequest)];
-  bool recent =
-    request.mSentAt != TimePoint() && now - request.mSentAt < kRequestInterval;
+  // A caller that can't wait is made known at once.
+  bool known = aRequest.mPurpose >= request.mPurpose;
+  bool recent = known && request.mSentAt != TimePoint() &&
+                now - request.mSentAt < kRequestInterval;
   if (request.mRequestPending || recent) {
     return;
   }
   request.mSentAt = now;
+  request.mPurpose = aRequest.mPurpose;
   std::string zone = ZoneFor(aRequest);
   if (zone.empty()) {
     return;
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -53,6 +53,7 @@
   struct RequestState
   {
     TimePoint mSentAt{};
+    LoadPurpose mPurpose = LoadPurpose::Unstated; // as sent
     TimePoint mExpected{}; // end of the load; zero = not known
     bool mRequestPending = false;
   };
--- a/tests/unit/LoadPatienceTest.cpp
+++ b/tests/unit/LoadPatienceTest.cpp
@@ -340,6 +340,27 @@
   EXPECT_EQ(ReplicaNeed::Zone, need("c", { 8, 3, 8 }));
 }
 
+// Guards against a replica for capacity that a zone with the only copy on a
+// server full of models in use would have to load from the weight store.
+TEST(LoadPatience, CapacityComesFromAZoneWithAUsableCopy)
+{
+  ServerView servers;
+  Put(servers, "s1", "a", { "u1" });
+  Put(servers, "s2", "b", { "u2" }, { "u1" });
+  Put(servers, "s3", "c", { "u3", "p1" }, { "u1" });
+  for (const char* id : { "s1", "s2", "s3" }) {
+    for (int i = 0; i < 8; ++i) {
+      servers.OnRequestBegan(id, "u" + std::string(1, id[1]));
+    }
+  }
+  auto need = [&](const std::string& aZone) {
+    return EvaluateReplicaNeed(
+      "e", "u1", servers, { "a", "b", "c" }, aZone, 8, { 8, 0, 8 }, kDisk);
+  };
+  EXPECT_EQ(ReplicaNeed::Now, need("c"));
+  EXPECT_EQ(ReplicaNeed::None, need("b"));
+}
+
 // Guards against zones' replicas that evict each other in turn.
 TEST(LoadPatience, ZoneReplicaEvictsNothingUrgent)
 {
