--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -8,6 +8,10 @@
 // server's own disk takes about one second and shares nothing. So a model is
 // loaded where its copy is, unless that server is busy for longer than the
 // difference, and the models evicted are those that are cheapest to reload.
+//
+// Where servers report their pace, the requests that can't wait for a load are
+// counted apart. There a model is worth keeping for these above all, and a load
+// for callers that can wait costs little while they can.
 #ifndef caraway_decide_PlacementPlan_h
 #define caraway_decide_PlacementPlan_h
 
@@ -16,9 +20,11 @@
 #include <string>
 #include <vector>
 
+#include "decide/LoadPatience.h"
 #include "decide/ServerRoom.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
+#include "decide/UrgentDemand.h"
 
 namespace caraway {
 
@@ -36,6 +42,11 @@
   std::string mZone; // only servers of this zone are considered
   std::map<std::string, double> mRates; // requests per second, by model
   std::map<std::string, int> mReplicas; // by model, over all zones
+  // Whether the urgent demand is known, which only services have whose servers
+  // report their pace. The two maps below are used only then.
+  bool mKnowsUrgent = false;
+  std::map<std::string, UrgentRates> mUrgent;
+  std::map<std::string, int> mZoneReplicas; // by model, in mZone
   // Remaining time, by server with an order in progress.
   std::map<std::string, Millis> mBusy;
   std::set<std::string> mAvoid; // servers that are failing
@@ -66,10 +77,11 @@
 inline constexpr Millis kUnloadTime{ 50 };
 
 // Number of servers that hold each model, without draining ones and those of
-// aExcludedZones.
+// aExcludedZones. aZone: only those of this zone; "" = all.
 std::map<std::string, int>
 CountReplicas(const ServerView& aServers,
-              const std::set<std::string>& aExcludedZones = {});
+              const std::set<std::string>& aExcludedZones = {},
+              const std::string& aZone = "");
 
 WeightSource
 SourceOf(const Backend& aBackend, const std::string& aModel);
@@ -79,6 +91,7 @@
 enum class ReplicaNeed
 {
   None,
+  Zone, // urgent callers of the zone are served by other zones only
   Soon, // before requests have to wait
   Now,  // requests are already waiting
 };
@@ -86,7 +99,9 @@
 // Whether aOwnZone should load another replica of aModel, which is
 // requested aRate times per second: its replicas are overloaded, or a popular
 // model has no replica in this zone. Servers of aExcludedZones don't count, and
-// no load is expected of these zones.
+// no load is expected of these zones. aUrgent: the requests that can't wait for
+// a load; zero where that isn't known. aLoad: time until a replica from a copy
+// on a disk serves requests.
 ReplicaNeed
 EvaluateReplicaNeed(const std::string& aService,
                     const std::string& aModel,
@@ -94,17 +109,21 @@
                     const std::vector<std::string>& aZones,
                     const std::string& aOwnZone,
                     double aRate,
-                    const std::set<std::string>& aExcludedZones = {});
+                    const std::set<std::string>& aExcludedZones = {},
+                    const UrgentRates& aUrgent = {},
+                    Millis aLoad = Millis(0));
 
 // Returns nullopt if no server of the zone can take aModel: it is too large, or
 // all models that could be evicted are in use. aVersion: software version of
-// the servers considered; "" = any.
+// the servers considered; "" = any. aPatience: of the callers that the load is
+// for; used only if aFacts.mKnowsUrgent.
 std::optional<PlacementChoice>
 ChoosePlacement(const EngineSpec& aEngine,
                 const std::string& aModel,
                 const ServerView& aServers,
                 const PlacementFacts& aFacts,
-                const std::string& aVersion = "");
+                const std::string& aVersion = "",
+                const LoadPatience& aPatience = {});
 
 } // namespace caraway
 
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -77,6 +77,7 @@
     TimePoint mLastRequestedAt{};
     // Latest time at which an answer must start, over all requests.
     TimePoint mNeedBy{};
+    TimePoint mFirstNeedBy{}; // the earliest such time
   };
   // The orders that load one model or adapter on one server.
   struct Job
@@ -112,18 +113,27 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
   LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending) const;
   Millis ShortestLoadTime(const LoadRequest& aRequest) const;
   bool Serves(const Job& aJob, const LoadRequest& aRequest) const;
-  bool TryStartModel(const LoadRequest& aRequest, PlacementFacts& aFacts);
+  bool TryStartModel(const LoadRequest& aRequest,
+                     const LoadPatience& aPatience,
+                     PlacementFacts& aFacts);
   bool TryStartAdapter(const LoadRequest& aRequest);
   std::optional<ModelOrder> LeastDemandedAdapter(const Backend& aBackend) const;
   PlacementFacts& FactsFor(const std::string& aService);
+  void CountUrgent(const std::string& aService, PlacementFacts& aFacts) const;
   size_t ServersInZone(const std::string& aService) const;
   bool AnyServerFree(const PlacementFacts& aFacts) const;
   std::optional<Millis> Estimate(const LoadRequest& aRequest);
   std::optional<Millis> ExpectedFromOtherZone(const LoadRequest& aRequest);
   void AddReplicas();
+  void AddRisingReplicas();
+  bool IsLoading(const std::string& aService, const std::string& aModel) const;
+  void AddReplicaOf(const std::string& aService,
+                    const std::string& aModel,
+                    const ModelWeights& aWeights);
   // Announces to the other zones a load of a model that no server holds.
   void SendClaim(const LoadRequest& aRequest, bool aBegun, Millis aExpected);
   void SendStoreLoad(const std::string& aServer, Millis aLeft);
@@ -132,6 +142,7 @@
   // Orders of the jobs.
   Job* Find(const std::string& aServer, uint64_t aId);
   void StartJob(Job aJob);
+  void CountPurpose(const Job& aJob);
   bool AwaitsRecord(Job& aJob, const ModelOrder& aOrder);
   void SendStep(const std::string& aServer, uint64_t aId);
   void OnAnswer(const std::string& aServer, uint64_t aId, OrderAnswer aAnswer);
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -29,6 +29,7 @@
 // Returns true when the request need not stay queued.
 bool
 LoadScheduler::TryStartModel(const LoadRequest& aRequest,
+                             const LoadPatience& aPatience,
                              PlacementFacts& aFacts)
 {
   const EngineSpec* engine = EngineOf(aRequest.mService);
@@ -52,6 +53,9 @@
     if (!aRequest.mAdapter.empty()) {
       return TryStartAdapter(aRequest);
     }
+    if (aPatience.mPurpose == LoadPurpose::Zone) {
+      return true; // the zone has a replica by now
+    }
     if (!aRequest.mExtraReplica) {
       // The requesting instance has not received the server's content yet, or
       // the server answered that it does not hold the model.
@@ -63,8 +67,15 @@
                         mState.mSettings.mZones.size(),
                         ServersInZone(aRequest.mService));
   aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
-  auto choice = ChoosePlacement(
-    *engine, aRequest.mModel, mState.mServers, aFacts, aRequest.mVersion);
+  auto choice = ChoosePlacement(*engine,
+                                aRequest.mModel,
+                                mState.mServers,
+                                aFacts,
+                                aRequest.mVersion,
+                                aPatience);
+  if (!choice && aPatience.mPurpose == LoadPurpose::Zone) {
+    return false; // nobody waits for it
+  }
   if (!choice) {
     mState.mLog.Line("place_none")
       .Text("model", aRequest.mModel)
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -32,6 +32,16 @@
 // because some conditions depend on time alone.
 constexpr Millis kMaxScheduleGap{ 100 };
 
+LoadPurpose
+PurposeOfReplica(ReplicaNeed aNeed, const UrgentRates& aUrgent)
+{
+  if (aNeed == ReplicaNeed::Zone) {
+    return LoadPurpose::Zone;
+  }
+  return aUrgent.mFleet >= kMinReplicaRate ? LoadPurpose::Capacity
+                                           : LoadPurpose::Patient;
+}
+
 } // namespace
 
 // Decisions of the lease holder: which load requests start, on which server,
@@ -59,11 +69,17 @@
   if (added) {
     queued.mRequest = aRequest;
     queued.mSince = now;
+    queued.mFirstNeedBy = now + aRequest.mLeft;
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
+  if (aRequest.mPurpose < queued.mRequest.mPurpose) {
+    queued.mRequest.mPurpose = aRequest.mPurpose;
+    mScheduleDue = true;
+  }
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
+  queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
   if (added) {
     mScheduleDue = true;
     ScheduleQueued();
@@ -111,7 +127,8 @@
                                 aRequest.mModel,
                                 mState.mServers,
                                 FactsFor(aRequest.mService),
-                                aRequest.mVersion);
+                                aRequest.mVersion,
+                                PatienceOf(aRequest.mPurpose, aRequest.mLeft));
   if (!choice) {
     return std::nullopt;
   }
@@ -130,6 +147,7 @@
     facts.mRates = mState.mDemand.Rates(now);
     facts.mReplicas =
       CountReplicas(mState.mServers, mState.mEvacuations.Zones());
+    CountUrgent(aService, facts);
     facts.mLateOrders = mInventories.RoomForLateOrders(aService);
   }
   facts.mBusy.clear();
@@ -158,6 +176,20 @@
   return facts;
 }
 
+// Where no server reports its pace, the facts that no decision may use stay
+// empty.
+void
+LoadScheduler::CountUrgent(const std::string& aService,
+                           PlacementFacts& aFacts) const
+{
+  aFacts.mKnowsUrgent = mState.mServers.ReportsPace(aService);
+  if (aFacts.mKnowsUrgent) {
+    aFacts.mUrgent = mState.mDemand.Urgent().Rates(mZone, mState.Now());
+    aFacts.mZoneReplicas =
+      CountReplicas(mState.mServers, mState.mEvacuations.Zones(), mZone);
+  }
+}
+
 // Starts the queued requests that can start now, in order of priority.
 void
 LoadScheduler::ScheduleQueued()
@@ -191,7 +223,8 @@
   std::vector<Key> started;
   for (const auto& [rank, queued] : ranked) {
     PlacementFacts& facts = FactsFor(queued->mRequest.mService);
-    if (AnyServerFree(facts) && TryStartModel(queued->mRequest, facts)) {
+    if (AnyServerFree(facts) &&
+        TryStartModel(queued->mRequest, PatienceFor(*queued, now), facts)) {
       started.push_back(KeyOf(queued->mRequest));
     }
   }
@@ -200,6 +233,14 @@
   }
 }
 
+LoadPatience
+LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
+{
+  return PatienceOf(
+    aPending.mRequest.mPurpose,
+    std::chrono::duration_cast<Millis>(aPending.mFirstNeedBy - aNow));
+}
+
 LoadPriorityFacts
 LoadScheduler::PriorityFactsOf(const PendingLoad& aPending) const
 {
@@ -212,6 +253,10 @@
   facts.mSince = aPending.mSince;
   facts.mNeedBy = aPending.mNeedBy;
   facts.mLoad = ShortestLoadTime(aPending.mRequest);
+  facts.mPurpose = aPending.mRequest.mPurpose;
+  UrgentRates urgent = mState.mDemand.Urgent().RatesOf(
+    aPending.mRequest.mModel, mZone, mState.Now());
+  facts.mUrgentRate = std::max(urgent.mFleet, urgent.mRecent);
   return facts;
 }
 
@@ -282,26 +327,74 @@
       continue;
     }
     for (const auto& [model, weights] : service.mEngine->mModels) {
-      double rate = mState.mDemand.Rate(model, mState.Now());
-      if (rate <= kMinReplicaRate) {
-        continue;
-      }
-      ReplicaNeed need = EvaluateReplicaNeed(name,
-                                             model,
-                                             mState.mServers,
-                                             mState.mSettings.mZones,
-                                             mZone,
-                                             rate,
-                                             mState.mEvacuations.Zones());
-      if (need != ReplicaNeed::None) {
-        LoadRequest request{
-          name, model, "", kLowestPriority, Millis(0), true
-        };
-        request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
-        OnLoadRequest(request);
+      AddReplicaOf(name, model, weights);
+    }
+  }
+}
+
+// Does the same sooner for models that have become popular just now.
+void
+LoadScheduler::AddRisingReplicas()
+{
+  if (!mLease.MayAct() || !mState.mConfig) {
+    return;
+  }
+  for (const auto& [name, service] : mState.mConfig->mServices) {
+    if (!service.mEngine || !mState.mServers.ReportsPace(name)) {
+      continue;
+    }
+    for (const auto& [model, urgent] :
+         mState.mDemand.Urgent().Rates(mZone, mState.Now())) {
+      auto weights = service.mEngine->mModels.find(model);
+      if (IsRising(urgent) && weights != service.mEngine->mModels.end() &&
+          !IsLoading(name, model)) {
+        AddReplicaOf(name, model, weights->second);
       }
     }
   }
 }
 
+bool
+LoadScheduler::IsLoading(const std::string& aService,
+                         const std::string& aModel) const
+{
+  return std::any_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+    const LoadRequest& request = aEntry.second.mRequest;
+    return request.mService == aService && request.mModel == aModel;
+  });
+}
+
+void
+LoadScheduler::AddReplicaOf(const std::string& aService,
+                            const std::string& aModel,
+                            const ModelWeights& aWeights)
+{
+  double rate = mState.mDemand.Rate(aModel, mState.Now());
+  if (rate <= kMinReplicaRate) {
+    return;
+  }
+  bool knowsUrgent = mState.mServers.ReportsPace(aService);
+  UrgentRates urgent =
+    knowsUrgent ? mState.mDemand.Urgent().RatesOf(aModel, mZone, mState.Now())
+                : UrgentRates();
+  ReplicaNeed need = EvaluateReplicaNeed(aService,
+                                         aModel,
+                                         mState.mServers,
+                                         mState.mSettings.mZones,
+                                         mZone,
+                                         rate,
+                                         mState.mEvacuations.Zones(),
+                                         urgent,
+                                         aWeights.mDisk + kUnloadTime);
+  if (need == ReplicaNeed::None) {
+    return;
+  }
+  LoadRequest request{ aService, aModel, "", kLowestPriority, Millis(0), true };
+  request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
+  if (knowsUrgent) {
+    request.mPurpose = PurposeOfReplica(need, urgent);
+  }
+  OnLoadRequest(request);
+}
+
 } // namespace caraway
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -203,13 +203,17 @@
 {
   TimePoint now = mState.Now();
   RequestState& request = mRequests[KeyOf(aRequest)];
-  bool recent =
-    request.mSentAt != TimePoint() && now - request.mSentAt < kRequestInterval;
-  bool evacuated = mState.mEvacuations.Evacuated(request.mZone);
-  if (request.mRequestPending || (recent && !evacuated)) {
+  // A caller that can't wait is made known at once, and so is a request after
+  // the evacuation of the zone that was asked.
+  bool known = aRequest.mPurpose >= request.mPurpose &&
+               !mState.mEvacuations.Evacuated(request.mZone);
+  bool recent = known && request.mSentAt != TimePoint() &&
+                now - request.mSentAt < kRequestInterval;
+  if (request.mRequestPending || recent) {
     return;
   }
   request.mSentAt = now;
+  request.mPurpose = aRequest.mPurpose;
   std::string zone = ZoneFor(aRequest);
   request.mZone = zone;
   if (zone.empty()) {
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -54,6 +54,7 @@
   {
     TimePoint mSentAt{};
     std::string mZone;     // that was asked last
+    LoadPurpose mPurpose = LoadPurpose::Unstated; // as sent
     TimePoint mExpected{}; // end of the load; zero = not known
     bool mRequestPending = false;
   };
