ServerRetryBudget: when the next retry may be spent

A request that a server rejected has not run and can wait for the budget. To refuse it at once where that would be too late, the time of the next retry has to be known. It follows from the retries and requests of the last window. Spending is as before. Not used yet.

--- a/src/decide/ServerRetryBudget.cpp
+++ b/src/decide/ServerRetryBudget.cpp
@@ -1,6 +1,7 @@
 #include "decide/ServerRetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace caraway {
 
@@ -48,14 +49,47 @@
   History& history = mHistories[aService];
   DropOld(history, aNow);
   double allowed =
-    mLimits.mRatio * static_cast<double>(history.mRequests.size()) +
-    mLimits.mSlack / std::max(1, aInstances);
-  if (static_cast<double>(history.mRetries.size() + 1) >
-      kPlannedShare * allowed) {
+    Allowed(static_cast<double>(history.mRequests.size()), aInstances);
+  if (static_cast<double>(history.mRetries.size() + 1) > allowed) {
     return false;
   }
   history.mRetries.push_back(aNow);
   return true;
 }
 
+double
+ServerRetryBudget::Allowed(double aRequests, int aInstances) const
+{
+  return kPlannedShare * (mLimits.mRatio * aRequests +
+                          mLimits.mSlack / std::max(1, aInstances));
+}
+
+std::optional<TimePoint>
+ServerRetryBudget::NextAt(const std::string& aService,
+                          int aInstances,
+                          TimePoint aNow) const
+{
+  History recent;
+  auto history = mHistories.find(aService);
+  if (history != mHistories.end()) {
+    recent = history->second;
+    DropOld(recent, aNow);
+  }
+  auto requests = static_cast<double>(recent.mRequests.size());
+  size_t retries = recent.mRetries.size();
+  if (static_cast<double>(retries + 1) <= Allowed(requests, aInstances)) {
+    return aNow;
+  }
+  // As many as may come by chance at the same rate.
+  double allowed = Allowed(requests + std::sqrt(requests), aInstances);
+  if (allowed < 1) {
+    return std::nullopt;
+  }
+  size_t kept = static_cast<size_t>(allowed) - 1; // beside the new one
+  if (retries <= kept) {
+    return aNow;
+  }
+  return recent.mRetries[retries - kept - 1] + mLimits.mWindow;
+}
+
 } // namespace caraway
--- a/src/decide/ServerRetryBudget.h
+++ b/src/decide/ServerRetryBudget.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "caraway/Time.h"
@@ -33,6 +34,11 @@
   // Spends one retry and returns true, or returns false. aInstances: number of
   // instances that may be running.
   bool Spend(const std::string& aService, int aInstances, TimePoint aNow);
+  // When one more retry may be spent if requests go on at the rate of the last
+  // window; aNow = at once, nothing = not without more requests.
+  std::optional<TimePoint> NextAt(const std::string& aService,
+                                  int aInstances,
+                                  TimePoint aNow) const;
 
 private:
   struct History
@@ -41,6 +47,8 @@
     std::deque<TimePoint> mRetries;
   };
   void DropOld(History& aHistory, TimePoint aNow) const;
+  // Retries per window that this instance may spend.
+  double Allowed(double aRequests, int aInstances) const;
 
   ServerRetryLimits mLimits;
   std::map<std::string, History> mHistories;
