Requests to paced servers queue in order and are refused by forecast

Where a service's servers report their pace, waiting requests are tried by DispatchOrder, and a new request doesn't overtake them. Less urgent classes leave alone servers that seem just full, since the order of one instance's queue says nothing to the others. A request that would very likely get no slot in time is refused at once, with a retry time of its own. One that a server rejected waits for the retry budget in the queue instead of being refused; the budget is spent when it is sent. Other services are served as before; request_waits has three more fields for all.

--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -313,6 +313,7 @@
       continue;
     }
     choice.mHeld = true;
+    choice.mSlots += std::max(1, backend.mEntry.mSlots);
     if (!backend.HasRoom(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       continue;
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -77,6 +77,7 @@
 {
   Backend* mBackend = nullptr; // null = none can take it now
   bool mHeld = false;          // some usable server holds the model
+  int mSlots = 0;              // of the usable servers that hold it
 };
 
 enum class ServerOutcome
--- a/src/decide/SlotForecast.cpp
+++ b/src/decide/SlotForecast.cpp
@@ -18,6 +18,10 @@
 // evidence: nothing waited, or this instance stood still.
 constexpr Millis kMaxAttemptGap{ 100 };
 
+// What was seen of a contest says nothing of the next one, which may be a burst
+// at this instance alone.
+constexpr Millis kContestEnd{ 1000 };
+
 // Deviations from the mean beyond which one in twenty values lies.
 constexpr double kOneInTwenty = 1.645;
 // The same for about one in six. The number of competing instances is already
@@ -64,7 +68,9 @@
 double
 Remaining(TimePoint aThen, TimePoint aNow)
 {
-  return std::exp(-SecondsF(aNow - aThen) / kContestMemory);
+  return aNow - aThen > kContestEnd
+           ? 0
+           : std::exp(-SecondsF(aNow - aThen) / kContestMemory);
 }
 
 Millis
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -176,6 +176,10 @@
         static_cast<int64_t>(mDispatcher.RequestsInFlight()));
   gauge("caraway_requests_waiting",
         static_cast<int64_t>(mDispatcher.Waiting()));
+  for (const auto& [priority, waiting] : mDispatcher.WaitingByClass()) {
+    std::string label = "{class=\"" + std::to_string(priority) + "\"}";
+    gauge(("caraway_requests_waiting_in_order" + label).c_str(), waiting);
+  }
   gauge("caraway_stream_records", static_cast<int64_t>(mStreams.Size()));
   gauge("caraway_parts_blocked", static_cast<int64_t>(mCrashReports.Blocked()));
   gauge("caraway_parts_suspected",
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -7,12 +7,14 @@
 #include "base/EventLog.h"
 #include "base/Metrics.h"
 #include "decide/DemandExchange.h"
+#include "decide/DispatchOrder.h"
 #include "decide/LeavePlan.h"
 #include "decide/RunTimeEstimates.h"
 #include "decide/ServerReach.h"
 #include "decide/ServerRetryBudget.h"
 #include "decide/ServerView.h"
 #include "decide/ServingConfig.h"
+#include "decide/SlotForecast.h"
 #include "entry/EntrySettings.h"
 #include "net/ChannelPool.h"
 #include "net/Reactor.h"
@@ -42,6 +44,9 @@
   ServerRetryBudget mRetryBudget;
   int mInstances = 1; // that may be running, including this one
   RunTimeEstimates mRunTimes;
+  // Of requests to services whose servers report their pace.
+  DispatchOrder mDispatchOrder;
+  SlotForecast mSlotForecast;
   LeavePlan mLeave;
   std::mt19937 mRandom;
 };
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -23,11 +23,18 @@
 
 class Exchange;
 
-// Models for which a pass over the waiting requests found no server that can
-// take a request now, and what it found. The requests that follow in the pass
-// don't look again: with many of them, looking through all servers for each one
-// takes more time than there is.
-using ModelsWithoutServer = std::unordered_map<std::string, ServerChoice>;
+// What a pass over the waiting requests has found so far.
+struct DispatchPass
+{
+  // Models for which there was no server that can take a request now, and what
+  // was found. The requests that follow in the pass don't look again: with many
+  // of them, looking through all servers for each one takes more time than
+  // there is.
+  std::unordered_map<std::string, ServerChoice> mWithoutServer;
+  // See Exchange::InOrder().
+  std::unordered_map<std::string, int> mAhead;      // still waiting, by pool
+  std::unordered_map<std::string, Millis> mRunTime; // by service
+};
 
 // Keeps the requests that wait for a server; implemented by RequestDispatcher.
 class ExchangeOwner
@@ -35,6 +42,11 @@
 public:
   virtual ~ExchangeOwner() = default;
   virtual void WaitForServer(const std::shared_ptr<Exchange>& aExchange) = 0;
+  // Tries the requests that wait in order, this one among them, after the
+  // current event.
+  virtual void TryInOrder(const std::shared_ptr<Exchange>& aExchange) = 0;
+  // Whether requests of the service wait that are tried in order.
+  virtual bool WaitInOrder(const std::string& aService) const = 0;
   virtual void OnExchangeDone(Exchange& aExchange) = 0;
 };
 
@@ -53,7 +65,11 @@
 
   void Begin();
   // Looks for a server again; returns true when the request no longer waits.
-  bool TryDispatch(ModelsWithoutServer& aWithout);
+  bool TryDispatch(DispatchPass& aPass);
+  // Whether the request is tried in the order of DispatchOrder, and refused by
+  // SlotForecast: its servers report their pace.
+  bool InOrder() const;
+  WaitingRequest ToWaitingRequest() const;
   void OnCallerDisconnected();
   // Called before the process exits. Sends the final answer, "outcome unknown"
   // if the request may have run, or aborts a stream.
@@ -61,6 +77,8 @@
 
   const std::string& Id() const { return mFacts.mId; }
   int Priority() const { return mPriority; }
+  const std::string& Service() const { return mService; }
+  bool StillWaits() const { return mWaiting && !mFinished; }
   bool Streaming() const { return mStreaming; } // to the caller
   TimePoint Arrived() const { return mArrived; }
   const InboundConnection* Caller() const { return mCaller.get(); }
@@ -75,15 +93,17 @@
   void OnTokens(const TokenAnswer& aAnswer);
   // Choice of a server.
   void Dispatch();
-  bool FindServer(ModelsWithoutServer& aWithout);
-  ServerChoice ChooseServer(ModelsWithoutServer& aWithout);
+  bool FindServer(DispatchPass& aPass);
+  ServerChoice ChooseServer(DispatchPass& aPass);
   bool CallerStillWaits();
   bool OnEngine() const; // the service is one of model engines
   // The request has been sent to as many servers as its route allows, and none
   // of them is left.
   bool TriedServersGone(const ServerChoice& aChoice) const;
-  bool RefuseIfUnmeetable(const ServerChoice& aChoice);
+  bool RefuseIfUnmeetable(const ServerChoice& aChoice, DispatchPass& aPass);
   void RefuseUnmeetable(Millis aWait, bool aHeld);
+  Millis SpreadRetry(Millis aWait);
+  void LogWaiting();
   bool ExpectsCallers() const;
   // Whether the request may be sent at aStart to a server of aServerLoad
   // requests per slot. False when the instance is leaving and would exit before
@@ -94,6 +114,14 @@
   LoadRequest ToLoadRequest() const;
   int MaxServers() const;  // that the request may be sent to
   Millis TimeLeft() const; // until the final answer is due
+  // Order and forecast; see InOrder().
+  std::string Pool() const; // the servers' slots that it competes for
+  std::string Contest(bool aReserved) const;
+  bool LeavesReserve() const;
+  bool RefuseByForecast(const ServerChoice& aChoice, DispatchPass& aPass);
+  SlotFacts ToSlotFacts(const ServerChoice& aChoice, DispatchPass& aPass);
+  void RecordInOrder();
+  void RecordRejection();
   // Forwarding to another instance.
   int ServersLeft() const;
   bool HandOver();
@@ -146,6 +174,7 @@
   bool MayRerun() const;
   bool SpendRetry();
   bool MayRetry();
+  bool RefuseWithoutRetry();
   void DispatchLater(Millis aDelay);
   // Answers.
   void StartStream(const HttpHead& aHead);
@@ -215,6 +244,8 @@
   bool mProbing = false;   // may be sent though its part is blocked
   TimePoint mToldGoodAt{}; // when mCall's answer was last told to be good
   bool mWaiting = false;
+  bool mWaitLogged = false;
+  bool mRetryOwed = false;  // the next send is a retry and not yet spent
   bool mColdStart = false;  // waited for a model or adapter to be loaded
   TimePoint mLastChunkAt{}; // of a stream
   bool mFinished = false;
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -16,6 +16,9 @@
 
 constexpr double kServiceRequestsPerSlot = 3.0;
 
+// The limit for less urgent classes, see LeavesReserve().
+constexpr double kLessUrgentRequestsPerSlot = 1.0;
+
 } // namespace
 
 LoadRequest
@@ -32,26 +35,51 @@
 void
 Exchange::Dispatch()
 {
-  ModelsWithoutServer without;
-  if (!mFinished && !FindServer(without) && !mFinished && !mWaiting) {
+  if (mFinished) {
+    return;
+  }
+  // A new request doesn't overtake more urgent ones.
+  if (!mWaiting && InOrder() && mOwner.WaitInOrder(mService)) {
     mWaiting = true;
-    mState.mLog.Line("request_waits")
-      .Text("id", mFacts.mId)
-      .Text("service", mService)
-      .Text("model", mFacts.mModel)
-      .Text("adapter", mFacts.mAdapter)
-      .Ms("since_ms", mState.AgeOf(mArrived));
+    mOwner.TryInOrder(shared_from_this());
+    return;
+  }
+  DispatchPass pass;
+  if (!FindServer(pass) && !mFinished && !mWaiting) {
+    mWaiting = true;
+    LogWaiting();
     mOwner.WaitForServer(shared_from_this());
   }
 }
 
+void
+Exchange::LogWaiting()
+{
+  if (mWaitLogged) {
+    return;
+  }
+  mWaitLogged = true;
+  mState.mLog.Line("request_waits")
+    .Text("id", mFacts.mId)
+    .Text("service", mService)
+    .Text("model", mFacts.mModel)
+    .Text("adapter", mFacts.mAdapter)
+    .Text("tenant", mTenant)
+    .Count("class", mPriority)
+    .Flag("for_retry", mRetryOwed)
+    .Ms("since_ms", mState.AgeOf(mArrived));
+}
+
 bool
-Exchange::TryDispatch(ModelsWithoutServer& aWithout)
+Exchange::TryDispatch(DispatchPass& aPass)
 {
   if (mFinished || !mWaiting) {
     return true;
   }
-  if (!FindServer(aWithout)) {
+  if (!FindServer(aPass)) {
+    if (!mFinished) {
+      LogWaiting();
+    }
     return mFinished;
   }
   mWaiting = false;
@@ -125,7 +153,7 @@
 }
 
 ServerChoice
-Exchange::ChooseServer(ModelsWithoutServer& aWithout)
+Exchange::ChooseServer(DispatchPass& aPass)
 {
   bool engine = OnEngine();
   ServerRequirements requirements;
@@ -138,6 +166,10 @@
   requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
     engine ? kEngineRequestsPerSlot : kServiceRequestsPerSlot;
+  bool leavesReserve = LeavesReserve();
+  if (leavesReserve) {
+    requirements.mMaxPerSlot = kLessUrgentRequestsPerSlot;
+  }
   if (ServersLeft() <= 0) {
     requirements.mOnly = mTriedServers;
   }
@@ -145,22 +177,22 @@
   std::string key;
   if (anyServer) {
     key = mService + " " + requirements.mModel + " " + requirements.mAdapter +
-          " " + mVersion.value_or("");
-    auto known = aWithout.find(key);
-    if (known != aWithout.end()) {
+          " " + mVersion.value_or("") + (leavesReserve ? " r" : "");
+    auto known = aPass.mWithoutServer.find(key);
+    if (known != aPass.mWithoutServer.end()) {
       return known->second;
     }
   }
   ServerChoice choice =
     mState.mServers.Choose(requirements, mState.Now(), mState.mRandom);
   if (anyServer && !choice.mBackend) {
-    aWithout.emplace(std::move(key), choice);
+    aPass.mWithoutServer.emplace(std::move(key), choice);
   }
   return choice;
 }
 
 bool
-Exchange::FindServer(ModelsWithoutServer& aWithout)
+Exchange::FindServer(DispatchPass& aPass)
 {
   auto self = shared_from_this(); // CallerStillWaits may finish it
   if (!MayStart(mState.Now())) {
@@ -173,14 +205,19 @@
   if (!CallerStillWaits() || HandOver() || RefuseWithoutVersion()) {
     return true;
   }
-  ServerChoice choice = ChooseServer(aWithout);
+  ServerChoice choice = ChooseServer(aPass);
   if (choice.mBackend) {
     // A stream that fits on an idle server may not fit on this one.
     if (!MayStart(mState.Now(), choice.mBackend->Load())) {
       RefuseShuttingDown();
       return true;
     }
+    if (mRetryOwed && !SpendRetry()) {
+      return RefuseWithoutRetry();
+    }
+    mRetryOwed = false;
     mWaiting = false;
+    RecordInOrder();
     Send(*choice.mBackend);
     return true;
   }
@@ -188,7 +225,7 @@
     mColdStart = true;
     mLoadRequester.RequestLoad(ToLoadRequest());
   }
-  return RefuseIfUnmeetable(choice);
+  return RefuseIfUnmeetable(choice, aPass);
 }
 
 bool
@@ -201,7 +238,7 @@
 // A request that can't be served in time is refused at once, with the time
 // after which a retry can succeed.
 bool
-Exchange::RefuseIfUnmeetable(const ServerChoice& aChoice)
+Exchange::RefuseIfUnmeetable(const ServerChoice& aChoice, DispatchPass& aPass)
 {
   if (TriedServersGone(aChoice)) {
     Refuse(
@@ -219,6 +256,9 @@
     RefuseShuttingDown();
     return true;
   }
+  if (aChoice.mHeld && InOrder()) {
+    return RefuseByForecast(aChoice, aPass);
+  }
   if (begin + kServiceTime <= mFirstByteBy) {
     return false;
   }
@@ -226,14 +266,19 @@
   return true;
 }
 
+// Retries of callers that wait for the same are spread over a fifth of the
+// wait.
+Millis
+Exchange::SpreadRetry(Millis aWait)
+{
+  std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
+  return std::max(aWait, kRetryAfterDefault) + Millis(spread(mState.mRandom));
+}
+
 void
 Exchange::RefuseUnmeetable(Millis aWait, bool aHeld)
 {
-  // Retries of callers that wait for the same load are spread over a fifth of
-  // the wait.
-  std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
-  Millis after =
-    std::max(aWait, kRetryAfterDefault) + Millis(spread(mState.mRandom));
+  Millis after = SpreadRetry(aWait);
   if (aHeld) {
     Refuse(ErrorKind::NoCapacity, after, "all servers are at capacity");
   } else {
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -125,10 +125,18 @@
     mTriedServers.erase(server); // the address now belongs to another server
   } else if (status == 503) {
     mState.mServers.OnRejected(server, mState.mInstances, mState.Now());
+    RecordRejection();
   } else if (status == 421 && !mFacts.mModel.empty()) {
     mState.mServers.MarkMissing(
       server, mFacts.mModel, mFacts.mAdapter, mState.Now());
   }
+  if (InOrder()) {
+    mRetryOwed = true;
+    if (!RefuseWithoutRetry()) {
+      DispatchLater(kNotRunRetryDelay);
+    }
+    return;
+  }
   if (!SpendRetry()) {
     if (mStreaming) {
       mCaller->Abort();
@@ -143,6 +151,25 @@
   DispatchLater(kNotRunRetryDelay);
 }
 
+// A request that hasn't run waits for the retry budget as it does for a slot,
+// unless that would be too late. The budget is spent when it is sent again.
+bool
+Exchange::RefuseWithoutRetry()
+{
+  std::optional<TimePoint> next;
+  if (mSends < kMaxSends) {
+    next =
+      mState.mRetryBudget.NextAt(mService, mState.mInstances, mState.Now());
+  }
+  if (next && *next + kServiceTime <= mFirstByteBy) {
+    return false;
+  }
+  Refuse(ErrorKind::NoCapacity,
+         SpreadRetry(kRetryAfterDefault),
+         "server refused the request and no retry is allowed");
+  return true;
+}
+
 void
 Exchange::OnAnswerLost(CallOutcome aOutcome)
 {
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -115,6 +115,35 @@
   ArmTimer();
 }
 
+void
+RequestDispatcher::TryInOrder(const std::shared_ptr<Exchange>& aExchange)
+{
+  mWaiting.push_back(aExchange);
+  OnServersChanged();
+}
+
+bool
+RequestDispatcher::WaitInOrder(const std::string& aService) const
+{
+  return std::any_of(
+    mWaiting.begin(), mWaiting.end(), [&aService](const auto& aExchange) {
+      return aExchange->StillWaits() && aExchange->Service() == aService &&
+             aExchange->InOrder();
+    });
+}
+
+std::map<int, int>
+RequestDispatcher::WaitingByClass() const
+{
+  std::map<int, int> classes;
+  for (const auto& exchange : mWaiting) {
+    if (exchange->StillWaits() && exchange->InOrder()) {
+      ++classes[exchange->Priority()];
+    }
+  }
+  return classes;
+}
+
 void
 RequestDispatcher::OnExchangeDone(Exchange& aExchange)
 {
@@ -163,22 +192,43 @@
 void
 RequestDispatcher::RetryWaiting()
 {
-  std::vector<std::shared_ptr<Exchange>> waiting = std::move(mWaiting);
+  Exchanges waiting = std::move(mWaiting);
   mWaiting.clear();
-  std::stable_sort(
-    waiting.begin(), waiting.end(), [](const auto& aOne, const auto& aOther) {
-      return std::make_tuple(aOne->Priority(), aOne->Arrived()) <
-             std::make_tuple(aOther->Priority(), aOther->Arrived());
-    });
-  ModelsWithoutServer without;
+  SortWaiting(waiting);
+  DispatchPass pass;
   for (std::shared_ptr<Exchange>& exchange : waiting) {
-    if (!exchange->TryDispatch(without)) {
+    if (!exchange->TryDispatch(pass)) {
       mWaiting.push_back(std::move(exchange));
     }
   }
   ArmTimer();
 }
 
+// Requests that aren't tried in order go to other services, so which of the two
+// groups comes first doesn't matter.
+void
+RequestDispatcher::SortWaiting(Exchanges& aWaiting) const
+{
+  auto inOrder = std::stable_partition(
+    aWaiting.begin(), aWaiting.end(), [](const auto& aExchange) {
+      return !aExchange->InOrder();
+    });
+  std::stable_sort(
+    aWaiting.begin(), inOrder, [](const auto& aOne, const auto& aOther) {
+      return std::make_tuple(aOne->Priority(), aOne->Arrived()) <
+             std::make_tuple(aOther->Priority(), aOther->Arrived());
+    });
+  Exchanges unsorted(inOrder, aWaiting.end());
+  std::vector<WaitingRequest> requests;
+  requests.reserve(unsorted.size());
+  for (const auto& exchange : unsorted) {
+    requests.push_back(exchange->ToWaitingRequest());
+  }
+  for (size_t i : mState.mDispatchOrder.Sorted(requests, mState.Now())) {
+    *inOrder++ = unsorted[i];
+  }
+}
+
 void
 RequestDispatcher::ArmTimer()
 {
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -34,6 +34,8 @@
 
   size_t RequestsInFlight() const { return mExchanges.size(); }
   size_t Waiting() const { return mWaiting.size(); }
+  // Of the requests that are tried in order; see Exchange::InOrder().
+  std::map<int, int> WaitingByClass() const;
 
   void OnRequest(const std::shared_ptr<InboundConnection>& aConn,
                  InboundRequest& aRequest) override;
@@ -47,10 +49,14 @@
   bool Leaving() const override { return mState.mLeave.Leaving(); }
 
   void WaitForServer(const std::shared_ptr<Exchange>& aExchange) override;
+  void TryInOrder(const std::shared_ptr<Exchange>& aExchange) override;
+  bool WaitInOrder(const std::string& aService) const override;
   void OnExchangeDone(Exchange& aExchange) override;
 
 private:
+  using Exchanges = std::vector<std::shared_ptr<Exchange>>;
   void RetryWaiting();
+  void SortWaiting(Exchanges& aWaiting) const;
   void ArmTimer();
 
   EntryState& mState;
@@ -60,7 +66,7 @@
   StreamOrigins& mOrigins;
   CrashWatch& mCrashWatch;
   std::map<const InboundConnection*, std::shared_ptr<Exchange>> mExchanges;
-  std::vector<std::shared_ptr<Exchange>> mWaiting;
+  Exchanges mWaiting;
   bool mRetryScheduled = false;
   bool mTimerArmed = false;
 };
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -134,8 +134,9 @@
   bool mUnframed = false;
   // An answer that breaks off is framed as complete: its last chunk is sent.
   bool mEndsBrokenStreams = false;
-  int mRejectionLimit = 0; // told in each answer; 0 = none
-  long mEndlessBytes = 0;  // sent, by the Endless behaviours
+  int mRejectionLimit = 0;  // told in each answer; 0 = none
+  std::string mLoadFigures; // the same; "" = none
+  long mEndlessBytes = 0;   // sent, by the Endless behaviours
   bool mResets = false; // breaks answers off by resets, not by orderly closes
   // It crashes mCrashDelay after it begins to answer a request with this part
   // of a prompt, unless that is the last part; "" = none.
--- a/tests/unit/SlotForecastTest.cpp
+++ b/tests/unit/SlotForecastTest.cpp
@@ -96,6 +96,16 @@
   EXPECT_TRUE(Refused(forecast, Facts(200, 1), kStart));
 }
 
+// Guards against an overload that has ended and is taken to last.
+TEST(SlotForecast, ContestEndsWhenNothingWaits)
+{
+  std::mt19937 random(20261203);
+  SlotForecast forecast;
+  TimePoint now = Compete(forecast, Seconds(8), 80, random);
+  ASSERT_TRUE(Refused(forecast, Facts(30), now));
+  EXPECT_FALSE(Refused(forecast, Facts(30), now + Seconds(2)));
+}
+
 // Guards against requests that wait for what they can't get: 80 instances want
 // the model, and this one gets every 80th slot.
 TEST(SlotForecast, LastingOverloadIsNoticed)
