DispatchOrder: a starved request goes before other classes, not other tenants

A late request was tried before all others, also of its own class, so a tenant in overload, whose requests are late first, went before the others. It goes first only where a more urgent class waits, and tenants keep their order.

Test: QueueOrder.ClassThenTenantWithFewestTokens with short targets ran flood0 before small; passes now. DispatchOrder.TenantsAlternate has the case.

--- a/src/decide/DispatchOrder.cpp
+++ b/src/decide/DispatchOrder.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <set>
 #include <tuple>
 
 #include "base/EraseIf.h"
@@ -14,13 +13,6 @@
 // Longer than any request waits.
 constexpr Seconds kDispatchMemory{ 60 };
 
-// Place of a request in the order.
-struct Place
-{
-  bool mStarved = false;
-  double mServedBefore = 0; // tokens of its tenant, those ahead of it included
-};
-
 std::string
 TenantKey(const WaitingRequest& aRequest)
 {
@@ -59,31 +51,50 @@
     return std::tie(one.mStartBy, one.mArrived) <
            std::tie(other.mStartBy, other.mArrived);
   });
-  std::vector<Place> places(aWaiting.size());
+  // Tokens of each request's tenant, those of requests ahead of it included.
+  std::vector<double> servedBefore(aWaiting.size());
   std::map<std::string, double> served; // by class and tenant
-  std::set<PoolClass> starved;
   for (size_t i : order) {
     const WaitingRequest& request = aWaiting[i];
     double& tokens =
       served.try_emplace(TenantKey(request), ServedTokens(request, aNow))
         .first->second;
-    places[i].mServedBefore = tokens;
+    servedBefore[i] = tokens;
     tokens += request.mTokens;
-    places[i].mStarved =
-      Starved(request, aNow) &&
-      starved.insert({ request.mPool, request.mClass }).second;
   }
   std::stable_sort(order.begin(), order.end(), [&](size_t aOne, size_t aOther) {
-    return std::make_tuple(!places[aOne].mStarved,
-                           aWaiting[aOne].mClass,
-                           places[aOne].mServedBefore) <
-           std::make_tuple(!places[aOther].mStarved,
-                           aWaiting[aOther].mClass,
-                           places[aOther].mServedBefore);
+    return std::tie(aWaiting[aOne].mClass, servedBefore[aOne]) <
+           std::tie(aWaiting[aOther].mClass, servedBefore[aOther]);
+  });
+  std::set<size_t> starved = FirstStarved(aWaiting, order, aNow);
+  std::stable_partition(order.begin(), order.end(), [&starved](size_t aIndex) {
+    return starved.count(aIndex) > 0;
   });
   return order;
 }
 
+// Returns one starved request of each pool and class that waits behind a more
+// urgent class.
+std::set<size_t>
+DispatchOrder::FirstStarved(const std::vector<WaitingRequest>& aWaiting,
+                            const std::vector<size_t>& aOrder,
+                            TimePoint aNow) const
+{
+  std::set<size_t> starved;
+  std::set<PoolClass> found;
+  std::map<std::string, int> mostUrgent; // class by pool
+  for (size_t i : aOrder) {
+    const WaitingRequest& request = aWaiting[i];
+    int first =
+      mostUrgent.try_emplace(request.mPool, request.mClass).first->second;
+    if (first < request.mClass && Starved(request, aNow) &&
+        found.insert({ request.mPool, request.mClass }).second) {
+      starved.insert(i);
+    }
+  }
+  return starved;
+}
+
 void
 DispatchOrder::OnDispatched(const WaitingRequest& aRequest, TimePoint aNow)
 {
--- a/src/decide/DispatchOrder.h
+++ b/src/decide/DispatchOrder.h
@@ -9,6 +9,7 @@
 #define caraway_decide_DispatchOrder_h
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,13 +40,17 @@
   // A request was sent to a server, whether it had to wait or not.
   void OnDispatched(const WaitingRequest& aRequest, TimePoint aNow);
   // Whether the request is late and none of its class has been sent to its pool
-  // since it arrived. Such a request is tried first, so that no class starves.
-  // On time it can't be, so its class isn't served better than an urgent one.
+  // since it arrived. One such request is tried before those of more urgent
+  // classes, so that no class starves. It can't be on time any more, so its
+  // class isn't served better than an urgent one.
   bool Starved(const WaitingRequest& aRequest, TimePoint aNow) const;
 
 private:
   using PoolClass = std::pair<std::string, int>;
   double ServedTokens(const WaitingRequest& aRequest, TimePoint aNow) const;
+  std::set<size_t> FirstStarved(const std::vector<WaitingRequest>& aWaiting,
+                                const std::vector<size_t>& aOrder,
+                                TimePoint aNow) const;
   void ForgetOld(TimePoint aNow);
 
   // Tokens served, by class and tenant. They fade, so that a tenant can't save
