--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -399,6 +399,7 @@
       continue;
     }
     choice.mHeld = true;
+    choice.mSlots += std::max(1, backend.mEntry.mSlots);
     if (!backend.HasRoom(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       continue;
@@ -429,6 +430,7 @@
       continue;
     }
     choice.mHeld = true;
+    choice.mSlots += std::max(1, backend.mEntry.mSlots);
     if (backend.HasRoomAsReported(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       candidates.push_back(&backend);
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -99,6 +99,7 @@
   // All servers of the service that the request might go to are in excluded
   // zones.
   bool mZonesExcluded = false;
+  int mSlots = 0;              // of the usable servers that hold it
 };
 
 enum class ServerOutcome
