Expected first event: prompts that a server still has to read count, long ones keep apart

A prompt of 6,800 tokens counted as one of 60. FirstTokenEstimate learns per service how long a token and a request in flight take until the first event; the cost of a server that reports its pace includes what the first event waits for there, against the request's target. Own prompts are counted at their server from the send to the first bytes of the body.

--- a/src/decide/PacedChoice.cpp
+++ b/src/decide/PacedChoice.cpp
@@ -12,18 +12,20 @@
 // instances send to the same servers in turn.
 constexpr double kUnseenLoad = 0.8;
 
-// The request itself counts: a slow server without requests isn't free of cost.
-double
-CostOf(const Backend& aBackend,
-       const ServerRequirements& aRequirements,
-       TimePoint aNow)
-{
-  int requests =
-    1 + std::max(aBackend.RequestsInFlight(), aBackend.ReportedRequests(aNow));
-  double slots = std::max(1, aBackend.mEntry.mSlots);
-  double load = aBackend.mPace.Estimate(aNow) * requests / slots;
-  return aBackend.Cost(load, aRequirements.mZone);
-}
+// A first event that takes this share of the request's target costs as much as
+// a full server. Where reading prompts alone takes longer, others are
+// preferred.
+constexpr double kTargetShare = 0.5;
+
+// A prompt is long if reading it takes more than this share of the longest
+// pause that streams of its service may make.
+constexpr int kLongPromptShare = 3;
+
+// Reported waiting requests are read meanwhile.
+constexpr Millis kWaitingLife{ 500 };
+
+// Callers may state absurd lengths.
+constexpr double kMaxPromptTokens = 200000;
 
 // Uniform over [0, aCount).
 size_t
@@ -32,11 +34,106 @@
   return std::uniform_int_distribution<size_t>(0, aCount - 1)(aRandom);
 }
 
+} // namespace
+
+PacedChoice::PacedChoice(const ServerRequirements& aRequirements,
+                         const FirstTokenEstimate& aFirstToken,
+                         TimePoint aNow)
+  : mRequirements(aRequirements)
+  , mFirstToken(aFirstToken)
+  , mNow(aNow)
+  , mPromptTokens(
+      std::min(aRequirements.mPromptTokens.value_or(aFirstToken.UsualPrompt()),
+               kMaxPromptTokens))
+  , mReadingTime(aFirstToken.ReadingTime(mPromptTokens))
+{
+}
+
+int
+PacedChoice::RequestsAt(const Backend& aBackend) const
+{
+  return std::max(aBackend.RequestsInFlight(), aBackend.ReportedRequests(mNow));
+}
+
+// Others' prompts are known only as waiting requests in a recent report.
+FirstTokenFacts
+PacedChoice::FactsAt(const Backend& aBackend) const
+{
+  FirstTokenFacts facts;
+  facts.mPromptTokens = aBackend.mUnreadTokens + mPromptTokens;
+  if (aBackend.mLoadReport && mNow - aBackend.mLoadReportAt < kWaitingLife) {
+    facts.mPromptTokens +=
+      aBackend.mLoadReport->mWaiting * mFirstToken.UsualPrompt();
+  }
+  facts.mRequests = 1 + RequestsAt(aBackend);
+  facts.mPace = aBackend.mPace.Estimate(mNow);
+  return facts;
+}
+
+// The request itself counts: a slow server without requests isn't free of cost.
+double
+PacedChoice::CostOf(const Backend& aBackend) const
+{
+  FirstTokenFacts facts = FactsAt(aBackend);
+  double load =
+    facts.mPace * facts.mRequests / std::max(1, aBackend.mEntry.mSlots);
+  double wait =
+    std::chrono::duration<double>(mFirstToken.Expected(facts)) /
+    std::chrono::duration<double>(std::max(mRequirements.mTarget, Millis(1)));
+  return aBackend.Cost(load + wait / kTargetShare, mRequirements.mZone);
+}
+
+bool
+PacedChoice::IsTrusted(const Backend& aBackend) const
+{
+  return !mRequirements.Avoids(aBackend, mNow);
+}
+
+// By what this instance knows for certain: a server must not be left out for an
+// old figure.
+bool
+PacedChoice::ReadsInTime(const Backend& aBackend) const
+{
+  return mFirstToken.ReadingTime(aBackend.mUnreadTokens + mPromptTokens) <=
+         mRequirements.mTarget * kTargetShare;
+}
+
+bool
+PacedChoice::KeepsGapAim(const Backend& aBackend) const
+{
+  return RequestsAt(aBackend) == 0 ||
+         mReadingTime * aBackend.mPace.Estimate(mNow) <= mRequirements.mGapAim;
+}
+
+bool
+PacedChoice::ReadsNothing(const Backend& aBackend) const
+{
+  return aBackend.mUnreadTokens <= 0;
+}
+
+bool
+PacedChoice::IsLong() const
+{
+  return mRequirements.mGapAim > Millis(0) &&
+         mReadingTime * kLongPromptShare > mRequirements.mGapAim;
+}
+
+// Leaves those for which aGood holds, unless there are none.
+void
+PacedChoice::Prefer(std::vector<Backend*>& aCandidates, Condition aGood) const
+{
+  auto end = std::stable_partition(
+    aCandidates.begin(), aCandidates.end(), [&](const Backend* aBackend) {
+      return (this->*aGood)(*aBackend);
+    });
+  if (end != aCandidates.begin()) {
+    aCandidates.erase(end, aCandidates.end());
+  }
+}
+
 Backend*
-BetterOfTwo(const std::vector<Backend*>& aCandidates,
-            const ServerRequirements& aRequirements,
-            TimePoint aNow,
-            std::mt19937& aRandom)
+PacedChoice::BetterOfTwo(const std::vector<Backend*>& aCandidates,
+                         std::mt19937& aRandom) const
 {
   size_t count = aCandidates.size();
   Backend* one = aCandidates[Draw(count, aRandom)];
@@ -47,41 +144,27 @@
   if (other == one) {
     other = aCandidates.back();
   }
-  double others = 1 - 1.0 / std::max(1, aRequirements.mInstances);
+  double others = 1 - 1.0 / std::max(1, mRequirements.mInstances);
   std::uniform_real_distribution<double> noise(0, kUnseenLoad * others);
-  double costOfOne = CostOf(*one, aRequirements, aNow) + noise(aRandom);
-  double costOfOther = CostOf(*other, aRequirements, aNow) + noise(aRandom);
+  double costOfOne = CostOf(*one) + noise(aRandom);
+  double costOfOther = CostOf(*other) + noise(aRandom);
   return costOfOne <= costOfOther ? one : other;
 }
 
-// Leaves those for which aGood holds, unless there are none.
-template<typename Predicate>
-void
-Prefer(std::vector<Backend*>& aCandidates, Predicate aGood)
-{
-  auto end =
-    std::stable_partition(aCandidates.begin(), aCandidates.end(), aGood);
-  if (end != aCandidates.begin()) {
-    aCandidates.erase(end, aCandidates.end());
-  }
-}
-
-} // namespace
-
 Backend*
-ChooseByPace(const std::vector<Backend*>& aCandidates,
-             const ServerRequirements& aRequirements,
-             TimePoint aNow,
-             std::mt19937& aRandom)
+PacedChoice::Choose(std::vector<Backend*> aCandidates,
+                    std::mt19937& aRandom) const
 {
   if (aCandidates.empty()) {
     return nullptr;
   }
-  std::vector<Backend*> candidates = aCandidates;
-  Prefer(candidates, [&](const Backend* aBackend) {
-    return !aRequirements.Avoids(*aBackend, aNow);
-  });
-  return BetterOfTwo(candidates, aRequirements, aNow, aRandom);
+  Prefer(aCandidates, &PacedChoice::IsTrusted);
+  if (IsLong()) {
+    Prefer(aCandidates, &PacedChoice::ReadsNothing);
+    Prefer(aCandidates, &PacedChoice::KeepsGapAim);
+  }
+  Prefer(aCandidates, &PacedChoice::ReadsInTime);
+  return BetterOfTwo(aCandidates, aRandom);
 }
 
 } // namespace caraway
--- a/src/decide/PacedChoice.h
+++ b/src/decide/PacedChoice.h
@@ -8,16 +8,47 @@
 
 #include <vector>
 
+#include "decide/FirstTokenEstimate.h"
 #include "decide/ServerView.h"
 
 namespace caraway {
 
-// aCandidates can all take the request. Returns null if there are none.
-Backend*
-ChooseByPace(const std::vector<Backend*>& aCandidates,
-             const ServerRequirements& aRequirements,
-             TimePoint aNow,
-             std::mt19937& aRandom);
+class PacedChoice
+{
+public:
+  // The parameters must outlive it.
+  PacedChoice(const ServerRequirements& aRequirements,
+              const FirstTokenEstimate& aFirstToken,
+              TimePoint aNow);
+
+  // aCandidates can all take the request. Returns null if there are none.
+  Backend* Choose(std::vector<Backend*> aCandidates,
+                  std::mt19937& aRandom) const;
+  // What the request's first event waits for on this server.
+  FirstTokenFacts FactsAt(const Backend& aBackend) const;
+  double PromptTokens() const { return mPromptTokens; }
+
+private:
+  using Condition = bool (PacedChoice::*)(const Backend&) const;
+
+  bool IsTrusted(const Backend& aBackend) const;
+  bool ReadsInTime(const Backend& aBackend) const;
+  bool KeepsGapAim(const Backend& aBackend) const;
+  bool ReadsNothing(const Backend& aBackend) const;
+  // Whether reading the prompt holds up the streams of its server noticeably.
+  bool IsLong() const;
+  void Prefer(std::vector<Backend*>& aCandidates, Condition aGood) const;
+  int RequestsAt(const Backend& aBackend) const;
+  double CostOf(const Backend& aBackend) const;
+  Backend* BetterOfTwo(const std::vector<Backend*>& aCandidates,
+                       std::mt19937& aRandom) const;
+
+  const ServerRequirements& mRequirements;
+  const FirstTokenEstimate& mFirstToken;
+  TimePoint mNow;
+  double mPromptTokens;
+  Millis mReadingTime; // of the prompt, at the usual pace
+};
 
 } // namespace caraway
 
--- a/src/decide/RunTimeEstimates.h
+++ b/src/decide/RunTimeEstimates.h
@@ -30,10 +30,9 @@
   double Record(double aX, double aY);
   // The line's rise from the mean x to aX; 0 without points.
   double Rise(double aX) const;
-
-private:
   double Slope() const { return mProducts / mSquares; }
 
+private:
   double mGuessedSlope;
   double mGuessWeight;
   double mPoints = 0; // at most as many as the trend remembers
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -412,7 +412,8 @@
       candidates.push_back(&backend);
     }
   }
-  choice.mBackend = ChooseByPace(candidates, aRequirements, aNow, aRandom);
+  PacedChoice paced(aRequirements, FirstToken(aRequirements.mService), aNow);
+  choice.mBackend = paced.Choose(std::move(candidates), aRandom);
   return choice;
 }
 
@@ -449,6 +450,23 @@
   RecordOwnChange(Find(aId), -1, aNow);
 }
 
+void
+ServerView::OnPromptSent(const std::string& aId, double aTokens)
+{
+  if (Backend* backend = Find(aId)) {
+    backend->mUnreadTokens += aTokens;
+  }
+}
+
+void
+ServerView::OnPromptRead(const std::string& aId, double aTokens)
+{
+  if (Backend* backend = Find(aId)) {
+    // It may have been listed anew meanwhile.
+    backend->mUnreadTokens = std::max(0.0, backend->mUnreadTokens - aTokens);
+  }
+}
+
 void
 ServerView::RecordOutcome(const std::string& aId,
                           ServerOutcome aOutcome,
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "decide/BackendEntry.h"
+#include "decide/FirstTokenEstimate.h"
 #include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
 #include "decide/ServerPace.h"
@@ -49,6 +50,7 @@
   ServerPace mPace;
   // Slots that own requests took (1) or freed (-1) lately, with the times.
   std::deque<std::pair<TimePoint, int>> mOwnChanges;
+  double mUnreadTokens = 0; // of own prompts there without a first event yet
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
@@ -90,6 +92,10 @@
   std::optional<std::string> mVersion;
   double mMaxPerSlot = 1; // limit on requests in flight per slot
   int mInstances = 1;     // that send to the servers
+  // For services that report their pace.
+  std::optional<double> mPromptTokens; // nothing = unknown
+  Millis mTarget{ 1000 };              // until the first event
+  Millis mGapAim{ 0 };                 // of the service
 };
 
 struct ServerChoice
@@ -156,6 +162,14 @@
   // last report is no longer all that is known.
   void OnSlotTaken(const std::string& aId, TimePoint aNow);
   void OnSlotFreed(const std::string& aId, TimePoint aNow);
+  // An own prompt was sent, or the server has read it: its first event arrived,
+  // or its request ended.
+  void OnPromptSent(const std::string& aId, double aTokens);
+  void OnPromptRead(const std::string& aId, double aTokens);
+  FirstTokenEstimate& FirstToken(const std::string& aService)
+  {
+    return mFirstTokens[aService];
+  }
   void RecordOutcome(const std::string& aId,
                      ServerOutcome aOutcome,
                      TimePoint aNow);
@@ -203,7 +217,8 @@
   std::map<std::string, InFlightCounts> mPeerCounts;
   ServiceVersions mVersions;
   ServerLives mLives;
-  std::set<std::string> mPacedServices; // see ReportsPace()
+  std::set<std::string> mPacedServices;                   // see ReportsPace()
+  std::map<std::string, FirstTokenEstimate> mFirstTokens; // by service
 };
 
 } // namespace caraway
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -35,6 +35,7 @@
   RouteKind mKind = RouteKind::AtMostOnce;
   Millis mTimeout{ 30000 }; // longest time that a caller waits
   Millis mTarget{ 1000 };   // an answer within it is on time
+  Millis mGapAim{ 0 };      // longest pause of a stream on time; 0 = any
   int mPriority = 5;        // 0 = most urgent
   std::vector<SplitPart> mSplit;
   int mMaxServers = 1;     // servers that one request may be sent to
@@ -79,6 +80,7 @@
 {
   std::string mName;
   int mMaxConnections = 64; // per server, from all callers
+  Millis mGapAim{ 0 };      // shortest of its routes; 0 = none has one
   std::optional<EngineSpec> mEngine;
 };
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "caraway/ErrorKind.h"
+#include "decide/FirstTokenEstimate.h"
 #include "decide/RequestFacts.h"
 #include "entry/CrashWatch.h"
 #include "entry/EntryState.h"
@@ -77,6 +78,7 @@
   void Dispatch();
   bool FindServer(ModelsWithoutServer& aWithout);
   ServerChoice ChooseServer(ModelsWithoutServer& aWithout);
+  ServerRequirements RequirementsOf() const;
   bool CallerStillWaits();
   bool OnEngine() const; // the service is one of model engines
   // The request has been sent to as many servers as its route allows, and none
@@ -126,6 +128,11 @@
   void WatchBytes();
   void WatchBroken(CallOutcome aOutcome);
   void WatchComplete();
+  // The prompt at a server, until its first event; see FirstTokenEstimate.
+  void ExpectFirstToken(const Backend& aBackend);
+  void BeginPrompt();
+  void OnFirstBytes();
+  void EndPrompt();
   // One send to a server.
   void Send(Backend& aBackend);
   void StartCall(ChannelPool& aPool, OutboundRequest aRequest);
@@ -200,8 +207,13 @@
   TimePoint mSentAt{};
   TimePoint mAnswerBeganAt{}; // first bytes of the body of mCall's answer
   RunFacts mRunFacts;         // of mCall
-  TimePoint mFirstByteAt{};   // of an answer to the caller
-  HttpHead mAnswer;           // of mCall
+  // Of mCall, if its server's service reports its pace.
+  std::optional<FirstTokenFacts> mFirstTokenFacts;
+  Millis mExpectedFirst{ -1 };
+  double mPromptTokens = 0;
+  double mUnreadTokens = 0; // those counted as unread at mServer
+  TimePoint mFirstByteAt{}; // of an answer to the caller
+  HttpHead mAnswer;         // of mCall
   AnswerFacts mAnswerFacts;
   bool mHasAnswerHead = false;
   std::string mBody;              // of an answer that is not streamed
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -124,8 +124,8 @@
          service->second.mEngine.has_value();
 }
 
-ServerChoice
-Exchange::ChooseServer(ModelsWithoutServer& aWithout)
+ServerRequirements
+Exchange::RequirementsOf() const
 {
   bool engine = OnEngine();
   ServerRequirements requirements;
@@ -141,6 +141,19 @@
   if (ServersLeft() <= 0) {
     requirements.mOnly = mTriedServers;
   }
+  requirements.mPromptTokens = mFacts.mPromptTokens;
+  requirements.mTarget = mRoute->mTarget;
+  auto service = mConfig->mServices.find(mService);
+  if (service != mConfig->mServices.end()) {
+    requirements.mGapAim = service->second.mGapAim;
+  }
+  return requirements;
+}
+
+ServerChoice
+Exchange::ChooseServer(ModelsWithoutServer& aWithout)
+{
+  ServerRequirements requirements = RequirementsOf();
   bool anyServer = requirements.mExcluded.empty() && requirements.mOnly.empty();
   std::string key;
   if (anyServer) {
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -73,6 +73,7 @@
   ++mSends;
   mSentAt = mState.Now();
   mRunFacts = { mFacts.mExpectedTokens.value_or(0), aBackend.Load() };
+  ExpectFirstToken(aBackend);
   mState.mLog.Line("request_sent")
     .Text("id", mFacts.mId)
     .Text("route", mRoute->mName)
@@ -89,6 +90,8 @@
     .Count("send", mSends)
     .Count("under_way", aBackend.RequestsInFlight())
     .Number("failing", aBackend.mFailureShare)
+    .Number("pace", mFirstTokenFacts ? mFirstTokenFacts->mPace : 0)
+    .Ms("expected_first_ms", mExpectedFirst)
     .Count("config", mConfig->mVersion)
     .Ms("connection_ms", mState.AgeOf(mCaller->AcceptedAt()))
     .Ms("waited_ms", mState.AgeOf(mArrived));
@@ -100,6 +103,7 @@
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
   mState.mServers.OnRequestBegan(mServer, FullName());
   mState.mServers.OnSlotTaken(mServer, mState.Now());
+  BeginPrompt();
   RecordOrigin();
   StartCall(mState.mServerPool, std::move(request));
 }
@@ -198,6 +202,7 @@
 {
   if (mAnswerBeganAt == TimePoint()) {
     mAnswerBeganAt = mState.Now();
+    OnFirstBytes();
   }
   WatchBytes();
   if (!mStreaming || mAnswerFacts.mNotRun) {
@@ -278,6 +283,7 @@
 void
 Exchange::ReleaseCall()
 {
+  EndPrompt();
   if (!mServer.empty()) {
     mState.mServers.OnRequestEnded(mServer, FullName());
     if (mHasAnswerHead && !mAnswerFacts.mNotRun) {
