--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -174,8 +174,8 @@
          service->second.mEngine.has_value();
 }
 
-ServerChoice
-Exchange::ChooseServer(DispatchPass& aPass)
+ServerRequirements
+Exchange::RequirementsOf() const
 {
   bool engine = OnEngine();
   ServerRequirements requirements;
@@ -189,16 +189,29 @@
   requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
     engine ? kEngineRequestsPerSlot : kServiceRequestsPerSlot;
-  bool leavesReserve = LeavesReserve();
-  if (leavesReserve) {
+  if (LeavesReserve()) {
     requirements.mMaxPerSlot = kLessUrgentRequestsPerSlot;
   }
   if (ServersLeft() <= 0) {
     requirements.mOnly = mTriedServers;
   }
+  requirements.mPromptTokens = mFacts.mPromptTokens;
+  requirements.mTarget = mRoute->mTarget;
+  auto service = mConfig->mServices.find(mService);
+  if (service != mConfig->mServices.end()) {
+    requirements.mGapAim = service->second.mGapAim;
+  }
+  return requirements;
+}
+
+ServerChoice
+Exchange::ChooseServer(DispatchPass& aPass)
+{
+  ServerRequirements requirements = RequirementsOf();
   bool anyServer = requirements.mExcluded.empty() && requirements.mOnly.empty();
   std::string key;
   if (anyServer) {
+    bool leavesReserve = requirements.mMaxPerSlot == kLessUrgentRequestsPerSlot;
     key = mService + " " + requirements.mModel + " " + requirements.mAdapter +
           " " + mVersion.value_or("") + (leavesReserve ? " r" : "");
     auto known = aPass.mWithoutServer.find(key);
