--- a/src/decide/BackendEntry.h
+++ b/src/decide/BackendEntry.h
@@ -3,6 +3,7 @@
 #define caraway_decide_BackendEntry_h
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,7 +23,14 @@
   int mSlots = 1;
   bool mDraining = false;
   int64_t mStartTime = 0; // Unix milliseconds; a restart changes it
-  std::string mVersion;   // of its software; "" = not stated
+  int64_t mRevision = 0;  // of the entry in the store
+  // Since mStartTime, by this machine's wall clock; at most what is known.
+  Millis mRunningFor = Millis::max();
+  // How much longer the server stays cold, as of when the entry was written;
+  // nothing = not told.
+  std::optional<Millis> mColdLeft;
+  bool mColdLeftUnreadable = false;
+  std::string mVersion; // of its software; "" = not stated
   HeldModels mModels;
   // Models with a copy of the weights in memory.
   std::set<std::string> mInMemory;
--- a/src/decide/ListSchedule.cpp
+++ b/src/decide/ListSchedule.cpp
@@ -10,6 +10,12 @@
   return aNeeded ? std::min(mInterval, kNeededInterval) : mInterval;
 }
 
+Millis
+ListSchedule::LongestWait(int aInstances)
+{
+  return std::max(kMaxInterval, kIntervalPerInstance * aInstances);
+}
+
 void
 ListSchedule::OnRead(bool aGood, int aInstances)
 {
@@ -19,7 +25,7 @@
   }
   Millis ofFleet = kIntervalPerInstance * aInstances;
   Millis least = std::max(kMinInterval, ofFleet);
-  Millis most = std::max(kMaxInterval, ofFleet);
+  Millis most = LongestWait(aInstances);
   mInterval = std::clamp(mInterval * 2, least, most);
 }
 
--- a/src/decide/ListSchedule.h
+++ b/src/decide/ListSchedule.h
@@ -16,6 +16,8 @@
   // Time from the end of a read, or from the start, to the next read. aNeeded:
   // the instance depends on a fresh list, see ZoneMembers::NeedsStore().
   Millis Wait(bool aNeeded) const;
+  // Longest time between two reads.
+  static Millis LongestWait(int aInstances);
   // A read ended. aInstances: those known, this one included.
   void OnRead(bool aGood, int aInstances);
 
--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -52,6 +52,8 @@
   // The server fails if it has to reject more requests in a second.
   std::optional<double> mRejectionLimit;
   std::optional<ServerLoadReport> mLoad;
+  std::optional<Millis> mColdLeft; // how much longer the server stays cold
+  bool mColdLeftUnreadable = false;
 };
 
 } // namespace caraway
--- a/src/decide/ServingConfig.cpp
+++ b/src/decide/ServingConfig.cpp
@@ -43,6 +43,18 @@
   return engine ? &*found->second.mEngine : nullptr;
 }
 
+std::map<std::string, ColdSpec>
+ServingConfig::ColdSpecs() const
+{
+  std::map<std::string, ColdSpec> specs;
+  for (const auto& [name, service] : mServices) {
+    if (service.mCold.mStart > Millis(0) || service.mCold.mPerSecond > 0) {
+      specs[name] = service.mCold;
+    }
+  }
+  return specs;
+}
+
 int
 ServingConfig::LeastUrgent() const
 {
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "caraway/Time.h"
+#include "decide/ColdServerLimit.h"
 
 namespace caraway {
 
@@ -80,6 +81,7 @@
   std::string mName;
   int mMaxConnections = 64; // per server, from all callers
   std::optional<EngineSpec> mEngine;
+  ColdSpec mCold;
 };
 
 struct TenantLimit
@@ -111,12 +113,16 @@
   std::map<std::string, TenantLimit> mTenants;
   std::map<std::string, std::string> mTenantOfKey;
   CallerLimits mLimits;
+  // Values that were ignored because they can't be read, as SERVICE FIELD.
+  std::vector<std::string> mIgnored;
 
   // The route of aHost with the longest prefix of aPath; null = none.
   const RouteSpec* Match(const std::string& aHost,
                          const std::string& aPath) const;
   // Null if there is no such tenant.
   const TenantLimit* Tenant(const std::string& aName) const;
+  // Of the services whose servers can be cold.
+  std::map<std::string, ColdSpec> ColdSpecs() const;
   // Null if there is no such service, or it is a plain one.
   const EngineSpec* EngineOf(const std::string& aService) const;
   // To be called before this configuration takes the place of aFormer.
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -29,6 +29,12 @@
   double mRetryRatio = 0.2; // retries per request, over all instances
   double mRetrySlack = 0;   // additional retries in each window
   Millis mRetryWindow{ 10000 };
+  // A cold server may get so many times its rate in a second, and so many
+  // requests more, from all instances.
+  double mColdOverage = 1;
+  double mColdSlack = 0;
+  // Fields that were ignored because they can't be read.
+  std::vector<std::string> mIgnored;
 };
 
 } // namespace caraway
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -405,6 +405,49 @@
   EXPECT_FALSE(IsInstanceRejection(answer(200, false)));
 }
 
+// Guards against a garbled or absurd time being taken for a fact, and against a
+// server, configuration or settings file that is rejected for one.
+TEST(ColdValues, OnlyPlausibleOnesAreRead)
+{
+  std::string text = R"({"service":"e","address":"10.128.0.9:8080","zone":"a",
+    "slots":32,"state":"ready","coldLeftMs":VALUE})";
+  auto entry = [&](const char* aValue) {
+    return ReadServerEntry("i-1",
+                           JsonParseOrEmpty(Replaced(text, "VALUE", aValue)));
+  };
+  EXPECT_EQ(Millis(1200), entry("1200")->mColdLeft);
+  EXPECT_FALSE(entry("null")->mColdLeftUnreadable);
+  auto answer = [](const std::string& aValue) {
+    return ReadAnswerFacts(
+      Head("GET / HTTP/1.1\r\nCold-Remaining: " + aValue + "\r\n\r\n"));
+  };
+  EXPECT_EQ(Millis(0), answer("0").mColdLeft);
+  for (const char* value : { "-1", "1e12", "\"x\"" }) {
+    EXPECT_TRUE(entry(value)->mColdLeftUnreadable) << value;
+    EXPECT_TRUE(answer(value).mColdLeftUnreadable) << value;
+    EXPECT_FALSE(answer(value).mColdLeft) << value;
+  }
+  int leftOut = 0;
+  auto config =
+    ReadConfig(JsonParseOrEmpty(R"({"version":1,"routes":[],"services":[
+    {"name":"e","coldStartS":1.5,"coldPerS":8.2},
+    {"name":"f","coldStartS":-1,"coldPerS":"8"},{"name":"g"}]})"),
+               leftOut);
+  ASSERT_TRUE(config);
+  EXPECT_EQ(0, leftOut);
+  EXPECT_EQ(Millis(1500), config->mServices["e"].mCold.mStart);
+  EXPECT_EQ(8.2, config->mServices["e"].mCold.mPerSecond);
+  EXPECT_EQ(1u, config->ColdSpecs().size());
+  EXPECT_EQ((std::vector<std::string>{ "f coldStartS", "f coldPerS" }),
+            config->mIgnored);
+  auto settings = ReadSettings(Replaced(
+    kSettings, "leaseMs", "coldOverage = 1.5\ncoldSlack = \"5\"\nleaseMs"));
+  EXPECT_TRUE(settings.mErrors.empty());
+  EXPECT_EQ(1.5, settings.mSettings.mColdOverage);
+  EXPECT_EQ(0, settings.mSettings.mColdSlack);
+  EXPECT_EQ(1u, settings.mSettings.mIgnored.size());
+}
+
 // Guards against a garbled or absurd load figure being taken for a fact.
 TEST(Answers, OnlyPlausibleLoadFiguresAreRead)
 {
