ServerView: cold servers get requests by permit only

Change: a server counts as cold by its entry, by a newer answer, for coldStartS from a new start time, and by AssumeCold(). Choose() prefers warm servers and skips a cold one without a permit; OnRequestBegan() spends it. A request that finds only cold servers waits for the next permit or the end of the cold time, and is refused at once if that is later than its caller waits. Membership passes on the store's list. An instance has no permits before it has read a list and is counted by its zone, and none after a standstill. Log events server_cold and value_ignored; metrics caraway_servers_cold and caraway_cold_refused_total.

--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -38,6 +38,13 @@
 // server about as costly as a full one; a single failure does not.
 constexpr double kSampleWeight = 0.2;
 
+// Clocks of servers and instances may differ by this much: a server that seems
+// to have started longer ago by it may just have started.
+constexpr Millis kClockDifference{ 2000 };
+
+// A start longer ago is of no interest to any service.
+constexpr Millis kLongAgo{ 3600 * 1000 };
+
 double
 CostOf(const Backend& aBackend, const std::string& aZone)
 {
@@ -186,6 +193,11 @@
   BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
   mLives.OnListed(aEntry.mId, aEntry.mStartTime, aNow);
+  ReadStart(backend, added, before.mStartTime, aNow);
+  if (added || before.mRevision != aEntry.mRevision ||
+      before.mColdLeft != aEntry.mColdLeft) {
+    ReadColdLeft(backend, aNow);
+  }
   if (added || before.mService != aEntry.mService ||
       before.mVersion != aEntry.mVersion) {
     if (!added) {
@@ -296,6 +308,9 @@
   std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
   double best = 0;
   bool bestAvoided = true;
+  bool bestCold = true;
+  bool full = false; // a server that holds the model has no room
+  ColdSpec coldSpec = ColdSpecOf(aRequirements.mService);
   for (auto& [id, backend] : mBackends) {
     if (backend.mEntry.mService != aRequirements.mService ||
         backend.mEntry.mDraining || aNow < backend.mAddressReusedUntil ||
@@ -315,6 +330,11 @@
     choice.mHeld = true;
     if (!backend.HasRoom(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
+      full = true;
+      continue;
+    }
+    bool cold = aNow < ColdUntil(backend, coldSpec);
+    if (cold && !HasColdPermit(backend, coldSpec, aNow, choice)) {
       continue;
     }
     double cost = CostOf(backend, aRequirements.mZone) + noise(aRandom);
@@ -323,21 +343,34 @@
     bool avoided =
       aNow < backend.mAvoidUntil ||
       (aRequirements.mVersion && aNow < backend.mVersionUnsureUntil);
-    bool better = std::tie(avoided, cost) < std::tie(bestAvoided, best);
+    bool better =
+      std::tie(avoided, cold, cost) < std::tie(bestAvoided, bestCold, best);
     if (!choice.mBackend || better) {
       choice.mBackend = &backend;
       best = cost;
       bestAvoided = avoided;
+      bestCold = cold;
     }
   }
+  if (choice.mBackend || full) {
+    choice.mColdOpensAt.reset();
+  }
   return choice;
 }
 
 void
-ServerView::OnRequestBegan(const std::string& aId, const std::string& aName)
+ServerView::OnRequestBegan(const std::string& aId,
+                           const std::string& aName,
+                           TimePoint aNow)
 {
-  if (Backend* backend = Find(aId)) {
-    ++backend->mOwnRequests[aName];
+  Backend* backend = Find(aId);
+  if (!backend) {
+    return;
+  }
+  ++backend->mOwnRequests[aName];
+  // Also while it is warm: it may turn out to be cold within the same second.
+  if (ColdSpecOf(backend->mEntry.mService).mPerSecond > 0) {
+    mColdLimit.Spend(aId, aNow);
   }
 }
 
@@ -411,6 +444,129 @@
   }
 }
 
+// ---- Cold servers
+
+ColdSpec
+ServerView::ColdSpecOf(const std::string& aService) const
+{
+  auto found = mColdSpecs.find(aService);
+  return found == mColdSpecs.end() ? ColdSpec() : found->second;
+}
+
+// A changed start time is news, whatever the clocks say. Of a server that is
+// listed for the first time here the clocks tell when it started.
+void
+ServerView::ReadStart(Backend& aBackend,
+                      bool aAdded,
+                      int64_t aStartBefore,
+                      TimePoint aNow)
+{
+  if (!aAdded && aStartBefore == aBackend.mEntry.mStartTime) {
+    return;
+  }
+  aBackend.mColdUntil = TimePoint();
+  aBackend.mColdKnownAt = aNow;
+  Millis ago = aAdded ? aBackend.mEntry.mRunningFor : Millis(0);
+  aBackend.mStartedAt.reset();
+  if (ago < kLongAgo) {
+    aBackend.mStartedAt = aNow - std::max(ago - kClockDifference, Millis(0));
+  }
+}
+
+// Entries arrive late, so one can only lengthen the time.
+void
+ServerView::ReadColdLeft(Backend& aBackend, TimePoint aNow)
+{
+  Millis left = aBackend.mEntry.mColdLeft.value_or(Millis(0));
+  if (left > Millis(0) && aNow + left > aBackend.mColdUntil) {
+    aBackend.mColdUntil = aNow + left;
+    aBackend.mColdKnownAt = aNow;
+  }
+}
+
+void
+ServerView::OnColdReport(const std::string& aId,
+                         Millis aLeft,
+                         TimePoint aAskedAt,
+                         TimePoint aNow)
+{
+  Backend* backend = Find(aId);
+  if (!backend) {
+    return;
+  }
+  bool newer = aAskedAt >= backend->mColdKnownAt;
+  if (newer) {
+    backend->mStartedAt.reset();
+  }
+  if (newer || aNow + aLeft > backend->mColdUntil) {
+    backend->mColdUntil = aNow + aLeft;
+    backend->mColdKnownAt = aNow;
+  }
+}
+
+void
+ServerView::AssumeCold(const std::string& aZone, TimePoint aUntil)
+{
+  for (auto& [id, backend] : mBackends) {
+    bool everCold = ColdSpecOf(backend.mEntry.mService).mStart > Millis(0);
+    if (backend.mEntry.mZone == aZone && everCold) {
+      backend.mColdUntil = std::max(backend.mColdUntil, aUntil);
+      // Answers to requests from before don't shorten it.
+      backend.mColdKnownAt =
+        std::max(backend.mColdKnownAt,
+                 aUntil - ColdSpecOf(backend.mEntry.mService).mStart);
+    }
+  }
+}
+
+Millis
+ServerView::LongestColdStart() const
+{
+  Millis longest{ 0 };
+  for (const auto& [service, spec] : mColdSpecs) {
+    longest = std::max(longest, spec.mStart);
+  }
+  return longest;
+}
+
+TimePoint
+ServerView::ColdUntil(const Backend& aBackend, const ColdSpec& aSpec)
+{
+  return aBackend.mStartedAt
+           ? std::max(aBackend.mColdUntil, *aBackend.mStartedAt + aSpec.mStart)
+           : aBackend.mColdUntil;
+}
+
+size_t
+ServerView::ColdServers(TimePoint aNow) const
+{
+  return static_cast<size_t>(
+    std::count_if(mBackends.begin(), mBackends.end(), [&](const auto& aEntry) {
+      return aNow < ColdUntil(aEntry.second);
+    }));
+}
+
+bool
+ServerView::HasColdPermit(const Backend& aBackend,
+                          const ColdSpec& aSpec,
+                          TimePoint aNow,
+                          ServerChoice& aChoice)
+{
+  if (aSpec.mPerSecond <= 0) {
+    return true;
+  }
+  auto next = mColdLimit.NextPermit(
+    aBackend.mEntry.mId, aBackend.mEntry.mZone, aSpec.mPerSecond, aNow);
+  if (next && *next <= aNow) {
+    return true;
+  }
+  TimePoint opensAt = ColdUntil(aBackend, aSpec);
+  opensAt = next ? std::min(opensAt, *next) : opensAt;
+  aChoice.mColdOpensAt =
+    std::min(aChoice.mColdOpensAt.value_or(TimePoint::max()), opensAt);
+  return false;
+}
+
 void
 ServerView::OnAddressReused(const std::string& aId, Millis aFor, TimePoint aNow)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "decide/BackendEntry.h"
+#include "decide/ColdServerLimit.h"
 #include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
 #include "decide/ServiceVersions.h"
@@ -43,6 +44,12 @@
   // What the server said last of its load, and when that was received.
   std::optional<ServerLoadReport> mLoadReport;
   TimePoint mLoadReportAt{};
+  // It is cold until then by its entry, its answers or AssumeCold(). For the
+  // time after its start see ServerView::ColdUntil().
+  TimePoint mColdUntil{};
+  TimePoint mColdKnownAt{}; // when mColdUntil was last set
+  // When this instance learnt that it has started; nothing = long ago.
+  std::optional<TimePoint> mStartedAt;
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
@@ -77,6 +84,9 @@
 {
   Backend* mBackend = nullptr; // null = none can take it now
   bool mHeld = false;          // some usable server holds the model
+  // If only cold servers without a permit have room: when the first of them can
+  // take it.
+  std::optional<TimePoint> mColdOpensAt;
 };
 
 enum class ServerOutcome
@@ -131,7 +141,9 @@
                       std::mt19937& aRandom);
 
   // Begin and end of an own request; aName is MODEL or MODEL/ADAPTER.
-  void OnRequestBegan(const std::string& aId, const std::string& aName);
+  void OnRequestBegan(const std::string& aId,
+                      const std::string& aName,
+                      TimePoint aNow);
   void OnRequestEnded(const std::string& aId, const std::string& aName);
   void RecordOutcome(const std::string& aId,
                      ServerOutcome aOutcome,
@@ -145,6 +157,28 @@
   void OnLoadReport(const std::string& aId,
                     const ServerLoadReport& aReport,
                     TimePoint aNow);
+  // Cold servers: slow, and they fail above a rate. See ColdServerLimit.
+  ColdServerLimit& ColdLimit() { return mColdLimit; }
+  void SetColdSpecs(std::map<std::string, ColdSpec> aByService)
+  {
+    mColdSpecs = std::move(aByService);
+  }
+  // The server said with an answer how much longer it stays cold. aAskedAt:
+  // when the request was sent; what became known since may be newer.
+  void OnColdReport(const std::string& aId,
+                    Millis aLeft,
+                    TimePoint aAskedAt,
+                    TimePoint aNow);
+  // All servers of the zone may be cold until then.
+  void AssumeCold(const std::string& aZone, TimePoint aUntil);
+  // The longest time that servers are cold after their start.
+  Millis LongestColdStart() const;
+  // A time in the past if the server isn't cold.
+  TimePoint ColdUntil(const Backend& aBackend) const
+  {
+    return ColdUntil(aBackend, ColdSpecOf(aBackend.mEntry.mService));
+  }
+  size_t ColdServers(TimePoint aNow) const;
   // Some server of the service has told its pace.
   bool ReportsPace(const std::string& aService) const
   {
@@ -165,6 +199,20 @@
   void ForgetPeer(const std::string& aPeer);
 
 private:
+  void ReadStart(Backend& aBackend,
+                 bool aAdded,
+                 int64_t aStartBefore,
+                 TimePoint aNow);
+  void ReadColdLeft(Backend& aBackend, TimePoint aNow);
+  // Whether a request may be sent to the server, as far as its being cold goes.
+  // If not, notes in aChoice when it may.
+  bool HasColdPermit(const Backend& aBackend,
+                     const ColdSpec& aSpec,
+                     TimePoint aNow,
+                     ServerChoice& aChoice);
+  ColdSpec ColdSpecOf(const std::string& aService) const;
+  static TimePoint ColdUntil(const Backend& aBackend, const ColdSpec& aSpec);
+
   // Adds a peer's counts to the servers (aSign 1), or subtracts them (-1).
   void AddPeerRequests(const InFlightCounts& aCounts, int aSign);
 
@@ -172,7 +220,9 @@
   std::map<std::string, InFlightCounts> mPeerCounts;
   ServiceVersions mVersions;
   ServerLives mLives;
-  std::set<std::string> mPacedServices; // see ReportsPace()
+  std::set<std::string> mPacedServices;       // see ReportsPace()
+  std::map<std::string, ColdSpec> mColdSpecs; // by service
+  ColdServerLimit mColdLimit;
 };
 
 } // namespace caraway
--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "base/JsonText.h"
+#include "entry/ColdReports.h"
 #include "platform/ConfigMessage.h"
 #include "platform/ServerEntry.h"
 #include "platform/WireNames.h"
@@ -39,6 +40,9 @@
 // shorter time.
 constexpr Millis kRemovalRetention{ 10000 };
 
+// A server's cold time that ends later by this much is passed on.
+constexpr Millis kColdNews{ 300 };
+
 // A list and a configuration confirmed within this time show that the feed
 // works.
 constexpr Millis kFreshLimit{ 2800 };
@@ -179,6 +183,10 @@
     .Count("left_out", leftOut)
     .Count("bytes", static_cast<int64_t>(aText.size()))
     .Text("from", aFrom);
+  for (const std::string& field : config->mIgnored) {
+    LogIgnored(mState, "configuration", field);
+  }
+  mState.mServers.SetColdSpecs(config->ColdSpecs());
   mConfigText = aText;
   mState.mConfig = std::make_shared<const ServingConfig>(std::move(*config));
   mOnUpdate();
@@ -208,6 +216,11 @@
     return false;
   }
   Backend* known = mState.mServers.Find(entry->mId);
+  if (entry->mColdLeftUnreadable) {
+    LogIgnored(mState, entry->mId, "entry's cold time");
+  }
+  entry->mRevision = aObject.mRevision;
+  entry->mRunningFor = RunningFor(*entry);
   bool restarted = known && (known->mEntry.mStartTime != entry->mStartTime ||
                              known->mEntry.mVersion != entry->mVersion);
   bool listed =
@@ -215,20 +228,45 @@
   // Followers learn what servers hold from the instance that orders the loads.
   // Of the servers' heartbeats they need only the fields compared here.
   bool relevant = listed || known->mEntry.mAddress != entry->mAddress ||
-                  known->mEntry.mOnDisk != entry->mOnDisk;
+                  known->mEntry.mOnDisk != entry->mOnDisk ||
+                  LengthensCold(*known, *entry);
   if (restarted) {
     mState.mServerPool.Drop(known->mEntry.mAddress, entry->mId);
   }
   if (listed) {
     LogListed(aObject, *entry);
   }
+  bool cold = IsCold(mState, entry->mId);
   bool changed = mState.mServers.Put(*entry, mState.Now());
+  LogIfCold(mState, entry->mId, cold, restarted || !known ? "start" : "entry");
   if (relevant) {
     mOnApplied({ aObject, false });
   }
   return changed;
 }
 
+// By the wall clock of this machine.
+Millis
+ConfigFeed::RunningFor(const BackendEntry& aEntry) const
+{
+  auto now = mState.mReactor.SourceClock().WallNow().time_since_epoch();
+  int64_t since = std::chrono::duration_cast<Millis>(now).count();
+  // Of a garbled time only the order of magnitude matters.
+  constexpr int64_t kMost = int64_t(1) << 50;
+  return Millis(since - std::clamp(aEntry.mStartTime, -kMost, kMost));
+}
+
+// Servers write how long they stay cold with each heartbeat, which is no news
+// as long as the end remains.
+bool
+ConfigFeed::LengthensCold(const Backend& aKnown,
+                          const BackendEntry& aEntry) const
+{
+  Millis left = aEntry.mColdLeft.value_or(Millis(0));
+  return left > Millis(0) &&
+         mState.Now() + left > aKnown.mColdUntil + kColdNews;
+}
+
 void
 ConfigFeed::LogListed(const StoreObject& aObject, const BackendEntry& aEntry)
 {
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -91,6 +91,8 @@
   void OnServers(const std::vector<StoreChange>& aAll, int64_t aAsOf);
   void OnServer(const StoreChange& aChange);
   bool ApplyServer(const StoreObject& aObject);
+  Millis RunningFor(const BackendEntry& aEntry) const;
+  bool LengthensCold(const Backend& aKnown, const BackendEntry& aEntry) const;
   void LogListed(const StoreObject& aObject, const BackendEntry& aEntry);
   void RemoveServer(const std::string& aId);
   void RemoveAfterGrace(const std::string& aId);
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -1,6 +1,7 @@
 #include "entry/EntryDaemon.h"
 
 #include "base/JsonText.h"
+#include "entry/ColdReports.h"
 #include "platform/WireNames.h"
 
 namespace caraway {
@@ -75,6 +76,9 @@
     .Text("zone", mState.mSettings.mZone)
     .Text("callers", mState.mSettings.mCallers)
     .Text("store", mState.mSettings.mStore);
+  for (const std::string& field : mState.mSettings.mIgnored) {
+    LogIgnored(mState, "settings", field);
+  }
   Reactor& reactor = mState.mReactor;
   mCallers = ListenPort::Open(
     reactor, mState.mSettings.mCallers, mDispatcher, kMaxCallers);
@@ -170,6 +174,8 @@
   gauge("caraway_config_version",
         mState.mConfig ? mState.mConfig->mVersion : 0);
   gauge("caraway_servers", static_cast<int64_t>(mState.mServers.All().size()));
+  gauge("caraway_servers_cold",
+        static_cast<int64_t>(mState.mServers.ColdServers(mState.Now())));
   gauge("caraway_cut_off_from_servers", mState.mServerReach.CutOff() ? 1 : 0);
   gauge("caraway_instances", mState.mInstances);
   gauge("caraway_requests_under_way",
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -14,6 +14,10 @@
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow })
   , mRandom(std::random_device{}())
 {
+  mServers.ColdLimit().Configure({ mSettings.mName,
+                                   mSettings.mZone,
+                                   mSettings.mColdOverage,
+                                   mSettings.mColdSlack });
   if (mSettings.mFirstStart) {
     mServers.Lives().OnFirstStart();
   }
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -3,6 +3,9 @@
 #define caraway_entry_EntryState_h
 
 #include <random>
+#include <set>
+#include <string>
+#include <utility>
 
 #include "base/EventLog.h"
 #include "base/Metrics.h"
@@ -43,6 +46,8 @@
   int mInstances = 1; // that may be running, including this one
   RunTimeEstimates mRunTimes;
   LeavePlan mLeave;
+  // Sources and fields of values that were logged as ignored.
+  std::set<std::pair<std::string, std::string>> mIgnoredValues;
   std::mt19937 mRandom;
 };
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -83,7 +83,7 @@
   // of them is left.
   bool TriedServersGone(const ServerChoice& aChoice) const;
   bool RefuseIfUnmeetable(const ServerChoice& aChoice);
-  void RefuseUnmeetable(Millis aWait, bool aHeld);
+  void RefuseUnmeetable(Millis aWait, const ServerChoice& aChoice);
   bool ExpectsCallers() const;
   // Whether the request may be sent at aStart to a server of aServerLoad
   // requests per slot. False when the instance is leaving and would exit before
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -211,6 +211,8 @@
   Millis wait{ 0 };
   if (!aChoice.mHeld) {
     wait = mLoadRequester.Expected(ToLoadRequest()).value_or(Millis(0));
+  } else if (aChoice.mColdOpensAt) {
+    wait = std::chrono::ceil<Millis>(*aChoice.mColdOpensAt - mState.Now());
   }
   TimePoint begin = mState.Now() + wait;
   // The time until a server slot comes free isn't known; the default
@@ -222,19 +224,22 @@
   if (begin + kServiceTime <= mFirstByteBy) {
     return false;
   }
-  RefuseUnmeetable(wait, aChoice.mHeld);
+  RefuseUnmeetable(wait, aChoice);
   return true;
 }
 
 void
-Exchange::RefuseUnmeetable(Millis aWait, bool aHeld)
+Exchange::RefuseUnmeetable(Millis aWait, const ServerChoice& aChoice)
 {
   // Retries of callers that wait for the same load are spread over a fifth of
   // the wait.
   std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
   Millis after =
     std::max(aWait, kRetryAfterDefault) + Millis(spread(mState.mRandom));
-  if (aHeld) {
+  if (aChoice.mColdOpensAt) {
+    mState.mMetrics.Count("caraway_cold_refused_total", "");
+    Refuse(ErrorKind::NoCapacity, after, "all servers with room are cold");
+  } else if (aChoice.mHeld) {
     Refuse(ErrorKind::NoCapacity, after, "all servers are at capacity");
   } else {
     Refuse(ErrorKind::DeadlineUnmeetable,
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "entry/ColdReports.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
@@ -98,7 +99,7 @@
   request.mHead = ServerRequestHead(aBackend);
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
-  mState.mServers.OnRequestBegan(mServer, FullName());
+  mState.mServers.OnRequestBegan(mServer, FullName(), mSentAt);
   RecordOrigin();
   StartCall(mState.mServerPool, std::move(request));
 }
@@ -178,6 +179,7 @@
   if (mAnswerFacts.mLoad) {
     mState.mServers.OnLoadReport(mServer, *mAnswerFacts.mLoad, mState.Now());
   }
+  ApplyColdAnswer(mState, mServer, mAnswerFacts, mSentAt);
 }
 
 void
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -46,6 +46,7 @@
   });
   mPeers.OnMessage(kLeftMessage, [this](const Json::Value& aMessage) {
     mZoneMembers.OnLeft(aMessage["name"].asString());
+    mState.mServers.ColdLimit().OnLeft(aMessage["name"].asString());
     mOnChange();
   });
   mPeers.OnMessage(kListChangedMessage,
@@ -68,6 +69,7 @@
 Membership::Check()
 {
   TimePoint now = mState.Now();
+  UpdateColdLimit();
   mZoneMembers.SetHeartbeatInterval(mPeers.HeartbeatInterval());
   mZoneMembers.Tick(now);
   if (mZoneMembers.MustJoin() && !mJoining && !mState.mLeave.Leaving()) {
@@ -82,6 +84,17 @@
   }
 }
 
+// After a standstill the list is read anew, before the limit is used again.
+void
+Membership::UpdateColdLimit()
+{
+  ColdServerLimit& limit = mState.mServers.ColdLimit();
+  mFreshListDue = !limit.OnRunning(mState.Now()) || mFreshListDue;
+  if (MaySpend()) {
+    limit.OnCounted(mState.Now());
+  }
+}
+
 void
 Membership::FillHeartbeat(Json::Value& aHeartbeat) const
 {
@@ -112,6 +125,7 @@
   mPeers.AddPeer(name, zone, aParams["address"].asString());
   if (!name.empty() && zone == mState.mSettings.mZone) {
     mZoneMembers.OnNewcomer(name, mState.Now());
+    mState.mServers.ColdLimit().OnNewcomer(name, mState.Now());
     mOnChange(); // before the answer, after which the newcomer may spend
   }
 }
@@ -277,6 +291,7 @@
   std::vector<MemberEntry> zone;
   std::set<std::string> listed;
   std::map<std::string, int> counts;
+  InstancesByZone instances;
   bool readable = true;
   for (const StoreChange& change : aPage.mChanges) {
     const StoreObject& object = change.mObject;
@@ -287,6 +302,7 @@
       continue;
     }
     counts[spec["zone"].asString()] += 1;
+    instances[spec["zone"].asString()].push_back(object.mName);
     mPeers.AddPeer(
       object.mName, spec["zone"].asString(), spec["address"].asString());
     listed.insert(object.mName);
@@ -307,6 +323,9 @@
   if (aFresh && readable) {
     mOnZoneCounts(counts, aRequestedAt);
   }
+  UpdateColdLimit();
+  mState.mServers.ColdLimit().OnListed(
+    std::move(instances), aRequestedAt, mState.Now());
   DropSilentPeers(listed);
   mOnChange();
 }
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -75,6 +75,7 @@
   void RequestConfirmations();
   void ForgetSilentPeer();
   void LogChange();
+  void UpdateColdLimit();
   void Check();
   void FillHeartbeat(Json::Value& aHeartbeat) const;
   void ReadHeartbeat(const std::string& aZonePeer,
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -4,8 +4,10 @@
 
 #include "base/EraseIf.h"
 #include "decide/ServerRoom.h"
+#include "entry/ColdReports.h"
 #include "entry/OrderLimits.h"
 #include "platform/OrderMessage.h"
+#include "platform/RequestHead.h"
 
 namespace caraway {
 
@@ -195,12 +197,13 @@
   request.mPeer = aServer;
   request.mHead = wire::WriteReportRequest(request.mAddress);
   int64_t startTime = backend->mEntry.mStartTime;
+  TimePoint sentAt = mState.Now();
   StartBufferedCall(
     mState.mReactor,
     mState.mServerPool,
     std::move(request),
     kOrderTimeout,
-    [this, aServer, startTime, then = std::move(aThen)](
+    [this, aServer, startTime, sentAt, then = std::move(aThen)](
       BufferedAnswer& aAnswer) {
       auto found = mEntries.find(aServer);
       if (found != mEntries.end()) {
@@ -211,6 +214,8 @@
         then(false);
         return;
       }
+      ApplyColdAnswer(
+        mState, aServer, wire::ReadAnswerFacts(aAnswer.mHead), sentAt);
       Entry& current = EntryOf(aServer);
       auto report = wire::ReadReport(aAnswer.mBody);
       HeldModels before = known->mModels;
--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -220,7 +220,7 @@
   ServerView servers;
   servers.Put(Entry("s1", "a", { "m1", "m2", "m3" }), kStart);
   for (const char* model : { "m1", "m2/a1", "m3" }) {
-    servers.OnRequestBegan("s1", model);
+    servers.OnRequestBegan("s1", model, kStart);
   }
   PlacementFacts facts;
   facts.mService = "e";
@@ -312,7 +312,7 @@
   };
   EXPECT_EQ(ReplicaNeed::None, need("b", 3));
   for (int i = 0; i < 32; ++i) {
-    servers.OnRequestBegan("s1", i < 10 ? "m1" : "m2");
+    servers.OnRequestBegan("s1", i < 10 ? "m1" : "m2", kStart);
   }
   EXPECT_EQ(ReplicaNeed::Now, need("b", 3));
   // The other zone has fewer replicas.
@@ -330,7 +330,7 @@
   servers.Put(Entry("s2", "b", { "m3" }), kStart);
   servers.Put(Entry("s3", "c", { "m4" }, { "m1" }), kStart);
   for (int i = 0; i < 20; ++i) {
-    servers.OnRequestBegan("s1", "m1");
+    servers.OnRequestBegan("s1", "m1", kStart);
   }
   auto need = [&](const std::string& aHere) {
     return EvaluateReplicaNeed("e", "m1", servers, { "a", "b", "c" }, aHere, 3);
