ColdServerLimit: instances of other zones learn of a newcomer by their lists

Cause: the instances of a zone confirm that they count a newcomer; those of other zones, which use the permits of a zone without instances, don't. A newcomer and they could use more than all permits for as long as a list lasts.

Change: a newcomer spends permits of other zones' servers, and the first instance of a zone also those of its own, only after the others have had the time to read a list with it, and this instance has read one later.

--- a/src/decide/ColdServerLimit.cpp
+++ b/src/decide/ColdServerLimit.cpp
@@ -74,6 +74,7 @@
     mParts.clear();
     mCountedAt.reset();
     mListedAt.reset();
+    mSettledAt.reset();
     mListsFrom = aNow;
   }
   return !stoodStill;
@@ -100,8 +101,9 @@
     // The entry was removed: the others don't count this instance any more.
     mCountedAt.reset();
     mListedAt.reset();
-  } else if (!mListedAt) {
-    mListedAt = aNow;
+    mSettledAt.reset();
+  } else {
+    UpdateSettled(aRequestedAt, aNow);
   }
   AddNewcomers(aNow);
   ForgetSpent(aNow);
@@ -180,17 +182,17 @@
 
 // One window after the others began to count this instance, so that none of
 // their larger parts from before is in the same window. Instances of other
-// zones learn of it by their lists only.
+// zones learn of it by their lists only, and use the permits of this zone until
+// they know of its first instance.
 std::optional<TimePoint>
 ColdServerLimit::SpendsFrom(const std::string& aZone) const
 {
-  if (!mCountedAt || !mListedAt) {
+  bool byLists = aZone != mSettings.mZone || mFirstOfZone;
+  if (!mCountedAt || (byLists && !mSettledAt)) {
     return std::nullopt;
   }
-  if (aZone == mSettings.mZone) {
-    return *mCountedAt + kWindow;
-  }
-  return *mListedAt + ListSchedule::LongestWait(CountOf(mInstances)) + kWindow;
+  return byLists ? std::max(*mCountedAt, *mSettledAt) + kWindow
+                 : *mCountedAt + kWindow;
 }
 
 std::optional<TimePoint>
@@ -228,6 +230,21 @@
   times.push_back(aNow);
 }
 
+// A list read by then shows that this instance was in contact with the store
+// for as long as the others take to read their next lists.
+void
+ColdServerLimit::UpdateSettled(TimePoint aRequestedAt, TimePoint aNow)
+{
+  if (!mListedAt) {
+    mListedAt = aNow;
+    mFirstOfZone = mInstances[mSettings.mZone].size() == 1;
+  }
+  Millis wait = ListSchedule::LongestWait(CountOf(mInstances));
+  if (!mSettledAt && aRequestedAt >= *mListedAt + wait) {
+    mSettledAt = aNow;
+  }
+}
+
 void
 ColdServerLimit::ForgetSpent(TimePoint aNow)
 {
--- a/src/decide/ColdServerLimit.h
+++ b/src/decide/ColdServerLimit.h
@@ -103,6 +103,7 @@
   };
 
   bool Listed() const;
+  void UpdateSettled(TimePoint aRequestedAt, TimePoint aNow);
   void AddNewcomers(TimePoint aNow);
   void ForgetSpent(TimePoint aNow);
   std::vector<std::string> MembersFor(const std::string& aZone) const;
@@ -115,11 +116,13 @@
   ColdLimitSettings mSettings;
   InstancesByZone mInstances; // empty until a list is read
   std::vector<Newcomer> mNewcomers;
-  TimePoint mRunningAt{};                // last OnRunning()
-  TimePoint mListsFrom{};                // older lists are ignored
-  std::optional<TimePoint> mCountedAt{}; // since the last standstill
-  std::optional<TimePoint> mListedAt{};  // the same; own entry first read
-  std::map<std::string, Part> mParts;    // by server, for mInstances
+  TimePoint mRunningAt{};              // last OnRunning()
+  TimePoint mListsFrom{};              // older lists are ignored
+  std::optional<TimePoint> mCountedAt; // since the last standstill
+  std::optional<TimePoint> mListedAt;  // the same; own entry first read
+  std::optional<TimePoint> mSettledAt; // the same; all others have read it
+  bool mFirstOfZone = false;           // as of mListedAt
+  std::map<std::string, Part> mParts;  // by server, for mInstances
   std::map<std::string, std::deque<TimePoint>> mSpent; // by server
 };
 
