tests: several instances and a cold server that fails above its rate

The stand-in server can be cold: it says so in its entry and its answers, and crashes when it gets more requests in a second than it bears.

--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -138,6 +138,17 @@
   return std::find(parts.begin(), parts.end(), mCrashPart) != parts.end();
 }
 
+bool
+StandInServer::CrashesCold()
+{
+  TimePoint now = mReactor.Now();
+  mColdArrivals.push_back(now);
+  while (now - mColdArrivals.front() >= Seconds(1)) {
+    mColdArrivals.pop_front();
+  }
+  return static_cast<double>(mColdArrivals.size()) > mColdPerSecond;
+}
+
 // The beginning of an event, and the end of the process soon after.
 void
 StandInServer::BeginCrash(const std::shared_ptr<ClientConnection>& aClient,
@@ -198,6 +209,9 @@
     }
     entry["models"].append(item);
   }
+  if (mColdLeft > Millis(0)) {
+    entry["coldLeftMs"] = Json::Int64(mColdLeft.count());
+  }
   for (const std::string& model : mOnDisk) {
     entry["atHand"]["onDisk"].append(model);
   }
@@ -250,6 +264,9 @@
   if (mRejectionLimit > 0) {
     aFields.push_back({ wire::kBrittle, std::to_string(mRejectionLimit) });
   }
+  if (mColdLeft > Millis(0)) {
+    aFields.push_back({ wire::kColdLeft, std::to_string(mColdLeft.count()) });
+  }
   if (!mUnframed) {
     aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
   }
@@ -309,6 +326,11 @@
     Reply(aClient, 421, { { wire::kInstance, mExpectedId } }, "");
     return;
   }
+  if (mColdPerSecond > 0 && CrashesCold()) {
+    ++mColdCrashes;
+    Crash();
+    return;
+  }
   if (mBehaviour == ServerBehaviour::Refuses) {
     Reply(aClient, 503, { { wire::kNotRun, "1" } }, "");
     return;
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -3,6 +3,7 @@
 #ifndef caraway_tests_StandInServer_h
 #define caraway_tests_StandInServer_h
 
+#include <deque>
 #include <functional>
 #include <json/json.h>
 #include <map>
@@ -135,8 +136,13 @@
   // An answer that breaks off is framed as complete: its last chunk is sent.
   bool mEndsBrokenStreams = false;
   int mRejectionLimit = 0; // told in each answer; 0 = none
-  long mEndlessBytes = 0;  // sent, by the Endless behaviours
-  bool mResets = false; // breaks answers off by resets, not by orderly closes
+  // Requests that it bears in a second while cold, and how long it is cold, as
+  // each answer tells; it crashes at more. 0 = not cold.
+  double mColdPerSecond = 0;
+  Millis mColdLeft{ 0 };
+  int mColdCrashes = 0;
+  long mEndlessBytes = 0; // sent, by the Endless behaviours
+  bool mResets = false;   // breaks answers off by resets, not by orderly closes
   // It crashes mCrashDelay after it begins to answer a request with this part
   // of a prompt, unless that is the last part; "" = none.
   std::string mCrashPart;
@@ -177,6 +183,7 @@
   void WriteEndless(const std::shared_ptr<ClientConnection>& aClient,
                     const std::string& aPiece);
   bool CrashesOn(const HttpHead& aHead) const;
+  bool CrashesCold();
   void BeginCrash(const std::shared_ptr<ClientConnection>& aClient,
                   const HttpHead& aHead);
   void WritePiece(ClientConnection& aClient, const std::string& aText);
@@ -190,6 +197,7 @@
   std::string mId;
   std::shared_ptr<Listener> mListener;
   std::vector<std::weak_ptr<ClientConnection>> mClients;
+  std::deque<TimePoint> mColdArrivals;                  // of the last second
   bool mDown = false;                                   // accepts no connection
   std::vector<std::shared_ptr<ClientConnection>> mKept; // see mKeepsDropped
 };
