--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "decide/BackendEntry.h"
+#include "decide/ColdServerLimit.h"
 #include "decide/FirstTokenEstimate.h"
 #include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
@@ -51,6 +52,12 @@
   // Slots that own requests took (1) or freed (-1) lately, with the times.
   std::deque<std::pair<TimePoint, int>> mOwnChanges;
   double mUnreadTokens = 0; // of own prompts there without a first event yet
+  // It is cold until then by its entry, its answers or AssumeCold(). For the
+  // time after its start see ServerView::ColdUntil().
+  TimePoint mColdUntil{};
+  TimePoint mColdKnownAt{}; // when mColdUntil was last set
+  // When this instance learnt that it has started; nothing = long ago.
+  std::optional<TimePoint> mStartedAt;
 
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
@@ -105,7 +112,10 @@
   // All servers of the service that the request might go to are in excluded
   // zones.
   bool mZonesExcluded = false;
-  int mSlots = 0;              // of the usable servers that hold it
+  int mSlots = 0; // of the usable servers that hold it
+  // If only cold servers without a permit have room: when the first of them can
+  // take it.
+  std::optional<TimePoint> mColdOpensAt;
 };
 
 enum class ServerOutcome
@@ -161,7 +171,9 @@
                       std::mt19937& aRandom);
 
   // Begin and end of an own request; aName is MODEL or MODEL/ADAPTER.
-  void OnRequestBegan(const std::string& aId, const std::string& aName);
+  void OnRequestBegan(const std::string& aId,
+                      const std::string& aName,
+                      TimePoint aNow);
   void OnRequestEnded(const std::string& aId, const std::string& aName);
   // An own request began, or ended after it had run, since when the server's
   // last report is no longer all that is known.
@@ -188,6 +200,28 @@
   void OnLoadReport(const std::string& aId,
                     const ServerLoadReport& aReport,
                     TimePoint aAt);
+  // Cold servers: slow, and they fail above a rate. See ColdServerLimit.
+  ColdServerLimit& ColdLimit() { return mColdLimit; }
+  void SetColdSpecs(std::map<std::string, ColdSpec> aByService)
+  {
+    mColdSpecs = std::move(aByService);
+  }
+  // The server said with an answer how much longer it stays cold. aAskedAt:
+  // when the request was sent; what became known since may be newer.
+  void OnColdReport(const std::string& aId,
+                    Millis aLeft,
+                    TimePoint aAskedAt,
+                    TimePoint aNow);
+  // All servers of the zone may be cold until then.
+  void AssumeCold(const std::string& aZone, TimePoint aUntil);
+  // The longest time that servers are cold after their start.
+  Millis LongestColdStart() const;
+  // A time in the past if the server isn't cold.
+  TimePoint ColdUntil(const Backend& aBackend) const
+  {
+    return ColdUntil(aBackend, ColdSpecOf(aBackend.mEntry.mService));
+  }
+  size_t ColdServers(TimePoint aNow) const;
   // Some server of the service has told its pace.
   bool ReportsPace(const std::string& aService) const
   {
@@ -218,6 +252,20 @@
   ServerChoice ChoosePaced(const ServerRequirements& aRequirements,
                            TimePoint aNow,
                            std::mt19937& aRandom);
+  void ReadStart(Backend& aBackend,
+                 bool aAdded,
+                 int64_t aStartBefore,
+                 TimePoint aNow);
+  void ReadColdLeft(Backend& aBackend, TimePoint aNow);
+  // Whether a request may be sent to the server, as far as its being cold goes.
+  // If not, notes in aChoice when it may.
+  bool HasColdPermit(const Backend& aBackend,
+                     const ColdSpec& aSpec,
+                     TimePoint aNow,
+                     ServerChoice& aChoice);
+  ColdSpec ColdSpecOf(const std::string& aService) const;
+  static TimePoint ColdUntil(const Backend& aBackend, const ColdSpec& aSpec);
+
   // Adds a peer's counts to the servers (aSign 1), or subtracts them (-1).
   void AddPeerRequests(const InFlightCounts& aCounts, int aSign);
 
@@ -227,6 +275,8 @@
   ServerLives mLives;
   std::set<std::string> mPacedServices;                   // see ReportsPace()
   std::map<std::string, FirstTokenEstimate> mFirstTokens; // by service
+  std::map<std::string, ColdSpec> mColdSpecs;             // by service
+  ColdServerLimit mColdLimit;
 };
 
 } // namespace caraway
--- a/src/entry/EvacuationFeed.cpp
+++ b/src/entry/EvacuationFeed.cpp
@@ -113,7 +113,10 @@
       .Count("revision", aAsOf)
       .Text("from", aFrom);
   }
+  // Operators may have restarted the zone's servers meanwhile.
+  TimePoint coldUntil = mState.Now() + mState.mServers.LongestColdStart();
   for (const std::string& zone : change.mLifted) {
+    mState.mServers.AssumeCold(zone, coldUntil);
     mState.mLog.Line("zone_evacuation_lifted")
       .Text("zone", zone)
       .Count("revision", aAsOf)
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -104,7 +104,7 @@
   // of them is left.
   bool TriedServersGone(const ServerChoice& aChoice) const;
   bool RefuseIfUnmeetable(const ServerChoice& aChoice, DispatchPass& aPass);
-  void RefuseUnmeetable(Millis aWait, bool aHeld);
+  void RefuseUnmeetable(Millis aWait, const ServerChoice& aChoice);
   void RefuseWithoutZone();
   Millis SpreadRetry(Millis aWait);
   void LogWaiting();
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -297,6 +297,8 @@
   Millis wait{ 0 };
   if (!aChoice.mHeld) {
     wait = mLoadRequester.Expected(ToLoadRequest()).value_or(Millis(0));
+  } else if (aChoice.mColdOpensAt) {
+    wait = std::chrono::ceil<Millis>(*aChoice.mColdOpensAt - mState.Now());
   }
   TimePoint begin = mState.Now() + wait;
   // The time until a server slot comes free isn't known; the default
@@ -305,13 +307,13 @@
     RefuseShuttingDown();
     return true;
   }
-  if (aChoice.mHeld && InOrder()) {
+  if (aChoice.mHeld && !aChoice.mColdOpensAt && InOrder()) {
     return RefuseByForecast(aChoice, aPass);
   }
   if (begin + kServiceTime <= mFirstByteBy) {
     return false;
   }
-  RefuseUnmeetable(wait, aChoice.mHeld);
+  RefuseUnmeetable(wait, aChoice);
   return true;
 }
 
@@ -325,10 +327,13 @@
 }
 
 void
-Exchange::RefuseUnmeetable(Millis aWait, bool aHeld)
+Exchange::RefuseUnmeetable(Millis aWait, const ServerChoice& aChoice)
 {
   Millis after = SpreadRetry(aWait);
-  if (aHeld) {
+  if (aChoice.mColdOpensAt) {
+    mState.mMetrics.Count("caraway_cold_refused_total", "");
+    Refuse(ErrorKind::NoCapacity, after, "all servers with room are cold");
+  } else if (aChoice.mHeld) {
     Refuse(ErrorKind::NoCapacity, after, "all servers are at capacity");
   } else {
     Refuse(ErrorKind::DeadlineUnmeetable,
--- a/src/entry/ExchangeQueue.cpp
+++ b/src/entry/ExchangeQueue.cpp
@@ -106,7 +106,7 @@
   Millis retry =
     times ? forecast.ReserveRetry(contest, *times, facts, now) : Millis(0);
   if (now + kServiceTime > mFirstByteBy) {
-    RefuseUnmeetable(retry, true);
+    RefuseUnmeetable(retry, aChoice);
     return true;
   }
   mState.mLog.Line("slot_too_late")
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "entry/ColdReports.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
@@ -102,7 +103,7 @@
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
   request.mSendBy = mFinalAnswerBy;
-  mState.mServers.OnRequestBegan(mServer, FullName());
+  mState.mServers.OnRequestBegan(mServer, FullName(), mSentAt);
   mState.mServers.OnSlotTaken(mServer, mState.Now());
   BeginPrompt();
   RecordOrigin();
@@ -184,6 +185,7 @@
   if (mAnswerFacts.mLoad) {
     mState.mServers.OnLoadReport(mServer, *mAnswerFacts.mLoad, mState.Now());
   }
+  ApplyColdAnswer(mState, mServer, mAnswerFacts, mSentAt);
 }
 
 void
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -53,7 +53,7 @@
   struct RequestState
   {
     TimePoint mSentAt{};
-    std::string mZone;     // that was asked last
+    std::string mZone;                            // that was asked last
     LoadPurpose mPurpose = LoadPurpose::Unstated; // as sent
     TimePoint mExpected{}; // end of the load; zero = not known
     bool mRequestPending = false;
--- a/tests/property/LoadPatienceProperty.cpp
+++ b/tests/property/LoadPatienceProperty.cpp
@@ -45,7 +45,7 @@
     }
     entry.mOnDisk.insert(Model(*rc::gen::inRange(0, 10)));
     servers.Put(entry, kStart);
-    servers.OnRequestBegan(entry.mId, Model(*rc::gen::inRange(0, 9)));
+    servers.OnRequestBegan(entry.mId, Model(*rc::gen::inRange(0, 9)), kStart);
   }
   return servers;
 }
--- a/tests/unit/EvacuationsTest.cpp
+++ b/tests/unit/EvacuationsTest.cpp
@@ -104,7 +104,7 @@
   view.Put(Server("s1", "a"), kNow);
   view.Put(Server("s2", "b"), kNow);
   for (int i = 0; i < 4; ++i) {
-    view.OnRequestBegan("s2", "m");
+    view.OnRequestBegan("s2", "m", kNow);
   }
   auto need = [&view](const Zones& aExcluded) {
     return EvaluateReplicaNeed(
--- a/tests/unit/LoadPatienceTest.cpp
+++ b/tests/unit/LoadPatienceTest.cpp
@@ -118,7 +118,7 @@
     for (const auto& [id, server] : mServers.All()) {
       if (server.Holds("new", "") && server.Load() < 1) {
         mEnds.emplace_back(mNow + Millis(1500), id);
-        mServers.OnRequestBegan(id, "new");
+        mServers.OnRequestBegan(id, "new", mNow);
         return true;
       }
     }
@@ -352,7 +352,7 @@
   Put(servers, "s3", "c", { "u3", "p1" }, { "u1" });
   for (const char* id : { "s1", "s2", "s3" }) {
     for (int i = 0; i < 8; ++i) {
-      servers.OnRequestBegan(id, "u" + std::string(1, id[1]));
+      servers.OnRequestBegan(id, "u" + std::string(1, id[1]), kStart);
     }
   }
   auto need = [&](const std::string& aZone) {
@@ -385,7 +385,7 @@
   Put(servers, "s1", "a", { "u1" }, { "new" });
   Put(servers, "s2", "a", { "p1" }, { "new" });
   for (int i = 0; i < 10; ++i) {
-    servers.OnRequestBegan("s1", "u1");
+    servers.OnRequestBegan("s1", "u1", kStart);
   }
   PlacementFacts facts = Facts(servers);
   EXPECT_EQ("s2", Choose(servers, facts, LoadPurpose::Capacity)->mServer);
--- a/tests/unit/PacedChoiceTest.cpp
+++ b/tests/unit/PacedChoiceTest.cpp
@@ -107,7 +107,7 @@
       aView.OnRejected(id, kChoosers, mNow);
       return;
     }
-    aView.OnRequestBegan(id, "m");
+    aView.OnRequestBegan(id, "m", mNow);
     mLater.emplace(mNow + Millis(int64_t(1000 * pace)), [this, &aView, i, id] {
       --mRunning[i];
       aView.OnRequestEnded(id, "m");
@@ -226,8 +226,8 @@
     ASSERT_EQ(chosen == nullptr, same == nullptr);
     if (chosen) {
       EXPECT_EQ(same->mEntry.mId, chosen->mEntry.mId);
-      with.OnRequestBegan(chosen->mEntry.mId, "m");
-      without.OnRequestBegan(chosen->mEntry.mId, "m");
+      with.OnRequestBegan(chosen->mEntry.mId, "m", kStart);
+      without.OnRequestBegan(chosen->mEntry.mId, "m", kStart);
     }
   }
 }
