Regions: routes and tenants keep requests to servers of named regions

allowedRegions was not read. It is now, on routes and tenants; both apply. The zones of other regions are excluded with the evacuated ones from each choice of a server, and a load is requested only where it is of use. Bodies are forwarded to instances of permitted regions and of the own one. A request without a permitted zone is refused at once. A list that can't be read permits no region.

--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -185,6 +185,7 @@
   Backend& backend = at->second;
   BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
+  mZones.insert(aEntry.mZone);
   mLives.OnListed(aEntry.mId, aEntry.mStartTime, aNow);
   if (added || before.mService != aEntry.mService ||
       before.mVersion != aEntry.mVersion) {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -125,6 +125,8 @@
   bool HasVersion(const std::string& aService,
                   const std::string& aVersion,
                   const std::set<std::string>& aExcludedZones = {}) const;
+  // Zones of all servers listed so far.
+  const std::set<std::string>& Zones() const { return mZones; }
   // Whether the server is in aZone, or no server is.
   bool IsNear(const std::string& aId, const std::string& aZone) const;
   std::map<std::string, Backend>& All() { return mBackends; }
@@ -177,6 +179,7 @@
   ServiceVersions mVersions;
   ServerLives mLives;
   std::set<std::string> mPacedServices; // see ReportsPace()
+  std::set<std::string> mZones;         // see Zones()
 };
 
 } // namespace caraway
--- a/src/decide/ServingConfig.h
+++ b/src/decide/ServingConfig.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,9 +38,10 @@
   Millis mTarget{ 1000 };   // an answer within it is on time
   int mPriority = 5;        // 0 = most urgent
   std::vector<SplitPart> mSplit;
-  int mMaxServers = 1;     // servers that one request may be sent to
-  bool mAnonymous = false; // no key needed
-  bool mResumable = false; // a stream may resume on another server
+  int mMaxServers = 1;            // servers that one request may be sent to
+  bool mAnonymous = false;        // no key needed
+  bool mResumable = false;        // a stream may resume on another server
+  std::set<std::string> mRegions; // that requests may reach; empty = all
 };
 
 struct ModelWeights
@@ -90,6 +92,7 @@
   double mDefaultTokens = 1;    // of a request that doesn't state its tokens
   double mRate = 0;             // per second; 0 = no limit
   double mBurst = 0;
+  std::set<std::string> mRegions; // that requests may reach; empty = all
 };
 
 struct CallerLimits
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -2,6 +2,7 @@
 #ifndef caraway_entry_EntrySettings_h
 #define caraway_entry_EntrySettings_h
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,14 +16,15 @@
   std::string mName;
   std::string mZone;
   std::vector<std::string> mZones; // all zones of the fleet, sorted
-  std::string mCallers;            // ip:port for callers
-  std::string mReadiness;          // ip:port for the load balancer's checks
-  std::string mPeers;              // ip:port for other instances, TCP and UDP
-  std::string mMetrics;            // ip:port for metrics; "" = none
-  std::string mStore;              // ip:port of the object store
-  double mCpuShare = 1;            // of a core
-  bool mFirstStart = false;        // of the whole fleet
-  Millis mGrace{ 8000 };           // from SIGTERM to SIGKILL
+  std::map<std::string, std::string> mRegionOfZone;
+  std::string mCallers;     // ip:port for callers
+  std::string mReadiness;   // ip:port for the load balancer's checks
+  std::string mPeers;       // ip:port for other instances, TCP and UDP
+  std::string mMetrics;     // ip:port for metrics; "" = none
+  std::string mStore;       // ip:port of the object store
+  double mCpuShare = 1;     // of a core
+  bool mFirstStart = false; // of the whole fleet
+  Millis mGrace{ 8000 };    // from SIGTERM to SIGKILL
   // Between the orders of two lease holders to a server.
   Millis mOrderSilence{ 3000 };
   // Interval at which servers update their entries in the store.
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -105,6 +105,10 @@
     return;
   }
   mService = PickService(*mRoute, StreamId());
+  const TenantLimit* tenant = mConfig->Tenant(mTenant);
+  mRegions = RegionRule(mState.mSettings.mRegionOfZone,
+                        mRoute->mRegions,
+                        tenant ? tenant->mRegions : std::set<std::string>());
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
   SetDeadlines();
   if (!AwaitProbe()) {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "caraway/ErrorKind.h"
+#include "decide/RegionRule.h"
 #include "decide/RequestFacts.h"
 #include "entry/CrashWatch.h"
 #include "entry/EntryState.h"
@@ -77,6 +78,8 @@
   void Dispatch();
   bool FindServer(ModelsWithoutServer& aWithout);
   ServerChoice ChooseServer(ModelsWithoutServer& aWithout);
+  // Zones whose servers the request must not reach.
+  std::set<std::string> ExcludedZones() const;
   bool CallerStillWaits();
   bool OnEngine() const; // the service is one of model engines
   // The request has been sent to as many servers as its route allows, and none
@@ -170,6 +173,7 @@
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
+  RegionRule mRegions;      // by route and tenant
   ServingConfigPtr mConfig; // in force when the request was admitted
   const RouteSpec* mRoute = nullptr;
   std::string mService;
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -26,6 +26,10 @@
     mService, mFacts.mModel, mFacts.mAdapter, mPriority, left
   };
   request.mVersion = mVersion.value_or("");
+  if (mRegions.Restricts()) {
+    request.mExcludedZones = mRegions.ExcludedZones(mState.mServers.Zones());
+    request.mZoneBound = !request.mExcludedZones.empty();
+  }
   return request;
 }
 
@@ -124,6 +128,18 @@
          service->second.mEngine.has_value();
 }
 
+std::set<std::string>
+Exchange::ExcludedZones() const
+{
+  const std::set<std::string>& evacuated = mState.mEvacuations.Zones();
+  if (!mRegions.Restricts()) {
+    return evacuated;
+  }
+  std::set<std::string> zones = mRegions.ExcludedZones(mState.mServers.Zones());
+  zones.insert(evacuated.begin(), evacuated.end());
+  return zones;
+}
+
 ServerChoice
 Exchange::ChooseServer(ModelsWithoutServer& aWithout)
 {
@@ -134,7 +150,7 @@
   requirements.mAdapter = engine ? mFacts.mAdapter : "";
   requirements.mZone = mState.mSettings.mZone;
   requirements.mExcluded = mBadServers;
-  requirements.mExcludedZones = mState.mEvacuations.Zones();
+  requirements.mExcludedZones = ExcludedZones();
   requirements.mVersion = mVersion;
   requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
@@ -147,6 +163,11 @@
   if (anyServer) {
     key = mService + " " + requirements.mModel + " " + requirements.mAdapter +
           " " + mVersion.value_or("");
+    if (mRegions.Restricts()) {
+      for (const std::string& zone : requirements.mExcludedZones) {
+        key += "\n" + zone;
+      }
+    }
     auto known = aWithout.find(key);
     if (known != aWithout.end()) {
       return known->second;
@@ -199,10 +220,15 @@
 void
 Exchange::RefuseWithoutZone()
 {
-  Refuse(ErrorKind::NoEndpoint,
-         kRetryAfterEvacuation,
-         ServersLeft() > 0 ? "all zones of the service are evacuated"
-                           : "all servers tried are in evacuated zones");
+  const char* why = "all zones of the service are evacuated";
+  if (ServersLeft() <= 0) {
+    why = "all servers tried are in zones that are excluded by now";
+  } else if (mRegions.Restricts()) {
+    why = mState.mEvacuations.Zones().empty()
+            ? "no server of the service is in a permitted region"
+            : "all zones of the service are evacuated or not permitted";
+  }
+  Refuse(ErrorKind::NoEndpoint, kRetryAfterZonesExcluded, why);
 }
 
 bool
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -49,7 +49,7 @@
     return cutOff && RefuseUnreachable();
   }
   if (mForwards < kMaxForwards && ServersLeft() > 0) {
-    if (auto peer = mForwardPeers.Choose(mBadServers)) {
+    if (auto peer = mForwardPeers.Choose(mBadServers, mRegions)) {
       Forward(*peer);
       return true;
     }
--- a/src/entry/ExchangeResume.cpp
+++ b/src/entry/ExchangeResume.cpp
@@ -207,8 +207,8 @@
 bool
 Exchange::RefuseWithoutVersion()
 {
-  if (!mVersion || mState.mServers.HasVersion(
-                     mService, *mVersion, mState.mEvacuations.Zones())) {
+  if (!mVersion ||
+      mState.mServers.HasVersion(mService, *mVersion, ExcludedZones())) {
     return false;
   }
   Refuse(ErrorKind::NoEndpoint,
--- a/src/entry/ExchangeTimes.h
+++ b/src/entry/ExchangeTimes.h
@@ -17,7 +17,7 @@
 inline constexpr Millis kRetryAfterElsewhere{ 20 };
 
 // Retry-after time of a request for which the operators left no server.
-inline constexpr Millis kRetryAfterEvacuation{ 5000 };
+inline constexpr Millis kRetryAfterZonesExcluded{ 5000 };
 
 // Within this time the end of a connection follows the last bytes on it, when
 // its process has ended before they are read: both have arrived by then.
--- a/src/entry/ForwardPeers.h
+++ b/src/entry/ForwardPeers.h
@@ -6,6 +6,8 @@
 #include <set>
 #include <string>
 
+#include "decide/RegionRule.h"
+
 namespace caraway {
 
 struct ForwardTarget
@@ -19,9 +21,11 @@
 public:
   virtual ~ForwardPeers() = default;
   // Chooses a peer that reaches servers and isn't shutting down, as far as is
-  // known, and whose name isn't in aExcluded; nothing if there is none.
+  // known, whose name isn't in aExcluded, and which may receive the body of a
+  // request under aRule; nothing if there is none.
   virtual std::optional<ForwardTarget> Choose(
-    const std::set<std::string>& aExcluded) = 0;
+    const std::set<std::string>& aExcluded,
+    const RegionRule& aRule) = 0;
 };
 
 } // namespace caraway
--- a/src/entry/LoadMessages.cpp
+++ b/src/entry/LoadMessages.cpp
@@ -12,16 +12,23 @@
   request["priority"] = aRequest.mPriority;
   request["left_ms"] = Json::Int64(aRequest.mLeft.count());
   request["version"] = aRequest.mVersion;
+  if (aRequest.mZoneBound) {
+    request["zone_bound"] = true;
+  }
   return request;
 }
 
 LoadRequest
 ReadLoadRequest(const Json::Value& aRequest)
 {
-  return { aRequest["service"].asString(),        aRequest["model"].asString(),
-           aRequest["adapter"].asString(),        aRequest["priority"].asInt(),
-           Millis(aRequest["left_ms"].asInt64()), false,
-           aRequest["version"].asString() };
+  LoadRequest request{ aRequest["service"].asString(),
+                       aRequest["model"].asString(),
+                       aRequest["adapter"].asString(),
+                       aRequest["priority"].asInt(),
+                       Millis(aRequest["left_ms"].asInt64()) };
+  request.mVersion = aRequest["version"].asString();
+  request.mZoneBound = aRequest["zone_bound"].asBool();
+  return request;
 }
 
 Json::Value
--- a/src/entry/LoadRequester.h
+++ b/src/entry/LoadRequester.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "caraway/Time.h"
@@ -24,6 +25,11 @@
   bool mExtraReplica = false; // another replica beside an existing one
   // Software version of the server that must load it; "" = any.
   std::string mVersion{};
+  // Zones where a load is of no use to the request.
+  std::set<std::string> mExcludedZones{};
+  // Some zones are of no use, so that a load in another zone than the one that
+  // is asked doesn't make this one needless.
+  bool mZoneBound = false;
 
   // Whether a server of aVersion may load it.
   bool Fits(const std::string& aServerVersion) const
--- a/src/entry/LoadSchedulerClaims.cpp
+++ b/src/entry/LoadSchedulerClaims.cpp
@@ -81,8 +81,12 @@
   request.mModel = model;
   request.mVersion = aMessage["version"].asString();
   Key key = KeyOf(request);
-  auto own = mQueue.count(key) ? LoadClaims::OwnProgress::Queued
-                               : LoadClaims::OwnProgress::None;
+  auto queued = mQueue.find(key);
+  auto own = queued == mQueue.end() ? LoadClaims::OwnProgress::None
+                                    : LoadClaims::OwnProgress::Queued;
+  if (queued != mQueue.end() && queued->second.mRequest.mZoneBound) {
+    own = LoadClaims::OwnProgress::Begun; // keeps its load whatever others do
+  }
   for (const auto& [server, job] : mJobs) {
     if (Serves(job, request)) {
       own = LoadClaims::OwnProgress::Begun;
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -62,6 +62,8 @@
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
+  queued.mRequest.mZoneBound =
+    queued.mRequest.mZoneBound || aRequest.mZoneBound;
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
   if (added) {
@@ -83,7 +85,8 @@
 LoadScheduler::ExpectedFromOtherZone(const LoadRequest& aRequest)
 {
   TimePoint now = mState.Now();
-  auto elsewhere = aRequest.mExtraReplica || !aRequest.mAdapter.empty()
+  bool needed = aRequest.mExtraReplica || aRequest.mZoneBound;
+  auto elsewhere = needed || !aRequest.mAdapter.empty()
                      ? std::nullopt
                      : mClaims.ExpectedFromOtherZone(ClaimOf(aRequest), now);
   if (!elsewhere) {
--- a/src/entry/PeerForwarding.cpp
+++ b/src/entry/PeerForwarding.cpp
@@ -12,14 +12,17 @@
 
 bool
 PeerForwarding::MayServe(const Peer& aPeer,
-                         const std::set<std::string>& aExcluded)
+                         const std::set<std::string>& aExcluded,
+                         const RegionRule& aRule)
 {
   return mPeers.Alive(aPeer) && !aPeer.mLeaving && !aPeer.mCutOff &&
-         !aExcluded.count(aPeer.mName);
+         !aExcluded.count(aPeer.mName) &&
+         aRule.PermitsInstance(aPeer.mZone, mState.mSettings.mZone);
 }
 
 std::optional<ForwardTarget>
-PeerForwarding::Choose(const std::set<std::string>& aExcluded)
+PeerForwarding::Choose(const std::set<std::string>& aExcluded,
+                       const RegionRule& aRule)
 {
   std::vector<const Peer*> near;
   std::vector<const Peer*> all;
@@ -27,7 +30,7 @@
   for (const auto& [name, peer] : mPeers.All()) {
     bool sameZone = peer.mZone == mState.mSettings.mZone;
     zoneSize += sameZone ? 1 : 0;
-    if (!MayServe(peer, aExcluded)) {
+    if (!MayServe(peer, aExcluded, aRule)) {
       continue;
     }
     all.push_back(&peer);
--- a/src/entry/PeerForwarding.h
+++ b/src/entry/PeerForwarding.h
@@ -12,11 +12,13 @@
 public:
   PeerForwarding(EntryState& aState, const Peers& aPeers);
 
-  std::optional<ForwardTarget> Choose(
-    const std::set<std::string>& aExcluded) override;
+  std::optional<ForwardTarget> Choose(const std::set<std::string>& aExcluded,
+                                      const RegionRule& aRule) override;
 
 private:
-  bool MayServe(const Peer& aPeer, const std::set<std::string>& aExcluded);
+  bool MayServe(const Peer& aPeer,
+                const std::set<std::string>& aExcluded,
+                const RegionRule& aRule);
 
   EntryState& mState;
   const Peers& mPeers;
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -126,9 +126,11 @@
 ZoneSchedulers::Key
 ZoneSchedulers::KeyOf(const LoadRequest& aRequest)
 {
-  return {
-    aRequest.mService, aRequest.mModel, aRequest.mAdapter, aRequest.mVersion
-  };
+  return { aRequest.mService,
+           aRequest.mModel,
+           aRequest.mAdapter,
+           aRequest.mVersion,
+           aRequest.mExcludedZones };
 }
 
 LoadScheduler*
@@ -159,7 +161,7 @@
 
 // Returns the zone that can load the model soonest, by the zone's nearest copy
 // of the weights; for an adapter, a zone that holds the model is preferred. It
-// is never an evacuated zone.
+// is never an evacuated zone, nor one that the request excludes.
 // Returns "" if there is none.
 std::string
 ZoneSchedulers::ZoneFor(const LoadRequest& aRequest) const
@@ -174,7 +176,8 @@
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mService != aRequest.mService ||
         backend.mEntry.mDraining || !aRequest.Fits(backend.mEntry.mVersion) ||
-        mState.mEvacuations.Evacuated(backend.mEntry.mZone)) {
+        mState.mEvacuations.Evacuated(backend.mEntry.mZone) ||
+        aRequest.mExcludedZones.count(backend.mEntry.mZone)) {
       continue;
     }
     Millis wait{ 0 };
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -46,8 +46,12 @@
   std::optional<Millis> Expected(const LoadRequest& aRequest) override;
 
 private:
-  // Service, model, adapter, version.
-  using Key = std::tuple<std::string, std::string, std::string, std::string>;
+  // Service, model, adapter, version, excluded zones.
+  using Key = std::tuple<std::string,
+                         std::string,
+                         std::string,
+                         std::string,
+                         std::set<std::string>>;
 
   // A load request of this instance and its last reply.
   struct RequestState
--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -164,7 +164,10 @@
   };
   std::string zones;
   for (const std::string& zone : mOptions.mZones) {
-    zones += zone + " = \"region\"\n";
+    auto region = mOptions.mRegions.find(zone);
+    zones += zone + " = \"" +
+             (region == mOptions.mRegions.end() ? "region" : region->second) +
+             "\"\n";
   }
   return "nodeName = \"i" + std::to_string(aIndex) + "\"\nzone = \"" +
          ports.mZone + "\"\nip = \"127.0.0.1\"\ninternalPorts = [" +
--- a/tests/support/EntryTestFleet.h
+++ b/tests/support/EntryTestFleet.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <json/json.h>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -50,6 +51,7 @@
   // Time that passes with each pass of all event loops; zero = real time. With
   // steps a busy machine can't make messages late.
   Millis mStep{ 0 };
+  std::map<std::string, std::string> mRegions; // by zone; "region" if missing
   std::string mBounds; // more lines for [bounds] of the settings
 };
 
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -77,6 +77,45 @@
   EXPECT_EQ(2u, result.mSettings.mZones.size());
 }
 
+TEST(WireSettings, ZonesAreMappedToRegions)
+{
+  EntrySettings settings = ReadSettings(kSettings).mSettings;
+  EXPECT_EQ("cuyo", settings.mRegionOfZone["sanjuan-c"]);
+  std::string text =
+    Replaced(kSettings, "sanjuan-c = \"cuyo\"", "sanjuan-c = 7");
+  settings = ReadSettings(text).mSettings;
+  EXPECT_EQ(2u, settings.mZones.size());
+  EXPECT_EQ(1u, settings.mRegionOfZone.size());
+}
+
+// Guards against a restriction that can't be read and then counts as none.
+TEST(WireConfig, ReadsAllowedRegions)
+{
+  auto regions = [](const char* aList) {
+    std::string fields =
+      aList[0] ? std::string(",\"allowedRegions\":") + aList : std::string();
+    Json::Value spec = JsonParseOrEmpty(
+      "{\"version\":1,\"routes\":[{\"host\":\"h\",\"pathPrefix\":\"/"
+      "\",\"kind\":"
+      "\"safe\",\"service\":\"s\"" +
+      fields + "}],\"tenants\":[{\"name\":\"t\"" + fields + "}]}");
+    int leftOut = 0;
+    auto config = ReadConfig(spec, leftOut);
+    EXPECT_EQ(0, leftOut);
+    EXPECT_EQ(config->mRoutes[0].mRegions, config->mTenants["t"].mRegions);
+    return config->mRoutes[0].mRegions;
+  };
+  using Set = std::set<std::string>;
+  for (const char* none : { "", "null", "[]" }) {
+    EXPECT_EQ(Set{}, regions(none)) << none;
+  }
+  EXPECT_EQ((Set{ "cuyo", "pampa" }), regions(R"(["cuyo","pampa","cuyo"])"));
+  EXPECT_EQ(Set{ "cuyo" }, regions(R"(["cuyo",7])"));
+  for (const char* unreadable : { R"("cuyo")", "[7]", "{}", "false" }) {
+    EXPECT_EQ(Set{ "" }, regions(unreadable)) << unreadable;
+  }
+}
+
 TEST(WireSettings, EvacuationsAreInUseOnlyIfTheirLimitIsSet)
 {
   EXPECT_FALSE(ReadSettings(kSettings).mSettings.mEvacuationLimit);
