--- a/tests/platform/EvacuationsTest.cpp
+++ b/tests/platform/EvacuationsTest.cpp
@@ -132,6 +132,42 @@
   EXPECT_GT(ArrivalsInA(), before);
 }
 
+// Guards against orders of a load that was decided before the evacuation, and
+// against a request that goes on waiting for it.
+TEST_F(ZoneEvacuation, LoadUnderWayIsGivenUp)
+{
+  StandInServer& engine = *mFleet.mEngines[0];
+  engine.mOnDisk = { "m2" };
+  mFleet.List(engine, "engine", "a");
+  mFleet.RunFor(Seconds(2));
+  engine.mBusy = true; // rejects the order, which is sent again
+  auto call = [this] {
+    return mFleet.Send(0,
+                       "/resume/stream",
+                       NextId(),
+                       { { wire::kModel, "m2" }, { wire::kTokens, "9,9" } });
+  };
+  call();
+  mFleet.RunFor(Millis(100));
+  EXPECT_GT(engine.mOrdersSeen, 0);
+  Evacuate("a");
+  ASSERT_TRUE(mFleet.RunUntil(
+    [&] {
+      for (size_t i = 0; i < mFleet.mInstances.size(); ++i) {
+        if (!Evacuated(i, "a")) {
+          return false;
+        }
+      }
+      return true;
+    },
+    kLimit));
+  int orders = engine.mOrdersSeen;
+  call();
+  mFleet.RunFor(Seconds(1));
+  EXPECT_EQ(orders, engine.mOrdersSeen);
+  EXPECT_TRUE(mFleet.mEngines[1]->mModels.count("m2"));
+}
+
 // The store doesn't answer one instance. It learns of the evacuation and of
 // its end from others.
 TEST_F(ZoneEvacuation, InstanceWithoutStoreLearnsItFromAPeer)
