--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -63,11 +63,12 @@
   options.mExpect = FLAGS_expect;
   options.mNote = FLAGS_note;
   caraway::Ctl::Arguments arguments(aArguments + 1, aArguments + aCount);
-  const std::set<std::string> offline = {
-    "help", "admin-key", "explain", "losses"
-  };
-  bool local = !arguments.empty() && offline.count(arguments[0]) > 0;
-  if (!local && options.mAdmin.empty()) {
+  const std::set<std::string> withoutAdmin = { "help",       "admin-key",
+                                               "explain",    "losses",
+                                               "parts",      "lift-part",
+                                               "evacuations" };
+  bool needsNone = !arguments.empty() && withoutAdmin.count(arguments[0]) > 0;
+  if (!needsNone && options.mAdmin.empty()) {
     std::fprintf(stderr,
                  "carawayctl: no address; set --admin or CARAWAY_ADMIN\n");
     return caraway::CtlExit_Usage;
