--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -238,6 +238,7 @@
   Backend& backend = at->second;
   BackendEntry before = std::move(backend.mEntry);
   backend.mEntry = aEntry;
+  mZones.insert(aEntry.mZone);
   mLives.OnListed(aEntry.mId, aEntry.mStartTime, aNow);
   ReadStart(backend, added, before.mStartTime, aNow);
   if (added || before.mRevision != aEntry.mRevision ||
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -161,6 +161,8 @@
   bool HasVersion(const std::string& aService,
                   const std::string& aVersion,
                   const std::set<std::string>& aExcludedZones = {}) const;
+  // Zones of all servers listed so far.
+  const std::set<std::string>& Zones() const { return mZones; }
   // Whether the server is in aZone, or no server is.
   bool IsNear(const std::string& aId, const std::string& aZone) const;
   std::map<std::string, Backend>& All() { return mBackends; }
@@ -277,6 +279,7 @@
   std::map<std::string, FirstTokenEstimate> mFirstTokens; // by service
   std::map<std::string, ColdSpec> mColdSpecs;             // by service
   ColdServerLimit mColdLimit;
+  std::set<std::string> mZones; // see Zones()
 };
 
 } // namespace caraway
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -9,6 +9,7 @@
 
 #include "caraway/ErrorKind.h"
 #include "decide/FirstTokenEstimate.h"
+#include "decide/RegionRule.h"
 #include "decide/RequestFacts.h"
 #include "entry/CrashWatch.h"
 #include "entry/EntryState.h"
@@ -97,6 +98,8 @@
   bool FindServer(DispatchPass& aPass);
   ServerChoice ChooseServer(DispatchPass& aPass);
   ServerRequirements RequirementsOf() const;
+  // Zones whose servers the request must not reach.
+  std::set<std::string> ExcludedZones() const;
   bool CallerStillWaits();
   void RefuseTooLate();
   bool OnEngine() const; // the service is one of model engines
@@ -208,6 +211,7 @@
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
+  RegionRule mRegions;      // by route and tenant
   ServingConfigPtr mConfig; // in force when the request was admitted
   const RouteSpec* mRoute = nullptr;
   std::string mService;
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -30,6 +30,10 @@
   };
   request.mVersion = mVersion.value_or("");
   request.mPurpose = PurposeOfLoad();
+  if (mRegions.Restricts()) {
+    request.mExcludedZones = mRegions.ExcludedZones(mState.mServers.Zones());
+    request.mZoneBound = !request.mExcludedZones.empty();
+  }
   return request;
 }
 
@@ -174,6 +178,18 @@
          service->second.mEngine.has_value();
 }
 
+std::set<std::string>
+Exchange::ExcludedZones() const
+{
+  const std::set<std::string>& evacuated = mState.mEvacuations.Zones();
+  if (!mRegions.Restricts()) {
+    return evacuated;
+  }
+  std::set<std::string> zones = mRegions.ExcludedZones(mState.mServers.Zones());
+  zones.insert(evacuated.begin(), evacuated.end());
+  return zones;
+}
+
 ServerRequirements
 Exchange::RequirementsOf() const
 {
@@ -184,7 +200,7 @@
   requirements.mAdapter = engine ? mFacts.mAdapter : "";
   requirements.mZone = mState.mSettings.mZone;
   requirements.mExcluded = mBadServers;
-  requirements.mExcludedZones = mState.mEvacuations.Zones();
+  requirements.mExcludedZones = ExcludedZones();
   requirements.mVersion = mVersion;
   requirements.mInstances = mState.mInstances;
   requirements.mMaxPerSlot =
@@ -214,6 +230,11 @@
     bool leavesReserve = requirements.mMaxPerSlot == kLessUrgentRequestsPerSlot;
     key = mService + " " + requirements.mModel + " " + requirements.mAdapter +
           " " + mVersion.value_or("") + (leavesReserve ? " r" : "");
+    if (mRegions.Restricts()) {
+      for (const std::string& zone : requirements.mExcludedZones) {
+        key += "\n" + zone;
+      }
+    }
     auto known = aPass.mWithoutServer.find(key);
     if (known != aPass.mWithoutServer.end()) {
       return known->second;
@@ -271,10 +292,15 @@
 void
 Exchange::RefuseWithoutZone()
 {
-  Refuse(ErrorKind::NoEndpoint,
-         kRetryAfterEvacuation,
-         ServersLeft() > 0 ? "all zones of the service are evacuated"
-                           : "all servers tried are in evacuated zones");
+  const char* why = "all zones of the service are evacuated";
+  if (ServersLeft() <= 0) {
+    why = "all servers tried are in zones that are excluded by now";
+  } else if (mRegions.Restricts()) {
+    why = mState.mEvacuations.Zones().empty()
+            ? "no server of the service is in a permitted region"
+            : "all zones of the service are evacuated or not permitted";
+  }
+  Refuse(ErrorKind::NoEndpoint, kRetryAfterZonesExcluded, why);
 }
 
 bool
--- a/src/entry/LoadMessages.cpp
+++ b/src/entry/LoadMessages.cpp
@@ -15,20 +15,24 @@
   if (aRequest.mPurpose != LoadPurpose::Unstated) {
     request["purpose"] = LoadPurposeName(aRequest.mPurpose);
   }
+  if (aRequest.mZoneBound) {
+    request["zone_bound"] = true;
+  }
   return request;
 }
 
 LoadRequest
 ReadLoadRequest(const Json::Value& aRequest)
 {
-  return { aRequest["service"].asString(),
-           aRequest["model"].asString(),
-           aRequest["adapter"].asString(),
-           aRequest["priority"].asInt(),
-           Millis(aRequest["left_ms"].asInt64()),
-           false,
-           aRequest["version"].asString(),
-           ReadLoadPurpose(aRequest["purpose"].asString()) };
+  LoadRequest request{ aRequest["service"].asString(),
+                       aRequest["model"].asString(),
+                       aRequest["adapter"].asString(),
+                       aRequest["priority"].asInt(),
+                       Millis(aRequest["left_ms"].asInt64()) };
+  request.mVersion = aRequest["version"].asString();
+  request.mPurpose = ReadLoadPurpose(aRequest["purpose"].asString());
+  request.mZoneBound = aRequest["zone_bound"].asBool();
+  return request;
 }
 
 Json::Value
--- a/src/entry/LoadRequester.h
+++ b/src/entry/LoadRequester.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "caraway/Time.h"
@@ -26,6 +27,11 @@
   // Software version of the server that must load it; "" = any.
   std::string mVersion{};
   LoadPurpose mPurpose = LoadPurpose::Unstated;
+  // Zones where a load is of no use to the request.
+  std::set<std::string> mExcludedZones{};
+  // Some zones are of no use, so that a load in another zone than the one that
+  // is asked doesn't make this one needless.
+  bool mZoneBound = false;
 
   // Whether a server of aVersion may load it.
   bool Fits(const std::string& aServerVersion) const
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -77,6 +77,8 @@
     queued.mRequest.mPurpose = aRequest.mPurpose;
     mScheduleDue = true;
   }
+  queued.mRequest.mZoneBound =
+    queued.mRequest.mZoneBound || aRequest.mZoneBound;
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
   queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
@@ -99,7 +101,8 @@
 LoadScheduler::ExpectedFromOtherZone(const LoadRequest& aRequest)
 {
   TimePoint now = mState.Now();
-  auto elsewhere = aRequest.mExtraReplica || !aRequest.mAdapter.empty()
+  bool needed = aRequest.mExtraReplica || aRequest.mZoneBound;
+  auto elsewhere = needed || !aRequest.mAdapter.empty()
                      ? std::nullopt
                      : mClaims.ExpectedFromOtherZone(ClaimOf(aRequest), now);
   if (!elsewhere) {
