--- a/tests/property/EntryDecisionsProperty.cpp
+++ b/tests/property/EntryDecisionsProperty.cpp
@@ -54,6 +54,22 @@
 
 } // namespace
 
+// Guards against a forecast after the time at which the budget allows a retry:
+// the caller would be refused for nothing. Three requests a second.
+TEST(ServerRetryBudget, ForetoldTimeIsNotLate)
+{
+  ServerRetryBudget budget({ 0.2, 0, Seconds(10) });
+  std::optional<TimePoint> foretold = budget.NextAt("e", 80, kStart);
+  EXPECT_FALSE(foretold);
+  for (TimePoint now = kStart; now < kStart + Seconds(99); now += Millis(333)) {
+    budget.OnRequest("e", now);
+    if (now > kStart + Seconds(10) && budget.Spend("e", 80, now)) {
+      EXPECT_LE(foretold, now);
+    }
+    foretold = budget.NextAt("e", 80, now);
+  }
+}
+
 // Guards against retries that keep failing servers overloaded: over instances
 // with independent traffic, they stay within ratio x requests + slack in every
 // window.
