Exchange: each wait is logged, and tried servers that are gone end it

A second wait after a send wasn't logged, and a request that was queued before its first attempt didn't count as new, so it waited on where all servers that it may be sent to had gone.

No test was red: found by reading. QueueOrder.* and RejectionLimit.* pass.

--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -104,6 +104,7 @@
   void RefuseUnmeetable(Millis aWait, bool aHeld);
   Millis SpreadRetry(Millis aWait);
   void LogWaiting();
+  void StopWaiting();
   bool ExpectsCallers() const;
   // Whether the request may be sent at aStart to a server of aServerLoad
   // requests per slot. False when the instance is leaving and would exit before
@@ -244,7 +245,7 @@
   bool mProbing = false;   // may be sent though its part is blocked
   TimePoint mToldGoodAt{}; // when mCall's answer was last told to be good
   bool mWaiting = false;
-  bool mWaitLogged = false;
+  bool mWaitLogged = false; // since mWaiting: no server at the first attempt
   bool mRetryOwed = false;  // the next send is a retry and not yet spent
   bool mColdStart = false;  // waited for a model or adapter to be loaded
   TimePoint mLastChunkAt{}; // of a stream
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -70,6 +70,13 @@
     .Ms("since_ms", mState.AgeOf(mArrived));
 }
 
+void
+Exchange::StopWaiting()
+{
+  mWaiting = false;
+  mWaitLogged = false;
+}
+
 bool
 Exchange::TryDispatch(DispatchPass& aPass)
 {
@@ -82,7 +89,7 @@
     }
     return mFinished;
   }
-  mWaiting = false;
+  StopWaiting();
   return true;
 }
 
@@ -216,7 +223,7 @@
       return RefuseWithoutRetry();
     }
     mRetryOwed = false;
-    mWaiting = false;
+    StopWaiting();
     RecordInOrder();
     Send(*choice.mBackend);
     return true;
@@ -231,7 +238,7 @@
 bool
 Exchange::TriedServersGone(const ServerChoice& aChoice) const
 {
-  return !mWaiting && !mTriedServers.empty() && !aChoice.mHeld &&
+  return !mWaitLogged && !mTriedServers.empty() && !aChoice.mHeld &&
          ServersLeft() <= 0;
 }
 
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -75,7 +75,7 @@
   extra.mBodyBytes = mRequest.mBody.size();
   extra.mLastEvent = mLastEvent;
   extra.mVersion = mVersion;
-  mWaiting = false;
+  StopWaiting();
   mForwarding = true;
   ++mForwards;
   mServer = aPeer.mName;
