--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -90,6 +90,13 @@
     .Ms("since_ms", mState.AgeOf(mArrived));
 }
 
+void
+Exchange::StopWaiting()
+{
+  mWaiting = false;
+  mWaitLogged = false;
+}
+
 bool
 Exchange::TryDispatch(DispatchPass& aPass)
 {
@@ -102,7 +109,7 @@
     }
     return mFinished;
   }
-  mWaiting = false;
+  StopWaiting();
   return true;
 }
 
@@ -273,7 +280,7 @@
       return RefuseWithoutRetry();
     }
     mRetryOwed = false;
-    mWaiting = false;
+    StopWaiting();
     RecordInOrder();
     Send(*choice.mBackend);
     return true;
@@ -306,7 +313,7 @@
 bool
 Exchange::TriedServersGone(const ServerChoice& aChoice) const
 {
-  return !mWaiting && !mTriedServers.empty() && !aChoice.mHeld &&
+  return !mWaitLogged && !mTriedServers.empty() && !aChoice.mHeld &&
          ServersLeft() <= 0;
 }
 
