--- a/src/decide/LoadPriority.cpp
+++ b/src/decide/LoadPriority.cpp
@@ -42,7 +42,8 @@
       aFacts.mUrgentRate < kPopularRate, kUrgentBand, false, aFacts.mSince
     };
   }
-  // A replica for a newly popular model is needed before DemandTracker shows it.
+  // A replica for a newly popular model is needed before DemandTracker shows
+  // it.
   double rate = aFacts.mPurpose == LoadPurpose::Capacity
                   ? std::max(aFacts.mRate, aFacts.mUrgentRate)
                   : aFacts.mRate;
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -187,6 +187,8 @@
   gauge("caraway_lease_held", mZoneLease.Holds() ? 1 : 0);
   gauge("caraway_zones_led", static_cast<int64_t>(mSchedulers.LedZones()));
   gauge("caraway_loads_under_way", static_cast<int64_t>(mSchedulers.Loads()));
+  gauge("caraway_zone_models_missing",
+        static_cast<int64_t>(mSchedulers.MissingInZones()));
   gauge("caraway_loads_queued", static_cast<int64_t>(mSchedulers.Waiting()));
   gauge("caraway_store_age_ms", mState.AgeOf(mStore.LastSuccessAt()).count());
   return { 200, "text/plain", text };
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -52,6 +52,9 @@
   bool Holds() const { return mLease.Holds(); }
   size_t Loads() const { return mJobs.size(); }
   size_t Waiting() const { return mQueue.size(); }
+  // Models that urgent callers of the zone get from other zones only, as of the
+  // last check; 0 on an instance that doesn't hold the lease.
+  size_t MissingInZone() const { return Holds() ? mMissingInZone : 0; }
 
   // Queues a load request of any instance. The result's "expected_ms" is the
   // time until the model or adapter is expected to be loaded, if it is known.
@@ -128,9 +131,9 @@
   void AddReplicas();
   void AddRisingReplicas();
   bool IsLoading(const std::string& aService, const std::string& aModel) const;
-  void AddReplicaOf(const std::string& aService,
-                    const std::string& aModel,
-                    const ModelWeights& aWeights);
+  ReplicaNeed AddReplicaOf(const std::string& aService,
+                           const std::string& aModel,
+                           const ModelWeights& aWeights);
   // Announces to the other zones a load of a model that no server holds.
   void SendClaim(const LoadRequest& aRequest, bool aBegun, Millis aExpected);
   void SendStoreLoad(const std::string& aServer, Millis aLeft);
@@ -170,6 +173,7 @@
   LoadClaims mClaims;
   // By service, with the time at which demand and replicas were last counted.
   std::map<std::string, std::pair<TimePoint, PlacementFacts>> mFacts;
+  size_t mMissingInZone = 0;
   bool mScheduleDue = false;
   TimePoint mScheduledAt{};
   uint64_t mNextJob = 0;
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -316,12 +316,14 @@
   if (!mLease.MayAct() || !mState.mConfig) {
     return;
   }
+  mMissingInZone = 0;
   for (const auto& [name, service] : mState.mConfig->mServices) {
     if (!service.mEngine) {
       continue;
     }
     for (const auto& [model, weights] : service.mEngine->mModels) {
-      AddReplicaOf(name, model, weights);
+      ReplicaNeed need = AddReplicaOf(name, model, weights);
+      mMissingInZone += need == ReplicaNeed::Zone ? 1 : 0;
     }
   }
 }
@@ -358,14 +360,14 @@
   });
 }
 
-void
+ReplicaNeed
 LoadScheduler::AddReplicaOf(const std::string& aService,
                             const std::string& aModel,
                             const ModelWeights& aWeights)
 {
   double rate = mState.mDemand.Rate(aModel, mState.Now());
   if (rate <= kMinReplicaRate) {
-    return;
+    return ReplicaNeed::None;
   }
   bool knowsUrgent = mState.mServers.ReportsPace(aService);
   UrgentRates urgent =
@@ -380,7 +382,7 @@
                                          urgent,
                                          aWeights.mDisk + kUnloadTime);
   if (need == ReplicaNeed::None) {
-    return;
+    return need;
   }
   LoadRequest request{ aService, aModel, "", kLowestPriority, Millis(0), true };
   request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
@@ -388,6 +390,7 @@
     request.mPurpose = PurposeOfReplica(need, urgent);
   }
   OnLoadRequest(request);
+  return need;
 }
 
 } // namespace caraway
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -114,6 +114,16 @@
   return waiting;
 }
 
+size_t
+ZoneSchedulers::MissingInZones() const
+{
+  size_t missing = 0;
+  for (const auto& [zone, scheduler] : mSchedulers) {
+    missing += scheduler->MissingInZone();
+  }
+  return missing;
+}
+
 size_t
 ZoneSchedulers::LedZones() const
 {
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -39,6 +39,8 @@
 
   size_t Loads() const;
   size_t Waiting() const;
+  // Over the zones that this instance leads; see LoadScheduler.
+  size_t MissingInZones() const;
   // Number of zones whose lease this instance holds.
   size_t LedZones() const;
 
