--- a/src/decide/FirstTokenEstimate.cpp
+++ b/src/decide/FirstTokenEstimate.cpp
@@ -26,7 +26,8 @@
 constexpr double kMostSurprise = 4;
 constexpr double kLeastExpectedMs = 20;
 
-constexpr double kMeanGain = 0.05;
+// Least weight of the newest first event in the means.
+constexpr double kMeanGain = 0.02;
 
 double
 Within(double aLearnt, double aGuess)
@@ -70,9 +71,7 @@
 
 // Each trend sees what the other one leaves.
 void
-FirstTokenEstimate::Record(const FirstTokenFacts& aFacts,
-                           double aPromptTokens,
-                           Millis aTook)
+FirstTokenEstimate::Record(const FirstTokenFacts& aFacts, Millis aTook)
 {
   double expected = WorkMs(aFacts) + mFixedMs;
   double took = std::min(static_cast<double>(aTook.count()) / aFacts.mPace,
@@ -81,9 +80,18 @@
   double steps = StepMs() * aFacts.mRequests;
   mPrompt.Record(aFacts.mPromptTokens, took - steps);
   mStep.Record(aFacts.mRequests, took - prompt);
-  mFixedMs += kMeanGain * (took - WorkMs(aFacts) - mFixedMs);
+  double gain = std::max(kMeanGain, 1 / ++mEvents);
+  mFixedMs += gain * (took - WorkMs(aFacts) - mFixedMs);
   mFixedMs = std::max(0.0, mFixedMs);
-  mUsualPrompt += kMeanGain * (aPromptTokens - mUsualPrompt);
+  mUsualPrompt += gain * (aFacts.mOwnTokens - mUsualPrompt);
+  double longTokens = aFacts.mLong ? aFacts.mOwnTokens : 0;
+  mLongTokens += gain * (longTokens - mLongTokens);
+}
+
+double
+FirstTokenEstimate::LongShare() const
+{
+  return std::clamp(mLongTokens / std::max(mUsualPrompt, 1.0), 0.0, 1.0);
 }
 
 Millis
--- a/src/decide/FirstTokenEstimate.h
+++ b/src/decide/FirstTokenEstimate.h
@@ -12,8 +12,10 @@
 {
   // Of the request's prompt and of those that the server reads before it.
   double mPromptTokens = 0;
-  double mRequests = 0; // in flight at the server, this one included
-  double mPace = 1;     // see ServerPace
+  double mRequests = 0;  // in flight at the server, this one included
+  double mPace = 1;      // see ServerPace
+  double mOwnTokens = 0; // of the request's prompt alone
+  bool mLong = false;    // reading it holds up streams noticeably
 };
 
 // A server reads prompts one after another and holds up all else meanwhile;
@@ -24,15 +26,14 @@
 public:
   FirstTokenEstimate();
 
-  // aPromptTokens: of the request alone.
-  void Record(const FirstTokenFacts& aFacts,
-              double aPromptTokens,
-              Millis aTook);
+  void Record(const FirstTokenFacts& aFacts, Millis aTook);
   Millis Expected(const FirstTokenFacts& aFacts) const;
   // Time in which a server of usual pace reads a prompt.
   Millis ReadingTime(double aPromptTokens) const;
   // Mean of the requests recorded; stands in for an unknown length.
   double UsualPrompt() const { return mUsualPrompt; }
+  // Part of all prompt tokens that belongs to long prompts, 0 to 1.
+  double LongShare() const;
 
 private:
   double TokenMs() const;
@@ -43,7 +44,9 @@
   Trend mPrompt; // of the time in ms at the usual pace, over tokens
   Trend mStep;   // the same, over requests
   double mFixedMs = 0;
+  double mEvents = 0; // first events recorded
   double mUsualPrompt;
+  double mLongTokens = 0; // mean per request; 0 of one that isn't long
 };
 
 } // namespace caraway
--- a/src/decide/PacedChoice.cpp
+++ b/src/decide/PacedChoice.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/Rendezvous.h"
+
 namespace caraway {
 
 namespace {
@@ -21,6 +23,13 @@
 // pause that streams of its service may make.
 constexpr int kLongPromptShare = 3;
 
+// Highest cost that keeps long and short prompts apart: as a full server. A
+// server's room is still used by the other kind when the rest are busier.
+constexpr double kApartCost = 1;
+
+// With fewer long prompts than this share of all tokens none are kept apart.
+constexpr double kLeastLongShare = 0.05;
+
 // Reported waiting requests are read meanwhile.
 constexpr Millis kWaitingLife{ 500 };
 
@@ -65,11 +74,54 @@
     facts.mPromptTokens +=
       aBackend.mLoadReport->mWaiting * mFirstToken.UsualPrompt();
   }
+  facts.mOwnTokens = mPromptTokens;
+  facts.mLong = IsLong();
   facts.mRequests = 1 + RequestsAt(aBackend);
   facts.mPace = aBackend.mPace.Estimate(mNow);
   return facts;
 }
 
+// Part of the requests that this instance doesn't see.
+double
+PacedChoice::OthersPart() const
+{
+  return 1 - 1.0 / std::max(1, mRequirements.mInstances);
+}
+
+// All instances rank the servers of a model alike, without any messages.
+void
+PacedChoice::RankServers(const std::vector<Backend*>& aCandidates)
+{
+  mRanks.clear();
+  if (aCandidates.size() < 2 || mFirstToken.LongShare() < kLeastLongShare) {
+    return;
+  }
+  std::vector<std::string> ids;
+  for (const Backend* backend : aCandidates) {
+    ids.push_back(backend->mEntry.mId);
+  }
+  const std::string& key = mRequirements.mModel.empty() ? mRequirements.mService
+                                                        : mRequirements.mModel;
+  double rank = 0;
+  for (const std::string& id : RendezvousFirst(ids, key, ids.size())) {
+    mRanks[id] = rank / static_cast<double>(ids.size() - 1);
+    ++rank;
+  }
+}
+
+// Long prompts rather go to servers of low rank, short ones to those of high
+// rank, the more so the more of all reading is that of long prompts.
+double
+PacedChoice::ApartCost(const Backend& aBackend) const
+{
+  auto found = mRanks.find(aBackend.mEntry.mId);
+  if (found == mRanks.end()) {
+    return 0;
+  }
+  double distance = IsLong() ? found->second : 1 - found->second;
+  return kApartCost * OthersPart() * mFirstToken.LongShare() * distance;
+}
+
 // The request itself counts: a slow server without requests isn't free of cost.
 double
 PacedChoice::CostOf(const Backend& aBackend) const
@@ -80,7 +132,8 @@
   double wait =
     std::chrono::duration<double>(mFirstToken.Expected(facts)) /
     std::chrono::duration<double>(std::max(mRequirements.mTarget, Millis(1)));
-  return aBackend.Cost(load + wait / kTargetShare, mRequirements.mZone);
+  return aBackend.Cost(load + wait / kTargetShare + ApartCost(aBackend),
+                       mRequirements.mZone);
 }
 
 bool
@@ -144,20 +197,19 @@
   if (other == one) {
     other = aCandidates.back();
   }
-  double others = 1 - 1.0 / std::max(1, mRequirements.mInstances);
-  std::uniform_real_distribution<double> noise(0, kUnseenLoad * others);
+  std::uniform_real_distribution<double> noise(0, kUnseenLoad * OthersPart());
   double costOfOne = CostOf(*one) + noise(aRandom);
   double costOfOther = CostOf(*other) + noise(aRandom);
   return costOfOne <= costOfOther ? one : other;
 }
 
 Backend*
-PacedChoice::Choose(std::vector<Backend*> aCandidates,
-                    std::mt19937& aRandom) const
+PacedChoice::Choose(std::vector<Backend*> aCandidates, std::mt19937& aRandom)
 {
   if (aCandidates.empty()) {
     return nullptr;
   }
+  RankServers(aCandidates);
   Prefer(aCandidates, &PacedChoice::IsTrusted);
   if (IsLong()) {
     Prefer(aCandidates, &PacedChoice::ReadsNothing);
--- a/src/decide/PacedChoice.h
+++ b/src/decide/PacedChoice.h
@@ -22,11 +22,9 @@
               TimePoint aNow);
 
   // aCandidates can all take the request. Returns null if there are none.
-  Backend* Choose(std::vector<Backend*> aCandidates,
-                  std::mt19937& aRandom) const;
+  Backend* Choose(std::vector<Backend*> aCandidates, std::mt19937& aRandom);
   // What the request's first event waits for on this server.
   FirstTokenFacts FactsAt(const Backend& aBackend) const;
-  double PromptTokens() const { return mPromptTokens; }
 
 private:
   using Condition = bool (PacedChoice::*)(const Backend&) const;
@@ -39,6 +37,9 @@
   bool IsLong() const;
   void Prefer(std::vector<Backend*>& aCandidates, Condition aGood) const;
   int RequestsAt(const Backend& aBackend) const;
+  void RankServers(const std::vector<Backend*>& aCandidates);
+  double OthersPart() const;
+  double ApartCost(const Backend& aBackend) const;
   double CostOf(const Backend& aBackend) const;
   Backend* BetterOfTwo(const std::vector<Backend*>& aCandidates,
                        std::mt19937& aRandom) const;
@@ -47,7 +48,8 @@
   const FirstTokenEstimate& mFirstToken;
   TimePoint mNow;
   double mPromptTokens;
-  Millis mReadingTime; // of the prompt, at the usual pace
+  Millis mReadingTime;                  // of the prompt, at the usual pace
+  std::map<std::string, double> mRanks; // of servers, 0 to 1; see ApartCost()
 };
 
 } // namespace caraway
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -210,7 +210,6 @@
   // Of mCall, if its server's service reports its pace.
   std::optional<FirstTokenFacts> mFirstTokenFacts;
   Millis mExpectedFirst{ -1 };
-  double mPromptTokens = 0;
   double mUnreadTokens = 0; // those counted as unread at mServer
   TimePoint mFirstByteAt{}; // of an answer to the caller
   HttpHead mAnswer;         // of mCall
--- a/src/entry/ExchangePrompt.cpp
+++ b/src/entry/ExchangePrompt.cpp
@@ -33,7 +33,6 @@
   PacedChoice choice(requirements, estimate, mState.Now());
   mFirstTokenFacts = choice.FactsAt(aBackend);
   mExpectedFirst = estimate.Expected(*mFirstTokenFacts);
-  mPromptTokens = choice.PromptTokens();
   mState.mMetrics.Count("caraway_sent_by_pace_total",
                         PaceLabel(mFirstTokenFacts->mPace));
   mState.mMetrics.Observe("expected_first", mTenant, Class(), mExpectedFirst);
@@ -47,7 +46,7 @@
   if (!mFirstTokenFacts) {
     return;
   }
-  mUnreadTokens = mPromptTokens;
+  mUnreadTokens = mFirstTokenFacts->mOwnTokens;
   mState.mServers.OnPromptSent(mServer, mUnreadTokens);
   if (mRoute->mKind == RouteKind::Stream) {
     return;
@@ -68,8 +67,8 @@
                 !mAnswerFacts.mNotRun && mAnswer.mStatus < 300 &&
                 mRoute->mKind == RouteKind::Stream;
   if (learns) {
-    mState.mServers.FirstToken(mService).Record(
-      *mFirstTokenFacts, mUnreadTokens, mState.AgeOf(mSentAt));
+    mState.mServers.FirstToken(mService).Record(*mFirstTokenFacts,
+                                                mState.AgeOf(mSentAt));
   }
   EndPrompt();
 }
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -107,7 +107,7 @@
   Json::Value spec = JsonParseOrEmpty(R"({"version":7,"routes":[
     {"name":"r","host":"h","pathPrefix":"/p/","kind":"streaming",
      "timeoutMs":25000,"targetLatencyMs":3000,"priority":1,"service":"e",
-     "maxAttempts":2,"resumable":true},
+     "maxAttempts":2,"resumable":true,"gapAimMs":300},
     {"name":"s","host":"h","pathPrefix":"/p/q/","kind":"unsafe",
      "trafficSplit":[{"service":"e","weight":90},{"service":"f","weight":10}]}],
     "services":[{"name":"e","maxConns":230,"engine":{"weightsMb":230000.0,
@@ -128,6 +128,8 @@
   EXPECT_EQ(RouteKind::AtMostOnce, config->mRoutes[1].mKind);
   EXPECT_EQ(2u, config->mRoutes[1].mSplit.size());
   EXPECT_TRUE(config->mRoutes[0].mResumable);
+  EXPECT_EQ(Millis(300), config->mRoutes[0].mGapAim);
+  EXPECT_EQ(Millis(300), config->mServices.at("e").mGapAim);
   const EngineSpec& engine = *config->mServices.at("e").mEngine;
   EXPECT_EQ(Millis(1300), engine.mModels.at("m").mDisk);
   EXPECT_EQ(8, engine.mAdapterSlots);
