--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -250,6 +250,9 @@
   if (mRejectionLimit > 0) {
     aFields.push_back({ wire::kBrittle, std::to_string(mRejectionLimit) });
   }
+  if (!mLoad.empty()) {
+    aFields.push_back({ wire::kLoad, mLoad });
+  }
   if (!mUnframed) {
     aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
   }
@@ -354,6 +357,9 @@
     if (mRejectionLimit > 0) {
       own.push_back({ wire::kBrittle, std::to_string(mRejectionLimit) });
     }
+    if (!mLoad.empty()) {
+      own.push_back({ wire::kLoad, mLoad });
+    }
     if (!mUnframed) {
       own.push_back({ "Transfer-Encoding", "chunked" });
     }
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -109,6 +109,7 @@
   ServerBehaviour mBehaviour = ServerBehaviour::Proper;
   std::string mExpectedId; // a request for another id is answered by 421
   int mSlots = 32;
+  std::string mLoad;           // as its answers report it; "" = not
   std::string mVersion = "v1"; // of its software
   int64_t mStartTime = 1000;   // Unix milliseconds; long ago
   HeldModels mModels;
