--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -173,7 +173,8 @@
          "[listen]\nfront = " + address(ports.mCallers) +
          "readinessAddr = " + address(ports.mReadiness) +
          "[limits]\ncpuShare = 0.25\n[bounds]\ngraceS = 8\nleaseMs = 300\n"
-         "retryBudgetSlack = 100\ncoldOverage = 1.5\ncoldSlack = 5\n[platform]\naddress = \"" +
+         "retryBudgetSlack = 100\ncoldOverage = 1.5\ncoldSlack = "
+         "5\n[platform]\naddress = \"" +
          ports.mStore + "\"\n";
 }
 
