--- a/tests/property/ColdServerProperty.cpp
+++ b/tests/property/ColdServerProperty.cpp
@@ -31,7 +31,7 @@
   ColdServerLimit mLimit{};
   TimePoint mReadAt{}; // of the next list
   TimePoint mFrozenUntil{};
-  TimePoint mSilentSince{};
+  TimePoint mHeardAt{};
   bool mCutOff = false; // on the other side of the partition than the store
   bool mGone = false;
   bool mCounted = false;
@@ -57,11 +57,10 @@
     for (Member& member : mMembers) {
       if (Runs(member)) {
         RunOne(member);
-      } else if (!member.mGone && member.mSilentSince == TimePoint()) {
-        member.mSilentSince = mNow;
       }
-      if (member.mSilentSince != TimePoint() &&
-          mNow - member.mSilentSince > kRemovalTime) {
+      if (InContact(member)) {
+        member.mHeardAt = mNow;
+      } else if (mNow - member.mHeardAt > kRemovalTime) {
         mListed.erase(member.mName);
       }
     }
@@ -89,6 +88,7 @@
     member.mName = "i" + std::to_string(mMembers.size());
     member.mZone = mRandom.Below(3) == 0 ? "b" : "a";
     member.mLimit.Configure({ member.mName, member.mZone, kOverage, kSlack });
+    member.mHeardAt = mNow;
     mListed.insert(member.mName);
     mMembers.push_back(std::move(member));
   }
@@ -97,22 +97,16 @@
   {
     Member& one = mMembers[static_cast<size_t>(
       mRandom.Below(static_cast<int>(mMembers.size())))];
-    switch (mRandom.Below(5)) {
-      case 0:
-        Join();
-        break;
-      case 1:
-        one.mGone = mMembers.size() > 2;
-        if (one.mGone) {
-          mListed.erase(one.mName);
-        }
-        break;
-      case 2:
-        one.mFrozenUntil = mNow + Millis(500) * mRandom.Below(30);
-        break;
-      default:
-        Partition();
-        break;
+    int what = mRandom.Below(5);
+    if (what == 0) {
+      Join();
+    } else if (what == 1 && mMembers.size() > 2) {
+      one.mGone = true;
+      mListed.erase(one.mName);
+    } else if (what == 2) {
+      one.mFrozenUntil = mNow + Millis(500) * mRandom.Below(30);
+    } else if (what > 2) {
+      Partition();
     }
   }
 
@@ -138,11 +132,8 @@
       aMember.mCounted = false;
     }
     if (!aMember.mCutOff) {
-      aMember.mSilentSince = TimePoint();
       ReadList(aMember);
       BeCounted(aMember);
-    } else if (aMember.mSilentSince == TimePoint()) {
-      aMember.mSilentSince = mNow;
     }
     for (const char* zone : { "a", "c" }) {
       Send(aMember, zone);
@@ -175,17 +166,18 @@
       aMember.mLimit.OnCounted(mNow);
       return;
     }
-    std::vector<Member*> peers;
+    auto listed = [&](const Member& aOther) {
+      return aOther.mZone == aMember.mZone && mListed.count(aOther.mName);
+    };
     for (Member& other : mMembers) {
-      if (other.mZone == aMember.mZone && mListed.count(other.mName)) {
-        peers.push_back(&other);
-        if (!InContact(other)) {
-          return;
-        }
+      if (listed(other) && !InContact(other)) {
+        return;
       }
     }
-    for (Member* peer : peers) {
-      peer->mLimit.OnNewcomer(aMember.mName, mNow);
+    for (Member& other : mMembers) {
+      if (listed(other)) {
+        other.mLimit.OnNewcomer(aMember.mName, mNow);
+      }
     }
     aMember.mCounted = true;
   }
