bench: PlaceBench follows the changed OnRequestBegan

Cause: ServerView::OnRequestBegan takes the time since a permit is spent there; the benchmark was missed, so that its target didn't build.

Test: caraway-bench-place builds again.

--- a/bench/PlaceBench.cpp
+++ b/bench/PlaceBench.cpp
@@ -49,7 +49,8 @@
       mServers.Put(entry, kNow);
       for (int k = 0; k < 6; ++k) {
         mServers.OnRequestBegan(entry.mId,
-                                ModelName((i * 3 + k % 3) % kModels));
+                                ModelName((i * 3 + k % 3) % kModels),
+                                kNow);
       }
     }
   }
