--- a/bench/PlaceBench.cpp
+++ b/bench/PlaceBench.cpp
@@ -48,9 +48,8 @@
       }
       mServers.Put(entry, kNow);
       for (int k = 0; k < 6; ++k) {
-        mServers.OnRequestBegan(entry.mId,
-                                ModelName((i * 3 + k % 3) % kModels),
-                                kNow);
+        mServers.OnRequestBegan(
+          entry.mId, ModelName((i * 3 + k % 3) % kModels), kNow);
       }
     }
   }
