--- a/tests/unit/LongPromptsTest.cpp
+++ b/tests/unit/LongPromptsTest.cpp
@@ -72,7 +72,7 @@
     FirstTokenFacts facts{
       tokens + chosen->mUnreadTokens, 1, 1, tokens, tokens == kLong
     };
-    view.OnRequestBegan(id, "");
+    view.OnRequestBegan(id, "", now);
     view.OnPromptSent(id, tokens);
     if (aReports) {
       view.OnLoadReport(id, { 0, 0, 12, 1.0 }, now);
