--- a/src/decide/DispatchOrder.cpp
+++ b/src/decide/DispatchOrder.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Longer than any request waits.
+// Longer than requests usually wait.
 constexpr Seconds kDispatchMemory{ 60 };
 
 std::string
@@ -103,6 +103,12 @@
   mDispatchedAt[{ aRequest.mPool, aRequest.mClass }] = aNow;
 }
 
+void
+DispatchOrder::OnRejected(const WaitingRequest& aRequest, TimePoint aNow)
+{
+  mServed.Add(TenantKey(aRequest), -aRequest.mTokens, aNow);
+}
+
 void
 DispatchOrder::ForgetOld(TimePoint aNow)
 {
--- a/src/decide/DispatchOrder.h
+++ b/src/decide/DispatchOrder.h
@@ -22,7 +22,8 @@
 // What the order depends on.
 struct WaitingRequest
 {
-  std::string mPool; // the servers' slots that it waits for: service and model
+  std::string mPool; // the servers' slots that it waits for: service, model,
+                     // adapter and version
   int mClass = 0;    // 0 = most urgent
   std::string mTenant;
   double mTokens = 1; // expected cost
@@ -39,6 +40,8 @@
                              TimePoint aNow) const;
   // A request was sent to a server, whether it had to wait or not.
   void OnDispatched(const WaitingRequest& aRequest, TimePoint aNow);
+  // The server rejected it, so its tenant has not been served.
+  void OnRejected(const WaitingRequest& aRequest, TimePoint aNow);
   // Whether the request is late and none of its class has been sent to its pool
   // since it arrived. One such request is tried before those of more urgent
   // classes, so that no class starves. It can't be on time any more, so its
--- a/src/decide/FirstTokenEstimate.cpp
+++ b/src/decide/FirstTokenEstimate.cpp
@@ -10,7 +10,7 @@
 // Guesses until there are enough first events; see Trend.
 constexpr double kGuessedTokenMs = 0.04; // 1,000 tokens in 40 ms
 constexpr double kGuessedStepMs = 2;
-constexpr double kGuessedPrompt = 500;
+constexpr double kGuessedPromptTokens = 500;
 
 // As many as a few requests that differ by 1,000 tokens, or by 3 requests at
 // their servers.
@@ -19,11 +19,11 @@
 
 // Learnt times are at most so many times longer or shorter than the guesses:
 // callers may state wrong lengths.
-constexpr double kMostRatio = 10;
+constexpr double kMaxDeviationFactor = 10;
 
 // A first event that took longer than so many times the expected time counts as
 // that. Servers may stall for reasons that have nothing to do with prompts.
-constexpr double kMostSurprise = 4;
+constexpr double kMaxOutlierFactor = 4;
 constexpr double kLeastExpectedMs = 20;
 
 // Least weight of the newest first event in the means.
@@ -32,7 +32,8 @@
 double
 Within(double aLearnt, double aGuess)
 {
-  return std::clamp(aLearnt, aGuess / kMostRatio, aGuess * kMostRatio);
+  return std::clamp(
+    aLearnt, aGuess / kMaxDeviationFactor, aGuess * kMaxDeviationFactor);
 }
 
 Millis
@@ -47,7 +48,7 @@
 FirstTokenEstimate::FirstTokenEstimate()
   : mPrompt(kGuessedTokenMs, kTokenGuessWeight)
   , mStep(kGuessedStepMs, kStepGuessWeight)
-  , mUsualPrompt(kGuessedPrompt)
+  , mUsualPrompt(kGuessedPromptTokens)
 {
 }
 
@@ -74,8 +75,9 @@
 FirstTokenEstimate::Record(const FirstTokenFacts& aFacts, Millis aTook)
 {
   double expected = WorkMs(aFacts) + mFixedMs;
-  double took = std::min(static_cast<double>(aTook.count()) / aFacts.mPace,
-                         kMostSurprise * std::max(expected, kLeastExpectedMs));
+  double took =
+    std::min(static_cast<double>(aTook.count()) / aFacts.mPace,
+             kMaxOutlierFactor * std::max(expected, kLeastExpectedMs));
   double prompt = TokenMs() * aFacts.mPromptTokens;
   double steps = StepMs() * aFacts.mRequests;
   mPrompt.Record(aFacts.mPromptTokens, took - steps);
--- a/src/decide/LoadPatience.h
+++ b/src/decide/LoadPatience.h
@@ -50,7 +50,7 @@
   // Seconds of loss for callers that wait aTime. Waiting without loss costs a
   // small share, so that loads don't queue for one server when another is free.
   double CostOfWait(Millis aTime) const;
-  // Whether the load must not evict a model with aRates urgent requests a
+  // Whether the load must not evict a model with aRate urgent requests a
   // second from the zone's callers, of which the zone has aReplicas.
   bool Spares(double aRate, int aReplicas) const;
 };
--- a/src/decide/PacedChoice.cpp
+++ b/src/decide/PacedChoice.cpp
@@ -21,7 +21,7 @@
 
 // A prompt is long if reading it takes more than this share of the longest
 // pause that streams of its service may make.
-constexpr int kLongPromptShare = 3;
+constexpr double kLongPromptShare = 1.0 / 3;
 
 // Highest cost that keeps long and short prompts apart: as a full server. A
 // server's room is still used by the other kind when the rest are busier.
@@ -30,10 +30,11 @@
 // With fewer long prompts than this share of all tokens none are kept apart.
 constexpr double kLeastLongShare = 0.05;
 
-// Reported waiting requests are read meanwhile.
+// Requests reported as waiting count for this time; their prompts have been
+// read by then.
 constexpr Millis kWaitingLife{ 500 };
 
-// Callers may state absurd lengths.
+// Longer stated prompts count as this many tokens.
 constexpr double kMaxPromptTokens = 200000;
 
 // Uniform over [0, aCount).
@@ -88,7 +89,7 @@
   return 1 - 1.0 / std::max(1, mRequirements.mInstances);
 }
 
-// All instances rank the servers of a model alike, without any messages.
+// Instances that see the same candidates rank them alike, without any messages.
 void
 PacedChoice::RankServers(const std::vector<Backend*>& aCandidates)
 {
@@ -161,14 +162,15 @@
 bool
 PacedChoice::ReadsNothing(const Backend& aBackend) const
 {
-  return aBackend.mUnreadTokens <= 0;
+  // Sums of estimated lengths may leave a fraction of a token.
+  return aBackend.mUnreadTokens < 1;
 }
 
 bool
 PacedChoice::IsLong() const
 {
   return mRequirements.mGapAim > Millis(0) &&
-         mReadingTime * kLongPromptShare > mRequirements.mGapAim;
+         mReadingTime > mRequirements.mGapAim * kLongPromptShare;
 }
 
 // Leaves those for which aGood holds, unless there are none.
--- a/src/decide/ServerPace.cpp
+++ b/src/decide/ServerPace.cpp
@@ -21,8 +21,8 @@
 
 // Values beyond count as these. A false one then costs or gains a server a few
 // times its share of the requests at most.
-constexpr double kLeastPace = 0.5;
-constexpr double kMostPace = 5;
+constexpr double kMinPace = 0.5;
+constexpr double kMaxPace = 5;
 
 double
 Halved(TimePoint aThen, TimePoint aNow, Millis aHalfLife)
@@ -46,12 +46,12 @@
   if (mLastAt != TimePoint() && aAt <= mLastAt) {
     return;
   }
-  double pace = std::clamp(aPace, kLeastPace, kMostPace);
+  double pace = std::clamp(aPace, kMinPace, kMaxPace);
   double mean = MeanAt(aAt);
   double gain = 1 - Halved(mLastAt, aAt, kMeanTime);
   // A first report alone says little of the mean.
-  constexpr double kMostGain = 0.2;
-  mMean = mean + std::min(gain, kMostGain) * (pace - mean);
+  constexpr double kMaxGain = 0.2;
+  mMean = mean + std::min(gain, kMaxGain) * (pace - mean);
   mLast = pace;
   mLastAt = aAt;
 }
--- a/src/decide/ServerRetryBudget.cpp
+++ b/src/decide/ServerRetryBudget.cpp
@@ -67,14 +67,10 @@
 std::optional<TimePoint>
 ServerRetryBudget::NextAt(const std::string& aService,
                           int aInstances,
-                          TimePoint aNow) const
+                          TimePoint aNow)
 {
-  History recent;
-  auto history = mHistories.find(aService);
-  if (history != mHistories.end()) {
-    recent = history->second;
-    DropOld(recent, aNow);
-  }
+  History& recent = mHistories[aService];
+  DropOld(recent, aNow);
   auto requests = static_cast<double>(recent.mRequests.size());
   size_t retries = recent.mRetries.size();
   if (static_cast<double>(retries + 1) <= Allowed(requests, aInstances)) {
--- a/src/decide/ServerRetryBudget.h
+++ b/src/decide/ServerRetryBudget.h
@@ -38,7 +38,7 @@
   // window; aNow = at once, nothing = not without more requests.
   std::optional<TimePoint> NextAt(const std::string& aService,
                                   int aInstances,
-                                  TimePoint aNow) const;
+                                  TimePoint aNow);
 
 private:
   struct History
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -470,8 +470,14 @@
     }
   }
   PacedChoice paced(aRequirements, FirstToken(aRequirements.mService), aNow);
-  choice.mBackend =
-    paced.Choose(std::move(warm.empty() ? cold : warm), aRandom);
+  // An avoided server is used only if no other is left, a cold one included.
+  auto trusted = [&](const Backend* aBackend) {
+    return !aRequirements.Avoids(*aBackend, aNow);
+  };
+  bool useCold =
+    warm.empty() || (std::none_of(warm.begin(), warm.end(), trusted) &&
+                     std::any_of(cold.begin(), cold.end(), trusted));
+  choice.mBackend = paced.Choose(std::move(useCold ? cold : warm), aRandom);
   if (choice.mBackend || full) {
     choice.mColdOpensAt.reset();
   }
@@ -662,30 +668,18 @@
 }
 
 void
-ServerView::AssumeCold(const std::string& aZone, TimePoint aUntil)
+ServerView::AssumeCold(const std::string& aZone, TimePoint aNow)
 {
   for (auto& [id, backend] : mBackends) {
-    bool everCold = ColdSpecOf(backend.mEntry.mService).mStart > Millis(0);
-    if (backend.mEntry.mZone == aZone && everCold) {
-      backend.mColdUntil = std::max(backend.mColdUntil, aUntil);
+    Millis start = ColdSpecOf(backend.mEntry.mService).mStart;
+    if (backend.mEntry.mZone == aZone && start > Millis(0)) {
+      backend.mColdUntil = std::max(backend.mColdUntil, aNow + start);
       // Answers to requests from before don't shorten it.
-      backend.mColdKnownAt =
-        std::max(backend.mColdKnownAt,
-                 aUntil - ColdSpecOf(backend.mEntry.mService).mStart);
+      backend.mColdKnownAt = std::max(backend.mColdKnownAt, aNow);
     }
   }
 }
 
-Millis
-ServerView::LongestColdStart() const
-{
-  Millis longest{ 0 };
-  for (const auto& [service, spec] : mColdSpecs) {
-    longest = std::max(longest, spec.mStart);
-  }
-  return longest;
-}
-
 TimePoint
 ServerView::ColdUntil(const Backend& aBackend, const ColdSpec& aSpec)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -214,10 +214,8 @@
                     Millis aLeft,
                     TimePoint aAskedAt,
                     TimePoint aNow);
-  // All servers of the zone may be cold until then.
-  void AssumeCold(const std::string& aZone, TimePoint aUntil);
-  // The longest time that servers are cold after their start.
-  Millis LongestColdStart() const;
+  // All servers of the zone may have been started again until aNow.
+  void AssumeCold(const std::string& aZone, TimePoint aNow);
   // A time in the past if the server isn't cold.
   TimePoint ColdUntil(const Backend& aBackend) const
   {
--- a/src/decide/SlotForecast.cpp
+++ b/src/decide/SlotForecast.cpp
@@ -12,21 +12,21 @@
 using SecondsF = std::chrono::duration<double>;
 
 // Models become popular and cease to be within seconds.
-constexpr SecondsF kContestMemory{ 8 };
+constexpr SecondsF kContentionMemory{ 8 };
 
 // Attempts are made every 25 ms while a request waits. A longer pause is no
 // evidence: nothing waited, or this instance stood still.
 constexpr Millis kMaxAttemptGap{ 100 };
 
-// What was seen of a contest says nothing of the next one, which may be a burst
-// at this instance alone.
-constexpr Millis kContestEnd{ 1000 };
+// What was seen of a contention says nothing of the next one, which may be a
+// burst at this instance alone.
+constexpr Millis kContentionEnd{ 1000 };
 
-// Deviations from the mean beyond which one in twenty values lies.
-constexpr double kOneInTwenty = 1.645;
-// The same for about one in six. The number of competing instances is already
+// Standard normal quantile at 95%.
+constexpr double kZ95 = 1.645;
+// Standard normal quantile at 84%. The number of competing instances is already
 // taken at its lower bound.
-constexpr double kOneInSix = 1.0;
+constexpr double kZ84 = 1.0;
 
 // A route with a smaller share of the requests doesn't make the run time
 // unknown.
@@ -40,7 +40,7 @@
 UpperBound(double aCount)
 {
   constexpr double kAtZero = 3.0; // -ln(1/20)
-  return aCount + kOneInTwenty * (std::sqrt(aCount + 1) - 1) + kAtZero;
+  return aCount + kZ95 * (std::sqrt(aCount + 1) - 1) + kAtZero;
 }
 
 // Mean number of events for which one in six trials has aCount or more: the
@@ -48,7 +48,7 @@
 double
 LowerQuantile(double aCount)
 {
-  double root = 1 - 1 / (9 * aCount) - kOneInSix / (3 * std::sqrt(aCount));
+  double root = 1 - 1 / (9 * aCount) - kZ84 / (3 * std::sqrt(aCount));
   return aCount * root * root * root;
 }
 
@@ -66,11 +66,11 @@
 }
 
 double
-Remaining(TimePoint aThen, TimePoint aNow)
+DecayFactor(TimePoint aThen, TimePoint aNow)
 {
-  return aNow - aThen > kContestEnd
+  return aNow - aThen > kContentionEnd
            ? 0
-           : std::exp(-SecondsF(aNow - aThen) / kContestMemory);
+           : std::exp(-SecondsF(aNow - aThen) / kContentionMemory);
 }
 
 Millis
@@ -124,33 +124,33 @@
                         TimePoint aNow)
 {
   ForgetOld(aNow);
-  Contest& contest = mContests.try_emplace(aPool).first->second;
-  double remaining = Remaining(contest.mAt, aNow);
-  contest.mFreed *= remaining;
-  contest.mTaken *= remaining;
-  if (Known(aFacts) && aNow - contest.mAt <= kMaxAttemptGap) {
-    contest.mFreed += SecondsF(aNow - contest.mAt) / SlotGap(aFacts);
+  Contention& contention = mContentions.try_emplace(aPool).first->second;
+  double remaining = DecayFactor(contention.mAt, aNow);
+  contention.mFreed *= remaining;
+  contention.mTaken *= remaining;
+  if (Known(aFacts) && aNow - contention.mAt <= kMaxAttemptGap) {
+    contention.mFreed += SecondsF(aNow - contention.mAt) / SlotGap(aFacts);
   }
-  contest.mAt = aNow;
+  contention.mAt = aNow;
 }
 
 void
 SlotForecast::OnSlotTaken(const std::string& aPool, TimePoint aNow)
 {
-  auto contest = mContests.find(aPool);
-  if (contest != mContests.end() &&
-      aNow - contest->second.mAt <= kMaxAttemptGap) {
-    contest->second.mTaken += 1;
+  auto contention = mContentions.find(aPool);
+  if (contention != mContentions.end() &&
+      aNow - contention->second.mAt <= kMaxAttemptGap) {
+    contention->second.mTaken += 1;
   }
 }
 
 void
 SlotForecast::OnRejected(const std::string& aPool, TimePoint aNow)
 {
-  auto contest = mContests.find(aPool);
-  if (contest != mContests.end() &&
-      aNow - contest->second.mAt <= kMaxAttemptGap) {
-    contest->second.mTaken = std::max(0.0, contest->second.mTaken - 1);
+  auto contention = mContentions.find(aPool);
+  if (contention != mContentions.end() &&
+      aNow - contention->second.mAt <= kMaxAttemptGap) {
+    contention->second.mTaken = std::max(0.0, contention->second.mTaken - 1);
   }
 }
 
@@ -164,11 +164,11 @@
   }
   double freed = 0;
   double taken = 0;
-  auto contest = mContests.find(aPool);
-  if (contest != mContests.end()) {
-    double remaining = Remaining(contest->second.mAt, aNow);
-    freed = contest->second.mFreed * remaining;
-    taken = contest->second.mTaken * remaining;
+  auto contention = mContentions.find(aPool);
+  if (contention != mContentions.end()) {
+    double remaining = DecayFactor(contention->second.mAt, aNow);
+    freed = contention->second.mFreed * remaining;
+    taken = contention->second.mTaken * remaining;
   }
   double instances = std::max(1, aFacts.mInstances);
   double fewest = std::clamp(freed / UpperBound(taken), 1.0, instances);
@@ -185,12 +185,12 @@
                            const SlotFacts& aFacts,
                            TimePoint aNow)
 {
-  Contest& contest = mContests.try_emplace(aPool).first->second;
+  Contention& contention = mContentions.try_emplace(aPool).first->second;
   Millis perSlot = aTimes.mLikely / (aFacts.mAhead + 1);
   TimePoint at =
-    std::max(aNow + aTimes.mLikely, contest.mRetriesUntil + perSlot);
-  contest.mRetriesUntil = std::min(at, aNow + kMaxRetryAfter);
-  return std::chrono::duration_cast<Millis>(contest.mRetriesUntil - aNow);
+    std::max(aNow + aTimes.mLikely, contention.mRetriesUntil + perSlot);
+  contention.mRetriesUntil = std::min(at, aNow + kMaxRetryAfter);
+  return std::chrono::duration_cast<Millis>(contention.mRetriesUntil - aNow);
 }
 
 void
@@ -200,9 +200,10 @@
     return;
   }
   mForgotAt = aNow;
-  EraseIf(mContests, [aNow](const auto& aEntry) {
-    const Contest& contest = aEntry.second;
-    return aNow - contest.mAt > kMaxRetryAfter && contest.mRetriesUntil < aNow;
+  EraseIf(mContentions, [aNow](const auto& aEntry) {
+    const Contention& contention = aEntry.second;
+    return aNow - contention.mAt > kMaxRetryAfter &&
+           contention.mRetriesUntil < aNow;
   });
 }
 
--- a/src/decide/SlotForecast.h
+++ b/src/decide/SlotForecast.h
@@ -75,7 +75,7 @@
 
 private:
   // Slots while requests waited here; both numbers fade.
-  struct Contest
+  struct Contention
   {
     double mFreed = 0;         // by all requests that ended
     double mTaken = 0;         // by this instance
@@ -85,7 +85,7 @@
   void ForgetOld(TimePoint aNow);
 
   std::map<std::string, DemandTracker> mSentByService; // by route
-  std::map<std::string, Contest> mContests;            // by pool
+  std::map<std::string, Contention> mContentions;      // by pool
   TimePoint mForgotAt{};
 };
 
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -31,6 +31,7 @@
   Millis mServerHeartbeatInterval{ 1200 };
   // Within this time an evacuation must be in force at all instances that are
   // in contact with the store; nothing = evacuations are not in use.
+  // Only its presence has an effect.
   std::optional<Millis> mEvacuationLimit;
   double mRetryRatio = 0.2; // retries per request, over all instances
   double mRetrySlack = 0;   // additional retries in each window
--- a/src/entry/EvacuationFeed.cpp
+++ b/src/entry/EvacuationFeed.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-// Limits how long a silently dead connection of the watch goes unnoticed. With
-// the time that the zone's other instances take to hear of a change, it stays
-// well below the five seconds within which an evacuation must be in force.
+// Longest time of one watch, and so about how long a silently dead connection
+// goes unnoticed. Chosen for an evacuation limit of 5 s; a shorter setting
+// doesn't shorten it.
 constexpr Millis kWatchTime{ 2000 };
 
 // An instance that starts serves requests without the set after this time: a
@@ -33,6 +33,7 @@
              kWatchTime,
              { [this](const std::vector<StoreChange>& aAll) {
                 mStored.clear();
+                mUnreadable.clear();
                 for (const StoreChange& change : aAll) {
                   OnObject(change);
                 }
@@ -113,10 +114,9 @@
       .Count("revision", aAsOf)
       .Text("from", aFrom);
   }
-  // Operators may have restarted the zone's servers meanwhile.
-  TimePoint coldUntil = mState.Now() + mState.mServers.LongestColdStart();
   for (const std::string& zone : change.mLifted) {
-    mState.mServers.AssumeCold(zone, coldUntil);
+    // Operators may have restarted the zone's servers meanwhile.
+    mState.mServers.AssumeCold(zone, mState.Now());
     mState.mLog.Line("zone_evacuation_lifted")
       .Text("zone", zone)
       .Count("revision", aAsOf)
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -125,7 +125,7 @@
   Millis TimeLeft() const; // until the final answer is due
   // Order and forecast; see InOrder().
   std::string Pool() const; // the servers' slots that it competes for
-  std::string Contest(bool aReserved) const;
+  std::string ContentionKey(bool aReserved) const;
   bool LeavesReserve() const;
   bool RefuseByForecast(const ServerChoice& aChoice, DispatchPass& aPass);
   SlotFacts ToSlotFacts(const ServerChoice& aChoice, DispatchPass& aPass);
--- a/src/entry/ExchangeQueue.cpp
+++ b/src/entry/ExchangeQueue.cpp
@@ -21,7 +21,14 @@
 std::string
 Exchange::Pool() const
 {
-  return mService + " " + FullName() + " " + mVersion.value_or("");
+  std::string pool = mService + " " + FullName() + " " + mVersion.value_or("");
+  if (mRegions.Restricts()) {
+    for (const std::string& zone :
+         mRegions.ExcludedZones(mState.mServers.Zones())) {
+      pool += "\n" + zone;
+    }
+  }
+  return pool;
 }
 
 WaitingRequest
@@ -67,7 +74,7 @@
 
 // Classes that leave a reserve find a slot more seldom.
 std::string
-Exchange::Contest(bool aReserved) const
+Exchange::ContentionKey(bool aReserved) const
 {
   return Pool() + (aReserved ? " r" : "");
 }
@@ -94,17 +101,17 @@
 {
   SlotForecast& forecast = mState.mSlotForecast;
   TimePoint now = mState.Now();
-  std::string contest = Contest(LeavesReserve());
+  std::string contention = ContentionKey(LeavesReserve());
   SlotFacts facts = ToSlotFacts(aChoice, aPass);
-  forecast.OnWaiting(contest, facts, now);
-  auto times = forecast.Expect(contest, facts, now);
+  forecast.OnWaiting(contention, facts, now);
+  auto times = forecast.Expect(contention, facts, now);
   Millis earliest = times ? times->mEarliest : Millis(0);
   if (now + earliest + kServiceTime <= mFirstByteBy) {
     ++aPass.mAhead[Pool()];
     return false;
   }
   Millis retry =
-    times ? forecast.ReserveRetry(contest, *times, facts, now) : Millis(0);
+    times ? forecast.ReserveRetry(contention, *times, facts, now) : Millis(0);
   if (now + kServiceTime > mFirstByteBy) {
     RefuseUnmeetable(retry, aChoice);
     return true;
@@ -138,7 +145,7 @@
   mState.mDispatchOrder.OnDispatched(ToWaitingRequest(), now);
   mState.mSlotForecast.OnSent(mService, mRoute->mName, now);
   for (bool reserved : { false, true }) {
-    mState.mSlotForecast.OnSlotTaken(Contest(reserved), now);
+    mState.mSlotForecast.OnSlotTaken(ContentionKey(reserved), now);
   }
 }
 
@@ -149,8 +156,9 @@
     return;
   }
   for (bool reserved : { false, true }) {
-    mState.mSlotForecast.OnRejected(Contest(reserved), mState.Now());
+    mState.mSlotForecast.OnRejected(ContentionKey(reserved), mState.Now());
   }
+  mState.mDispatchOrder.OnRejected(ToWaitingRequest(), mState.Now());
 }
 
 } // namespace caraway
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -69,7 +69,7 @@
   if (added) {
     queued.mRequest = aRequest;
     queued.mSince = now;
-    queued.mFirstNeedBy = now + aRequest.mLeft;
+    queued.mFirstNeedBy = TimePoint::max();
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
@@ -81,7 +81,9 @@
     queued.mRequest.mZoneBound || aRequest.mZoneBound;
   queued.mLastRequestedAt = now;
   queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
-  queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
+  if (!aRequest.mExtraReplica) {
+    queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
+  }
   if (added) {
     mScheduleDue = true;
     ScheduleQueued();
@@ -239,9 +241,11 @@
 LoadPatience
 LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
 {
-  return PatienceOf(
-    aPending.mRequest.mPurpose,
-    std::chrono::duration_cast<Millis>(aPending.mFirstNeedBy - aNow));
+  // A replica that no request waits for has no such time.
+  bool waiters = aPending.mFirstNeedBy != TimePoint::max();
+  TimePoint needBy = waiters ? aPending.mFirstNeedBy : aNow;
+  return PatienceOf(aPending.mRequest.mPurpose,
+                    std::chrono::duration_cast<Millis>(needBy - aNow));
 }
 
 LoadPriorityFacts
@@ -257,6 +261,11 @@
   facts.mNeedBy = aPending.mNeedBy;
   facts.mLoad = ShortestLoadTime(aPending.mRequest);
   facts.mPurpose = aPending.mRequest.mPurpose;
+  // The first patient caller decides while its load can still be in time.
+  bool firstOnTime = mState.Now() + facts.mLoad <= aPending.mFirstNeedBy;
+  if (facts.mPurpose == LoadPurpose::Patient && firstOnTime) {
+    facts.mNeedBy = std::min(aPending.mNeedBy, aPending.mFirstNeedBy);
+  }
   UrgentRates urgent = mState.mDemand.Urgent().RatesOf(
     aPending.mRequest.mModel, mZone, mState.Now());
   facts.mUrgentRate = std::max(urgent.mFleet, urgent.mRecent);
@@ -322,10 +331,10 @@
 void
 LoadScheduler::AddReplicas()
 {
+  mMissingInZone = 0;
   if (!mLease.MayAct() || !mState.mConfig || Evacuated()) {
     return;
   }
-  mMissingInZone = 0;
   for (const auto& [name, service] : mState.mConfig->mServices) {
     if (!service.mEngine) {
       continue;
@@ -341,15 +350,15 @@
 void
 LoadScheduler::AddRisingReplicas()
 {
-  if (!mLease.MayAct() || !mState.mConfig) {
+  if (!mLease.MayAct() || !mState.mConfig || Evacuated()) {
     return;
   }
+  auto rates = mState.mDemand.Urgent().Rates(mZone, mState.Now());
   for (const auto& [name, service] : mState.mConfig->mServices) {
     if (!service.mEngine || !mState.mServers.ReportsPace(name)) {
       continue;
     }
-    for (const auto& [model, urgent] :
-         mState.mDemand.Urgent().Rates(mZone, mState.Now())) {
+    for (const auto& [model, urgent] : rates) {
       auto weights = service.mEngine->mModels.find(model);
       if (IsRising(urgent) && weights != service.mEngine->mModels.end() &&
           !IsLoading(name, model)) {
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/EraseIf.h"
 #include "entry/LoadMessages.h"
 
 namespace caraway {
@@ -14,6 +15,9 @@
 
 constexpr Millis kRequestTimeout{ 400 };
 
+// A load request that was not repeated for this long is forgotten.
+constexpr Seconds kRequestMemory{ 60 };
+
 constexpr char kLoadRequestMethod[] = "want";
 
 } // namespace
@@ -211,10 +215,25 @@
   return ChooseZone(known, mState.mSettings.mZone);
 }
 
+void
+ZoneSchedulers::ForgetOldRequests(TimePoint aNow)
+{
+  if (aNow - mForgotAt < kRequestMemory) {
+    return;
+  }
+  mForgotAt = aNow;
+  EraseIf(mRequests, [aNow](const auto& aEntry) {
+    const RequestState& request = aEntry.second;
+    return !request.mRequestPending && request.mExpected < aNow &&
+           aNow - request.mSentAt >= kRequestMemory;
+  });
+}
+
 void
 ZoneSchedulers::RequestLoad(const LoadRequest& aRequest)
 {
   TimePoint now = mState.Now();
+  ForgetOldRequests(now);
   RequestState& request = mRequests[KeyOf(aRequest)];
   // A caller that can't wait is made known at once, and so is a request after
   // the evacuation of the zone that was asked.
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -89,6 +89,7 @@
   // Load requests.
   std::optional<SchedulerState> SchedulerStateOf(
     const std::string& aZone) const;
+  void ForgetOldRequests(TimePoint aNow);
   std::string ZoneFor(const LoadRequest& aRequest) const;
   void OnLoadReply(const LoadRequest& aRequest,
                    bool aGood,
@@ -116,6 +117,7 @@
   Membership& mMembers;
   std::function<void()> mChanged;
   std::map<Key, RequestState> mRequests;
+  TimePoint mForgotAt{}; // when old ones were last removed
   std::map<std::string, std::unique_ptr<OtherZone>> mOtherZones;     // by zone
   std::map<std::string, std::unique_ptr<LoadScheduler>> mSchedulers; // by zone
   std::set<std::string> mLeaving; // instances that are shutting down
