--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "decide/PacedChoice.h"
-
 namespace caraway {
 
 namespace {
@@ -13,9 +11,6 @@
 constexpr double kCrossZoneCost = 0.12;
 // A server that fails half of its requests costs as much as a full one.
 constexpr double kFailureCost = 2.0;
-// Random term added to each cost, so that instances with the same view don't
-// all choose the same server.
-constexpr double kTieBreakNoise = 0.03;
 
 // Time for which a server is avoided after a connection failure; it doubles
 // with each consecutive one. The next request after it serves as a probe.
@@ -47,13 +42,6 @@
 // as full for this time, whatever it reports.
 constexpr Millis kRejectedTime{ 200 };
 
-// Clocks of servers and instances may differ by this much: a server that seems
-// to have started longer ago by it may just have started.
-constexpr Millis kClockDifference{ 2000 };
-
-// A start longer ago is of no interest to any service.
-constexpr Millis kLongAgo{ 3600 * 1000 };
-
 int
 Total(const std::map<std::string, int>& aCounts)
 {
@@ -348,143 +336,6 @@
     });
 }
 
-bool
-ServerRequirements::Avoids(const Backend& aBackend, TimePoint aNow) const
-{
-  return aNow < aBackend.mAvoidUntil ||
-         (mVersion && aNow < aBackend.mVersionUnsureUntil);
-}
-
-bool
-ServerView::Usable(const Backend& aBackend,
-                   const ServerRequirements& aRequirements,
-                   TimePoint aNow) const
-{
-  const BackendEntry& entry = aBackend.mEntry;
-  if (entry.mService != aRequirements.mService || entry.mDraining ||
-      aNow < aBackend.mAddressReusedUntil ||
-      aRequirements.mExcluded.count(entry.mId) ||
-      aRequirements.mExcludedZones.count(entry.mZone) ||
-      (aRequirements.mVersion && *aRequirements.mVersion != entry.mVersion) ||
-      (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(entry.mId))) {
-    return false;
-  }
-  return aRequirements.mModel.empty() ||
-         (aBackend.Holds(aRequirements.mModel, aRequirements.mAdapter) &&
-          !aBackend.SuspectedMissing(
-            aRequirements.mModel, aRequirements.mAdapter, aNow));
-}
-
-bool
-ServerView::AllInExcludedZones(const ServerRequirements& aRequirements) const
-{
-  if (aRequirements.mExcludedZones.empty()) {
-    return false;
-  }
-  bool any = false;
-  for (const auto& [id, backend] : mBackends) {
-    if (backend.mEntry.mService != aRequirements.mService ||
-        (!aRequirements.mOnly.empty() && !aRequirements.mOnly.count(id))) {
-      continue;
-    }
-    if (!aRequirements.mExcludedZones.count(backend.mEntry.mZone)) {
-      return false;
-    }
-    any = true;
-  }
-  return any;
-}
-
-ServerChoice
-ServerView::Choose(const ServerRequirements& aRequirements,
-                   TimePoint aNow,
-                   std::mt19937& aRandom)
-{
-  if (ReportsPace(aRequirements.mService)) {
-    return ChoosePaced(aRequirements, aNow, aRandom);
-  }
-  ServerChoice choice;
-  std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
-  double best = 0;
-  bool bestAvoided = true;
-  bool bestCold = true;
-  bool full = false; // a server that holds the model has no room
-  ColdSpec coldSpec = ColdSpecOf(aRequirements.mService);
-  for (auto& [id, backend] : mBackends) {
-    if (!Usable(backend, aRequirements, aNow)) {
-      continue;
-    }
-    choice.mHeld = true;
-    choice.mSlots += std::max(1, backend.mEntry.mSlots);
-    if (!backend.HasRoom(
-          aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
-      full = true;
-      continue;
-    }
-    bool cold = aNow < ColdUntil(backend, coldSpec);
-    if (cold && !HasColdPermit(backend, coldSpec, aNow, choice)) {
-      continue;
-    }
-    double cost =
-      backend.Cost(backend.Load(), aRequirements.mZone) + noise(aRandom);
-    bool avoided = aRequirements.Avoids(backend, aNow);
-    bool better =
-      std::tie(avoided, cold, cost) < std::tie(bestAvoided, bestCold, best);
-    if (!choice.mBackend || better) {
-      choice.mBackend = &backend;
-      best = cost;
-      bestAvoided = avoided;
-      bestCold = cold;
-    }
-  }
-  if (choice.mBackend || full) {
-    choice.mColdOpensAt.reset();
-  }
-  choice.mZonesExcluded = AllInExcludedZones(aRequirements);
-  return choice;
-}
-
-ServerChoice
-ServerView::ChoosePaced(const ServerRequirements& aRequirements,
-                        TimePoint aNow,
-                        std::mt19937& aRandom)
-{
-  ServerChoice choice;
-  std::vector<Backend*> warm;
-  std::vector<Backend*> cold;
-  bool full = false; // a server that holds the model has no room
-  ColdSpec coldSpec = ColdSpecOf(aRequirements.mService);
-  for (auto& [id, backend] : mBackends) {
-    if (!Usable(backend, aRequirements, aNow)) {
-      continue;
-    }
-    choice.mHeld = true;
-    choice.mSlots += std::max(1, backend.mEntry.mSlots);
-    if (!backend.HasRoomAsReported(
-          aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
-      full = true;
-    } else if (aNow >= ColdUntil(backend, coldSpec)) {
-      warm.push_back(&backend);
-    } else if (HasColdPermit(backend, coldSpec, aNow, choice)) {
-      cold.push_back(&backend);
-    }
-  }
-  PacedChoice paced(aRequirements, FirstToken(aRequirements.mService), aNow);
-  // An avoided server is used only if no other is left, a cold one included.
-  auto trusted = [&](const Backend* aBackend) {
-    return !aRequirements.Avoids(*aBackend, aNow);
-  };
-  bool useCold =
-    warm.empty() || (std::none_of(warm.begin(), warm.end(), trusted) &&
-                     std::any_of(cold.begin(), cold.end(), trusted));
-  choice.mBackend = paced.Choose(std::move(useCold ? cold : warm), aRandom);
-  if (choice.mBackend || full) {
-    choice.mColdOpensAt.reset();
-  }
-  choice.mZonesExcluded = AllInExcludedZones(aRequirements);
-  return choice;
-}
-
 void
 ServerView::OnRequestBegan(const std::string& aId,
                            const std::string& aName,
@@ -607,117 +458,6 @@
   }
 }
 
-// ---- Cold servers
-
-ColdSpec
-ServerView::ColdSpecOf(const std::string& aService) const
-{
-  auto found = mColdSpecs.find(aService);
-  return found == mColdSpecs.end() ? ColdSpec() : found->second;
-}
-
-// A changed start time is news, whatever the clocks say. Of a server that is
-// listed for the first time here the clocks tell when it started.
-void
-ServerView::ReadStart(Backend& aBackend,
-                      bool aAdded,
-                      int64_t aStartBefore,
-                      TimePoint aNow)
-{
-  if (!aAdded && aStartBefore == aBackend.mEntry.mStartTime) {
-    return;
-  }
-  aBackend.mColdUntil = TimePoint();
-  aBackend.mColdKnownAt = aNow;
-  Millis ago = aAdded ? aBackend.mEntry.mRunningFor : Millis(0);
-  aBackend.mStartedAt.reset();
-  if (ago < kLongAgo) {
-    aBackend.mStartedAt = aNow - std::max(ago - kClockDifference, Millis(0));
-  }
-}
-
-// Entries arrive late, so one can only lengthen the time.
-void
-ServerView::ReadColdLeft(Backend& aBackend, TimePoint aNow)
-{
-  Millis left = aBackend.mEntry.mColdLeft.value_or(Millis(0));
-  if (left > Millis(0) && aNow + left > aBackend.mColdUntil) {
-    aBackend.mColdUntil = aNow + left;
-    aBackend.mColdKnownAt = aNow;
-  }
-}
-
-void
-ServerView::OnColdReport(const std::string& aId,
-                         Millis aLeft,
-                         TimePoint aAskedAt,
-                         TimePoint aNow)
-{
-  Backend* backend = Find(aId);
-  if (!backend) {
-    return;
-  }
-  bool newer = aAskedAt >= backend->mColdKnownAt;
-  if (newer) {
-    backend->mStartedAt.reset();
-  }
-  if (newer || aNow + aLeft > backend->mColdUntil) {
-    backend->mColdUntil = aNow + aLeft;
-    backend->mColdKnownAt = aNow;
-  }
-}
-
-void
-ServerView::AssumeCold(const std::string& aZone, TimePoint aNow)
-{
-  for (auto& [id, backend] : mBackends) {
-    Millis start = ColdSpecOf(backend.mEntry.mService).mStart;
-    if (backend.mEntry.mZone == aZone && start > Millis(0)) {
-      backend.mColdUntil = std::max(backend.mColdUntil, aNow + start);
-      // Answers to requests from before don't shorten it.
-      backend.mColdKnownAt = std::max(backend.mColdKnownAt, aNow);
-    }
-  }
-}
-
-TimePoint
-ServerView::ColdUntil(const Backend& aBackend, const ColdSpec& aSpec)
-{
-  return aBackend.mStartedAt
-           ? std::max(aBackend.mColdUntil, *aBackend.mStartedAt + aSpec.mStart)
-           : aBackend.mColdUntil;
-}
-
-size_t
-ServerView::ColdServers(TimePoint aNow) const
-{
-  return static_cast<size_t>(
-    std::count_if(mBackends.begin(), mBackends.end(), [&](const auto& aEntry) {
-      return aNow < ColdUntil(aEntry.second);
-    }));
-}
-
-bool
-ServerView::HasColdPermit(const Backend& aBackend,
-                          const ColdSpec& aSpec,
-                          TimePoint aNow,
-                          ServerChoice& aChoice)
-{
-  if (aSpec.mPerSecond <= 0) {
-    return true;
-  }
-  auto next = mColdLimit.NextPermit(
-    aBackend.mEntry.mId, aBackend.mEntry.mZone, aSpec.mPerSecond, aNow);
-  if (next && *next <= aNow) {
-    return true;
-  }
-  TimePoint opensAt = ColdUntil(aBackend, aSpec);
-  opensAt = next ? std::min(opensAt, *next) : opensAt;
-  aChoice.mColdOpensAt =
-    std::min(aChoice.mColdOpensAt.value_or(TimePoint::max()), opensAt);
-  return false;
-}
-
 void
 ServerView::OnAddressReused(const std::string& aId, Millis aFor, TimePoint aNow)
 {
--- a/src/decide/SlotForecast.cpp
+++ b/src/decide/SlotForecast.cpp
@@ -18,8 +18,8 @@
 // evidence: nothing waited, or this instance stood still.
 constexpr Millis kMaxAttemptGap{ 100 };
 
-// What was seen of a contention says nothing of the next one, which may be a
-// burst at this instance alone.
+// Counts from before a pause of this length are dropped: the requests that wait
+// next may be a burst at this instance alone.
 constexpr Millis kContentionEnd{ 1000 };
 
 // Standard normal quantile at 95%.
