Refusals tell the age and source of the configuration they were decided by

The record of the users' 404 can't tell whether its instance had just started, stood still or believed an old configuration to be new: request_refused named the version alone. It names the configuration's source and age, the event loop's lag and the process's time since its start now. FeedFreshness records when each feed was last confirmed; nothing is decided by it yet.

--- /dev/null
+++ b/src/decide/FeedFreshness.cpp
@@ -0,0 +1,60 @@
+#include "decide/FeedFreshness.h"
+
+#include <algorithm>
+
+namespace caraway {
+
+void
+FeedFreshness::OnConfirmed(TimePoint aAt)
+{
+  mConfirmedAt = std::max(mConfirmedAt, aAt);
+}
+
+void
+FeedFreshness::OnHeard(TimePoint aSentAt)
+{
+  mHeardAt = std::max(mHeardAt, aSentAt);
+}
+
+void
+FeedFreshness::OnHeldUp(TimePoint aUntil)
+{
+  bool again =
+    mHeldUpUntil != TimePoint() && aUntil - mHeldUpUntil < kCheckPause;
+  if (!again) {
+    mHeldUpUntil = aUntil;
+  }
+}
+
+void
+FeedFreshness::OnCheckFailed(TimePoint aNow)
+{
+  mCheckFailedAt = std::max(mCheckFailedAt, aNow);
+}
+
+bool
+FeedFreshness::InDoubt() const
+{
+  return std::max(mConfirmedAt, mHeardAt) < mHeldUpUntil;
+}
+
+FeedFreshness::Verdict
+FeedFreshness::ToDeny(TimePoint aNow) const
+{
+  bool confirmed = mConfirmedAt != TimePoint();
+  if (confirmed && aNow - mConfirmedAt <= mMaxAge) {
+    return Verdict::Rely;
+  }
+  bool asked =
+    mCheckFailedAt != TimePoint() && aNow - mCheckFailedAt < kCheckPause;
+  return asked ? Verdict::Unconfirmed : Verdict::Check;
+}
+
+FeedFreshness::Verdict
+FeedFreshness::ToServe() const
+{
+  bool asked = mCheckFailedAt != TimePoint() && mCheckFailedAt >= mHeldUpUntil;
+  return InDoubt() && !asked ? Verdict::Check : Verdict::Rely;
+}
+
+} // namespace caraway
--- a/src/entry/ConfigFeed.cpp
+++ b/src/entry/ConfigFeed.cpp
@@ -70,7 +70,11 @@
                          OnConfig(aChange.mObject);
                        }
                      },
-                     [this] { mOnUpdate(); } })
+                     [this] {
+                       mState.mConfigFreshness.OnConfirmed(
+                         mConfigObjects.ConfirmedAt());
+                       mOnUpdate();
+                     } })
   , mServerObjects(aState.mReactor,
                    aState.mLog,
                    aStore,
@@ -80,7 +84,11 @@
                       OnServers(aAll, std::numeric_limits<int64_t>::max());
                     },
                      [this](const StoreChange& aChange) { OnServer(aChange); },
-                     [this] { mOnUpdate(); } })
+                     [this] {
+                       mState.mListFreshness.OnConfirmed(
+                         mServerObjects.ConfirmedAt());
+                       mOnUpdate();
+                     } })
 {
 }
 
@@ -124,13 +132,13 @@
 TimePoint
 ConfigFeed::ListConfirmedAt() const
 {
-  return std::max(mServerObjects.ConfirmedAt(), mPeerConfirmedAt);
+  return mState.mListFreshness.ConfirmedAt();
 }
 
 TimePoint
 ConfigFeed::ConfigConfirmedAt() const
 {
-  return std::max(mConfigObjects.ConfirmedAt(), mPeerConfigConfirmedAt);
+  return mState.mConfigFreshness.ConfirmedAt();
 }
 
 // ---- Configuration
@@ -148,11 +156,12 @@
 {
   mStore.Call("config_read",
               wire::ReadCall(wire::kConfigKind, wire::kConfigName),
-              [this, done = std::move(aDone)](StoreOutcome aOutcome,
-                                              const std::string& aBody) {
+              [this, done = std::move(aDone), askedAt = mState.Now()](
+                StoreOutcome aOutcome, const std::string& aBody) {
                 auto object = wire::ReadObjectAnswer(aBody);
                 if (aOutcome == StoreOutcome::Done && object) {
                   OnConfig(*object);
+                  mState.mConfigFreshness.OnConfirmed(askedAt);
                 }
                 done();
               });
@@ -189,6 +198,10 @@
   mState.mServers.SetColdSpecs(config->ColdSpecs());
   mConfigText = aText;
   mState.mConfig = std::make_shared<const ServingConfig>(std::move(*config));
+  mState.mConfigFrom = aFrom;
+  if (mState.mConfig->mVersion >= mPeerConfig.mVersion) {
+    ApplyPeerConfig(mPeerConfig);
+  }
   mOnUpdate();
   mChanged();
 }
@@ -399,20 +412,29 @@
   }
   mServersRevision = std::max(mServersRevision, aSeen);
   mPeerCompleteTo = std::max(mPeerCompleteTo, aCompleteTo);
-  mPeerConfirmedAt = std::max(mPeerConfirmedAt, aUpdateAt);
+  mState.mListFreshness.OnConfirmed(aUpdateAt);
   if (changed) {
     mChanged();
   }
 }
 
 void
-ConfigFeed::ConfirmConfigFromPeer(int64_t aVersion, TimePoint aUpdateAt)
+ConfigFeed::ConfirmConfigFromPeer(const PeerConfig& aPeerConfig)
 {
-  if (mState.mConfig && mState.mConfig->mVersion >= aVersion) {
-    mPeerConfigConfirmedAt = std::max(mPeerConfigConfirmedAt, aUpdateAt);
+  if (mState.mConfig && mState.mConfig->mVersion >= aPeerConfig.mVersion) {
+    ApplyPeerConfig(aPeerConfig);
+  } else if (aPeerConfig.mVersion >= mPeerConfig.mVersion) {
+    mPeerConfig = aPeerConfig;
   }
 }
 
+void
+ConfigFeed::ApplyPeerConfig(const PeerConfig& aPeerConfig)
+{
+  mState.mConfigFreshness.OnConfirmed(aPeerConfig.mNewestAt);
+  mState.mConfigFreshness.OnHeard(aPeerConfig.mSentAt);
+}
+
 Json::Value
 ConfigFeed::ServersJson() const
 {
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -12,6 +12,14 @@
 
 namespace caraway {
 
+// What another instance says of its configuration.
+struct PeerConfig
+{
+  int64_t mVersion = 0;
+  TimePoint mNewestAt{}; // the store had nothing newer then
+  TimePoint mSentAt{};   // when it said so
+};
+
 class ConfigFeed
 {
 public:
@@ -43,11 +51,14 @@
                        int64_t aCompleteTo,
                        int64_t aSeen,
                        TimePoint aUpdateAt);
-  // Another instance has read that aVersion was the newest configuration at
-  // aUpdateAt.
-  void ConfirmConfigFromPeer(int64_t aVersion, TimePoint aUpdateAt);
+  // Counts once that version is in force here.
+  void ConfirmConfigFromPeer(const PeerConfig& aPeerConfig);
   // Reads the configuration once. aDone is called in any case.
   void ReadConfig(std::function<void()> aDone);
+  // The feed's own list of configurations is on its way.
+  bool ListingConfig() const { return mConfigObjects.Listing(); }
+  // Reads the complete list of servers again.
+  void RefreshServers(const char* aWhy) { mServerObjects.Refresh(aWhy); }
 
   // The configuration as stored, for instances that can't reach the store;
   // empty while there is none.
@@ -88,6 +99,7 @@
   };
   void RecordRemoval(const std::string& aId, int64_t aRevision);
   void OnConfig(const StoreObject& aObject);
+  void ApplyPeerConfig(const PeerConfig& aPeerConfig);
   void OnServers(const std::vector<StoreChange>& aAll, int64_t aAsOf);
   void OnServer(const StoreChange& aChange);
   bool ApplyServer(const StoreObject& aObject);
@@ -111,9 +123,9 @@
   std::function<void()> mOnUpdate = [] {};
   std::function<void(const StoreChange&)> mOnApplied = [](const StoreChange&) {
   };
-  int64_t mPeerCompleteTo = 0;  // ServersCompleteTo() of another instance
-  TimePoint mPeerConfirmedAt{}; // by updates from another instance
-  TimePoint mPeerConfigConfirmedAt{};
+  int64_t mPeerCompleteTo = 0; // ServersCompleteTo() of another instance
+  // The newest by another instance's word, newer than the one in force.
+  PeerConfig mPeerConfig;
   bool mPaused = false;
 };
 
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -29,6 +29,9 @@
   Millis mOrderSilence{ 3000 };
   // Interval at which servers update their entries in the store.
   Millis mServerHeartbeatInterval{ 1200 };
+  // Within this time a change of the configuration must be in force at all
+  // instances that are in contact with the store.
+  Millis mConfigLimit{ 2000 };
   // Within this time an evacuation must be in force at all instances that are
   // in contact with the store; nothing = evacuations are not in use.
   // Only its presence has an effect.
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -2,6 +2,14 @@
 
 namespace caraway {
 
+namespace {
+
+// A pass of the event loop, or a wait that was too long by this much, is a
+// standstill: a feed that works is behind the store by about as much.
+constexpr Millis kStandstill{ 500 };
+
+} // namespace
+
 EntryState::EntryState(const Clock& aClock,
                        EntrySettings aSettings,
                        int aLogFile)
@@ -18,11 +26,37 @@
                                    mSettings.mZone,
                                    mSettings.mColdOverage,
                                    mSettings.mColdSlack });
+  mStartedAt = Now();
+  mConfigFreshness.Configure(mSettings.mConfigLimit);
+  mConfigFreshness.OnHeldUp(mStartedAt);
+  mListFreshness.OnHeldUp(mStartedAt);
   if (mSettings.mFirstStart) {
     mServers.Lives().OnFirstStart();
   }
 }
 
+void
+EntryState::NoteStandstill()
+{
+  if (mReactor.Lag() < kStandstill) {
+    return;
+  }
+  mConfigFreshness.OnHeldUp(mReactor.PolledAt());
+  mListFreshness.OnHeldUp(mReactor.PolledAt());
+  if (mSettings.mEvacuationLimit) {
+    mEvacuationFreshness.OnHeldUp(mReactor.PolledAt());
+  }
+}
+
+bool
+EntryState::InDoubt() const
+{
+  constexpr auto kCheck = FeedFreshness::Verdict::Check;
+  return mConfigFreshness.ToServe() == kCheck ||
+         mListFreshness.ToServe() == kCheck ||
+         mEvacuationFreshness.ToServe() == kCheck;
+}
+
 Millis
 EntryState::AgeOf(TimePoint aThen) const
 {
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -12,6 +12,7 @@
 #include "decide/DemandExchange.h"
 #include "decide/DispatchOrder.h"
 #include "decide/Evacuations.h"
+#include "decide/FeedFreshness.h"
 #include "decide/LeavePlan.h"
 #include "decide/RunTimeEstimates.h"
 #include "decide/ServerReach.h"
@@ -34,6 +35,12 @@
   // Age of aThen in ms; -1 for a default TimePoint, which means never.
   Millis AgeOf(TimePoint aThen) const;
 
+  // Puts what the feeds have delivered in doubt if events have been kept
+  // waiting for long. Called before anything is decided for a request.
+  void NoteStandstill();
+  // Some feed has to be checked before requests are decided by it.
+  bool InDoubt() const;
+
   EntrySettings mSettings;
   Reactor mReactor;
   EventLog mLog;
@@ -41,6 +48,11 @@
   ChannelPool mServerPool;  // to servers
   ChannelPool mPeerPool;    // to other instances
   ServingConfigPtr mConfig; // null until one is received
+  std::string mConfigFrom;  // "store", or the instance that it came from
+  FeedFreshness mConfigFreshness;
+  FeedFreshness mListFreshness; // of the list of servers
+  FeedFreshness mEvacuationFreshness;
+  TimePoint mStartedAt{}; // of the process
   ServerView mServers;
   ServerReach mServerReach;
   bool mServersKnown = false; // the list has been received at least once
--- a/src/entry/EvacuationFeed.cpp
+++ b/src/entry/EvacuationFeed.cpp
@@ -39,7 +39,11 @@
                 }
               },
                [this](const StoreChange& aChange) { OnObject(aChange); },
-               [this] { Apply(mStored, mObjects.AsOf(), "store"); } })
+               [this] {
+                 mState.mEvacuationFreshness.OnConfirmed(
+                   mObjects.ConfirmedAt());
+                 Apply(mStored, mObjects.AsOf(), "store");
+               } })
   , mEnabled(aState.mSettings.mEvacuationLimit.has_value())
 {
 }
--- a/src/entry/EvacuationFeed.h
+++ b/src/entry/EvacuationFeed.h
@@ -30,6 +30,13 @@
   void SetPaused(
     bool aPaused,
     StoreFeed::FirstWatch aFirst = StoreFeed::FirstWatch::AfterBatch);
+  // Reads the set again, unless it comes from another instance.
+  void Refresh(const char* aWhy)
+  {
+    if (mEnabled && !mPaused) {
+      mObjects.Refresh(aWhy);
+    }
+  }
   // Called when the set has changed, after aChanged of the constructor.
   void OnUpdate(std::function<void()> aOnUpdate)
   {
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -254,6 +254,10 @@
     .Text("model", mFacts.mModel)
     .Text("adapter", mFacts.mAdapter)
     .Count("config", mConfig ? mConfig->mVersion : 0)
+    .Text("config_from", mState.mConfigFrom)
+    .Ms("config_age_ms", mState.AgeOf(mState.mConfigFreshness.ConfirmedAt()))
+    .Ms("lag_ms", mState.mReactor.Lag())
+    .Ms("running_ms", mState.AgeOf(mState.mStartedAt))
     .Count("sends", mSends)
     .Ms("retry_ms", aAfter);
   mState.mMetrics.Count("caraway_refused_total",
--- a/src/entry/FeedRelay.cpp
+++ b/src/entry/FeedRelay.cpp
@@ -290,10 +290,21 @@
                         aUpdate["to"].asInt64(),
                         aUpdate["seen"].asInt64(),
                         sentAt - Millis(aUpdate["age_ms"].asInt64()));
-  int64_t version = aUpdate["config"].asInt64();
-  mFeed.ConfirmConfigFromPeer(
-    version, sentAt - Millis(aUpdate["config_age_ms"].asInt64()));
-  RequestConfig(version, aUpdate["from"].asString());
+  mState.mListFreshness.OnHeard(sentAt);
+  if (EvacuationFeed::IsIn(aUpdate)) {
+    mState.mEvacuationFreshness.OnHeard(sentAt);
+  }
+  OnPeerConfig(aUpdate["from"].asString(),
+               { aUpdate["config"].asInt64(),
+                 sentAt - Millis(aUpdate["config_age_ms"].asInt64()),
+                 sentAt });
+}
+
+void
+FeedRelay::OnPeerConfig(const std::string& aPeer, const PeerConfig& aConfig)
+{
+  mFeed.ConfirmConfigFromPeer(aConfig);
+  RequestConfig(aConfig.mVersion, aPeer);
 }
 
 // Reads the store again when no recent update has arrived.
--- a/src/entry/FeedRelay.h
+++ b/src/entry/FeedRelay.h
@@ -31,6 +31,7 @@
   void Start();
   void FillHeartbeat(Json::Value& aHeartbeat) const;
   void ReadHeartbeat(const Peer& aPeer, const Json::Value& aHeartbeat);
+  void OnPeerConfig(const std::string& aPeer, const PeerConfig& aConfig);
 
 private:
   // A change that this instance read from the store and applied.
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -71,6 +71,9 @@
   // length, and the time by which its wait was too long.
   Millis LastDelay() const { return std::max(mLastPass, mOverslept); }
 
+  // When the wait of this pass ended.
+  TimePoint PolledAt() const { return mPolledAt; }
+
   TimePoint Now() const { return mClock.Now(); }
   const Clock& SourceClock() const { return mClock; }
   size_t Sockets() const { return mHandlers.size(); }
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -47,6 +47,8 @@
   // Reads the complete list again, unless it is being read.
   void Refresh(const char* aWhy);
 
+  // The complete list is being read.
+  bool Listing() const { return mListing; }
   int64_t AsOf() const { return mAsOf; } // 0 = nothing read yet
   // When the store was last known to have nothing newer.
   TimePoint ConfirmedAt() const { return mConfirmedAt; }
