StoreFeed: an answer that lay unread doesn't confirm the present

What callers see: denials by a configuration that counts as confirmed a moment ago. Cause: a watch's answer counted from when it was read; after a standstill of the loop, or on a slow path, that is seconds after the store gave it. Now an answer without a change counts from the end of its wait, and no answer from later than it can have arrived. Test HeldUp.AnswerThatLayUnreadConfirmsNoMoreThanItSaid: red without the change (confirmed 4 s after the standstill began, by an answer of the second 2), green with it; HeldUp.* and OldConfiguration.* run.

--- a/src/store/StoreFeed.cpp
+++ b/src/store/StoreFeed.cpp
@@ -138,7 +138,8 @@
     "watch",
     wire::WatchCall(mKind, mAsOf, aWait),
     aWait,
-    [this, generation](StoreOutcome aOutcome, const std::string& aBody) {
+    [this, generation, aWait, sentAt = mReactor.Now()](
+      StoreOutcome aOutcome, const std::string& aBody) {
       if (generation != mGeneration) {
         return;
       }
@@ -153,7 +154,8 @@
         return;
       }
       mAsOf = std::max(mAsOf, page->mAsOf);
-      mConfirmedAt = mReactor.Now();
+      mConfirmedAt = std::max(
+        mConfirmedAt, AnsweredAt(sentAt, aWait, !page->mChanges.empty()));
       for (const StoreChange& change : page->mChanges) {
         mEvents.mChange(change);
       }
@@ -166,6 +168,17 @@
     });
 }
 
+// When the store answered a watch, at the earliest. The answer may have lain
+// unread while the loop was held up. One without a change was given once the
+// wait was over, however long it was on its way.
+TimePoint
+StoreFeed::AnsweredAt(TimePoint aSentAt, Millis aWait, bool aChanged) const
+{
+  TimePoint arrivedAt = mReactor.Now() - mReactor.Lag();
+  TimePoint at = aChanged ? arrivedAt : std::min(arrivedAt, aSentAt + aWait);
+  return std::max(at, aSentAt);
+}
+
 void
 StoreFeed::WatchAfterBatch()
 {
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -59,6 +59,7 @@
   void Watch(Millis aWait);
   void WatchAfterBatch();
   void RetryLater(bool aList);
+  TimePoint AnsweredAt(TimePoint aSentAt, Millis aWait, bool aChanged) const;
 
   Reactor& mReactor;
   EventLog& mLog;
--- a/tests/platform/HeldUpTest.cpp
+++ b/tests/platform/HeldUpTest.cpp
@@ -62,6 +62,25 @@
   EXPECT_GT(fleet.LogLines(0, "\"loop_delayed\""), before);
 }
 
+// Guards against an answer of the store that lay unread during a standstill and
+// then counts as the newest state: denials by it would be outdated.
+TEST(HeldUp, AnswerThatLayUnreadConfirmsNoMoreThanItSaid)
+{
+  EntryTestFleet fleet;
+  fleet.AwaitReady();
+  constexpr Millis kWatchTime{ 2000 };
+  constexpr Millis kLongStandstill{ 4000 };
+  const FeedFreshness& config = fleet.mInstances[0]->State().mConfigFreshness;
+  fleet.mFrozen.insert(0);
+  TimePoint beganAt = fleet.mClock.Now();
+  fleet.RunFor(kLongStandstill);
+  fleet.mFrozen.erase(0);
+  fleet.mInstances[0]->RunPass(Millis(0));
+  EXPECT_LE(config.ConfirmedAt() - beganAt, kWatchTime + Millis(100));
+  fleet.RunFor(kSettled);
+  EXPECT_GT(config.ConfirmedAt() - beganAt, kLongStandstill - Millis(100));
+}
+
 } // namespace
 
 } // namespace caraway
