Denials only by a confirmed configuration; feeds are checked after a start and a standstill

What callers saw: 404 and 401 seconds after the version that allows their request was acknowledged. Cause, the class: whatever decides by what a feed delivered took it as the newest, however old. Now a denial needs a configuration that was the store's newest within the time in which a change must be in force. Otherwise the store is asked, and two other instances if it doesn't answer within 100 ms, for 500 ms at most; if none confirms it the answer is 503 with a time to return. After a start and after a standstill of the loop of half a second or more the same check comes before anything is decided for a request, of the configuration, the servers and the evacuations; if nobody answers, requests go on by what is known: a zone that is cut off from the store serves on.

That one of these ways is what the users met isn't shown: their record wasn't to be had (docs/incidents/old-configuration.md).

--- a/include/caraway/ErrorKind.h
+++ b/include/caraway/ErrorKind.h
@@ -35,6 +35,7 @@
   PlatformUnavailable,
   RevisionConflict,
   ConfigInvalid,
+  ConfigUnconfirmed,
   NotReady,
   ShuttingDown,
   PromptBlocked,
--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -38,6 +38,7 @@
   { ErrorKind::PlatformUnavailable, "platform_unavailable", "The platform can't be reached.", 503, RunState::NotRun, kRetryLater },
   { ErrorKind::RevisionConflict, "revision_conflict", "The configuration has changed meanwhile.", 409, RunState::NotRun, kNoRetry },
   { ErrorKind::ConfigInvalid, "config_invalid", "The configuration isn't valid.", 422, RunState::NotRun, kNoRetry },
+  { ErrorKind::ConfigUnconfirmed, "config_unconfirmed", "This instance can't confirm its configuration.", 503, RunState::NotRun, kRetrySoon },
   { ErrorKind::NotReady, "not_ready", "This instance has no configuration yet.", 503, RunState::NotRun, kRetrySoon },
   { ErrorKind::ShuttingDown, "shutting_down", "This instance is leaving.", 503, RunState::NotRun, kRetrySoon },
   { ErrorKind::PromptBlocked, "prompt_blocked", "Requests with a part of its prompt crash the servers.", 503, RunState::NotRun, kRetryLater },
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -41,6 +41,7 @@
   , mPeers(mState)
   , mMembers(mState, mStore, mPeers)
   , mFeedRelay(mState, mStore, mPeers, mFeed, mEvacuationFeed)
+  , mFeedCheck(mState, mPeers, mFeed, mEvacuationFeed, mFeedRelay)
   , mUsageRelay(mState, mPeers)
   , mZoneLease(mState,
                mStore,
@@ -62,7 +63,8 @@
                 mSchedulers,
                 mForwarding,
                 mStreams,
-                mCrashReports)
+                mCrashReports,
+                mFeedCheck)
   , mServerProbe(mState)
   , mReadinessHandler([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -112,6 +114,7 @@
   mUsageRelay.Start();
   mFeed.Start();
   mEvacuationFeed.Start();
+  mFeedCheck.Start();
   mZoneLease.Start();
   mRateLimiter.Start();
   mSchedulers.Start();
@@ -145,7 +148,7 @@
 EntryDaemon::Ready() const
 {
   return !mState.mLeave.Leaving() && mState.mConfig && mState.mServersKnown &&
-         !mState.mAwaitsEvacuations;
+         !mState.mAwaitsEvacuations && !mState.InDoubt();
 }
 
 bool
@@ -203,6 +206,8 @@
         static_cast<int64_t>(mCrashReports.Suspects()));
   gauge("caraway_sockets", static_cast<int64_t>(mState.mReactor.Sockets()));
   gauge("caraway_log_lines_left_out", mState.mLog.DroppedLines());
+  gauge("caraway_config_age_ms",
+        mState.AgeOf(mFeed.ConfigConfirmedAt()).count());
   gauge("caraway_list_age_ms", mState.AgeOf(mFeed.ListConfirmedAt()).count());
   gauge("caraway_list_told_by_another", mFeed.Paused() ? 1 : 0);
   gauge("caraway_lease_held", mZoneLease.Holds() ? 1 : 0);
@@ -222,9 +227,21 @@
 {
   mState.mReactor.RunPass(aMaxWait);
   LogDelay();
+  CheckFeeds();
   mState.mLog.Flush();
 }
 
+// While the feeds are in doubt the instance isn't ready, so that no request
+// might come and start the check.
+void
+EntryDaemon::CheckFeeds()
+{
+  mState.NoteStandstill();
+  if (mState.InDoubt()) {
+    mFeedCheck.Check({});
+  }
+}
+
 // Tells an operator why requests were late and lists outdated for a moment.
 void
 EntryDaemon::LogDelay()
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -7,6 +7,7 @@
 #include "entry/ConfigFeed.h"
 #include "entry/CrashReports.h"
 #include "entry/EntryState.h"
+#include "entry/FeedCheck.h"
 #include "entry/FeedRelay.h"
 #include "entry/ImmediateHandler.h"
 #include "entry/ListenPort.h"
@@ -53,6 +54,7 @@
 
 private:
   void StartUp();
+  void CheckFeeds();
   void LogDelay();
   void CheckLeaving();
   void LeaveZone();
@@ -68,6 +70,7 @@
   Peers mPeers;
   Membership mMembers;
   FeedRelay mFeedRelay;
+  FeedCheck mFeedCheck;
   UsageRelay mUsageRelay;
   LeaseLoop mZoneLease;
   TenantRateLimiter mRateLimiter;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -23,6 +23,10 @@
 
 constexpr Millis kMinTokenWait{ 50 };
 
+// Checks of the feeds that a request waits for: one after a standstill, one
+// before a denial.
+constexpr int kMaxChecks = 2;
+
 double
 TokenCost(const RequestFacts& aFacts, const TenantLimit& aTenant)
 {
@@ -66,6 +70,7 @@
                    ForwardPeers& aForwardPeers,
                    StreamOrigins& aOrigins,
                    CrashWatch& aCrashWatch,
+                   FreshnessCheck& aFreshnessCheck,
                    std::shared_ptr<InboundConnection> aCaller,
                    InboundRequest aRequest)
   : mState(aState)
@@ -75,6 +80,7 @@
   , mForwardPeers(aForwardPeers)
   , mOrigins(aOrigins)
   , mCrashWatch(aCrashWatch)
+  , mFreshnessCheck(aFreshnessCheck)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
   , mArrived(aState.Now() - mRequest.mWaited)
@@ -101,19 +107,47 @@
 void
 Exchange::Begin()
 {
-  if (!Identify()) {
+  mState.NoteStandstill();
+  bool doubted = mState.mConfig && mState.InDoubt() && AwaitCheck();
+  if (doubted || !Identify()) {
     return;
   }
+  ApplyRoute();
+  SetDeadlines();
+  if (!AwaitProbe()) {
+    Admit();
+  }
+}
+
+// Begins again once the feeds have been checked. Returns false if it has waited
+// for that often enough.
+bool
+Exchange::AwaitCheck()
+{
+  if (mChecks >= kMaxChecks) {
+    return false;
+  }
+  ++mChecks;
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  mFreshnessCheck.Check([weak] {
+    auto exchange = weak.lock();
+    if (exchange && !exchange->mFinished) {
+      exchange->Begin();
+    }
+  });
+  return true;
+}
+
+// What follows from the route and the tenant.
+void
+Exchange::ApplyRoute()
+{
   mService = PickService(*mRoute, StreamId());
   const TenantLimit* tenant = mConfig->Tenant(mTenant);
   mRegions = RegionRule(mState.mSettings.mRegionOfZone,
                         mRoute->mRegions,
                         tenant ? tenant->mRegions : std::set<std::string>());
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
-  SetDeadlines();
-  if (!AwaitProbe()) {
-    Admit();
-  }
 }
 
 void
@@ -221,9 +255,7 @@
   mFacts = std::move(*facts);
   mRoute = mConfig->Match(mFacts.mHost, mFacts.mPath);
   if (!mRoute) {
-    Refuse(
-      ErrorKind::NotFound, Millis(0), "no route matches the host and path");
-    return false;
+    return Deny(ErrorKind::NotFound, "no route matches the host and path");
   }
   mPriority = mRoute->mPriority;
   if (mConfig->mTenants.empty() || mRoute->mAnonymous) {
@@ -232,9 +264,7 @@
   auto tenant = mConfig->mTenantOfKey.find(mFacts.mTenantKey);
   if (tenant == mConfig->mTenantOfKey.end()) {
     bool hasKey = !mFacts.mTenantKey.empty();
-    Refuse(
-      hasKey ? ErrorKind::KeyUnknown : ErrorKind::KeyMissing, Millis(0), "key");
-    return false;
+    return Deny(hasKey ? ErrorKind::KeyUnknown : ErrorKind::KeyMissing, "key");
   }
   mTenant = tenant->second;
   const TenantLimit* limit = mConfig->Tenant(mTenant);
@@ -244,6 +274,21 @@
   return true;
 }
 
+// A caller doesn't come back after a denial, so it must be true by the newest
+// configuration. While that can't be confirmed, another instance, or this one
+// later, may know better. Always returns false.
+bool
+Exchange::Deny(ErrorKind aKind, const char* aWhy)
+{
+  auto verdict = mState.mConfigFreshness.ToDeny(mState.Now());
+  if (verdict == FeedFreshness::Verdict::Rely) {
+    Refuse(aKind, Millis(0), aWhy);
+  } else if (verdict == FeedFreshness::Verdict::Unconfirmed || !AwaitCheck()) {
+    Refuse(ErrorKind::ConfigUnconfirmed, kRetryAfterDefault, aWhy);
+  }
+  return false;
+}
+
 void
 Exchange::OnTokens(const TokenAnswer& aAnswer)
 {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -14,6 +14,7 @@
 #include "entry/CrashWatch.h"
 #include "entry/EntryState.h"
 #include "entry/ForwardPeers.h"
+#include "entry/FreshnessCheck.h"
 #include "entry/InboundConnection.h"
 #include "entry/LoadRequester.h"
 #include "entry/RateLimiter.h"
@@ -62,6 +63,7 @@
            ForwardPeers& aForwardPeers,
            StreamOrigins& aOrigins,
            CrashWatch& aCrashWatch,
+           FreshnessCheck& aFreshnessCheck,
            std::shared_ptr<InboundConnection> aCaller,
            InboundRequest aRequest);
 
@@ -88,6 +90,10 @@
 private:
   // Admission.
   bool Identify();
+  bool AwaitCheck();
+  bool Deny(ErrorKind aKind, const char* aWhy);
+  void ApplyRoute();
+  bool AwaitFreshFeeds();
   void Admit();
   void SetDeadlines();
   void CountDemand();
@@ -209,11 +215,15 @@
   ForwardPeers& mForwardPeers;
   StreamOrigins& mOrigins;
   CrashWatch& mCrashWatch;
+  FreshnessCheck& mFreshnessCheck;
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
-  RegionRule mRegions;      // by route and tenant
-  ServingConfigPtr mConfig; // in force when the request was admitted
+  RegionRule mRegions; // by route and tenant
+  // In force when the request was admitted, or as it last waited.
+  ServingConfigPtr mConfig;
+  int mChecks = 0;        // of the feeds, before it is admitted or denied
+  TimePoint mDoubtedAt{}; // see AwaitFreshFeeds()
   const RouteSpec* mRoute = nullptr;
   std::string mService;
   std::string mTenant;
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -185,6 +185,21 @@
          service->second.mEngine.has_value();
 }
 
+// Whether the request has to wait before a server is chosen for it. It waits
+// once for as long as a check may take, however often the process stands still.
+bool
+Exchange::AwaitFreshFeeds()
+{
+  mState.NoteStandstill();
+  if (!mState.InDoubt()) {
+    return false;
+  }
+  TimePoint now = mState.Now();
+  mDoubtedAt = mDoubtedAt == TimePoint() ? now : mDoubtedAt;
+  mFreshnessCheck.Check({});
+  return now - mDoubtedAt < FreshnessCheck::kMaxTime;
+}
+
 std::set<std::string>
 Exchange::ExcludedZones() const
 {
@@ -266,6 +281,9 @@
   if (RefuseIfBlocked()) {
     return true;
   }
+  if (AwaitFreshFeeds()) {
+    return false; // tried again within milliseconds
+  }
   if (!CallerStillWaits() || HandOver() || RefuseWithoutVersion()) {
     return true;
   }
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -18,13 +18,15 @@
                                      LoadRequester& aLoadRequester,
                                      ForwardPeers& aForwardPeers,
                                      StreamOrigins& aOrigins,
-                                     CrashWatch& aCrashWatch)
+                                     CrashWatch& aCrashWatch,
+                                     FreshnessCheck& aFreshnessCheck)
   : mState(aState)
   , mRateLimiter(aRateLimiter)
   , mLoadRequester(aLoadRequester)
   , mForwardPeers(aForwardPeers)
   , mOrigins(aOrigins)
   , mCrashWatch(aCrashWatch)
+  , mFreshnessCheck(aFreshnessCheck)
 {
 }
 
@@ -39,6 +41,7 @@
                                              mForwardPeers,
                                              mOrigins,
                                              mCrashWatch,
+                                             mFreshnessCheck,
                                              aConn,
                                              std::move(aRequest));
   mExchanges[aConn.get()] = exchange;
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -20,7 +20,8 @@
                     LoadRequester& aLoadRequester,
                     ForwardPeers& aForwardPeers,
                     StreamOrigins& aOrigins,
-                    CrashWatch& aCrashWatch);
+                    CrashWatch& aCrashWatch,
+                    FreshnessCheck& aFreshnessCheck);
 
   // Called when servers hold other models or have free slots. Retries the
   // waiting requests, the most urgent first, after the current event.
@@ -65,6 +66,7 @@
   ForwardPeers& mForwardPeers;
   StreamOrigins& mOrigins;
   CrashWatch& mCrashWatch;
+  FreshnessCheck& mFreshnessCheck;
   std::map<const InboundConnection*, std::shared_ptr<Exchange>> mExchanges;
   Exchanges mWaiting;
   bool mRetryScheduled = false;
