A request that waits follows the configuration until it is sent

What callers see: a request that waits seconds for its model is run by a key that was withdrawn meanwhile, or at the service that its route has left. Cause: it kept the configuration under which it came. Now it is looked up again when it is about to be sent for the first time and a confirmed newer configuration holds; a resumed stream stays with the service that began it.

--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -150,6 +150,26 @@
   mPriority = std::clamp(mPriority, 0, kLowestPriority);
 }
 
+// A request that waits may be sent long after it was admitted. It is sent by
+// the configuration of that moment: a key that was withdrawn meanwhile must not
+// work any more. Returns false if it was denied. A stream that goes on
+// elsewhere stays with the service that began it.
+bool
+Exchange::FollowConfig()
+{
+  bool begun = mSends > 0 || mForwards > 0 || mVersion;
+  bool newest = mState.mConfigFreshness.ToDeny(mState.Now()) ==
+                FeedFreshness::Verdict::Rely;
+  if (begun || !newest || mConfig == mState.mConfig) {
+    return true;
+  }
+  if (!Identify()) {
+    return false;
+  }
+  ApplyRoute();
+  return true;
+}
+
 void
 Exchange::Admit()
 {
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -93,6 +93,7 @@
   bool AwaitCheck();
   bool Deny(ErrorKind aKind, const char* aWhy);
   void ApplyRoute();
+  bool FollowConfig();
   bool AwaitFreshFeeds();
   void Admit();
   void SetDeadlines();
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -284,7 +284,8 @@
   if (AwaitFreshFeeds()) {
     return false; // tried again within milliseconds
   }
-  if (!CallerStillWaits() || HandOver() || RefuseWithoutVersion()) {
+  if (!CallerStillWaits() || !FollowConfig() || HandOver() ||
+      RefuseWithoutVersion()) {
     return true;
   }
   ServerChoice choice = ChooseServer(aPass);
