Servers that name a rate limit get requests by permits of one keeper

What callers saw: nothing; a server in need got 27 calls in 4 s where 14 were allowed. Cause: nobody read the limit, and the lease holder's orders and reports count as well. Now a limit is read from every answer of the server (request, order, report) and told in heartbeats; it ends with an answer without it, that of the latest request counting, or with the server's process. One instance of the server's zone, which follows from the list of instances, gives permits, each with its time, for all calls; another stands in if it doesn't answer, so that each gives at most half of what the server bears. Other holders of the model come first; if all are limited the model is loaded elsewhere; a request whose permit and load would come too late is refused at once with the time of the next one. Limited servers get no orders. A limit of rejections is kept by the same rule (NamedLimit): an answer that was overtaken no longer changes it. While no server names a limit no message is sent.

Ruled out: an even division without messages, as for cold servers; it leaves most of a limit of one or two a second to instances that nobody calls. The model test found two faults of the first design: permits used late before others used at once, and a keeper that restarts.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -51,6 +51,9 @@
   std::string mServer;
   // The server fails if it has to reject more requests in a second.
   std::optional<double> mRejectionLimit;
+  // Requests a second that the server takes from all instances together.
+  std::optional<double> mRateLimit;
+  bool mRateLimitUnreadable = false;
   std::optional<ServerLoadReport> mLoad;
   std::optional<Millis> mColdLeft; // how much longer the server stays cold
   bool mColdLeftUnreadable = false;
--- a/src/decide/ServerView.cpp
+++ b/src/decide/ServerView.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decide/RateReservations.h"
+
 namespace caraway {
 
 namespace {
@@ -65,6 +67,20 @@
   changes.emplace_back(aNow, aChange);
 }
 
+// Takes the first permit that can be used, and drops those that have lapsed.
+void
+SpendRatePermit(Backend& aBackend, TimePoint aNow)
+{
+  auto& permits = aBackend.mRatePermits;
+  while (!permits.empty() &&
+         aNow - permits.front() >= RateReservations::kPermitLife) {
+    permits.pop_front();
+  }
+  if (!permits.empty() && permits.front() <= aNow) {
+    permits.pop_front();
+  }
+}
+
 // Applies the difference between aBefore and aAfter to aHeld.
 bool
 ApplyEntryChanges(const HeldModels& aBefore,
@@ -153,6 +169,16 @@
          RequestsInFlight() < slots;
 }
 
+bool
+Backend::HasRatePermit(TimePoint aNow) const
+{
+  return !mRateLimit ||
+         std::any_of(
+           mRatePermits.begin(), mRatePermits.end(), [aNow](TimePoint aAt) {
+             return aAt <= aNow && aNow - aAt < RateReservations::kPermitLife;
+           });
+}
+
 // A slot that an own request has left since the report is free.
 int
 Backend::ReportedRequests(TimePoint aNow) const
@@ -258,7 +284,9 @@
     backend.mAvoidUntil = TimePoint();
     backend.mVersionUnsureUntil = TimePoint();
     backend.mAddressReusedUntil = TimePoint();
-    backend.mRejectionLimit.reset();
+    backend.mRejectionLimit = NamedLimit();
+    backend.mRateLimit = NamedLimit();
+    backend.mRatePermits.clear();
     backend.mFullUntil = TimePoint();
     backend.mLoadReport.reset();
     backend.mPace = ServerPace();
@@ -346,6 +374,7 @@
     return;
   }
   ++backend->mOwnRequests[aName];
+  SpendRatePermit(*backend, aNow);
   // Also while it is warm: it may turn out to be cold within the same second.
   if (ColdSpecOf(backend->mEntry.mService).mPerSecond > 0) {
     mColdLimit.Spend(aId, aNow);
@@ -415,14 +444,46 @@
 }
 
 void
-ServerView::SetRejectionLimit(const std::string& aId,
-                              std::optional<double> aLimit)
+ServerView::OnRejectionLimit(const std::string& aId,
+                             std::optional<double> aLimit,
+                             TimePoint aAskedAt)
 {
   if (Backend* backend = Find(aId)) {
-    backend->mRejectionLimit = aLimit;
+    backend->mRejectionLimit.OnAnswer(aLimit, aAskedAt);
   }
 }
 
+void
+ServerView::OnRateLimit(const std::string& aId,
+                        std::optional<double> aLimit,
+                        TimePoint aAskedAt)
+{
+  if (Backend* backend = Find(aId)) {
+    backend->mRateLimit.OnAnswer(aLimit, aAskedAt);
+    if (!backend->mRateLimit) {
+      backend->mRatePermits.clear();
+    }
+  }
+}
+
+void
+ServerView::OnRatePermit(const std::string& aId, TimePoint aAt)
+{
+  if (Backend* backend = Find(aId)) {
+    auto& permits = backend->mRatePermits;
+    permits.insert(std::upper_bound(permits.begin(), permits.end(), aAt), aAt);
+  }
+}
+
+size_t
+ServerView::RateLimitedServers() const
+{
+  return static_cast<size_t>(
+    std::count_if(mBackends.begin(), mBackends.end(), [](const auto& aEntry) {
+      return static_cast<bool>(aEntry.second.mRateLimit);
+    }));
+}
+
 void
 ServerView::OnRejected(const std::string& aId, int aInstances, TimePoint aNow)
 {
--- a/src/decide/ServerView.h
+++ b/src/decide/ServerView.h
@@ -13,6 +13,7 @@
 #include "decide/BackendEntry.h"
 #include "decide/ColdServerLimit.h"
 #include "decide/FirstTokenEstimate.h"
+#include "decide/NamedLimit.h"
 #include "decide/RequestFacts.h"
 #include "decide/ServerLives.h"
 #include "decide/ServerPace.h"
@@ -41,8 +42,12 @@
   TimePoint mAddressReusedUntil{}; // another server answers at its address
   // It accepts no order before this time, as the lease holder reported.
   TimePoint mLoadingUntil{};
-  // It fails if it has to reject more requests in a second, from all instances.
-  std::optional<double> mRejectionLimit;
+  // It fails if it has to reject more requests in a second.
+  NamedLimit mRejectionLimit;
+  // Requests that it takes in a second.
+  NamedLimit mRateLimit;
+  // When this instance may send it a request each, while it has a rate limit.
+  std::deque<TimePoint> mRatePermits;
   TimePoint mFullUntil{}; // it gets no request before
   // What the server said last of its load, to this instance or another, and
   // when.
@@ -74,6 +79,8 @@
   bool HasRoomAsReported(double aMaxPerSlot,
                          int aInstances,
                          TimePoint aNow) const;
+  // Whether its rate limit, if it has one, allows a request of this instance.
+  bool HasRatePermit(TimePoint aNow) const;
   // For a model with all its adapters, or for one MODEL/ADAPTER.
   int RequestsInFlight(const std::string& aName) const;
   bool Holds(const std::string& aModel, const std::string& aAdapter) const;
@@ -116,6 +123,12 @@
   // If only cold servers without a permit have room: when the first of them can
   // take it.
   std::optional<TimePoint> mColdOpensAt;
+  // If nothing else can take it: the server with room that has named a rate
+  // limit and for which there is no permit; "" = none.
+  std::string mNeedsPermit;
+  int mNeedingPermit = 0; // servers of that kind
+  // All servers that hold the model have named a rate limit.
+  bool mOnlyLimited = false;
 };
 
 enum class ServerOutcome
@@ -192,8 +205,16 @@
   void RecordOutcome(const std::string& aId,
                      ServerOutcome aOutcome,
                      TimePoint aNow);
-  // As the server said with its last answer; see Backend.
-  void SetRejectionLimit(const std::string& aId, std::optional<double> aLimit);
+  // As the server said in an answer to a request that was sent at aAskedAt.
+  void OnRejectionLimit(const std::string& aId,
+                        std::optional<double> aLimit,
+                        TimePoint aAskedAt);
+  void OnRateLimit(const std::string& aId,
+                   std::optional<double> aLimit,
+                   TimePoint aAskedAt);
+  // This instance may send the server one request at aAt.
+  void OnRatePermit(const std::string& aId, TimePoint aAt);
+  size_t RateLimitedServers() const;
   // The server rejected a request for want of room. One with a limit of
   // rejections gets none from this instance for a while: the aInstances share
   // the limit. One that reports its pace gets none for a moment.
--- a/src/decide/ServerViewChoose.cpp
+++ b/src/decide/ServerViewChoose.cpp
@@ -13,6 +13,28 @@
 // all choose the same server.
 constexpr double kTieBreakNoise = 0.03;
 
+void
+NoteHeld(ServerChoice& aChoice, const Backend& aBackend)
+{
+  bool limited = static_cast<bool>(aBackend.mRateLimit);
+  aChoice.mOnlyLimited = limited && (!aChoice.mHeld || aChoice.mOnlyLimited);
+  aChoice.mHeld = true;
+  aChoice.mSlots += std::max(1, aBackend.mEntry.mSlots);
+}
+
+// Each of the servers that need a permit is asked for with the same
+// probability.
+void
+NeedPermit(ServerChoice& aChoice,
+           const Backend& aBackend,
+           std::mt19937& aRandom)
+{
+  std::uniform_int_distribution<int> pick(0, aChoice.mNeedingPermit++);
+  if (pick(aRandom) == 0) {
+    aChoice.mNeedsPermit = aBackend.mEntry.mId;
+  }
+}
+
 } // namespace
 
 bool
@@ -74,20 +96,23 @@
   std::uniform_real_distribution<double> noise(0, kTieBreakNoise);
   double best = 0;
   bool bestAvoided = true;
-  bool bestCold = true;
+  bool bestSlow = true;
   bool full = false; // a server that holds the model has no room
   ColdSpec coldSpec = ColdSpecOf(aRequirements.mService);
   for (auto& [id, backend] : mBackends) {
     if (!Usable(backend, aRequirements, aNow)) {
       continue;
     }
-    choice.mHeld = true;
-    choice.mSlots += std::max(1, backend.mEntry.mSlots);
+    NoteHeld(choice, backend);
     if (!backend.HasRoom(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       full = true;
       continue;
     }
+    if (!backend.HasRatePermit(aNow)) {
+      NeedPermit(choice, backend, aRandom);
+      continue;
+    }
     bool cold = aNow < ColdUntil(backend, coldSpec);
     if (cold && !HasColdPermit(backend, coldSpec, aNow, choice)) {
       continue;
@@ -95,18 +120,23 @@
     double cost =
       backend.Cost(backend.Load(), aRequirements.mZone) + noise(aRandom);
     bool avoided = aRequirements.Avoids(backend, aNow);
+    // In need or just started; it gets no new work where another is as good.
+    bool slow = cold || backend.mRateLimit;
     bool better =
-      std::tie(avoided, cold, cost) < std::tie(bestAvoided, bestCold, best);
+      std::tie(avoided, slow, cost) < std::tie(bestAvoided, bestSlow, best);
     if (!choice.mBackend || better) {
       choice.mBackend = &backend;
       best = cost;
       bestAvoided = avoided;
-      bestCold = cold;
+      bestSlow = slow;
     }
   }
   if (choice.mBackend || full) {
     choice.mColdOpensAt.reset();
   }
+  if (choice.mBackend) {
+    choice.mNeedsPermit.clear();
+  }
   choice.mZonesExcluded = AllInExcludedZones(aRequirements);
   return choice;
 }
@@ -125,11 +155,14 @@
     if (!Usable(backend, aRequirements, aNow)) {
       continue;
     }
-    choice.mHeld = true;
-    choice.mSlots += std::max(1, backend.mEntry.mSlots);
+    NoteHeld(choice, backend);
     if (!backend.HasRoomAsReported(
           aRequirements.mMaxPerSlot, aRequirements.mInstances, aNow)) {
       full = true;
+    } else if (!backend.HasRatePermit(aNow)) {
+      NeedPermit(choice, backend, aRandom);
+    } else if (backend.mRateLimit) {
+      cold.push_back(&backend); // used like a cold one: if no other is left
     } else if (aNow >= ColdUntil(backend, coldSpec)) {
       warm.push_back(&backend);
     } else if (HasColdPermit(backend, coldSpec, aNow, choice)) {
@@ -148,6 +181,9 @@
   if (choice.mBackend || full) {
     choice.mColdOpensAt.reset();
   }
+  if (choice.mBackend) {
+    choice.mNeedsPermit.clear();
+  }
   choice.mZonesExcluded = AllInExcludedZones(aRequirements);
   return choice;
 }
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -55,6 +55,7 @@
                 mMembers,
                 mZoneLease,
                 [this] { OnStateChanged(); })
+  , mRatePermits(mState, mPeers)
   , mForwarding(mState, mPeers)
   , mStreams(mState, mStore, mPeers)
   , mCrashReports(mState, mStore, mPeers, mMembers)
@@ -64,7 +65,8 @@
                 mForwarding,
                 mStreams,
                 mCrashReports,
-                mFeedCheck)
+                mFeedCheck,
+                mRatePermits)
   , mServerProbe(mState)
   , mReadinessHandler([this](const InboundRequest& aRequest) {
     bool asked = aRequest.mHead.mTarget == wire::kReadyPath;
@@ -118,6 +120,7 @@
   mZoneLease.Start();
   mRateLimiter.Start();
   mSchedulers.Start();
+  mRatePermits.Start();
   mStreams.Start();
   // An instance that reaches no server can't order its zone's loads.
   mServerProbe.OnLastingChange([this](bool aCutOff) {
@@ -165,6 +168,7 @@
   mFeedRelay.FillHeartbeat(aHeartbeat);
   mUsageRelay.FillHeartbeat(aHeartbeat);
   mCrashReports.FillHeartbeat(aHeartbeat);
+  mRatePermits.FillHeartbeat(aHeartbeat);
 }
 
 void
@@ -173,6 +177,7 @@
   mUsageRelay.ReadHeartbeat(aPeer, aHeartbeat);
   mFeedRelay.ReadHeartbeat(aPeer, aHeartbeat);
   mCrashReports.ReadHeartbeat(aHeartbeat);
+  mRatePermits.ReadHeartbeat(aHeartbeat);
   mDispatcher.OnServersChanged();
 }
 
@@ -190,6 +195,8 @@
         static_cast<int64_t>(mState.mEvacuations.Zones().size()));
   gauge("caraway_servers_cold",
         static_cast<int64_t>(mState.mServers.ColdServers(mState.Now())));
+  gauge("caraway_servers_rate_limited",
+        static_cast<int64_t>(mState.mServers.RateLimitedServers()));
   gauge("caraway_cut_off_from_servers", mState.mServerReach.CutOff() ? 1 : 0);
   gauge("caraway_instances", mState.mInstances);
   gauge("caraway_requests_under_way",
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -14,6 +14,7 @@
 #include "entry/Membership.h"
 #include "entry/PeerForwarding.h"
 #include "entry/Peers.h"
+#include "entry/RatePermits.h"
 #include "entry/RequestDispatcher.h"
 #include "entry/ServerProbe.h"
 #include "entry/StreamRecords.h"
@@ -75,6 +76,7 @@
   LeaseLoop mZoneLease;
   TenantRateLimiter mRateLimiter;
   ZoneSchedulers mSchedulers;
+  RatePermits mRatePermits;
   PeerForwarding mForwarding;
   StreamRecords mStreams;
   CrashReports mCrashReports;
--- a/src/entry/Exchange.cpp
+++ b/src/entry/Exchange.cpp
@@ -71,6 +71,7 @@
                    StreamOrigins& aOrigins,
                    CrashWatch& aCrashWatch,
                    FreshnessCheck& aFreshnessCheck,
+                   ServerPermits& aServerPermits,
                    std::shared_ptr<InboundConnection> aCaller,
                    InboundRequest aRequest)
   : mState(aState)
@@ -81,6 +82,7 @@
   , mOrigins(aOrigins)
   , mCrashWatch(aCrashWatch)
   , mFreshnessCheck(aFreshnessCheck)
+  , mServerPermits(aServerPermits)
   , mCaller(std::move(aCaller))
   , mRequest(std::move(aRequest))
   , mArrived(aState.Now() - mRequest.mWaited)
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -18,6 +18,7 @@
 #include "entry/InboundConnection.h"
 #include "entry/LoadRequester.h"
 #include "entry/RateLimiter.h"
+#include "entry/ServerPermits.h"
 #include "entry/StreamOrigins.h"
 #include "net/EventStreamReader.h"
 #include "net/OutboundCall.h"
@@ -64,6 +65,7 @@
            StreamOrigins& aOrigins,
            CrashWatch& aCrashWatch,
            FreshnessCheck& aFreshnessCheck,
+           ServerPermits& aServerPermits,
            std::shared_ptr<InboundConnection> aCaller,
            InboundRequest aRequest);
 
@@ -113,6 +115,11 @@
   // The request has been sent to as many servers as its route allows, and none
   // of them is left.
   bool TriedServersGone(const ServerChoice& aChoice) const;
+  // Servers that have named a rate limit.
+  void AskForPermit(const std::string& aServer);
+  void OnPermit(const ServerPermits::Answer& aAnswer);
+  bool RefuseIfRateLimited();
+  bool RefuseTooLateToStart(TimePoint aBegin);
   bool RefuseIfUnmeetable(const ServerChoice& aChoice, DispatchPass& aPass);
   void RefuseUnmeetable(Millis aWait, const ServerChoice& aChoice);
   void RefuseWithoutZone();
@@ -217,6 +224,7 @@
   StreamOrigins& mOrigins;
   CrashWatch& mCrashWatch;
   FreshnessCheck& mFreshnessCheck;
+  ServerPermits& mServerPermits;
   std::shared_ptr<InboundConnection> mCaller;
   InboundRequest mRequest;
   RequestFacts mFacts;
@@ -273,6 +281,11 @@
   std::optional<PromptParts> mSharedParts; // see SharedParts()
   bool mProbing = false;   // may be sent though its part is blocked
   TimePoint mToldGoodAt{}; // when mCall's answer was last told to be good
+  // Of a permit to send to a server that has named a rate limit: being asked
+  // for, when it can be used, or when the next one is free if that is too late.
+  bool mPermitAsked = false;
+  TimePoint mPermitAt{};
+  TimePoint mPermitFreeAt{};
   bool mWaiting = false;
   bool mWaitLogged = false; // since mWaiting: no server at the first attempt
   bool mRetryOwed = false;  // the next send is a retry and not yet spent
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -16,6 +16,10 @@
 
 constexpr double kServiceRequestsPerSlot = 3.0;
 
+// A permit is used within milliseconds of its time, or another request has
+// taken it.
+constexpr Millis kPermitPatience{ 100 };
+
 // The limit for less urgent classes, see LeavesReserve().
 constexpr double kLessUrgentRequestsPerSlot = 1.0;
 
@@ -308,11 +312,86 @@
     RefuseWithoutZone();
     return true;
   }
-  if (OnEngine() && !choice.mHeld && !mFacts.mModel.empty()) {
-    mColdStart = true;
+  bool needsLoad = !choice.mHeld || choice.mOnlyLimited;
+  if (OnEngine() && needsLoad && !mFacts.mModel.empty()) {
+    mColdStart = mColdStart || !choice.mHeld;
     mLoadRequester.RequestLoad(ToLoadRequest());
   }
-  return RefuseIfUnmeetable(choice, aPass);
+  if (!choice.mNeedsPermit.empty()) {
+    AskForPermit(choice.mNeedsPermit);
+  }
+  return choice.mOnlyLimited ? RefuseIfRateLimited()
+                             : RefuseIfUnmeetable(choice, aPass);
+}
+
+// A permit that another waiting request has taken is asked for again.
+void
+Exchange::AskForPermit(const std::string& aServer)
+{
+  TimePoint now = mState.Now();
+  bool expected =
+    mPermitAt != TimePoint() && now <= mPermitAt + kPermitPatience;
+  if (mPermitAsked || expected || now < mPermitFreeAt) {
+    return;
+  }
+  mPermitAsked = true;
+  auto left = std::chrono::duration_cast<Millis>(mFirstByteBy - now);
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  mServerPermits.Request(aServer,
+                         std::max(left - kServiceTime, Millis(0)),
+                         [weak](const ServerPermits::Answer& aAnswer) {
+                           auto exchange = weak.lock();
+                           if (exchange && !exchange->mFinished) {
+                             exchange->OnPermit(aAnswer);
+                           }
+                         });
+}
+
+void
+Exchange::OnPermit(const ServerPermits::Answer& aAnswer)
+{
+  mPermitAsked = false;
+  TimePoint at = mState.Now() + aAnswer.mWait;
+  mPermitAt = aAnswer.mGranted ? at : TimePoint();
+  mPermitFreeAt = aAnswer.mGranted ? TimePoint() : at;
+  // The requests that wait are tried again within milliseconds.
+}
+
+// All servers of the model have named a rate limit. A request waits for its
+// permit, or for a load elsewhere; if both come too late it is refused at once.
+bool
+Exchange::RefuseIfRateLimited()
+{
+  TimePoint now = mState.Now();
+  if (mPermitAsked || mPermitAt != TimePoint() || now >= mPermitFreeAt) {
+    return RefuseTooLateToStart(now);
+  }
+  auto load = mLoadRequester.Expected(ToLoadRequest());
+  Millis wait = std::chrono::ceil<Millis>(mPermitFreeAt - now);
+  if (load && now + *load + kServiceTime <= mFirstByteBy) {
+    return RefuseTooLateToStart(now + *load);
+  }
+  wait = load ? std::min(wait, *load) : wait;
+  mState.mMetrics.Count("caraway_rate_limited_refused_total", "");
+  Refuse(ErrorKind::NoCapacity,
+         SpreadRetry(wait),
+         "all servers of the model are at their rate limits");
+  return true;
+}
+
+// The instance may be leaving, or the request's time may be over.
+bool
+Exchange::RefuseTooLateToStart(TimePoint aBegin)
+{
+  if (!MayStart(std::max(aBegin, mState.Now() + kRetryAfterDefault))) {
+    RefuseShuttingDown();
+    return true;
+  }
+  if (mState.Now() + kServiceTime <= mFirstByteBy) {
+    return false;
+  }
+  RefuseTooLate();
+  return true;
 }
 
 void
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "entry/ColdReports.h"
+#include "entry/ServerLimits.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
@@ -181,11 +181,10 @@
 Exchange::RecordServerFacts()
 {
   mState.mServerReach.OnReached();
-  mState.mServers.SetRejectionLimit(mServer, mAnswerFacts.mRejectionLimit);
   if (mAnswerFacts.mLoad) {
     mState.mServers.OnLoadReport(mServer, *mAnswerFacts.mLoad, mState.Now());
   }
-  ApplyColdAnswer(mState, mServer, mAnswerFacts, mSentAt);
+  ApplyNamedLimits(mState, mServer, mAnswerFacts, mSentAt);
 }
 
 void
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -46,7 +46,8 @@
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mZone != mZone ||
         backend.mEntry.mService != aRequest.mService ||
-        backend.mEntry.mDraining || !backend.Holds(aRequest.mModel, "") ||
+        backend.mEntry.mDraining || backend.mRateLimit ||
+        !backend.Holds(aRequest.mModel, "") ||
         !aRequest.Fits(backend.mEntry.mVersion)) {
       continue;
     }
@@ -117,7 +118,8 @@
   for (auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mZone != mZone ||
         backend.mEntry.mService != aRequest.mService ||
-        backend.mEntry.mDraining || !backend.Holds(aRequest.mModel, "") ||
+        backend.mEntry.mDraining || backend.mRateLimit ||
+        !backend.Holds(aRequest.mModel, "") ||
         !aRequest.Fits(backend.mEntry.mVersion) || mJobs.count(id) ||
         !mInventories.CanTakeOrder(id) ||
         now < std::max(backend.mAvoidUntil, backend.mAddressReusedUntil)) {
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -163,7 +163,9 @@
     facts.mBusy[server] = std::max(left, Millis(50));
   }
   for (const auto& [id, backend] : mState.mServers.All()) {
-    if (now < std::max(backend.mAvoidUntil, backend.mAddressReusedUntil)) {
+    // A server in need that has named a rate limit gets no new work.
+    if (now < std::max(backend.mAvoidUntil, backend.mAddressReusedUntil) ||
+        backend.mRateLimit) {
       facts.mAvoid.insert(id);
     }
     // A report of the server's content has been requested.
--- a/src/entry/LoadSchedulerReport.cpp
+++ b/src/entry/LoadSchedulerReport.cpp
@@ -1,5 +1,6 @@
 #include "entry/LoadScheduler.h"
 
+#include "decide/RateReservations.h"
 #include "entry/OrderLimits.h"
 
 namespace caraway {
@@ -73,7 +74,10 @@
     return;
   }
   if (!aConfirmed) {
-    mState.mReactor.After(kLoadPollInterval,
+    const Backend* backend = mState.mServers.Find(aServer);
+    bool limited = backend && backend->mRateLimit; // reports count there
+    mState.mReactor.After(limited ? RateReservations::kWindow
+                                  : kLoadPollInterval,
                           [this, aServer, aId] { PollLoad(aServer, aId); });
     return;
   }
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -4,7 +4,9 @@
 
 #include "entry/LoadMessages.h"
 #include "entry/OrderLimits.h"
+#include "entry/ServerLimits.h"
 #include "platform/OrderMessage.h"
+#include "platform/RequestHead.h"
 
 namespace caraway {
 
@@ -150,6 +152,10 @@
     EndJob(aServer, "server gone");
     return;
   }
+  if (backend->mRateLimit) {
+    EndJob(aServer, "server has named a rate limit");
+    return;
+  }
   // Checked before each order: the lease may have expired while the process was
   // suspended.
   if (!mLease.MayAct()) {
@@ -200,8 +206,16 @@
     mState.mServerPool,
     std::move(request),
     kOrderTimeout,
-    [this, aServer, aId, order, startTime = job->mStartTime](
-      BufferedAnswer& aAnswer) {
+    [this,
+     aServer,
+     aId,
+     order,
+     startTime = job->mStartTime,
+     sentAt = mState.Now()](BufferedAnswer& aAnswer) {
+      if (aAnswer.mStatus > 0) {
+        ApplyNamedLimits(
+          mState, aServer, wire::ReadAnswerFacts(aAnswer.mHead), sentAt);
+      }
       OrderAnswer answer = wire::ReadOrderAnswer(aAnswer.mStatus);
       mInventories.OnOrderAnswered(aServer, order, startTime, answer);
       OnAnswer(aServer, aId, answer);
--- a/src/entry/RequestDispatcher.cpp
+++ b/src/entry/RequestDispatcher.cpp
@@ -19,7 +19,8 @@
                                      ForwardPeers& aForwardPeers,
                                      StreamOrigins& aOrigins,
                                      CrashWatch& aCrashWatch,
-                                     FreshnessCheck& aFreshnessCheck)
+                                     FreshnessCheck& aFreshnessCheck,
+                                     ServerPermits& aServerPermits)
   : mState(aState)
   , mRateLimiter(aRateLimiter)
   , mLoadRequester(aLoadRequester)
@@ -27,6 +28,7 @@
   , mOrigins(aOrigins)
   , mCrashWatch(aCrashWatch)
   , mFreshnessCheck(aFreshnessCheck)
+  , mServerPermits(aServerPermits)
 {
 }
 
@@ -42,6 +44,7 @@
                                              mOrigins,
                                              mCrashWatch,
                                              mFreshnessCheck,
+                                             mServerPermits,
                                              aConn,
                                              std::move(aRequest));
   mExchanges[aConn.get()] = exchange;
--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -21,7 +21,8 @@
                     ForwardPeers& aForwardPeers,
                     StreamOrigins& aOrigins,
                     CrashWatch& aCrashWatch,
-                    FreshnessCheck& aFreshnessCheck);
+                    FreshnessCheck& aFreshnessCheck,
+                    ServerPermits& aServerPermits);
 
   // Called when servers hold other models or have free slots. Retries the
   // waiting requests, the most urgent first, after the current event.
@@ -67,6 +68,7 @@
   StreamOrigins& mOrigins;
   CrashWatch& mCrashWatch;
   FreshnessCheck& mFreshnessCheck;
+  ServerPermits& mServerPermits;
   std::map<const InboundConnection*, std::shared_ptr<Exchange>> mExchanges;
   Exchanges mWaiting;
   bool mRetryScheduled = false;
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 
 #include "base/EraseIf.h"
+#include "decide/RateReservations.h"
 #include "decide/ServerRoom.h"
-#include "entry/ColdReports.h"
 #include "entry/OrderLimits.h"
+#include "entry/ServerLimits.h"
 #include "platform/OrderMessage.h"
 #include "platform/RequestHead.h"
 
@@ -20,6 +21,9 @@
 
 constexpr Millis kRecheckInterval{ 1000 };
 
+// One report in the window in which a rate limit counts.
+constexpr Millis kLimitedReportInterval = RateReservations::kWindow;
+
 constexpr Millis kSendTick{ 1000 };
 
 // The token of a lease that nobody has held before.
@@ -144,7 +148,6 @@
   if (!mLease.Holds() || mState.mEvacuations.Evacuated(mZone)) {
     return;
   }
-  TimePoint now = mState.Now();
   std::vector<std::string> missing;
   for (const auto& [id, backend] : mState.mServers.All()) {
     bool engine =
@@ -154,7 +157,7 @@
     }
     Entry& entry = EntryOf(id);
     bool wanted = !entry.mInventory.Known() || entry.mLoadPending;
-    if (wanted && !entry.mReportPending && now >= entry.mNextReportAt) {
+    if (wanted && MayAskForReport(backend, entry)) {
       missing.push_back(id);
     }
   }
@@ -163,6 +166,19 @@
   }
 }
 
+// A server that has named a rate limit gets no orders, so that nothing needs
+// its reports at once; they count as requests there.
+bool
+ServerInventories::MayAskForReport(const Backend& aBackend,
+                                   const Entry& aEntry) const
+{
+  TimePoint next = aEntry.mNextReportAt;
+  if (aBackend.mRateLimit) {
+    next = std::max(next, aEntry.mReportAskedAt + kLimitedReportInterval);
+  }
+  return !aEntry.mReportPending && mState.Now() >= next;
+}
+
 // A server may come back under its id, and orders that were sent before may
 // reach it then. So its inventory outlives its entry in the list.
 void
@@ -192,6 +208,7 @@
   }
   Entry& entry = EntryOf(aServer);
   entry.mReportPending = true;
+  entry.mReportAskedAt = mState.Now();
   entry.mNextReportAt = mState.Now() + kReportRetryInterval;
   OutboundRequest request;
   request.mAddress = backend->mEntry.mAddress;
@@ -215,8 +232,10 @@
         then(false);
         return;
       }
-      ApplyColdAnswer(
-        mState, aServer, wire::ReadAnswerFacts(aAnswer.mHead), sentAt);
+      if (aAnswer.mStatus > 0) {
+        ApplyNamedLimits(
+          mState, aServer, wire::ReadAnswerFacts(aAnswer.mHead), sentAt);
+      }
       Entry& current = EntryOf(aServer);
       auto report = wire::ReadReport(aAnswer.mBody);
       HeldModels before = known->mModels;
@@ -310,8 +329,9 @@
 ServerInventories::Recheck(const std::string& aServer)
 {
   Entry& entry = EntryOf(aServer);
-  if (mState.Now() - entry.mRecheckedAt >= kRecheckInterval &&
-      !entry.mReportPending) {
+  const Backend* backend = mState.mServers.Find(aServer);
+  if (backend && mState.Now() - entry.mRecheckedAt >= kRecheckInterval &&
+      MayAskForReport(*backend, entry)) {
     entry.mRecheckedAt = mState.Now();
     RequestReport(aServer, [](bool) {});
   }
--- a/src/entry/ServerInventories.h
+++ b/src/entry/ServerInventories.h
@@ -83,11 +83,13 @@
     bool mReportPending = false;
     bool mLoadPending = false; // a load assumed to be done is still in progress
     TimePoint mNextReportAt{};
+    TimePoint mReportAskedAt{};
     TimePoint mRecheckedAt{};
     TimePoint mConfirmedAt{}; // by the last report that established the content
     TimePoint mListedAt{};    // when the server was last seen in the list
   };
   Entry& EntryOf(const std::string& aServer);
+  bool MayAskForReport(const Backend& aBackend, const Entry& aEntry) const;
   void RequestMissingReports();
   void ForgetUnlisted();
   void CheckReport(const std::string& aServer, const ServerReport& aReport);
--- a/tests/platform/RateLimitTest.cpp
+++ b/tests/platform/RateLimitTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "decide/RateReservations.h"
 #include "platform/WireNames.h"
 #include "support/EntryTestFleet.h"
 
@@ -48,6 +49,14 @@
   return tally;
 }
 
+// Instances that have just started give no permits.
+void
+AwaitPermits(EntryTestFleet& aFleet)
+{
+  aFleet.AwaitReady();
+  aFleet.RunFor(RateReservations::kSettleTime);
+}
+
 // Sends a request to each of the first aInstances in turn, one each 100 ms.
 std::vector<TestCallPtr>
 SendFor(EntryTestFleet& aFleet, Millis aTime, size_t aInstances)
@@ -65,14 +74,13 @@
   return calls;
 }
 
-// Only the first server holds the model that is asked for; the others have no
-// room for it.
+// Only the first server holds the model that is asked for.
 void
 LeaveOneHolder(EntryTestFleet& aFleet)
 {
   for (size_t i = 1; i < aFleet.mEngines.size(); ++i) {
     aFleet.mEngines[i]->mModels.clear();
-    aFleet.List(*aFleet.mEngines[i], "engine", i == 0 ? "a" : "b");
+    aFleet.List(*aFleet.mEngines[i], "engine", "b");
   }
 }
 
@@ -86,7 +94,7 @@
   EntryTestFleet fleet(TwoZones(1));
   fleet.mEngines.pop_back();
   fleet.mStore->Remove(wire::kServersKind, "engine-b0");
-  fleet.AwaitReady();
+  AwaitPermits(fleet);
   fleet.mEngines[0]->mRateLimit = kLimit;
   constexpr Seconds kTime{ 16 };
   Tally tally = Count(SendFor(fleet, kTime, fleet.Instances()));
@@ -102,7 +110,7 @@
   EntryTestFleet fleet(TwoZones(1));
   fleet.mEngines.pop_back();
   fleet.mStore->Remove(wire::kServersKind, "engine-b0");
-  fleet.AwaitReady();
+  AwaitPermits(fleet);
   fleet.mEngines[0]->mRateLimit = kLimit;
   constexpr Seconds kTime{ 12 };
   Tally tally = Count(SendFor(fleet, kTime, 1));
