Soak: denials by an old configuration, models never served, limits

The soak adds keys while instances stand still and their watches die, and asks with the newest key from the limit on; it names rate limits, among faults and at rest; it counts models that are asked for through a run and never served, and any denial of a caller whose route and key are in each configuration.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -1,6 +1,7 @@
 #include "soak/SoakChecks.h"
 
 #include <algorithm>
+#include <map>
 
 #include "platform/WireNames.h"
 
@@ -47,6 +48,10 @@
 // Sound requests refused as guilty, at most one in so many.
 constexpr int kSoundShare = 50;
 
+// A model asked for so often over this time should have been served.
+constexpr int kMinAsked = 8;
+constexpr Millis kAskedThrough{ 12000 };
+
 // Minimum share of served requests among those sent after the last fault.
 constexpr double kMinServedShare = 0.75;
 
@@ -69,12 +74,14 @@
       CheckOwnAnswer(call);
       CheckOwnTenant(call);
       CheckOneVersion(call);
+      CheckNotDenied(call);
     }
     CheckLimit();
     CheckRecovered();
     CheckResumptions();
     CheckCrashes();
     CheckSoundRequests();
+    CheckModelsServed();
     return mViolations;
   }
 
@@ -208,6 +215,44 @@
       }
     }
   }
+  // All routes and keys of callers are in every configuration.
+  void CheckNotDenied(const SoakCall& aCall)
+  {
+    if (aCall.mStatus == 401 || aCall.mStatus == 403 || aCall.mStatus == 404) {
+      AddViolation("denied though it is allowed", aCall);
+    }
+  }
+  // A model that is asked for all through the run is served at some time.
+  void CheckModelsServed()
+  {
+    struct Asked
+    {
+      int mCalls = 0;
+      int mServed = 0;
+      TimePoint mFirst = TimePoint::max();
+      TimePoint mLast{};
+    };
+    std::map<std::string, Asked> models;
+    for (const SoakCall& call : mRecord.mCalls) {
+      bool counts = !call.mModel.empty() && call.mCrashPart.empty() &&
+                    call.mTenant != kLimitedTenant &&
+                    call.mEnded != TimePoint();
+      if (counts) {
+        Asked& asked = models[call.mModel];
+        ++asked.mCalls;
+        asked.mServed += call.mComplete && call.mStatus == 200 ? 1 : 0;
+        asked.mFirst = std::min(asked.mFirst, call.mSent);
+        asked.mLast = std::max(asked.mLast, call.mSent);
+      }
+    }
+    for (const auto& [model, asked] : models) {
+      if (asked.mServed == 0 && asked.mCalls >= kMinAsked &&
+          asked.mLast - asked.mFirst >= kAskedThrough) {
+        mViolations.push_back("never served: " + model + ", asked for " +
+                              std::to_string(asked.mCalls) + " times");
+      }
+    }
+  }
   // The limited tenant's rate must hold over all instances in any window.
   void CheckLimit()
   {
--- a/tests/soak/SoakFault.h
+++ b/tests/soak/SoakFault.h
@@ -21,6 +21,9 @@
   Drain,     // a server is listed as draining for a time
   Version,   // an engine starts again under its id with another version
   Crashes,   // engines crash on requests with a part of a prompt
+  Keys,      // a new key for a tenant; the former ones stay
+  Stale,     // a freeze during which a key is added and the watch dies
+  Limit,     // an engine names how many requests a second it takes
   Orders,    // an engine leaves orders unanswered; they are carried out late
 };
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -31,6 +31,20 @@
 // Between two requests that crash servers.
 constexpr Millis kGuiltyInterval{ 300 };
 
+// Specified limit for a change of the configuration, with the time that a
+// request is on its way.
+constexpr Millis kApplyLimit{ 2100 };
+constexpr Millis kKeyProbeInterval{ 250 };
+
+// A server that names a limit is judged from then on.
+constexpr Millis kRateJudgedAfter{ 3000 };
+
+constexpr Millis kLimitAtRest{ 9000 };
+
+// After it was disturbed an instance isn't judged for this long: what it sent
+// meanwhile is in the window of a limit, and its permits count anew.
+constexpr Millis kRateExcused{ 10500 };
+
 // From the last of them until its server is back.
 constexpr Millis kCrashAftermath{ 4000 };
 
@@ -272,6 +286,8 @@
     SoakFaultKind::Version,   SoakFaultKind::Version,
     SoakFaultKind::KillAll,   SoakFaultKind::Orders,
     SoakFaultKind::Orders,    SoakFaultKind::Crashes,
+    SoakFaultKind::Keys,      SoakFaultKind::Keys,
+    SoakFaultKind::Stale,     SoakFaultKind::Limit,
   };
   Inject(kKinds[static_cast<size_t>(Draw(0, std::size(kKinds) - 1))]);
   mTestFleet->mReactor.After(Millis(Draw(50, 2200)),
@@ -324,6 +340,15 @@
     case SoakFaultKind::Crashes:
       CrashEngines();
       break;
+    case SoakFaultKind::Keys:
+      AddKey();
+      break;
+    case SoakFaultKind::Stale:
+      FreezeBesideNewKey(index);
+      break;
+    case SoakFaultKind::Limit:
+      NameLimit(duration + kRateJudgedAfter);
+      break;
   }
 }
 
@@ -483,6 +508,125 @@
                              [engine] { engine->mDropsOrderAnswers = false; });
 }
 
+// ---- Keys and limits
+
+void
+SoakRun::AddKey()
+{
+  RecordFault(SoakFaultKind::Keys, 0, Millis(0));
+  Json::Value& keys = mTestFleet->mConfig["tenants"][0]["apiKeys"];
+  mNewestKey = "key-" + std::to_string(keys.size());
+  mNewestKeyAt = Now();
+  keys.append(mNewestKey);
+  mTestFleet->Configure();
+}
+
+// Whoever is asked may refuse the request, but not deny its key.
+void
+SoakRun::ProbeNewestKey()
+{
+  auto instance = Pick();
+  bool due = !mNewestKey.empty() && Now() - mNewestKeyAt > kApplyLimit;
+  if (!due || !instance || mEnding) {
+    return;
+  }
+  SendKeyProbe(*instance);
+}
+
+void
+SoakRun::SendKeyProbe(size_t aIndex)
+{
+  std::string id = "key-probe-" + std::to_string(mKeyProbes.size());
+  mKeyProbes.push_back(
+    mTestFleet->Send(aIndex,
+                     "/safe/x",
+                     id,
+                     { { wire::kAuthorization, "Bearer " + mNewestKey } }));
+}
+
+// The instance wakes with a request for the new key in its accept queue, and
+// with a watch that brings nothing.
+void
+SoakRun::FreezeBesideNewKey(size_t aIndex)
+{
+  constexpr Millis kFreeze{ 3000 };
+  Freeze(aIndex, kFreeze);
+  AddKey();
+  mTestFleet->mStore->MuteWatchesOf(aIndex, wire::kConfigKind);
+  auto& reactor = mTestFleet->mReactor;
+  reactor.After(kFreeze - Millis(100), [this, aIndex, key = mNewestKey] {
+    if (key == mNewestKey && !mEnding) {
+      SendKeyProbe(aIndex);
+    }
+  });
+  reactor.After(kFreeze + Seconds(1), [this, aIndex] {
+    mTestFleet->mStore->MuteWatchesOf(aIndex, "");
+  });
+}
+
+void
+SoakRun::CheckKeyProbes()
+{
+  auto denied = std::count_if(
+    mKeyProbes.begin(), mKeyProbes.end(), [](const TestCallPtr& aCall) {
+      return aCall->mStatus == 401 || aCall->mStatus == 404;
+    });
+  if (denied > 0) {
+    mViolations.push_back(
+      "denied by an old configuration: " + std::to_string(denied) + " of " +
+      std::to_string(mKeyProbes.size()) + " probes");
+  }
+}
+
+void
+SoakRun::NameLimit(Millis aFor)
+{
+  RecordFault(SoakFaultKind::Limit, 0, aFor);
+  auto& engines = mTestFleet->mEngines;
+  StandInServer* engine =
+    engines[static_cast<size_t>(Draw(0, static_cast<int>(engines.size()) - 1))]
+      .get();
+  engine->mRateLimit = std::to_string(Draw(2, 20) / 10.0);
+  mTestFleet->mReactor.After(aFor, [engine] { engine->mRateLimit.clear(); });
+}
+
+// With no fault around, nothing excuses more than the limit.
+void
+SoakRun::NameLimitAtRest()
+{
+  StandInServer& engine = *mTestFleet->mEngines[0];
+  engine.mRateLimit = "0.3";
+  mTestFleet->RunFor(kLimitAtRest);
+  engine.mRateLimit.clear();
+}
+
+// An instance that was started or stood still doesn't know of the limit, or of
+// the others' permits.
+void
+SoakRun::CheckRates()
+{
+  auto excuses = [](const SoakFault& aFault, TimePoint aAt) {
+    bool instance = aFault.mKind == SoakFaultKind::Kill ||
+                    aFault.mKind == SoakFaultKind::Freeze ||
+                    aFault.mKind == SoakFaultKind::Terminate;
+    return instance && aFault.mFrom <= aAt &&
+           aFault.mUntil + kRateExcused >= aAt;
+  };
+  const auto& faults = mRecord.mInjectedFaults;
+  for (const auto& engine : mTestFleet->mEngines) {
+    for (const auto& [at, text] : engine->mOverRate) {
+      bool excused = std::any_of(
+        faults.begin(), faults.end(), [&, when = at](const SoakFault& aFault) {
+          return excuses(aFault, when);
+        });
+      if (!excused) {
+        mViolations.push_back("more than its limit: " + text);
+      }
+    }
+    engine->mOverRate.clear();
+  }
+}
+
 // ---- The run
 
 std::vector<std::string>
@@ -500,11 +644,13 @@
   // Each run has a series of crashes.
   mTestFleet->mReactor.After(Millis(Draw(3000, 9000)),
                              [this] { CrashEngines(); });
+  mTestFleet->mReactor.Every(kKeyProbeInterval, [this] { ProbeNewestKey(); });
   mTestFleet->RunFor(mPlan.mFaultDuration);
   mFaultsStopped = true;
   mTestFleet->RunFor(kRecovery);
   mRecord.mFaultFreeFrom = Now();
   mTestFleet->RunFor(kFaultFreePeriod);
+  NameLimitAtRest();
   mEnding = true;
   mTestFleet->RunFor(Seconds(14)); // until every call has ended
   mRecord.mEnded = Now();
@@ -523,6 +669,8 @@
     mRecord.mCrashes.begin(),
     mRecord.mCrashes.end(),
     [](const auto& aOne, const auto& aOther) { return aOne.mAt < aOther.mAt; });
+  CheckKeyProbes();
+  CheckRates();
   std::vector<std::string> violations = SoakViolations(mRecord);
   violations.insert(violations.end(), mViolations.begin(), mViolations.end());
   for (const std::string& order : mTestFleet->OverCapacityOrders()) {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -63,6 +63,14 @@
   void RestartEngine();
   void ListEngine(StandInServer& aEngine);
   void DelayOrders(Millis aFor);
+  void AddKey();
+  void ProbeNewestKey();
+  void SendKeyProbe(size_t aIndex);
+  void FreezeBesideNewKey(size_t aIndex);
+  void CheckKeyProbes();
+  void NameLimit(Millis aFor);
+  void NameLimitAtRest();
+  void CheckRates();
   void CrashEngines();
   void SendGuilty(const std::string& aPart, int aLeft);
   size_t RecordFault(SoakFaultKind aKind, size_t aInstance, Millis aFor);
@@ -77,6 +85,9 @@
   std::vector<std::shared_ptr<SoakCaller>> mCallers;
   SoakRecord mRecord;
   std::vector<TestCallPtr> mGuiltyCalls;
+  std::string mNewestKey; // of a tenant
+  TimePoint mNewestKeyAt{};
+  std::vector<TestCallPtr> mKeyProbes;
   int mCrashSeries = 0;                 // begun so far
   bool mCrashing = false;               // one is under way
   std::vector<std::string> mViolations; // found during the run
--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -130,7 +130,7 @@
     ADD_FAILURE() << "ordered beyond its room: " << order;
   }
   for (const auto& engine : mEngines) {
-    for (const std::string& over : engine->mOverRate) {
+    for (const auto& [at, over] : engine->mOverRate) {
       ADD_FAILURE() << "more than its limit: " << over;
     }
   }
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -296,8 +296,10 @@
   double seconds = std::chrono::duration<double>(kRateWindow).count();
   double bound = kRateOverage * limit * seconds + kRateSlack;
   if (static_cast<double>(mLimitedCalls.size()) > bound) {
-    mOverRate.push_back(mId + " got " + std::to_string(mLimitedCalls.size()) +
-                        " calls in a window, limit " + mToldLimit);
+    mOverRate.emplace_back(now,
+                           mId + " got " +
+                             std::to_string(mLimitedCalls.size()) +
+                             " calls in a window, limit " + mToldLimit);
   }
 }
 
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -149,7 +149,7 @@
   std::deque<TimePoint> mLimitedCalls;
   // One line for each time at which it got more than the specified bound. The
   // test that ends with one fails.
-  std::vector<std::string> mOverRate;
+  std::vector<std::pair<TimePoint, std::string>> mOverRate;
   long mEndlessBytes = 0; // sent, by the Endless behaviours
   bool mResets = false;   // breaks answers off by resets, not by orderly closes
   // It crashes mCrashDelay after it begins to answer a request with this part
