Soak: requests refused as guilty are counted by the instances' logs

The check took every refusal of a sound request with a time to return of 4 s or more for one of a blocked part. Now those count that the instances' logs call refused for a part of their prompt: nothing but the verdict that the check is about, with the same bound.

--- a/tests/soak/SoakChecks.cpp
+++ b/tests/soak/SoakChecks.cpp
@@ -42,9 +42,6 @@
 // From the end of a process until it runs again.
 constexpr Millis kRestartTime{ 1600 };
 
-// A refusal that names a longer time to return is for a blocked part.
-constexpr Millis kBlockedRetryAfter{ 4000 };
-
 // Sound requests refused as guilty, at most one in so many.
 constexpr int kSoundShare = 50;
 
@@ -381,8 +378,7 @@
     for (const SoakCall& call : mRecord.mCalls) {
       if (!call.mModel.empty() && call.mCrashPart.empty()) {
         ++sent;
-        refused +=
-          call.mStatus == 503 && call.mRetryAfter >= kBlockedRetryAfter ? 1 : 0;
+        refused += mRecord.mBlockedIds.count(call.mId) > 0 ? 1 : 0;
       }
     }
     if (refused * kSoundShare > sent) {
--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
   std::deque<SoakCall> mCalls;
   std::vector<SoakFault> mInjectedFaults;
   std::map<std::string, std::vector<ServerRun>> mRuns; // by request id
+  // Of the requests that instances refused for a part of their prompts, by
+  // their logs.
+  std::set<std::string> mBlockedIds;
   TimePoint mBegan{};
   TimePoint mFaultFreeFrom{}; // no fault is active from here on
   TimePoint mEnded{};
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -627,6 +627,24 @@
   }
 }
 
+// An answer doesn't tell for which reason the request was refused.
+void
+SoakRun::ReadBlockedIds()
+{
+  const std::string event = "\"event\":\"request_refused\",\"id\":\"";
+  const std::string kind = "\"kind\":\"prompt_blocked\"";
+  for (size_t i = 0; i < mInstances.size(); ++i) {
+    std::ifstream log(mPlan.mFolder / ("i" + std::to_string(i) + ".log"));
+    for (std::string line; std::getline(log, line);) {
+      size_t at = line.find(event);
+      if (at != std::string::npos && line.find(kind) != std::string::npos) {
+        at += event.size();
+        mRecord.mBlockedIds.insert(line.substr(at, line.find('"', at) - at));
+      }
+    }
+  }
+}
+
 // ---- The run
 
 std::vector<std::string>
@@ -671,6 +689,7 @@
     [](const auto& aOne, const auto& aOther) { return aOne.mAt < aOther.mAt; });
   CheckKeyProbes();
   CheckRates();
+  ReadBlockedIds();
   std::vector<std::string> violations = SoakViolations(mRecord);
   violations.insert(violations.end(), mViolations.begin(), mViolations.end());
   for (const std::string& order : mTestFleet->OverCapacityOrders()) {
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -68,6 +68,7 @@
   void SendKeyProbe(size_t aIndex);
   void FreezeBesideNewKey(size_t aIndex);
   void CheckKeyProbes();
+  void ReadBlockedIds();
   void NameLimit(Millis aFor);
   void NameLimitAtRest();
   void CheckRates();
