Log loads that are given up before they begin

A load that waits in a lease holder's queue is given up once nobody has asked for it for 1.5 s; no log told so. `load_dropped` tells the model, how long it had waited, the queue's length and the wait for the weight store.

--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -116,6 +116,7 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  void LogDropped(const PendingLoad& aPending);
   static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
   LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending) const;
   Millis ShortestLoadTime(const LoadRequest& aRequest) const;
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -210,6 +210,7 @@
   std::vector<PendingLoad*> queue;
   for (auto at = mQueue.begin(); at != mQueue.end();) {
     if (now - at->second.mLastRequestedAt > kQueuedRequestLife) {
+      LogDropped(at->second);
       at = mQueue.erase(at);
     } else {
       queue.push_back(&at->second);
@@ -240,6 +241,21 @@
   }
 }
 
+void
+LoadScheduler::LogDropped(const PendingLoad& aPending)
+{
+  const LoadRequest& request = aPending.mRequest;
+  mState.mLog.Line("load_dropped")
+    .Text("model", request.mModel)
+    .Text("adapter", request.mAdapter)
+    .Count("priority", request.mPriority)
+    .Flag("extra", request.mExtraReplica)
+    .Count("queued", static_cast<int64_t>(mQueue.size()))
+    .Ms("store_wait_ms", mStoreLoads.Wait(mState.Now()))
+    .Ms("asked_ms", mState.AgeOf(aPending.mLastRequestedAt))
+    .Ms("waited_ms", mState.AgeOf(aPending.mSince));
+}
+
 LoadPatience
 LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
 {
