Keep a queued load until the callers that were refused return

Cause: a lease holder gave up a queued load that nobody had asked for in 1.5 s. A caller that can't wait is refused at once and returns after the time that it was told, eight to fifteen seconds for a model that only the weight store has. If the load couldn't begin in those 1.5 s (the store serves two at full speed), it was gone, and with it its place in the queue; loads that were asked for later went first. Change: `QueuedLoad` keeps a load until its callers should have returned, and its place with it; after 8 s in the queue it ranks with loads that are on time, so that a steady flow of these can't keep it waiting for good. The loaded model isn't evicted before they return either. `caraway_loads_overdue` counts such loads at the lease holder. Tests: RareModels.QueuedLoadGoesOnUntilCallersReturn, red before (503 at the return); QueuedLoadRandom.ModelsAskedForThroughTheDayAreServed, a model of a zone's queue over a minute, red without either part of the change.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -223,6 +223,8 @@
   gauge("caraway_zone_models_missing",
         static_cast<int64_t>(mSchedulers.MissingInZones()));
   gauge("caraway_loads_queued", static_cast<int64_t>(mSchedulers.Waiting()));
+  gauge("caraway_loads_overdue",
+        static_cast<int64_t>(mSchedulers.OverdueLoads()));
   gauge("caraway_store_age_ms", mState.AgeOf(mStore.LastSuccessAt()).count());
   return { 200, "text/plain", text };
 }
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -19,6 +19,7 @@
 #include "decide/LoadPriority.h"
 #include "decide/ModelOrder.h"
 #include "decide/PlacementPlan.h"
+#include "decide/QueuedLoad.h"
 #include "decide/StoreLoadTracker.h"
 #include "entry/LeaseLoop.h"
 #include "entry/LoadRequester.h"
@@ -52,6 +53,9 @@
   bool Holds() const { return mLease.Holds(); }
   size_t Loads() const { return mJobs.size(); }
   size_t Waiting() const { return mQueue.size(); }
+  // Loads that callers have been asking for longer than QueuedLoad::kMaxQueued
+  // without their having begun.
+  size_t Overdue() const;
   // Models that urgent callers of the zone get from other zones only, as of the
   // last check; 0 on an instance that doesn't hold the lease.
   size_t MissingInZone() const { return Holds() ? mMissingInZone : 0; }
@@ -76,11 +80,7 @@
   struct PendingLoad
   {
     LoadRequest mRequest;
-    TimePoint mSince{};
-    TimePoint mLastRequestedAt{};
-    // Latest time at which an answer must start, over all requests.
-    TimePoint mNeedBy{};
-    TimePoint mFirstNeedBy{}; // the earliest such time
+    QueuedLoad mQueued;
   };
   // The orders that load one model or adapter on one server.
   struct Job
@@ -94,6 +94,7 @@
     Millis mLoad{ 0 };
     TimePoint mBegan{};
     TimePoint mExpected{};
+    TimePoint mReturnBy{}; // of callers that were refused; see QueuedLoad
     bool mLoading = false; // the last order, the load, was accepted
     // Only orders of this job can be in progress at the server: its last order
     // was accepted, and none has gone unanswered since.
@@ -116,12 +117,13 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  void NoteExpected(const LoadRequest& aRequest, Millis aExpected);
   void LogDropped(const PendingLoad& aPending);
   static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
   LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending) const;
   Millis ShortestLoadTime(const LoadRequest& aRequest) const;
   bool Serves(const Job& aJob, const LoadRequest& aRequest) const;
-  bool TryStartModel(const LoadRequest& aRequest,
+  bool TryStartModel(const PendingLoad& aPending,
                      const LoadPatience& aPatience,
                      PlacementFacts& aFacts);
   bool TryStartAdapter(const LoadRequest& aRequest);
@@ -158,8 +160,7 @@
   void PollLoad(const std::string& aServer, uint64_t aId);
   void OnLoadPolled(const std::string& aServer, uint64_t aId, bool aConfirmed);
   void EndJob(const std::string& aServer, const char* aWhy);
-  void MarkRecentlyLoaded(const std::string& aServer,
-                          const std::string& aModel);
+  void MarkRecentlyLoaded(const Job& aJob);
 
   EntryState& mState;
   Peers& mPeers;
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -28,36 +28,37 @@
 
 // Returns true when the request need not stay queued.
 bool
-LoadScheduler::TryStartModel(const LoadRequest& aRequest,
+LoadScheduler::TryStartModel(const PendingLoad& aPending,
                              const LoadPatience& aPatience,
                              PlacementFacts& aFacts)
 {
-  const EngineSpec* engine = EngineOf(aRequest.mService);
+  const LoadRequest& request = aPending.mRequest;
+  const EngineSpec* engine = EngineOf(request.mService);
   if (!engine) {
     return true;
   }
   for (const auto& [server, job] : mJobs) {
-    if (Serves(job, aRequest)) {
+    if (Serves(job, request)) {
       // The model is being loaded already; its adapters wait for that.
-      return aRequest.mAdapter.empty() ||
-             aRequest.mAdapter == job.mRequest.mAdapter;
+      return request.mAdapter.empty() ||
+             request.mAdapter == job.mRequest.mAdapter;
     }
   }
   for (const auto& [id, backend] : mState.mServers.All()) {
     if (backend.mEntry.mZone != mZone ||
-        backend.mEntry.mService != aRequest.mService ||
+        backend.mEntry.mService != request.mService ||
         backend.mEntry.mDraining || backend.mRateLimit ||
-        !backend.Holds(aRequest.mModel, "") ||
-        !aRequest.Fits(backend.mEntry.mVersion)) {
+        !backend.Holds(request.mModel, "") ||
+        !request.Fits(backend.mEntry.mVersion)) {
       continue;
     }
-    if (!aRequest.mAdapter.empty()) {
-      return TryStartAdapter(aRequest);
+    if (!request.mAdapter.empty()) {
+      return TryStartAdapter(request);
     }
     if (aPatience.mPurpose == LoadPurpose::Zone) {
       return true; // the zone has a replica by now
     }
-    if (!aRequest.mExtraReplica) {
+    if (!request.mExtraReplica) {
       // The requesting instance has not received the server's content yet, or
       // the server answered that it does not hold the model.
       mInventories.Recheck(id);
@@ -66,20 +67,20 @@
   }
   mStoreLoads.SetLimits(engine->mLoadsPerSecond,
                         mState.mSettings.mZones.size(),
-                        ServersInZone(aRequest.mService));
+                        ServersInZone(request.mService));
   aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
   auto choice = ChoosePlacement(*engine,
-                                aRequest.mModel,
+                                request.mModel,
                                 mState.mServers,
                                 aFacts,
-                                aRequest.mVersion,
+                                request.mVersion,
                                 aPatience);
   if (!choice && aPatience.mPurpose == LoadPurpose::Zone) {
     return false; // nobody waits for it
   }
   if (!choice) {
     mState.mLog.Line("place_none")
-      .Text("model", aRequest.mModel)
+      .Text("model", request.mModel)
       .Count("jobs", static_cast<int64_t>(mJobs.size()));
     return false;
   }
@@ -87,12 +88,13 @@
     return false;
   }
   Job job;
-  job.mRequest = aRequest;
+  job.mRequest = request;
   job.mRequest.mAdapter.clear();
   job.mServer = choice->mServer;
   job.mSource = choice->mSource;
   job.mUnload = choice->mUnload;
   job.mLoad = choice->mLoad;
+  job.mReturnBy = aPending.mQueued.ReturnBy();
   for (const std::string& model : choice->mEvict) {
     ModelOrder order;
     order.mLoad = false;
@@ -100,12 +102,12 @@
     job.mSteps.push_back(order);
   }
   ModelOrder load;
-  load.mModel = aRequest.mModel;
+  load.mModel = request.mModel;
   job.mSteps.push_back(load);
   aFacts.mBusy[job.mServer] = choice->TotalTime();
-  SendClaim(aRequest, true, choice->TotalTime());
+  SendClaim(request, true, choice->TotalTime());
   StartJob(std::move(job));
-  return aRequest.mAdapter.empty();
+  return request.mAdapter.empty();
 }
 
 bool
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A queued request that no instance has repeated for this long is dropped.
-constexpr Millis kQueuedRequestLife{ 1500 };
-
 // Requests a second. Below this rate one replica in the fleet is enough.
 constexpr double kMinReplicaRate = 0.2;
 
@@ -32,6 +29,15 @@
 // because some conditions depend on time alone.
 constexpr Millis kMaxScheduleGap{ 100 };
 
+// Time for which the callers of aRequest can wait; nothing for a replica that
+// none waits for.
+std::optional<Millis>
+TimeLeftOf(const LoadRequest& aRequest)
+{
+  return aRequest.mExtraReplica ? std::nullopt
+                                : std::optional<Millis>(aRequest.mLeft);
+}
+
 LoadPurpose
 PurposeOfReplica(ReplicaNeed aNeed, const UrgentRates& aUrgent)
 {
@@ -67,9 +73,7 @@
   auto [at, added] = mQueue.try_emplace(KeyOf(aRequest));
   PendingLoad& queued = at->second;
   if (added) {
-    queued.mRequest = aRequest;
-    queued.mSince = now;
-    queued.mFirstNeedBy = TimePoint::max();
+    queued = { aRequest, QueuedLoad(now) };
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
@@ -79,17 +83,14 @@
   }
   queued.mRequest.mZoneBound =
     queued.mRequest.mZoneBound || aRequest.mZoneBound;
-  queued.mLastRequestedAt = now;
-  queued.mNeedBy = std::max(queued.mNeedBy, now + aRequest.mLeft);
-  if (!aRequest.mExtraReplica) {
-    queued.mFirstNeedBy = std::min(queued.mFirstNeedBy, now + aRequest.mLeft);
-  }
+  queued.mQueued.OnAsked(TimeLeftOf(aRequest), now);
   if (added) {
     mScheduleDue = true;
     ScheduleQueued();
   }
   if (auto expected = Estimate(aRequest)) {
     result["expected_ms"] = Json::Int64(expected->count());
+    NoteExpected(aRequest, *expected);
     if (added && mQueue.count(KeyOf(aRequest))) {
       SendClaim(aRequest, false, *expected);
     }
@@ -97,6 +98,25 @@
   return result;
 }
 
+// Callers that can't wait for aExpected are refused until then. The load, and
+// the model once it is loaded, are kept for their return.
+void
+LoadScheduler::NoteExpected(const LoadRequest& aRequest, Millis aExpected)
+{
+  TimePoint now = mState.Now();
+  std::optional<Millis> left = TimeLeftOf(aRequest);
+  auto queued = mQueue.find(KeyOf(aRequest));
+  if (queued != mQueue.end()) {
+    queued->second.mQueued.OnExpected(aExpected, left, now);
+    return;
+  }
+  for (auto& [server, job] : mJobs) {
+    if (Serves(job, aRequest)) {
+      job.mReturnBy = std::max(job.mReturnBy, ReturnTime(aExpected, left, now));
+    }
+  }
+}
+
 // Returns in how long another zone is expected to have loaded aRequest; nothing
 // when no other zone claims it, or when this zone is faster by kMinTimeSaved.
 std::optional<Millis>
@@ -209,7 +229,7 @@
   }
   std::vector<PendingLoad*> queue;
   for (auto at = mQueue.begin(); at != mQueue.end();) {
-    if (now - at->second.mLastRequestedAt > kQueuedRequestLife) {
+    if (at->second.mQueued.GivenUp(now)) {
       LogDropped(at->second);
       at = mQueue.erase(at);
     } else {
@@ -232,7 +252,7 @@
   for (const auto& [rank, queued] : ranked) {
     PlacementFacts& facts = FactsFor(queued->mRequest.mService);
     if (AnyServerFree(facts) &&
-        TryStartModel(queued->mRequest, PatienceFor(*queued, now), facts)) {
+        TryStartModel(*queued, PatienceFor(*queued, now), facts)) {
       started.push_back(KeyOf(queued->mRequest));
     }
   }
@@ -252,16 +272,25 @@
     .Flag("extra", request.mExtraReplica)
     .Count("queued", static_cast<int64_t>(mQueue.size()))
     .Ms("store_wait_ms", mStoreLoads.Wait(mState.Now()))
-    .Ms("asked_ms", mState.AgeOf(aPending.mLastRequestedAt))
-    .Ms("waited_ms", mState.AgeOf(aPending.mSince));
+    .Ms("asked_ms", mState.AgeOf(aPending.mQueued.AskedAt()))
+    .Ms("waited_ms", mState.AgeOf(aPending.mQueued.Since()));
+}
+
+size_t
+LoadScheduler::Overdue() const
+{
+  return static_cast<size_t>(
+    std::count_if(mQueue.begin(), mQueue.end(), [this](const auto& aEntry) {
+      const PendingLoad& pending = aEntry.second;
+      return !pending.mRequest.mExtraReplica &&
+             pending.mQueued.Overdue(mState.Now());
+    }));
 }
 
 LoadPatience
 LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
 {
-  // A replica that no request waits for has no such time.
-  bool waiters = aPending.mFirstNeedBy != TimePoint::max();
-  TimePoint needBy = waiters ? aPending.mFirstNeedBy : aNow;
+  TimePoint needBy = aPending.mQueued.FirstNeedBy().value_or(aNow);
   return PatienceOf(aPending.mRequest.mPurpose,
                     std::chrono::duration_cast<Millis>(needBy - aNow));
 }
@@ -269,23 +298,25 @@
 LoadPriorityFacts
 LoadScheduler::PriorityFactsOf(const PendingLoad& aPending) const
 {
+  TimePoint now = mState.Now();
   LoadPriorityFacts facts;
-  facts.mRate = mState.mDemand.Rate(aPending.mRequest.mModel, mState.Now());
+  facts.mRate = mState.mDemand.Rate(aPending.mRequest.mModel, now);
   facts.mPriority = aPending.mRequest.mPriority;
   // The lowest priority is that of a replica that no request waits for; one
   // that is needed because requests already wait has priority 0.
   facts.mHasWaiters = aPending.mRequest.mPriority < kLowestPriority;
-  facts.mSince = aPending.mSince;
-  facts.mNeedBy = aPending.mNeedBy;
+  facts.mSince = aPending.mQueued.Since();
   facts.mLoad = ShortestLoadTime(aPending.mRequest);
+  facts.mNeedBy = aPending.mQueued.NeedBy(facts.mLoad, now);
   facts.mPurpose = aPending.mRequest.mPurpose;
   // The first patient caller decides while its load can still be in time.
-  bool firstOnTime = mState.Now() + facts.mLoad <= aPending.mFirstNeedBy;
+  auto first = aPending.mQueued.FirstNeedBy();
+  bool firstOnTime = first && now + facts.mLoad <= *first;
   if (facts.mPurpose == LoadPurpose::Patient && firstOnTime) {
-    facts.mNeedBy = std::min(aPending.mNeedBy, aPending.mFirstNeedBy);
+    facts.mNeedBy = std::min(facts.mNeedBy, *first);
   }
-  UrgentRates urgent = mState.mDemand.Urgent().RatesOf(
-    aPending.mRequest.mModel, mZone, mState.Now());
+  UrgentRates urgent =
+    mState.mDemand.Urgent().RatesOf(aPending.mRequest.mModel, mZone, now);
   facts.mUrgentRate = std::max(urgent.mFleet, urgent.mRecent);
   return facts;
 }
--- a/src/entry/LoadSchedulerEnd.cpp
+++ b/src/entry/LoadSchedulerEnd.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/EraseIf.h"
+
 namespace caraway {
 
 namespace {
@@ -137,7 +139,7 @@
     mInventories.Of(aServer).MarkUnknown();
   }
   if (held && job.mRequest.mAdapter.empty()) {
-    MarkRecentlyLoaded(aServer, job.mRequest.mModel);
+    MarkRecentlyLoaded(job);
   }
   mScheduleDue = true;
   mJobs.erase(found);
@@ -145,18 +147,19 @@
 
 // Protects a model that has just been loaded from eviction. Requests that
 // waited for it at other instances appear in the counts of requests in flight
-// only with those instances' next heartbeats. Without the protection the model
-// seems idle and is evicted by the next load as soon as it is loaded.
+// only with those instances' next heartbeats, and callers that were refused
+// return later. Without the protection the model seems idle and is evicted by
+// the next load as soon as it is loaded.
 void
-LoadScheduler::MarkRecentlyLoaded(const std::string& aServer,
-                                  const std::string& aModel)
+LoadScheduler::MarkRecentlyLoaded(const Job& aJob)
 {
   TimePoint now = mState.Now();
-  for (auto at = mRecentlyLoaded.begin(); at != mRecentlyLoaded.end();) {
-    at = now < at->second ? std::next(at) : mRecentlyLoaded.erase(at);
-  }
-  mRecentlyLoaded[{ aServer, aModel }] =
+  EraseIf(mRecentlyLoaded,
+          [now](const auto& aEntry) { return now >= aEntry.second; });
+  TimePoint settled =
     now + std::min(mPeers.HeartbeatInterval() * kSettleRounds, kMaxSettleTime);
+  mRecentlyLoaded[{ aJob.mServer, aJob.mRequest.mModel }] =
+    std::max(settled, aJob.mReturnBy);
 }
 
 } // namespace caraway
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -128,6 +128,16 @@
   return missing;
 }
 
+size_t
+ZoneSchedulers::OverdueLoads() const
+{
+  size_t overdue = 0;
+  for (const auto& [zone, scheduler] : mSchedulers) {
+    overdue += scheduler->Overdue();
+  }
+  return overdue;
+}
+
 size_t
 ZoneSchedulers::LedZones() const
 {
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -41,6 +41,7 @@
   size_t Waiting() const;
   // Over the zones that this instance leads; see LoadScheduler.
   size_t MissingInZones() const;
+  size_t OverdueLoads() const; // see LoadScheduler::Overdue()
   // Number of zones whose lease this instance holds.
   size_t LedZones() const;
 
