Shorten the lease holder's passes over the load queue

Cause: the holder of a zone's lease planned every queued load, up to forty times a second: for each it collected the facts of all servers, looked for the nearest copy at all servers and sorted what each could evict, and it did the same for each load request of any instance. With 150 loads queued that took more than the instance's share of a core; its passes took 0.3 to 0.6 s, and its list and configuration grew 12.8 s old. Change: facts and free servers are collected once a pass, and anew once a load has begun; evictable models once for each server and purpose; copies in the zone once a pass; no placement is planned for a load that could begin at no free server; the estimate of a queued load is kept for as long as the facts are (100 ms). What is decided stays the same.

--- a/src/decide/PlacementPlan.cpp
+++ b/src/decide/PlacementPlan.cpp
@@ -44,14 +44,6 @@
 // there adds no capacity.
 constexpr double kCrowdedCost = 0.5;
 
-struct EvictionCandidate
-{
-  std::string mModel;
-  // Seconds of waiting that its eviction costs other requests.
-  double mValue = 0;
-  double mMb = 0;
-};
-
 // Candidate zone for the next replica. Zones with the fewest replicas rank
 // first, and among these the ones with a copy of the weights on a disk.
 struct ZoneReplicas
@@ -202,6 +194,26 @@
   return candidates;
 }
 
+// Returns the list of aFacts, or aOwn, which it fills then.
+const std::vector<EvictionCandidate>&
+EvictionsOf(const EngineSpec& aEngine,
+            const Backend& aBackend,
+            const PlacementFacts& aFacts,
+            const LoadPatience& aPatience,
+            std::vector<EvictionCandidate>& aOwn)
+{
+  if (!aFacts.mEvictions) {
+    aOwn = EvictionCandidatesOf(aEngine, aBackend, aFacts, aPatience);
+    return aOwn;
+  }
+  auto [at, added] =
+    aFacts.mEvictions->try_emplace({ aBackend.mEntry.mId, aPatience.mPurpose });
+  if (added) {
+    at->second = EvictionCandidatesOf(aEngine, aBackend, aFacts, aPatience);
+  }
+  return at->second;
+}
+
 // Memory that must stay free for late orders once aOrders more orders have been
 // accepted, in MB.
 double
@@ -252,8 +264,9 @@
   auto needed = [&] {
     return weights.mMb + LateMb(aFacts, aBackend, aChoice.mEvict.size() + 1);
   };
+  std::vector<EvictionCandidate> own;
   for (const EvictionCandidate& candidate :
-       EvictionCandidatesOf(aEngine, aBackend, aFacts, aPatience)) {
+       EvictionsOf(aEngine, aBackend, aFacts, aPatience, own)) {
     if (free >= needed()) {
       break;
     }
--- a/src/decide/PlacementPlan.h
+++ b/src/decide/PlacementPlan.h
@@ -35,6 +35,20 @@
   Store,  // shared by the fleet, with a rate limit
 };
 
+// A model that may be evicted from a server.
+struct EvictionCandidate
+{
+  std::string mModel;
+  // Seconds of waiting that its eviction costs other requests.
+  double mValue = 0;
+  double mMb = 0;
+};
+
+// The models that loads of a purpose may evict from a server, the cheapest
+// first.
+using EvictionLists =
+  std::map<std::pair<std::string, LoadPurpose>, std::vector<EvictionCandidate>>;
+
 // Inputs of the plan besides the list of servers.
 struct PlacementFacts
 {
@@ -57,6 +71,9 @@
   // them are still being notified. Evicting such a model would waste its load.
   std::set<std::pair<std::string, std::string>> mRecentlyLoaded;
   Millis mStoreWait{ 0 }; // until the store admits another load
+  // If set, keeps what placements by the same facts have found. Its owner
+  // clears it when the facts, the servers or the requests in flight change.
+  EvictionLists* mEvictions = nullptr;
 };
 
 struct PlacementChoice
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -12,8 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <vector>
 
 #include "decide/LoadClaims.h"
 #include "decide/LoadPriority.h"
@@ -81,7 +85,17 @@
   {
     LoadRequest mRequest;
     QueuedLoad mQueued;
+    // When it is expected to be loaded, and when that was estimated.
+    std::optional<TimePoint> mExpected;
+    TimePoint mEstimatedAt{};
   };
+  // Models of which servers of the zone have copies that a load may use.
+  struct ZoneCopies
+  {
+    std::set<std::string_view> mOnDisk;
+    std::set<std::string_view> mInMemory; // of servers without one on disk
+  };
+  using FreeServers = std::vector<const Backend*>;
   // The orders that load one model or adapter on one server.
   struct Job
   {
@@ -117,22 +131,28 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  std::vector<Key> StartQueued(const std::vector<PendingLoad*>& aRanked);
   void NoteExpected(const LoadRequest& aRequest, Millis aExpected);
   void LogDropped(const PendingLoad& aPending);
   static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
-  LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending) const;
-  Millis ShortestLoadTime(const LoadRequest& aRequest) const;
+  LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending,
+                                    const ZoneCopies& aCopies) const;
+  ZoneCopies CopiesOf(const LoadRequest& aRequest) const;
+  Millis ShortestLoadTime(const LoadRequest& aRequest,
+                          const ZoneCopies& aCopies) const;
   bool Serves(const Job& aJob, const LoadRequest& aRequest) const;
   bool TryStartModel(const PendingLoad& aPending,
                      const LoadPatience& aPatience,
+                     const FreeServers& aFree,
                      PlacementFacts& aFacts);
   bool TryStartAdapter(const LoadRequest& aRequest);
   std::optional<ModelOrder> LeastDemandedAdapter(const Backend& aBackend) const;
   PlacementFacts& FactsFor(const std::string& aService);
   void CountUrgent(const std::string& aService, PlacementFacts& aFacts) const;
   size_t ServersInZone(const std::string& aService) const;
-  bool AnyServerFree(const PlacementFacts& aFacts) const;
+  FreeServers FreeServersOf(const PlacementFacts& aFacts) const;
   std::optional<Millis> Estimate(const LoadRequest& aRequest);
+  std::optional<Millis> EstimateQueued(const LoadRequest& aRequest);
   std::optional<Millis> ExpectedFromOtherZone(const LoadRequest& aRequest);
   void AddReplicas();
   void AddRisingReplicas();
@@ -178,6 +198,7 @@
   LoadClaims mClaims;
   // By service, with the time at which demand and replicas were last counted.
   std::map<std::string, std::pair<TimePoint, PlacementFacts>> mFacts;
+  std::map<std::string, EvictionLists> mEvictions; // by service
   size_t mMissingInZone = 0;
   bool mScheduleDue = false;
   TimePoint mScheduledAt{};
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -1,5 +1,7 @@
 #include "entry/LoadScheduler.h"
 
+#include <algorithm>
+
 namespace caraway {
 
 namespace {
@@ -9,6 +11,21 @@
 constexpr Millis kAdapterBaseTime{ 4 };
 constexpr double kAdapterMbPerMs = 5.0;
 
+// Whether the load can begin on any of the free servers, without a plan of what
+// to evict there.
+bool
+MayBegin(const LoadRequest& aRequest,
+         const std::vector<const Backend*>& aFree,
+         const PlacementFacts& aFacts)
+{
+  return std::any_of(aFree.begin(), aFree.end(), [&](const Backend* aBackend) {
+    return !aBackend->Holds(aRequest.mModel, "") &&
+           aRequest.Fits(aBackend->mEntry.mVersion) &&
+           (aFacts.mStoreWait <= Millis(0) ||
+            SourceOf(*aBackend, aRequest.mModel) != WeightSource::Store);
+  });
+}
+
 } // namespace
 
 // Makes a load request a job: chooses the server and the orders to send to it.
@@ -30,6 +47,7 @@
 bool
 LoadScheduler::TryStartModel(const PendingLoad& aPending,
                              const LoadPatience& aPatience,
+                             const FreeServers& aFree,
                              PlacementFacts& aFacts)
 {
   const LoadRequest& request = aPending.mRequest;
@@ -69,6 +87,9 @@
                         mState.mSettings.mZones.size(),
                         ServersInZone(request.mService));
   aFacts.mStoreWait = mStoreLoads.Wait(mState.Now());
+  if (!MayBegin(request, aFree, aFacts)) {
+    return false;
+  }
   auto choice = ChoosePlacement(*engine,
                                 request.mModel,
                                 mState.mServers,
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Requests a second. Below this rate one replica in the fleet is enough.
-constexpr double kMinReplicaRate = 0.2;
-
 // A model claimed by another zone is loaded here only if that is faster by this
 // margin: waiting times estimated from a queue are rough, and loading a model
 // twice costs a second of one server.
@@ -25,10 +22,6 @@
 // a report.
 constexpr Millis kReportEstimate{ 50 };
 
-// Queued requests are reconsidered on every change, and at this interval
-// because some conditions depend on time alone.
-constexpr Millis kMaxScheduleGap{ 100 };
-
 // Time for which the callers of aRequest can wait; nothing for a replica that
 // none waits for.
 std::optional<Millis>
@@ -38,20 +31,9 @@
                                 : std::optional<Millis>(aRequest.mLeft);
 }
 
-LoadPurpose
-PurposeOfReplica(ReplicaNeed aNeed, const UrgentRates& aUrgent)
-{
-  if (aNeed == ReplicaNeed::Zone) {
-    return LoadPurpose::Zone;
-  }
-  return aUrgent.mFleet >= kMinReplicaRate ? LoadPurpose::Capacity
-                                           : LoadPurpose::Patient;
-}
-
 } // namespace
 
-// Decisions of the lease holder: which load requests start, on which server,
-// and which models get another replica.
+// Load requests of all instances, and when what they ask for is expected.
 
 Json::Value
 LoadScheduler::OnLoadRequest(const LoadRequest& aRequest)
@@ -73,7 +55,8 @@
   auto [at, added] = mQueue.try_emplace(KeyOf(aRequest));
   PendingLoad& queued = at->second;
   if (added) {
-    queued = { aRequest, QueuedLoad(now) };
+    queued.mRequest = aRequest;
+    queued.mQueued = QueuedLoad(now);
   }
   queued.mRequest.mPriority =
     std::min(queued.mRequest.mPriority, aRequest.mPriority);
@@ -88,7 +71,7 @@
     mScheduleDue = true;
     ScheduleQueued();
   }
-  if (auto expected = Estimate(aRequest)) {
+  if (auto expected = EstimateQueued(aRequest)) {
     result["expected_ms"] = Json::Int64(expected->count());
     NoteExpected(aRequest, *expected);
     if (added && mQueue.count(KeyOf(aRequest))) {
@@ -137,6 +120,30 @@
                                               : std::optional(left);
 }
 
+// Instances ask for the same load several times a second; the estimate of one
+// that is queued is kept for as long as the facts are.
+std::optional<Millis>
+LoadScheduler::EstimateQueued(const LoadRequest& aRequest)
+{
+  auto queued = mQueue.find(KeyOf(aRequest));
+  if (queued == mQueue.end()) {
+    return Estimate(aRequest);
+  }
+  TimePoint now = mState.Now();
+  PendingLoad& pending = queued->second;
+  if (now - pending.mEstimatedAt >= kFactsMaxAge) {
+    auto estimate = Estimate(aRequest);
+    pending.mEstimatedAt = now;
+    pending.mExpected =
+      estimate ? std::optional<TimePoint>(now + *estimate) : std::nullopt;
+  }
+  if (!pending.mExpected) {
+    return std::nullopt;
+  }
+  return std::max(std::chrono::duration_cast<Millis>(*pending.mExpected - now),
+                  kMinEstimate);
+}
+
 std::optional<Millis>
 LoadScheduler::Estimate(const LoadRequest& aRequest)
 {
@@ -200,6 +207,8 @@
     }
   }
   facts.mStoreWait = mStoreLoads.Wait(now);
+  facts.mEvictions = &mEvictions[aService];
+  facts.mEvictions->clear();
   return facts;
 }
 
@@ -217,110 +226,6 @@
   }
 }
 
-// Starts the queued requests that can start now, in order of priority.
-void
-LoadScheduler::ScheduleQueued()
-{
-  TimePoint now = mState.Now();
-  if (!mLease.Holds()) {
-    mQueue.clear();
-    mClaims.Forget(now);
-    return;
-  }
-  std::vector<PendingLoad*> queue;
-  for (auto at = mQueue.begin(); at != mQueue.end();) {
-    if (at->second.mQueued.GivenUp(now)) {
-      LogDropped(at->second);
-      at = mQueue.erase(at);
-    } else {
-      queue.push_back(&at->second);
-      ++at;
-    }
-  }
-  bool due = mScheduleDue || now - mScheduledAt >= kMaxScheduleGap;
-  if (!mLease.MayAct() || !due || queue.empty()) {
-    return;
-  }
-  mScheduleDue = false;
-  mScheduledAt = now;
-  std::vector<std::pair<LoadPriorityKey, PendingLoad*>> ranked;
-  for (PendingLoad* queued : queue) {
-    ranked.emplace_back(RankLoad(PriorityFactsOf(*queued), now), queued);
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<Key> started;
-  for (const auto& [rank, queued] : ranked) {
-    PlacementFacts& facts = FactsFor(queued->mRequest.mService);
-    if (AnyServerFree(facts) &&
-        TryStartModel(*queued, PatienceFor(*queued, now), facts)) {
-      started.push_back(KeyOf(queued->mRequest));
-    }
-  }
-  for (const Key& key : started) {
-    mQueue.erase(key);
-  }
-}
-
-void
-LoadScheduler::LogDropped(const PendingLoad& aPending)
-{
-  const LoadRequest& request = aPending.mRequest;
-  mState.mLog.Line("load_dropped")
-    .Text("model", request.mModel)
-    .Text("adapter", request.mAdapter)
-    .Count("priority", request.mPriority)
-    .Flag("extra", request.mExtraReplica)
-    .Count("queued", static_cast<int64_t>(mQueue.size()))
-    .Ms("store_wait_ms", mStoreLoads.Wait(mState.Now()))
-    .Ms("asked_ms", mState.AgeOf(aPending.mQueued.AskedAt()))
-    .Ms("waited_ms", mState.AgeOf(aPending.mQueued.Since()));
-}
-
-size_t
-LoadScheduler::Overdue() const
-{
-  return static_cast<size_t>(
-    std::count_if(mQueue.begin(), mQueue.end(), [this](const auto& aEntry) {
-      const PendingLoad& pending = aEntry.second;
-      return !pending.mRequest.mExtraReplica &&
-             pending.mQueued.Overdue(mState.Now());
-    }));
-}
-
-LoadPatience
-LoadScheduler::PatienceFor(const PendingLoad& aPending, TimePoint aNow)
-{
-  TimePoint needBy = aPending.mQueued.FirstNeedBy().value_or(aNow);
-  return PatienceOf(aPending.mRequest.mPurpose,
-                    std::chrono::duration_cast<Millis>(needBy - aNow));
-}
-
-LoadPriorityFacts
-LoadScheduler::PriorityFactsOf(const PendingLoad& aPending) const
-{
-  TimePoint now = mState.Now();
-  LoadPriorityFacts facts;
-  facts.mRate = mState.mDemand.Rate(aPending.mRequest.mModel, now);
-  facts.mPriority = aPending.mRequest.mPriority;
-  // The lowest priority is that of a replica that no request waits for; one
-  // that is needed because requests already wait has priority 0.
-  facts.mHasWaiters = aPending.mRequest.mPriority < kLowestPriority;
-  facts.mSince = aPending.mQueued.Since();
-  facts.mLoad = ShortestLoadTime(aPending.mRequest);
-  facts.mNeedBy = aPending.mQueued.NeedBy(facts.mLoad, now);
-  facts.mPurpose = aPending.mRequest.mPurpose;
-  // The first patient caller decides while its load can still be in time.
-  auto first = aPending.mQueued.FirstNeedBy();
-  bool firstOnTime = first && now + facts.mLoad <= *first;
-  if (facts.mPurpose == LoadPurpose::Patient && firstOnTime) {
-    facts.mNeedBy = std::min(facts.mNeedBy, *first);
-  }
-  UrgentRates urgent =
-    mState.mDemand.Urgent().RatesOf(aPending.mRequest.mModel, mZone, now);
-  facts.mUrgentRate = std::max(urgent.mFleet, urgent.mRecent);
-  return facts;
-}
-
 size_t
 LoadScheduler::ServersInZone(const std::string& aService) const
 {
@@ -334,131 +239,4 @@
   return count;
 }
 
-// Returns whether any server of this zone accepts orders now. Under overload
-// none does most of the time, and planning a placement for each queued request
-// would use up the instance's share of a core.
-bool
-LoadScheduler::AnyServerFree(const PlacementFacts& aFacts) const
-{
-  for (const auto& [id, backend] : mState.mServers.All()) {
-    if (backend.mEntry.mService == aFacts.mService &&
-        backend.mEntry.mZone == aFacts.mZone && !backend.mEntry.mDraining &&
-        !aFacts.mBusy.count(id) && !aFacts.mAvoid.count(id)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// The load time from the nearest copy of the weights in this zone, without any
-// waiting time.
-Millis
-LoadScheduler::ShortestLoadTime(const LoadRequest& aRequest) const
-{
-  const EngineSpec* engine = EngineOf(aRequest.mService);
-  if (!engine || !aRequest.mAdapter.empty()) {
-    return Millis(0);
-  }
-  auto model = engine->mModels.find(aRequest.mModel);
-  if (model == engine->mModels.end()) {
-    return Millis(0);
-  }
-  Millis least = model->second.mLoad;
-  for (const auto& [id, backend] : mState.mServers.All()) {
-    if (backend.mEntry.mService == aRequest.mService &&
-        backend.mEntry.mZone == mZone && !backend.mEntry.mDraining &&
-        aRequest.Fits(backend.mEntry.mVersion)) {
-      least = std::min(
-        least, LoadTime(model->second, SourceOf(backend, aRequest.mModel)));
-    }
-  }
-  return least;
-}
-
-// Requests more replicas of models whose demand exceeds the capacity of their
-// servers, before requests have to wait.
-void
-LoadScheduler::AddReplicas()
-{
-  mMissingInZone = 0;
-  if (!mLease.MayAct() || !mState.mConfig || Evacuated()) {
-    return;
-  }
-  for (const auto& [name, service] : mState.mConfig->mServices) {
-    if (!service.mEngine) {
-      continue;
-    }
-    for (const auto& [model, weights] : service.mEngine->mModels) {
-      ReplicaNeed need = AddReplicaOf(name, model, weights);
-      mMissingInZone += need == ReplicaNeed::Zone ? 1 : 0;
-    }
-  }
-}
-
-// Does the same sooner for models that have become popular just now.
-void
-LoadScheduler::AddRisingReplicas()
-{
-  if (!mLease.MayAct() || !mState.mConfig || Evacuated()) {
-    return;
-  }
-  auto rates = mState.mDemand.Urgent().Rates(mZone, mState.Now());
-  for (const auto& [name, service] : mState.mConfig->mServices) {
-    if (!service.mEngine || !mState.mServers.ReportsPace(name)) {
-      continue;
-    }
-    for (const auto& [model, urgent] : rates) {
-      auto weights = service.mEngine->mModels.find(model);
-      if (IsRising(urgent) && weights != service.mEngine->mModels.end() &&
-          !IsLoading(name, model)) {
-        AddReplicaOf(name, model, weights->second);
-      }
-    }
-  }
-}
-
-bool
-LoadScheduler::IsLoading(const std::string& aService,
-                         const std::string& aModel) const
-{
-  return std::any_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
-    const LoadRequest& request = aEntry.second.mRequest;
-    return request.mService == aService && request.mModel == aModel;
-  });
-}
-
-ReplicaNeed
-LoadScheduler::AddReplicaOf(const std::string& aService,
-                            const std::string& aModel,
-                            const ModelWeights& aWeights)
-{
-  double rate = mState.mDemand.Rate(aModel, mState.Now());
-  if (rate <= kMinReplicaRate) {
-    return ReplicaNeed::None;
-  }
-  bool knowsUrgent = mState.mServers.ReportsPace(aService);
-  UrgentRates urgent =
-    knowsUrgent ? mState.mDemand.Urgent().RatesOf(aModel, mZone, mState.Now())
-                : UrgentRates();
-  ReplicaNeed need = EvaluateReplicaNeed(aService,
-                                         aModel,
-                                         mState.mServers,
-                                         mState.mSettings.mZones,
-                                         mZone,
-                                         rate,
-                                         mState.mEvacuations.Zones(),
-                                         urgent,
-                                         aWeights.mDisk + kUnloadTime);
-  if (need == ReplicaNeed::None) {
-    return need;
-  }
-  LoadRequest request{ aService, aModel, "", kLowestPriority, Millis(0), true };
-  request.mPriority = need == ReplicaNeed::Now ? 0 : kLowestPriority;
-  if (knowsUrgent) {
-    request.mPurpose = PurposeOfReplica(need, urgent);
-  }
-  OnLoadRequest(request);
-  return need;
-}
-
 } // namespace caraway
--- a/tests/platform/RareModelsTest.cpp
+++ b/tests/platform/RareModelsTest.cpp
@@ -40,10 +40,11 @@
 
   TestCallPtr Call(const std::string& aModel, const std::string& aId)
   {
-    return mFleet.Call(0,
-                       "/stream/stream",
-                       aId,
-                       { { wire::kModel, aModel }, { wire::kTokens, "100,50" } });
+    return mFleet.Call(
+      0,
+      "/stream/stream",
+      aId,
+      { { wire::kModel, aModel }, { wire::kTokens, "100,50" } });
   }
   // The status of the call that follows a refusal after the time that it told.
   int StatusAfterReturn(const TestCall& aRefused,
