--- a/src/decide/QueuedLoad.cpp
+++ b/src/decide/QueuedLoad.cpp
@@ -4,28 +4,6 @@
 
 namespace caraway {
 
-namespace {
-
-// From the retry-after time until the caller's next request has reached the
-// lease holder.
-constexpr Millis kReturnMargin{ 400 };
-
-} // namespace
-
-Millis
-RetrySpread(Millis aWait)
-{
-  return aWait / 5 + Millis(100);
-}
-
-TimePoint
-ReturnTime(Millis aExpected, std::optional<Millis> aLeft, TimePoint aNow)
-{
-  bool waits = !aLeft || aExpected <= *aLeft;
-  return waits ? TimePoint()
-               : aNow + aExpected + RetrySpread(aExpected) + kReturnMargin;
-}
-
 QueuedLoad::QueuedLoad(TimePoint aNow)
   : mSince(aNow)
 {
@@ -42,24 +20,4 @@
   }
 }
 
-void
-QueuedLoad::OnExpected(Millis aExpected,
-                       std::optional<Millis> aLeft,
-                       TimePoint aNow)
-{
-  mReturnBy = std::max(mReturnBy, ReturnTime(aExpected, aLeft, aNow));
-}
-
-TimePoint
-QueuedLoad::NeedBy(Millis aLoad, TimePoint aNow) const
-{
-  return Overdue(aNow) ? std::max(mNeedBy, aNow + aLoad) : mNeedBy;
-}
-
-bool
-QueuedLoad::GivenUp(TimePoint aNow) const
-{
-  return aNow - mAskedAt > kMaxSilence && aNow > mReturnBy;
-}
-
 } // namespace caraway
--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -108,7 +108,6 @@
     Millis mLoad{ 0 };
     TimePoint mBegan{};
     TimePoint mExpected{};
-    TimePoint mReturnBy{}; // of callers that were refused; see QueuedLoad
     bool mLoading = false; // the last order, the load, was accepted
     // Only orders of this job can be in progress at the server: its last order
     // was accepted, and none has gone unanswered since.
@@ -132,7 +131,6 @@
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
   std::vector<Key> StartQueued(const std::vector<PendingLoad*>& aRanked);
-  void NoteExpected(const LoadRequest& aRequest, Millis aExpected);
   void LogDropped(const PendingLoad& aPending);
   static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
   LoadPriorityFacts PriorityFactsOf(const PendingLoad& aPending,
--- a/src/entry/LoadSchedulerBegin.cpp
+++ b/src/entry/LoadSchedulerBegin.cpp
@@ -115,7 +115,6 @@
   job.mSource = choice->mSource;
   job.mUnload = choice->mUnload;
   job.mLoad = choice->mLoad;
-  job.mReturnBy = aPending.mQueued.ReturnBy();
   for (const std::string& model : choice->mEvict) {
     ModelOrder order;
     order.mLoad = false;
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -73,7 +73,6 @@
   }
   if (auto expected = EstimateQueued(aRequest)) {
     result["expected_ms"] = Json::Int64(expected->count());
-    NoteExpected(aRequest, *expected);
     if (added && mQueue.count(KeyOf(aRequest))) {
       SendClaim(aRequest, false, *expected);
     }
@@ -81,25 +80,6 @@
   return result;
 }
 
-// Callers that can't wait for aExpected are refused until then. The load, and
-// the model once it is loaded, are kept for their return.
-void
-LoadScheduler::NoteExpected(const LoadRequest& aRequest, Millis aExpected)
-{
-  TimePoint now = mState.Now();
-  std::optional<Millis> left = TimeLeftOf(aRequest);
-  auto queued = mQueue.find(KeyOf(aRequest));
-  if (queued != mQueue.end()) {
-    queued->second.mQueued.OnExpected(aExpected, left, now);
-    return;
-  }
-  for (auto& [server, job] : mJobs) {
-    if (Serves(job, aRequest)) {
-      job.mReturnBy = std::max(job.mReturnBy, ReturnTime(aExpected, left, now));
-    }
-  }
-}
-
 // Returns in how long another zone is expected to have loaded aRequest; nothing
 // when no other zone claims it, or when this zone is faster by kMinTimeSaved.
 std::optional<Millis>
--- a/src/entry/LoadSchedulerEnd.cpp
+++ b/src/entry/LoadSchedulerEnd.cpp
@@ -147,19 +147,16 @@
 
 // Protects a model that has just been loaded from eviction. Requests that
 // waited for it at other instances appear in the counts of requests in flight
-// only with those instances' next heartbeats, and callers that were refused
-// return later. Without the protection the model seems idle and is evicted by
-// the next load as soon as it is loaded.
+// only with those instances' next heartbeats. Without the protection the model
+// seems idle and is evicted by the next load as soon as it is loaded.
 void
 LoadScheduler::MarkRecentlyLoaded(const Job& aJob)
 {
   TimePoint now = mState.Now();
   EraseIf(mRecentlyLoaded,
           [now](const auto& aEntry) { return now >= aEntry.second; });
-  TimePoint settled =
-    now + std::min(mPeers.HeartbeatInterval() * kSettleRounds, kMaxSettleTime);
   mRecentlyLoaded[{ aJob.mServer, aJob.mRequest.mModel }] =
-    std::max(settled, aJob.mReturnBy);
+    now + std::min(mPeers.HeartbeatInterval() * kSettleRounds, kMaxSettleTime);
 }
 
 } // namespace caraway
--- a/src/entry/LoadSchedulerQueue.cpp
+++ b/src/entry/LoadSchedulerQueue.cpp
@@ -134,7 +134,7 @@
   facts.mHasWaiters = aPending.mRequest.mPriority < kLowestPriority;
   facts.mSince = aPending.mQueued.Since();
   facts.mLoad = ShortestLoadTime(aPending.mRequest, aCopies);
-  facts.mNeedBy = aPending.mQueued.NeedBy(facts.mLoad, now);
+  facts.mNeedBy = aPending.mQueued.NeedBy();
   facts.mPurpose = aPending.mRequest.mPurpose;
   // The first patient caller decides while its load can still be in time.
   auto first = aPending.mQueued.FirstNeedBy();
