Load requests go to a lease holder by one call at a time

Cause: each instance called the holder for each missing model every 400 ms, whether the last call was answered or not. Change: one call at a time from an instance to a holder; what is requested meanwhile goes with the next one (`more`; an instance of a version before reads and answers the first request only).

--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -13,13 +13,9 @@
 // model: the lease holder drops those that are not.
 constexpr Millis kRequestInterval{ 400 };
 
-constexpr Millis kRequestTimeout{ 400 };
-
 // A load request that was not repeated for this long is forgotten.
 constexpr Seconds kRequestMemory{ 60 };
 
-constexpr char kLoadRequestMethod[] = "want";
-
 } // namespace
 
 ZoneSchedulers::ZoneSchedulers(EntryState& aState,
@@ -33,6 +29,17 @@
   , mPeers(aPeers)
   , mMembers(aMembers)
   , mChanged(std::move(aChanged))
+  , mCalls(
+      aState,
+      aPeers,
+      [this](const std::string& aZone, const LoadRequest& aRequest) {
+        return OnLoadRequestCall(aZone, aRequest);
+      },
+      [this](const LoadRequest& aRequest,
+             bool aGood,
+             const Json::Value& aResult) {
+        OnLoadReply(aRequest, aGood, aResult);
+      })
 {
   Add(mState.mSettings.mZone, aLease);
   for (const std::string& zone : mState.mSettings.mZones) {
@@ -61,9 +68,7 @@
 void
 ZoneSchedulers::Start()
 {
-  mPeers.AddMethod(kLoadRequestMethod, [this](const Json::Value& aParams) {
-    return OnLoadRequestCall(aParams);
-  });
+  mCalls.Start();
   for (const char* kind : { kClaimMessage, kStoreLoadMessage }) {
     mPeers.OnMessage(kind, [this, kind](const Json::Value& aMessage) {
       for (const auto& [zone, scheduler] : mSchedulers) {
@@ -267,24 +272,16 @@
     OnLoadReply(aRequest, true, scheduler->OnLoadRequest(aRequest));
     return;
   }
-  Json::Value params = LoadRequestJson(aRequest);
-  params["zone"] = zone;
-  mPeers.Call(mPeers.HolderOf(ZoneLeaseName(zone)),
-              kLoadRequestMethod,
-              params,
-              kRequestTimeout,
-              [this, aRequest](bool aGood, const Json::Value& aResult) {
-                OnLoadReply(aRequest, aGood, aResult);
-              });
+  mCalls.Send(zone, aRequest);
 }
 
-// "zone" is empty if the calling instance knows only its own zone.
 Json::Value
-ZoneSchedulers::OnLoadRequestCall(const Json::Value& aParams)
+ZoneSchedulers::OnLoadRequestCall(const std::string& aZone,
+                                  const LoadRequest& aRequest)
 {
-  std::string zone = aParams["zone"].asString();
-  LoadScheduler* scheduler = Find(zone.empty() ? mState.mSettings.mZone : zone);
-  return scheduler ? scheduler->OnLoadRequest(ReadLoadRequest(aParams))
+  LoadScheduler* scheduler =
+    Find(aZone.empty() ? mState.mSettings.mZone : aZone);
+  return scheduler ? scheduler->OnLoadRequest(aRequest)
                    : Json::Value(Json::objectValue);
 }
 
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -16,6 +16,7 @@
 
 #include "decide/ZoneChoice.h"
 #include "decide/ZoneTakeover.h"
+#include "entry/LoadRequestCalls.h"
 #include "entry/LoadRequester.h"
 #include "entry/LoadScheduler.h"
 #include "entry/Membership.h"
@@ -95,7 +96,8 @@
   void OnLoadReply(const LoadRequest& aRequest,
                    bool aGood,
                    const Json::Value& aResult);
-  Json::Value OnLoadRequestCall(const Json::Value& aParams);
+  Json::Value OnLoadRequestCall(const std::string& aZone,
+                                const LoadRequest& aRequest);
   void OnContent(const Json::Value& aMessage);
   void NotifyHolders(const std::string& aFrom,
                      const char* aKind,
@@ -117,6 +119,7 @@
   Peers& mPeers;
   Membership& mMembers;
   std::function<void()> mChanged;
+  LoadRequestCalls mCalls;
   std::map<Key, RequestState> mRequests;
   TimePoint mForgotAt{}; // when old ones were last removed
   std::map<std::string, std::unique_ptr<OtherZone>> mOtherZones;     // by zone
