Lease holders spend a fifth of their time on the load queue at most

Change: `WorkPacer`: after a pass of some length the next one begins four times as long after at the earliest, a second at most. A short queue notices nothing. Estimates use facts that know of each load that has begun or ended and may be 100 ms old otherwise, as those of queued loads did. What begins, and where, is decided by facts of the moment as before.

--- a/src/entry/LoadScheduler.h
+++ b/src/entry/LoadScheduler.h
@@ -25,6 +25,7 @@
 #include "decide/PlacementPlan.h"
 #include "decide/QueuedLoad.h"
 #include "decide/StoreLoadTracker.h"
+#include "decide/WorkPacer.h"
 #include "entry/LeaseLoop.h"
 #include "entry/LoadRequester.h"
 #include "entry/Peers.h"
@@ -77,6 +78,10 @@
   }
 
 private:
+  // Passes over the queue take at most a fifth of the time. The rest is for
+  // requests, and for what the feeds deliver.
+  static constexpr int kPassParts = 5;
+
   // Service, model, adapter, version.
   using Key = std::tuple<std::string, std::string, std::string, std::string>;
 
@@ -96,6 +101,13 @@
     std::set<std::string_view> mInMemory; // of servers without one on disk
   };
   using FreeServers = std::vector<const Backend*>;
+  struct CollectedFacts
+  {
+    TimePoint mCountedAt{}; // demand and replicas
+    TimePoint mCollectedAt{};
+    uint64_t mJobChanges = 0; // as of mCollectedAt
+    PlacementFacts mFacts;
+  };
   // The orders that load one model or adapter on one server.
   struct Job
   {
@@ -130,6 +142,7 @@
 
   // Choice of the load requests to start, and of their servers.
   void ScheduleQueued();
+  void DropGivenUp();
   std::vector<Key> StartQueued(const std::vector<PendingLoad*>& aRanked);
   void LogDropped(const PendingLoad& aPending);
   static LoadPatience PatienceFor(const PendingLoad& aPending, TimePoint aNow);
@@ -146,6 +159,7 @@
   bool TryStartAdapter(const LoadRequest& aRequest);
   std::optional<ModelOrder> LeastDemandedAdapter(const Backend& aBackend) const;
   PlacementFacts& FactsFor(const std::string& aService);
+  PlacementFacts& FactsForEstimate(const std::string& aService);
   void CountUrgent(const std::string& aService, PlacementFacts& aFacts) const;
   size_t ServersInZone(const std::string& aService) const;
   FreeServers FreeServersOf(const PlacementFacts& aFacts) const;
@@ -194,13 +208,14 @@
   std::map<std::pair<std::string, std::string>, TimePoint> mRecentlyLoaded;
   StoreLoadTracker mStoreLoads;
   LoadClaims mClaims;
-  // By service, with the time at which demand and replicas were last counted.
-  std::map<std::string, std::pair<TimePoint, PlacementFacts>> mFacts;
+  std::map<std::string, CollectedFacts> mFacts;    // by service
   std::map<std::string, EvictionLists> mEvictions; // by service
   size_t mMissingInZone = 0;
+  WorkPacer mPacer{ kPassParts };
   bool mScheduleDue = false;
   TimePoint mScheduledAt{};
   uint64_t mNextJob = 0;
+  uint64_t mJobChanges = 0; // jobs that have begun or ended
 };
 
 } // namespace caraway
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -138,7 +138,7 @@
   auto choice = ChoosePlacement(*engine,
                                 aRequest.mModel,
                                 mState.mServers,
-                                FactsFor(aRequest.mService),
+                                FactsForEstimate(aRequest.mService),
                                 aRequest.mVersion,
                                 PatienceOf(aRequest.mPurpose, aRequest.mLeft));
   if (!choice) {
@@ -151,9 +151,12 @@
 LoadScheduler::FactsFor(const std::string& aService)
 {
   TimePoint now = mState.Now();
-  auto& [countedAt, facts] = mFacts[aService];
-  if (now - countedAt >= kFactsMaxAge) {
-    countedAt = now;
+  CollectedFacts& collected = mFacts[aService];
+  PlacementFacts& facts = collected.mFacts;
+  collected.mCollectedAt = now;
+  collected.mJobChanges = mJobChanges;
+  if (now - collected.mCountedAt >= kFactsMaxAge) {
+    collected.mCountedAt = now;
     facts.mService = aService;
     facts.mZone = mZone;
     facts.mRates = mState.mDemand.Rates(now);
@@ -192,6 +195,17 @@
   return facts;
 }
 
+// Facts that know of each load that has begun or ended, and may be kFactsMaxAge
+// old otherwise. Estimates are asked for far more often than loads begin.
+PlacementFacts&
+LoadScheduler::FactsForEstimate(const std::string& aService)
+{
+  CollectedFacts& collected = mFacts[aService];
+  bool recent = collected.mJobChanges == mJobChanges &&
+                mState.Now() - collected.mCollectedAt < kFactsMaxAge;
+  return recent ? collected.mFacts : FactsFor(aService);
+}
+
 // Where no server reports its pace, the facts that no decision may use stay
 // empty.
 void
--- a/src/entry/LoadSchedulerEnd.cpp
+++ b/src/entry/LoadSchedulerEnd.cpp
@@ -143,6 +143,7 @@
   }
   mScheduleDue = true;
   mJobs.erase(found);
+  ++mJobChanges;
 }
 
 // Protects a model that has just been loaded from eviction. Requests that
--- a/src/entry/LoadSchedulerQueue.cpp
+++ b/src/entry/LoadSchedulerQueue.cpp
@@ -24,33 +24,27 @@
     mClaims.Forget(now);
     return;
   }
-  std::vector<PendingLoad*> queue;
-  for (auto at = mQueue.begin(); at != mQueue.end();) {
-    if (at->second.mQueued.GivenUp(now)) {
-      LogDropped(at->second);
-      at = mQueue.erase(at);
-    } else {
-      queue.push_back(&at->second);
-      ++at;
-    }
+  if (!mPacer.MayBegin(now)) {
+    return;
   }
+  DropGivenUp();
   bool due = mScheduleDue || now - mScheduledAt >= kMaxScheduleGap;
-  if (!mLease.MayAct() || !due || queue.empty()) {
+  if (!mLease.MayAct() || !due || mQueue.empty()) {
     return;
   }
   mScheduleDue = false;
   mScheduledAt = now;
   std::map<std::pair<std::string, std::string>, ZoneCopies> copies;
   std::vector<std::pair<LoadPriorityKey, PendingLoad*>> ranked;
-  for (PendingLoad* queued : queue) {
-    const LoadRequest& request = queued->mRequest;
+  for (auto& [key, queued] : mQueue) {
+    const LoadRequest& request = queued.mRequest;
     auto [at, added] =
       copies.try_emplace({ request.mService, request.mVersion });
     if (added) {
       at->second = CopiesOf(request);
     }
-    ranked.emplace_back(RankLoad(PriorityFactsOf(*queued, at->second), now),
-                        queued);
+    ranked.emplace_back(RankLoad(PriorityFactsOf(queued, at->second), now),
+                        &queued);
   }
   std::sort(ranked.begin(), ranked.end());
   std::vector<PendingLoad*> inOrder;
@@ -60,6 +54,20 @@
   for (const Key& key : StartQueued(inOrder)) {
     mQueue.erase(key);
   }
+  mPacer.OnPass(now, mState.Now());
+}
+
+void
+LoadScheduler::DropGivenUp()
+{
+  for (auto at = mQueue.begin(); at != mQueue.end();) {
+    if (at->second.mQueued.GivenUp(mState.Now())) {
+      LogDropped(at->second);
+      at = mQueue.erase(at);
+    } else {
+      ++at;
+    }
+  }
 }
 
 // Returns the loads that need not stay queued. The facts are collected anew
@@ -71,13 +79,14 @@
   std::vector<Key> started;
   PlacementFacts* facts = nullptr;
   FreeServers free;
-  uint64_t job = mNextJob;
+  uint64_t changes = mJobChanges;
   for (const PendingLoad* queued : aRanked) {
     const LoadRequest& request = queued->mRequest;
-    if (!facts || facts->mService != request.mService || job != mNextJob) {
+    if (!facts || facts->mService != request.mService ||
+        changes != mJobChanges) {
       facts = &FactsFor(request.mService);
       free = FreeServersOf(*facts);
-      job = mNextJob;
+      changes = mJobChanges;
     }
     LoadPatience patience = PatienceFor(*queued, mState.Now());
     if (!free.empty() && TryStartModel(*queued, patience, free, *facts)) {
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -83,6 +83,7 @@
   bool announce = first.mLoad && first.mAdapter.empty();
   backend->mLoadingUntil = aJob.mExpected;
   mJobs[server] = std::move(aJob);
+  ++mJobChanges;
   if (announce) {
     mInventories.SendContent(server);
   }
