Feed checks last long enough for slow passes, and follow each standstill

Callers saw: requests run for a key that had been withdrawn seconds before, at an instance whose event loop passes take half a second and more. Cause, two parts of one hole: a standstill within three seconds of the last one, or of the start of the process, put nothing in doubt, however old what the instance had was by then; and a check ended after half a second, which may be one slow pass, while its answer is read in the third (connect, send, read). Change: a standstill counts unless what is known is younger than half of the limit, or the sources were asked in vain within three seconds. A check, and a request that waits for one, take at most five times the last delay of the loop, 3 s at most; with a loop that isn't delayed 500 ms, as before.

--- a/src/decide/FeedFreshness.cpp
+++ b/src/decide/FeedFreshness.cpp
@@ -21,7 +21,8 @@
 {
   bool again =
     mHeldUpUntil != TimePoint() && aUntil - mHeldUpUntil < kCheckPause;
-  if (!again) {
+  bool young = aUntil - std::max(mConfirmedAt, mHeardAt) <= mMaxAge / 2;
+  if (!again || !(young || AskedInVain(aUntil))) {
     mHeldUpUntil = aUntil;
   }
 }
@@ -32,6 +33,12 @@
   mCheckFailedAt = std::max(mCheckFailedAt, aNow);
 }
 
+bool
+FeedFreshness::AskedInVain(TimePoint aNow) const
+{
+  return mCheckFailedAt != TimePoint() && aNow - mCheckFailedAt < kCheckPause;
+}
+
 bool
 FeedFreshness::InDoubt() const
 {
@@ -45,9 +52,7 @@
   if (confirmed && aNow - mConfirmedAt <= mMaxAge) {
     return Verdict::Rely;
   }
-  bool asked =
-    mCheckFailedAt != TimePoint() && aNow - mCheckFailedAt < kCheckPause;
-  return asked ? Verdict::Unconfirmed : Verdict::Check;
+  return AskedInVain(aNow) ? Verdict::Unconfirmed : Verdict::Check;
 }
 
 FeedFreshness::Verdict
--- a/src/decide/FeedFreshness.h
+++ b/src/decide/FeedFreshness.h
@@ -22,8 +22,8 @@
   };
 
   // While the sources can't be reached, they are asked again after this time.
-  // An instance whose process stands still again and again checks no more
-  // often, and goes on with what it has in between.
+  // An instance whose process stands still again and again checks no more often
+  // while what it has is young, and goes on with that in between.
   static constexpr Millis kCheckPause{ 3000 };
 
   // aMaxAge: within this time a change must be in force.
@@ -50,6 +50,7 @@
 
 private:
   bool InDoubt() const;
+  bool AskedInVain(TimePoint aNow) const;
 
   Millis mMaxAge{ 2000 };
   TimePoint mConfirmedAt{};
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -181,7 +181,8 @@
   TimePoint now = mState.Now();
   mDoubtedAt = mDoubtedAt == TimePoint() ? now : mDoubtedAt;
   mFreshnessCheck.Check({});
-  return now - mDoubtedAt < FreshnessCheck::kMaxTime;
+  return now - mDoubtedAt <
+         FreshnessCheck::MaxTime(mState.mReactor.LastDelay());
 }
 
 std::set<std::string>
--- a/src/entry/FeedCheck.cpp
+++ b/src/entry/FeedCheck.cpp
@@ -132,7 +132,7 @@
 FeedCheck::Poll()
 {
   Millis age = mState.AgeOf(mBeganAt);
-  if (Settled() || age >= kMaxTime) {
+  if (Settled() || age >= MaxTime(mState.mReactor.LastDelay())) {
     End();
     return;
   }
--- a/tests/platform/OldConfigurationTest.cpp
+++ b/tests/platform/OldConfigurationTest.cpp
@@ -20,6 +20,9 @@
 // Time in which an instance has asked for its configuration, or given up.
 constexpr Millis kSettled{ 1500 };
 
+constexpr Millis kSlowPass{ 600 };
+constexpr int kSlowPasses = 8;
+
 constexpr char kNewPath[] = "/added/x";
 
 const std::vector<HttpField> kGlobex = { { wire::kAuthorization,
@@ -111,6 +114,33 @@
   EXPECT_EQ(0, fleet.RunsOf("r1"));
 }
 
+// Guards against a request that runs by a key that was withdrawn, as the passes
+// of the event loop are so slow that a check ends before its answer is read.
+TEST(OldConfiguration, NothingRunsByWhatWasKnownWhilePassesAreSlow)
+{
+  EntryFleetOptions options;
+  options.mStep = Millis(5);
+  EntryTestFleet fleet(options);
+  fleet.AwaitReady();
+  fleet.mStore->MuteWatchesOf(0, wire::kConfigKind);
+  WithdrawKeyOfGlobex(fleet);
+  TestCallPtr call;
+  for (int pass = 0; pass < kSlowPasses; ++pass) {
+    fleet.mFrozen.insert(0);
+    fleet.RunFor(kSlowPass);
+    if (pass == 0) {
+      call = fleet.Send(0, "/order/x", "r1", kGlobex);
+      fleet.RunFor(Millis(100));
+    }
+    fleet.mFrozen.erase(0);
+    fleet.RunFor(options.mStep);
+  }
+  fleet.RunFor(kSettled);
+  // 503 if the answer came too late for a denial.
+  EXPECT_TRUE(call->mStatus == 401 || call->mStatus == 503) << call->mStatus;
+  EXPECT_EQ(0, fleet.RunsOf("r1"));
+}
+
 // Guards against denials by a configuration that nothing has confirmed for
 // longer than the limit. A zone that is cut off from the store serves on.
 TEST(OldConfiguration, CutOffInstanceServesOnAndDeniesNothing)
