--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -264,6 +264,7 @@
     .Ms("delay_ms", delay)
     .Count("under_way", static_cast<int64_t>(mDispatcher.RequestsInFlight()))
     .Count("waiting", static_cast<int64_t>(mDispatcher.Waiting()))
+    .Count("loads_queued", static_cast<int64_t>(mSchedulers.Waiting()))
     .Count("sockets", static_cast<int64_t>(mState.mReactor.Sockets()))
     .Ms("list_age_ms", mState.AgeOf(mFeed.ListConfirmedAt()))
     .Ms("config_age_ms", mState.AgeOf(mFeed.ConfigConfirmedAt()));
--- a/src/entry/LoadRequestCalls.cpp
+++ b/src/entry/LoadRequestCalls.cpp
@@ -27,12 +27,10 @@
 
 } // namespace
 
-LoadRequestCalls::LoadRequestCalls(EntryState& aState,
-                                   Peers& aPeers,
+LoadRequestCalls::LoadRequestCalls(Peers& aPeers,
                                    Handler aHandler,
                                    Reply aReply)
-  : mState(aState)
-  , mPeers(aPeers)
+  : mPeers(aPeers)
   , mHandler(std::move(aHandler))
   , mReply(std::move(aReply))
 {
--- a/src/entry/LoadRequestCalls.h
+++ b/src/entry/LoadRequestCalls.h
@@ -28,10 +28,7 @@
 
   // aHandler: answers the requests of other instances. aZone is empty if the
   // calling instance knows only its own zone.
-  LoadRequestCalls(EntryState& aState,
-                   Peers& aPeers,
-                   Handler aHandler,
-                   Reply aReply);
+  LoadRequestCalls(Peers& aPeers, Handler aHandler, Reply aReply);
 
   void Start();
   void Send(const std::string& aZone, const LoadRequest& aRequest);
@@ -55,7 +52,6 @@
                 const Json::Value& aResult);
   static Millis TimeoutAfter(int aTimeouts);
 
-  EntryState& mState;
   Peers& mPeers;
   Handler mHandler;
   Reply mReply;
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -30,7 +30,6 @@
   , mMembers(aMembers)
   , mChanged(std::move(aChanged))
   , mCalls(
-      aState,
       aPeers,
       [this](const std::string& aZone, const LoadRequest& aRequest) {
         return OnLoadRequestCall(aZone, aRequest);
