Keep queued loads behind the others until their callers return; owed ones first

Callers saw: "model load would miss the deadline" with a time to return, at each return again, and the model never loaded. Change: a load is kept until all callers that were refused should have returned, ranked behind all that somebody waits for. Once callers have come back at the time that they were told, in vain, and 8 s have passed, it ranks as if it were on time, by when it was first asked for. Nothing is kept from eviction. ModelsAskedForThroughTheDayAreServed (its model tells the time to return to QueuedLoad and takes the demand from it; its assertion is unchanged).

--- a/src/decide/LoadPriority.cpp
+++ b/src/decide/LoadPriority.cpp
@@ -8,6 +8,9 @@
 
 constexpr int kUrgentBand = 0;
 
+// After all priorities.
+constexpr int kKeptBand = 100;
+
 // Patient callers rank after the urgent ones whatever their priority.
 constexpr int kFirstPatientBand = 1;
 
@@ -28,10 +31,8 @@
            aFacts.mNeedBy - aFacts.mLoad };
 }
 
-} // namespace
-
 LoadPriorityKey
-RankLoad(const LoadPriorityFacts& aFacts, TimePoint aNow)
+RankByPurpose(const LoadPriorityFacts& aFacts, TimePoint aNow)
 {
   if (aFacts.mPurpose == LoadPurpose::Patient) {
     return RankPatient(aFacts, aNow);
@@ -52,4 +53,18 @@
   return { !popular, aFacts.mPriority, late, aFacts.mSince };
 }
 
+} // namespace
+
+LoadPriorityKey
+RankLoad(const LoadPriorityFacts& aFacts, TimePoint aNow)
+{
+  if (aFacts.mDemand == LoadDemand::Kept) {
+    return { true, kKeptBand, true, aFacts.mSince };
+  }
+  if (aFacts.mDemand == LoadDemand::Owed) {
+    return { true, aFacts.mPriority, false, aFacts.mSince };
+  }
+  return RankByPurpose(aFacts, aNow);
+}
+
 } // namespace caraway
--- a/src/decide/LoadPriority.h
+++ b/src/decide/LoadPriority.h
@@ -23,6 +23,13 @@
 
 namespace caraway {
 
+enum class LoadDemand
+{
+  Present, // requests wait for the load, or asked for it a moment ago
+  Kept,    // its callers were refused and haven't returned yet
+  Owed,    // they have returned in vain
+};
+
 struct LoadPriorityFacts
 {
   double mRate = 0;        // requests per second for the model
@@ -35,6 +42,7 @@
   // With Unstated, the fields above alone decide.
   LoadPurpose mPurpose = LoadPurpose::Unstated;
   double mUrgentRate = 0; // requests per second that can't wait for a load
+  LoadDemand mDemand = LoadDemand::Present;
 };
 
 // Requests per second. A load occupies a server for about a second. From this
--- a/src/entry/ExchangeRefuse.cpp
+++ b/src/entry/ExchangeRefuse.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "decide/QueuedLoad.h"
 #include "entry/ExchangeTimes.h"
 
 namespace caraway {
@@ -156,12 +157,10 @@
   return true;
 }
 
-// Retries of callers that wait for the same are spread over a fifth of the
-// wait.
 Millis
 Exchange::SpreadRetry(Millis aWait)
 {
-  std::uniform_int_distribution<int64_t> spread(0, aWait.count() / 5 + 100);
+  std::uniform_int_distribution<int64_t> spread(0, RetrySpread(aWait).count());
   return std::max(aWait, kRetryAfterDefault) + Millis(spread(mState.mRandom));
 }
 
--- a/src/entry/LoadSchedulerDecide.cpp
+++ b/src/entry/LoadSchedulerDecide.cpp
@@ -73,7 +73,11 @@
   }
   if (auto expected = EstimateQueued(aRequest)) {
     result["expected_ms"] = Json::Int64(expected->count());
-    if (added && mQueue.count(KeyOf(aRequest))) {
+    auto still = mQueue.find(KeyOf(aRequest));
+    if (still != mQueue.end()) {
+      still->second.mQueued.OnExpected(*expected, TimeLeftOf(aRequest), now);
+    }
+    if (added && still != mQueue.end()) {
       SendClaim(aRequest, false, *expected);
     }
   }
--- a/src/entry/LoadSchedulerQueue.cpp
+++ b/src/entry/LoadSchedulerQueue.cpp
@@ -145,6 +145,7 @@
   facts.mLoad = ShortestLoadTime(aPending.mRequest, aCopies);
   facts.mNeedBy = aPending.mQueued.NeedBy();
   facts.mPurpose = aPending.mRequest.mPurpose;
+  facts.mDemand = aPending.mQueued.Demand(now);
   // The first patient caller decides while its load can still be in time.
   auto first = aPending.mQueued.FirstNeedBy();
   bool firstOnTime = first && now + facts.mLoad <= *first;
--- a/tests/property/QueuedLoadProperty.cpp
+++ b/tests/property/QueuedLoadProperty.cpp
@@ -26,13 +26,6 @@
 constexpr Millis kTroubleEnds{ 20000 };
 constexpr int kPriority = 2;
 
-// By which the retry-after time of a caller exceeds aWait at most.
-Millis
-RetrySpread(Millis aWait)
-{
-  return aWait / 5 + Millis(100);
-}
-
 struct Place
 {
   int mModel = -1; // -1 = free
@@ -69,6 +62,7 @@
     auto at = mQueue.try_emplace(aModel, QueuedLoad(aNow)).first;
     at->second.OnAsked(aLeft, aNow);
     Millis expected = NextFree(aNow) + mLoad;
+    at->second.OnExpected(expected, aLeft, aNow);
     return expected;
   }
   bool Loaded(int aModel) const { return mLoaded.count(aModel) > 0; }
@@ -110,6 +104,7 @@
       facts.mSince = queued.Since();
       facts.mNeedBy = queued.NeedBy();
       facts.mLoad = mLoad;
+      facts.mDemand = queued.Demand(aNow);
       ranked.emplace_back(RankLoad(facts, aNow), model);
     }
     return std::min_element(ranked.begin(), ranked.end())->second;
