--- a/src/decide/FeedFreshness.cpp
+++ b/src/decide/FeedFreshness.cpp
@@ -21,6 +21,8 @@
 {
   bool again =
     mHeldUpUntil != TimePoint() && aUntil - mHeldUpUntil < kCheckPause;
+  // What is older may miss a change that has to be in force before the next
+  // check.
   bool young = aUntil - std::max(mConfirmedAt, mHeardAt) <= mMaxAge / 2;
   if (!again || !(young || AskedInVain(aUntil))) {
     mHeldUpUntil = aUntil;
--- a/src/decide/LoadPriority.h
+++ b/src/decide/LoadPriority.h
@@ -9,6 +9,11 @@
 // model goes before all of them, however late it is for its first request,
 // because it serves every request of the next seconds.
 //
+// A load whose callers were refused, and that nobody waits for until they
+// return, goes last. Once they have returned in vain it counts as on time, by
+// the time of the first request: a steady flow of others could otherwise keep
+// it waiting for good.
+//
 // Where callers' patience is known, the loads that impatient callers wait for
 // go first, and of the others the one that has to begin soonest. A patient
 // caller's load gives up its place until it can't let another load go first
