Soak: the runs of an attempt are in the order of time

CheckOneVersion says that a stream's events came from the last server of the attempt before, and took the last run in the order of the servers' names. Where an attempt ran at two servers, the second after the first had sent nothing, it named one of them by chance: a sound stream could be reported, a stream at another version missed. Runs are sorted by their times now; the check itself is unchanged and judges all that it judged.

--- a/tests/soak/SoakChecks.h
+++ b/tests/soak/SoakChecks.h
@@ -20,7 +20,7 @@
   std::vector<ServerCrashRecord> mCrashes; // by guilty parts, in time
   std::deque<SoakCall> mCalls;
   std::vector<SoakFault> mInjectedFaults;
-  std::map<std::string, std::vector<ServerRun>> mRuns; // by request id
+  std::map<std::string, std::vector<ServerRun>> mRuns; // by request id, in time
   // Of the requests that instances refused for a part of their prompts, by
   // their logs.
   std::set<std::string> mBlockedIds;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -679,6 +679,12 @@
       }
     }
   }
+  for (auto& [id, runs] : mRecord.mRuns) {
+    std::stable_sort(
+      runs.begin(), runs.end(), [](const auto& aOne, const auto& aOther) {
+        return aOne.mAt < aOther.mAt;
+      });
+  }
   for (const auto& engine : mTestFleet->mEngines) {
     mRecord.mCrashes.insert(
       mRecord.mCrashes.end(), engine->mCrashes.begin(), engine->mCrashes.end());
