Streams on connections younger than the list: the server's entry is read first

Cause: a server that starts again under its id with another version is known by its former entry until the list is confirmed again, up to 0.8 s. Events on a connection opened meanwhile were taken for the former version's, and so was the record of their stream. If the caller or the instance went before the list had the new entry, nothing corrected it. Change: while a service has servers of several versions, the first events on a connection that was established after the list was last confirmed wait for the server's entry, read by itself, for 100 ms at most; not at all while the store doesn't serve this instance, so a zone that is cut off goes on as before. Not covered: the first server of another version, as the list names only one then.

--- a/src/decide/Backend.cpp
+++ b/src/decide/Backend.cpp
@@ -40,6 +40,12 @@
 
 } // namespace
 
+bool
+Backend::EntryCovers(TimePoint aEstablishedAt, TimePoint aListAt) const
+{
+  return aEstablishedAt <= std::max(aListAt, mEntryReadAt);
+}
+
 Millis
 Backend::LoadingFor(TimePoint aNow) const
 {
--- a/src/decide/Backend.h
+++ b/src/decide/Backend.h
@@ -36,6 +36,7 @@
   double mFailureShare = 0;     // moving average, 0 to 1
   TimePoint mAvoidUntil{};
   TimePoint mVersionUnsureUntil{}; // it may have started again since its entry
+  TimePoint mEntryReadAt{};        // when its entry was last read by itself
   TimePoint mAddressReusedUntil{}; // another server answers at its address
   // It accepts no order before this time, as the lease holder reported.
   TimePoint mLoadingUntil{};
@@ -61,6 +62,10 @@
   // When this instance learnt that it has started; nothing = long ago.
   std::optional<TimePoint> mStartedAt;
 
+  // Whether the process at the other end of a connection that was established
+  // at aEstablishedAt has told the store of itself before mEntry was read, by
+  // itself or with the list at aListAt. A server may start again under its id.
+  bool EntryCovers(TimePoint aEstablishedAt, TimePoint aListAt) const;
   // Time until it accepts an order, as far as is known; 0 = now.
   Millis LoadingFor(TimePoint aNow) const;
   int RequestsInFlight() const;
--- a/src/entry/ConfigFeed.h
+++ b/src/entry/ConfigFeed.h
@@ -55,6 +55,9 @@
   void ConfirmConfigFromPeer(const PeerConfig& aPeerConfig);
   // Reads the configuration once. aDone is called in any case.
   void ReadConfig(std::function<void()> aDone);
+  // Reads the entry of one server. aDone is called in any case, at once while
+  // the store doesn't serve this instance.
+  void ReadServer(const std::string& aId, std::function<void()> aDone);
   // The feed's own list of configurations is on its way.
   bool ListingConfig() const { return mConfigObjects.Listing(); }
   // Reads the complete list of servers again.
@@ -106,6 +109,7 @@
   Millis RunningFor(const BackendEntry& aEntry) const;
   bool LengthensCold(const Backend& aKnown, const BackendEntry& aEntry) const;
   void LogListed(const StoreObject& aObject, const BackendEntry& aEntry);
+  void SetEntryRead(const std::string& aId, TimePoint aAt);
   void RemoveServer(const std::string& aId);
   void RemoveAfterGrace(const std::string& aId);
 
--- a/src/entry/ConfigFeedServers.cpp
+++ b/src/entry/ConfigFeedServers.cpp
@@ -8,6 +8,7 @@
 #include "base/JsonText.h"
 #include "entry/ColdReports.h"
 #include "platform/ServerEntry.h"
+#include "platform/WireNames.h"
 
 namespace caraway {
 
@@ -208,6 +209,34 @@
   }
 }
 
+void
+ConfigFeed::ReadServer(const std::string& aId, std::function<void()> aDone)
+{
+  if (!mStore.Reachable()) {
+    aDone();
+    return;
+  }
+  mStore.Call("server_read",
+              wire::ReadCall(wire::kServersKind, aId),
+              [this, aId, done = std::move(aDone), askedAt = mState.Now()](
+                StoreOutcome aOutcome, const std::string& aBody) {
+                auto object = wire::ReadObjectAnswer(aBody);
+                if (aOutcome == StoreOutcome::Done && object) {
+                  OnServer({ *object, false });
+                  SetEntryRead(aId, askedAt);
+                }
+                done();
+              });
+}
+
+void
+ConfigFeed::SetEntryRead(const std::string& aId, TimePoint aAt)
+{
+  if (Backend* backend = mState.mServers.Find(aId)) {
+    backend->mEntryReadAt = std::max(backend->mEntryReadAt, aAt);
+  }
+}
+
 // Removals are applied without a grace time: the sender has already waited for
 // entries that lapsed during an outage.
 void
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -161,6 +161,9 @@
   void OnPeerVersion(const HttpHead& aHead);
   bool HoldEvents(size_t aBytes);
   bool ServerChangedVersion() const;
+  bool AwaitEntry(size_t aBytes);
+  bool EntryInDoubt() const;
+  void OnEntryRead();
   bool AwaitFormerEnd(size_t aBytes);
   bool CheckRestart();
   void PinVersion();
@@ -275,6 +278,9 @@
   std::string mEvents;            // of a stream: bytes not yet forwarded
   size_t mHeldEvents = 0;         // bytes of mEvents that are complete events
   size_t mUnsureEvents = 0;       // the same; see AwaitFormerEnd()
+  bool mEntryAsked = false;       // during mCall
+  bool mAwaitsEntry = false;      // mUnsureEvents do; see AwaitEntry()
+  bool mCompleteUnsure = false;   // mCall's answer is, with mUnsureEvents
   EventStreamReader mEventReader; // of a stream: all bytes from mServer
   std::string mLastEvent;         // id of the last event forwarded
   bool mStreaming = false;        // the head of a stream was sent to the caller
--- a/src/entry/ExchangeResume.cpp
+++ b/src/entry/ExchangeResume.cpp
@@ -109,6 +109,68 @@
          backend->second.mEntry.mVersion != mRunVersion;
 }
 
+// While a service has servers of several versions, the list may still name the
+// version of a server's former process when the events of the next one arrive.
+bool
+Exchange::EntryInDoubt() const
+{
+  if (mForwarding || mEntryAsked || !mRunVersion) {
+    return false;
+  }
+  const Backend* backend = mState.mServers.Find(mServer);
+  return backend &&
+         !backend->EntryCovers(mCall->EstablishedAt(),
+                               mState.mListFreshness.ConfirmedAt()) &&
+         mState.mServers.Versions().HasOther(mService, *mRunVersion);
+}
+
+// Holds the first complete events, aBytes of mEvents, back while the server's
+// entry is read: once the caller has one of them, the stream's record must name
+// the version that it is of. Returns whether they wait.
+bool
+Exchange::AwaitEntry(size_t aBytes)
+{
+  if (mAwaitsEntry) {
+    mUnsureEvents = aBytes;
+    return true;
+  }
+  if (mUnsureEvents > 0 || !EntryInDoubt()) {
+    return false;
+  }
+  mEntryAsked = true;
+  mAwaitsEntry = true;
+  mUnsureEvents = aBytes;
+  std::weak_ptr<Exchange> weak = weak_from_this();
+  auto proceed = [weak, send = mSends] {
+    auto exchange = weak.lock();
+    if (exchange && !exchange->mFinished && exchange->mSends == send &&
+        exchange->mAwaitsEntry) {
+      exchange->OnEntryRead();
+    }
+  };
+  mState.mReactor.After(kMaxEntryHold, proceed);
+  mFreshnessCheck.ReadServer(mServer, proceed);
+  return true;
+}
+
+void
+Exchange::OnEntryRead()
+{
+  mAwaitsEntry = false;
+  size_t bytes = std::exchange(mUnsureEvents, 0);
+  if (!mCompleteUnsure) {
+    if (!AwaitFormerEnd(bytes)) {
+      OnEvents(bytes);
+    }
+    return;
+  }
+  auto call = mCall;
+  OnEvents(bytes);
+  if (!mFinished && mCall == call) {
+    OnCallDone(CallOutcome::Complete);
+  }
+}
+
 // An instance that stood still reads the last events of a server's former
 // process after the entry of the next one, and the end of the connection with
 // them. So the first complete events after that entry, aBytes of mEvents, wait
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -118,6 +118,9 @@
   mToldGoodAt = TimePoint();
   mBody.clear();
   mEventReader = EventStreamReader();
+  mEntryAsked = false;
+  mAwaitsEntry = false;
+  mCompleteUnsure = false;
   std::weak_ptr<Exchange> weak = weak_from_this();
   OutboundCall::Events events;
   events.mMatchesRequest = [weak](const HttpHead& aHead) {
@@ -223,8 +226,9 @@
   size_t before = mEvents.size();
   mEvents += aBytes;
   aBytes.clear();
-  if (complete > 0 && !AwaitFormerEnd(before + complete)) {
-    OnEvents(before + complete);
+  size_t events = before + complete;
+  if (complete > 0 && !AwaitEntry(events) && !AwaitFormerEnd(events)) {
+    OnEvents(events);
   } else {
     EndIfEndless(mEvents);
   }
@@ -285,6 +289,7 @@
 void
 Exchange::ReleaseCall()
 {
+  mAwaitsEntry = false;
   EndPrompt();
   if (!mServer.empty()) {
     mState.mServers.OnRequestEnded(mServer, FullName());
@@ -315,6 +320,8 @@
     OnAnswerLost(aOutcome);
   } else if (StreamEndedInsideEvent()) {
     OnAnswerLost(CallOutcome::Interrupted);
+  } else if (mAwaitsEntry) {
+    mCompleteUnsure = true;
   } else {
     OnCompleteAnswer();
   }
--- a/src/entry/ExchangeTimes.h
+++ b/src/entry/ExchangeTimes.h
@@ -23,6 +23,10 @@
 // its process has ended before they are read: both have arrived by then.
 inline constexpr Millis kFormerEndTime{ 10 };
 
+// Events are held back for an entry of the store this long at most: it answers
+// within milliseconds, if at all.
+inline constexpr Millis kMaxEntryHold{ 100 };
+
 // The server's own final answer is waited for this long past the deadline.
 inline constexpr Millis kLateAnswerMargin{ 40 };
 
--- a/src/entry/FeedCheck.cpp
+++ b/src/entry/FeedCheck.cpp
@@ -54,6 +54,12 @@
   mState.mReactor.After(kPollInterval, [this] { Poll(); });
 }
 
+void
+FeedCheck::ReadServer(const std::string& aServer, std::function<void()> aDone)
+{
+  mFeed.ReadServer(aServer, std::move(aDone));
+}
+
 // An instance that follows another one gets the list and the evacuations with
 // that one's next update.
 void
--- a/src/entry/FeedCheck.h
+++ b/src/entry/FeedCheck.h
@@ -27,6 +27,8 @@
   // Also begins the check of what the feeds deliver first.
   void Start();
   void Check(std::function<void()> aDone) override;
+  void ReadServer(const std::string& aServer,
+                  std::function<void()> aDone) override;
 
 private:
   Json::Value OwnConfig() const;
--- a/src/entry/FreshnessCheck.h
+++ b/src/entry/FreshnessCheck.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
 
 #include "caraway/Time.h"
 
@@ -32,6 +33,10 @@
   // confirmed or the sources have been asked in vain. Checks that are asked for
   // meanwhile share one.
   virtual void Check(std::function<void()> aDone) = 0;
+  // Reads the entry of a server from the store and calls aDone once, at once or
+  // later, whether it could be read or not.
+  virtual void ReadServer(const std::string& aServer,
+                          std::function<void()> aDone) = 0;
 };
 
 } // namespace caraway
--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -110,6 +110,7 @@
 Channel::Start(bool aConnecting)
 {
   mConnecting = aConnecting;
+  mEstablishedAt = aConnecting ? TimePoint() : mReactor.Now();
   mWatchingWrite = aConnecting;
   mReactor.Watch(mSocket, shared_from_this(), aConnecting);
 }
@@ -213,6 +214,7 @@
       return;
     }
     mConnecting = false;
+    mEstablishedAt = mReactor.Now();
     mReactor.Cancel(mTimer);
     if (mEvents.mConnected) {
       mEvents.mConnected();
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -73,6 +73,8 @@
   size_t QueuedBytes() const { return mOutput.size(); }
   bool Open() const { return mOpen; }
   bool Ready() const { return mOpen && !mConnecting; }
+  // When the connection was known to be established; at no time if it isn't.
+  TimePoint EstablishedAt() const { return mEstablishedAt; }
   // Whether bytes were handed to the network since ClearSent(), called before
   // each request. A request of which none were can't have run.
   bool Sent() const { return mSent; }
@@ -101,6 +103,7 @@
   std::string mOutput;
   bool mOpen = true;
   bool mConnecting = false;
+  TimePoint mEstablishedAt{};
   bool mWatchingWrite = false;
   bool mReading = true;
   bool mSent = false;
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -58,6 +58,8 @@
   void Cancel();
   bool Sent() const;
   bool Reused() const { return mReused; }
+  // See Channel::EstablishedAt().
+  TimePoint EstablishedAt() const { return mChannel->EstablishedAt(); }
 
 private:
   OutboundCall(Reactor& aReactor, ChannelPool& aPool, OutboundRequest aRequest);
--- a/tests/platform/StreamVersionsTest.cpp
+++ b/tests/platform/StreamVersionsTest.cpp
@@ -528,6 +528,33 @@
   ExpectAllWentOn(streams);
 }
 
+// As above, when callers and instances go before the list has the server's new
+// entry: nothing corrects the records of such streams afterwards.
+TEST_F(StreamVersions, KilledBeforeTheServerIsListed)
+{
+  for (size_t i = 1; i < 4; ++i) {
+    mFleet.mEngines[i]->mModels.clear();
+  }
+  SetVersions({ "v1", "v1", "v2", "v2" });
+  mFleet.AwaitReady();
+  mFleet.RunFor(Seconds(1));
+  mFleet.mStore->MuteWatches(true);
+  mFleet.mEngines[0]->Restart("v2");
+  mFleet.mEngines[0]->mModels["m0"];
+  mFleet.List(*mFleet.mEngines[0], "engine", "a");
+  std::vector<TestStream> streams = BeginAll(3);
+  KillAll();
+  BreakOffAll(streams);
+  mFleet.mStore->MuteWatches(false);
+  StartAll();
+  MoveModel(0, 1);
+  for (size_t i = 0; i < streams.size(); ++i) {
+    Resume(streams[i], i);
+  }
+  EXPECT_TRUE(AwaitEnd(streams, Seconds(3)));
+  ExpectAllWentOn(streams);
+}
+
 // Guards against the last events of a server that started again with another
 // version, which an instance that stood still reads together with the new
 // entry, taken for the new server's: the stream would go on at its version.
