StoreFeed: watches end equally far apart, however long their answers take

Cause: a watch without a change confirms the end of its wait, the next one begins when the answer has been read, and waits its whole time again. So a confirmation's age grew by two round trips beyond the watch time (since, one before), and followers' limit is half a second above it. Change: the next watch waits shorter by as much as the last answer was late, half of its time at least.

--- a/src/store/StoreFeed.cpp
+++ b/src/store/StoreFeed.cpp
@@ -161,13 +161,23 @@
       }
       mEvents.mAnswered();
       if (page->mChanges.empty()) {
-        Watch(mWatchTime);
+        Watch(NextWait(sentAt + aWait));
         return;
       }
       WatchAfterBatch();
     });
 }
 
+// The wait of the watch after one whose answer was due at aDue. Watches end
+// mWatchTime apart, however long their answers take: those who rely on them
+// would read a slow store by themselves otherwise.
+Millis
+StoreFeed::NextWait(TimePoint aDue) const
+{
+  auto late = std::chrono::duration_cast<Millis>(mReactor.Now() - aDue);
+  return std::clamp(mWatchTime - late, mWatchTime / 2, mWatchTime);
+}
+
 // When the store answered a watch, at the earliest. The answer may have lain
 // unread while the loop was held up. One without a change was given once the
 // wait was over, however long it was on its way.
--- a/src/store/StoreFeed.h
+++ b/src/store/StoreFeed.h
@@ -58,6 +58,7 @@
   void List(const std::string& aAfter);
   void Watch(Millis aWait);
   void WatchAfterBatch();
+  Millis NextWait(TimePoint aDue) const;
   void RetryLater(bool aList);
   TimePoint AnsweredAt(TimePoint aSentAt, Millis aWait, bool aChanged) const;
 
--- a/tests/platform/FreshnessTest.cpp
+++ b/tests/platform/FreshnessTest.cpp
@@ -55,6 +55,22 @@
   EXPECT_EQ(401, fleet.Call(0, "/order/x", "r2")->mStatus);
 }
 
+// Guards against all instances that read a slow store by themselves, which
+// makes it slower still: its reader confirms the feeds in time for those who
+// follow.
+TEST(Freshness, SlowStoreIsReadByOneInstance)
+{
+  EntryTestFleet fleet(TwoInstances());
+  fleet.AwaitReady();
+  ASSERT_TRUE(fleet.RunUntil(
+    [&] { return Follows(fleet, 0) || Follows(fleet, 1); }, Seconds(5)));
+  size_t follower = Follows(fleet, 0) ? 0 : 1;
+  size_t before = fleet.LogLines(follower, "list_read_again");
+  fleet.mStore->SetAnswerDelay(Millis(150));
+  fleet.RunFor(Seconds(12));
+  EXPECT_EQ(before, fleet.LogLines(follower, "list_read_again"));
+}
+
 // The store rejects one instance and serves the other. The first one gets the
 // operator's changes from the other instance.
 TEST(Freshness, InstanceWithoutStoreGetsChangesFromAPeer)
--- a/tests/support/StandInStore.cpp
+++ b/tests/support/StandInStore.cpp
@@ -182,8 +182,18 @@
   if (aPort.mFaultMode == FaultMode::Silent || !aConn->Open()) {
     return;
   }
-  aConn->Answer(
-    aStatus, { { "Content-Type", "application/json" } }, JsonWrite(aBody));
+  std::weak_ptr<InboundConnection> weak = aConn;
+  auto answer = [weak, aStatus, body = JsonWrite(aBody)] {
+    auto conn = weak.lock();
+    if (conn && conn->Open()) {
+      conn->Answer(aStatus, { { "Content-Type", "application/json" } }, body);
+    }
+  };
+  if (mAnswerDelay == Millis(0)) {
+    answer();
+  } else {
+    mReactor.After(mAnswerDelay, answer);
+  }
 }
 
 int
--- a/tests/support/StandInStore.h
+++ b/tests/support/StandInStore.h
@@ -51,6 +51,8 @@
   // Clients of aPort read aAddress in the entries of all servers, as if a
   // partition lay between them and the servers; "" = the servers' own.
   void ShowServersAt(size_t aPort, const std::string& aAddress);
+  // Each answer takes so much longer.
+  void SetAnswerDelay(Millis aDelay) { mAnswerDelay = aDelay; }
   int Calls() const { return mCalls; }
   int CallsOf(const std::string& aKind) const;
 
@@ -114,6 +116,7 @@
   int64_t mRevision = 1;
   int64_t mHistoryStart = 0;
   bool mMuted = false;
+  Millis mAnswerDelay{ 0 };
   std::string mSilentKind;
   int mCalls = 0;
   std::map<std::string, int> mCallsByKind;
