--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -274,13 +274,14 @@
   HttpHead mAnswer;         // of mCall
   AnswerFacts mAnswerFacts;
   bool mHasAnswerHead = false;
-  std::string mBody;              // of an answer that is not streamed
-  std::string mEvents;            // of a stream: bytes not yet forwarded
-  size_t mHeldEvents = 0;         // bytes of mEvents that are complete events
-  size_t mUnsureEvents = 0;       // the same; see AwaitFormerEnd()
-  bool mEntryAsked = false;       // during mCall
-  bool mAwaitsEntry = false;      // mUnsureEvents do; see AwaitEntry()
-  bool mCompleteUnsure = false;   // mCall's answer is, with mUnsureEvents
+  std::string mBody;      // of an answer that is not streamed
+  std::string mEvents;    // of a stream: bytes not yet forwarded
+  size_t mHeldEvents = 0; // bytes of mEvents that are complete events
+  // Bytes of complete events that wait in AwaitEntry() or AwaitFormerEnd().
+  size_t mUnsureEvents = 0;
+  bool mEntryAsked = false;       // by AwaitEntry(), during mCall
+  bool mAwaitsEntry = false;      // mUnsureEvents wait for the server's entry
+  bool mCompleteUnsure = false;   // mCall ended whole while they waited
   EventStreamReader mEventReader; // of a stream: all bytes from mServer
   std::string mLastEvent;         // id of the last event forwarded
   bool mStreaming = false;        // the head of a stream was sent to the caller
