Log and metric: what came of a send that brought no success, and what proves it

Change: send_unserved, one line for each send without a success: outcome, status, proof, the server's marks, whose id the answer carries, whether the connection had been used before. caraway_sends_unserved_total counts them by proof.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -43,10 +43,11 @@
 // Facts about a server's answer, apart from its body.
 struct AnswerFacts
 {
-  bool mFromServer = false; // from the server itself, not an intermediary
-  bool mNotRun = false;     // proof that the request didn't run
-  bool mEncoded = false;    // has a content coding, which no request asks for
-  std::string mId;          // id of the request it answers
+  bool mFromServer = false;   // from the server itself, not an intermediary
+  bool mNotRun = false;       // proof that the request didn't run
+  bool mMarkedNotRun = false; // by the server
+  bool mEncoded = false;      // has a content coding, which no request asks for
+  std::string mId;            // id of the request it answers
   // The server that refused the request, if it identified itself.
   std::string mServer;
   // The server fails if it has to reject more requests in a second.
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -199,6 +199,7 @@
   void OnEvents(size_t aBytes);
   void EndIfEndless(const std::string& aKept);
   void OnCallDone(CallOutcome aOutcome);
+  void LogUnserved(CallOutcome aOutcome);
   bool StreamEndedInsideEvent() const;
   void OnCompleteAnswer();
   void OnNotRun();
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -305,12 +305,44 @@
   mCall.reset();
 }
 
+// A send that brought no success: what came of it, and what its answer said.
+void
+Exchange::LogUnserved(CallOutcome aOutcome)
+{
+  bool success =
+    mHasAnswerHead && mAnswer.mStatus >= 200 && mAnswer.mStatus < 300;
+  if (success && aOutcome == CallOutcome::Complete) {
+    return;
+  }
+  const char* id = mAnswerFacts.mId == mFacts.mId ? "own"
+                   : mAnswerFacts.mId.empty()     ? "none"
+                                                  : "other";
+  const char* proof = aOutcome == CallOutcome::NotSent         ? "not_sent"
+                      : mHasAnswerHead && mAnswerFacts.mNotRun ? "refused"
+                                                               : "none";
+  mState.mLog.Line("send_unserved")
+    .Text("id", mFacts.mId)
+    .Text("server", mServer)
+    .Flag("forwarded", mForwarding)
+    .Text("outcome", OutcomeName(aOutcome))
+    .Count("status", mHasAnswerHead ? mAnswer.mStatus : 0)
+    .Text("proof", proof)
+    .Flag("marked", mHasAnswerHead && mAnswerFacts.mMarkedNotRun)
+    .Flag("sealed", mHasAnswerHead && mAnswerFacts.mFromServer)
+    .Text("answer_id", mHasAnswerHead ? id : "")
+    .Flag("kept_connection", mCall && mCall->Reused())
+    .Ms("after_ms", mState.AgeOf(mSentAt));
+  mState.mMetrics.Count("caraway_sends_unserved_total",
+                        std::string("proof=\"") + proof + "\"");
+}
+
 void
 Exchange::OnCallDone(CallOutcome aOutcome)
 {
   if (mFinished || mServer.empty()) {
     return;
   }
+  LogUnserved(aOutcome);
   if (aOutcome == CallOutcome::NotSent && mState.Now() >= mFinalAnswerBy) {
     ReleaseCall();
     RefuseTooLate();
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -36,6 +36,22 @@
 
 } // namespace
 
+const char*
+OutcomeName(CallOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case CallOutcome::Complete:
+      return "complete";
+    case CallOutcome::NotSent:
+      return "not_sent";
+    case CallOutcome::Interrupted:
+      return "interrupted";
+    case CallOutcome::Malformed:
+      break;
+  }
+  return "malformed";
+}
+
 OutboundCall::OutboundCall(Reactor& aReactor,
                            ChannelPool& aPool,
                            OutboundRequest aRequest)
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -21,6 +21,10 @@
   Malformed,   // the input is no answer; it may have run
 };
 
+// "complete", "not_sent", "interrupted" or "malformed", as in logs.
+const char*
+OutcomeName(CallOutcome aOutcome);
+
 struct OutboundRequest
 {
   std::string mAddress;
