--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -404,13 +404,65 @@
   }
   if (mBehaviour == ServerBehaviour::Refuses || mRefusals > 0) {
     mRefusals -= mRefusals > 0 ? 1 : 0;
-    Reply(aClient,
-          503,
-          { { wire::kNotRun, "1" },
-            { wire::kRequestId, ValueOf(aHead, wire::kRequestId) } },
-          "");
+    RefuseFull(aClient, aHead);
     return;
   }
+  if (mQueueLimit >= 0) {
+    Enqueue(aClient, aHead, aBody);
+  } else {
+    Run(aClient, aHead, aBody);
+  }
+}
+
+void
+StandInServer::RefuseFull(const std::shared_ptr<ClientConnection>& aClient,
+                          const HttpHead& aHead)
+{
+  Reply(aClient,
+        503,
+        { { wire::kNotRun, "1" },
+          { wire::kRequestId, ValueOf(aHead, wire::kRequestId) } },
+        "");
+}
+
+void
+StandInServer::Enqueue(const std::shared_ptr<ClientConnection>& aClient,
+                       const HttpHead& aHead,
+                       const std::string& aBody)
+{
+  bool full = mRunning >= mSlots;
+  if (full && static_cast<int>(mQueue.size()) >= mQueueLimit) {
+    RefuseFull(aClient, aHead);
+    return;
+  }
+  mQueue.push_back({ aClient, aHead, aBody });
+  RunNext();
+}
+
+// A request whose connection has closed while it waited is dropped.
+void
+StandInServer::RunNext()
+{
+  while (mRunning < mSlots && !mQueue.empty()) {
+    Waiting next = std::move(mQueue.front());
+    mQueue.pop_front();
+    if (next.mClient->mClosed) {
+      continue;
+    }
+    ++mRunning;
+    Run(next.mClient, next.mHead, next.mBody);
+    mReactor.After(mWork, [this] {
+      --mRunning;
+      RunNext();
+    });
+  }
+}
+
+void
+StandInServer::Run(const std::shared_ptr<ClientConnection>& aClient,
+                   const HttpHead& aHead,
+                   const std::string& aBody)
+{
   aClient->mWorking = true;
   std::weak_ptr<ClientConnection> weak = aClient;
   mReactor.After(mWork, [this, weak, aHead, aBody] {
@@ -493,7 +545,7 @@
       BreakOff(*aClient);
       break;
     case ServerBehaviour::Unsealed:
-      Reply(aClient, 200, { own.front() }, answer);
+      Reply(aClient, mUnsealedStatus, { own.front() }, answer);
       break;
     case ServerBehaviour::Encoded:
       own.push_back({ "Content-Encoding", "gzip" });
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -28,7 +28,7 @@
   Refuses,        // rejects with a proof that it did not run the request
   RunsThenCloses, // runs, then closes without an answer
   Truncates,      // closes in the middle of the body
-  Unsealed,       // a success without the server's seal
+  Unsealed,       // an answer without the server's seal; see mUnsealedStatus
   Encoded,        // a success in a content coding that was not requested
   LateAnswer,     // another request's answer first, then the right one
   ExtraAnswer,    // a second answer after the right one
@@ -116,8 +116,12 @@
   std::set<std::string> mComing;         // MODEL/ADAPTER being loaded
 
   ServerBehaviour mBehaviour = ServerBehaviour::Proper;
+  int mUnsealedStatus = 200;
   std::string mExpectedId; // a request for another id is answered by 421
   int mSlots = 32;
+  // Requests that wait while all slots are taken; further ones are refused. -1
+  // = all run at once.
+  int mQueueLimit = -1;
   std::string mVersion = "v1"; // of its software
   int64_t mStartTime = 1000;   // Unix milliseconds; long ago
   HeldModels mModels;
@@ -186,6 +190,15 @@
   void OnRequest(const std::shared_ptr<ClientConnection>& aClient,
                  const HttpHead& aHead,
                  const std::string& aBody);
+  void RefuseFull(const std::shared_ptr<ClientConnection>& aClient,
+                  const HttpHead& aHead);
+  void Enqueue(const std::shared_ptr<ClientConnection>& aClient,
+               const HttpHead& aHead,
+               const std::string& aBody);
+  void RunNext();
+  void Run(const std::shared_ptr<ClientConnection>& aClient,
+           const HttpHead& aHead,
+           const std::string& aBody);
   void Work(const std::shared_ptr<ClientConnection>& aClient,
             const HttpHead& aHead,
             const std::string& aBody);
@@ -225,7 +238,15 @@
   Reactor& mReactor;
   std::string mId;
   std::shared_ptr<Listener> mListener;
+  struct Waiting
+  {
+    std::shared_ptr<ClientConnection> mClient;
+    HttpHead mHead;
+    std::string mBody;
+  };
   std::vector<std::weak_ptr<ClientConnection>> mClients;
+  std::deque<Waiting> mQueue;          // see mQueueLimit
+  int mRunning = 0;                    // the same
   std::deque<TimePoint> mColdArrivals; // of the last second
   std::string mToldLimit;              // as last told
   TimePoint mLimitToldAt{}; // first, without an answer without it since
