One typed proof that a request has not run, and one place that tells callers so

Cause: a refusal was judged by what it lacked. An answer of 503 or 4xx without a server's seal, to a forwarded request, counted as 'no server has received it'; a 421 without any mark counted as 'not run' and was sent again; a 408, 429 or 503 without the server's Not-Executed went to the caller as it came; an answer without an id counted as the request's own, also on a connection with other requests before. Seven places decided, each by itself.

Change: src/decide/RunProof: not written, refused (by the server, for this send, with its mark; by an instance that says so, Caraway-Not-Run), or none. OwnerOf says whose answer it is; one without an id is the request's only on a connection of its own. RunHistory holds the sends of a request, and decides whether it may be sent again (Exchange::Dispatch) and which status its caller may get (Exchange::AnswerCaller, the only place that answers). An instance of a version without the mark isn't believed; a request that it refused gets 502. Callers' answers don't carry marks between instances. The stand-in's 421 has the marks that the protocol states.

WireMessages.OnlyMarkedRefusalsProveThatNothingRan replaces OnlyAnInstancesOwnRejectionProvesThatNothingRan, which stated the cause as the rule; it is stricter.

--- a/src/decide/RequestFacts.h
+++ b/src/decide/RequestFacts.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "caraway/Time.h"
+#include "decide/RunProof.h"
 
 namespace caraway {
 
@@ -43,11 +44,9 @@
 // Facts about a server's answer, apart from its body.
 struct AnswerFacts
 {
-  bool mFromServer = false;   // from the server itself, not an intermediary
-  bool mNotRun = false;       // proof that the request didn't run
-  bool mMarkedNotRun = false; // by the server
-  bool mEncoded = false;      // has a content coding, which no request asks for
-  std::string mId;            // id of the request it answers
+  bool mFromServer = false; // from the server itself, not an intermediary
+  bool mEncoded = false;    // has a content coding, which no request asks for
+  AnswerMarks mMarks;       // what it states of its request
   // The server that refused the request, if it identified itself.
   std::string mServer;
   // The server fails if it has to reject more requests in a second.
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -202,11 +202,13 @@
   void LogUnserved(CallOutcome aOutcome);
   bool StreamEndedInsideEvent() const;
   void OnCompleteAnswer();
+  void OnUnprovenRefusal();
   void OnNotRun();
   void OnNotSent();
   void OnAnswerLost(CallOutcome aOutcome);
   void ReleaseCall();
   // Retries.
+  bool Repeatable() const;
   bool MayRerun() const;
   bool SpendRetry();
   bool MayRetry();
@@ -217,6 +219,10 @@
   void ForwardEvents(size_t aBytes);
   void RecordPause();
   void Refuse(ErrorKind aKind, Millis aAfter, const char* aWhy);
+  void AnswerCaller(int aStatus,
+                    std::vector<HttpField> aFields,
+                    std::string_view aBody,
+                    const char* aWhy);
   void OnDeadline();
   const char* AnswerFraming() const; // "" = no answer from a server
   void End(int aStatus, const char* aWhy);
@@ -254,8 +260,7 @@
   std::set<std::string> mBadServers;   // not used again for this request
   std::optional<TokenGrant> mGrant;    // until a server runs the request
   int mSends = 0;
-  int mPossibleRuns = 0; // ended sends without proof that it did not run
-  bool mMayHaveRun = false;
+  RunHistory mRuns;
   std::shared_ptr<OutboundCall> mCall;
   // Connections on which a server refused the request. Its refusal may come a
   // second time there, and nothing tells it from the answer to another send.
@@ -281,6 +286,7 @@
   TimePoint mFirstByteAt{}; // of an answer to the caller
   HttpHead mAnswer;         // of mCall
   AnswerFacts mAnswerFacts;
+  RunProof mProof = RunProof::None; // by the head of mCall's answer
   bool mHasAnswerHead = false;
   std::string mBody;      // of an answer that is not streamed
   std::string mEvents;    // of a stream: bytes not yet forwarded
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -58,6 +58,10 @@
   if (mFinished) {
     return;
   }
+  if (!mRuns.MaySend(Repeatable(), MaxServers())) {
+    Fail();
+    return;
+  }
   // A new request doesn't overtake more urgent ones.
   if (!mWaiting && InOrder() && mOwner.WaitInOrder(mService)) {
     mWaiting = true;
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -34,8 +34,13 @@
 bool
 Exchange::MayRerun() const
 {
-  bool repeatable = mRoute->mKind == RouteKind::Idempotent || Resumable();
-  return repeatable && mPossibleRuns < MaxServers() && !mProbing;
+  return Repeatable() && mRuns.MaySend(true, MaxServers()) && !mProbing;
+}
+
+bool
+Exchange::Repeatable() const
+{
+  return mRoute->mKind == RouteKind::Idempotent || Resumable();
 }
 
 int
@@ -180,9 +185,8 @@
 {
   std::string server = mServer;
   bool kept = mCall && mCall->Reused();
-  mMayHaveRun = true;
+  mRuns.OnSendEnded(RunProof::None);
   mGrant.reset();
-  ++mPossibleRuns;
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
   mBadServers.insert(server);
   WatchBroken(aOutcome);
@@ -227,7 +231,7 @@
   }
   // A refusal promises that the request has not run and never will. A request
   // that may have run gets "outcome unknown" instead.
-  if (mMayHaveRun) {
+  if (mRuns.MayHaveRun()) {
     aKind = ErrorKind::OutcomeUnknown;
     aAfter = Millis(0);
   }
@@ -239,6 +243,9 @@
   if (aAfter > Millis(0)) {
     fields.push_back(wire::RetryAfterField(aAfter));
   }
+  if (mRequest.Forwarded() && !mRuns.MayHaveRun()) {
+    fields.push_back(wire::InstanceNotRunField());
+  }
   if (mRequest.Forwarded() && ServableByPeers(aKind)) {
     fields.push_back(wire::ElsewhereField());
   }
@@ -259,8 +266,29 @@
     .Ms("retry_ms", aAfter);
   mState.mMetrics.Count("caraway_refused_total",
                         std::string("kind=\"") + answer.mName + "\"");
-  mCaller->Answer(answer.mStatus, std::move(fields), "");
-  End(answer.mStatus, aWhy);
+  AnswerCaller(answer.mStatus, std::move(fields), "", aWhy);
+}
+
+// Every complete answer, of whoever made it, goes to the caller here, so that
+// none promises "not run" without proof.
+void
+Exchange::AnswerCaller(int aStatus,
+                       std::vector<HttpField> aFields,
+                       std::string_view aBody,
+                       const char* aWhy)
+{
+  bool repeatable = mRoute && Repeatable();
+  int status = repeatable ? aStatus : mRuns.StatusFor(aStatus);
+  if (status != aStatus) {
+    aFields = { wire::RequestIdField(mFacts.mId) };
+    aBody = "";
+    mState.mLog.Line("promise_withheld")
+      .Text("id", mFacts.mId)
+      .Count("status", aStatus)
+      .Text("why", aWhy);
+  }
+  mCaller->Answer(status, std::move(aFields), aBody);
+  End(status, aWhy);
 }
 
 void
@@ -289,7 +317,7 @@
   bool sent = mCall->Sent();
   mCall->Cancel();
   ReleaseCall();
-  if (!sent && !mMayHaveRun) {
+  if (!sent && !mRuns.MayHaveRun()) {
     Refuse(ErrorKind::DeadlineUnmeetable,
            kRetryAfterDefault,
            "deadline passed before a server was reached");
@@ -301,8 +329,10 @@
     End(0, "stream did not end before the deadline");
     return;
   }
-  mCaller->Answer(504, { wire::RequestIdField(mFacts.mId) }, "");
-  End(504, "server did not answer before the deadline");
+  AnswerCaller(504,
+               { wire::RequestIdField(mFacts.mId) },
+               "",
+               "server did not answer before the deadline");
 }
 
 void
@@ -327,11 +357,11 @@
   }
   constexpr const char* kWhy = "instance exits";
   if (mCall) {
-    mMayHaveRun = mMayHaveRun || mCall->Sent();
+    mRuns.OnSendEnded(mCall->Sent() ? RunProof::None : RunProof::NotWritten);
     mCall->Cancel();
     ReleaseCall();
   }
-  if (mMayHaveRun) {
+  if (mRuns.MayHaveRun()) {
     mGrant.reset(); // its tokens may be spent
   }
   if (mStreaming) {
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -132,13 +132,13 @@
     Dispatch();
     return;
   }
-  if (mStreaming || mMayHaveRun) {
+  if (mStreaming || mRuns.MayHaveRun()) {
     Refuse(ErrorKind::OutcomeUnknown, Millis(0), "the peer rejected the rest");
     return;
   }
   // It knows best when a retry can succeed.
-  mCaller->Answer(mAnswer.mStatus, wire::CallerFields(mAnswer), "");
-  End(mAnswer.mStatus, "peer rejected it");
+  AnswerCaller(
+    mAnswer.mStatus, wire::CallerFields(mAnswer), "", "peer rejected it");
 }
 
 } // namespace caraway
--- a/src/entry/ExchangePrompt.cpp
+++ b/src/entry/ExchangePrompt.cpp
@@ -64,7 +64,7 @@
 Exchange::OnFirstBytes()
 {
   bool learns = mFirstTokenFacts && mUnreadTokens > 0 && !mForwarding &&
-                !mAnswerFacts.mNotRun && mAnswer.mStatus < 300 &&
+                mProof == RunProof::None && mAnswer.mStatus < 300 &&
                 mRoute->mKind == RouteKind::Stream;
   if (learns) {
     mState.mServers.FirstToken(mService).Record(*mFirstTokenFacts,
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -116,6 +116,7 @@
 Exchange::StartCall(ChannelPool& aPool, OutboundRequest aRequest)
 {
   mHasAnswerHead = false;
+  mProof = RunProof::None;
   mAnswerBeganAt = TimePoint();
   mToldGoodAt = TimePoint();
   mBody.clear();
@@ -125,10 +126,12 @@
   mCompleteUnsure = false;
   std::weak_ptr<Exchange> weak = weak_from_this();
   OutboundCall::Events events;
-  events.mMatchesRequest = [weak](const HttpHead& aHead) {
+  events.mOwner = [weak](const HttpHead& aHead, bool aUsed) {
     auto exchange = weak.lock();
-    std::string id = wire::ReadAnswerFacts(aHead).mId;
-    return !exchange || id.empty() || id == exchange->mFacts.mId;
+    return exchange ? OwnerOf(wire::ReadAnswerFacts(aHead).mMarks,
+                              exchange->mFacts.mId,
+                              aUsed)
+                    : AnswerOwner::Unsure;
   };
   events.mHead = [weak](const HttpHead& aHead) {
     if (auto exchange = weak.lock()) {
@@ -155,14 +158,15 @@
   mAnswer = aHead;
   mAnswerFacts = wire::ReadAnswerFacts(aHead);
   mHasAnswerHead = true;
+  mProof = ProofOf(mForwarding ? SendTarget::Instance : SendTarget::Server,
+                   mAnswerFacts.mMarks);
   if (mForwarding) {
-    mAnswerFacts.mNotRun = wire::IsInstanceRejection(aHead);
     OnPeerVersion(aHead);
   } else {
     RecordServerFacts();
   }
   bool success = aHead.mStatus >= 200 && aHead.mStatus < 300;
-  if (mAnswerFacts.mNotRun) {
+  if (mProof != RunProof::None) {
     return;
   }
   mGrant.reset(); // the request runs, so its tokens are spent
@@ -212,7 +216,7 @@
     OnFirstBytes();
   }
   WatchBytes();
-  if (!mStreaming || mAnswerFacts.mNotRun) {
+  if (!mStreaming || mProof != RunProof::None) {
     mBody += aBytes;
     aBytes.clear();
     EndIfEndless(mBody);
@@ -295,7 +299,7 @@
   EndPrompt();
   if (!mServer.empty()) {
     mState.mServers.OnRequestEnded(mServer, FullName());
-    if (mHasAnswerHead && !mAnswerFacts.mNotRun) {
+    if (mHasAnswerHead && mProof == RunProof::None) {
       mState.mServers.OnSlotFreed(mServer, mState.Now());
     }
   }
@@ -314,12 +318,9 @@
   if (success && aOutcome == CallOutcome::Complete) {
     return;
   }
-  const char* id = mAnswerFacts.mId == mFacts.mId ? "own"
-                   : mAnswerFacts.mId.empty()     ? "none"
-                                                  : "other";
-  const char* proof = aOutcome == CallOutcome::NotSent         ? "not_sent"
-                      : mHasAnswerHead && mAnswerFacts.mNotRun ? "refused"
-                                                               : "none";
+  const char* id = mAnswerFacts.mMarks.mId.empty() ? "none" : "own";
+  const char* proof = RunProofName(
+    aOutcome == CallOutcome::NotSent ? RunProof::NotWritten : mProof);
   mState.mLog.Line("send_unserved")
     .Text("id", mFacts.mId)
     .Text("server", mServer)
@@ -327,7 +328,7 @@
     .Text("outcome", OutcomeName(aOutcome))
     .Count("status", mHasAnswerHead ? mAnswer.mStatus : 0)
     .Text("proof", proof)
-    .Flag("marked", mHasAnswerHead && mAnswerFacts.mMarkedNotRun)
+    .Flag("marked", mHasAnswerHead && mAnswerFacts.mMarks.mServerNotRun)
     .Flag("sealed", mHasAnswerHead && mAnswerFacts.mFromServer)
     .Text("answer_id", mHasAnswerHead ? id : "")
     .Flag("kept_connection", mCall && mCall->Reused())
@@ -348,7 +349,7 @@
     RefuseTooLate();
   } else if (aOutcome == CallOutcome::NotSent) {
     mForwarding ? OnPeerUnreached() : OnNotSent();
-  } else if (mHasAnswerHead && mAnswerFacts.mNotRun) {
+  } else if (mProof == RunProof::Refused) {
     mForwarding ? OnPeerRejected() : OnNotRun();
   } else if (aOutcome != CallOutcome::Complete) {
     OnAnswerLost(aOutcome);
@@ -356,6 +357,8 @@
     OnAnswerLost(CallOutcome::Interrupted);
   } else if (mAwaitsEntry) {
     mCompleteUnsure = true;
+  } else if (PromisesNotRun(mAnswer.mStatus)) {
+    OnUnprovenRefusal();
   } else {
     OnCompleteAnswer();
   }
@@ -391,8 +394,9 @@
     End(mAnswer.mStatus, "served");
     return;
   }
-  mPossibleRuns += failed ? 1 : 0;
-  mMayHaveRun = mMayHaveRun || failed;
+  if (failed) {
+    mRuns.OnSendEnded(RunProof::None);
+  }
   // A peer has made what retries there are.
   if (failed && !mForwarding && MayRetry()) {
     mState.mLog.Line("request_again")
@@ -403,8 +407,30 @@
     return;
   }
   mFirstByteAt = mState.Now();
-  mCaller->Answer(mAnswer.mStatus, wire::CallerFields(mAnswer), mBody);
-  End(mAnswer.mStatus, "served");
+  AnswerCaller(mAnswer.mStatus, wire::CallerFields(mAnswer), mBody, "served");
+}
+
+// A status that promises "not run", without the mark that proves it: whoever
+// made the answer, the request may have run.
+void
+Exchange::OnUnprovenRefusal()
+{
+  mState.mServers.RecordOutcome(mServer, ServerOutcome::Failed, mState.Now());
+  ReleaseCall();
+  mRuns.OnSendEnded(RunProof::None);
+  mState.mLog.Line("refusal_unproven")
+    .Text("id", mFacts.mId)
+    .Flag("forwarded", mForwarding)
+    .Count("status", mAnswer.mStatus);
+  if (!mForwarding && MayRetry()) {
+    Dispatch();
+    return;
+  }
+  mFirstByteAt = mState.Now();
+  AnswerCaller(mAnswer.mStatus,
+               wire::CallerFields(mAnswer),
+               mBody,
+               "refused without proof");
 }
 
 } // namespace caraway
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -165,9 +165,12 @@
   if (!ReadFinalHead(head)) {
     return false;
   }
-  mMatches = !mEvents.mMatchesRequest || mEvents.mMatchesRequest(head);
-  if (!mMatches && (++mForeignAnswers > kMaxForeignAnswers ||
-                    head.mFraming == BodyFraming::UntilClose)) {
+  AnswerOwner owner =
+    mEvents.mOwner ? mEvents.mOwner(head, mReused) : AnswerOwner::This;
+  mMatches = owner == AnswerOwner::This;
+  bool endless = !mMatches && (++mForeignAnswers > kMaxForeignAnswers ||
+                               head.mFraming == BodyFraming::UntilClose);
+  if (endless || owner == AnswerOwner::Unsure) {
     Finish(CallOutcome::Malformed);
     return false;
   }
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "decide/RunProof.h"
 #include "net/BodyReader.h"
 #include "net/ChannelPool.h"
 #include "net/HttpHead.h"
@@ -45,9 +46,10 @@
 public:
   struct Events
   {
-    // Returns false for an answer to another request, which is read and
-    // discarded; the next answer is waited for.
-    std::function<bool(const HttpHead&)> mMatchesRequest;
+    // An answer to another request is read and discarded, and the next one is
+    // waited for. The call ends as malformed if that isn't sure. aUsed: the
+    // connection had another request before.
+    std::function<AnswerOwner(const HttpHead&, bool aUsed)> mOwner;
     std::function<void(const HttpHead&)> mHead;
     // The handler removes the bytes that it has used.
     std::function<void(std::string&)> mBody;
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -394,7 +394,12 @@
     held = mModels[name].count(model.substr(model.find('/') + 1)) > 0;
   }
   if (expected != mExpectedId || !held) {
-    Reply(aClient, 421, { { wire::kInstance, mExpectedId } }, "");
+    Reply(aClient,
+          421,
+          { { wire::kNotRun, "1" },
+            { wire::kInstance, mExpectedId },
+            { wire::kRequestId, ValueOf(aHead, wire::kRequestId) } },
+          "");
     return;
   }
   if (mColdPerSecond > 0 && CrashesCold()) {
--- a/tests/unit/WireMessagesTest.cpp
+++ b/tests/unit/WireMessagesTest.cpp
@@ -435,25 +435,32 @@
   EXPECT_EQ(4u, forwarded.mLength);
 }
 
-// Guards against a server's own failure that is taken for an instance's
-// rejection, and so run again.
-TEST(WireMessages, OnlyAnInstancesOwnRejectionProvesThatNothingRan)
+// Guards against a refusal that is judged by what it lacks: only a mark that is
+// there proves anything, and an instance's mark isn't passed on to callers.
+TEST(WireMessages, OnlyMarkedRefusalsProveThatNothingRan)
 {
-  auto answer = [](int aStatus, bool aSealed) {
+  auto proof = [](SendTarget aTarget, int aStatus, const char* aMark) {
     HttpHead head;
     head.mStatus = aStatus;
-    if (aSealed) {
-      head.Add(kSeal, "s");
+    if (aMark) {
+      head.Add(aMark, "1");
     }
-    return head;
+    return ProofOf(aTarget, ReadAnswerFacts(head).mMarks);
   };
-  EXPECT_TRUE(IsInstanceRejection(answer(503, false)));
-  EXPECT_TRUE(IsInstanceRejection(answer(404, false)));
-  EXPECT_FALSE(IsInstanceRejection(answer(503, true)));
-  EXPECT_FALSE(IsInstanceRejection(answer(404, true)));
-  EXPECT_FALSE(IsInstanceRejection(answer(502, false)));
-  EXPECT_FALSE(IsInstanceRejection(answer(504, false)));
-  EXPECT_FALSE(IsInstanceRejection(answer(200, false)));
+  for (int status : { 400, 404, 408, 421, 429, 502, 503 }) {
+    EXPECT_EQ(RunProof::None, proof(SendTarget::Server, status, nullptr));
+    EXPECT_EQ(RunProof::None, proof(SendTarget::Instance, status, nullptr));
+    EXPECT_EQ(RunProof::None, proof(SendTarget::Instance, status, kNotRun));
+    EXPECT_EQ(RunProof::None,
+              proof(SendTarget::Server, status, kInstanceNotRun));
+    EXPECT_EQ(RunProof::Refused, proof(SendTarget::Server, status, kNotRun));
+    EXPECT_EQ(RunProof::Refused,
+              proof(SendTarget::Instance, status, kInstanceNotRun));
+  }
+  EXPECT_EQ(RunProof::None, proof(SendTarget::Server, 200, kNotRun));
+  HttpHead passedOn;
+  passedOn.mFields = { InstanceNotRunField(), ElsewhereField(), { "X", "1" } };
+  EXPECT_EQ(1u, CallerFields(passedOn).size());
 }
 
 // Guards against a garbled or absurd time being taken for a fact, and against a
