carawayd: a status that promises 'not run' only where that is known

What callers saw, by carawayd's own tests: 503 for an order that may have run, with run=may_have_run in its body; an endpoint's own 503, 429, 408 or 421 to an order that must not be repeated was passed on, and stored, as its answer, though an endpoint has no mark that proves it.

Change: CallerStatus (src/decide/RunProof) decides it in both programs, from the kind's status and what is known of the run; such a refusal of an endpoint counts as a lost answer (outcome_unknown). claim_unknown is 502.

Passing endpoints' refusals as lost has no test of its own.

--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -22,7 +22,7 @@
   { ErrorKind::ProfileUnknown, "profile_unknown", "No such profile for this key.", 404, RunState::NotRun, kNoRetry },
   { ErrorKind::IdempotencyKeyMissing, "idempotency_key_missing", "This profile's calls must not be repeated: send an Idempotency-Key.", 400, RunState::NotRun, kNoRetry },
   { ErrorKind::IdempotencyConflict, "idempotency_conflict", "The Idempotency-Key was used with another body.", 422, RunState::NotRun, kNoRetry },
-  { ErrorKind::ClaimUnknown, "claim_unknown", "Whether this order ran before can't be looked up now.", 503, RunState::MayHaveRun, kRetryLater },
+  { ErrorKind::ClaimUnknown, "claim_unknown", "Whether this order ran before can't be looked up now.", 502, RunState::MayHaveRun, kRetryLater },
   { ErrorKind::OutcomeUnknown, "outcome_unknown", "The order was handed on and its outcome can't be known.", 502, RunState::MayHaveRun, kRetryLater },
   { ErrorKind::OutcomePending, "outcome_pending", "The same order is still running.", 409, RunState::MayHaveRun, kRetrySoon },
   { ErrorKind::AnswerNotKept, "answer_not_kept", "The order ran; its answer was too large to keep.", 409, RunState::Ran, kNoRetry },
--- a/src/decide/RunProof.cpp
+++ b/src/decide/RunProof.cpp
@@ -52,6 +52,12 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
+int
+CallerStatus(int aStatus, bool aMayHaveRun)
+{
+  return aMayHaveRun && PromisesNotRun(aStatus) ? kOutcomeUnknown : aStatus;
+}
+
 void
 RunHistory::OnSendEnded(RunProof aProof)
 {
@@ -64,10 +70,4 @@
   return mPossibleRuns == 0 || (aRepeatable && mPossibleRuns < aMostServers);
 }
 
-int
-RunHistory::StatusFor(int aStatus) const
-{
-  return MayHaveRun() && PromisesNotRun(aStatus) ? kOutcomeUnknown : aStatus;
-}
-
 } // namespace caraway
--- a/src/decide/RunProof.h
+++ b/src/decide/RunProof.h
@@ -62,6 +62,10 @@
 bool
 PromisesNotRun(int aStatus);
 
+// The status that a caller may get in place of aStatus.
+int
+CallerStatus(int aStatus, bool aMayHaveRun);
+
 // One request over all its sends.
 class RunHistory
 {
@@ -72,8 +76,10 @@
   // Whether it may be sent, if it may run on aMostServers at most. One that
   // must not be repeated may only while none can have run it.
   bool MaySend(bool aRepeatable, int aMostServers) const;
-  // The status that its caller may get in place of aStatus.
-  int StatusFor(int aStatus) const;
+  int StatusFor(int aStatus) const
+  {
+    return CallerStatus(aStatus, MayHaveRun());
+  }
 
 private:
   int mPossibleRuns = 0; // ended sends without proof
--- a/src/serve/Problem.cpp
+++ b/src/serve/Problem.cpp
@@ -1,6 +1,7 @@
 #include "serve/Problem.h"
 
 #include "base/JsonText.h"
+#include "decide/RunProof.h"
 
 namespace caraway {
 
@@ -39,6 +40,13 @@
 
 constexpr const char* kProblemType = "application/problem+json";
 
+int
+StatusOf(const Failure& aFailure)
+{
+  return CallerStatus(ErrorAnswerOf(aFailure.mKind).mStatus,
+                      aFailure.mRun != RunState::NotRun);
+}
+
 } // namespace
 
 Json::Value
@@ -48,7 +56,7 @@
   Json::Value json;
   json["type"] = "urn:caraway:problem:" + std::string(answer.mName);
   json["title"] = answer.mTitle;
-  json["status"] = answer.mStatus;
+  json["status"] = StatusOf(aFailure);
   json["detail"] = aFailure.mDetail;
   json["run"] = RunStateName(aFailure.mRun);
   json["request_id"] = aRequestId;
@@ -65,7 +73,7 @@
 {
   SetProblemHeaders(aResponse, aFailure, aRequestId);
   Send(aResponse,
-       ErrorAnswerOf(aFailure.mKind).mStatus,
+       StatusOf(aFailure),
        kProblemType,
        ProblemJson(aFailure, aRequestId));
 }
@@ -77,8 +85,8 @@
 {
   SetProblemHeaders(aResponse, aFailure, aRequestId);
   std::string text = JsonWrite(ProblemJson(aFailure, aRequestId)) + "\n";
-  aResponse.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(
-    ErrorAnswerOf(aFailure.mKind).mStatus));
+  aResponse.setStatusAndReason(
+    static_cast<HTTPResponse::HTTPStatus>(StatusOf(aFailure)));
   aResponse.setContentType(kProblemType);
   aResponse.setContentLength64(static_cast<Poco::Int64>(text.size()));
   aResponse.send() << text << std::flush;
--- a/src/serve/ServiceCalls.cpp
+++ b/src/serve/ServiceCalls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/Log.h"
+#include "decide/RunProof.h"
 
 namespace caraway {
 
@@ -156,6 +157,12 @@
     }
     HttpReply reply = Send(aCall, endpoints[next++], aDeadline);
     event.mEndpointsLeft = next < endpoints.size();
+    if (reply.mStage == HttpStage::Answered && PromisesNotRun(reply.mStatus)) {
+      // Endpoints have no mark that would prove it.
+      reply.mStage = HttpStage::Lost;
+      reply.mError = "refusal of the endpoint, status " +
+                     std::to_string(reply.mStatus) + ", proves nothing";
+    }
     if (reply.mStage == HttpStage::Lost) {
       event.mKind = ClaimEventKind::AnswerLost;
       LogWarn(
