A call that ends as malformed resets its connection

Cause: OutboundCall::Finish closed in order; only Cancel reset.

Change: any outcome but a complete answer resets.

Test: MalformedAnswer.ConnectionIsReset, red with an orderly close.

--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -238,8 +238,12 @@
   if (aOutcome == CallOutcome::Complete && MayKeep()) {
     mPool.Keep(
       mRequest.mAddress, mRequest.mPeer, mChannel, IdleTimeoutOf(*mAnswer));
-  } else {
+  } else if (aOutcome == CallOutcome::Complete) {
     mChannel->Close();
+  } else {
+    // After an orderly close the server may work on, while the request goes on
+    // at another one.
+    mChannel->Reset();
   }
   Events events = std::move(mEvents);
   if (events.mEnd) {
--- a/tests/unit/CutAnswersTest.cpp
+++ b/tests/unit/CutAnswersTest.cpp
@@ -194,4 +194,18 @@
   }
 }
 
+// Guards against a server that works on for nobody, while its stream goes on at
+// another one: a call that is given up for what came resets its connection.
+TEST(MalformedAnswer, ConnectionIsReset)
+{
+  CuttingServer server("no answer at all\r\n\r\n");
+  server.mKeepsOpen = true;
+  EXPECT_EQ(CallOutcome::Malformed, CallBuffered(server.Address()));
+  for (int i = 0; i < 100 && server.mResets + server.mCloses == 0; ++i) {
+    std::this_thread::sleep_for(Millis(10));
+  }
+  EXPECT_EQ(1, server.mResets);
+  EXPECT_EQ(0, server.mCloses);
+}
+
 } // namespace caraway
