What is kept of answers has one bound for the process

Cause: each call was bounded, no process was.

Change: KeptBytes, one for each event loop, 16 MiB: all calls count what they and their handlers keep; beyond the limit the one that keeps most is given up first (outcome given_up, in the log line send_unserved) and its connection reset. carawayd: replies that are read by all threads together keep 32 MiB at most beyond the first 64 KiB of each; who asks for more fails.

--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -139,9 +139,12 @@
     }
   };
   events.mBody = [weak](std::string& aBytes) {
-    if (auto exchange = weak.lock()) {
-      exchange->OnBody(aBytes);
+    auto exchange = weak.lock();
+    if (!exchange) {
+      return aBytes.size();
     }
+    exchange->OnBody(aBytes);
+    return exchange->mBody.size() + exchange->mEvents.size();
   };
   events.mEnd = [weak](CallOutcome aOutcome) {
     if (auto exchange = weak.lock()) {
--- a/src/net/HttpExchange.cpp
+++ b/src/net/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/String.h>
+#include <atomic>
 
 #include "net/BoundedSocket.h"
 
@@ -13,6 +14,30 @@
 
 constexpr size_t kChunkBytes = 16 * 1024;
 
+// A reply's first bytes, and of all replies that are being read together what
+// is beyond those: servers that send without end don't fill the memory.
+constexpr size_t kUncountedBytes = 64 * 1024;
+constexpr size_t kMaxKeptBytes = 32 * 1024 * 1024;
+
+std::atomic<size_t> sKept{ 0 }; // by all threads
+
+class KeptReply
+{
+public:
+  ~KeptReply() { sKept -= mCounted; }
+  // Returns false if all replies together are too large.
+  bool Grow(size_t aBytes)
+  {
+    size_t counted = aBytes > kUncountedBytes ? aBytes - kUncountedBytes : 0;
+    size_t more = counted - mCounted;
+    mCounted = counted;
+    return (sKept += more) <= kMaxKeptBytes || more == 0;
+  }
+
+private:
+  size_t mCounted = 0;
+};
+
 // What chunks add to a body of the limit at most, as real senders make them.
 constexpr size_t kFramingBytes = 1024 * 1024;
 
@@ -54,7 +79,8 @@
   aSession.socket().setSendTimeout(span);
 }
 
-// Returns false if the body exceeds aLimit or the deadline passes.
+// Returns false if the body exceeds aLimit, all replies together theirs, or the
+// deadline passes.
 bool
 ReadBody(Poco::Net::HTTPClientSession& aSession,
          std::istream& aIn,
@@ -63,11 +89,13 @@
          std::string& aOut)
 {
   std::string chunk(kChunkBytes, '\0');
+  KeptReply kept;
   while (aIn.good()) {
     SetSocketTimeouts(aSession, aDeadline);
     aIn.read(&chunk[0], static_cast<std::streamsize>(chunk.size()));
     aOut.append(chunk, 0, static_cast<size_t>(aIn.gcount()));
-    if (aOut.size() > aLimit || std::chrono::steady_clock::now() > aDeadline) {
+    if (aOut.size() > aLimit || !kept.Grow(aOut.size()) ||
+        std::chrono::steady_clock::now() > aDeadline) {
       return false;
     }
   }
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -46,6 +46,8 @@
       return "not_sent";
     case CallOutcome::Interrupted:
       return "interrupted";
+    case CallOutcome::GivenUp:
+      return "given_up";
     case CallOutcome::Malformed:
       break;
   }
@@ -125,6 +127,37 @@
 OutboundCall::OnData()
 {
   auto self = shared_from_this();
+  ReadInput();
+  if (!mFinished) {
+    CountKept();
+  }
+}
+
+void
+OutboundCall::CountKept()
+{
+  size_t kept = mChannel->Input().size() + mBody.size() + mKeptByHandler;
+  if (mKeptId == 0 && kept == 0) {
+    return;
+  }
+  if (mKeptId == 0) {
+    std::weak_ptr<OutboundCall> weak = weak_from_this();
+    mKeptId = mReactor.Kept().Add([weak, &reactor = mReactor] {
+      // Later: this may run inside a callback of another call.
+      reactor.After(Millis(0), [weak] {
+        auto call = weak.lock();
+        if (call && !call->mFinished) {
+          call->Finish(CallOutcome::GivenUp);
+        }
+      });
+    });
+  }
+  mReactor.Kept().Set(mKeptId, kept);
+}
+
+void
+OutboundCall::ReadInput()
+{
   while (!mFinished && (mAnswer || ReadHead())) {
     ReadBody();
     if (mAnswer) {
@@ -191,7 +224,7 @@
     good = good && mForeignBytes <= kMaxForeignBytes;
     mBody.clear();
   } else if (!mBody.empty() && mEvents.mBody) {
-    mEvents.mBody(mBody);
+    mKeptByHandler = mEvents.mBody(mBody);
   }
   if (mFinished) {
     return;
@@ -233,6 +266,7 @@
 OutboundCall::Finish(CallOutcome aOutcome)
 {
   mFinished = true;
+  mReactor.Kept().Remove(mKeptId);
   // A connection is not reused if bytes follow the answer, since they belong to
   // no request, or if its request was not sent completely.
   if (aOutcome == CallOutcome::Complete && MayKeep()) {
@@ -256,6 +290,7 @@
 {
   if (!mFinished) {
     mFinished = true;
+    mReactor.Kept().Remove(mKeptId);
     // Destroyed later: this may run inside one of the callbacks.
     mReactor.After(Millis(0), [events = std::move(mEvents)] {});
     mEvents = Events();
@@ -312,6 +347,7 @@
       pending->mCall->Cancel();
       finish(CallOutcome::Malformed);
     }
+    return pending->mAnswer.mBody.size();
   };
   events.mEnd = finish;
   pending->mCall = OutboundCall::Start(
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -20,9 +20,10 @@
   NotSent,     // no byte of the request was sent: it can't have run
   Interrupted, // the connection ended early; it may have run
   Malformed,   // the input is no answer; it may have run
+  GivenUp,     // too much was kept of answers; it may have run
 };
 
-// "complete", "not_sent", "interrupted" or "malformed", as in logs.
+// "complete", "not_sent", "interrupted", "malformed" or "given_up", as in logs.
 const char*
 OutcomeName(CallOutcome aOutcome);
 
@@ -51,8 +52,9 @@
     // connection had another request before.
     std::function<AnswerOwner(const HttpHead&, bool aUsed)> mOwner;
     std::function<void(const HttpHead&)> mHead;
-    // The handler removes the bytes that it has used.
-    std::function<void(std::string&)> mBody;
+    // The handler removes the bytes that it has used. Returns how many bytes it
+    // keeps of the answer.
+    std::function<size_t(std::string&)> mBody;
     std::function<void(CallOutcome)> mEnd; // once
   };
 
@@ -75,6 +77,8 @@
   void Open();
   void Attach();
   void OnData();
+  void ReadInput();
+  void CountKept();
   void OnEnd(ChannelCloseReason aReason);
   bool ReadFinalHead(HttpHead& aHead);
   bool ReadHead();
@@ -94,6 +98,8 @@
   int mInterimAnswers = 0;
   int mForeignAnswers = 0;
   size_t mForeignBytes = 0; // of their bodies
+  size_t mKeptByHandler = 0;
+  KeptBytes::Id mKeptId = 0; // 0 = nothing was kept yet
   bool mReused = false;
   bool mFinished = false;
 };
--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -6,8 +6,16 @@
 
 using Poco::Net::PollSet;
 
+namespace {
+
+// About an eighth of the memory of the smallest instances.
+constexpr size_t kMaxKeptBytes = 16u << 20;
+
+} // namespace
+
 Reactor::Reactor(const Clock& aClock)
   : mClock(aClock)
+  , mKept(kMaxKeptBytes)
 {
 }
 
--- a/src/net/Reactor.h
+++ b/src/net/Reactor.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 
 #include "caraway/Clock.h"
+#include "net/KeptBytes.h"
 
 namespace caraway {
 
@@ -77,6 +78,8 @@
   TimePoint Now() const { return mClock.Now(); }
   const Clock& SourceClock() const { return mClock; }
   size_t Sockets() const { return mHandlers.size(); }
+  // By all calls on this loop.
+  KeptBytes& Kept() { return mKept; }
 
 private:
   void Handle(const Poco::Net::PollSet::SocketModeMap& aReady, bool aControl);
@@ -85,6 +88,7 @@
   TimePoint WakeBy(Millis aMaxWait) const;
 
   const Clock& mClock;
+  KeptBytes mKept;
   Poco::Net::PollSet mPollSet;
   std::unordered_map<void*, std::shared_ptr<SocketHandler>> mHandlers;
   std::map<TimerId, Task> mTimers;
--- a/tests/support/EntryProcess.cpp
+++ b/tests/support/EntryProcess.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <ctime>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -68,6 +69,20 @@
   return mPid > 0;
 }
 
+size_t
+EntryProcess::PeakMemory() const
+{
+  std::ifstream status("/proc/" + std::to_string(mPid) + "/status");
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      size_t kilobytes = 0;
+      status >> kilobytes;
+      return kilobytes * 1024;
+    }
+  }
+  return 0;
+}
+
 Millis
 EntryProcess::ProcessorTime() const
 {
--- a/tests/support/EntryProcess.h
+++ b/tests/support/EntryProcess.h
@@ -25,6 +25,8 @@
   bool Running();
   // Processor time that the running process has used.
   Millis ProcessorTime() const;
+  // The most memory, in bytes, that the running process has had; 0 = unknown.
+  size_t PeakMemory() const;
   // The last exit code, or -signal if it was killed by a signal.
   int Code() const { return mCode; }
 
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -638,8 +638,11 @@
   if (aClient->mClosed || !aClient->mChannel->Open()) {
     return;
   }
-  mEndlessBytes += static_cast<long>(aPiece.size());
-  aClient->mChannel->Write(aPiece);
+  constexpr size_t kMostQueued = 1u << 18;
+  if (aClient->mChannel->QueuedBytes() < kMostQueued) {
+    mEndlessBytes += static_cast<long>(aPiece.size());
+    aClient->mChannel->Write(aPiece);
+  }
   mReactor.After(Millis(1),
                  [this, aClient, aPiece] { WriteEndless(aClient, aPiece); });
 }
