A leaving instance starts no request of unknown length that can't be repeated

Cause: an unknown usual time counted as none: Exchange::MayStart passed 0.

Change: such a request is started only if its deadline lies before the end; it is refused at once otherwise and goes elsewhere. One that may be resumed is started as before.

Test: LeavingEntry.StreamOfUnknownLengthIsNotStarted: 200, run and cut before; 503, not run now.

--- a/src/entry/ExchangeChoose.cpp
+++ b/src/entry/ExchangeChoose.cpp
@@ -16,6 +16,10 @@
 
 constexpr double kServiceRequestsPerSlot = 3.0;
 
+// Of a request that must not be repeated: beyond any grace period, so that a
+// leaving instance starts it only if its deadline lies before the end.
+constexpr Millis kUnknownRunTime = std::chrono::hours(1);
+
 // The limit for less urgent classes, see LeavesReserve().
 constexpr double kLessUrgentRequestsPerSlot = 1.0;
 
@@ -145,8 +149,12 @@
   if (mStreaming) {
     return mState.mLeave.MayContinue(aStart);
   }
+  Millis expected = ExpectedRunTime(aServerLoad);
+  if (expected == Millis(0) && !Repeatable()) {
+    expected = kUnknownRunTime;
+  }
   return mState.mLeave.MayStart(
-    aStart, mFinalAnswerBy + kLateAnswerMargin, ExpectedRunTime(aServerLoad));
+    aStart, mFinalAnswerBy + kLateAnswerMargin, expected);
 }
 
 // After the loop was held up, the caller may have left or given up in events
--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -190,6 +190,21 @@
   EXPECT_EQ(0, fleet.RunsOf("r21"));
 }
 
+// Guards against a stream that must not be repeated and is started on a route
+// whose streams' times aren't known, to be cut by the exit.
+TEST(LeavingEntry, StreamOfUnknownLengthIsNotStarted)
+{
+  EntryTestFleet fleet(SteppedClock());
+  SetLongRouteTimeouts(fleet);
+  fleet.AwaitReady();
+  fleet.mInstances[0]->Leave();
+  fleet.RunFor(Millis(2000));
+  TestCallPtr unknown = StreamOf(fleet, "/stream/stream", 1, true);
+  EXPECT_EQ(503, unknown->mStatus);
+  EXPECT_NE("", unknown->Field(wire::kRetryAfter));
+  EXPECT_EQ(0, fleet.RunsOf("r1"));
+}
+
 // Guards against a resumable stream that is refused though it probably ends in
 // time: if it doesn't, its caller resumes it elsewhere and loses nothing.
 TEST(LeavingEntry, ResumableStreamThatProbablyFitsIsStarted)
