Soak: servers answer unmarked refusals to what they ran, and send without end

The soak judged refusals and second runs, and its servers never gave it cause: they marked each refusal, and what they ran they answered or cut. Now they also answer 408, 421, 429 or 503 without a mark after a run, and send bytes without end.

A repeatable request gets a server's own sealed answer as it came, and an unsealed promise without proof as 502, as others do: the soak counts refusals of those too.

--- a/src/decide/RunProof.h
+++ b/src/decide/RunProof.h
@@ -72,7 +72,6 @@
 public:
   void OnSendEnded(RunProof aProof);
   bool MayHaveRun() const { return mPossibleRuns > 0; }
-  int PossibleRuns() const { return mPossibleRuns; }
   // Whether it may be sent, if it may run on aMostServers at most. One that
   // must not be repeated may only while none can have run it.
   bool MaySend(bool aRepeatable, int aMostServers) const;
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -277,8 +277,9 @@
                        std::string_view aBody,
                        const char* aWhy)
 {
-  bool repeatable = mRoute && Repeatable();
-  int status = repeatable ? aStatus : mRuns.StatusFor(aStatus);
+  // A server's own answer is returned as it is where a promise can do no harm.
+  bool unchanged = mRoute && Repeatable() && mAnswerFacts.mFromServer;
+  int status = unchanged ? aStatus : mRuns.StatusFor(aStatus);
   if (status != aStatus) {
     aFields = { wire::RequestIdField(mFacts.mId) };
     aBody = "";
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -406,14 +406,17 @@
 void
 SoakRun::InjectServerFault(Millis aFor)
 {
-  constexpr ServerBehaviour kBehaviours[] = { ServerBehaviour::RunsThenCloses,
-                                              ServerBehaviour::StopsMidway,
-                                              ServerBehaviour::Fails,
-                                              ServerBehaviour::Refuses };
+  constexpr ServerBehaviour kBehaviours[] = {
+    ServerBehaviour::RunsThenCloses, ServerBehaviour::StopsMidway,
+    ServerBehaviour::Fails,          ServerBehaviour::Refuses,
+    ServerBehaviour::Unsealed,       ServerBehaviour::EndlessBody
+  };
+  constexpr int kPromises[] = { 408, 421, 429, 503 };
   RecordFault(SoakFaultKind::Servers, 0, aFor);
   auto& servers = Draw(0, 1) ? mTestFleet->mEngines : mTestFleet->mPlain;
   StandInServer* server = servers[static_cast<size_t>(Draw(0, 1))].get();
-  server->mBehaviour = kBehaviours[static_cast<size_t>(Draw(0, 3))];
+  server->mBehaviour = kBehaviours[static_cast<size_t>(Draw(0, 5))];
+  server->mUnsealedStatus = kPromises[static_cast<size_t>(Draw(0, 3))];
   mTestFleet->mReactor.After(
     aFor, [server] { server->mBehaviour = ServerBehaviour::Proper; });
 }
