Test: a service's refusal of an order that it ran is not passed on by carawayd

RefusalOfAServiceProvesNothing: the service runs the order and answers 408, 421, 429 or 503; the caller gets 502 and may_have_run, also when it asks another instance, and the order runs once.

--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -140,6 +140,22 @@
   EXPECT_EQ(mFleet.Runs("two"), 1);
 }
 
+// Guards against passing on a service's own "not run" for an order that it ran:
+// services have no mark that proves it.
+TEST_F(AtMostOnce, RefusalOfAServiceProvesNothing)
+{
+  for (int status : { 408, 421, 429, 503 }) {
+    std::string name = "ran-" + std::to_string(status);
+    SetServiceFault("status", status);
+    HttpReply reply = Send(0, name, name);
+    EXPECT_EQ(502, reply.mStatus) << status;
+    EXPECT_EQ("may_have_run", Field(reply, "run")) << status;
+    SetServiceFault("status", 200);
+    EXPECT_EQ(502, Send(1, name, name).mStatus) << status;
+    EXPECT_EQ(1, mFleet.Runs(name)) << status;
+  }
+}
+
 // During a platform outage no order is sent to a service, and the refusal comes
 // at once. It must not say "not run", since an earlier attempt may have run.
 // After the outage the same order runs.
--- a/tests/standin/Service.cpp
+++ b/tests/standin/Service.cpp
@@ -46,6 +46,7 @@
       mFaults["lose_answers"] = mFaults["lose_answers"].asInt() - 1;
     }
     int padding = mFaults["padding"].asInt();
+    int status = mFaults.get("status", 200).asInt(); // of answers to calls
     Json::Value answer;
     answer["ran"] = body;
     answer["count"] = mRuns[body];
@@ -59,7 +60,7 @@
         answer["padding"] = std::string(static_cast<size_t>(padding), 'x');
       }
       aOut.set("X-Request-Id", aIn.get("X-Request-Id", ""));
-      StandInSend(aOut, 200, answer);
+      StandInSend(aOut, status, answer);
     }
   }
 
