No send of a request uses a connection that has carried it

Callers would see: an order handed on twice to one instance runs up to six times, or gets 503 though it ran; a read that its server ran well at the second send gets 500, the failure of the first.

Cause: the answers to all sends of a request have the same id, and a faulty server may send an answer once more where the next one is due. Only the connections that had brought a refusal were remembered, and only by one Exchange. A send after a complete 500 or an unproven refusal took the same connection, and an order that is handed on a second time makes an Exchange without memory. That no instance hands an order to the same peer twice is mBadServers' doing, for another reason.

Change: the connection itself knows what it has carried, until nobody sends that request any more (CarriedRequests); ChannelPool::Take() asks it, for every send. mRefusedOn, mNotOn and mNewConnection go. Calls whose answers name no request are marked as trusted, as they were treated until now.

RunProofModel's connections are shared by all visits of a request; with the new sabotage ForgetsVisits (each visit remembers for itself, as before) it is red, without any at zero.

--- a/src/decide/RunProof.h
+++ b/src/decide/RunProof.h
@@ -53,8 +53,7 @@
 RunProofName(RunProof aProof);
 
 // What the answer to a send proves, if it belongs to the request. No two sends
-// of a request may use one connection: a second refusal of the first would be
-// taken for one of the second.
+// of a request may use one connection; see CarriedRequests.
 RunProof
 ProofOf(SendTarget aTarget, const AnswerMarks& aMarks);
 
--- a/src/entry/Exchange.h
+++ b/src/entry/Exchange.h
@@ -262,9 +262,6 @@
   int mSends = 0;
   RunHistory mRuns;
   std::shared_ptr<OutboundCall> mCall;
-  // Connections on which a server refused the request. Its refusal may come a
-  // second time there, and nothing tells it from the answer to another send.
-  ChannelRefs mRefusedOn;
   std::string mServer; // of mCall; the peer's name while forwarding
   // Software version of mServer; nothing if a peer doesn't tell.
   std::optional<std::string> mRunVersion;
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/entry/ExchangeEnd.cpp
@@ -114,7 +114,6 @@
 {
   std::string server = mServer;
   int status = mAnswer.mStatus;
-  mRefusedOn.push_back(mCall->Connection());
   ReleaseCall();
   mState.mLog.Line("request_again")
     .Text("id", mFacts.mId)
--- a/src/entry/ExchangeForward.cpp
+++ b/src/entry/ExchangeForward.cpp
@@ -98,7 +98,6 @@
   request.mHead = wire::WriteForwardedRequest(mRequest.mHead, extra);
   request.mBody = mRequest.mBody;
   request.mIdleShare = kIdleShare;
-  request.mSendBy = mFinalAnswerBy;
   StartCall(mState.mPeerPool, std::move(request));
 }
 
--- a/src/entry/ExchangeSend.cpp
+++ b/src/entry/ExchangeSend.cpp
@@ -103,8 +103,6 @@
   request.mHead = ServerRequestHead(aBackend);
   request.mBody = mRequest.mBody;
   request.mIdleShare = again ? kIdleShareRepeatable : kIdleShareNonRepeatable;
-  request.mSendBy = mFinalAnswerBy;
-  request.mNotOn = mRefusedOn;
   mState.mServers.OnRequestBegan(mServer, FullName(), mSentAt);
   mState.mServers.OnSlotTaken(mServer, mState.Now());
   BeginPrompt();
@@ -124,6 +122,10 @@
   mEntryAsked = false;
   mAwaitsEntry = false;
   mCompleteUnsure = false;
+  aRequest.mSendBy = mFinalAnswerBy;
+  aRequest.mIdentity = { AnswerIdentity::RequestId,
+                         mFacts.mId,
+                         mFinalAnswerBy };
   std::weak_ptr<Exchange> weak = weak_from_this();
   OutboundCall::Events events;
   events.mOwner = [weak](const HttpHead& aHead, bool aUsed) {
--- a/src/entry/PeersCall.cpp
+++ b/src/entry/PeersCall.cpp
@@ -55,6 +55,7 @@
   body["params"] = aParams;
   OutboundRequest request;
   request.mAddress = found->second.mAddress;
+  request.mIdentity.mBy = AnswerIdentity::Trusted;
   request.mBody = JsonWrite(body);
   request.mConnectLimit = std::min(aTimeout, Millis(300));
   request.mHead =
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -213,6 +213,7 @@
   OutboundRequest request;
   request.mAddress = backend->mEntry.mAddress;
   request.mPeer = aServer;
+  request.mIdentity.mBy = AnswerIdentity::Trusted;
   request.mHead = wire::WriteReportRequest(request.mAddress);
   int64_t startTime = backend->mEntry.mStartTime;
   TimePoint sentAt = mState.Now();
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "decide/CarriedRequests.h"
 #include "net/Reactor.h"
 
 namespace caraway {
@@ -83,6 +84,8 @@
   // each request. A request of which none were can't have run.
   bool Sent() const { return mSent; }
   void ClearSent() { mSent = false; }
+  // Outgoing connections: the requests sent on it.
+  CarriedRequests& Carried() { return mCarried; }
 
   void OnReadable() override;
   void OnWritable() override;
@@ -105,6 +108,7 @@
   Events mEvents;
   std::string mInput;
   std::string mOutput;
+  CarriedRequests mCarried;
   bool mOpen = true;
   bool mConnecting = false;
   TimePoint mEstablishedAt{};
--- a/src/net/ChannelPool.cpp
+++ b/src/net/ChannelPool.cpp
@@ -4,18 +4,6 @@
 
 namespace caraway {
 
-namespace {
-
-bool
-Contains(const ChannelRefs& aRefs, const std::shared_ptr<Channel>& aChannel)
-{
-  return std::any_of(aRefs.begin(), aRefs.end(), [&](const auto& aRef) {
-    return aRef.lock() == aChannel;
-  });
-}
-
-} // namespace
-
 ChannelPool::ChannelPool(Reactor& aReactor)
   : mReactor(aReactor)
 {
@@ -25,7 +13,7 @@
 ChannelPool::Take(const std::string& aAddress,
                   const std::string& aPeer,
                   double aMaxShare,
-                  const ChannelRefs& aNotOn)
+                  const RequestIdentity& aNext)
 {
   auto found = mIdle.find({ aAddress, aPeer });
   if (found == mIdle.end()) {
@@ -34,7 +22,7 @@
   std::vector<IdleChannel>& idle = found->second;
   // The most recently used one first, so that the others can time out.
   for (size_t at = idle.size(); at-- > 0;) {
-    if (Contains(aNotOn, idle[at].mChannel)) {
+    if (!idle[at].mChannel->Carried().MayCarry(aNext)) {
       continue;
     }
     auto place = idle.begin() + static_cast<std::ptrdiff_t>(at);
@@ -63,6 +51,10 @@
                   std::shared_ptr<Channel> aChannel,
                   Millis aIdleTimeout)
 {
+  if (!aChannel->Carried().Reusable()) {
+    aChannel->Close();
+    return;
+  }
   // Input on an idle connection belongs to no request: it is a second or late
   // answer. The connection is closed, so that the input can't be taken for the
   // answer to the next request.
--- a/src/net/ChannelPool.h
+++ b/src/net/ChannelPool.h
@@ -11,22 +11,20 @@
 
 namespace caraway {
 
-using ChannelRefs = std::vector<std::weak_ptr<Channel>>;
-
 class ChannelPool
 {
 public:
   explicit ChannelPool(Reactor& aReactor);
 
   // Returns a connection to aAddress whose last answer came from aPeer (the
-  // server's identity) and which has been idle for less than aMaxShare of the
-  // server's idle timeout, other than those of aNotOn; null if there is none.
+  // server's identity), which has been idle for less than aMaxShare of the
+  // server's idle timeout and may carry aNext; null if there is none.
   std::shared_ptr<Channel> Take(const std::string& aAddress,
                                 const std::string& aPeer,
                                 double aMaxShare,
-                                const ChannelRefs& aNotOn = {});
+                                const RequestIdentity& aNext);
   // aIdleTimeout: how long the server keeps idle connections, by its own
-  // answer.
+  // answer. Closes one that no other request may use.
   void Keep(const std::string& aAddress,
             const std::string& aPeer,
             std::shared_ptr<Channel> aChannel,
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -84,16 +84,15 @@
 void
 OutboundCall::Open()
 {
-  if (!mRequest.mNewConnection) {
-    mChannel = mPool.Take(
-      mRequest.mAddress, mRequest.mPeer, mRequest.mIdleShare, mRequest.mNotOn);
-  }
+  mChannel = mPool.Take(
+    mRequest.mAddress, mRequest.mPeer, mRequest.mIdleShare, mRequest.mIdentity);
   mReused = mChannel != nullptr;
   if (!mReused) {
     mChannel =
       Channel::Connect(mReactor, mRequest.mAddress, mRequest.mConnectLimit);
   }
   Attach();
+  mChannel->Carried().Add(mRequest.mIdentity, mReactor.Now());
   mChannel->ClearSent();
   mChannel->SetControl(mRequest.mControl);
   mChannel->Write(mRequest.mHead + mRequest.mBody);
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -36,10 +36,9 @@
   Millis mConnectLimit{ 700 }; // connect timeout
   // Nothing is sent on a connection that is established later.
   TimePoint mSendBy = TimePoint::max();
-  double mIdleShare = 0.6;     // aMaxShare of ChannelPool::Take
-  bool mNewConnection = false; // never use a pooled connection
-  ChannelRefs mNotOn;          // connections that must not be used
-  bool mControl = false;       // see SocketHandler::IsControl
+  double mIdleShare = 0.6; // aMaxShare of ChannelPool::Take
+  RequestIdentity mIdentity;
+  bool mControl = false; // see SocketHandler::IsControl
 };
 
 class OutboundCall : public std::enable_shared_from_this<OutboundCall>
@@ -68,7 +67,6 @@
   void Cancel();
   bool Sent() const;
   bool Reused() const { return mReused; }
-  std::weak_ptr<Channel> Connection() const { return mChannel; }
   // See Channel::EstablishedAt().
   TimePoint EstablishedAt() const { return mChannel->EstablishedAt(); }
 
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -75,6 +75,7 @@
     WriteHead(aCall.mMethod + " " + aCall.mTarget + " HTTP/1.1", fields);
   request.mBody = aCall.mBody;
   request.mConnectLimit = kConnectTimeout;
+  request.mIdentity.mBy = AnswerIdentity::Trusted;
   request.mControl = true;
   StartBufferedCall(
     mReactor,
--- a/tests/property/RunProofProperty.cpp
+++ b/tests/property/RunProofProperty.cpp
@@ -1,6 +1,7 @@
 // Random instances, servers and answers: late, doubled, unmarked, replaced,
-// without an id or cut, and peers that stop and run the request later. A
-// request that must not be repeated runs once at most, and a caller is told
+// without an id or cut, and peers that stop and run the request later. An
+// instance may get the request more than once, and uses its connections again.
+// A request that must not be repeated runs once at most, and a caller is told
 // "not run" only if it hasn't run and never will.
 
 #include <gtest/gtest.h>
@@ -9,8 +10,9 @@
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
+#include <tuple>
 
+#include "decide/CarriedRequests.h"
 #include "decide/RunProof.h"
 
 namespace caraway {
@@ -18,6 +20,7 @@
 namespace {
 
 constexpr int kServers = 3;
+constexpr int kInstances = 3;   // besides the one that the caller asks
 constexpr int kConnections = 2; // kept, to each server and instance
 constexpr int kMaxSends = 3;
 
@@ -30,7 +33,8 @@
   None,
   BelievesUnmarked,   // any refusal is a proof
   BelievesWithoutId,  // an answer without an id is the request's
-  SameConnection,     // sends again where a refusal came
+  SameConnection,     // sends on connections that have carried the request
+  ForgetsVisits,      // the same if that was in an earlier visit of the request
   ForgetsEarlierSends // tells the caller what the last answer says
 };
 
@@ -40,6 +44,16 @@
   bool mHead = true; // false: the connection ended before an answer
 };
 
+struct ModelConnection
+{
+  CarriedRequests mCarried;
+  std::deque<AnswerMarks> mDue; // answers that were not read yet
+  bool mUsed = false;
+};
+
+// From an instance, to a server or instance, and which one of them.
+using ConnectionName = std::tuple<int, int, int>;
+
 class RunModel
 {
 public:
@@ -51,11 +65,13 @@
   }
 
   // The status at the caller; 0 = no answer.
-  int CallerStatus() { return AtInstance(false).mMarks.mStatus; }
+  int CallerStatus() { return AtInstance(0).mMarks.mStatus; }
   int Runs() const { return mRuns; }
   bool Repeatable() const { return mRepeatable; }
 
 private:
+  using CarriedInVisit = std::map<ConnectionName, CarriedRequests>;
+
   bool Percent(int aShare) { return Below(100) < aShare; }
   int Below(int aLimit)
   {
@@ -86,41 +102,50 @@
     return answer;
   }
 
-  // An instance sends the request on until something is known of it.
-  ModelAnswer AtInstance(bool aForwarded)
+  // Instance aSelf sends the request on until something is known of it. The
+  // caller asks instance 0, which may forward it to any other one.
+  ModelAnswer AtInstance(int aSelf)
   {
+    bool forwarded = aSelf != 0;
     RunHistory history;
-    int base = 100 * mInstances++;        // of its connections
-    std::set<std::pair<int, int>> usedUp; // connections that brought refusals
+    CarriedInVisit visit;
     for (int send = 0; send < kMaxSends; ++send) {
       if (!history.MaySend(mRepeatable, 2)) {
         break;
       }
       SendTarget target =
-        !aForwarded && Percent(30) ? SendTarget::Instance : SendTarget::Server;
+        !forwarded && Percent(30) ? SendTarget::Instance : SendTarget::Server;
       if (Percent(10)) {
         history.OnSendEnded(RunProof::NotWritten);
         continue;
       }
-      int peers = target == SendTarget::Server ? 0 : kServers;
-      std::pair<int, int> connection{ base + peers + Below(kServers),
-                                      Below(kConnections) };
-      if (usedUp.count(connection) && mSabotage != Sabotage::SameConnection) {
-        connection.second = mNextConnection++;
-      }
-      auto got = Transmit(target, connection);
+      auto got = Transmit(target, aSelf, visit);
       RunProof proof = Prove(target, got);
       history.OnSendEnded(proof);
       if (proof == RunProof::Refused) {
-        usedUp.insert(connection);
         continue;
       }
       bool mayGoOn = mRepeatable && (!got || got->mStatus >= 500);
       if (!mayGoOn) {
-        return Final(got ? got->mStatus : 502, history, aForwarded, got);
+        return Final(got ? got->mStatus : 502, history, forwarded, got);
       }
     }
-    return Final(503, history, aForwarded, std::nullopt);
+    return Final(503, history, forwarded, std::nullopt);
+  }
+
+  // A kept connection if one may carry the request, or a new one.
+  ConnectionName Choose(int aFrom, int aTo, CarriedInVisit& aVisit)
+  {
+    ConnectionName name{ aFrom, aTo, Below(kConnections) };
+    bool may = mSabotage == Sabotage::ForgetsVisits
+                 ? aVisit[name].MayCarry(mIdentity)
+                 : mConnections[name].mCarried.MayCarry(mIdentity);
+    if (!may && mSabotage != Sabotage::SameConnection) {
+      std::get<2>(name) = mNextConnection++;
+    }
+    aVisit[name].Add(mIdentity, TimePoint());
+    mConnections[name].mCarried.Add(mIdentity, TimePoint());
+    return name;
   }
 
   // Answers by what this instance knows.
@@ -139,18 +164,21 @@
     return answer;
   }
 
-  // The answer that is taken for the one to a send on aConnection.
+  // The answer that is taken for the one to a send of instance aFrom.
   std::optional<AnswerMarks> Transmit(SendTarget aTarget,
-                                      std::pair<int, int> aConnection)
+                                      int aFrom,
+                                      CarriedInVisit& aVisit)
   {
-    bool used = mUsed.count(aConnection) > 0 || Percent(50);
-    mUsed.insert(aConnection);
-    std::deque<AnswerMarks>& due = mDue[aConnection];
+    bool toInstance = aTarget == SendTarget::Instance;
+    int peer = toInstance ? 1 + Below(kInstances) : 0;
+    int to = toInstance ? kServers + peer : Below(kServers);
+    ModelConnection& connection = mConnections[Choose(aFrom, to, aVisit)];
+    bool used = std::exchange(connection.mUsed, true) || Percent(50);
+    std::deque<AnswerMarks>& due = connection.mDue;
     if (used && Percent(10)) {
       due.push_back(Stray());
     }
-    ModelAnswer answer =
-      aTarget == SendTarget::Instance ? AtInstance(true) : AtServer();
+    ModelAnswer answer = toInstance ? AtInstance(peer) : AtServer();
     if (answer.mHead && !Percent(5)) {
       Distort(answer.mMarks);
       due.push_back(answer.mMarks);
@@ -219,10 +247,11 @@
   Sabotage mSabotage;
   bool mRepeatable;
   int mRuns = 0;
-  int mInstances = 0;
   int mNextConnection = kConnections;
-  std::set<std::pair<int, int>> mUsed;
-  std::map<std::pair<int, int>, std::deque<AnswerMarks>> mDue;
+  std::map<ConnectionName, ModelConnection> mConnections;
+  const RequestIdentity mIdentity{ AnswerIdentity::RequestId,
+                                   kOwnId,
+                                   TimePoint::max() };
 };
 
 struct Broken
@@ -273,6 +302,8 @@
   EXPECT_GT(withoutId.mRefusedAndRun + withoutId.mTwice, 0);
   Broken same = PlayModels(Sabotage::SameConnection);
   EXPECT_GT(same.mRefusedAndRun + same.mTwice, 0);
+  Broken visits = PlayModels(Sabotage::ForgetsVisits);
+  EXPECT_GT(visits.mRefusedAndRun + visits.mTwice, 0);
   Broken forgets = PlayModels(Sabotage::ForgetsEarlierSends);
   EXPECT_GT(forgets.mRefusedAndRun, 0);
 }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -142,7 +142,6 @@
   request.mHead =
     WriteHead(std::string("GET ") + wire::kReadyPath + " HTTP/1.1",
               { { "Host", "host" } });
-  request.mNewConnection = true;
   StartBufferedCall(mTestFleet->mReactor,
                     mPool,
                     std::move(request),
--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -313,11 +313,17 @@
 
 TestCallPtr
 EntryTestFleet::SendRaw(size_t aInstance, const std::string& aBytes)
+{
+  return SendRawTo(CallerAddress(aInstance), aBytes);
+}
+
+TestCallPtr
+EntryTestFleet::SendRawTo(const std::string& aAddress,
+                          const std::string& aBytes)
 {
   auto call = std::make_shared<TestCall>();
   call->mSentAt = mClock.Now();
-  call->mChannel =
-    Channel::Connect(mReactor, CallerAddress(aInstance), Seconds(1));
+  call->mChannel = Channel::Connect(mReactor, aAddress, Seconds(1));
   Channel::Events events;
   std::weak_ptr<TestCall> weakCall = call;
   events.mData = [this, weakCall] {
@@ -411,6 +417,19 @@
   return call;
 }
 
+TestCallPtr
+EntryTestFleet::HandOn(size_t aInstance,
+                       const std::string& aPath,
+                       const std::string& aId)
+{
+  constexpr const char* kServersLeft = "2";
+  TestCallPtr call =
+    SendRawTo(mInstances[aInstance]->State().mSettings.mPeers,
+              RequestText(aPath, aId, { { wire::kForwarded, kServersLeft } }));
+  RunUntil([&call] { return call->mComplete || call->mClosed; }, Seconds(10));
+  return call;
+}
+
 void
 EntryTestFleet::CutOffFromServers(size_t aInstance, const std::string& aAddress)
 {
--- a/tests/support/EntryTestFleet.h
+++ b/tests/support/EntryTestFleet.h
@@ -92,6 +92,7 @@
 
   // Sends raw bytes on a new connection.
   TestCallPtr SendRaw(size_t aInstance, const std::string& aBytes);
+  TestCallPtr SendRawTo(const std::string& aAddress, const std::string& aBytes);
   // A valid request to aPath; aFields are added to, or replace, the default
   // ones.
   std::string RequestText(const std::string& aPath,
@@ -110,6 +111,11 @@
                    const std::vector<HttpField>& aFields = {},
                    const std::string& aBody = "body");
 
+  // The request as another instance forwards it, and the answer to that.
+  TestCallPtr HandOn(size_t aInstance,
+                     const std::string& aPath,
+                     const std::string& aId);
+
   // The instance connects to aAddress in place of each server, also once it has
   // read the list of servers again.
   void CutOffFromServers(size_t aInstance, const std::string& aAddress);
--- a/tests/support/OrderLoad.cpp
+++ b/tests/support/OrderLoad.cpp
@@ -140,7 +140,6 @@
   request.mHead =
     WriteHead(std::string("GET ") + wire::kReadyPath + " HTTP/1.1",
               { { "Host", "host" } });
-  request.mNewConnection = true;
   mInstances[aIndex].mProbe =
     StartBufferedCall(mFleet.mReactor,
                       mPool,
@@ -211,7 +210,11 @@
     "/order/x",
     attempt.mId,
     { { wire::kDeadline, std::to_string(mPlan.mDeadline.count()) } });
-  request.mNewConnection = aRetries < kRetries; // retries meet other nodes
+  if (aRetries == kRetries) { // retries meet other nodes, on new connections
+    request.mIdentity = { AnswerIdentity::RequestId,
+                          attempt.mId,
+                          mFleet.mClock.Now() + mPlan.mDeadline };
+  }
   mCalls.push_back(
     StartBufferedCall(mFleet.mReactor,
                       mPool,
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -374,6 +374,10 @@
                          const std::string& aBody)
 {
   JudgeRate();
+  if (!aClient->mRepeated.empty()) {
+    ++mRepeats;
+    aClient->mChannel->Write(std::exchange(aClient->mRepeated, ""));
+  }
   if (aHead.mTarget == "/order") {
     OnOrder(aClient, JsonParseOrEmpty(aBody));
     return;
@@ -383,9 +387,6 @@
     return;
   }
   ++mArrivals;
-  if (!aClient->mRepeated.empty()) {
-    aClient->mChannel->Write(std::exchange(aClient->mRepeated, ""));
-  }
   std::string expected = ValueOf(aHead, wire::kExpectInstance);
   std::string model = ValueOf(aHead, wire::kModel);
   std::string name = model.substr(0, model.find('/'));
@@ -504,6 +505,11 @@
     CrashLater(aHead);
     return;
   }
+  if (mFailures > 0) {
+    --mFailures;
+    Reply(aClient, 500, own, "failed");
+    return;
+  }
   if (aHead.mTarget.find("/stream") != std::string::npos &&
       (mBehaviour == ServerBehaviour::Proper ||
        mBehaviour == ServerBehaviour::StopsMidway ||
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -148,9 +148,11 @@
   // An answer that breaks off is framed as complete: its last chunk is sent.
   bool mEndsBrokenStreams = false;
   int mRefusals = 0; // of the next requests, as Refuses does
+  int mFailures = 0; // of the next requests that it runs, as Fails does
   // Answers of this status come once more, before the answer to the next
-  // request of a caller on their connection; 0 = none.
+  // request on their connection, be it an order or a report; 0 = none.
   int mRepeatedStatus = 0;
+  int mRepeats = 0;        // answers that came once more
   int mRejectionLimit = 0; // told in each answer; 0 = none
   // Requests a second that it takes from all instances, told in each answer; ""
   // = none is told. Any text may be told, a garbled one too.
--- a/tests/unit/ChannelPoolTest.cpp
+++ b/tests/unit/ChannelPoolTest.cpp
@@ -35,7 +35,11 @@
     }
   }
 
-  std::shared_ptr<Channel> Take() { return mPool.Take(mAddress, kPeer, 0.5); }
+  std::shared_ptr<Channel> Take()
+  {
+    RequestIdentity next{ AnswerIdentity::RequestId, "next", TimePoint() };
+    return mPool.Take(mAddress, kPeer, 0.5, next);
+  }
 
   BootClock mClock;
   Reactor mReactor;
