Orders and reports use a connection each

Cause: the answers to orders and reports name neither the call nor the caller, and shared kept connections. Their own pool kept them from the answers to requests, not from one another's.

Weighed: a report's sequence and born as proof of whose it is. They tell an older content from a newer one only if an order was accepted between, and an order's answer has neither. So: AnswerIdentity::None, a connection for each call; mOrderPool goes, as nothing of theirs is kept.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -131,7 +131,6 @@
     mCallers->Sweep();
     mReadiness->Sweep();
     mState.mServerPool.Sweep();
-    mState.mOrderPool.Sweep();
     mState.mPeerPool.Sweep();
     if (mMetricsPort) {
       mMetricsPort->Sweep();
--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -17,7 +17,6 @@
   , mReactor(aClock)
   , mLog(aClock, mSettings.mName, aLogFile)
   , mServerPool(mReactor)
-  , mOrderPool(mReactor)
   , mPeerPool(mReactor)
   , mRetryBudget(
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow })
@@ -63,7 +62,6 @@
                             const std::string& aServer)
 {
   mServerPool.Drop(aAddress, aServer);
-  mOrderPool.Drop(aAddress, aServer);
 }
 
 Millis
--- a/src/entry/EntryState.h
+++ b/src/entry/EntryState.h
@@ -48,10 +48,7 @@
   Reactor mReactor;
   EventLog mLog;
   Metrics mMetrics;
-  // To servers. Orders and reports have connections of their own: their answers
-  // have no id, so that a second one would be taken for a request's.
-  ChannelPool mServerPool;  // for requests
-  ChannelPool mOrderPool;   // for orders and reports
+  ChannelPool mServerPool;
   ChannelPool mPeerPool;    // to other instances
   ServingConfigPtr mConfig; // null until one is received
   std::string mConfigFrom;  // "store", or the instance that it came from
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/entry/LoadSchedulerSend.cpp
@@ -184,13 +184,12 @@
   OutboundRequest request;
   request.mAddress = backend->mEntry.mAddress;
   request.mPeer = aServer;
-  request.mIdentity.mBy = AnswerIdentity::Trusted;
   request.mHead = std::move(call.mHead);
   request.mBody = std::move(call.mBody);
   inventory.OnSent(order, mState.Now());
   StartBufferedCall(
     mState.mReactor,
-    mState.mOrderPool,
+    mState.mServerPool,
     std::move(request),
     kOrderTimeout,
     [this,
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -213,13 +213,12 @@
   OutboundRequest request;
   request.mAddress = backend->mEntry.mAddress;
   request.mPeer = aServer;
-  request.mIdentity.mBy = AnswerIdentity::Trusted;
   request.mHead = wire::WriteReportRequest(request.mAddress);
   int64_t startTime = backend->mEntry.mStartTime;
   TimePoint sentAt = mState.Now();
   StartBufferedCall(
     mState.mReactor,
-    mState.mOrderPool,
+    mState.mServerPool,
     std::move(request),
     kOrderTimeout,
     [this, aServer, startTime, sentAt, then = std::move(aThen)](
--- a/tests/platform/SecondAnswersTest.cpp
+++ b/tests/platform/SecondAnswersTest.cpp
@@ -58,4 +58,27 @@
   }
 }
 
+// Guards against an order or a report that is decided by the answer to another
+// one: nothing in those answers tells them apart.
+TEST(SecondAnswers, OrdersAndReportsReadNoneButTheirOwn)
+{
+  for (int status : { 200, 202, 409 }) {
+    EntryFleetOptions options;
+    options.mStep = Millis(5);
+    EntryTestFleet fleet(options);
+    StandInServer& engine = *fleet.mEngines[0];
+    engine.mRepeatedStatus = status;
+    engine.mUnloadTime = Millis(60);
+    fleet.AwaitReady();
+    for (const char* model : { "m5", "m6", "m7", "m8", "m5", "m6" }) {
+      fleet.Call(0,
+                 "/stream/stream",
+                 std::string(model) + std::to_string(engine.mOrdersSeen),
+                 { { wire::kModel, model }, { wire::kTokens, "100,50" } });
+    }
+    EXPECT_GT(engine.mOrdersSeen, 0);
+    EXPECT_EQ(0, engine.mRepeats) << status;
+  }
+}
+
 } // namespace caraway
