carawayd: each report of an engine is read on a connection of its own

Operators would see: a model that has just been loaded looks gone, and its memory free for another one, while an engine sends its answers once more.

Cause: reports were read on kept connections, and nothing in one tells which call it answers. EndpointReconciler relies on a report that is younger than the record that it is compared with; a second answer to the call before is older.

Change: EngineClient's reports use HttpCallOnce(), as its orders do.

--- a/src/own/EngineClient.cpp
+++ b/src/own/EngineClient.cpp
@@ -13,11 +13,6 @@
 
 } // namespace
 
-EngineClient::EngineClient()
-  : mPool(4)
-{
-}
-
 OrderOutcome
 EngineClient::Order(const std::string& aAddress,
                     const char* aOrder,
@@ -70,7 +65,7 @@
   call.mAddress = aAddress;
   call.mPath = "/state";
   call.mTimeout = kReportTimeout;
-  HttpReply reply = mPool.Call(call);
+  HttpReply reply = HttpCallOnce(call);
   if (!reply.Ok()) {
     return Fail(ErrorKind::NoEndpoint,
                 "engine " + aAddress + " does not answer");
--- a/src/own/EngineClient.h
+++ b/src/own/EngineClient.h
@@ -7,7 +7,7 @@
 #include "caraway/Result.h"
 #include "decide/EngineReport.h"
 #include "decide/PlacementRecord.h"
-#include "net/HttpPool.h"
+#include "net/HttpCall.h"
 
 namespace caraway {
 
@@ -23,9 +23,8 @@
 class EngineClient
 {
 public:
-  EngineClient();
-
-  // Each order is sent once, on a connection of its own.
+  // Each call has a connection of its own: an order must not be sent twice, and
+  // nothing in an answer tells which call it belongs to.
   OrderOutcome Load(const std::string& aAddress, const PlacedReplica& aReplica);
   OrderOutcome Unload(const std::string& aAddress,
                       const PlacedReplica& aReplica);
@@ -35,8 +34,6 @@
   OrderOutcome Order(const std::string& aAddress,
                      const char* aOrder,
                      const PlacedReplica& aReplica);
-
-  HttpPool mPool;
 };
 
 } // namespace caraway
