carawayd: an answer of the platform is the call's own if it names its object or write

Callers would see: an order that runs at two instances, if the platform, or something before it, sends an answer once more on a kept connection: the answer to one claim's write counts as that to the next one's. Or the content of one object taken for another's.

Cause: HttpPool passes on whatever comes first on a kept connection. The platform's answers name their object, and those to writes their write; nobody compared the names.

Change: a call may say which answers are its own (HttpCall::mIsOwn); after another one the connection is closed and the call made again on a new one, as after a connection that broke. A write is conditional, so that either copy wins only once. Statuses without content (404, 204, 5xx) name nothing and are taken as they are: what is done by them is a conditional update.

Tests PlatformClient.WriteIsNotDoneByTheAnswerToTheWriteBefore and ReadIsNotTheAnswerToTheReadBefore: red before (write 2 done at version 1, object b read as a), green after.

--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -2,6 +2,7 @@
 #ifndef caraway_net_HttpCall_h
 #define caraway_net_HttpCall_h
 
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -11,6 +12,8 @@
 
 namespace caraway {
 
+struct HttpReply;
+
 struct HttpCall
 {
   std::string mAddress; // ip:port
@@ -22,6 +25,9 @@
   Millis mTimeout{ 2000 }; // of the whole call, including the connect
   bool mResend = true;     // HttpPool may send it a second time
   size_t mReplyLimit = 8 * 1024 * 1024; // bytes of the answer's body
+  // Whether an answer is one to this call, and not a second one to a call
+  // before it on a pooled connection. None: any is.
+  std::function<bool(const HttpReply&)> mIsOwn;
 };
 
 // How far a call got. A refusal may say "not run" after NotSent but not after
--- a/src/net/HttpPool.cpp
+++ b/src/net/HttpPool.cpp
@@ -41,10 +41,17 @@
     return CallOnNewSession(aCall);
   }
   HttpReply first = HttpExchange(*session, aCall, true);
-  if (first.mStage == HttpStage::Answered) {
+  bool answered = first.mStage == HttpStage::Answered;
+  if (answered && (!aCall.mIsOwn || aCall.mIsOwn(first))) {
     Put(aCall.mAddress, std::move(session));
     return first;
   }
+  session.reset();
+  if (answered) {
+    first = HttpReply();
+    first.mStage = HttpStage::Lost;
+    first.mError = "answer to another call";
+  }
   // Usually the other side had closed the idle connection. If it was silent
   // instead, the call's time is used up, and a retry would double it.
   HttpCall second = aCall;
--- a/src/net/HttpPool.h
+++ b/src/net/HttpPool.h
@@ -20,8 +20,8 @@
   explicit HttpPool(size_t aIdlePerAddress = 8);
 
   // Retries once on a new connection if a pooled one breaks before any byte of
-  // an answer; the call may arrive twice. A call without mResend gets a new
-  // connection from the start.
+  // an answer, or brings another call's; the call may arrive twice. A call
+  // without mResend gets a new connection from the start.
   HttpReply Call(const HttpCall& aCall);
 
 private:
--- a/src/platform/PlatformClient.cpp
+++ b/src/platform/PlatformClient.cpp
@@ -72,6 +72,43 @@
   return Usable(aReply) && aReply.mStatus == kOk;
 }
 
+// Whether the answer is about the object aName. Statuses without content say
+// nothing of it; what is done by them is a conditional update.
+bool
+IsAbout(const std::string& aName, const HttpReply& aReply)
+{
+  Json::Value json = JsonParseOrEmpty(aReply.mBody);
+  if (aReply.mStatus == kConflict) {
+    return json["current"]["name"].asString() == aName;
+  }
+  return aReply.mStatus != kOk || json["name"].asString() == aName;
+}
+
+bool
+IsOfWrite(const PlatformWrite& aWrite, const HttpReply& aReply)
+{
+  return IsAbout(aWrite.mName, aReply) &&
+         (aReply.mStatus != kOk ||
+          JsonParseOrEmpty(aReply.mBody)["write_id"].asString() ==
+            aWrite.mWriteId);
+}
+
+// Whether the answer has the list aName, and no object beside aPrefix.
+bool
+IsList(const char* aName, const std::string& aPrefix, const HttpReply& aReply)
+{
+  if (aReply.mStatus != kOk) {
+    return true;
+  }
+  Json::Value json = JsonParseOrEmpty(aReply.mBody);
+  for (const Json::Value& entry : json[aName]) {
+    if (entry["name"].asString().compare(0, aPrefix.size(), aPrefix) != 0) {
+      return false;
+    }
+  }
+  return json.isMember(aName);
+}
+
 // What an answer says of its write. Only the two answers that name a stored
 // version prove anything about the object; nothing is returned for others.
 std::optional<WriteResult>
@@ -205,6 +242,9 @@
   call.mAddress = mSettings.mAddress;
   call.mPath = ObjectPath(aKind, aName);
   call.mTimeout = mSettings.mTimeout;
+  call.mIsOwn = [&aName](const HttpReply& aReply) {
+    return IsAbout(aName, aReply);
+  };
   HttpReply reply = SendWithRetries(call);
   if (Usable(reply) && reply.mStatus == kNotFound) {
     return Fail(ErrorKind::NotFound, aKind + "/" + aName);
@@ -223,6 +263,9 @@
   call.mAddress = mSettings.mAddress;
   call.mPath = "/list/" + aKind + "?prefix=" + aPrefix;
   call.mTimeout = mSettings.mTimeout;
+  call.mIsOwn = [&aPrefix](const HttpReply& aReply) {
+    return IsList("objects", aPrefix, aReply);
+  };
   HttpReply reply = SendWithRetries(call);
   if (!HasContent(reply)) {
     return Unavailable(reply);
@@ -247,6 +290,9 @@
   call.mHeaders = { { "X-Expected-Version", std::to_string(aWrite.mExpected) },
                     { "X-Write-Id", aWrite.mWriteId } };
   call.mBody = JsonWrite(aWrite.mValue);
+  call.mIsOwn = [&aWrite](const HttpReply& aReply) {
+    return IsOfWrite(aWrite, aReply);
+  };
   return Send(call);
 }
 
@@ -299,6 +345,9 @@
                "?after=" + std::to_string(aAfter) +
                "&ms=" + std::to_string(aWithin.count());
   call.mTimeout = aWithin + kWatchTimeoutMargin;
+  call.mIsOwn = [&aName](const HttpReply& aReply) {
+    return IsAbout(aName, aReply);
+  };
   HttpReply reply = Send(call);
   bool unchanged = reply.mStatus == kNoChange || reply.mStatus == kNotFound;
   if (Usable(reply) && unchanged) {
@@ -318,6 +367,9 @@
   call.mAddress = mSettings.mAddress;
   call.mPath = "/instances";
   call.mTimeout = mSettings.mTimeout;
+  call.mIsOwn = [](const HttpReply& aReply) {
+    return IsList("instances", "", aReply);
+  };
   HttpReply reply = Send(call);
   if (!HasContent(reply)) {
     return Unavailable(reply);
--- a/tests/support/RepeatingServer.cpp
+++ b/tests/support/RepeatingServer.cpp
@@ -22,8 +22,8 @@
            : std::strtoul(aHead.c_str() + at + name.size(), nullptr, 10);
 }
 
-// Removes a whole request from aInput and returns its first line; "" if it
-// isn't whole yet.
+// Removes a whole request from aInput and returns its head; "" if it isn't
+// whole yet.
 std::string
 TakeRequest(std::string& aInput)
 {
@@ -36,9 +36,9 @@
   if (aInput.size() < whole) {
     return "";
   }
-  std::string line = aInput.substr(0, aInput.find("\r\n"));
+  std::string head = aInput.substr(0, end + blank.size());
   aInput.erase(0, whole);
-  return line;
+  return head;
 }
 
 } // namespace
@@ -87,11 +87,11 @@
         return;
       }
       input.append(bytes, static_cast<size_t>(got));
-      std::string line = TakeRequest(input);
-      if (line.empty()) {
+      std::string head = TakeRequest(input);
+      if (head.empty()) {
         continue;
       }
-      std::string body = mAnswer(line);
+      std::string body = mAnswer(head);
       std::string answer =
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
         "\r\n\r\n" + body;
--- a/tests/support/RepeatingServer.h
+++ b/tests/support/RepeatingServer.h
@@ -16,9 +16,9 @@
 class RepeatingServer
 {
 public:
-  // aAnswer: the body of the answer to a request, given its first line. May be
-  // called from several threads.
-  using AnswerTo = std::function<std::string(const std::string& aFirstLine)>;
+  // The body of the answer to a request, given the head from the first line to
+  // the blank one. May be called from several threads.
+  using AnswerTo = std::function<std::string(const std::string& aHead)>;
 
   explicit RepeatingServer(AnswerTo aAnswer);
   ~RepeatingServer();
--- a/tests/unit/PlatformClientTest.cpp
+++ b/tests/unit/PlatformClientTest.cpp
@@ -9,6 +9,7 @@
 #include "caraway/Clock.h"
 #include "net/HttpPort.h"
 #include "platform/PlatformClient.h"
+#include "support/RepeatingServer.h"
 
 namespace caraway {
 
@@ -129,6 +130,50 @@
   EXPECT_EQ(WriteOutcome::Done, second.Write(AWrite()).mOutcome);
 }
 
+// Guards against a claim, lease or share that is believed to be held by the
+// answer to another write, which came a second time: two instances would run
+// one order.
+TEST(PlatformClient, WriteIsNotDoneByTheAnswerToTheWriteBefore)
+{
+  RepeatingServer platform([](const std::string& aHead) {
+    const std::string field = "X-Write-Id: w";
+    std::string id = aHead.substr(aHead.find(field) + field.size(), 1);
+    return R"({"name":"c1","version":)" + id + R"(,"write_id":"w)" + id +
+           R"("})";
+  });
+  SystemClock clock;
+  PlatformClientSettings settings;
+  settings.mAddress = platform.Address();
+  PlatformClient client(settings, clock);
+  for (int i = 1; i <= 3; ++i) {
+    PlatformWrite write = AWrite();
+    write.mWriteId = "w" + std::to_string(i);
+    WriteResult result = client.Write(write);
+    EXPECT_EQ(WriteOutcome::Done, result.mOutcome);
+    EXPECT_EQ(i, result.mObject.mVersion);
+  }
+}
+
+// Guards against the content of one object that is taken for another one's.
+TEST(PlatformClient, ReadIsNotTheAnswerToTheReadBefore)
+{
+  RepeatingServer platform([](const std::string& aHead) {
+    std::string path = aHead.substr(0, aHead.find(" HTTP/"));
+    std::string name = path.substr(path.rfind('/') + 1);
+    return R"({"name":")" + name + R"(","version":1,"value":1})";
+  });
+  SystemClock clock;
+  PlatformClientSettings settings;
+  settings.mAddress = platform.Address();
+  PlatformClient client(settings, clock);
+  for (const char* name : { "a", "b", "a", "c" }) {
+    auto read = Outcome([&] { return client.Read("k", name); });
+    auto* object = std::get_if<PlatformObject>(&read);
+    ASSERT_NE(nullptr, object) << name;
+    EXPECT_EQ(name, object->mName);
+  }
+}
+
 // Guards against a refused read that looks like an object without content: an
 // engine's memory would count as free, an instance list as empty.
 TEST(PlatformClient, RefusedReadIsNotTakenForAnEmptyAnswer)
