carawayd: a report of an engine that can't be read as a whole is none

Operators would see: an engine whose report has no list of replicas, or another type in its place, counts as empty: its models look gone, its memory free.

Cause: EngineReportParse() read what it could. A body that is no JSON, or a list of another type, gave a report without replicas.

Change: it returns nothing unless all lists are lists and all fields of their type; EngineClient fails such a call and logs engine_report_unreadable.

Test EngineClient.OddReportIsNoReport: red before ("replicas":"x" and a cached list that is an object were taken; the others ended as an unknown error), green after. The stand-in of EndpointReconcilerTest answered {} and says {"replicas":[]} now: what it meant.

--- a/src/own/EngineClient.cpp
+++ b/src/own/EngineClient.cpp
@@ -1,6 +1,7 @@
 #include "own/EngineClient.h"
 
 #include "base/JsonText.h"
+#include "base/Log.h"
 #include "own/PlacementCodec.h"
 
 namespace caraway {
@@ -70,7 +71,13 @@
     return Fail(ErrorKind::NoEndpoint,
                 "engine " + aAddress + " does not answer");
   }
-  return EngineReportParse(JsonParseOrEmpty(reply.mBody));
+  auto report = EngineReportParse(JsonParseOrEmpty(reply.mBody));
+  if (!report) {
+    LogWarn("engine_report_unreadable", { { "engine", aAddress } });
+    return Fail(ErrorKind::NoEndpoint,
+                "engine " + aAddress + " sends a report that can't be read");
+  }
+  return std::move(*report);
 }
 
 } // namespace caraway
--- a/src/own/PlacementCodec.cpp
+++ b/src/own/PlacementCodec.cpp
@@ -58,6 +58,12 @@
   return json;
 }
 
+bool
+IsListOrAbsent(const Json::Value& aJson)
+{
+  return aJson.isArray() || aJson.isNull();
+}
+
 std::vector<std::string>
 Strings(const Json::Value& aJson)
 {
@@ -68,6 +74,29 @@
   return texts;
 }
 
+// Throws a Json::Exception for a field of another type.
+EngineReport
+ReportOf(const Json::Value& aJson)
+{
+  EngineReport report;
+  report.mHighestFencingToken = aJson["highest_fence"].asInt64();
+  report.mActive = aJson["active"].asInt();
+  report.mWaiting = aJson["waiting"].asInt();
+  for (const Json::Value& entry : aJson["replicas"]) {
+    EngineReplica replica;
+    replica.mName = entry["name"].asString();
+    replica.mVersion = entry["version"].asString();
+    replica.mBytes = entry["bytes"].asInt64();
+    replica.mReady = entry["state"].asString() == "ready";
+    replica.mActive = entry["active"].asInt();
+    replica.mIdle = Millis(entry["idle_ms"].asInt64());
+    report.mReplicas.push_back(replica);
+  }
+  report.mCachedInMemory = Strings(aJson["cached_memory"]);
+  report.mCachedOnDisk = Strings(aJson["cached_disk"]);
+  return report;
+}
+
 } // namespace
 
 PlacementRecord
@@ -96,26 +125,20 @@
   return json;
 }
 
-EngineReport
+std::optional<EngineReport>
 EngineReportParse(const Json::Value& aJson)
 {
-  EngineReport report;
-  report.mHighestFencingToken = aJson["highest_fence"].asInt64();
-  report.mActive = aJson["active"].asInt();
-  report.mWaiting = aJson["waiting"].asInt();
-  for (const Json::Value& entry : aJson["replicas"]) {
-    EngineReplica replica;
-    replica.mName = entry["name"].asString();
-    replica.mVersion = entry["version"].asString();
-    replica.mBytes = entry["bytes"].asInt64();
-    replica.mReady = entry["state"].asString() == "ready";
-    replica.mActive = entry["active"].asInt();
-    replica.mIdle = Millis(entry["idle_ms"].asInt64());
-    report.mReplicas.push_back(replica);
+  bool lists = aJson["replicas"].isArray() &&
+               IsListOrAbsent(aJson["cached_memory"]) &&
+               IsListOrAbsent(aJson["cached_disk"]);
+  if (!lists) {
+    return std::nullopt;
+  }
+  try {
+    return ReportOf(aJson);
+  } catch (const Json::Exception&) {
+    return std::nullopt; // a field of another type
   }
-  report.mCachedInMemory = Strings(aJson["cached_memory"]);
-  report.mCachedOnDisk = Strings(aJson["cached_disk"]);
-  return report;
 }
 
 } // namespace caraway
--- a/src/own/PlacementCodec.h
+++ b/src/own/PlacementCodec.h
@@ -3,6 +3,7 @@
 #define caraway_own_PlacementCodec_h
 
 #include <json/json.h>
+#include <optional>
 
 #include "decide/EngineReport.h"
 #include "decide/PlacementRecord.h"
@@ -13,7 +14,9 @@
 PlacementParse(const Json::Value& aJson);
 Json::Value
 PlacementJson(const PlacementRecord& aRecord);
-EngineReport
+// Nothing if any part of it can't be read: what is left out would count as
+// free.
+std::optional<EngineReport>
 EngineReportParse(const Json::Value& aJson);
 
 } // namespace caraway
--- a/tests/unit/EndpointReconcilerTest.cpp
+++ b/tests/unit/EndpointReconcilerTest.cpp
@@ -21,7 +21,8 @@
   OneEngine()
     : mEngine("127.0.0.1:0", {}, [this](auto& aIn, auto& aOut) {
       mOrders += aIn.getURI() == "/orders" ? 1 : 0;
-      aOut.sendBuffer("{}", 2);
+      const std::string none = R"({"replicas":[]})";
+      aOut.sendBuffer(none.data(), none.size());
     })
   {
     EndpointSpec endpoint;
--- a/tests/unit/EngineClientTest.cpp
+++ b/tests/unit/EngineClientTest.cpp
@@ -25,4 +25,25 @@
   }
 }
 
+// Guards against a process that ends because an engine's report has a field of
+// another type.
+TEST(EngineClient, OddReportIsNoReport)
+{
+  for (const char* body : { R"({"active":"x"})",
+                            R"({"highest_fence":[1]})",
+                            R"({"waiting":1e300})",
+                            R"({"replicas":[1]})",
+                            R"({"replicas":"x"})",
+                            R"({"replicas":[{"name":{},"bytes":"x"}]})",
+                            R"({"cached_disk":{"a":1}})",
+                            R"({"cached_disk":[[1]]})" }) {
+    RepeatingServer engine([body](const std::string&) { return body; });
+    EngineClient client;
+    EXPECT_NO_THROW({
+      auto answer = Outcome([&] { return client.Report(engine.Address()); });
+      EXPECT_TRUE(std::holds_alternative<Failure>(answer)) << body;
+    }) << body;
+  }
+}
+
 } // namespace caraway
