--- a/tests/platform/LeavingEntryTest.cpp
+++ b/tests/platform/LeavingEntryTest.cpp
@@ -305,6 +305,43 @@
   EXPECT_EQ(0, fleet.RunsOf("r2"));
 }
 
+// Guards against orders that are taken late in the grace period from
+// connections kept open, passed on to slow servers, and cut at its end.
+TEST(LeavingEntry, LateOrderAtASlowServerIsAnsweredOrNotStarted)
+{
+  EntryFleetOptions options = SteppedClock();
+  options.mInstances = 2;
+  EntryTestFleet fleet(options);
+  for (auto& server : fleet.mPlain) {
+    server->mWork = Millis(2200);
+  }
+  fleet.AwaitReady();
+  constexpr Millis kInterval{ 100 };
+  constexpr int kOrders = 75; // through the whole grace period
+  std::vector<TestCallPtr> calls;
+  for (int i = 0; i < kOrders; ++i) {
+    calls.push_back(fleet.SendRaw(0, ""));
+  }
+  fleet.RunFor(Millis(200));
+  fleet.mInstances[0]->Leave();
+  for (int i = 0; i < kOrders; ++i) {
+    calls[static_cast<size_t>(i)]->mChannel->Write(
+      fleet.RequestText("/order/x", "r" + std::to_string(i)));
+    fleet.RunFor(kInterval);
+  }
+  EXPECT_TRUE(AwaitExit(fleet));
+  fleet.RunFor(Seconds(1));
+  int served = 0;
+  for (int i = 0; i < kOrders; ++i) {
+    std::string id = "r" + std::to_string(i);
+    const TestCall& call = *calls[static_cast<size_t>(i)];
+    EXPECT_EQ(call.mStatus == 200 ? 1 : 0, fleet.RunsOf(id))
+      << id << " " << call.mStatus;
+    served += call.mStatus == 200 ? 1 : 0;
+  }
+  EXPECT_GT(served, 0);
+}
+
 // Guards against a refusal for the tenant's rate by an instance that has handed
 // over its part of the rate limit itself.
 TEST(LeavingEntry, LastInstanceDoesNotRefuseForTheRate)
--- a/tests/unit/EndlessBytesTest.cpp
+++ b/tests/unit/EndlessBytesTest.cpp
@@ -116,6 +116,57 @@
   ExpectEnded();
 }
 
+// Guards against replies that are each within their limit and fill the memory
+// together: beyond the bound of all calls some are given up before their time.
+TEST(KeptReplies, AllCallsTogetherHaveABound)
+{
+  constexpr int kCalls = 24;
+  constexpr size_t kEach = 7u << 20; // kept by a call that isn't given up
+  constexpr size_t kBound = 32u << 20;
+  constexpr Millis kWait{ 3000 };
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0),
+                                 kCalls);
+  std::vector<std::thread> servers;
+  std::thread acceptor([&] {
+    for (int i = 0; i < kCalls; ++i) {
+      servers.emplace_back([socket = server.acceptConnection()]() mutable {
+        std::string text =
+          "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n" +
+          std::string(kEach, 'x');
+        try {
+          socket.sendBytes(text.data(), static_cast<int>(text.size()));
+          char bytes[4096];
+          while (socket.receiveBytes(bytes, sizeof bytes) > 0) {
+          }
+        } catch (const Poco::Exception&) {
+          return; // the caller has closed
+        }
+      });
+    }
+  });
+  std::atomic<int> early{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCalls; ++i) {
+    callers.emplace_back([&] {
+      HttpCall call;
+      call.mAddress = server.address().toString();
+      call.mTimeout = kWait;
+      auto began = std::chrono::steady_clock::now();
+      EXPECT_EQ(HttpStage::Lost, HttpCallOnce(call).mStage);
+      early += std::chrono::steady_clock::now() - began < kWait / 2 ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  acceptor.join();
+  for (std::thread& each : servers) {
+    each.join();
+  }
+  constexpr int kKept = static_cast<int>(kBound / kEach);
+  EXPECT_GE(early, kCalls - kKept - 1);
+}
+
 // Guards carawayd's calls to model engines.
 TEST_P(EndlessBytes, EngineCallEnds)
 {
