Soak: servers send answers once more, and stop in an answer's head

What a refusal, an accepted order or a failure that comes twice does to callers was judged by no soak. Its checks are those there are: runs once, a refusal has not run, an answer is one's own.

--- a/tests/soak/SoakFault.h
+++ b/tests/soak/SoakFault.h
@@ -18,7 +18,8 @@
   Configure, // a configuration with other limits or timeouts
   Store,     // the store doesn't answer, is busy, or loses answers
   Servers,   // a server cuts answers off, fails, refuses, answers unmarked
-             // refusals to what it ran, or sends without end
+             // refusals to what it ran, sends without end, or sends answers
+             // once more
   Drain,     // a server is listed as draining for a time
   Version,   // an engine starts again under its id with another version
   Crashes,   // engines crash on requests with a part of a prompt
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -408,16 +408,22 @@
   constexpr ServerBehaviour kBehaviours[] = {
     ServerBehaviour::RunsThenCloses, ServerBehaviour::StopsMidway,
     ServerBehaviour::Fails,          ServerBehaviour::Refuses,
-    ServerBehaviour::Unsealed,       ServerBehaviour::EndlessBody
+    ServerBehaviour::Unsealed,       ServerBehaviour::EndlessBody,
+    ServerBehaviour::CutsHead
   };
   constexpr int kPromises[] = { 408, 421, 429, 503 };
+  constexpr int kRepeated[] = { 0, 503, 202, 500 }; // answers that come twice
   RecordFault(SoakFaultKind::Servers, 0, aFor);
   auto& servers = Draw(0, 1) ? mTestFleet->mEngines : mTestFleet->mPlain;
   StandInServer* server = servers[static_cast<size_t>(Draw(0, 1))].get();
-  server->mBehaviour = kBehaviours[static_cast<size_t>(Draw(0, 5))];
-  server->mUnsealedStatus = kPromises[static_cast<size_t>(Draw(0, 3))];
-  mTestFleet->mReactor.After(
-    aFor, [server] { server->mBehaviour = ServerBehaviour::Proper; });
+  server->mBehaviour = kBehaviours[static_cast<size_t>(Draw(0, 6))];
+  size_t status = static_cast<size_t>(Draw(0, 3));
+  server->mUnsealedStatus = kPromises[status];
+  server->mRepeatedStatus = kRepeated[status];
+  mTestFleet->mReactor.After(aFor, [server] {
+    server->mBehaviour = ServerBehaviour::Proper;
+    server->mRepeatedStatus = 0;
+  });
 }
 
 void
--- a/tests/support/StandInServer.cpp
+++ b/tests/support/StandInServer.cpp
@@ -548,6 +548,10 @@
       aClient->mWorking = false;
       channel.Close();
       break;
+    case ServerBehaviour::CutsHead:
+      channel.Write("HTTP/1.1 200 OK\r\nContent-Le");
+      BreakOff(*aClient);
+      break;
     case ServerBehaviour::Truncates:
       if (!mUnframed) {
         own.push_back({ "Content-Length", std::to_string(answer.size()) });
--- a/tests/support/StandInServer.h
+++ b/tests/support/StandInServer.h
@@ -27,6 +27,7 @@
   Proper,
   Refuses,        // rejects with a proof that it did not run the request
   RunsThenCloses, // runs, then closes without an answer
+  CutsHead,       // runs, then closes in the middle of its answer's head
   Truncates,      // closes in the middle of the body
   Unsealed,       // an answer without the server's seal; see mUnsealedStatus
   Encoded,        // a success in a content coding that was not requested
