--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -70,6 +70,30 @@
   return plan;
 }
 
+constexpr int kFull = 503;
+
+// A server that refuses some requests and runs others.
+void
+MakeFullAtTimes(StandInServer& aServer)
+{
+  aServer.mBehaviour = ServerBehaviour::Proper;
+  aServer.mSlots = 1;
+  aServer.mQueueLimit = 0;
+  aServer.mWork = Millis(80);
+}
+
+void
+MakeProper(StandInServer& aServer)
+{
+  constexpr int kSlots = 32;
+  constexpr int kNoQueue = -1; // all run at once
+  aServer.mBehaviour = ServerBehaviour::Proper;
+  aServer.mRepeatedStatus = 0;
+  aServer.mSlots = kSlots;
+  aServer.mQueueLimit = kNoQueue;
+  aServer.mWork = Millis(5);
+}
+
 } // namespace
 
 SoakRun::SoakRun(SoakPlan aPlan)
@@ -412,7 +436,7 @@
     ServerBehaviour::CutsHead
   };
   constexpr int kPromises[] = { 408, 421, 429, 503 };
-  constexpr int kRepeated[] = { 0, 503, 202, 500 }; // answers that come twice
+  constexpr int kRepeated[] = { 0, kFull, 202, 500 }; // answers that come twice
   RecordFault(SoakFaultKind::Servers, 0, aFor);
   auto& servers = Draw(0, 1) ? mTestFleet->mEngines : mTestFleet->mPlain;
   StandInServer* server = servers[static_cast<size_t>(Draw(0, 1))].get();
@@ -420,9 +444,24 @@
   size_t status = static_cast<size_t>(Draw(0, 3));
   server->mUnsealedStatus = kPromises[status];
   server->mRepeatedStatus = kRepeated[status];
-  mTestFleet->mReactor.After(aFor, [server] {
-    server->mBehaviour = ServerBehaviour::Proper;
-    server->mRepeatedStatus = 0;
+  if (server->mRepeatedStatus == kFull) {
+    MakeFullAtTimes(*server);
+  }
+  mTestFleet->mReactor.After(aFor, [server] { MakeProper(*server); });
+}
+
+void
+SoakRun::RefuseTwice(Millis aFor)
+{
+  RecordFault(SoakFaultKind::Servers, 0, aFor);
+  for (auto& server : mTestFleet->mPlain) {
+    server->mRepeatedStatus = kFull;
+    MakeFullAtTimes(*server);
+  }
+  mTestFleet->mReactor.After(aFor, [this] {
+    for (auto& server : mTestFleet->mPlain) {
+      MakeProper(*server);
+    }
   });
 }
 
@@ -759,6 +798,8 @@
   // And an odd entry that stays, also for those that start later.
   mTestFleet->mReactor.After(Millis(Draw(3000, 9000)),
                              [this] { LeaveOddEntry(kOutlastsRun); });
+  // And plain servers that are full for moments and refuse twice.
+  mTestFleet->mReactor.After(Seconds(10), [this] { RefuseTwice(Seconds(8)); });
   mTestFleet->mReactor.Every(kKeyProbeInterval, [this] { ProbeNewestKey(); });
   mTestFleet->RunFor(mPlan.mFaultDuration);
   mFaultsStopped = true;
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -59,6 +59,7 @@
   void ChangeConfiguration();
   void InjectStoreFault(Millis aFor);
   void InjectServerFault(Millis aFor);
+  void RefuseTwice(Millis aFor);
   void DrainServer(Millis aFor);
   void RestartEngine();
   void ListEngine(StandInServer& aEngine);
