The request's exchange and the loads have folders of their own

src/entry had 101 files. What takes a request from its receipt to the answer is in src/exchange, what a lease holder loads and the orders for it in src/load. Only paths, include guards and the order of includes change.

--- a/src/entry/RequestDispatcher.h
+++ b/src/entry/RequestDispatcher.h
@@ -6,7 +6,7 @@
 #include <memory>
 #include <vector>
 
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 namespace caraway {
 
--- a/src/entry/ServerInventories.cpp
+++ b/src/entry/ServerInventories.cpp
@@ -5,8 +5,8 @@
 #include "base/EraseIf.h"
 #include "decide/RateReservations.h"
 #include "decide/ServerRoom.h"
-#include "entry/OrderLimits.h"
 #include "entry/ServerLimits.h"
+#include "load/OrderLimits.h"
 #include "platform/OrderMessage.h"
 #include "platform/RequestHead.h"
 
--- a/src/entry/ServerInventoriesSend.cpp
+++ b/src/entry/ServerInventoriesSend.cpp
@@ -1,6 +1,6 @@
 #include "entry/ServerInventories.h"
 
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
--- a/src/entry/ZoneSchedulers.cpp
+++ b/src/entry/ZoneSchedulers.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "base/EraseIf.h"
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
--- a/src/entry/ZoneSchedulers.h
+++ b/src/entry/ZoneSchedulers.h
@@ -16,10 +16,10 @@
 
 #include "decide/ZoneChoice.h"
 #include "decide/ZoneTakeover.h"
-#include "entry/LoadRequestCalls.h"
-#include "entry/LoadRequester.h"
-#include "entry/LoadScheduler.h"
 #include "entry/Membership.h"
+#include "load/LoadRequestCalls.h"
+#include "load/LoadRequester.h"
+#include "load/LoadScheduler.h"
 
 namespace caraway {
 
--- a/src/entry/Exchange.cpp
+++ b/src/exchange/Exchange.cpp
@@ -1,10 +1,10 @@
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 #include <functional>
 
 #include "decide/RateSplit.h"
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
--- a/src/entry/Exchange.h
+++ b/src/exchange/Exchange.h
@@ -1,6 +1,6 @@
 // Exchange.h: one request of a caller, from its receipt to the final answer.
-#ifndef caraway_entry_Exchange_h
-#define caraway_entry_Exchange_h
+#ifndef caraway_exchange_Exchange_h
+#define caraway_exchange_Exchange_h
 
 #include <memory>
 #include <set>
@@ -16,10 +16,10 @@
 #include "entry/ForwardPeers.h"
 #include "entry/FreshnessCheck.h"
 #include "entry/InboundConnection.h"
-#include "entry/LoadRequester.h"
 #include "entry/RateLimiter.h"
 #include "entry/ServerPermits.h"
 #include "entry/StreamOrigins.h"
+#include "load/LoadRequester.h"
 #include "net/EventStreamReader.h"
 #include "net/OutboundCall.h"
 
--- a/src/entry/ExchangeChoose.cpp
+++ b/src/exchange/ExchangeChoose.cpp
@@ -1,9 +1,9 @@
 // ExchangeChoose.cpp: the choice of a server for a request.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 
 namespace caraway {
 
--- a/src/entry/ExchangeEnd.cpp
+++ b/src/exchange/ExchangeEnd.cpp
@@ -1,8 +1,8 @@
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
--- a/src/entry/ExchangeForward.cpp
+++ b/src/exchange/ExchangeForward.cpp
@@ -1,10 +1,10 @@
 // ExchangeForward.cpp: a request that this instance can't bring to a server and
 // forwards to another instance.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
--- a/src/entry/ExchangePrompt.cpp
+++ b/src/exchange/ExchangePrompt.cpp
@@ -1,6 +1,6 @@
 // ExchangePrompt.cpp: a request's prompt at a server that reports its pace,
 // from the send to the first event.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include "decide/PacedChoice.h"
 
--- a/src/entry/ExchangeQueue.cpp
+++ b/src/exchange/ExchangeQueue.cpp
@@ -1,11 +1,11 @@
 // ExchangeQueue.cpp: the order in which a request gets a slot, and its refusal
 // where none would come free in time. Only for services whose servers report
 // their pace.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 
 namespace caraway {
 
--- a/src/entry/ExchangeRefuse.cpp
+++ b/src/exchange/ExchangeRefuse.cpp
@@ -1,11 +1,11 @@
 // ExchangeRefuse.cpp: refusals of requests that no server can run in time, and
 // permits of servers that have named a rate limit.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
 #include "decide/QueuedLoad.h"
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 
 namespace caraway {
 
--- a/src/entry/ExchangeResume.cpp
+++ b/src/exchange/ExchangeResume.cpp
@@ -1,11 +1,11 @@
 // ExchangeResume.cpp: a resumable stream goes on only at servers of the
 // software version that began it. Events of two versions don't fit together,
 // and servers don't check which one began a stream.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <utility>
 
-#include "entry/ExchangeTimes.h"
+#include "exchange/ExchangeTimes.h"
 #include "platform/RequestHead.h"
 
 namespace caraway {
--- a/src/entry/ExchangeSend.cpp
+++ b/src/exchange/ExchangeSend.cpp
@@ -1,4 +1,4 @@
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include <algorithm>
 
--- a/src/entry/ExchangeSuspects.cpp
+++ b/src/exchange/ExchangeSuspects.cpp
@@ -1,6 +1,6 @@
 // ExchangeSuspects.cpp: requests that crash the servers that answer them: what
 // is told of each run, and when a request is refused.
-#include "entry/Exchange.h"
+#include "exchange/Exchange.h"
 
 #include "base/Digest.h"
 #include "platform/RequestHead.h"
--- a/src/entry/ExchangeTimes.h
+++ b/src/exchange/ExchangeTimes.h
@@ -1,6 +1,6 @@
 // ExchangeTimes.h: times shared by the source files of Exchange.
-#ifndef caraway_entry_ExchangeTimes_h
-#define caraway_entry_ExchangeTimes_h
+#ifndef caraway_exchange_ExchangeTimes_h
+#define caraway_exchange_ExchangeTimes_h
 
 #include "caraway/Time.h"
 
--- a/src/entry/LoadMessages.cpp
+++ b/src/load/LoadMessages.cpp
@@ -1,4 +1,4 @@
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
--- a/src/entry/LoadMessages.h
+++ b/src/load/LoadMessages.h
@@ -1,13 +1,13 @@
 // LoadMessages.h: messages between instances about load requests and the
 // content of servers.
-#ifndef caraway_entry_LoadMessages_h
-#define caraway_entry_LoadMessages_h
+#ifndef caraway_load_LoadMessages_h
+#define caraway_load_LoadMessages_h
 
 #include <json/json.h>
 
 #include "decide/LateOrders.h"
 #include "decide/ServerView.h"
-#include "entry/LoadRequester.h"
+#include "load/LoadRequester.h"
 
 namespace caraway {
 
--- a/src/entry/LoadRequestCalls.cpp
+++ b/src/load/LoadRequestCalls.cpp
@@ -1,10 +1,10 @@
-#include "entry/LoadRequestCalls.h"
+#include "load/LoadRequestCalls.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "entry/LeaseLoop.h"
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
--- a/src/entry/LoadRequestCalls.h
+++ b/src/load/LoadRequestCalls.h
@@ -4,16 +4,16 @@
 // meanwhile goes with the next one. A holder that falls behind would otherwise
 // get a call for each model from each instance at every interval, answered or
 // not, and would spend all of its time on these.
-#ifndef caraway_entry_LoadRequestCalls_h
-#define caraway_entry_LoadRequestCalls_h
+#ifndef caraway_load_LoadRequestCalls_h
+#define caraway_load_LoadRequestCalls_h
 
 #include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "entry/LoadRequester.h"
 #include "entry/Peers.h"
+#include "load/LoadRequester.h"
 
 namespace caraway {
 
--- a/src/entry/LoadRequester.h
+++ b/src/load/LoadRequester.h
@@ -1,7 +1,7 @@
 // LoadRequester.h: requests the load of a model or adapter that no server
 // holds.
-#ifndef caraway_entry_LoadRequester_h
-#define caraway_entry_LoadRequester_h
+#ifndef caraway_load_LoadRequester_h
+#define caraway_load_LoadRequester_h
 
 #include <functional>
 #include <optional>
--- a/src/entry/LoadScheduler.h
+++ b/src/load/LoadScheduler.h
@@ -5,8 +5,8 @@
 // server is assumed to have accepted before it, so an order that is carried out
 // late, after others, has no effect. Every instance sends its load requests to
 // the lease holder; see ZoneSchedulers.
-#ifndef caraway_entry_LoadScheduler_h
-#define caraway_entry_LoadScheduler_h
+#ifndef caraway_load_LoadScheduler_h
+#define caraway_load_LoadScheduler_h
 
 #include <deque>
 #include <functional>
@@ -27,9 +27,9 @@
 #include "decide/StoreLoadTracker.h"
 #include "decide/WorkPacer.h"
 #include "entry/LeaseLoop.h"
-#include "entry/LoadRequester.h"
 #include "entry/Peers.h"
 #include "entry/ServerInventories.h"
+#include "load/LoadRequester.h"
 
 namespace caraway {
 
--- a/src/entry/LoadSchedulerClaims.cpp
+++ b/src/load/LoadSchedulerClaims.cpp
@@ -1,8 +1,8 @@
-#include "entry/LoadScheduler.h"
+#include "load/LoadScheduler.h"
 
 #include <algorithm>
 
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
--- a/src/entry/LoadSchedulerQueue.cpp
+++ b/src/load/LoadSchedulerQueue.cpp
@@ -1,4 +1,4 @@
-#include "entry/LoadScheduler.h"
+#include "load/LoadScheduler.h"
 
 #include <algorithm>
 
--- a/src/entry/LoadSchedulerReport.cpp
+++ b/src/load/LoadSchedulerReport.cpp
@@ -1,7 +1,7 @@
-#include "entry/LoadScheduler.h"
+#include "load/LoadScheduler.h"
 
 #include "decide/RateReservations.h"
-#include "entry/OrderLimits.h"
+#include "load/OrderLimits.h"
 
 namespace caraway {
 
--- a/src/entry/LoadSchedulerSend.cpp
+++ b/src/load/LoadSchedulerSend.cpp
@@ -1,10 +1,10 @@
-#include "entry/LoadScheduler.h"
+#include "load/LoadScheduler.h"
 
 #include <algorithm>
 
-#include "entry/LoadMessages.h"
-#include "entry/OrderLimits.h"
 #include "entry/ServerLimits.h"
+#include "load/LoadMessages.h"
+#include "load/OrderLimits.h"
 #include "platform/OrderMessage.h"
 #include "platform/RequestHead.h"
 
--- a/src/entry/OrderLimits.h
+++ b/src/load/OrderLimits.h
@@ -1,6 +1,6 @@
 // OrderLimits.h: limits shared by orders and reports.
-#ifndef caraway_entry_OrderLimits_h
-#define caraway_entry_OrderLimits_h
+#ifndef caraway_load_OrderLimits_h
+#define caraway_load_OrderLimits_h
 
 #include "caraway/Time.h"
 
--- a/tests/platform/ServerContentTest.cpp
+++ b/tests/platform/ServerContentTest.cpp
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 #include <optional>
 
-#include "entry/OrderLimits.h"
+#include "load/OrderLimits.h"
 #include "platform/WireNames.h"
 #include "support/EntryTestFleet.h"
 
--- a/tests/unit/LoadPatienceTest.cpp
+++ b/tests/unit/LoadPatienceTest.cpp
@@ -5,7 +5,7 @@
 #include "decide/DemandExchange.h"
 #include "decide/LoadPriority.h"
 #include "decide/PlacementPlan.h"
-#include "entry/LoadMessages.h"
+#include "load/LoadMessages.h"
 
 namespace caraway {
 
