Tests: a fleet takes only ports that are free

Cause: both take ports from 20000 to 32000 and lock ranges by their first port, but of different sizes, so one's range lies within another's.

Change: a pair of ports that can't be bound now is passed over; another range is locked once all pairs of the locked ones were tried.

Evidence: with ports 20002 to 20499 taken by another process 5 of 5 tests are red before (Net Exception in 0 ms) and green after. A port that is taken between the check and its use still fails a test.

--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -20,15 +20,21 @@
 {
 public:
   // Returns the first of two free ports, of aCount that are in use at once.
+  // Programs that lock other ranges may have taken some.
   int Next(int aCount)
   {
     while (static_cast<int>(mBases.size()) * kPorts < 2 * aCount) {
       Lock();
     }
-    int all = static_cast<int>(mBases.size()) * kPorts;
-    mNext = mNext + 2 > all ? 2 : mNext + 2;
-    int at = mNext - 2;
-    return mBases[static_cast<size_t>(at / kPorts)] + 2 + at % kPorts;
+    int taken = 0;
+    int port = NextPair();
+    while (!IsFree(port) || !IsFree(port + 1)) {
+      if (++taken % (kPorts / 2) == 0) {
+        Lock();
+      }
+      port = NextPair();
+    }
+    return port;
   }
 
 private:
@@ -38,6 +44,31 @@
   static constexpr int kRanges = 48;
   static constexpr int kPorts = kRange - 2; // without the locked one
 
+  int NextPair()
+  {
+    int all = static_cast<int>(mBases.size()) * kPorts;
+    mNext = mNext + 2 > all ? 2 : mNext + 2;
+    int at = mNext - 2;
+    return mBases[static_cast<size_t>(at / kPorts)] + 2 + at % kPorts;
+  }
+
+  // To listen on as an instance does, also while connections of the port's last
+  // user are ending.
+  static bool IsFree(int aPort)
+  {
+    try {
+      Poco::Net::ServerSocket probe;
+      probe.bind(
+        Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(aPort)),
+        true,
+        false);
+      probe.listen(1);
+      return true;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
   void Lock()
   {
     for (; mTried < kRanges; ++mTried) {
