caraway-orders: fleets of two versions

No run had instances of two versions side by side, so what an instance does with the answers of a peer of an older version (which doesn't mark its refusals) was known by reading only.

--other_program runs a second build at every second instance; only what the first build's callers are told, and how often their requests ran, is judged.

--- a/tests/orders/main.cpp
+++ b/tests/orders/main.cpp
@@ -31,6 +31,10 @@
 DEFINE_string(program,
               CARAWAY_BIN_DIR "/carawayd-entry",
               "the entry daemon to run");
+DEFINE_string(other_program,
+              "",
+              "run by every second instance, whose own callers aren't judged; "
+              "for fleets of two versions");
 
 namespace {
 
@@ -66,6 +70,7 @@
 {
   caraway::OrderLoadPlan plan;
   plan.mProgram = FLAGS_program;
+  plan.mOtherProgram = FLAGS_other_program;
   plan.mFolder = std::filesystem::temp_directory_path() /
                  ("caraway-orders-" + std::to_string(getpid())) /
                  ("seed-" + std::to_string(aSeed));
--- a/tests/support/OrderLoad.cpp
+++ b/tests/support/OrderLoad.cpp
@@ -113,6 +113,12 @@
   }
 }
 
+bool
+OrderLoad::RunsOtherProgram(size_t aIndex) const
+{
+  return !mPlan.mOtherProgram.empty() && aIndex % 2 == 1;
+}
+
 void
 OrderLoad::StartInstances()
 {
@@ -122,7 +128,9 @@
     std::ofstream(name + ".toml") << mFleet.SettingsText(i);
     Instance instance;
     instance.mProcess = std::make_unique<EntryProcess>(
-      mPlan.mProgram, name + ".toml", name + ".log");
+      RunsOtherProgram(i) ? mPlan.mOtherProgram : mPlan.mProgram,
+      name + ".toml",
+      name + ".log");
     instance.mProcess->Start();
     mInstances.push_back(std::move(instance));
     mFleet.mReactor.Every(kProbeInterval, [this, i] {
@@ -302,6 +310,9 @@
     }
   }
   for (OrderAttempt& attempt : mAttempts) {
+    if (RunsOtherProgram(attempt.mInstance)) {
+      continue;
+    }
     attempt.mRuns = runs[attempt.mId];
     ++result.mStatuses[attempt.mStatus];
     if (ToldNotRun(attempt.mStatus) && attempt.mRuns > 0) {
--- a/tests/support/OrderLoad.h
+++ b/tests/support/OrderLoad.h
@@ -19,6 +19,9 @@
 struct OrderLoadPlan
 {
   std::string mProgram; // the entry daemon
+  // Every second instance runs this one instead, for fleets of two versions.
+  // What its own callers are told isn't judged.
+  std::string mOtherProgram;
   std::filesystem::path mFolder;
   unsigned mSeed = 1;
   int mZones = 3;
@@ -73,6 +76,7 @@
     bool mTerminated = false;
     std::shared_ptr<OutboundCall> mProbe;
   };
+  bool RunsOtherProgram(size_t aIndex) const;
   void Configure();
   void ListServers();
   void StartInstances();
