--- a/tests/support/EntryTestFleet.cpp
+++ b/tests/support/EntryTestFleet.cpp
@@ -20,16 +20,17 @@
 {
 public:
   // Returns the first of two free ports, of aCount that are in use at once.
-  // Programs that lock other ranges may have taken some.
+  // A pair that another program has taken is passed over; for as many of those
+  // as a range has, one range more is locked.
   int Next(int aCount)
   {
     while (static_cast<int>(mBases.size()) * kPorts < 2 * aCount) {
       Lock();
     }
-    int taken = 0;
+    int passedOver = 0;
     int port = NextPair();
     while (!IsFree(port) || !IsFree(port + 1)) {
-      if (++taken % (kPorts / 2) == 0) {
+      if (++passedOver % kPairs == 0) {
         Lock();
       }
       port = NextPair();
@@ -43,6 +44,7 @@
   static constexpr int kRange = 250;
   static constexpr int kRanges = 48;
   static constexpr int kPorts = kRange - 2; // without the locked one
+  static constexpr int kPairs = kPorts / 2;
 
   int NextPair()
   {
