A connection that was reset has failed, whoever took its error

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, and a stream up to its last whole event.

Cause: a system reports a socket's error once. The write of the upload met the reset first, and SendSome dropped the error, as the read side reports the end. The read that followed returned 0 like an orderly end, and an orderly end is the end of a body without a length. The same after SO_ERROR was read, and where an orderly end precedes the reset: a read then returns 0 for ever.

Change: Channel::Failed() is the one rule for how a connection ended: a write has failed, or the system has closed the connection. After an orderly end of the other side alone it is CLOSE_WAIT. Nothing has to be the first to ask.

--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -222,6 +222,7 @@
     // The end is reported by the read side, which may still hold an answer that
     // the other side sent before it stopped reading.
     if (!WouldBlock(error)) {
+      mFailed = true;
       done = aBytes.size();
       SetReading(true);
     }
@@ -282,6 +283,13 @@
   return mOpen ? Millis(TcpInfo(mSocket).tcpi_last_data_recv) : Millis(0);
 }
 
+// After the other side's orderly end this side is still to close.
+bool
+Channel::Failed() const
+{
+  return mFailed || (mOpen && TcpInfo(mSocket).tcpi_state == TCP_CLOSE);
+}
+
 void
 Channel::ShutdownSend()
 {
@@ -334,7 +342,8 @@
     if (count < 0) {
       return true; // no data yet
     }
-    aReason = ChannelCloseReason::Closed;
+    aReason =
+      Failed() ? ChannelCloseReason::Failed : ChannelCloseReason::Closed;
   } catch (const Poco::Exception& error) {
     if (WouldBlock(error)) {
       return true;
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -20,7 +20,7 @@
 // How a connection ended, as far as this side knows.
 enum class ChannelCloseReason
 {
-  Closed, // closed by the other side
+  Closed, // by the other side, in order
   Failed, // reset, timed out or not established
 };
 
@@ -99,6 +99,11 @@
   // Outgoing connections: the requests sent on it.
   CarriedRequests& Carried() { return mCarried; }
 
+  // Whether the connection has failed, even if nothing was read since. A system
+  // reports the error once, to whichever call comes first, and to no read that
+  // follows an orderly end.
+  bool Failed() const;
+
   void OnReadable() override;
   void OnWritable() override;
   bool IsControl() const override { return mControl; }
@@ -133,6 +138,7 @@
   bool mWatchingWrite = false;
   bool mReading = true;
   bool mSent = false;
+  bool mFailed = false;  // see Failed()
   bool mControl = false; // see SocketHandler
   bool mFinishing = false;
   bool mReadingStopped = false; // by FinishWithoutReading()
--- /dev/null
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -0,0 +1,177 @@
+// Servers send broken answers to instances as processes. No caller gets one as
+// an answer: what came before a reset is no whole answer, and a head that isn't
+// one by RFC 9110 and 9112 has no answer behind it.
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "platform/WireNames.h"
+#include "support/Fleet.h"
+#include "support/OneEntryProcess.h"
+#include "support/RawAnswerServer.h"
+
+namespace caraway {
+
+namespace {
+
+constexpr size_t kSoundBelow = 1000;                  // bytes
+constexpr size_t kUploads[] = { 300'000, 4'000'000 }; // bytes
+constexpr Millis kPauses[] = { Millis(0), Millis(5), Millis(20) };
+
+const std::vector<HttpField> kModel = { { wire::kModel, "m0" },
+                                        { wire::kTokens, "100,50" },
+                                        { wire::kDeadline, "1000" } };
+const std::string kEvents = "id: 1\ndata: piece 1\n\n";
+
+// One instance whose servers all are one raw server. Requests with few bytes
+// get sound answers.
+class BrokenAnswers : public testing::Test
+{
+protected:
+  BrokenAnswers()
+    : mServer(RawAnswer(), kSoundBelow)
+    , mEntry(EntryFleetOptions(),
+             nullptr,
+             [this](EntryTestFleet& aFleet) {
+               for (auto& server : aFleet.mPlain) {
+                 Relist(aFleet, *server, "plain");
+               }
+               Relist(aFleet, *aFleet.mEngines[0], "engine");
+             })
+    , mFleet(mEntry.mFleet)
+  {
+  }
+  void Relist(EntryTestFleet& aFleet,
+              const StandInServer& aServer,
+              const std::string& aService)
+  {
+    Json::Value entry = aServer.Entry(aService, "a");
+    entry["address"] = mServer.Address();
+    aFleet.mStore->Put(wire::kServersKind, aServer.Id(), entry);
+  }
+  // How many of the uploads to aPath got a complete success.
+  int CompleteUploads(const std::string& aPath,
+                      const RawAnswer& aAnswer,
+                      const std::vector<HttpField>& aFields = {})
+  {
+    int complete = 0;
+    for (size_t upload : kUploads) {
+      for (Millis pause : kPauses) {
+        RawAnswer answer = aAnswer;
+        answer.mPause = pause;
+        mServer.SetAnswer(answer);
+        int before = mServer.RawAnswers();
+        TestCallPtr call = mFleet.Call(0,
+                                       aPath,
+                                       "u" + std::to_string(++mCalls),
+                                       aFields,
+                                       std::string(upload, 'x'));
+        complete += call->mStatus == 200 && call->mComplete ? 1 : 0;
+        EXPECT_TRUE(call->mComplete || call->mClosed);
+        EXPECT_LT(before, mServer.RawAnswers()) << call->mStatus;
+      }
+    }
+    return complete;
+  }
+  bool Logged(const std::string& aText)
+  {
+    std::ostringstream text;
+    text << std::ifstream(mEntry.mFolder.File("i0.log")).rdbuf();
+    return text.str().find(aText) != std::string::npos;
+  }
+
+  RawAnswerServer mServer;
+  OneEntryProcess mEntry;
+  EntryTestFleet& mFleet;
+  int mCalls = 0;
+};
+
+RawAnswer
+PartBeforeReset(const std::string& aFields, const std::string& aBody)
+{
+  RawAnswer answer;
+  answer.mBytes = SealedAnswer(aFields, aBody);
+  answer.mReadFirst = 100'000;
+  answer.mEnd = RawEnd::Reset;
+  return answer;
+}
+
+} // namespace
+
+// Guards against the part of an answer that came before a reset, passed on as
+// the whole while the upload was still being written.
+TEST_F(BrokenAnswers, PartBeforeAResetUnderAnUploadIsNoAnswer)
+{
+  RawAnswer answer = PartBeforeReset("", "a part of a body");
+  for (size_t readFirst : { 0, 100'000 }) {
+    answer.mReadFirst = readFirst;
+    EXPECT_EQ(0, CompleteUploads("/order/x", answer));
+    EXPECT_EQ(0, CompleteUploads("/safe/x", answer));
+  }
+  EXPECT_TRUE(Logged("\"event\":\"server_broke\""));
+}
+
+// The same for streams, of which the last event that came is whole.
+TEST_F(BrokenAnswers, StreamBeforeAResetUnderAnUploadIsBroken)
+{
+  RawAnswer answer =
+    PartBeforeReset("Content-Type: text/event-stream\r\n", kEvents);
+  EXPECT_EQ(0, CompleteUploads("/stream/stream", answer, kModel));
+  EXPECT_EQ(0, CompleteUploads("/resume/stream", answer, kModel));
+}
+
+namespace {
+
+// One carawayd whose services and engines all are one raw server.
+class BrokenServiceAnswers : public testing::Test
+{
+protected:
+  BrokenServiceAnswers()
+    : mFleet(OneInstance())
+  {
+    int64_t revision = mFleet.Configure([&](Json::Value& aConfig) {
+      for (Json::Value& endpoint : aConfig["endpoints"]) {
+        if (endpoint["kind"].asString() == "service") {
+          endpoint["address"] = mServer.Address();
+        }
+      }
+    });
+    EXPECT_TRUE(mFleet.AwaitRevision(revision, Seconds(5)));
+  }
+  static FleetPlan OneInstance()
+  {
+    FleetPlan plan;
+    plan.mZones = { "mendoza-a" };
+    plan.mInstances = { 1 };
+    return plan;
+  }
+  RawAnswerServer mServer;
+  Fleet mFleet;
+};
+
+} // namespace
+
+// Guards carawayd's callers against what came before a reset, or an orderly
+// end, under an upload.
+TEST_F(BrokenServiceAnswers, PartBeforeAResetUnderAnUploadIsNoAnswer)
+{
+  for (RawEnd end : { RawEnd::Reset, RawEnd::HalfCloseThenReset }) {
+    RawAnswer answer;
+    answer.mBytes = SealedAnswer("", "broken body");
+    answer.mEnd = end;
+    mServer.SetAnswer(answer);
+    for (size_t upload : { 1000, 300'000, 900'000 }) {
+      HttpReply reply = mFleet.OrderCall(0,
+                                         mFleet.mKeys["acme"],
+                                         "k" + std::to_string(upload) +
+                                           std::to_string(int(end)),
+                                         std::string(upload, 'x'));
+      EXPECT_FALSE(reply.Ok());
+      EXPECT_EQ(std::string::npos, reply.mBody.find("broken body"));
+    }
+  }
+}
+
+} // namespace caraway
--- a/tests/support/OneEntryProcess.cpp
+++ b/tests/support/OneEntryProcess.cpp
@@ -17,7 +17,8 @@
 
 OneEntryProcess::OneEntryProcess(
   EntryFleetOptions aOptions,
-  const std::function<void(Json::Value&)>& aConfigure)
+  const std::function<void(Json::Value&)>& aConfigure,
+  const std::function<void(EntryTestFleet&)>& aPrepare)
   : mFleet(WithoutInstances(std::move(aOptions)))
   , mProcess(CARAWAY_BIN_DIR "/carawayd-entry",
              mFolder.File("i0.toml"),
@@ -27,6 +28,9 @@
     aConfigure(mFleet.mConfig);
     mFleet.Configure();
   }
+  if (aPrepare) {
+    aPrepare(mFleet);
+  }
   std::ofstream(mFolder.File("i0.toml")) << mFleet.SettingsText(0);
   mProcess.Start();
   for (int i = 0; i < 100; ++i) {
--- a/tests/support/OneEntryProcess.h
+++ b/tests/support/OneEntryProcess.h
@@ -14,11 +14,13 @@
 class OneEntryProcess
 {
 public:
-  // aConfigure changes the first configuration. Returns once a request was
-  // served and the token buckets are full.
+  // aConfigure changes the first configuration, aPrepare the stand-ins before
+  // the process starts. Returns once a request was served and the token buckets
+  // are full.
   explicit OneEntryProcess(
     EntryFleetOptions aOptions = EntryFleetOptions(),
-    const std::function<void(Json::Value&)>& aConfigure = nullptr);
+    const std::function<void(Json::Value&)>& aConfigure = nullptr,
+    const std::function<void(EntryTestFleet&)>& aPrepare = nullptr);
 
   ScratchFolder mFolder;
   EntryTestFleet mFleet;
--- a/tests/unit/ChannelTest.cpp
+++ b/tests/unit/ChannelTest.cpp
@@ -5,7 +5,9 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <cerrno>
 #include <netinet/tcp.h>
+#include <optional>
 
 #include "caraway/BootClock.h"
 #include "net/Channel.h"
@@ -145,6 +147,110 @@
   channel->Close();
 }
 
+namespace {
+
+enum class ErrorTaker
+{
+  Read,
+  Write,
+  Option, // SO_ERROR
+};
+
+class AcceptedChannel : public testing::Test
+{
+protected:
+  AcceptedChannel()
+    : mReactor(mClock)
+    , mListener(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , mPeer(mListener.address())
+    , mSocket(mListener.acceptConnection())
+    , mChannel(Channel::Accepted(mReactor, mSocket))
+  {
+    Channel::Events events;
+    events.mEnd = [this](ChannelCloseReason aReason) { mEnd = aReason; };
+    mChannel->SetEvents(std::move(events));
+  }
+  ~AcceptedChannel() override { mReactor.Drop(); }
+  void AwaitEnd()
+  {
+    TimePoint until = mClock.Now() + Seconds(2);
+    while (!mEnd && mClock.Now() < until) {
+      mReactor.RunPass(Millis(10));
+    }
+  }
+  void ResetByPeer()
+  {
+    mPeer.setLinger(true, 0);
+    mPeer.close();
+  }
+
+  BootClock mClock;
+  Reactor mReactor;
+  Poco::Net::ServerSocket mListener;
+  Poco::Net::StreamSocket mPeer;
+  Poco::Net::StreamSocket mSocket;
+  std::shared_ptr<Channel> mChannel;
+  std::optional<ChannelCloseReason> mEnd;
+};
+
+class ResetChannel
+  : public AcceptedChannel
+  , public testing::WithParamInterface<ErrorTaker>
+{};
+
+} // namespace
+
+// Guards against a reset that looks like an orderly end, because its error was
+// told to something else than the read.
+TEST_P(ResetChannel, HasFailedWhateverTookTheError)
+{
+  if (GetParam() == ErrorTaker::Write) {
+    mChannel->Write(std::string(32u << 20, 'x'));
+  }
+  ResetByPeer();
+  if (GetParam() == ErrorTaker::Option) {
+    int error = 0;
+    mSocket.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+    EXPECT_EQ(ECONNRESET, error);
+  }
+  AwaitEnd();
+  ASSERT_TRUE(mEnd);
+  EXPECT_EQ(ChannelCloseReason::Failed, *mEnd);
+}
+
+// The same where an orderly end precedes the reset, and both have arrived
+// before anything is read.
+TEST_P(ResetChannel, HasFailedThoughItEndedInOrderBefore)
+{
+  if (GetParam() == ErrorTaker::Write) {
+    mChannel->Write(std::string(32u << 20, 'x'));
+  }
+  mPeer.shutdownSend();
+  ResetByPeer();
+  if (GetParam() == ErrorTaker::Option) {
+    int error = 0;
+    mSocket.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
+  }
+  AwaitEnd();
+  ASSERT_TRUE(mEnd);
+  EXPECT_EQ(ChannelCloseReason::Failed, *mEnd);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         ResetChannel,
+                         testing::Values(ErrorTaker::Read,
+                                         ErrorTaker::Write,
+                                         ErrorTaker::Option));
+
+// Guards against an orderly end that counts as a failure.
+TEST_F(AcceptedChannel, OrderlyEndIsNoFailure)
+{
+  mPeer.close();
+  AwaitEnd();
+  ASSERT_TRUE(mEnd);
+  EXPECT_EQ(ChannelCloseReason::Closed, *mEnd);
+}
+
 // Guards against a request that is given up while the network holds it up, and
 // reaches a server that has left meanwhile: a reset discards it, a close
 // doesn't.
