A body without a length is whole once the server has the whole request

What callers saw: a server sent part of its body, ended its side of the connection in order and reset it milliseconds later, while the upload was still being written. The caller got the part as a complete answer.

Cause: the end of the connection was taken for the end of the body at once. While the request is not with the server nothing proves that: a process that ends closes in order too, and the reset by what it leaves unread comes later.

Change: for such a body the channel reports an orderly end only once the other side's system has acknowledged all output (SIOCOUTQ), and a failure if a reset comes first. It goes on writing until then, as a server may answer early and read the rest of the request (RFC 9112, 9.6): such an answer stays whole.

--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -31,6 +32,9 @@
 // Smaller bodies are copied behind their heads, which saves a send.
 constexpr size_t kMaxCopiedBytes = 16384;
 
+// Between two looks whether the other side has received all output.
+constexpr Millis kDeliveryCheck{ 5 };
+
 // How long input is read and discarded after the last answer.
 constexpr Millis kLinger{ 300 };
 
@@ -283,6 +287,14 @@
   return mOpen ? Millis(TcpInfo(mSocket).tcpi_last_data_recv) : Millis(0);
 }
 
+bool
+Channel::Delivered() const
+{
+  int bytes = 0; // not acknowledged; 0 if the system doesn't say
+  bool known = ioctl(mSocket.impl()->sockfd(), SIOCOUTQ, &bytes) == 0;
+  return QueuedBytes() == 0 && (!known || bytes == 0);
+}
+
 // After the other side's orderly end this side is still to close.
 bool
 Channel::Failed() const
@@ -383,8 +395,43 @@
     ReleaseIfLarge(mInput);
   }
   if (!alive && mOpen) {
-    End(end);
+    OnInputEnd(end);
+  }
+}
+
+void
+Channel::OnInputEnd(ChannelCloseReason aReason)
+{
+  if (aReason == ChannelCloseReason::Closed && mEndsOnceDelivered) {
+    SetReading(false); // an end stays readable
+    EndIfDelivered();
+  } else {
+    End(aReason);
+  }
+}
+
+// Output that the other side refuses or leaves unread makes the connection
+// fail, the latter by the user timeout.
+void
+Channel::EndIfDelivered()
+{
+  bool delivered = Delivered(); // asked first: a reset drops all output
+  if (Failed()) {
+    End(ChannelCloseReason::Failed);
+    return;
+  }
+  if (delivered) {
+    End(ChannelCloseReason::Closed);
+    return;
   }
+  std::weak_ptr<Channel> weak = weak_from_this();
+  mReactor.Cancel(mTimer);
+  mTimer = mReactor.After(kDeliveryCheck, [weak] {
+    auto alive = weak.lock();
+    if (alive && alive->mOpen) {
+      alive->EndIfDelivered();
+    }
+  });
 }
 
 void
--- a/src/net/Channel.h
+++ b/src/net/Channel.h
@@ -99,6 +99,12 @@
   // Outgoing connections: the requests sent on it.
   CarriedRequests& Carried() { return mCarried; }
 
+  // From now on an orderly end by the other side is reported only once it has
+  // all output; if that fails, the connection has failed. For a message whose
+  // end is the connection's: an end before that proves nothing.
+  void EndOnceDelivered() { mEndsOnceDelivered = true; }
+  // Whether the other side's system has received all output.
+  bool Delivered() const;
   // Whether the connection has failed, even if nothing was read since. A system
   // reports the error once, to whichever call comes first, and to no read that
   // follows an orderly end.
@@ -117,6 +123,8 @@
   void ReleaseSpare();
   void Flush();
   void End(ChannelCloseReason aReason);
+  void OnInputEnd(ChannelCloseReason aReason);
+  void EndIfDelivered();
   void FinishLinger();
   void ShutdownSend();
   void LingerFor(Millis aTimeout);
@@ -138,8 +146,9 @@
   bool mWatchingWrite = false;
   bool mReading = true;
   bool mSent = false;
-  bool mFailed = false;  // see Failed()
-  bool mControl = false; // see SocketHandler
+  bool mFailed = false;            // see Failed()
+  bool mEndsOnceDelivered = false; // see EndOnceDelivered()
+  bool mControl = false;           // see SocketHandler
   bool mFinishing = false;
   bool mReadingStopped = false; // by FinishWithoutReading()
   size_t mDropped = 0;          // bytes discarded since Finish()
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -208,6 +208,9 @@
   }
   mReader.emplace(head);
   mAnswer = std::move(head);
+  if (mAnswer->mFraming == BodyFraming::UntilClose) {
+    mChannel->EndOnceDelivered();
+  }
   if (mMatches && mEvents.mHead) {
     mEvents.mHead(*mAnswer);
   }
--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -122,6 +122,18 @@
   EXPECT_EQ(0, CompleteUploads("/resume/stream", answer, kModel));
 }
 
+// The same after an orderly end, which the reset follows. The uploads are
+// larger than what the systems on the way take for a server that reads none.
+TEST_F(BrokenAnswers, PartThatEndsInOrderBeforeAResetIsNoAnswer)
+{
+  RawAnswer answer = PartBeforeReset("", "a part of a body");
+  for (RawEnd end :
+       { RawEnd::HalfCloseThenReset, RawEnd::HalfCloseThenUnread }) {
+    answer.mEnd = end;
+    EXPECT_EQ(0, CompleteUploads("/order/x", answer));
+  }
+}
+
 namespace {
 
 // One carawayd whose services and engines all are one raw server.
--- a/tests/unit/ResetUnderUploadTest.cpp
+++ b/tests/unit/ResetUnderUploadTest.cpp
@@ -123,6 +123,17 @@
   EXPECT_EQ(0, CompleteParts(100'000, RawEnd::Reset, true));
 }
 
+// Guards against an orderly end that precedes the reset, which a socket reports
+// even when the reset has arrived before it is read.
+TEST_F(ResetUnderUpload, PartThatEndsInOrderBeforeAResetIsNoWholeAnswer)
+{
+  for (RawEnd end :
+       { RawEnd::HalfCloseThenReset, RawEnd::HalfCloseThenUnread }) {
+    EXPECT_EQ(0, CompleteParts(0, end)) << static_cast<int>(end);
+    EXPECT_EQ(0, CompleteParts(100'000, end)) << static_cast<int>(end);
+  }
+}
+
 // Guards against an answer with a length that counts as lost for the reset that
 // follows it.
 TEST_F(ResetUnderUpload, FramedAnswerBeforeTheResetIsWhole)
@@ -151,6 +162,20 @@
   EXPECT_EQ(kCalls, CompleteParts(kReadAll, RawEnd::ReadThenClose, true));
 }
 
+// Guards against a call that waits until its timeout for a server that has
+// ended its answer in order and reads no more of the request.
+TEST_F(ResetUnderUpload, ServerThatReadsNoMoreIsGivenUp)
+{
+  RawAnswer answer;
+  answer.mBytes = SealedAnswer("", kPart);
+  answer.mEnd = RawEnd::HalfCloseThenReset;
+  answer.mPause = Seconds(6);
+  mServer.SetAnswer(answer);
+  TimePoint begun = mClock.Now();
+  EXPECT_EQ(CallOutcome::Interrupted, Call(kUploads[2]).mOutcome);
+  EXPECT_LT(mClock.Now() - begun, Seconds(5));
+}
+
 // Guards carawayd's calls, of which an answer without a length is never whole.
 TEST_F(ResetUnderUpload, BlockingCallsTakeNoPart)
 {
