A connection isn't kept before the server has the whole request

What callers saw: the request after a large one that was answered early got 502 "outcome unknown", as it was sent on a connection that its server reset with the rest of the large request unread.

Change: it is kept only if the other side has acknowledged the whole request. An answer that comes after the server has read the request acknowledges it, so that such connections are kept as before.

Test, red before and green after: BrokenAnswers.WholeAnswersToUploadsAre Complete (framed answers before a reset, 300 KB and 4 MB: 5 of 6, then the next request 502).

--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -261,7 +261,7 @@
 {
   return mChannel->Open() && mAnswer && mAnswer->mKeepAlive &&
          mAnswer->mFraming != BodyFraming::UntilClose && mForeignAnswers == 0 &&
-         mChannel->QueuedBytes() == 0 && mChannel->Input().empty();
+         mChannel->Delivered() && mChannel->Input().empty();
 }
 
 void
@@ -270,7 +270,7 @@
   mFinished = true;
   mReactor.Kept().Remove(mKeptId);
   // A connection is not reused if bytes follow the answer, since they belong to
-  // no request, or if its request was not sent completely.
+  // no request, or if the server has not received all of its request.
   if (aOutcome == CallOutcome::Complete && MayKeep()) {
     mPool.Keep(
       mRequest.mAddress, mRequest.mPeer, mChannel, IdleTimeoutOf(*mAnswer));
--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -134,6 +134,18 @@
   }
 }
 
+// Guards against a framed answer that is lost for the reset behind it, and an
+// unframed one whose server has read all of the request.
+TEST_F(BrokenAnswers, WholeAnswersToUploadsAreComplete)
+{
+  constexpr int kCalls = std::size(kUploads) * std::size(kPauses);
+  RawAnswer framed = PartBeforeReset("Content-Length: 5\r\n", "whole");
+  EXPECT_EQ(kCalls, CompleteUploads("/order/x", framed));
+  RawAnswer unframed = PartBeforeReset("", "whole");
+  unframed.mEnd = RawEnd::ReadThenClose;
+  EXPECT_EQ(kCalls, CompleteUploads("/order/x", unframed));
+}
+
 namespace {
 
 // One carawayd whose services and engines all are one raw server.
