Log: what was wrong with an answer, and at which server

Test: BrokenAnswers.PartBeforeAResetUnderAnUploadIsNoAnswer reads it from the process' log (red before, as the field was missing).

--- a/src/entry/EntryState.cpp
+++ b/src/entry/EntryState.cpp
@@ -23,6 +23,8 @@
       { mSettings.mRetryRatio, mSettings.mRetrySlack, mSettings.mRetryWindow })
   , mRandom(std::random_device{}())
 {
+  mServerPool.SetLog(mLog);
+  mPeerPool.SetLog(mLog);
   mServers.ColdLimit().Configure({ mSettings.mName,
                                    mSettings.mZone,
                                    mSettings.mColdOverage,
--- a/src/exchange/ExchangeEnd.cpp
+++ b/src/exchange/ExchangeEnd.cpp
@@ -184,6 +184,7 @@
 {
   std::string server = mServer;
   bool kept = mCall && mCall->Reused();
+  const char* wrong = mCall ? mCall->Wrong() : "";
   mRuns.OnSendEnded(RunProof::None);
   mGrant.reset();
   mState.mServers.RecordOutcome(server, ServerOutcome::Broken, mState.Now());
@@ -197,6 +198,7 @@
     .Text("id", mFacts.mId)
     .Text("server", server)
     .Text("how", aOutcome == CallOutcome::Malformed ? "garbled" : "cut")
+    .Text("wrong", wrong)
     .Flag("kept_connection", kept)
     .Flag("streaming", mStreaming)
     .Text("framing", AnswerFraming())
--- a/src/net/ChannelPool.cpp
+++ b/src/net/ChannelPool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/EventLog.h"
+
 namespace caraway {
 
 ChannelPool::ChannelPool(Reactor& aReactor)
@@ -9,6 +11,19 @@
 {
 }
 
+void
+ChannelPool::LogRejected(const std::string& aAddress,
+                         const std::string& aPeer,
+                         const char* aWrong) const
+{
+  if (mLog) {
+    mLog->Line("answer_rejected")
+      .Text("address", aAddress)
+      .Text("server", aPeer)
+      .Text("wrong", aWrong);
+  }
+}
+
 std::shared_ptr<Channel>
 ChannelPool::Take(const std::string& aAddress,
                   const std::string& aPeer,
--- a/src/net/ChannelPool.h
+++ b/src/net/ChannelPool.h
@@ -11,10 +11,17 @@
 
 namespace caraway {
 
+class EventLog;
+
 class ChannelPool
 {
 public:
   explicit ChannelPool(Reactor& aReactor);
+  // Answers that are rejected are logged there.
+  void SetLog(EventLog& aLog) { mLog = &aLog; }
+  void LogRejected(const std::string& aAddress,
+                   const std::string& aPeer,
+                   const char* aWrong) const;
 
   // Returns a connection to aAddress whose last answer came from aPeer (the
   // server's identity), which has been idle for less than aMaxShare of the
@@ -45,6 +52,7 @@
   using Key = std::pair<std::string, std::string>;
 
   Reactor& mReactor;
+  EventLog* mLog = nullptr;
   std::map<Key, std::vector<IdleChannel>> mIdle;
 };
 
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -56,18 +56,20 @@
   return false;
 }
 
-bool
+HeadFault
 ReadField(std::string_view aLine, HttpHead& aHead)
 {
   size_t colon = aLine.find(':');
   if (colon == 0 || colon == std::string_view::npos) {
-    return false;
+    return HeadFault::FieldName;
   }
   std::string_view name = aLine.substr(0, colon);
   std::string_view value = aLine.substr(colon + 1);
-  if (!std::all_of(name.begin(), name.end(), IsTokenChar) ||
-      !IsPlainText(value)) {
-    return false;
+  if (!std::all_of(name.begin(), name.end(), IsTokenChar)) {
+    return HeadFault::FieldName;
+  }
+  if (!IsPlainText(value)) {
+    return HeadFault::FieldValue;
   }
   while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
     value.remove_prefix(1);
@@ -76,7 +78,8 @@
     value.remove_suffix(1);
   }
   aHead.mFields.push_back({ std::string(name), std::string(value) });
-  return aHead.mFields.size() <= kMaxFields;
+  return aHead.mFields.size() <= kMaxFields ? HeadFault::None
+                                            : HeadFault::FieldCount;
 }
 
 std::optional<size_t>
@@ -129,13 +132,13 @@
   return aHead.mKeepAlive || aText == "HTTP/1.0";
 }
 
-bool
+HeadFault
 ReadRequestLine(std::string_view aLine, HttpHead& aHead)
 {
   size_t first = aLine.find(' ');
   size_t last = aLine.rfind(' ');
   if (first == std::string_view::npos || first == 0 || last <= first + 1) {
-    return false;
+    return HeadFault::FirstLine;
   }
   std::string_view target = aLine.substr(first + 1, last - first - 1);
   aHead.mMethod = aLine.substr(0, first);
@@ -143,33 +146,35 @@
   bool plain = std::all_of(target.begin(), target.end(), [](char aChar) {
     return static_cast<unsigned char>(aChar) > 0x20 && aChar != 0x7f;
   });
-  return plain && target.front() == '/' &&
-         std::all_of(aHead.mMethod.begin(), aHead.mMethod.end(), IsTokenChar) &&
-         ReadVersion(aLine.substr(last + 1), aHead);
+  bool valid =
+    plain && target.front() == '/' &&
+    std::all_of(aHead.mMethod.begin(), aHead.mMethod.end(), IsTokenChar) &&
+    ReadVersion(aLine.substr(last + 1), aHead);
+  return valid ? HeadFault::None : HeadFault::FirstLine;
 }
 
-bool
+HeadFault
 ReadStatusLine(std::string_view aLine, HttpHead& aHead)
 {
   if (aLine.size() < 12 || !ReadVersion(aLine.substr(0, 8), aHead) ||
       aLine[8] != ' ') {
-    return false;
+    return HeadFault::FirstLine;
   }
   const char* at = aLine.data() + 9;
   auto [end, error] = std::from_chars(at, at + 3, aHead.mStatus);
   if (error != std::errc() || end != at + 3 || aHead.mStatus < 100 ||
       (aLine.size() > 12 && aLine[12] != ' ')) {
-    return false;
+    return HeadFault::Status;
   }
   aHead.mReason = aLine.size() > 13 ? aLine.substr(13) : std::string_view();
-  return IsPlainText(aHead.mReason);
+  return IsPlainText(aHead.mReason) ? HeadFault::None : HeadFault::FirstLine;
 }
 
 HeadState
 ReadHead(std::string_view aBytes,
          HttpHead& aHead,
          size_t& aUsed,
-         bool (*aReadFirstLine)(std::string_view, HttpHead&))
+         HeadFault (*aReadFirstLine)(std::string_view, HttpHead&))
 {
   size_t end = aBytes.find(kEndOfHead);
   if (end == std::string_view::npos) {
@@ -182,8 +187,8 @@
   while (!rest.empty()) {
     size_t stop = rest.find("\r\n");
     std::string_view line = rest.substr(0, stop);
-    bool valid = first ? aReadFirstLine(line, aHead) : ReadField(line, aHead);
-    if (!valid || line.find('\n') != std::string_view::npos) {
+    aHead.mFault = first ? aReadFirstLine(line, aHead) : ReadField(line, aHead);
+    if (aHead.mFault != HeadFault::None) {
       return HeadState::Bad;
     }
     first = false;
@@ -192,8 +197,37 @@
   return HeadState::Complete;
 }
 
+HeadState
+BadFraming(HttpHead& aHead)
+{
+  aHead.mFault = HeadFault::Framing;
+  return HeadState::Bad;
+}
+
 } // namespace
 
+const char*
+HeadFaultName(HeadFault aFault)
+{
+  switch (aFault) {
+    case HeadFault::None:
+      return "";
+    case HeadFault::FirstLine:
+      return "first line";
+    case HeadFault::Status:
+      return "status";
+    case HeadFault::FieldName:
+      return "field name";
+    case HeadFault::FieldValue:
+      return "field value";
+    case HeadFault::FieldCount:
+      return "number of fields";
+    case HeadFault::Framing:
+      break;
+  }
+  return "length or coding";
+}
+
 bool
 EqualsIgnoreCase(std::string_view aOne, std::string_view aOther)
 {
@@ -244,7 +278,7 @@
   if (state != HeadState::Complete) {
     return state;
   }
-  return ReadFraming(aHead, BodyFraming::None) ? state : HeadState::Bad;
+  return ReadFraming(aHead, BodyFraming::None) ? state : BadFraming(aHead);
 }
 
 HeadState
@@ -257,7 +291,7 @@
   bool bodiless =
     aHead.mStatus < 200 || aHead.mStatus == 204 || aHead.mStatus == 304;
   if (!ReadFraming(aHead, BodyFraming::UntilClose)) {
-    return HeadState::Bad;
+    return BadFraming(aHead);
   }
   if (bodiless) {
     aHead.mFraming = BodyFraming::None;
--- a/src/net/HttpHead.h
+++ b/src/net/HttpHead.h
@@ -30,6 +30,23 @@
 const char*
 FramingName(BodyFraming aFraming);
 
+// Why a head is bad: the first line or value that isn't one by RFC 9110 and
+// RFC 9112.
+enum class HeadFault
+{
+  None,
+  FirstLine,
+  Status,
+  FieldName,
+  FieldValue,
+  FieldCount,
+  Framing, // lengths or codings that differ, or are none
+};
+
+// "first line", "status", "field name" and so on, as in logs.
+const char*
+HeadFaultName(HeadFault aFault);
+
 struct HttpHead
 {
   std::string mMethod; // requests
@@ -39,7 +56,8 @@
   bool mKeepAlive = true;
   std::vector<HttpField> mFields;
   BodyFraming mFraming = BodyFraming::None;
-  size_t mLength = 0; // with BodyFraming::Length
+  size_t mLength = 0;                 // with BodyFraming::Length
+  HeadFault mFault = HeadFault::None; // of a bad head
 
   const std::string* Find(std::string_view aName) const;
   void Add(std::string aName, std::string aValue);
@@ -56,8 +74,8 @@
 bool
 EqualsIgnoreCase(std::string_view aOne, std::string_view aOther);
 
-// Reads a head from the start of aBytes. If the result is Whole, aUsed is the
-// number of bytes read.
+// Reads a head from the start of aBytes. If the result is Complete, aUsed is
+// the number of bytes read.
 HeadState
 ReadRequestHead(std::string_view aBytes, HttpHead& aHead, size_t& aUsed);
 HeadState
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -173,13 +173,18 @@
   while (true) {
     size_t used = 0;
     HeadState state = ReadAnswerHead(input, aHead, used);
-    bool endless = state == HeadState::Partial && input.size() > kMaxHeadBytes;
-    if (state == HeadState::Bad || endless ||
-        mInterimAnswers > kMaxInterimAnswers) {
-      Finish(CallOutcome::Malformed);
+    if (state == HeadState::Bad) {
+      Reject(HeadFaultName(aHead.mFault));
       return false;
     }
     if (state == HeadState::Partial) {
+      if (input.size() > kMaxHeadBytes) {
+        Reject("head without end");
+      }
+      return false;
+    }
+    if (mInterimAnswers > kMaxInterimAnswers) {
+      Reject("interim answers without end");
       return false;
     }
     input.erase(0, used);
@@ -203,7 +208,7 @@
   bool endless = !mMatches && (++mForeignAnswers > kMaxForeignAnswers ||
                                head.mFraming == BodyFraming::UntilClose);
   if (endless || owner == AnswerOwner::Unsure) {
-    Finish(CallOutcome::Malformed);
+    Reject("answer to another request");
     return false;
   }
   mReader.emplace(head);
@@ -232,7 +237,7 @@
     return;
   }
   if (!good) {
-    Finish(CallOutcome::Malformed);
+    Reject(mMatches ? "body's framing" : "answer to another request");
   } else if (mReader->Done() && mMatches) {
     Finish(CallOutcome::Complete);
   } else if (mReader->Done()) {
@@ -241,6 +246,15 @@
   }
 }
 
+// The input is no answer to this request.
+void
+OutboundCall::Reject(const char* aWrong)
+{
+  mWrong = aWrong;
+  mPool.LogRejected(mRequest.mAddress, mRequest.mPeer, aWrong);
+  Finish(CallOutcome::Malformed);
+}
+
 void
 OutboundCall::OnEnd(ChannelCloseReason aReason)
 {
@@ -253,6 +267,8 @@
     Finish(CallOutcome::Complete);
     return;
   }
+  bool inOrder = aReason == ChannelCloseReason::Closed;
+  mWrong = inOrder ? "connection closed early" : "connection failed";
   Finish(mChannel->Sent() ? CallOutcome::Interrupted : CallOutcome::NotSent);
 }
 
--- a/src/net/OutboundCall.h
+++ b/src/net/OutboundCall.h
@@ -67,6 +67,8 @@
   void Cancel();
   bool Sent() const;
   bool Reused() const { return mReused; }
+  // What was wrong with the answer or its end, as in logs; "" if nothing was.
+  const char* Wrong() const { return mWrong; }
   // See Channel::EstablishedAt().
   TimePoint EstablishedAt() const { return mChannel->EstablishedAt(); }
 
@@ -81,6 +83,7 @@
   bool ReadFinalHead(HttpHead& aHead);
   bool ReadHead();
   void ReadBody();
+  void Reject(const char* aWrong);
   void Finish(CallOutcome aOutcome);
   bool MayKeep() const;
 
@@ -96,6 +99,7 @@
   int mInterimAnswers = 0;
   int mForeignAnswers = 0;
   size_t mForeignBytes = 0; // of their bodies
+  const char* mWrong = "";
   size_t mKeptByHandler = 0;
   KeptBytes::Id mKeptId = 0; // 0 = nothing was kept yet
   bool mReused = false;
--- a/src/store/StoreClient.cpp
+++ b/src/store/StoreClient.cpp
@@ -49,6 +49,7 @@
   , mAddress(std::move(aAddress))
   , mPool(aReactor)
 {
+  mPool.SetLog(aLog);
 }
 
 void
--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -110,7 +110,7 @@
     EXPECT_EQ(0, CompleteUploads("/order/x", answer));
     EXPECT_EQ(0, CompleteUploads("/safe/x", answer));
   }
-  EXPECT_TRUE(Logged("\"event\":\"server_broke\""));
+  EXPECT_TRUE(Logged("\"how\":\"cut\",\"wrong\":\"connection failed\""));
 }
 
 // The same for streams, of which the last event that came is whole.
