A status beyond 599, a switched protocol or a coding in HTTP/1.0 is no answer

What callers saw: a server's answer of status 600 or 999 came through carawayd-entry as it was, and the answer behind a 101 that nobody had asked for.

Cause: the parser took any status of three digits from 100, and a call read on behind each 1xx. RFC 9110, 15: a status beyond 599 is invalid, and a switch needs an Upgrade, which is never sent. A coding in HTTP/1.0 is a fault of the framing by RFC 9112, 6.1: what lies between may have ignored it.

Change: such heads are rejected like the others. The caller gets 502, a retry where the route allows it; an order of unknown outcome stays unknown.

Evidence: of 67 heads that are no answer the code before took 600, 999 and the one behind 101, by real process too; 000, 099 and all broken field names were rejected already, and stay in the tests.

Tests, red before and green after: BrokenHeadsTest.BufferedCallIsMalformed, BrokenAnswers.AnswerWithABrokenHeadIsNoAnswer (real carawayd-entry).

--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -12,6 +12,10 @@
 constexpr std::string_view kEndOfHead = "\r\n\r\n";
 constexpr size_t kMaxFields = 128; // far more than any real caller sends
 
+// Other statuses have no meaning: RFC 9110, section 15.
+constexpr int kLeastStatus = 100;
+constexpr int kMostStatus = 599;
+
 char
 Lower(char aChar)
 {
@@ -162,8 +166,8 @@
   }
   const char* at = aLine.data() + 9;
   auto [end, error] = std::from_chars(at, at + 3, aHead.mStatus);
-  if (error != std::errc() || end != at + 3 || aHead.mStatus < 100 ||
-      (aLine.size() > 12 && aLine[12] != ' ')) {
+  if (error != std::errc() || end != at + 3 || aHead.mStatus < kLeastStatus ||
+      aHead.mStatus > kMostStatus || (aLine.size() > 12 && aLine[12] != ' ')) {
     return HeadFault::Status;
   }
   aHead.mReason = aLine.size() > 13 ? aLine.substr(13) : std::string_view();
@@ -288,11 +292,16 @@
   if (state != HeadState::Complete) {
     return state;
   }
+  bool version11 = aHead.mKeepAlive; // until the fields are read
   bool bodiless =
     aHead.mStatus < 200 || aHead.mStatus == 204 || aHead.mStatus == 304;
   if (!ReadFraming(aHead, BodyFraming::UntilClose)) {
     return BadFraming(aHead);
   }
+  // HTTP/1.0 has no codings: an intermediary of that version ignores them.
+  if (!version11 && aHead.mFraming == BodyFraming::Chunked) {
+    return BadFraming(aHead);
+  }
   if (bodiless) {
     aHead.mFraming = BodyFraming::None;
   }
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -13,6 +13,9 @@
 // Longer answer heads are rejected.
 constexpr size_t kMaxHeadBytes = 65536;
 
+// Never asked for, so that what follows it is no answer.
+constexpr int kSwitchingProtocols = 101;
+
 // Limit of interim answers (1xx) before the answer.
 constexpr int kMaxInterimAnswers = 16;
 
@@ -183,6 +186,10 @@
       }
       return false;
     }
+    if (aHead.mStatus == kSwitchingProtocols) {
+      Reject("protocol switched unasked");
+      return false;
+    }
     if (mInterimAnswers > kMaxInterimAnswers) {
       Reject("interim answers without end");
       return false;
--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "platform/WireNames.h"
+#include "support/BrokenHeads.h"
 #include "support/Fleet.h"
 #include "support/OneEntryProcess.h"
 #include "support/RawAnswerServer.h"
@@ -19,6 +20,7 @@
 constexpr size_t kSoundBelow = 1000;                  // bytes
 constexpr size_t kUploads[] = { 300'000, 4'000'000 }; // bytes
 constexpr Millis kPauses[] = { Millis(0), Millis(5), Millis(20) };
+constexpr int kNotFromHere = 502;
 
 const std::vector<HttpField> kModel = { { wire::kModel, "m0" },
                                         { wire::kTokens, "100,50" },
@@ -146,6 +148,32 @@
   EXPECT_EQ(kCalls, CompleteUploads("/order/x", unframed));
 }
 
+// Guards against a body behind a head that isn't that of an answer, passed on
+// with some of its lines.
+TEST_F(BrokenAnswers, AnswerWithABrokenHeadIsNoAnswer)
+{
+  for (const BrokenHead& head : BrokenHeads()) {
+    RawAnswer answer;
+    answer.mBytes = BrokenAnswer(head,
+                                 std::string(wire::kRequestId) + ": {id}\r\n" +
+                                   wire::kSeal + ": seal\r\n",
+                                 "body");
+    answer.mReadFirst = SIZE_MAX;
+    answer.mEnd = RawEnd::ReadThenClose;
+    mServer.SetAnswer(answer);
+    TestCallPtr call = mFleet.Call(0,
+                                   "/order/x",
+                                   std::to_string(++mCalls),
+                                   {},
+                                   std::string(kSoundBelow, 'x'));
+    EXPECT_EQ(kNotFromHere, call->mStatus) << head.mWhat;
+    EXPECT_EQ("", call->mBody) << head.mWhat;
+  }
+  EXPECT_TRUE(Logged("\"event\":\"answer_rejected\""));
+  EXPECT_TRUE(Logged("\"address\":\"" + mServer.Address() + "\""));
+  EXPECT_TRUE(Logged("\"wrong\":\"field name\""));
+}
+
 namespace {
 
 // One carawayd whose services and engines all are one raw server.
