carawayd, carawayctl: a head that isn't an answer's is rejected

What callers saw: carawayd passed on the body, status and content type behind heads of its services that aren't those of an answer: field names with blank, tab, control byte or none, folded lines, bare line feeds, control bytes in values and reasons, other versions, statuses 600 and 999, two lengths that differ, a length of "+4". An order counted as answered by such an answer.

Cause: carawayd and carawayctl read heads by POCO's parser, which accepts what a proxy must not, as HttpHead.h says; only carawayd-entry used the strict one.

Change: one parser for both programs. BoundedSocket, which follows each head anyway, asks ReadAnswerHead() once a head is whole, before POCO reads it, and ReceiveHead() rejects what POCO ends without it, by bare line feeds or from bytes behind the answer before. Callers of HttpExchange and EngineStream see what they see for a cut answer: an order's outcome is unknown, a call that may be repeated goes to another endpoint, a stream goes on at another engine. `answer_rejected` logs the address and what was wrong.

Tests, red before and green after: BrokenHeadsTest.* (five), BrokenServiceAnswers.AnswerWithABrokenHeadIsNoAnswer.

--- a/src/net/BoundedSocket.cpp
+++ b/src/net/BoundedSocket.cpp
@@ -3,7 +3,8 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <string>
-#include <string_view>
+
+#include "net/HttpHead.h"
 
 namespace caraway {
 
@@ -11,7 +12,8 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr std::string_view kEndOfHead = "\r\n\r\n";
+constexpr int kSwitchingProtocols = 101;
+constexpr int kLeastFinalStatus = 200;
 
 class BoundedSocketImpl : public Poco::Net::StreamSocketImpl
 {
@@ -28,6 +30,8 @@
     mInHead = true;
   }
 
+  bool InHead() const { return mInHead; }
+
   int receiveBytes(void* aBuffer, int aLength, int aFlags) override
   {
     if (std::chrono::steady_clock::now() > mDeadline) {
@@ -52,21 +56,27 @@
       throw Poco::Net::ConnectionAbortedException("inside the answer's head");
     }
     mHead.append(aBytes, aCount);
-    size_t end = mHead.find(kEndOfHead);
-    while (end != std::string::npos && IsInterim()) {
-      mHead.erase(0, end + kEndOfHead.size());
-      end = mHead.find(kEndOfHead);
+    HttpHead head;
+    size_t used = 0;
+    HeadState state = ReadAnswerHead(mHead, head, used);
+    while (state == HeadState::Complete && IsInterim(head)) {
+      mHead.erase(0, used);
+      state = ReadAnswerHead(mHead, head, used);
+    }
+    if (state == HeadState::Bad) {
+      throw Poco::Net::MessageException("the answer's head",
+                                        HeadFaultName(head.mFault));
     }
-    mInHead = end == std::string::npos;
+    mInHead = state == HeadState::Partial;
     if (mInHead && mHead.size() > kMaxAnswerHeadBytes) {
       throw Poco::Net::NetException("answer head exceeds the size limit");
     }
   }
-  // HTTP/1.x 1xx: another head follows.
-  bool IsInterim() const
+  // Whether another head follows.
+  static bool IsInterim(const HttpHead& aHead)
   {
-    constexpr size_t kStatusAt = 9;
-    return mHead.size() > kStatusAt && mHead[kStatusAt] == '1';
+    return aHead.mStatus < kLeastFinalStatus &&
+           aHead.mStatus != kSwitchingProtocols;
   }
 
   size_t mLeft = SIZE_MAX; // bytes
@@ -91,6 +101,13 @@
   }
 }
 
+bool
+AnswerHeadIsSound(const Poco::Net::StreamSocket& aSocket)
+{
+  auto* impl = dynamic_cast<const BoundedSocketImpl*>(aSocket.impl());
+  return !impl || !impl->InHead();
+}
+
 void
 BoundAnswer(Poco::Net::StreamSocket& aSocket,
             size_t aBytes,
--- a/src/net/HttpExchange.cpp
+++ b/src/net/HttpExchange.cpp
@@ -6,6 +6,7 @@
 #include <Poco/String.h>
 #include <atomic>
 
+#include "base/Log.h"
 #include "net/BoundedSocket.h"
 
 namespace caraway {
@@ -121,13 +122,23 @@
 ReceiveHead(Poco::Net::HTTPClientSession& aSession,
             Poco::Net::HTTPResponse& aResponse)
 {
+  std::string address = aSession.socket().peerAddress().toString();
   ExpectAnswerHead(aSession.socket());
-  std::istream& in = aSession.receiveResponse(aResponse);
-  // POCO's parser takes a failed read for the end of the head.
-  if (const Poco::Exception* error = aSession.networkException()) {
-    error->rethrow();
+  try {
+    std::istream& in = aSession.receiveResponse(aResponse);
+    // POCO's parser takes a failed read for the end of the head.
+    if (const Poco::Exception* error = aSession.networkException()) {
+      error->rethrow();
+    }
+    if (!AnswerHeadIsSound(aSession.socket())) {
+      throw Poco::Net::MessageException("the answer's head", "line ends");
+    }
+    return in;
+  } catch (const Poco::Net::MessageException& error) {
+    LogWarn("answer_rejected",
+            { { "address", address }, { "wrong", error.message() } });
+    throw;
   }
-  return in;
 }
 
 Poco::Net::StreamSocket
--- a/src/net/HttpExchange.h
+++ b/src/net/HttpExchange.h
@@ -16,7 +16,8 @@
 HttpConnect(const HttpCall& aCall, std::string& aError);
 
 // Returns the body's stream once the whole head has been read; throws a
-// Poco::Exception if the connection ends before that.
+// Poco::Exception if the connection ends before that, or if it isn't the head
+// of an answer, which is logged with the server's address.
 std::istream&
 ReceiveHead(Poco::Net::HTTPClientSession& aSession,
             Poco::Net::HTTPResponse& aResponse);
--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -199,14 +199,58 @@
     plan.mInstances = { 1 };
     return plan;
   }
+  HttpReply Status()
+  {
+    HttpCall call;
+    call.mAddress = mFleet.mInstances[0]->Address("caller");
+    call.mMethod = "POST";
+    call.mPath = "/v1/services/status/x";
+    call.mBody = "body";
+    call.mTimeout = Seconds(10);
+    call.mHeaders = { { "Authorization", "Bearer " + mFleet.mKeys["acme"] } };
+    return HttpCallOnce(call);
+  }
+
   RawAnswerServer mServer;
   Fleet mFleet;
 };
 
 } // namespace
 
-// Guards carawayd's callers against what came before a reset, or an orderly
-// end, under an upload.
+// Guards carawayd's callers against the body behind a head that isn't that of
+// an answer, and its orders against counting as answered by one.
+TEST_F(BrokenServiceAnswers, AnswerWithABrokenHeadIsNoAnswer)
+{
+  std::string taken;
+  int number = 0;
+  for (const BrokenHead& head : BrokenHeads()) {
+    RawAnswer answer;
+    answer.mBytes =
+      BrokenAnswer(head, "Content-Type: text/plain\r\n", "broken body");
+    answer.mReadFirst = SIZE_MAX;
+    answer.mEnd = RawEnd::ReadThenClose;
+    mServer.SetAnswer(answer);
+    HttpReply status = Status();
+    HttpReply order = mFleet.OrderCall(
+      0, mFleet.mKeys["acme"], "k" + std::to_string(++number), "body");
+    for (const HttpReply& reply : { status, order }) {
+      bool passedOn = reply.mBody.find("broken body") != std::string::npos;
+      EXPECT_EQ(HttpStage::Answered, reply.mStage);
+      taken += passedOn || reply.Ok() ? "\n" + head.mWhat : "";
+    }
+  }
+  EXPECT_EQ("", taken);
+  std::ostringstream log;
+  log << std::ifstream(mFleet.mFolder + "/i0.log").rdbuf();
+  for (const std::string& text :
+       { std::string("answer_rejected"),
+         "\"address\":\"" + mServer.Address() + "\"",
+         std::string("the answer's head: field name") }) {
+    EXPECT_NE(std::string::npos, log.str().find(text)) << text;
+  }
+}
+
+// The same for what came before a reset, or an orderly end, under an upload.
 TEST_F(BrokenServiceAnswers, PartBeforeAResetUnderAnUploadIsNoAnswer)
 {
   for (RawEnd end : { RawEnd::Reset, RawEnd::HalfCloseThenReset }) {
--- a/tests/unit/BrokenHeadsTest.cpp
+++ b/tests/unit/BrokenHeadsTest.cpp
@@ -84,4 +84,85 @@
   reactor.Drop();
 }
 
+// Guards carawayd's calls to services, and its orders to engines.
+TEST_F(BrokenHeadsTest, HttpCallIsLost)
+{
+  ExpectNone("body", [&] {
+    return HttpCallOnce(Call("x")).mStage == HttpStage::Answered;
+  });
+}
+
+// Guards carawayd's calls to the platform and to other instances, on new
+// connections and on kept ones.
+TEST_F(BrokenHeadsTest, PooledCallIsLost)
+{
+  HttpPool pool;
+  ExpectNone("body", [&] {
+    bool kept = pool.Call(Call("")).mStage == HttpStage::Answered;
+    EXPECT_TRUE(kept);
+    HttpCall once = Call("x");
+    once.mResend = false;
+    return pool.Call(Call("x")).mStage == HttpStage::Answered ||
+           pool.Call(once).mStage == HttpStage::Answered;
+  });
+}
+
+// Guards carawayd's streams from engines.
+TEST_F(BrokenHeadsTest, EngineAnswerIsBroken)
+{
+  GenerateCall call;
+  call.mAddress = mServer.Address();
+  call.mRequestId = "r1";
+  call.mMessages = Json::Value(Json::arrayValue);
+  ExpectNone("{\"id\":\"r1\",\"end\":true,\"n\":0,\"reason\":\"stop\"}\n", [&] {
+    auto result = EngineGenerate(call, [](const std::string&) { return true; });
+    return result.mOutcome != GenerateOutcome::Broken;
+  });
+}
+
+// Guards what carawayctl prints and writes by an instance's answer.
+TEST_F(BrokenHeadsTest, CommandLineFails)
+{
+  ExpectNone("{\"result\":{}}", [&] {
+    Json::Value body(Json::objectValue);
+    AdminClient client(mServer.Address(), "key");
+    auto posted = Outcome([&] { return client.Post("/x", body); });
+    auto called =
+      Outcome([&] { return CallInstance(mServer.Address(), "parts", body); });
+    return std::holds_alternative<Json::Value>(posted) ||
+           std::holds_alternative<Json::Value>(called);
+  });
+}
+
+// Guards claims and placements in the platform's objects, and its lists.
+TEST_F(BrokenHeadsTest, PlatformAnswerCountsForNothing)
+{
+  BootClock clock;
+  PlatformClientSettings settings;
+  settings.mAddress = mServer.Address();
+  settings.mMaxAttempts = 1;
+  settings.mBackoff = Millis(1);
+  settings.mCallsPerSecond = 1e6;
+  PlatformClient client(settings, clock);
+  PlatformWrite write;
+  write.mKind = "claims";
+  write.mName = "c1";
+  write.mWriteId = "w1";
+  write.mValue = "held";
+  ExpectNone(R"({"name":"c1","version":1,"write_id":"w1"})", [&] {
+    return client.Write(write).mOutcome != WriteOutcome::Unknown;
+  });
+  mServer.SetSoundBelow(0); // reads have no body
+  ExpectNone(R"({"name":"c1","version":1})", [&] {
+    auto read = Outcome([&] { return client.Read("claims", "c1"); });
+    return std::holds_alternative<PlatformObject>(read);
+  });
+  ExpectNone(R"({"objects":[],"instances":[]})", [&] {
+    auto list = Outcome([&] { return client.List("claims", ""); });
+    auto instances = Outcome([&] { return client.Instances(); });
+    return std::holds_alternative<std::vector<PlatformObject>>(list) ||
+           std::holds_alternative<std::vector<InstanceInfo>>(instances);
+  });
+}
+
 } // namespace caraway
