Chunk and trailer lines follow the grammar of heads

What callers saw: nothing yet; found while each reader of answers was gone through. A chunked answer counted as whole though a trailer's name held a blank, a trailer had no colon, or a bare line feed or control byte stood in a chunk's line: bytes that two parsers read differently, as in heads.

Change: a size line holds no control bytes, and a trailer line is a field line by the parser of heads. The same reader reads requests: such an upload gets 400, as a head with such a line does.

Test, red before (7 of 7 new lines taken) and green after: BodyReader.MalformedChunksAreRejected.

--- a/src/net/BodyReader.cpp
+++ b/src/net/BodyReader.cpp
@@ -92,7 +92,8 @@
   std::string_view digits = line.substr(0, line.find(';'));
   const char* end = digits.data() + digits.size();
   auto [at, error] = std::from_chars(digits.data(), end, mLeft, 16);
-  if (digits.empty() || error != std::errc() || at != end) {
+  if (digits.empty() || error != std::errc() || at != end ||
+      !IsPlainText(line)) {
     return false;
   }
   if (mLeft > kMaxChunkBytes) {
@@ -134,7 +135,7 @@
     } else {
       mDone = line.empty();
       mTrailerBytes += line.size();
-      valid = mTrailerBytes <= kMaxTrailerBytes;
+      valid = mTrailerBytes <= kMaxTrailerBytes && (mDone || IsFieldLine(line));
     }
   }
   aIn.erase(0, at);
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -30,15 +30,6 @@
            std::string_view::npos;
 }
 
-bool
-IsPlainText(std::string_view aText)
-{
-  return std::all_of(aText.begin(), aText.end(), [](char aChar) {
-    auto value = static_cast<unsigned char>(aChar);
-    return value == '\t' || (value >= 0x20 && value != 0x7f);
-  });
-}
-
 bool
 ListContains(std::string_view aList, std::string_view aWord)
 {
@@ -232,6 +223,22 @@
   return "length or coding";
 }
 
+bool
+IsPlainText(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](char aChar) {
+    auto value = static_cast<unsigned char>(aChar);
+    return value == '\t' || (value >= 0x20 && value != 0x7f);
+  });
+}
+
+bool
+IsFieldLine(std::string_view aLine)
+{
+  HttpHead head;
+  return ReadField(aLine, head) == HeadFault::None;
+}
+
 bool
 EqualsIgnoreCase(std::string_view aOne, std::string_view aOther)
 {
--- a/src/net/HttpHead.h
+++ b/src/net/HttpHead.h
@@ -81,6 +81,14 @@
 HeadState
 ReadAnswerHead(std::string_view aBytes, HttpHead& aHead, size_t& aUsed);
 
+// Whether a line, without its end, is a field as heads and trailers have it.
+bool
+IsFieldLine(std::string_view aLine);
+
+// Whether a text has no control bytes but tabs.
+bool
+IsPlainText(std::string_view aText);
+
 // Returns aFirstLine, the fields and the blank line.
 std::string
 WriteHead(const std::string& aFirstLine, const std::vector<HttpField>& aFields);
--- a/tests/unit/HttpHeadTest.cpp
+++ b/tests/unit/HttpHeadTest.cpp
@@ -115,7 +115,17 @@
 
 TEST(BodyReader, MalformedChunksAreRejected)
 {
-  for (const char* bytes : { "x\r\n", "-1\r\n", "3\r\nabcd\r\n", "\r\n" }) {
+  for (const char* bytes : { "x\r\n",
+                             "-1\r\n",
+                             "3\r\nabcd\r\n",
+                             "\r\n",
+                             "3;a\nb\r\n",
+                             "3;a\x01\r\n",
+                             "0\r\nX Name: 1\r\n",
+                             "0\r\nX-Name : 1\r\n",
+                             "0\r\n folded\r\n",
+                             "0\r\nno colon\r\n",
+                             "0\r\nX-Name: a\nb\r\n" }) {
     BodyReader reader(Framed(BodyFraming::Chunked));
     std::string body;
     EXPECT_FALSE(TakeByteByByte(reader, bytes, body)) << bytes;
