Tests: resets under uploads and broken heads between instances and servers

New kinds of AnswerProxy: to an upload that is still being written, a success without a length, a part of its body and a reset; the answer's body behind a head that isn't an answer's. The proxy's receive buffers are small, so that an upload which it leaves unread is still being written.

Sabotage: `shortened` frames a part as the whole, which nobody can tell; OrdersOnce.CheckSeesAShortenedAnswer is green only if the check of bodies counts it.

--- a/tests/orders/main.cpp
+++ b/tests/orders/main.cpp
@@ -23,7 +23,9 @@
 DEFINE_string(faults,
               "",
               "of answers, by comma: doubled, late, cut-in-head, cut-in-body, "
-              "reset, unmarked, without-id, replaced, timed-out");
+              "reset, unmarked, without-id, replaced, timed-out, "
+              "reset-under-upload, broken-head, shortened");
+DEFINE_uint32(body_bytes, 4, "bytes of each request's body");
 DEFINE_double(share, 0.1, "share of the answers that a fault befalls");
 DEFINE_bool(cut_off, false, "the first instance reaches no server");
 DEFINE_bool(stops, false, "instances are stopped and go on");
@@ -50,6 +52,9 @@
   { "without-id", AnswerFault::WithoutId },
   { "replaced", AnswerFault::Replaced },
   { "timed-out", AnswerFault::TimedOut },
+  { "reset-under-upload", AnswerFault::ResetUnderUpload },
+  { "broken-head", AnswerFault::BrokenHead },
+  { "shortened", AnswerFault::Shortened },
 };
 
 std::vector<AnswerFault>
@@ -82,6 +87,7 @@
   plan.mWork = caraway::Millis(FLAGS_work_ms);
   plan.mPerSecond = FLAGS_per_second;
   plan.mClump = FLAGS_clump;
+  plan.mBodyBytes = FLAGS_body_bytes;
   plan.mDeadline = caraway::Millis(FLAGS_deadline_ms);
   plan.mDuration = caraway::Seconds(FLAGS_seconds);
   plan.mFaults.mKinds = ReadFaults(FLAGS_faults);
--- a/tests/process/OrdersOnceTest.cpp
+++ b/tests/process/OrdersOnceTest.cpp
@@ -85,4 +85,29 @@
   ExpectOnce(plan);
 }
 
+// Guards against a part of an answer, or the body behind a head that isn't an
+// answer's, passed on as an answer.
+TEST(OrdersOnce, BrokenAnswersAreNotPassedOn)
+{
+  ScratchFolder folder;
+  OrderLoadPlan plan = FullServers(folder);
+  plan.mFaults.mKinds = { AnswerFault::ResetUnderUpload,
+                          AnswerFault::BrokenHead };
+  plan.mFaults.mShare = 0.4;
+  plan.mClump = 2;
+  plan.mPerSecond = 12;
+  plan.mDuration = Seconds(8);
+  plan.mBodyBytes = 4'000'000; // more than the systems on the way hold
+  ExpectOnce(plan);
+}
+
+// Guards against a check of bodies that doesn't see a part of one.
+TEST(OrdersOnce, CheckSeesAShortenedAnswer)
+{
+  ScratchFolder folder;
+  OrderLoadPlan plan = FullServers(folder);
+  plan.mFaults.mKinds = { AnswerFault::Shortened };
+  EXPECT_GT(OrderLoad(plan).Run().mWrongAnswers, 0);
+}
+
 } // namespace caraway
--- a/tests/support/AnswerProxy.cpp
+++ b/tests/support/AnswerProxy.cpp
@@ -1,13 +1,21 @@
 #include "support/AnswerProxy.h"
 
 #include <Poco/Exception.h>
+#include <algorithm>
 #include <utility>
 
 #include "net/HttpHead.h"
 #include "platform/WireNames.h"
+#include "support/BrokenHeads.h"
 
 namespace caraway {
 
+namespace {
+
+constexpr int kReceiveBytes = 65536;
+
+} // namespace
+
 // One connection of a client and the one to the server that belongs to it.
 struct AnswerProxy::Link
 {
@@ -27,6 +35,8 @@
     : mProxy(aProxy)
   {
     mSocket.bind(Poco::Net::SocketAddress("127.0.0.1:0"), true);
+    // Small, so that an upload that isn't read is still being written.
+    mSocket.setReceiveBufferSize(kReceiveBytes);
     mSocket.listen(64);
     mSocket.setBlocking(false);
   }
@@ -47,6 +57,9 @@
 
 constexpr Millis kConnectLimit{ 700 };
 
+// From the part of an answer to the reset.
+constexpr Millis kPartBeforeReset{ 5 };
+
 constexpr int kPromises[] = { 408, 421, 429, 503 };
 
 std::string
@@ -147,7 +160,37 @@
     Close(aLink);
     return;
   }
-  aLink->mServer->Write(bytes);
+  if (!ResetsUpload(aLink, bytes)) {
+    aLink->mServer->Write(bytes);
+  }
+}
+
+// aBytes: the first that came of a request, if it is an upload.
+bool
+AnswerProxy::ResetsUpload(const std::shared_ptr<Link>& aLink,
+                          const std::string& aBytes)
+{
+  HttpHead head;
+  size_t used = 0;
+  bool upload = ReadRequestHead(aBytes, head, used) == HeadState::Complete &&
+                head.mLength > aBytes.size() - used &&
+                head.Find(wire::kRequestId);
+  bool resets = std::count(mFaults.mKinds.begin(),
+                           mFaults.mKinds.end(),
+                           AnswerFault::ResetUnderUpload) > 0;
+  if (!upload || !resets || Draw() != AnswerFault::ResetUnderUpload) {
+    return false;
+  }
+  ++mFaulty;
+  aLink->mServer->Reset();
+  aLink->mClient->SetReading(false); // the upload is still being written
+  aLink->mClient->Write(
+    WriteHead("HTTP/1.1 200 OK",
+              { { wire::kRequestId, *head.Find(wire::kRequestId) },
+                { wire::kSeal, "seal" } }) +
+    "a part of a body");
+  mReactor.After(kPartBeforeReset, [aLink] { aLink->mClient->Reset(); });
+  return true;
 }
 
 void
@@ -172,7 +215,9 @@
     input.erase(0, used + head.mLength);
     aLink->mUsed = true;
     AnswerFault fault = Draw();
-    bool counts = fault != AnswerFault::None && fault != AnswerFault::TimedOut;
+    bool counts = fault != AnswerFault::None &&
+                  fault != AnswerFault::TimedOut &&
+                  fault != AnswerFault::ResetUnderUpload;
     mFaulty += counts ? 1 : 0;
     Deliver(aLink, fault, headText, body);
   }
@@ -191,6 +236,7 @@
   switch (aFault) {
     case AnswerFault::None:
     case AnswerFault::TimedOut:
+    case AnswerFault::ResetUnderUpload:
       client.Write(aHead + aBody);
       break;
     case AnswerFault::Doubled:
@@ -218,6 +264,23 @@
       client.Write(aHead + aBody.substr(0, aBody.size() / 2));
       Close(aLink);
       break;
+    case AnswerFault::BrokenHead: {
+      const std::vector<BrokenHead> heads = BrokenHeads();
+      size_t fields = aHead.find("\r\n") + 2;
+      std::string own = WithoutFields(aHead, { "Content-Length" });
+      client.Write(BrokenAnswer(heads[draw(heads.size() - 1)],
+                                own.substr(fields, own.size() - fields - 2),
+                                aBody));
+      break;
+    }
+    case AnswerFault::Shortened: {
+      std::string part = aBody.substr(0, aBody.size() / 2);
+      std::string head = WithoutFields(aHead, { "Content-Length" });
+      head.insert(head.size() - 2,
+                  "Content-Length: " + std::to_string(part.size()) + "\r\n");
+      client.Write(head + part);
+      break;
+    }
     case AnswerFault::Reset:
       aLink->mServer->Reset();
       client.Reset();
--- a/tests/support/AnswerProxy.h
+++ b/tests/support/AnswerProxy.h
@@ -26,6 +26,13 @@
   WithoutId, // without the request's id
   Replaced,  // another answer, of a status that promises "not run"
   TimedOut,  // 408 and a close before the request has reached the server
+  // To an upload that is still being written: a success without a length, a
+  // part of its body and a reset.
+  ResetUnderUpload,
+  BrokenHead, // the answer's body behind a head that isn't an answer's
+  // A part of the body, framed as the whole. Nobody can tell it from a whole
+  // one, so that a check of bodies which doesn't see it checks nothing.
+  Shortened,
 };
 
 // What the proxy does to answers that carry a request's id.
@@ -51,6 +58,8 @@
   struct Link;
   void OnConnection(const Poco::Net::StreamSocket& aSocket);
   void OnRequestBytes(const std::shared_ptr<Link>& aLink);
+  bool ResetsUpload(const std::shared_ptr<Link>& aLink,
+                    const std::string& aBytes);
   void OnAnswerBytes(const std::shared_ptr<Link>& aLink);
   void Deliver(const std::shared_ptr<Link>& aLink,
                AnswerFault aFault,
--- a/tests/support/OrderLoad.cpp
+++ b/tests/support/OrderLoad.cpp
@@ -217,7 +217,8 @@
   request.mHead = mFleet.RequestText(
     "/order/x",
     attempt.mId,
-    { { wire::kDeadline, std::to_string(mPlan.mDeadline.count()) } });
+    { { wire::kDeadline, std::to_string(mPlan.mDeadline.count()) } },
+    std::string(mPlan.mBodyBytes, 'b'));
   if (aRetries == kRetries) { // retries meet other nodes, on new connections
     request.mIdentity = { AnswerIdentity::RequestId,
                           attempt.mId,
@@ -240,7 +241,8 @@
                     int aRetries)
 {
   aAttempt.mStatus = aAnswer.mStatus;
-  bool own = aAnswer.mBody == "answer to " + aAttempt.mId + " of body";
+  bool own = aAnswer.mBody == "answer to " + aAttempt.mId + " of " +
+                                std::string(mPlan.mBodyBytes, 'b');
   mWrongAnswers += aAnswer.mStatus == 200 && !own ? 1 : 0;
   aAttempt.mEndedAt = SinceStart();
   if (!ToldNotRun(aAnswer.mStatus) || aRetries == 0) {
--- a/tests/support/OrderLoad.h
+++ b/tests/support/OrderLoad.h
@@ -30,7 +30,8 @@
   int mQueue = 3;
   Millis mWork{ 30 };
   double mPerSecond = 53.7;
-  int mClump = 12; // requests that are sent at once
+  int mClump = 12;       // requests that are sent at once
+  size_t mBodyBytes = 4; // of each request
   Millis mDeadline{ 2500 };
   Millis mDuration{ 10000 };
   AnswerFaults mFaults;
