The rule for interim answers stands once, and ReceiveHead is told the address

ReceiveHead asked the socket for its address, for the log line, before it read the head. By reading: a connection that its server has reset by then has none, so that a framed answer before the reset would have been lost. Which statuses are interim, and that a switch of protocols is none, is in HttpHead for both readers.

--- a/src/net/BoundedSocket.cpp
+++ b/src/net/BoundedSocket.cpp
@@ -12,9 +12,6 @@
 
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr int kSwitchingProtocols = 101;
-constexpr int kLeastFinalStatus = 200;
-
 class BoundedSocketImpl : public Poco::Net::StreamSocketImpl
 {
 public:
@@ -72,12 +69,6 @@
       throw Poco::Net::NetException("answer head exceeds the size limit");
     }
   }
-  // Whether another head follows.
-  static bool IsInterim(const HttpHead& aHead)
-  {
-    return aHead.mStatus < kLeastFinalStatus &&
-           aHead.mStatus != kSwitchingProtocols;
-  }
 
   size_t mLeft = SIZE_MAX; // bytes
   SteadyTime mDeadline = SteadyTime::max();
--- a/src/net/HttpExchange.cpp
+++ b/src/net/HttpExchange.cpp
@@ -120,9 +120,9 @@
 
 std::istream&
 ReceiveHead(Poco::Net::HTTPClientSession& aSession,
+            const std::string& aAddress,
             Poco::Net::HTTPResponse& aResponse)
 {
-  std::string address = aSession.socket().peerAddress().toString();
   ExpectAnswerHead(aSession.socket());
   try {
     std::istream& in = aSession.receiveResponse(aResponse);
@@ -136,7 +136,7 @@
     return in;
   } catch (const Poco::Net::MessageException& error) {
     LogWarn("answer_rejected",
-            { { "address", address }, { "wrong", error.message() } });
+            { { "address", aAddress }, { "wrong", error.message() } });
     throw;
   }
 }
@@ -172,7 +172,7 @@
     SendRequest(aSession, aCall, aKeepAlive);
     SetSocketTimeouts(aSession, deadline);
     Poco::Net::HTTPResponse response;
-    std::istream& in = ReceiveHead(aSession, response);
+    std::istream& in = ReceiveHead(aSession, aCall.mAddress, response);
     reply.mStatus = response.getStatus();
     for (const auto& header : response) {
       reply.mHeaders[Poco::toLower(header.first)] = header.second;
--- a/src/net/HttpExchange.h
+++ b/src/net/HttpExchange.h
@@ -20,6 +20,7 @@
 // of an answer, which is logged with the server's address.
 std::istream&
 ReceiveHead(Poco::Net::HTTPClientSession& aSession,
+            const std::string& aAddress,
             Poco::Net::HTTPResponse& aResponse);
 
 // Never throws. The reply's stage is Lost or Answered.
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -223,6 +223,14 @@
   return "length or coding";
 }
 
+bool
+IsInterim(const HttpHead& aHead)
+{
+  constexpr int kLeastFinalStatus = 200;
+  return aHead.mStatus < kLeastFinalStatus &&
+         aHead.mStatus != kSwitchingProtocols;
+}
+
 bool
 IsPlainText(std::string_view aText)
 {
--- a/src/net/HttpHead.h
+++ b/src/net/HttpHead.h
@@ -70,6 +70,13 @@
   Bad,
 };
 
+// A switch of protocols, which is never asked for: what follows is no answer.
+inline constexpr int kSwitchingProtocols = 101;
+
+// Whether another head follows this one of an answer.
+bool
+IsInterim(const HttpHead& aHead);
+
 // Compares ASCII text without case, as for header names.
 bool
 EqualsIgnoreCase(std::string_view aOne, std::string_view aOther);
--- a/src/net/OutboundCall.cpp
+++ b/src/net/OutboundCall.cpp
@@ -13,9 +13,6 @@
 // Longer answer heads are rejected.
 constexpr size_t kMaxHeadBytes = 65536;
 
-// Never asked for, so that what follows it is no answer.
-constexpr int kSwitchingProtocols = 101;
-
 // Limit of interim answers (1xx) before the answer.
 constexpr int kMaxInterimAnswers = 16;
 
@@ -195,7 +192,7 @@
       return false;
     }
     input.erase(0, used);
-    if (aHead.mStatus >= 200) {
+    if (!IsInterim(aHead)) {
       return true;
     }
     ++mInterimAnswers;
--- a/src/serve/EngineStream.cpp
+++ b/src/serve/EngineStream.cpp
@@ -138,7 +138,7 @@
     session.sendRequest(request) << body << std::flush;
     Poco::Net::HTTPResponse response;
     BoundNext(session, aCall.mFirstToken);
-    std::istream& in = ReceiveHead(session, response);
+    std::istream& in = ReceiveHead(session, aCall.mAddress, response);
     BoundNext(session, aCall.mFirstToken);
     if (response.getStatus() == kModelNotLoaded) {
       return { GenerateOutcome::ModelMissing,
