--- a/tests/process/BrokenAnswersTest.cpp
+++ b/tests/process/BrokenAnswersTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -270,4 +271,35 @@
   }
 }
 
+namespace {
+
+int
+RunPartsCommand(const std::string& aAddress)
+{
+  std::string command =
+    CARAWAY_BIN_DIR "/carawayctl parts " + aAddress + " >/dev/null 2>&1";
+  return std::system(command.c_str());
+}
+
+} // namespace
+
+// Guards an operator against a table that an instance hasn't sent.
+TEST(BrokenInstanceAnswers, CommandLineFails)
+{
+  const std::string body = R"({"result":{"part":{"blocked":true}}})";
+  RawAnswer answer;
+  answer.mEnd = RawEnd::ReadThenClose;
+  answer.mBytes = SealedAnswer(
+    "Content-Length: " + std::to_string(body.size()) + "\r\n", body);
+  RawAnswerServer server(answer);
+  EXPECT_EQ(0, RunPartsCommand(server.Address()));
+  std::string taken;
+  for (const BrokenHead& head : BrokenHeads()) {
+    answer.mBytes = BrokenAnswer(head, "", body);
+    server.SetAnswer(answer);
+    taken += RunPartsCommand(server.Address()) == 0 ? "\n" + head.mWhat : "";
+  }
+  EXPECT_EQ("", taken);
+}
+
 } // namespace caraway
--- a/tests/unit/ResetUnderUploadTest.cpp
+++ b/tests/unit/ResetUnderUploadTest.cpp
@@ -176,6 +176,27 @@
   EXPECT_LT(mClock.Now() - begun, Seconds(5));
 }
 
+// The same for carawayd's calls, where the write of the request isn't what
+// meets the reset.
+TEST_F(ResetUnderUpload, FramedAnswerOfABlockingCallIsWhole)
+{
+  RawAnswer answer;
+  answer.mBytes = SealedAnswer("Content-Length: 5\r\n", "whole");
+  answer.mReadFirst = kReadAll;
+  answer.mEnd = RawEnd::Reset;
+  mServer.SetAnswer(answer);
+  HttpCall call;
+  call.mAddress = mServer.Address();
+  call.mMethod = "POST";
+  call.mBody.assign(kSoundBelow, 'x');
+  constexpr int kCalls = 200;
+  int whole = 0;
+  for (int i = 0; i < kCalls; ++i) {
+    whole += HttpCallOnce(call).mStage == HttpStage::Answered ? 1 : 0;
+  }
+  EXPECT_EQ(kCalls, whole);
+}
+
 // Guards carawayd's calls, of which an answer without a length is never whole.
 TEST_F(ResetUnderUpload, BlockingCallsTakeNoPart)
 {
