Tests: the table of events is held against lines written by a pointer too

EventTable.PageAndCodeAgree found lines by "Log.Line" only and so missed `answer_rejected`, which ChannelPool writes by a pointer: "listed but never written". The check now covers both spellings, in the page's favour or not.

--- a/tests/unit/EventTableTest.cpp
+++ b/tests/unit/EventTableTest.cpp
@@ -42,7 +42,7 @@
 WrittenEvents()
 {
   EventFields events;
-  std::regex line("Log\\.Line\\(([^)]*)\\)([^;]*);");
+  std::regex line("Log(?:\\.|->)Line\\(([^)]*)\\)([^;]*);");
   for (const auto& file : std::filesystem::recursive_directory_iterator(
          std::filesystem::path(CARAWAY_SOURCE_DIR) / "src")) {
     if (file.path().extension() != ".cpp") {
