--- a/src/net/Channel.cpp
+++ b/src/net/Channel.cpp
@@ -295,7 +295,8 @@
   return QueuedBytes() == 0 && (!known || bytes == 0);
 }
 
-// After the other side's orderly end this side is still to close.
+// A reset or a timeout takes the connection to TCP_CLOSE at once. An orderly
+// end by the other side leaves it in TCP_CLOSE_WAIT until this side closes.
 bool
 Channel::Failed() const
 {
--- a/src/net/HttpHead.cpp
+++ b/src/net/HttpHead.cpp
@@ -307,7 +307,8 @@
   if (state != HeadState::Complete) {
     return state;
   }
-  bool version11 = aHead.mKeepAlive; // until the fields are read
+  // ReadVersion() sets it by the version; ReadFraming() may clear it below.
+  bool version11 = aHead.mKeepAlive;
   bool bodiless =
     aHead.mStatus < 200 || aHead.mStatus == 204 || aHead.mStatus == 304;
   if (!ReadFraming(aHead, BodyFraming::UntilClose)) {
